Lay the foundation: tools, typed rows, interfaces

Cause: nothing existed; five parts are to be built side by side. Conclusion: the parts can start against agreed types.

--- /dev/null
+++ b/ebonyhold/coordination/_keys.py
@@ -0,0 +1,58 @@
+"""The keys of the table's rows and of the objects."""
+
+from __future__ import annotations
+
+from ebonyhold.types import RequestId, RouterId, WorkspaceName
+
+BUDGET_PREFIX = "budget/"
+ROUTER_PREFIX = "router/"
+REQUEST_PREFIX = "request/"
+CONFIG_HEAD = "config/head"
+
+SEGMENT_DIGITS = 10
+"""Enough for a segment every millisecond for a hundred days."""
+
+
+def budget_key(workspace: WorkspaceName) -> str:
+    """Return the key of a workspace's budget row."""
+    return f"{BUDGET_PREFIX}{workspace}"
+
+
+def topup_key(workspace: WorkspaceName, key: str) -> str:
+    """Return the key of one top-up."""
+    return f"topup/{workspace}/{key}"
+
+
+def refund_key(workspace: WorkspaceName, key: str) -> str:
+    """Return the key of one refund."""
+    return f"refund/{workspace}/{key}"
+
+
+def router_key(router: RouterId) -> str:
+    """Return the key of an incarnation's row."""
+    return f"{ROUTER_PREFIX}{router}"
+
+
+def grant_prefix(router: RouterId) -> str:
+    """Return the prefix of all grants of one incarnation."""
+    return f"grant/{router}/"
+
+
+def grant_key(router: RouterId, workspace: WorkspaceName) -> str:
+    """Return the key of one incarnation's grant from one budget."""
+    return f"{grant_prefix(router)}{workspace}"
+
+
+def request_key(workspace: WorkspaceName, request: RequestId) -> str:
+    """Return the key of a request's claim and bill."""
+    return f"{REQUEST_PREFIX}{workspace}/{request}"
+
+
+def journal_prefix(router: RouterId) -> str:
+    """Return the prefix of one incarnation's journal, in either place."""
+    return f"journal/{router}/"
+
+
+def segment_key(router: RouterId, number: int) -> str:
+    """Return the key of one journal segment."""
+    return f"{journal_prefix(router)}{number:0{SEGMENT_DIGITS}d}"
--- /dev/null
+++ b/ebonyhold/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder docstring of the daemon package."""
--- /dev/null
+++ b/ebonyhold/exceptions.py
@@ -0,0 +1,138 @@
+"""Every error that ebonyhold raises, each with a stable code.
+
+All of them descend from `EbonyholdError`, so that whoever embeds one part can
+catch the whole family.  What callers see over HTTP is in
+`ebonyhold.callers`, which maps these onto refusals.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class EbonyholdError(Exception):
+    """The base of all errors raised here.
+
+    Attributes:
+        code: A stable word for programs; the message is for people.
+    """
+
+    code: ClassVar[str] = "internal"
+
+
+class SettingsError(EbonyholdError):
+    """A daemon's settings file cannot be used."""
+
+    code = "settings_invalid"
+
+
+class DocumentError(EbonyholdError):
+    """A fleet document has findings that forbid its use."""
+
+    code = "document_invalid"
+
+
+class PlatformError(EbonyholdError):
+    """The platform did not do what was asked."""
+
+    code = "platform_error"
+
+
+class UnavailableError(PlatformError):
+    """The platform could not be reached, and the call had no effect."""
+
+    code = "platform_unavailable"
+
+
+class ThrottledError(UnavailableError):
+    """The platform refused the call because of its rate ceiling; no effect."""
+
+    code = "platform_throttled"
+
+
+class UnknownOutcomeError(PlatformError):
+    """The call may or may not have taken effect; read back before repeating."""
+
+    code = "platform_outcome_unknown"
+
+
+class ConflictError(PlatformError):
+    """A precondition did not hold, so nothing was written.
+
+    Attributes:
+        keys: The keys whose checks failed, where the platform names them.
+    """
+
+    code = "platform_conflict"
+
+    def __init__(self, message: str, keys: tuple[str, ...] = ()) -> None:
+        super().__init__(message)
+        self.keys = keys
+
+
+class SealedError(EbonyholdError):
+    """Another router sealed this incarnation's journal; it must stop spending."""
+
+    code = "incarnation_sealed"
+
+
+class BudgetError(EbonyholdError):
+    """A hold could not be granted."""
+
+    code = "budget"
+
+
+class BudgetExhaustedError(BudgetError):
+    """The workspace's prepaid tokens are spent, as the table itself says."""
+
+    code = "budget_exhausted"
+
+
+class BudgetUnreachableError(BudgetError):
+    """Tokens may exist, but this router cannot get at them now."""
+
+    code = "budget_unreachable"
+
+
+class ClaimError(EbonyholdError):
+    """A request's claim could not be taken."""
+
+    code = "claim"
+
+
+class KeyReusedError(ClaimError):
+    """The idempotency key was used before with another body."""
+
+    code = "idempotency_key_reused"
+
+
+class ClaimUnavailableError(ClaimError):
+    """The claim could not be recorded, so the request was not run."""
+
+    code = "claim_unavailable"
+
+
+class OutcomeUnknownError(ClaimError):
+    """The request may have run; nobody can say yet."""
+
+    code = "outcome_unknown"
+
+
+class PeerError(EbonyholdError):
+    """Another router did not answer, or answered what cannot be used."""
+
+    code = "peer_error"
+
+
+class BackendError(EbonyholdError):
+    """A backend server failed an attempt.
+
+    Attributes:
+        ran: Whether the attempt may have run: False only where that is proved.
+    """
+
+    code = "backend_error"
+
+    def __init__(self, message: str, *, ran: bool) -> None:
+        super().__init__(message)
+        self.ran = ran
--- /dev/null
+++ b/ebonyhold/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder docstring of the operators package."""
--- /dev/null
+++ b/ebonyhold/routers/_interface.py
@@ -0,0 +1,101 @@
+"""What the other parts ask of the link to the other routers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+from attrs import frozen
+
+from ebonyhold.types import RequestId, RouterId, Seconds, Tokens, WorkspaceName
+
+
+@frozen
+class PeerMessage:
+    """The base of everything one router tells another."""
+
+
+Reply = TypeVar("Reply", bound=PeerMessage)
+
+
+@frozen
+class TransferRequest(PeerMessage):
+    """Please give me tokens of this workspace, if you have some to spare."""
+
+    workspace: WorkspaceName
+    wanted: Tokens
+
+
+@frozen
+class TransferGiven(PeerMessage):
+    """These tokens are yours: they left my journal before this was sent.
+
+    Attributes:
+        transfer: Unique for ever; receiving it twice counts once.
+        amount: 0 when there is nothing to spare.
+    """
+
+    workspace: WorkspaceName
+    transfer: str
+    amount: Tokens
+
+
+@frozen
+class FateRequest(PeerMessage):
+    """Are you running this request, or did you finish it?"""
+
+    workspace: WorkspaceName
+    request: RequestId
+
+
+@frozen
+class FateReply(PeerMessage):
+    """Whether the request runs here; True in `gave_up` once it is cancelled."""
+
+    running: bool
+    known: bool
+
+
+@frozen
+class VersionNotice(PeerMessage):
+    """The newest configuration version I have; fetch it if yours is older."""
+
+    version: int
+    digest: str
+
+
+@frozen
+class Leaving(PeerMessage):
+    """I am stopping: send me no transfers and do not suspect me."""
+
+
+Handler = Callable[[RouterId, PeerMessage], Awaitable[PeerMessage | None]]
+
+
+class PeerLink(Protocol):
+    """Messages to and from the other routers, authenticated and encrypted."""
+
+    def alive(self) -> tuple[RouterId, ...]:
+        """Return the routers believed alive, this one left out.
+
+        Nothing that must be safe may rest on it.
+        """
+        ...
+
+    def handle(self, kind: type[PeerMessage], handler: Handler) -> None:
+        """Register who answers messages of this kind."""
+        ...
+
+    async def send(self, to: RouterId, message: PeerMessage) -> None:
+        """Send without waiting for an answer; it may be lost."""
+        ...
+
+    async def ask(
+        self, to: RouterId, message: PeerMessage, reply: type[Reply], timeout: Seconds
+    ) -> Reply:
+        """Send and wait for the answer.
+
+        Raises:
+            PeerError: There was none in time.
+        """
+        ...
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the packages of ebonyhold."""
