--- /dev/null
+++ b/ebonyhold/daemon/_servers.py
@@ -0,0 +1,139 @@
+"""HTTP listeners of the daemon, with certificates that reload while they serve."""
+
+from __future__ import annotations
+
+import logging
+import ssl
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from attrs import define
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from ebonyhold.settings import Listener, TlsSettings
+from ebonyhold.types import Seconds
+
+logger = logging.getLogger(__name__)
+
+CERTIFICATE_POLL: Seconds = 1.0
+"""How often a listener looks whether its certificate files changed."""
+
+KEEP_ALIVE: Seconds = 75.0
+"""How long an idle connection is kept."""
+
+HEADER_TIMEOUT: Seconds = 10.0
+"""A caller that trickles its headers for longer is cut off."""
+
+GRACE: Seconds = 5.0
+"""How long hypercorn waits for open connections after its trigger."""
+
+AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+class ReloadingConfig(Config):
+    """A hypercorn configuration that remembers the TLS context it made."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.context: ssl.SSLContext | None = None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Make the context once; handshakes read it anew each time."""
+        self.context = super().create_ssl_context()
+        return self.context
+
+
+def listener_config(listener: Listener) -> ReloadingConfig:
+    """Translate a listener's settings for hypercorn."""
+    config = ReloadingConfig()
+    config.bind = [listener.bind]
+    config.graceful_timeout = GRACE
+    config.keep_alive_timeout = KEEP_ALIVE
+    config.read_timeout = None
+    config.accesslog = None
+    config.errorlog = logging.getLogger("hypercorn.error")
+    config.include_server_header = False
+    if listener.tls is not None:
+        config.certfile = listener.tls.certificate
+        config.keyfile = listener.tls.key
+        config.ca_certs = listener.tls.authority or None
+    return config
+
+
+@define
+class CertificateWatch:
+    """Loads a listener's certificate again when its files change.
+
+    Attributes:
+        config: The configuration whose context is refreshed.
+        tls: The files.
+        stamps: The modification times last seen, in nanoseconds.
+    """
+
+    config: ReloadingConfig
+    tls: TlsSettings
+    stamps: tuple[int, ...] = ()
+
+    def look(self) -> bool:
+        """Reload if a file changed; return whether it did.
+
+        The two files are replaced one after the other, so a look in between
+        sees a pair that does not match: loading fails, the old pair stays in
+        use, and the next look tries again.
+        """
+        stamps = self.read_stamps()
+        if stamps == self.stamps or self.config.context is None:
+            return False
+        try:
+            self.config.context.load_cert_chain(self.tls.certificate, self.tls.key)
+        except (OSError, ssl.SSLError) as error:
+            logger.warning("certificate not loaded", extra={"error": str(error)})
+            return False
+        self.stamps = stamps
+        return True
+
+    def read_stamps(self) -> tuple[int, ...]:
+        """Return the modification times; empty while a file is missing."""
+        try:
+            return tuple(
+                Path(name).stat().st_mtime_ns
+                for name in (self.tls.certificate, self.tls.key)
+            )
+        except OSError:
+            return ()
+
+    async def run(self) -> None:
+        """Look now and then until cancelled."""
+        self.stamps = self.read_stamps()
+        while True:
+            await anyio.sleep(CERTIFICATE_POLL)
+            if self.look():
+                logger.info("certificate reloaded")
+
+
+async def serve_listener(
+    app: AsgiApp,
+    listener: Listener,
+    stop: anyio.Event,
+    *,
+    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI app until the event is set.
+
+    Args:
+        app: The application.
+        listener: Where to bind, and with which certificate.
+        stop: Ends the listener; open connections get `GRACE` seconds.
+        task_status: Started once the server has been handed its sockets.
+    """
+    config = listener_config(listener)
+    async with anyio.create_task_group() as tasks:
+        if listener.tls is not None:
+            tasks.start_soon(CertificateWatch(config, listener.tls).run)
+        task_status.started()
+        await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+        tasks.cancel_scope.cancel()
