Add circuit breaker, token bucket, fair turns and retry budget

Cause: the platform client and the request path both need the same pure decisions about calling what may be failing. Change: coordination gains CircuitBreaker, TokenBucket, FairTurns, RetryBudget and Backoff; all are told the time and draw no random number.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,6 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._breaker import (
+    BreakerPolicy,
+    BreakerState,
+    CircuitBreaker,
+)
+from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._keys import (
     BUDGET_PREFIX,
@@ -20,6 +26,7 @@
     segment_key,
     topup_key,
 )
+from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     BudgetRow,
     GrantRow,
@@ -59,9 +66,14 @@
     "ROUTER_PREFIX",
     "Absent",
     "AtVersion",
+    "Backoff",
+    "BreakerPolicy",
+    "BreakerState",
     "BudgetRow",
     "Check",
+    "CircuitBreaker",
     "Delete",
+    "FairTurns",
     "GrantRow",
     "Intent",
     "JournalEntry",
@@ -74,11 +86,13 @@
     "RequestKind",
     "RequestRow",
     "RequestState",
+    "RetryBudget",
     "RouterRow",
     "RouterState",
     "Row",
     "Seal",
     "Table",
+    "TokenBucket",
     "TopUpRow",
     "Transaction",
     "TransferIn",
