Serve the stand-ins over HTTP

Cause: the daemon, the demo and the contract tests need platform and backend servers that misbehave on demand. Change: python -m ebonyhold.standins table|objects|members|weights|engine| service, over hypercorn; the engine has a continuous batch with a finite token rate, priorities, resume, cancel, tombstones, a bounded prefix cache with late and gappy events, a lagging load report and deterministic answers; faults by POST /control, records by GET /records.

--- a/ebonyhold/standins/__init__.py
+++ b/ebonyhold/standins/__init__.py
@@ -4,9 +4,41 @@
 ``python -m ebonyhold.standins KIND --bind IP:PORT`` runs one as a process.
 """
 
+from ebonyhold.standins._answers import Answer, expected_text, prompt_digest, words_of
+from ebonyhold.standins._attempts import Attempt, AttemptState, EngineProfile, Job
+from ebonyhold.standins._cache import prefix_hashes
 from ebonyhold.standins._ceiling import Ceiling
+from ebonyhold.standins._engine import Engine, EngineRefusal
 from ebonyhold.standins._faults import Faults
 from ebonyhold.standins._objects import MemoryObjects
+from ebonyhold.standins._records import (
+    EngineRecord,
+    EngineRecords,
+    OrderRecord,
+    ServiceRecord,
+    ServiceRecords,
+)
 from ebonyhold.standins._table import MemoryTable
 
-__all__ = ["Ceiling", "Faults", "MemoryObjects", "MemoryTable"]
+__all__ = [
+    "Answer",
+    "Attempt",
+    "AttemptState",
+    "Ceiling",
+    "Engine",
+    "EngineProfile",
+    "EngineRecord",
+    "EngineRecords",
+    "EngineRefusal",
+    "Faults",
+    "Job",
+    "MemoryObjects",
+    "MemoryTable",
+    "OrderRecord",
+    "ServiceRecord",
+    "ServiceRecords",
+    "expected_text",
+    "prefix_hashes",
+    "prompt_digest",
+    "words_of",
+]
