Check fleet documents with the place of every finding

The document was a model without a reader. The check builds its own nodes from the YAML parser's events, without recursion and within bounds, reads them into the attrs model with placeholders for what is wrong, and then applies rules across values, so that all findings come together with line, column, path and code. Bounds and forms of fields stand in the model's metadata.

--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -1,5 +1,19 @@
 """The fleet document: its model, its check, its schema."""
 
+from ebonyhold.document._capacity import is_stopped
+from ebonyhold.document._check import (
+    check_bytes,
+    check_text,
+    load_document,
+    render_findings,
+)
+from ebonyhold.document._fields import parse_duration, render_duration
+from ebonyhold.document._findings import (
+    CheckResult,
+    Finding,
+    FindingCode,
+    Severity,
+)
 from ebonyhold.document._model import (
     ApiKey,
     Backend,
@@ -15,19 +29,40 @@
     UnknownOutcome,
     Workspace,
 )
+from ebonyhold.document._render import (
+    part_converter,
+    to_canonical_json,
+    to_plain,
+    to_yaml,
+)
 
 __all__ = [
     "ApiKey",
     "Backend",
     "BackendKind",
+    "CheckResult",
     "Document",
+    "Finding",
+    "FindingCode",
     "Limits",
     "ModelRoute",
     "Policy",
     "ServiceRoute",
     "ServiceRule",
+    "Severity",
     "StaleConfiguration",
     "Stop",
     "UnknownOutcome",
     "Workspace",
+    "check_bytes",
+    "check_text",
+    "is_stopped",
+    "load_document",
+    "parse_duration",
+    "part_converter",
+    "render_duration",
+    "render_findings",
+    "to_canonical_json",
+    "to_plain",
+    "to_yaml",
 ]
--- a/ebonyhold/document/_model.py
+++ b/ebonyhold/document/_model.py
@@ -7,8 +7,22 @@
 
 from attrs import field, frozen
 
+from ebonyhold.document._fields import (
+    MODEL_NAME,
+    NAME,
+    SHA256_PATTERN,
+    TOKENS,
+    bounded,
+    duration,
+    text_form,
+)
 from ebonyhold.types import BackendName, Seconds, Tokens, WorkspaceName
 
+MOST_BODY = 1 << 30
+"""The largest bound on a body that a document may set, in bytes."""
+
+ADDRESS_PATTERN = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$"
+
 
 class BackendKind(Enum):
     """What a backend server is."""
@@ -35,8 +49,10 @@
 class ApiKey:
     """One API key of a workspace; only its SHA-256 is kept."""
 
-    id: str
-    sha256: str
+    id: str = field(metadata=NAME)
+    sha256: str = field(
+        metadata=text_form(SHA256_PATTERN, "64 hexadecimal digits in lower case")
+    )
 
 
 @frozen
@@ -52,12 +68,12 @@
         weight: Its share when several workspaces want the same engines.
     """
 
-    name: WorkspaceName
+    name: WorkspaceName = field(metadata=NAME)
     keys: tuple[ApiKey, ...]
-    prepaid: Tokens = 0
-    concurrency: int = 64
-    queue: int = 128
-    weight: int = 1
+    prepaid: Tokens = field(default=0, metadata=TOKENS)
+    concurrency: int = field(default=64, metadata=bounded(1, 100_000))
+    queue: int = field(default=128, metadata=bounded(0, 100_000))
+    weight: int = field(default=1, metadata=bounded(1, 1000))
 
 
 @frozen
@@ -76,13 +92,13 @@
         tls: Whether it is reached over TLS.
     """
 
-    name: BackendName
+    name: BackendName = field(metadata=NAME)
     kind: BackendKind
-    address: str
-    domain: str
+    address: str = field(metadata=text_form(ADDRESS_PATTERN, "ip:port"))
+    domain: str = field(metadata=NAME)
     models: tuple[str, ...] = ()
     service: str = ""
-    slots: int = 16
+    slots: int = field(default=16, metadata=bounded(1, 100_000))
     checks_fencing: bool = False
     tls: bool = False
 
@@ -98,10 +114,10 @@
         priority: Larger is served first when engines are full.
     """
 
-    model: str
-    default_tokens: Tokens = 512
-    most_tokens: Tokens = 4096
-    priority: int = 0
+    model: str = field(metadata=MODEL_NAME)
+    default_tokens: Tokens = field(default=512, metadata=bounded(1, 10_000_000))
+    most_tokens: Tokens = field(default=4096, metadata=bounded(1, 10_000_000))
+    priority: int = field(default=0, metadata=bounded(-1000, 1000))
 
 
 @frozen
@@ -115,10 +131,14 @@
         price: Tokens billed for a call that ran.
     """
 
-    method: str
-    path: str
+    method: str = field(
+        metadata=text_form(r"^([A-Z]{1,20}|\*)$", "an HTTP method in capitals, or *")
+    )
+    path: str = field(
+        metadata=text_form(r"^/[^?#\s]*$", "a path that starts with a slash")
+    )
     repeatable: bool
-    price: Tokens = 0
+    price: Tokens = field(default=0, metadata=TOKENS)
 
 
 @frozen
@@ -133,11 +153,11 @@
         most_body: The largest body either way, in bytes.
     """
 
-    service: str
+    service: str = field(metadata=NAME)
     rules: tuple[ServiceRule, ...] = ()
     honours_idempotency_key: bool = False
-    timeout: Seconds = 10.0
-    most_body: int = 1_048_576
+    timeout: Seconds = field(default=10.0, metadata=duration(0.01, 3600))
+    most_body: int = field(default=1_048_576, metadata=bounded(1, MOST_BODY))
 
 
 @frozen
@@ -152,7 +172,7 @@
         domain: The failure domain, or empty.
     """
 
-    name: str
+    name: str = field(metadata=NAME)
     starts: datetime
     ends: datetime
     backend: BackendName = ""
@@ -175,15 +195,17 @@
         keep_bills: How long bills and claims stay, in seconds.
     """
 
-    grants: str = "adaptive"
-    choice: str = "prefix_aware"
-    grant_horizon: Seconds = 60.0
-    reserve_share: float = 0.25
+    grants: str = field(default="adaptive", metadata=NAME)
+    choice: str = field(default="prefix_aware", metadata=NAME)
+    grant_horizon: Seconds = field(default=60.0, metadata=duration(0.1, 86_400))
+    reserve_share: float = field(default=0.25, metadata=bounded(0.001, 1))
     unknown_outcome: UnknownOutcome = UnknownOutcome.CHARGE_HOLD
     stale_configuration: StaleConfiguration = StaleConfiguration.SERVE
-    stale_after: Seconds = 3600.0
-    retry_ratio: float = 0.1
-    keep_bills: Seconds = 90 * 86_400.0
+    stale_after: Seconds = field(default=3600.0, metadata=duration(1, 365 * 86_400))
+    retry_ratio: float = field(default=0.1, metadata=bounded(0, 10))
+    keep_bills: Seconds = field(
+        default=90 * 86_400.0, metadata=duration(3600, 3650 * 86_400)
+    )
 
 
 @frozen
@@ -198,18 +220,18 @@
         stream_buffer: Bytes held for one slow caller before its stream is ended.
     """
 
-    most_body: int = 1_048_576
-    table_writes: float = 40.0
-    table_reads: float = 200.0
-    drain: Seconds = 30.0
-    stream_buffer: int = 262_144
+    most_body: int = field(default=1_048_576, metadata=bounded(1, MOST_BODY))
+    table_writes: float = field(default=40.0, metadata=bounded(0.1, 100_000))
+    table_reads: float = field(default=200.0, metadata=bounded(0.1, 100_000))
+    drain: Seconds = field(default=30.0, metadata=duration(0, 86_400))
+    stream_buffer: int = field(default=262_144, metadata=bounded(1024, MOST_BODY))
 
 
 @frozen
 class Document:
     """The whole fleet, as one validated document."""
 
-    fleet: str
+    fleet: str = field(metadata=NAME)
     domains: tuple[str, ...]
     workspaces: tuple[Workspace, ...] = ()
     models: tuple[ModelRoute, ...] = ()
--- /dev/null
+++ b/ebonyhold/document/_render.py
@@ -0,0 +1,88 @@
+"""Writing a document: as YAML for people, as JSON for parts and digests."""
+
+from __future__ import annotations
+
+import json
+from datetime import datetime
+from enum import Enum
+from typing import Any, cast
+
+import attrs
+import cattrs
+import yaml
+
+from ebonyhold.document._fields import (
+    RULE,
+    FieldRule,
+    Kind,
+    render_duration,
+    render_moment,
+)
+from ebonyhold.document._model import Document
+from ebonyhold.types import Json
+
+WIDTH = 88
+
+
+def to_plain(value: Any, *, defaults: bool = False) -> Json:
+    """Return a document, or a part of one, as operators write it.
+
+    Args:
+        value: The document or the part.
+        defaults: Whether to write attributes that have their default.
+    """
+    if attrs.has(type(value)):
+        return {
+            attribute.name: _plain_field(value, attribute, defaults)
+            for attribute in attrs.fields(type(value))
+            if defaults or not _is_default(value, attribute)
+        }
+    if isinstance(value, tuple):
+        return [to_plain(each, defaults=defaults) for each in value]
+    if isinstance(value, Enum):
+        return cast("Json", value.value)
+    if isinstance(value, datetime):
+        return render_moment(value)
+    return cast("Json", value)
+
+
+def to_yaml(document: Document) -> str:
+    """Return a document as YAML; reading it gives an equal document."""
+    return yaml.safe_dump(
+        to_plain(document), sort_keys=False, width=WIDTH, allow_unicode=True
+    )
+
+
+def to_canonical_json(document: Document) -> bytes:
+    """Return the one JSON form of a document, for digests and comparisons."""
+    return json.dumps(
+        to_plain(document, defaults=True), sort_keys=True, separators=(",", ":")
+    ).encode()
+
+
+def _plain_field(value: Any, attribute: attrs.Attribute[Any], defaults: bool) -> Json:
+    content = getattr(value, attribute.name)
+    rule: FieldRule | None = attribute.metadata.get(RULE)
+    if rule is not None and rule.kind is Kind.DURATION:
+        return render_duration(content)
+    return to_plain(content, defaults=defaults)
+
+
+def _is_default(value: Any, attribute: attrs.Attribute[Any]) -> bool:
+    default = attribute.default
+    if isinstance(default, attrs.Factory):  # type: ignore[arg-type]
+        default = default.factory()  # type: ignore[union-attr]
+    return bool(getattr(value, attribute.name) == default)
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(omit_if_default=True)
+    converter.register_unstructure_hook(datetime, render_moment)
+    converter.register_structure_hook(
+        datetime, lambda text, _: datetime.fromisoformat(text)
+    )
+    return converter
+
+
+part_converter = _make_converter()
+"""Turns parts of a document into JSON values and back; durations in seconds."""
