Publish, distribute and adopt configuration versions

A router needs the document in force, and an operator's change must never be lost or reverted. The decisions (accept by compare-and-set with a history row for lost answers, adopt only what is larger, first top-ups in the transaction of their version) are pure and stand in coordination. A document travels as parts: the manifest carries the latest changes itself, and a base in hashed packs the rest, so that one change costs a router one small object. Heads are copied to the object store after they were accepted, for routers that start while the table is down.

--- /dev/null
+++ b/ebonyhold/configuration/__init__.py
@@ -0,0 +1,30 @@
+"""Configuration versions: publishing, distributing and adopting them."""
+
+from ebonyhold.configuration._keeper import (
+    ConfigurationKeeper,
+    Evidence,
+    EvidenceSource,
+    make_keeper,
+)
+from ebonyhold.configuration._parts import (
+    Change,
+    DocumentState,
+    find_change,
+    find_changed_paths,
+    split_document,
+)
+from ebonyhold.configuration._store import Manifest, VersionStore
+
+__all__ = [
+    "Change",
+    "ConfigurationKeeper",
+    "DocumentState",
+    "Evidence",
+    "EvidenceSource",
+    "Manifest",
+    "VersionStore",
+    "find_change",
+    "find_changed_paths",
+    "make_keeper",
+    "split_document",
+]
--- /dev/null
+++ b/ebonyhold/configuration/_parts.py
@@ -0,0 +1,193 @@
+"""A document as parts: what is sent when one thing changes.
+
+Each workspace, route, backend server and stop is a part of its own.  A state
+is all parts of one version; it has a digest that changes with each of them and
+that costs the same to keep up however many there are.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from attrs import define, field, frozen
+
+from ebonyhold.document import (
+    Backend,
+    Document,
+    Limits,
+    ModelRoute,
+    Policy,
+    ServiceRoute,
+    Stop,
+    Workspace,
+    part_converter,
+)
+from ebonyhold.types import Json
+
+DIGEST_MODULUS = 1 << 256
+FLEET_PART = "fleet"
+
+LIST_PARTS: Mapping[str, tuple[type, str]] = {
+    "workspaces": (Workspace, "name"),
+    "models": (ModelRoute, "model"),
+    "services": (ServiceRoute, "service"),
+    "backends": (Backend, "name"),
+    "stops": (Stop, "name"),
+}
+"""The document's lists: the class of their items and what names an item."""
+
+SINGLE_PARTS: Mapping[str, type] = {"policy": Policy, "limits": Limits}
+
+
+@frozen
+class FleetPart:
+    """What belongs to no list."""
+
+    fleet: str
+    domains: tuple[str, ...]
+
+
+@frozen
+class Change:
+    """What one version changed.
+
+    Attributes:
+        version: The version.
+        upserts: New or changed parts, by key.
+        deletes: The keys of parts that are gone.
+    """
+
+    version: int
+    upserts: Mapping[str, Any]
+    deletes: tuple[str, ...] = ()
+
+
+def part_digest(key: str, value: Json) -> int:
+    """Return the number that a part adds to its state's digest."""
+    body = json.dumps([key, value], sort_keys=True, separators=(",", ":"))
+    return int.from_bytes(hashlib.sha256(body.encode()).digest())
+
+
+@define
+class DocumentState:
+    """All parts of one version, as JSON values and as model objects.
+
+    Attributes:
+        values: The parts as JSON values, by key.
+        objects: The parts as model objects, by list and name.
+        total: The sum of the parts' digests.
+    """
+
+    values: dict[str, Json] = field(factory=dict)
+    objects: dict[str, dict[str, Any]] = field(factory=dict)
+    total: int = 0
+
+    @property
+    def digest(self) -> str:
+        """The digest of the whole state, hexadecimal.
+
+        A sum of hashes guards against lost or doubled parts, not against a
+        forger: whoever may write the head row may write the parts as well.
+        """
+        return f"{self.total:064x}"
+
+    def put(self, key: str, value: Json) -> None:
+        """Add or replace a part."""
+        if key in self.values:
+            self.add_digest(-part_digest(key, self.values[key]))
+        self.values[key] = value
+        self.add_digest(part_digest(key, value))
+        section, _, name = key.partition("/")
+        self.objects.setdefault(section, {})[name] = structure_part(section, value)
+
+    def remove(self, key: str) -> None:
+        """Remove a part, if it is there."""
+        if key not in self.values:
+            return
+        self.add_digest(-part_digest(key, self.values.pop(key)))
+        section, _, name = key.partition("/")
+        self.objects.get(section, {}).pop(name, None)
+
+    def add_digest(self, amount: int) -> None:
+        """Move the digest."""
+        self.total = (self.total + amount) % DIGEST_MODULUS
+
+    def apply(self, change: Change) -> None:
+        """Apply what one version changed."""
+        for key in change.deletes:
+            self.remove(key)
+        for key, value in change.upserts.items():
+            self.put(key, value)
+
+    def copy(self) -> DocumentState:
+        """Return a state that can change by itself."""
+        objects = {section: dict(named) for section, named in self.objects.items()}
+        return DocumentState(dict(self.values), objects, self.total)
+
+    def document(self) -> Document:
+        """Assemble the document."""
+        fleet: FleetPart = self.objects[FLEET_PART][""]
+        rest: dict[str, Any] = {
+            section: tuple(self.objects.get(section, {}).values())
+            for section in LIST_PARTS
+        }
+        for section, kind in SINGLE_PARTS.items():
+            rest[section] = self.objects.get(section, {}).get("", kind())
+        return Document(fleet.fleet, fleet.domains, **rest)
+
+
+def structure_part(section: str, value: Json) -> Any:
+    """Turn a part's JSON value into its model object."""
+    if section in LIST_PARTS:
+        return part_converter.structure(value, LIST_PARTS[section][0])
+    kind: type = SINGLE_PARTS.get(section, FleetPart)
+    return part_converter.structure(value, kind)
+
+
+def split_document(document: Document) -> Iterator[tuple[str, Json]]:
+    """Yield the parts of a document with their keys."""
+    fleet = FleetPart(document.fleet, document.domains)
+    yield FLEET_PART, part_converter.unstructure(fleet)
+    for section in SINGLE_PARTS:
+        yield section, part_converter.unstructure(getattr(document, section))
+    for section, (_, name) in LIST_PARTS.items():
+        for item in getattr(document, section):
+            key = f"{section}/{getattr(item, name)}"
+            yield key, part_converter.unstructure(item)
+
+
+def find_change(before: DocumentState, document: Document, version: int) -> Change:
+    """Return what a document changes of a state."""
+    after = dict(split_document(document))
+    upserts = {
+        key: value
+        for key, value in after.items()
+        if key not in before.values or before.values[key] != value
+    }
+    deletes = tuple(key for key in before.values if key not in after)
+    return Change(version, upserts, deletes)
+
+
+def find_changed_paths(before: DocumentState, after: DocumentState) -> tuple[str, ...]:
+    """Name what differs between two states, down to the attribute."""
+    paths: list[str] = []
+    for key in dict.fromkeys((*before.values, *after.values)):
+        old, new = before.values.get(key), after.values.get(key)
+        if old != new:
+            paths.extend(_changed_attributes(key, old, new))
+    return tuple(paths)
+
+
+def _changed_attributes(key: str, old: Json, new: Json) -> Iterator[str]:
+    path = key.replace("/", ".", 1)
+    if old is None:
+        yield f"{path} (added)"
+    elif new is None:
+        yield f"{path} (removed)"
+    elif isinstance(old, Mapping) and isinstance(new, Mapping):
+        for name in dict.fromkeys((*old, *new)):
+            if old.get(name) != new.get(name):
+                yield f"{path}.{name}"
--- /dev/null
+++ b/ebonyhold/configuration/_publisher.py
@@ -0,0 +1,254 @@
+"""Publishing one version, whatever happens to its answers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING, TypeVar
+from uuid import uuid4
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.configuration._parts import (
+    Change,
+    DocumentState,
+    find_change,
+    find_changed_paths,
+)
+from ebonyhold.coordination import (
+    CONFIG_HEAD,
+    INITIAL_TOPUP,
+    Fate,
+    HeadRow,
+    Row,
+    TopUp,
+    Transaction,
+    budget_key,
+    config_version_key,
+    head_of,
+    plan_apply,
+    plan_initial_topup,
+    resolve_publication,
+    topup_key,
+)
+from ebonyhold.document import Document
+from ebonyhold.exceptions import (
+    ConfigurationError,
+    ConflictError,
+    EbonyholdError,
+    LostRaceError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ebonyhold.types import Seconds
+
+if TYPE_CHECKING:
+    from ebonyhold.configuration._keeper import ConfigurationKeeper
+
+MOST_ATTEMPTS = 8
+"""Commits of one version before its publisher gives up."""
+
+MOST_TOPUPS = 40
+"""First top-ups in the transaction of their version; more follow one by one."""
+
+RETRY_DELAY = 0.25
+"""Seconds before the first retry; it doubles with each."""
+
+LONGEST_DELAY = 4.0
+
+Answer = TypeVar("Answer")
+
+logger = logging.getLogger(__name__)
+
+
+@define
+class Publisher:
+    """Publishes one document; the keeper's lock is held meanwhile.
+
+    Attributes:
+        keeper: Whose state it builds on.
+        document: The document, already checked.
+        based_on: The version that the operator had seen.
+        author: The operator.
+        publication: Unique for this publication.
+        doubtful: Whether a commit may have taken effect unseen.
+    """
+
+    keeper: ConfigurationKeeper
+    document: Document
+    based_on: int
+    author: str
+    publication: str = field(factory=lambda: uuid4().hex)
+    doubtful: bool = False
+
+    async def publish(self) -> int:
+        """Publish, and return the version in force."""
+        row = await self.keeper.refresh_locked()
+        await self.check_base(row)
+        change = find_change(self.keeper.state, self.document, self.based_on + 1)
+        if not change.upserts and not change.deletes:
+            return self.keeper.version
+        state = self.keeper.state.copy()
+        state.apply(change)
+        head = await self.write_objects(state, change)
+        added = await self.commit(head, self.added_workspaces(change))
+        self.keeper.install(head, state)
+        await self.write_copy(head)
+        await self.fill_budgets(added, head)
+        return head.version
+
+    async def check_base(self, row: Row | None) -> None:
+        """Refuse when the version in force is not the one this was based on."""
+        head = head_of(row)
+        version = head.version if head else 0
+        if version == self.based_on:
+            return
+        author = head.author if head else ""
+        message = f"version {version} by {author} is in force, not {self.based_on}"
+        changed = await self.changed_since_base()
+        raise LostRaceError(message, version, author, changed)
+
+    async def changed_since_base(self) -> tuple[str, ...]:
+        """Name what differs between the base and the version in force."""
+        if not self.based_on:
+            return find_changed_paths(DocumentState(), self.keeper.state)
+        try:
+            base = await self.keeper.read_version(self.based_on)
+        except EbonyholdError:
+            return ()
+        return find_changed_paths(base, self.keeper.state)
+
+    async def write_objects(self, state: DocumentState, change: Change) -> HeadRow:
+        """Write the version's objects and return the head that refers to them.
+
+        They are content-addressed, so that writing them again after a lost
+        answer changes nothing, and nothing refers to them before the commit.
+        """
+        store = self.keeper.store
+        before = self.keeper.head
+
+        async def write() -> str:
+            previous = await store.read_manifest(before) if before else None
+            return await store.write_version(state, change, previous)
+
+        manifest = await self.insist(write)
+        return HeadRow(
+            version=change.version,
+            digest=state.digest,
+            manifest=manifest,
+            based_on=self.based_on,
+            author=self.author,
+            at=self.keeper.clock(),
+            publication=self.publication,
+        )
+
+    async def insist(self, step: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Repeat a step that may be repeated without harm."""
+        for attempt in range(MOST_ATTEMPTS - 1):
+            try:
+                return await step()
+            except (UnavailableError, UnknownOutcomeError) as error:
+                logger.warning("publishing again", extra={"reason": str(error)})
+                await anyio.sleep(delay_of(attempt))
+        return await step()
+
+    def added_workspaces(self, change: Change) -> tuple[str, ...]:
+        """Name the workspaces that were not there before."""
+        prefix = "workspaces/"
+        return tuple(
+            key.removeprefix(prefix)
+            for key in change.upserts
+            if key.startswith(prefix) and key not in self.keeper.state.values
+        )
+
+    async def commit(self, head: HeadRow, added: tuple[str, ...]) -> tuple[str, ...]:
+        """Commit the head and the first top-ups, and return those left over.
+
+        A lost answer shows as UnknownOutcomeError.  The history row tells
+        whether the write took effect; if it did not, the same transaction is
+        sent again: since both move the head from the same version, only one
+        of them can take effect, also when the first arrives late.
+        """
+        for attempt in range(MOST_ATTEMPTS):
+            try:
+                row = (await self.keeper.table.read((CONFIG_HEAD,)))[0]
+                if await self.is_accepted(row, head.version):
+                    return added[MOST_TOPUPS:]
+                topups = await self.missing_topups(added[:MOST_TOPUPS])
+                transaction = plan_apply(row, head, topups)
+                if transaction is None:
+                    raise ConfigurationError("the head moved while it was read")
+                await self.keeper.table.commit(transaction)
+                return added[MOST_TOPUPS:]
+            except ConflictError:
+                continue
+            except UnknownOutcomeError:
+                self.doubtful = True
+            except UnavailableError as error:
+                logger.warning("publishing again", extra={"reason": str(error)})
+            await anyio.sleep(delay_of(attempt))
+        if self.doubtful:
+            message = f"version {head.version} may have been accepted"
+            raise UnknownOutcomeError(message)
+        raise UnavailableError("the table did not take the new version")
+
+    async def is_accepted(self, row: Row | None, version: int) -> bool:
+        """Tell whether this publication was accepted already.
+
+        Raises:
+            LostRaceError: Another was accepted instead.
+        """
+        head = head_of(row)
+        if head is None or head.version < version:
+            return False
+        key = config_version_key(version)
+        history = (await self.keeper.table.read((key,)))[0]
+        if resolve_publication(history, self.publication) is Fate.ACCEPTED:
+            return True
+        await self.keeper.refresh_locked()
+        await self.check_base(row)
+        return False
+
+    async def missing_topups(self, workspaces: tuple[str, ...]) -> tuple[TopUp, ...]:
+        """Return the first top-ups that have not been made yet."""
+        amounts = {each.name: each.prepaid for each in self.document.workspaces}
+        topups: list[TopUp] = []
+        for workspace in workspaces:
+            keys = (topup_key(workspace, INITIAL_TOPUP), budget_key(workspace))
+            made, budget = await self.keeper.table.read(keys)
+            if made is None:
+                topups.append(TopUp(workspace, amounts[workspace], budget))
+        return tuple(topups)
+
+    async def write_copy(self, head: HeadRow) -> None:
+        """Copy the head; if that fails, the routers' keepers see to it."""
+        try:
+            await self.keeper.store.write_head_copy(head)
+        except EbonyholdError as error:
+            logger.warning("no copy of the head", extra={"reason": str(error)})
+
+    async def fill_budgets(self, workspaces: tuple[str, ...], head: HeadRow) -> None:
+        """Make the first top-ups that did not fit into the version's transaction."""
+        for workspace in workspaces:
+            await self.insist(partial(self.fill_budget, workspace, head))
+
+    async def fill_budget(self, workspace: str, head: HeadRow) -> None:
+        """Make one first top-up; the row of the top-up makes it idempotent."""
+        for _ in range(MOST_ATTEMPTS):
+            for topup in await self.missing_topups((workspace,)):
+                transaction: Transaction = plan_initial_topup(
+                    topup, head.author, head.at
+                )
+                try:
+                    await self.keeper.table.commit(transaction)
+                except ConflictError:
+                    break
+            else:
+                return
+
+
+def delay_of(attempt: int) -> Seconds:
+    """Return the pause after a failed attempt, counted from 0."""
+    return min(LONGEST_DELAY, RETRY_DELAY * 2.0**attempt)
--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -8,10 +8,18 @@
 ROUTER_PREFIX = "router/"
 REQUEST_PREFIX = "request/"
 CONFIG_HEAD = "config/head"
+CONFIG_VERSION_PREFIX = "config/version/"
 
 SEGMENT_DIGITS = 10
 """Enough for a segment every millisecond for a hundred days."""
 
+VERSION_DIGITS = 10
+
+
+def config_version_key(version: int) -> str:
+    """Return the key of a configuration version's history row."""
+    return f"{CONFIG_VERSION_PREFIX}{version:0{VERSION_DIGITS}d}"
+
 
 def budget_key(workspace: WorkspaceName) -> str:
     """Return the key of a workspace's budget row."""
--- a/ebonyhold/exceptions.py
+++ b/ebonyhold/exceptions.py
@@ -32,6 +32,33 @@
     code = "document_invalid"
 
 
+class ConfigurationError(EbonyholdError):
+    """A configuration version cannot be read or put into force."""
+
+    code = "configuration_damaged"
+
+
+class LostRaceError(EbonyholdError):
+    """Another version was accepted since the one this was based on.
+
+    Attributes:
+        version: The version in force.
+        author: The operator who published it.
+        changed: What differs between the version that this was based on and the
+            one in force.
+    """
+
+    code = "lost_race"
+
+    def __init__(
+        self, message: str, version: int, author: str, changed: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(message)
+        self.version = version
+        self.author = author
+        self.changed = changed
+
+
 class PlatformError(EbonyholdError):
     """The platform did not do what was asked."""
 
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -1,6 +1,8 @@
 """The other routers: messages, heartbeats, the membership view."""
 
 from ebonyhold.routers._interface import (
+    ConfigurationReply,
+    ConfigurationRequest,
     FateReply,
     FateRequest,
     Handler,
@@ -13,6 +15,8 @@
 )
 
 __all__ = [
+    "ConfigurationReply",
+    "ConfigurationRequest",
     "FateReply",
     "FateRequest",
     "Handler",
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -64,6 +64,20 @@
     digest: str
 
 
+@frozen
+class ConfigurationRequest(PeerMessage):
+    """Which configuration version have you, and when did you last confirm it?"""
+
+
+@frozen
+class ConfigurationReply(PeerMessage):
+    """My version; the table confirmed it so many seconds ago, or never if < 0."""
+
+    version: int
+    digest: str
+    confirmed_age: Seconds
+
+
 @frozen
 class Leaving(PeerMessage):
     """I am stopping: send me no transfers and do not suspect me."""
