--- a/ebonyhold/command/__init__.py
+++ b/ebonyhold/command/__init__.py
@@ -1,1 +1,17 @@
-"""Placeholder docstring of the command package."""
+"""The command-line tool ``ebonyhold``.
+
+Other packages add their commands with `add_group`.
+"""
+
+from ebonyhold.command import _document as _document
+from ebonyhold.command import _fleet as _fleet
+from ebonyhold.command import _money as _money
+from ebonyhold.command._app import add_group, app
+from ebonyhold.command._exits import ExitCode
+
+__all__ = ["ExitCode", "add_group", "app", "main"]
+
+
+def main() -> None:
+    """Run the command-line tool."""
+    app()
--- /dev/null
+++ b/ebonyhold/command/_document.py
@@ -0,0 +1,195 @@
+"""Commands for the document and its versions."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import typer
+import yaml
+
+from ebonyhold.command._app import app
+from ebonyhold.command._exits import ExitCode, errors, reports_errors
+from ebonyhold.command._options import DEFAULT_SERVER, Key, Output, OutputForm, Server
+from ebonyhold.command._output import console, render_time, write_json, write_rows
+from ebonyhold.document import check_bytes
+from ebonyhold.document import schema as document_schema
+from ebonyhold.operators import OperatorsClient
+
+FINDING_COLUMNS = {
+    "line": "Line",
+    "column": "Column",
+    "severity": "Severity",
+    "code": "Code",
+    "path": "Path",
+    "message": "Message",
+}
+
+WAIT_STEP = 0.5
+"""Seconds between two looks at the routers' versions."""
+
+File = Annotated[Path, typer.Argument(help="The document, as YAML.")]
+BasedOn = Annotated[
+    int | None,
+    typer.Option(
+        help="The version your change is based on; by default the one in force"
+        " when the command starts."
+    ),
+]
+Wait = Annotated[
+    float,
+    typer.Option(help="Wait up to so many seconds until each router has it."),
+]
+
+
+@app.command()
+@reports_errors
+def check(file: File, output: Output = OutputForm.TABLE) -> None:
+    """Check a document and show all findings; needs no router."""
+    result = check_bytes(read_file(file), datetime.now(UTC))
+    rows = [
+        attrs.asdict(each) | {"severity": each.severity.value}
+        for each in result.findings
+    ]
+    usable = result.document is not None
+    whole = {"usable": usable, "findings": rows}
+    write_rows(output, whole, rows, FINDING_COLUMNS, f"{file}: no findings")
+    if not usable:
+        raise typer.Exit(ExitCode.FAILED)
+
+
+@app.command()
+def schema() -> None:
+    """Print the JSON Schema of the document."""
+    write_json(document_schema())
+
+
+@app.command()
+@reports_errors
+def apply(
+    file: File,
+    based_on: BasedOn = None,
+    wait: Wait = 0.0,
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Put a document into force, if nobody else was faster."""
+    body = read_file(file)
+    with OperatorsClient(server, key) as client:
+        query = {"based_on": str(base_of(client, based_on))}
+        answer = client.call("PUT", "/v1/document", query=query, body=body)
+        finish_change(client, answer, wait, output)
+
+
+@app.command()
+@reports_errors
+def rollback(
+    version: Annotated[int, typer.Argument(help="The version whose content returns.")],
+    based_on: BasedOn = None,
+    wait: Wait = 0.0,
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Put an older version's content into force, as a new version."""
+    with OperatorsClient(server, key) as client:
+        base = base_of(client, based_on)
+        query = {"version": str(version), "based_on": str(base)}
+        answer = client.call("POST", "/v1/rollback", query=query)
+        finish_change(client, answer, wait, output)
+
+
+@app.command()
+@reports_errors
+def show(
+    version: Annotated[
+        int, typer.Option(help="A version; by default the one in force.")
+    ] = 0,
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Print the document in force, as YAML or JSON."""
+    with OperatorsClient(server, key) as client:
+        query = {"version": str(version)} if version else None
+        answer = client.call("GET", "/v1/document", query=query)
+    if output is OutputForm.JSON:
+        write_json(answer)
+        return
+    text = yaml.safe_dump(answer["document"], sort_keys=False, allow_unicode=True)
+    print(f"# version {answer['version']}\n{text}", end="")
+
+
+@app.command()
+@reports_errors
+def history(
+    limit: Annotated[int, typer.Option(help="How many versions.")] = 20,
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """List the newest versions."""
+    with OperatorsClient(server, key) as client:
+        answer = client.call("GET", "/v1/history", query={"limit": str(limit)})
+    rows = [each | {"when": render_time(each["at"])} for each in answer["versions"]]
+    columns = {"version": "Version", "when": "Accepted", "author": "Operator"}
+    write_rows(output, answer, rows, columns, "no version yet")
+
+
+def read_file(file: Path) -> bytes:
+    """Read the document's file, or leave with a usage error."""
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        errors.print(f"error: {file}: {error.strerror}", markup=False)
+        raise typer.Exit(ExitCode.USAGE) from error
+
+
+def base_of(client: OperatorsClient, based_on: int | None) -> int:
+    """Return the version to base a change on."""
+    if based_on is not None:
+        return based_on
+    return int(client.call("GET", "/v1/status")["version"])
+
+
+def finish_change(
+    client: OperatorsClient, answer: dict[str, Any], wait: float, output: OutputForm
+) -> None:
+    """Show an accepted version, and wait for the routers if that was asked."""
+    version = int(answer["version"])
+    lacking: list[str] = []
+    if wait > 0:
+        lacking = wait_for_routers(client, version, wait)
+    if output is OutputForm.JSON:
+        write_json(answer | {"lacking": lacking})
+    else:
+        console().print(f"version {version} is accepted")
+        for each in answer.get("findings", ()):
+            console().print(f"  {each['path']}: {each['message']}", markup=False)
+        for router in lacking:
+            console().print(f"  not yet in force at {router}", markup=False)
+    if lacking:
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def wait_for_routers(client: OperatorsClient, version: int, wait: float) -> list[str]:
+    """Wait until each router has a version; return those that lack it."""
+    deadline = time.monotonic() + wait
+    while True:
+        lacking = find_lacking(client.call("GET", "/v1/status"), version)
+        if not lacking or time.monotonic() >= deadline:
+            return lacking
+        time.sleep(WAIT_STEP)
+
+
+def find_lacking(status: dict[str, Any], version: int) -> list[str]:
+    """Name the routers that should have a version and do not."""
+    return [
+        f"{each['router']} (has {each.get('version', 0)}, {each['state']})"
+        for each in status["routers"]
+        if each["state"] != "gone" and each.get("version", 0) < version
+    ]
--- /dev/null
+++ b/ebonyhold/command/_money.py
@@ -0,0 +1,151 @@
+"""Commands for budgets and bills."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from uuid import uuid4
+
+import typer
+
+from ebonyhold.command._app import add_group
+from ebonyhold.command._exits import ExitCode, errors, reports_errors
+from ebonyhold.command._options import DEFAULT_SERVER, Key, Output, OutputForm, Server
+from ebonyhold.command._output import render_time, write_rows
+from ebonyhold.operators import OperatorsClient
+
+BUDGET_COLUMNS = {
+    "workspace": "Workspace",
+    "prepaid": "Prepaid",
+    "outstanding": "Granted",
+    "spent": "Spent",
+    "remaining": "Remaining",
+}
+BILL_COLUMNS = {
+    "request": "Request",
+    "state": "State",
+    "kind": "Kind",
+    "charge": "Charge",
+    "prompt_tokens": "Prompt",
+    "completion_tokens": "Answer",
+    "backend": "Backend server",
+    "when": "Filed",
+}
+DISCREPANCY_COLUMNS = {"workspace": "Workspace", "code": "Code", "message": "Message"}
+
+budgets = typer.Typer(no_args_is_help=True, help="Prepaid token budgets.")
+bills = typer.Typer(no_args_is_help=True, help="Bills.")
+add_group("budget", budgets)
+add_group("bill", bills)
+
+Workspace = Annotated[str, typer.Argument(help="The workspace.")]
+AnyWorkspace = Annotated[str, typer.Argument(help="A workspace; by default all.")]
+Amount = Annotated[int, typer.Argument(help="How much, in tokens.", min=1)]
+RepeatKey = Annotated[
+    str,
+    typer.Option(
+        help="Makes it idempotent: after an unknown outcome, repeat the command"
+        " with the key that it printed."
+    ),
+]
+
+
+@budgets.command("show")
+@reports_errors
+def show_budgets(
+    workspace: AnyWorkspace = "",
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Show budgets as the table has them."""
+    query = {"workspace": workspace} if workspace else None
+    with OperatorsClient(server, key) as client:
+        answer = client.call("GET", "/v1/budgets", query=query)
+    write_rows(output, answer, answer["budgets"], BUDGET_COLUMNS, "no workspaces")
+
+
+@budgets.command("top-up")
+@reports_errors
+def top_up(
+    workspace: Workspace,
+    amount: Amount,
+    repeat_key: RepeatKey = "",
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Add prepaid tokens."""
+    value = {"key": announced_key(repeat_key), "amount": amount}
+    with OperatorsClient(server, key) as client:
+        path = f"/v1/budgets/{workspace}/top-ups"
+        answer = client.call("POST", path, value=value)
+    write_rows(output, answer, [answer], BUDGET_COLUMNS, "")
+
+
+@budgets.command("refund")
+@reports_errors
+def refund(
+    workspace: Workspace,
+    request: Annotated[str, typer.Argument(help="The billed request.")],
+    amount: Amount,
+    repeat_key: RepeatKey = "",
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Give billed tokens back."""
+    name = announced_key(repeat_key)
+    value = {"key": name, "request": request, "amount": amount}
+    with OperatorsClient(server, key) as client:
+        path = f"/v1/budgets/{workspace}/refunds"
+        answer = client.call("POST", path, value=value)
+    write_rows(output, answer, [answer], BUDGET_COLUMNS, "")
+
+
+@bills.command("list")
+@reports_errors
+def list_bills(
+    workspace: Workspace,
+    limit: Annotated[int, typer.Option(help="How many.")] = 100,
+    after: Annotated[str, typer.Option(help="Begin behind this request.")] = "",
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """List a workspace's bills."""
+    query = {"workspace": workspace, "limit": str(limit), "after": after}
+    with OperatorsClient(server, key) as client:
+        answer = client.call("GET", "/v1/bills", query=query)
+    rows = [each | {"when": render_time(each["filed_at"])} for each in answer["bills"]]
+    write_rows(output, answer, rows, BILL_COLUMNS, "no bills")
+
+
+@bills.command("verify")
+@reports_errors
+def verify_bills(
+    workspace: AnyWorkspace = "",
+    server: Server = DEFAULT_SERVER,
+    key: Key = "",
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Check that bills, budgets and grants add up."""
+    query = {"workspace": workspace} if workspace else None
+    with OperatorsClient(server, key) as client:
+        answer = client.call("GET", "/v1/bills/verify", query=query)
+    found = answer["discrepancies"]
+    fine = f"{answer['bills']} bills of {answer['workspaces']} workspaces add up"
+    write_rows(output, answer, found, DISCREPANCY_COLUMNS, fine)
+    if found:
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def announced_key(repeat_key: str) -> str:
+    """Return the key of this change, and name it before anything is sent.
+
+    An answer can be lost after the tokens were added; whoever repeats the
+    command then needs the same key, so it must be known before the call.
+    """
+    name = repeat_key or uuid4().hex
+    if not repeat_key:
+        errors.print(f"to repeat this change safely: --repeat-key {name}")
+    return name
--- a/ebonyhold/configuration/_publisher.py
+++ b/ebonyhold/configuration/_publisher.py
@@ -84,12 +84,17 @@
     doubtful: bool = False
 
     async def publish(self) -> int:
-        """Publish, and return the version in force."""
+        """Publish, and return the version in force.
+
+        A document that is in force already is not published again, whatever
+        it was based on: that is how an operator repeats a command whose
+        answer was lost between router and command line.
+        """
         row = await self.keeper.refresh_locked()
-        await self.check_base(row)
         change = find_change(self.keeper.state, self.document, self.based_on + 1)
         if not change.upserts and not change.deletes:
             return self.keeper.version
+        await self.check_base(row)
         state = self.keeper.state.copy()
         state.apply(change)
         head = await self.write_objects(state, change)
--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -35,6 +35,7 @@
     to_plain,
     to_yaml,
 )
+from ebonyhold.document._schema import schema
 
 __all__ = [
     "ApiKey",
@@ -62,6 +63,7 @@
     "part_converter",
     "render_duration",
     "render_findings",
+    "schema",
     "to_canonical_json",
     "to_plain",
     "to_yaml",
--- a/ebonyhold/operators/__init__.py
+++ b/ebonyhold/operators/__init__.py
@@ -1,1 +1,51 @@
-"""Placeholder docstring of the operators package."""
+"""The operators: the daemon's control interface and its client."""
+
+from ebonyhold.operators._app import OperatorsApp
+from ebonyhold.operators._client import (
+    OperatorsClient,
+    RemoteError,
+    UnansweredError,
+    UnreachableError,
+)
+from ebonyhold.operators._context import OperatorsContext
+from ebonyhold.operators._interface import (
+    BackendStatus,
+    Bill,
+    BillPage,
+    BillSource,
+    Budget,
+    BudgetSource,
+    Discrepancy,
+    FleetStatus,
+    GrantStatus,
+    Readiness,
+    RouterStatus,
+    StatusSource,
+    Verification,
+)
+from ebonyhold.operators._keys import OperatorKey, OperatorKeys, parse_keys
+
+__all__ = [
+    "BackendStatus",
+    "Bill",
+    "BillPage",
+    "BillSource",
+    "Budget",
+    "BudgetSource",
+    "Discrepancy",
+    "FleetStatus",
+    "GrantStatus",
+    "OperatorKey",
+    "OperatorKeys",
+    "OperatorsApp",
+    "OperatorsClient",
+    "OperatorsContext",
+    "Readiness",
+    "RemoteError",
+    "RouterStatus",
+    "StatusSource",
+    "UnansweredError",
+    "UnreachableError",
+    "Verification",
+    "parse_keys",
+]
--- /dev/null
+++ b/ebonyhold/operators/_document_endpoints.py
@@ -0,0 +1,214 @@
+"""Endpoints for the document: check, apply, history, rollback, stops."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+import attrs
+
+from ebonyhold._asgi import Request, Send, send_json
+from ebonyhold.coordination import to_json
+from ebonyhold.document import (
+    CheckResult,
+    Document,
+    Stop,
+    check_bytes,
+    check_text,
+    to_plain,
+    to_yaml,
+)
+from ebonyhold.exceptions import LostRaceError
+from ebonyhold.operators._context import (
+    OperatorsContext,
+    endpoints,
+    query_number,
+    read_object,
+    take_text,
+)
+from ebonyhold.operators._errors import (
+    BadRequestError,
+    FindingsError,
+    NotFoundError,
+    finding_to_json,
+)
+from ebonyhold.types import Json
+
+MOST_DOCUMENT = 64 * 1024 * 1024
+"""The largest document that is accepted, in bytes."""
+
+DEFAULT_HISTORY = 20
+MOST_HISTORY = 1000
+
+MOST_STOP_ATTEMPTS = 5
+"""Planned stops change nothing else, so they follow whoever was first."""
+
+OPERATOR = "ebonyhold.operator"
+"""Where the scope keeps the name of the operator who asks."""
+
+
+def operator_of(request: Request) -> str:
+    """Return the operator who asks."""
+    return str(request.scope[OPERATOR])
+
+
+def base_of(request: Request) -> int:
+    """Return the version that a change is based on.
+
+    There is no default: an operator who has not looked at a version must not
+    overwrite it.
+
+    Raises:
+        BadRequestError: It is missing.
+    """
+    if not request.query("based_on"):
+        raise BadRequestError("based_on is missing; 0 stands for no document yet")
+    return query_number(request, "based_on", 0)
+
+
+def require_document(result: CheckResult) -> Document:
+    """Return a checked document.
+
+    Raises:
+        FindingsError: It has findings that forbid its use.
+    """
+    if result.document is None:
+        raise FindingsError(result.findings)
+    return result.document
+
+
+def findings_of(result: CheckResult) -> list[Json]:
+    """Return findings as JSON."""
+    return [finding_to_json(each) for each in result.findings]
+
+
+@endpoints.add("GET", "/v1/document")
+async def show(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with the document in force, or with an older version."""
+    version = query_number(request, "version", 0) or context.configuration.version
+    context.document()
+    state = await context.configuration.read_version(version)
+    plain = to_plain(state.document())
+    await send_json(send, 200, {"version": version, "document": plain})
+
+
+@endpoints.add("POST", "/v1/check")
+async def check(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with all findings of a document."""
+    body = await request.body(MOST_DOCUMENT)
+    result = check_bytes(body, datetime.now(UTC))
+    usable = result.document is not None
+    await send_json(send, 200, {"usable": usable, "findings": findings_of(result)})
+
+
+@endpoints.add("PUT", "/v1/document")
+async def apply(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Put a document into force."""
+    based_on = base_of(request)
+    body = await request.body(MOST_DOCUMENT)
+    result = check_bytes(body, datetime.now(UTC))
+    document = require_document(result)
+    version = await context.configuration.publish(
+        document, based_on, operator_of(request)
+    )
+    answer: Json = {"version": version, "findings": findings_of(result)}
+    await send_json(send, 200, answer)
+
+
+@endpoints.add("GET", "/v1/history")
+async def history(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with the newest versions."""
+    limit = min(MOST_HISTORY, query_number(request, "limit", DEFAULT_HISTORY))
+    heads = await context.configuration.history(limit)
+    await send_json(send, 200, {"versions": [to_json(head) for head in heads]})
+
+
+@endpoints.add("POST", "/v1/rollback")
+async def roll_back(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Put an old content into force again, as a new version."""
+    wanted = query_number(request, "version", 0)
+    based_on = base_of(request)
+    state = await context.configuration.read_version(wanted)
+    version = await context.configuration.publish(
+        state.document(), based_on, operator_of(request)
+    )
+    await send_json(send, 200, {"version": version, "findings": []})
+
+
+@endpoints.add("GET", "/v1/stops")
+async def list_stops(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with the planned stops and what still holds their servers."""
+    fleet = await context.status.fleet()
+    stops = [to_plain(stop) for stop in context.document().stops]
+    backends = [to_json(backend) for backend in fleet.backends]
+    await send_json(send, 200, {"stops": stops, "backends": backends})
+
+
+@endpoints.add("PUT", "/v1/stops/{name}")
+async def plan_stop(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Plan a stop, or move the one of that name."""
+    value = await read_object(request)
+    stop = read_stop(request.parameters["name"], value)
+    answer = await change_stops(context, request, stop)
+    await send_json(send, 200, answer)
+
+
+@endpoints.add("DELETE", "/v1/stops/{name}")
+async def cancel_stop(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Cancel a planned stop."""
+    answer = await change_stops(context, request, None)
+    await send_json(send, 200, answer)
+
+
+def read_stop(name: str, value: dict[str, Json]) -> Stop:
+    """Read a stop from a request; the document's check judges it further.
+
+    Raises:
+        BadRequestError: A time has no ISO 8601 form or no zone.
+    """
+    times: list[datetime] = []
+    for key in ("starts", "ends"):
+        try:
+            moment = datetime.fromisoformat(take_text(value, key))
+        except ValueError as error:
+            raise BadRequestError(f"{key} must be an ISO 8601 time") from error
+        if moment.utcoffset() is None:
+            raise BadRequestError(f"{key} needs a time zone")
+        times.append(moment)
+    backend, domain = take_text(value, "backend", ""), take_text(value, "domain", "")
+    return Stop(name, times[0], times[1], backend, domain)
+
+
+async def change_stops(
+    context: OperatorsContext, request: Request, stop: Stop | None
+) -> Json:
+    """Publish the document with one stop changed, following other operators."""
+    name = request.parameters["name"]
+    for _ in range(MOST_STOP_ATTEMPTS - 1):
+        try:
+            return await change_stops_once(context, name, stop, operator_of(request))
+        except LostRaceError:
+            continue
+    return await change_stops_once(context, name, stop, operator_of(request))
+
+
+async def change_stops_once(
+    context: OperatorsContext, name: str, stop: Stop | None, operator: str
+) -> Json:
+    """Publish the version in force with one stop changed.
+
+    Raises:
+        NotFoundError: There is no such stop to cancel.
+        FindingsError: The document does not allow it.
+        LostRaceError: Another version was accepted meanwhile.
+    """
+    document = context.document()
+    version = context.configuration.version
+    others = tuple(each for each in document.stops if each.name != name)
+    if stop is None and len(others) == len(document.stops):
+        raise NotFoundError(f"there is no planned stop {name!r}")
+    stops = others if stop is None else (*others, stop)
+    changed = attrs.evolve(document, stops=stops)
+    result = check_text(to_yaml(changed), datetime.now(UTC))
+    checked = require_document(result)
+    accepted = await context.configuration.publish(checked, version, operator)
+    return {"version": accepted, "findings": findings_of(result)}
--- /dev/null
+++ b/ebonyhold/operators/_status_endpoints.py
@@ -0,0 +1,47 @@
+"""Endpoints for status, health and metrics."""
+
+from __future__ import annotations
+
+from ebonyhold._asgi import Request, Send, send_body, send_json, send_text
+from ebonyhold.coordination import to_json
+from ebonyhold.operators._context import OperatorsContext, endpoints
+from ebonyhold.types import Json
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+@endpoints.add("GET", "/v1/status")
+async def status(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with what is known of the fleet."""
+    configuration = context.configuration
+    fleet = await context.status.fleet()
+    evidence = configuration.own_evidence()
+    answer: Json = {
+        "version": configuration.version,
+        "confirmed_age": evidence.confirmed_age,
+        "stale": configuration.stale,
+        "regressed": configuration.regressed,
+        "routers": [to_json(each) for each in fleet.routers],
+        "backends": [to_json(each) for each in fleet.backends],
+    }
+    await send_json(send, 200, answer)
+
+
+@endpoints.add("GET", "/metrics")
+async def metrics(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer with the metrics."""
+    await send_body(send, 200, context.metrics(), METRICS_TYPE)
+
+
+@endpoints.add("GET", "/healthz", open_to_all=True)
+async def health(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer that the process runs."""
+    await send_text(send, 200, "ok\n")
+
+
+@endpoints.add("GET", "/readyz", open_to_all=True)
+async def readiness(context: OperatorsContext, request: Request, send: Send) -> None:
+    """Answer whether callers should be sent here."""
+    found = context.status.readiness()
+    answer: Json = {"ready": found.ready, "reasons": list(found.reasons)}
+    await send_json(send, 200 if found.ready else 503, answer)
