--- a/ebonyhold/command/_money.py
+++ b/ebonyhold/command/_money.py
@@ -12,6 +12,7 @@
 from ebonyhold.command._options import DEFAULT_SERVER, Key, Output, OutputForm, Server
 from ebonyhold.command._output import render_time, write_rows
 from ebonyhold.operators import OperatorsClient
+from ebonyhold.types import Json
 
 BUDGET_COLUMNS = {
     "workspace": "Workspace",
@@ -75,7 +76,7 @@
     output: Output = OutputForm.TABLE,
 ) -> None:
     """Add prepaid tokens."""
-    value = {"key": announced_key(repeat_key), "amount": amount}
+    value: Json = {"key": announced_key(repeat_key), "amount": amount}
     with OperatorsClient(server, key) as client:
         path = f"/v1/budgets/{workspace}/top-ups"
         answer = client.call("POST", path, value=value)
@@ -95,7 +96,7 @@
 ) -> None:
     """Give billed tokens back."""
     name = announced_key(repeat_key)
-    value = {"key": name, "request": request, "amount": amount}
+    value: Json = {"key": name, "request": request, "amount": amount}
     with OperatorsClient(server, key) as client:
         path = f"/v1/budgets/{workspace}/refunds"
         answer = client.call("POST", path, value=value)
