--- /dev/null
+++ b/ebonyhold/coordination/_bills.py
@@ -0,0 +1,259 @@
+"""Bills: what a request costs, and how one row can only ever hold one of them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from ebonyhold.coordination._attempts import run_of
+from ebonyhold.coordination._grants import change_budget, change_grant
+from ebonyhold.coordination._keys import request_key
+from ebonyhold.coordination._rows import (
+    BudgetRow,
+    GrantRow,
+    Intent,
+    KeptAnswer,
+    Outcome,
+    RequestKind,
+    RequestRow,
+    RequestState,
+    RouterRow,
+)
+from ebonyhold.coordination._seen import Seen
+from ebonyhold.coordination._transactions import Check, Transaction, Write
+from ebonyhold.types import (
+    AttemptId,
+    BackendName,
+    RequestId,
+    RouterId,
+    Tokens,
+    WorkspaceName,
+)
+
+RANK = {
+    RequestState.RUNNING: 0,
+    RequestState.NOT_RUN: 1,
+    RequestState.UNKNOWN: 2,
+    RequestState.INTERRUPTED: 3,
+    RequestState.COMPLETE: 4,
+}
+"""A bill gives way only to one that knows more, so amending comes to an end."""
+
+
+class Verdict(Enum):
+    """What filing a bill does to the request's row."""
+
+    FILE = "file"
+    AMEND = "amend"
+    LEAVE = "leave"
+
+
+@frozen
+class Bill:
+    """What one run of a request came to, ready to be filed."""
+
+    workspace: WorkspaceName
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendName
+    digest: str
+    kind: RequestKind
+    state: RequestState
+    charge: Tokens
+    prompt_tokens: Tokens = 0
+    completion_tokens: Tokens = 0
+    overshoot: Tokens = 0
+    answer: KeptAnswer | None = None
+
+    @property
+    def key(self) -> str:
+        """Return the key of the request's row."""
+        return request_key(self.workspace, self.request)
+
+
+@frozen
+class Filed:
+    """One bill of a settlement and what became of it.
+
+    Attributes:
+        bill: The bill.
+        verdict: Whether the row took it.
+        paid: Tokens that the payer's grant gave for it, from 0 to the charge.
+    """
+
+    bill: Bill
+    verdict: Verdict
+    paid: Tokens
+
+
+@frozen
+class Wish:
+    """What one grant wants of the table in one transaction."""
+
+    bills: tuple[Bill, ...] = ()
+    draw: Tokens = 0
+    give_back: Tokens = 0
+
+
+@frozen
+class Settlement:
+    """A transaction on one grant, and what it means once it has taken effect.
+
+    Attributes:
+        transaction: What to commit.
+        sequence: The grant's sequence number afterwards: reading it back tells
+            whether a transaction whose answer was lost took effect.
+        drawn: Tokens that the grant gains.
+        returned: Tokens that go back to the budget.
+        filed: What became of each bill.
+        budget: The budget afterwards.
+    """
+
+    transaction: Transaction
+    sequence: int
+    drawn: Tokens
+    returned: Tokens
+    filed: tuple[Filed, ...]
+    budget: BudgetRow
+
+
+def make_bill(intent: Intent, outcome: Outcome) -> Bill:
+    """Join what was asked with how it ended; the operator pays any overshoot."""
+    charge = min(outcome.charge, intent.hold)
+    beyond = outcome.charge - charge
+    return Bill(
+        workspace=intent.workspace,
+        request=intent.request,
+        attempt=outcome.attempt,
+        backend=intent.backend,
+        digest=intent.digest,
+        kind=intent.kind,
+        state=outcome.state,
+        charge=charge,
+        prompt_tokens=outcome.prompt_tokens,
+        completion_tokens=outcome.completion_tokens,
+        overshoot=outcome.overshoot + beyond,
+        answer=outcome.answer,
+    )
+
+
+def judge(row: RequestRow | None, bill: Bill) -> Verdict:
+    """Decide whether a row takes a bill.
+
+    A request has one row for ever.  The first bill fills it; a later one may
+    only replace it by knowing more, and then pays the difference alone.
+    """
+    if row is None:
+        return Verdict.FILE
+    if row.state is RequestState.RUNNING:
+        # Another run's claim: that run is still to be heard, and a run that
+        # never happened here says nothing about it.
+        theirs = run_of(row.attempt) != run_of(bill.attempt)
+        if theirs and bill.state is RequestState.NOT_RUN:
+            return Verdict.LEAVE
+        return Verdict.FILE
+    if RANK[bill.state] > RANK[row.state]:
+        return Verdict.AMEND
+    return Verdict.LEAVE
+
+
+def filed_row(
+    row: RequestRow | None, bill: Bill, charge: Tokens, owner: RouterId, now: float
+) -> RequestRow:
+    """Return the row that holds a bill."""
+    return RequestRow(
+        state=bill.state,
+        kind=bill.kind,
+        owner=owner,
+        attempt=bill.attempt,
+        backend=bill.backend,
+        digest=bill.digest,
+        charge=charge,
+        prompt_tokens=bill.prompt_tokens,
+        completion_tokens=bill.completion_tokens,
+        overshoot=bill.overshoot + bill.charge - charge
+        if charge < bill.charge
+        else bill.overshoot,
+        filed_at=now,
+        answer=bill.answer,
+        refunded=row.refunded if row else 0,
+        repeats=row.repeats if row else 0,
+    )
+
+
+@frozen
+class _Posting:
+    filed: Filed
+    change: Tokens
+    write: Write | None
+
+
+def plan_settlement(
+    owner: RouterId,
+    router: Seen[RouterRow],
+    budget: Seen[BudgetRow],
+    grant: Seen[GrantRow],
+    requests: Mapping[str, Seen[RequestRow]],
+    wish: Wish,
+    now: float,
+) -> Settlement:
+    """Plan one transaction that files bills and draws or returns tokens.
+
+    The budget's inequality holds afterwards whatever the wish: a draw takes no
+    more than remains, and a bill no more than the grant holds.
+
+    Args:
+        owner: The incarnation that the bills name.
+        router: The row of the grant's incarnation.  Its version is checked, so
+            nothing of a sealed incarnation takes effect, however late it comes.
+        budget: The workspace's budget.
+        grant: The incarnation's grant from it.
+        requests: The requests' rows by key, for every bill.
+        wish: What is wanted.
+        now: Seconds since the epoch, for the bills.
+    """
+    before = budget.value or BudgetRow()
+    held = grant.value or GrantRow()
+    checks: list[Check] = [router.check, budget.check, grant.check]
+    writes: list[Write] = []
+    filed: list[Filed] = []
+    billed = 0
+    spent = 0
+    current = dict(requests)
+    for bill in wish.bills:
+        row = current[bill.key]
+        posting = _post(row, bill, owner, max(held.held - billed, 0), now)
+        filed.append(posting.filed)
+        billed += posting.filed.paid
+        spent += posting.change
+        if posting.write is not None:
+            checks.append(row.check)
+            writes.append(posting.write)
+    drawn = max(min(wish.draw, before.remaining), 0)
+    returned = max(min(wish.give_back, held.held - billed), 0)
+    after = change_budget(before, drawn=drawn, returned=returned, paid=billed)
+    after = evolve(after, spent=after.spent - billed + spent)
+    sequence = held.sequence + 1
+    writes.append(
+        grant.put(change_grant(held, drawn=drawn, returned=returned, billed=billed))
+    )
+    if after != before:
+        writes.append(budget.put(after))
+    transaction = Transaction(tuple(checks), tuple(writes))
+    return Settlement(transaction, sequence, drawn, returned, tuple(filed), after)
+
+
+def _post(
+    row: Seen[RequestRow], bill: Bill, owner: RouterId, held: Tokens, now: float
+) -> _Posting:
+    verdict = judge(row.value, bill)
+    if verdict is Verdict.LEAVE:
+        return _Posting(Filed(bill, verdict, 0), 0, None)
+    old = row.value.charge if row.value else 0
+    refunded = row.value.refunded if row.value else 0
+    charge = min(max(bill.charge, refunded), old + held)
+    change = charge - old
+    write = row.put(filed_row(row.value, bill, charge, owner, now))
+    return _Posting(Filed(bill, verdict, max(change, 0)), change, write)
--- /dev/null
+++ b/ebonyhold/coordination/_claims.py
@@ -0,0 +1,102 @@
+"""Claims: whether a request may run, given what its row says."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from ebonyhold.coordination._rows import (
+    KeptAnswer,
+    RequestKind,
+    RequestRow,
+    RequestState,
+    RouterRow,
+)
+from ebonyhold.coordination._seen import Seen
+from ebonyhold.coordination._transactions import Transaction
+from ebonyhold.types import AttemptId, BackendName, RouterId
+
+MOST_REPEATS = 3
+"""How often a request that has its bill may run again, unbilled."""
+
+
+class ClaimAnswer(Enum):
+    """What a caller's request may do."""
+
+    RUN = "run"
+    RUN_UNBILLED = "run_unbilled"
+    REPLAY = "replay"
+    UNKNOWN = "unknown"
+    KEY_REUSED = "key_reused"
+    REPEATED_TOO_OFTEN = "repeated_too_often"
+
+
+@frozen
+class ClaimDecision:
+    """What a claim came to.
+
+    Attributes:
+        answer: What the request may do.
+        kept: The answer to replay, for `ClaimAnswer.REPLAY`.
+    """
+
+    answer: ClaimAnswer
+    kept: KeptAnswer | None = None
+
+
+def decide_claim(
+    row: RequestRow | None, kind: RequestKind, digest: str
+) -> ClaimDecision:
+    """Decide what a request may do, given its row.
+
+    A booking never runs while its row leaves open whether it ran before; that
+    is what makes it at most once.  A chat may run beside itself: its one row
+    takes one bill.
+    """
+    if row is None:
+        return ClaimDecision(ClaimAnswer.RUN)
+    if row.digest != digest or row.kind is not kind:
+        return ClaimDecision(ClaimAnswer.KEY_REUSED)
+    if row.state is RequestState.NOT_RUN:
+        return ClaimDecision(ClaimAnswer.RUN)
+    if row.state is RequestState.COMPLETE and row.answer is not None:
+        return ClaimDecision(ClaimAnswer.REPLAY, row.answer)
+    if kind is RequestKind.BOOKING:
+        return ClaimDecision(ClaimAnswer.UNKNOWN)
+    if row.state is RequestState.RUNNING:
+        return ClaimDecision(ClaimAnswer.RUN)
+    if row.repeats >= MOST_REPEATS:
+        return ClaimDecision(ClaimAnswer.REPEATED_TOO_OFTEN)
+    if row.state is RequestState.COMPLETE:
+        return ClaimDecision(ClaimAnswer.RUN_UNBILLED)
+    return ClaimDecision(ClaimAnswer.RUN)
+
+
+def claim_transaction(
+    router: Seen[RouterRow],
+    request: Seen[RequestRow],
+    owner: RouterId,
+    attempt: AttemptId,
+    backend: BackendName,
+    kind: RequestKind,
+    digest: str,
+) -> Transaction:
+    """Write the claim of a request that `decide_claim` lets run.
+
+    The router's row is checked: a claim of a sealed incarnation that arrives
+    late would otherwise stay as running with nobody left to settle it.
+    """
+    old = request.value
+    if old is not None and old.filed_at and old.state is not RequestState.NOT_RUN:
+        row = evolve(old, repeats=old.repeats + 1)
+    else:
+        row = RequestRow(
+            state=RequestState.RUNNING,
+            kind=kind,
+            owner=owner,
+            attempt=attempt,
+            backend=backend,
+            digest=digest,
+        )
+    return Transaction((router.check, request.check), (request.put(row),))
--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -7,6 +7,11 @@
 BUDGET_PREFIX = "budget/"
 ROUTER_PREFIX = "router/"
 REQUEST_PREFIX = "request/"
+TOPUP_PREFIX = "topup/"
+REFUND_PREFIX = "refund/"
+GRANT_PREFIX = "grant/"
+TRANSFER_PREFIX = "transfer/"
+ARCHIVE_PREFIX = "archive/"
 CONFIG_HEAD = "config/head"
 
 SEGMENT_DIGITS = 10
@@ -20,12 +25,12 @@
 
 def topup_key(workspace: WorkspaceName, key: str) -> str:
     """Return the key of one top-up."""
-    return f"topup/{workspace}/{key}"
+    return f"{TOPUP_PREFIX}{workspace}/{key}"
 
 
 def refund_key(workspace: WorkspaceName, key: str) -> str:
     """Return the key of one refund."""
-    return f"refund/{workspace}/{key}"
+    return f"{REFUND_PREFIX}{workspace}/{key}"
 
 
 def router_key(router: RouterId) -> str:
@@ -35,7 +40,7 @@
 
 def grant_prefix(router: RouterId) -> str:
     """Return the prefix of all grants of one incarnation."""
-    return f"grant/{router}/"
+    return f"{GRANT_PREFIX}{router}/"
 
 
 def grant_key(router: RouterId, workspace: WorkspaceName) -> str:
@@ -43,6 +48,16 @@
     return f"{grant_prefix(router)}{workspace}"
 
 
+def transfer_key(transfer: str) -> str:
+    """Return the key of one transfer between routers."""
+    return f"{TRANSFER_PREFIX}{transfer}"
+
+
+def archive_key(workspace: WorkspaceName) -> str:
+    """Return the key of the sums of a workspace's deleted bills."""
+    return f"{ARCHIVE_PREFIX}{workspace}"
+
+
 def request_key(workspace: WorkspaceName, request: RequestId) -> str:
     """Return the key of a request's claim and bill."""
     return f"{REQUEST_PREFIX}{workspace}/{request}"
--- /dev/null
+++ b/ebonyhold/coordination/_recovery.py
@@ -0,0 +1,160 @@
+"""Recovery of an incarnation's work by any other router."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from attrs import evolve, frozen
+
+from ebonyhold.coordination._attempts import AttemptState, AttemptTruth
+from ebonyhold.coordination._bills import Bill, make_bill
+from ebonyhold.coordination._rows import (
+    BudgetRow,
+    GrantRow,
+    Intent,
+    Outcome,
+    RequestKind,
+    RequestState,
+    RouterRow,
+    RouterState,
+)
+from ebonyhold.coordination._seen import Seen
+from ebonyhold.coordination._transactions import Delete, Transaction
+from ebonyhold.types import RouterId, Tokens
+
+
+@frozen
+class Witness:
+    """One attempt of a run, and what its backend server says about it."""
+
+    intent: Intent
+    truth: AttemptTruth
+
+
+def seal_transaction(router: Seen[RouterRow], by: RouterId) -> Transaction | None:
+    """Mark an incarnation as sealed; None when that has been done.
+
+    Every transaction of an incarnation checks its router row at the version it
+    opened with, so after this none of them can take effect in the table.
+    """
+    row = router.value
+    if row is None or row.state is not RouterState.OPEN:
+        return None
+    sealed = evolve(row, state=RouterState.SEALED, sealed_by=by)
+    return Transaction((router.check,), (router.put(sealed),))
+
+
+def proves_not_run(witness: Witness) -> bool:
+    """Tell whether a backend server's word proves that an attempt never ran.
+
+    A server that was restarted since has forgotten what ran before, so its
+    word counts only under the boot that the intent named.
+    """
+    if witness.truth.state is not AttemptState.NEVER_RAN:
+        return False
+    return bool(witness.intent.boot) and witness.intent.boot == witness.truth.boot
+
+
+def settle_run(witnesses: Sequence[Witness], *, charge_unknown: bool) -> Bill | None:
+    """Decide the bill of a run that has no outcome; None to wait for evidence.
+
+    The caller had one answer, so the attempt that got furthest is billed and
+    the others are the operator's.
+    """
+    intent = witnesses[0].intent
+    ran = [one for one in witnesses if _ran(one)]
+    if ran:
+        return make_bill(intent, _outcome(max(ran, key=_progress)))
+    if all(proves_not_run(one) for one in witnesses):
+        return make_bill(intent, _ended(intent, RequestState.NOT_RUN, 0))
+    if not charge_unknown:
+        return None
+    return make_bill(intent, _ended(intent, RequestState.UNKNOWN, intent.hold))
+
+
+def _ran(witness: Witness) -> bool:
+    return witness.truth.state in (AttemptState.FINISHED, AttemptState.CANCELLED)
+
+
+def _progress(witness: Witness) -> tuple[bool, Tokens]:
+    finished = witness.truth.state is AttemptState.FINISHED
+    return finished, witness.truth.completion_tokens
+
+
+def _outcome(witness: Witness) -> Outcome:
+    truth = witness.truth
+    intent = witness.intent
+    finished = truth.state is AttemptState.FINISHED
+    charge = truth.prompt_tokens + truth.completion_tokens
+    if intent.kind is not RequestKind.CHAT:
+        charge = intent.hold
+    return Outcome(
+        workspace=intent.workspace,
+        request=intent.request,
+        attempt=intent.attempt,
+        state=RequestState.COMPLETE if finished else RequestState.INTERRUPTED,
+        charge=charge,
+        prompt_tokens=truth.prompt_tokens,
+        completion_tokens=truth.completion_tokens,
+    )
+
+
+def _ended(intent: Intent, state: RequestState, charge: Tokens) -> Outcome:
+    return Outcome(intent.workspace, intent.request, intent.attempt, state, charge)
+
+
+def close_grant(
+    router: Seen[RouterRow],
+    budget: Seen[BudgetRow],
+    grant: Seen[GrantRow],
+    stranded: Tokens,
+) -> Transaction | None:
+    """Return the rest of a settled grant; None when there is nothing to do.
+
+    Args:
+        router: The sealed incarnation's row.
+        budget: The budget.
+        grant: The grant, read before its requests were found settled: a bill
+            filed since has changed it, and the check fails.
+        stranded: Tokens that must stay: holds of runs that wait for evidence,
+            and transfers that may still arrive elsewhere.
+    """
+    if grant.value is None or budget.value is None:
+        return None
+    row = grant.value
+    back = max(row.held - stranded, 0)
+    checks = (router.check, budget.check, grant.check)
+    if row.held - back == 0:
+        write = Delete(grant.key)
+    elif back == 0:
+        return None
+    else:
+        kept = evolve(row, returned=row.returned + back, sequence=row.sequence + 1)
+        return Transaction(
+            checks, (grant.put(kept), budget.put(_less(budget.value, back)))
+        )
+    if back == 0:
+        return Transaction(checks, (write,))
+    return Transaction(checks, (write, budget.put(_less(budget.value, back))))
+
+
+def _less(row: BudgetRow, back: Tokens) -> BudgetRow:
+    return evolve(row, outstanding=row.outstanding - back)
+
+
+def close_transaction(router: Seen[RouterRow]) -> Transaction | None:
+    """Mark an incarnation as closed: everything of its journal is settled."""
+    row = router.value
+    if row is None or row.state is RouterState.CLOSED:
+        return None
+    closed = evolve(row, state=RouterState.CLOSED)
+    return Transaction((router.check,), (router.put(closed),))
+
+
+def open_row(
+    router: RouterId, domain: str, address: str, now: float
+) -> tuple[str, RouterRow]:
+    """Return the key and the row of a new incarnation."""
+    from ebonyhold.coordination._keys import router_key
+
+    return router_key(router), RouterRow(RouterState.OPEN, domain, address, now)
--- a/ebonyhold/coordination/_rows.py
+++ b/ebonyhold/coordination/_rows.py
@@ -147,6 +147,8 @@
         overshoot: Tokens the engine ran beyond the hold; the operator pays them.
         filed_at: When it was billed, in seconds since the epoch; 0 before.
         answer: For keyed calls to plain services, the answer kept for a retry.
+        refunded: Tokens of the charge that operators gave back.
+        repeats: How often it ran again after it had its bill.
     """
 
     state: RequestState
@@ -161,6 +163,8 @@
     overshoot: Tokens = 0
     filed_at: float = 0.0
     answer: KeptAnswer | None = None
+    refunded: Tokens = 0
+    repeats: int = 0
 
 
 @frozen
@@ -172,6 +176,48 @@
     body: str
 
 
+class TransferState(Enum):
+    """What the table knows of a transfer that its receiver did not settle first."""
+
+    PENDING = "pending"
+    SETTLED = "settled"
+    LAPSED = "lapsed"
+
+
+@frozen
+class TransferRow:
+    """One transfer between two grants, at ``transfer/{transfer}``.
+
+    Attributes:
+        workspace: Whose tokens.
+        source: The incarnation that gave them.
+        to: The only incarnation that may receive them.
+        amount: How many.
+        state: Pending until the receiver's journal decides.
+    """
+
+    workspace: WorkspaceName
+    source: RouterId
+    to: RouterId
+    amount: Tokens
+    state: TransferState
+
+
+@frozen
+class ArchiveRow:
+    """Sums of bills whose rows were deleted, at ``archive/{workspace}``.
+
+    Attributes:
+        bills: How many.
+        charged: Their charges.
+        refunded: What of those was refunded.
+    """
+
+    bills: int = 0
+    charged: Tokens = 0
+    refunded: Tokens = 0
+
+
 @frozen
 class Intent:
     """Journal entry: this request is about to be dispatched.
--- /dev/null
+++ b/ebonyhold/coordination/_seen.py
@@ -0,0 +1,49 @@
+"""A row as last read, with the check that proves it has not changed since."""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from attrs import frozen
+
+from ebonyhold.coordination._codec import from_json, to_json
+from ebonyhold.coordination._transactions import Absent, AtVersion, Check, Put, Row
+
+T = TypeVar("T")
+
+
+@frozen
+class Seen(Generic[T]):
+    """One key of the table, as one reader saw it.
+
+    Attributes:
+        key: The row's key.
+        version: The version read; 0 when there was no row.
+        value: What the row held; None when there was no row.
+    """
+
+    key: str
+    version: int = 0
+    value: T | None = None
+
+    @property
+    def check(self) -> Check:
+        """Return the check that holds while nobody has changed the row."""
+        if self.version == 0:
+            return Absent(self.key)
+        return AtVersion(self.key, self.version)
+
+    def put(self, value: T) -> Put:
+        """Return the write that replaces the row."""
+        return Put(self.key, to_json(value))
+
+
+def seen(key: str, row: Row | None, as_type: type[T]) -> Seen[T]:
+    """Type a row as read.
+
+    Raises:
+        cattrs.BaseValidationError: The row does not have that form.
+    """
+    if row is None:
+        return Seen(key)
+    return Seen(key, row.version, from_json(row.value, as_type))
--- /dev/null
+++ b/ebonyhold/money/_options.py
@@ -0,0 +1,41 @@
+"""Time constants of the money's tasks, in seconds unless said otherwise."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from ebonyhold.types import Seconds
+
+
+@frozen
+class MoneyOptions:
+    """How often and how long the money's tasks wait.
+
+    Attributes:
+        filing_interval: How long a bill may wait for others of its workspace.
+        bills_at_once: Bills of one transaction.
+        resize_interval: How often a grant's size is looked at without need.
+        evict_after: How long a workspace may be idle before its grant returns
+            and its state is forgotten.
+        table_rest: How long the table is left alone after it failed an append.
+        retry_pause: The first pause after a failure; it doubles.
+        most_pause: The longest pause.
+        acquire_within: The longest a request waits for tokens.
+        ask_within: The longest wait for one peer's answer.
+        peers_asked: Peers asked for tokens, at most, for one request.
+        given_within: The longest a giver waits for its journal.
+        drops_at_once: Settled segments that one append deletes.
+    """
+
+    filing_interval: Seconds = 1.0
+    bills_at_once: int = 40
+    resize_interval: Seconds = 5.0
+    evict_after: Seconds = 120.0
+    table_rest: Seconds = 2.0
+    retry_pause: Seconds = 0.05
+    most_pause: Seconds = 2.0
+    acquire_within: Seconds = 8.0
+    ask_within: Seconds = 0.5
+    peers_asked: int = 4
+    given_within: Seconds = 0.4
+    drops_at_once: int = 16
