--- a/ebonyhold/coordination/_grants.py
+++ b/ebonyhold/coordination/_grants.py
@@ -72,6 +72,11 @@
             self.available or self.held or self.unfiled or self.given or self.received
         )
 
+    @property
+    def mine(self) -> Tokens:
+        """Tokens that this router must still file or return."""
+        return self.available + self.held + self.unfiled
+
     def hold(self, amount: Tokens) -> bool:
         """Take a hold, if that much is available."""
         if amount > self.available:
--- a/ebonyhold/coordination/_recovery.py
+++ b/ebonyhold/coordination/_recovery.py
@@ -8,6 +8,7 @@
 
 from ebonyhold.coordination._attempts import AttemptState, AttemptTruth
 from ebonyhold.coordination._bills import Bill, make_bill
+from ebonyhold.coordination._keys import router_key
 from ebonyhold.coordination._rows import (
     BudgetRow,
     GrantRow,
@@ -155,6 +156,4 @@
     router: RouterId, domain: str, address: str, now: float
 ) -> tuple[str, RouterRow]:
     """Return the key and the row of a new incarnation."""
-    from ebonyhold.coordination._keys import router_key
-
     return router_key(router), RouterRow(RouterState.OPEN, domain, address, now)
--- a/ebonyhold/coordination/_transfers.py
+++ b/ebonyhold/coordination/_transfers.py
@@ -125,6 +125,29 @@
     )
 
 
+def revoke_transfer(
+    giver: Seen[RouterRow],
+    transfer: Seen[TransferRow],
+    receiver: Seen[RouterRow],
+    workspace: WorkspaceName,
+    amount: Tokens,
+) -> Transaction | None:
+    """Let a living giver take back what a closed receiver never settled.
+
+    No grant changes: by the table's word the tokens never left the giver.
+    """
+    row = receiver.value
+    if row is None or row.state is not RouterState.CLOSED:
+        return None
+    if transfer.value is not None:
+        return None
+    source, to = transfer_ends(transfer.key.removeprefix(transfer_key("")))
+    lapsed = TransferRow(workspace, source, to, amount, TransferState.LAPSED)
+    return Transaction(
+        (giver.check, transfer.check, receiver.check), (transfer.put(lapsed),)
+    )
+
+
 def grant_keys(transfer: str, workspace: WorkspaceName) -> tuple[str, str]:
     """Return the keys of the two grants that a transfer touches."""
     source, to = transfer_ends(transfer)
--- a/ebonyhold/money/__init__.py
+++ b/ebonyhold/money/__init__.py
@@ -1,5 +1,29 @@
 """The tasks that own a router's budgets, journal, claims and bills."""
 
-from ebonyhold.money._interface import Money, Order, Permit, Replay
+from ebonyhold.money._interface import BackendTruth, Money, Order, Permit, Replay
+from ebonyhold.money._journal import Place
+from ebonyhold.money._operators import refund, top_up
+from ebonyhold.money._options import MoneyOptions
+from ebonyhold.money._recovery import Recovery, RecoveryReport, Unsettled
+from ebonyhold.money._treasury import GrantStatus, MoneyStatus, Treasury
+from ebonyhold.money._verify import Discrepancy, verify_bills
 
-__all__ = ["Money", "Order", "Permit", "Replay"]
+__all__ = [
+    "BackendTruth",
+    "Discrepancy",
+    "GrantStatus",
+    "Money",
+    "MoneyOptions",
+    "MoneyStatus",
+    "Order",
+    "Permit",
+    "Place",
+    "Recovery",
+    "RecoveryReport",
+    "Replay",
+    "Treasury",
+    "Unsettled",
+    "refund",
+    "top_up",
+    "verify_bills",
+]
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 
 import anyio
 from attrs import define, field, frozen
@@ -14,21 +17,23 @@
     BudgetRow,
     GrantLedger,
     GrantRow,
+    GrantSize,
     GrantView,
     RequestRow,
     RouterRow,
-    RouterState,
     Seen,
     Settlement,
     Table,
     TransferRow,
     TransferState,
     Wish,
+    announce_transfer,
     budget_key,
     find_grant_policy,
     grant_key,
     grant_keys,
     plan_settlement,
+    revoke_transfer,
     router_key,
     seen,
     settle_transfer,
@@ -51,15 +56,28 @@
 from ebonyhold.money._options import MoneyOptions
 from ebonyhold.types import RouterId, Tokens, WorkspaceName
 
+SETTLE_ROUNDS = 50
+"""Settlements of one round, before waiting requests are looked at again."""
+
 SETTLE_TRIES = 8
 """Tries of one settlement against other writers, before the next round."""
 
 
 @define(eq=False)
 class Waiter:
-    """A request that waits for a hold."""
+    """A request that waits for a hold.
+
+    Attributes:
+        need: Tokens it wants to hold.
+        joined: How often the budget had been read when it came: only a read
+            after that is fresh enough to refuse it.
+        done: Set when it is granted or refused.
+        granted: Whether it has its hold.
+        error: Why it was refused.
+    """
 
     need: Tokens
+    joined: int = 0
     done: anyio.Event = field(factory=anyio.Event)
     granted: bool = False
     error: BudgetError | SealedError | None = None
@@ -115,7 +133,7 @@
     options: MoneyOptions
     policy: Callable[[], Policy]
     routers: Callable[[], int]
-    ask_peers: Callable[[Account, Tokens], object]
+    ask_peers: Callable[[Account, Tokens], Awaitable[None]]
     ledger: GrantLedger = field(factory=GrantLedger)
     demand: DemandEstimate = field(factory=DemandEstimate)
     budget: BudgetRow | None = None
@@ -130,7 +148,15 @@
     wake: anyio.Event = field(factory=anyio.Event)
     used_at: float = field(factory=anyio.current_time)
     pause: float = 0.0
+    reads: int = 0
     settlements: int = 0
+    gifts_checked_at: float = 0.0
+    gifts_announced: bool = False
+    random: random.Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the jitter by the names, so that two routers do not agree on it."""
+        self.random = random.Random(f"{self.me}/{self.workspace}")
 
     @property
     def me(self) -> RouterId:
@@ -152,17 +178,19 @@
             if self._wants_resize():
                 self.poke()
             return
-        waiter = Waiter(need)
+        waiter = Waiter(need, self.reads)
         self.waiters.append(waiter)
         self.poke(urgent=True)
         try:
             with anyio.move_on_after(self.options.acquire_within):
                 await waiter.done.wait()
+        except BaseException:
+            if waiter.granted:
+                self.release(need, 0)
+            raise
         finally:
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
-            if waiter.granted and not waiter.done.is_set():
-                waiter.granted = False
         if waiter.granted:
             return
         if waiter.error is not None:
@@ -178,12 +206,16 @@
     def file(self, run: str, bill: Bill, append: Append, *, urgent: bool) -> None:
         """Queue a bill; it is filed once its outcome is durable."""
         self.unfiled[run] = Unfiled(bill, append)
-        self.poke(urgent=urgent)
+        append.then = partial(self.poke, urgent=urgent)
+        if append.done.is_set():
+            append.then()
 
-    def give(self, transfer: str, amount: Tokens, append: Append) -> None:
+    def give(self, transfer: str, amount: Tokens, append: Append) -> Given:
         """Take tokens out for another router."""
         self.ledger.give(amount)
-        self.given[transfer] = Given(transfer, amount, append)
+        given = Given(transfer, amount, append)
+        self.given[transfer] = given
+        return given
 
     def arrive(self, transfer: str, amount: Tokens) -> None:
         """Add tokens whose receipt is durable."""
@@ -247,8 +279,11 @@
         idle = anyio.current_time() - self.used_at
         if idle < self.options.evict_after and not self.closing:
             return False
-        busy = self.unfiled or self.arrivals or self.given or self.waiters
-        return not busy and self.doubt is None and self.ledger.empty
+        if self.unfiled or self.arrivals or self.waiters or self.doubt is not None:
+            return False
+        if self.closing:
+            return self.gifts_announced and not self.ledger.mine
+        return not self.given and self.ledger.empty
 
     async def settle(self) -> None:
         """File, draw, return: until nothing is wanted of the table now.
@@ -259,26 +294,31 @@
         """
         for arrival in list(self.arrivals.values()):
             await self._settle_arrival(arrival)
-        while await self._settle_once():
+        await self._settle_gifts()
+        if self.closing:
+            await self._announce_gifts()
+        for _ in range(SETTLE_ROUNDS):
+            if not await self._settle_once():
+                break
             self._serve()
         self.reachable = True
 
     async def _settle_once(self) -> bool:
+        """Make one settlement; False when the table is not wanted now."""
         for _ in range(SETTLE_TRIES):
             bills = self._ready_bills()
-            if not (bills or self.waiters or self.doubt or self.given):
-                if not self._wants_resize():
-                    return False
+            if not (bills or self.waiters or self.doubt or self._wants_resize()):
+                return False
             rows = await self._read(bills)
             if self._resolve_doubt(rows):
                 return True
-            self._note_settled_gifts(rows)
-            wish = await self._wish(bills)
-            if wish is None:
+            plan = self.doubt or self._plan(rows, bills)
+            if plan is None:
                 return False
-            if await self._commit(self._plan(rows, wish)):
+            if await self._commit(plan):
                 return True
-        return False
+            await anyio.sleep(self.random.random() * self.options.conflict_pause)
+        raise UnavailableError(f"the budget of {self.workspace} met other writers")
 
     def _ready_bills(self) -> tuple[Bill, ...]:
         chosen: dict[str, Bill] = {}
@@ -308,6 +348,7 @@
             },
         )
         self.budget = rows.budget.value
+        self.reads += 1
         return rows
 
     def _resolve_doubt(self, rows: _Rows) -> bool:
@@ -321,43 +362,40 @@
             return True
         return False
 
-    async def _wish(self, bills: tuple[Bill, ...]) -> Wish | None:
-        view = self.view()
-        policy = find_grant_policy(self.policy().grants)
-        size = policy.size(view)
-        if self.closing:
-            draw, give_back = 0, self.ledger.available
-        elif view.idle >= self.options.evict_after and not view.need:
-            draw, give_back = 0, self.ledger.available
-        else:
-            draw, give_back = size.draw, size.give_back
+    def _plan(self, rows: _Rows, bills: tuple[Bill, ...]) -> Settlement | None:
+        size = self._size()
         left = self.budget.remaining if self.budget else 0
-        draw = min(draw, max(left, 0))
-        give_back = min(give_back, self.ledger.spare)
-        if not (bills or draw or give_back or self.doubt):
+        draw = min(size.draw, max(left, 0))
+        give_back = min(size.give_back, self.ledger.spare)
+        if not (bills or draw or give_back):
             return None
-        return Wish(bills, draw, give_back)
-
-    def _plan(self, rows: _Rows, wish: Wish) -> Settlement:
-        return plan_settlement(
+        plan = plan_settlement(
             self.me,
             self.journal.router,
             rows.budget,
             rows.grant,
             rows.requests,
-            wish,
+            Wish(bills, draw, give_back),
             time.time(),
         )
+        self.ledger.available -= plan.returned
+        self.doubt = plan
+        return plan
+
+    def _size(self) -> GrantSize:
+        view = self.view()
+        idle = view.idle >= self.options.evict_after and not view.need
+        if self.closing or idle:
+            return GrantSize(give_back=self.ledger.spare)
+        return find_grant_policy(self.policy().grants).size(view)
 
     async def _commit(self, plan: Settlement) -> bool:
-        if self.doubt is not None:
-            # The lost call may still arrive.  It carries the version of the
-            # grant that it read, so sending it again can take effect once at
-            # most; a conflict says which of the two it was.
-            plan = self.doubt
-        else:
-            self.ledger.available -= plan.returned
-        self.doubt = plan
+        """Commit a plan, perhaps for the second time; False when it did not count.
+
+        A call whose answer was lost may still arrive.  It carries the versions
+        of the rows that it read, so sending it again takes effect once at most;
+        a conflict then says, by the grant's sequence number, which it was.
+        """
         if plan.returned:
             # What goes back may have been set free by outcomes that only this
             # router knows; recovery must not charge a hold that has left.
@@ -368,8 +406,6 @@
             return await self._after_conflict(plan)
         except UnknownOutcomeError:
             return False
-        except UnavailableError:
-            raise
         self._took_effect(plan)
         return True
 
@@ -379,10 +415,9 @@
         if grant.sequence >= plan.sequence:
             self._took_effect(plan)
             return True
-        # A check failed and will fail for ever, so this plan is dead.
+        # A check failed, and a version never comes back: this plan is dead.
         self.doubt = None
         self.ledger.available += plan.returned
-        await anyio.sleep(0)
         return False
 
     def _took_effect(self, plan: Settlement) -> None:
@@ -400,13 +435,6 @@
                 self.ledger.filed(bill.charge, paid)
                 self.journal.settle(run)
 
-    def _note_settled_gifts(self, rows: _Rows) -> None:
-        grant = rows.grant.value or GrantRow()
-        moved = self.ledger.total - grant.held
-        if not self.given or moved <= 0:
-            return
-        self.urgent = True
-
     async def _settle_arrival(self, arrival: Arrival) -> None:
         source_key, own_key = grant_keys(arrival.transfer, self.workspace)
         keys = (
@@ -438,15 +466,32 @@
                 continue
         raise UnavailableError(f"transfer {arrival.transfer} met other writers")
 
-    async def settle_gifts(self) -> None:
-        """Find out which transfers to others are settled, or can never be.
-
-        Raises:
-            PlatformError: The table could not be reached.
-        """
+    async def _settle_gifts(self) -> None:
+        """Find out which transfers to others are settled, or can never be."""
+        now = anyio.current_time()
+        if now < self.gifts_checked_at + self.options.resize_interval:
+            return
+        self.gifts_checked_at = now
         for given in list(self.given.values()):
             await self._settle_gift(given)
 
+    async def _announce_gifts(self) -> None:
+        """Leave transfers that nobody settled yet to whoever sweeps later."""
+        for given in self.given.values():
+            key = transfer_key(given.transfer)
+            for _ in range(SETTLE_TRIES):
+                (row,) = await self.table.read((key,))
+                wish = announce_transfer(
+                    seen(key, row, TransferRow), self.workspace, given.amount
+                )
+                if wish is None:
+                    break
+                with suppress(ConflictError, UnknownOutcomeError):
+                    await self.table.commit(wish)
+            else:
+                raise UnavailableError(f"{given.transfer} could not be announced")
+        self.gifts_announced = True
+
     async def _settle_gift(self, given: Given) -> None:
         _, to = transfer_ends(given.transfer)
         keys = (transfer_key(given.transfer), router_key(to))
@@ -456,19 +501,11 @@
             self._gift_ended(given, transfer.value.state)
             return
         router = seen(keys[1], receiver, RouterRow)
-        closed = router.value is not None and router.value.state is RouterState.CLOSED
-        if not closed:
-            return
-        # A closed receiver has settled all it received: this one was lost.
-        from ebonyhold.coordination import Transaction
-
-        lapsed = TransferRow(
-            self.workspace, self.me, to, given.amount, TransferState.LAPSED
-        )
-        wish = Transaction(
-            (self.journal.router.check, transfer.check, router.check),
-            (transfer.put(lapsed),),
+        wish = revoke_transfer(
+            self.journal.router, transfer, router, self.workspace, given.amount
         )
+        if wish is None:
+            return
         try:
             await self.table.commit(wish)
         except (ConflictError, UnknownOutcomeError):
@@ -492,23 +529,39 @@
             waiter.done.set()
 
     def _wants_resize(self) -> bool:
-        size = find_grant_policy(self.policy().grants).size(self.view())
+        size = self._size()
         return bool(size.draw or size.give_back)
 
     async def _refuse_the_rest(self) -> None:
         """Refuse whom the budget, read just now, cannot serve."""
         self._serve()
-        if not self.waiters:
+        for waiter in self._judged():
+            if self._exhausted(waiter.need):
+                self._refuse(waiter, self._refusal(waiter.need))
+        judged = self._judged()
+        if not judged:
             return
         await self._beg()
-        for waiter in list(self.waiters):
-            waiter.error = self._refusal(waiter.need)
-            waiter.done.set()
+        for waiter in judged:
+            if not waiter.granted:
+                self._refuse(waiter, self._refusal(waiter.need))
+
+    def _judged(self) -> list[Waiter]:
+        return [waiter for waiter in self.waiters if waiter.joined < self.reads]
+
+    def _refuse(self, waiter: Waiter, error: BudgetError | SealedError) -> None:
+        if waiter in self.waiters:
             self.waiters.remove(waiter)
+        waiter.error = error
+        waiter.done.set()
 
-    def _refusal(self, need: Tokens) -> BudgetError:
+    def _exhausted(self, need: Tokens) -> bool:
         row = self.budget or BudgetRow()
-        if row.prepaid - row.spent < need:
+        return row.prepaid - row.spent < need
+
+    def _refusal(self, need: Tokens) -> BudgetError:
+        if self._exhausted(need):
+            row = self.budget or BudgetRow()
             return BudgetExhaustedError(
                 f"{self.workspace} has {row.prepaid - row.spent} tokens left, "
                 f"and the request may cost {need}"
@@ -522,12 +575,9 @@
         self._serve()
         if self.waiters:
             await self._beg()
+        reason = f"the budget of {self.workspace} cannot be reached: {error}"
         for waiter in list(self.waiters):
-            waiter.error = BudgetUnreachableError(
-                f"the budget of {self.workspace} cannot be reached: {error}"
-            )
-            waiter.done.set()
-            self.waiters.remove(waiter)
+            self._refuse(waiter, BudgetUnreachableError(reason))
         longer = max(self.options.retry_pause, self.pause * 2)
         self.pause = min(longer, self.options.most_pause)
         with anyio.move_on_after(self.pause):
@@ -538,15 +588,13 @@
     async def _beg(self) -> None:
         need = sum(waiter.need for waiter in self.waiters) - self.ledger.available
         if need > 0:
-            await self.ask_peers(self, need)  # type: ignore[misc]
+            await self.ask_peers(self, need)
         self._serve()
 
     def fail(self, error: SealedError) -> None:
         """Fail everybody: this incarnation is over."""
-        for waiter in self.waiters:
-            waiter.error = error
-            waiter.done.set()
-        self.waiters.clear()
+        for waiter in list(self.waiters):
+            self._refuse(waiter, error)
 
 
 @frozen
--- a/ebonyhold/money/_interface.py
+++ b/ebonyhold/money/_interface.py
@@ -6,7 +6,13 @@
 
 from attrs import frozen
 
-from ebonyhold.coordination import KeptAnswer, Outcome, RequestKind, RequestRow
+from ebonyhold.coordination import (
+    AttemptTruth,
+    KeptAnswer,
+    Outcome,
+    RequestKind,
+    RequestRow,
+)
 from ebonyhold.types import AttemptId, BackendName, RequestId, Tokens, WorkspaceName
 
 
@@ -61,6 +67,20 @@
     answer: KeptAnswer
 
 
+class BackendTruth(Protocol):
+    """What recovery asks of backend servers."""
+
+    async def close_attempt(
+        self, backend: BackendName, attempt: AttemptId
+    ) -> AttemptTruth:
+        """Cancel an attempt, forbid its later start, and learn what it came to.
+
+        A server that cannot be reached, or cannot tell, gives
+        `AttemptState.UNKNOWN`.
+        """
+        ...
+
+
 class Money(Protocol):
     """The money side of one router, as the request path sees it."""
 
--- a/ebonyhold/money/_journal.py
+++ b/ebonyhold/money/_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
 
 import anyio
@@ -60,12 +61,21 @@
             do not: a request that is refused must not wait for an outage's end.
         done: Set when they are durable, or have failed.
         error: Why they failed.
+        then: Called when they are durable, or have failed.
     """
 
     entries: tuple[JournalEntry, ...]
     keep: bool
     done: anyio.Event = field(factory=anyio.Event)
     error: Exception | None = None
+    then: Callable[[], None] | None = None
+
+    def end(self, error: Exception | None = None) -> None:
+        """Note how it ended."""
+        self.error = error
+        self.done.set()
+        if self.then is not None:
+            self.then()
 
     async def wait(self) -> None:
         """Wait until the entries are durable.
@@ -127,8 +137,7 @@
         """Queue entries; the returned append says when they are durable."""
         append = Append(entries, keep)
         if self.sealed.is_set():
-            append.error = SealedError(f"{self.me} was sealed")
-            append.done.set()
+            append.end(SealedError(f"{self.me} was sealed"))
             return append
         self.queue.append(append)
         self.wake.set()
@@ -151,6 +160,11 @@
                 del self.pins[number]
                 self.droppable.append(number)
 
+    def table_keys(self) -> list[str]:
+        """Return the keys of the segments that still stand in the table."""
+        numbers = sorted((*self.pins, *self.droppable))
+        return [segment_key(self.me, number) for number in numbers]
+
     async def run(self) -> None:
         """Append what is queued until the journal is sealed or the task ends."""
         while not self.sealed.is_set():
@@ -177,14 +191,13 @@
             self.pause = 0.0
             self.appended += len(entries)
             for append in batch:
-                append.done.set()
+                append.end()
 
     def seal(self, batch: list[Append], error: SealedError) -> None:
         """Fail everything: this incarnation is over."""
         self.sealed.set()
         for append in (*batch, *self.queue):
-            append.error = error
-            append.done.set()
+            append.end(error)
         self.queue.clear()
 
     async def _failed(self, batch: list[Append], error: PlatformError) -> None:
@@ -192,8 +205,7 @@
         kept = [append for append in batch if append.keep]
         for append in batch:
             if not append.keep:
-                append.error = UnavailableError(f"the journal is not writable: {error}")
-                append.done.set()
+                append.end(UnavailableError(f"the journal is not writable: {error}"))
         self.queue.extendleft(reversed(kept))
         longer = max(self.options.retry_pause, self.pause * 2)
         self.pause = min(longer, self.options.most_pause)
--- /dev/null
+++ b/ebonyhold/money/_operators.py
@@ -0,0 +1,108 @@
+"""Carrying operators' top-ups and refunds to the table, each at most once."""
+
+from __future__ import annotations
+
+import time
+
+from ebonyhold.coordination import (
+    BudgetRow,
+    RefundRow,
+    RequestRow,
+    Table,
+    TopUpRow,
+    budget_key,
+    plan_refund,
+    plan_topup,
+    refund_key,
+    request_key,
+    seen,
+    topup_key,
+)
+from ebonyhold.exceptions import (
+    ConflictError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ebonyhold.types import RequestId, Tokens, WorkspaceName
+
+TRIES = 30
+"""Tries against routers that draw from the same budget."""
+
+
+async def top_up(
+    table: Table, workspace: WorkspaceName, key: str, amount: Tokens, operator: str = ""
+) -> bool:
+    """Add prepaid tokens to a workspace's budget, once for each key.
+
+    Returns:
+        Whether this call made the top-up; False when the key was used before.
+
+    Raises:
+        ValueError: The amount is not above zero, or the key was used for another.
+        PlatformError: The table could not be written; try again with the key.
+    """
+    keys = (topup_key(workspace, key), budget_key(workspace))
+    unclear = False
+    for _ in range(TRIES):
+        topup, budget = await table.read(keys)
+        wish = plan_topup(
+            seen(keys[0], topup, TopUpRow),
+            seen(keys[1], budget, BudgetRow),
+            TopUpRow(amount, operator, time.time()),
+        )
+        if wish is None:
+            return unclear
+        try:
+            await table.commit(wish)
+        except ConflictError:
+            continue
+        except UnknownOutcomeError:
+            unclear = True
+            continue
+        return True
+    raise UnavailableError(f"the top-up {key} met other writers")
+
+
+async def refund(
+    table: Table,
+    workspace: WorkspaceName,
+    request: RequestId,
+    key: str,
+    amount: Tokens,
+    operator: str = "",
+) -> bool:
+    """Give back a part of a request's charge, once for each key.
+
+    Returns:
+        Whether this call made the refund; False when the key was used before.
+
+    Raises:
+        ValueError: There is no such bill, too little of it is left, or the key
+            was used for another refund.
+        PlatformError: The table could not be written; try again with the key.
+    """
+    keys = (
+        refund_key(workspace, key),
+        budget_key(workspace),
+        request_key(workspace, request),
+    )
+    unclear = False
+    for _ in range(TRIES):
+        rows = await table.read(keys)
+        wish = plan_refund(
+            seen(keys[0], rows[0], RefundRow),
+            seen(keys[1], rows[1], BudgetRow),
+            seen(keys[2], rows[2], RequestRow),
+            RefundRow(request, amount, operator, time.time()),
+        )
+        if wish is None:
+            return unclear
+        try:
+            await table.commit(wish)
+        except ConflictError:
+            continue
+        except UnknownOutcomeError:
+            unclear = True
+            continue
+        return True
+    raise UnavailableError(f"the refund {key} met other writers")
--- a/ebonyhold/money/_options.py
+++ b/ebonyhold/money/_options.py
@@ -18,7 +18,9 @@
         evict_after: How long a workspace may be idle before its grant returns
             and its state is forgotten.
         table_rest: How long the table is left alone after it failed an append.
-        retry_pause: The first pause after a failure; it doubles.
+        conflict_pause: The longest pause after a settlement met another writer.
+        conflict_pause: Seconds = 0.03
+    retry_pause: The first pause after a failure; it doubles.
         most_pause: The longest pause.
         acquire_within: The longest a request waits for tokens.
         ask_within: The longest wait for one peer's answer.
@@ -32,6 +34,7 @@
     resize_interval: Seconds = 5.0
     evict_after: Seconds = 120.0
     table_rest: Seconds = 2.0
+    conflict_pause: Seconds = 0.03
     retry_pause: Seconds = 0.05
     most_pause: Seconds = 2.0
     acquire_within: Seconds = 8.0
--- /dev/null
+++ b/ebonyhold/money/_treasury.py
@@ -0,0 +1,520 @@
+"""The money side of one incarnation of a router."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from attrs import evolve, frozen
+
+from ebonyhold.coordination import (
+    BudgetRow,
+    ClaimAnswer,
+    Delete,
+    Intent,
+    Objects,
+    Outcome,
+    RequestKind,
+    RequestState,
+    RouterRow,
+    RouterState,
+    Seen,
+    Table,
+    Transaction,
+    TransferIn,
+    TransferOut,
+    close_transaction,
+    find_grant_policy,
+    first_attempt,
+    make_bill,
+    next_attempt,
+    open_row,
+    run_of,
+    seen,
+    transfer_ends,
+    transfer_name,
+)
+from ebonyhold.document import Policy
+from ebonyhold.exceptions import (
+    ConflictError,
+    PeerError,
+    SealedError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ebonyhold.money._account import Account, Given
+from ebonyhold.money._claims import Claims, Look, needs_claim, unavailable
+from ebonyhold.money._interface import BackendTruth, Order, Permit, Replay
+from ebonyhold.money._journal import Append, Journal, Place
+from ebonyhold.money._options import MoneyOptions
+from ebonyhold.routers import PeerLink, PeerMessage, TransferGiven, TransferRequest
+from ebonyhold.types import BackendName, RouterId, Tokens, WorkspaceName
+
+OPEN_TRIES = 5
+
+
+@frozen
+class GrantStatus:
+    """One grant, for operators."""
+
+    workspace: WorkspaceName
+    available: Tokens
+    held: Tokens
+    unfiled: Tokens
+    given: Tokens
+    received: Tokens
+    budget: BudgetRow | None
+    reachable: bool
+
+
+@frozen
+class MoneyStatus:
+    """The money side of a router, for operators.
+
+    Attributes:
+        router: The incarnation.
+        sealed: Whether another router has recovered it.
+        place: Where the journal's last append went.
+        unfiled: Bills that are not in the table yet.
+        running: Requests with a hold.
+        segments: Journal segments in the table that are not settled.
+        grants: What is held, by workspace.
+    """
+
+    router: RouterId
+    sealed: bool
+    place: Place
+    unfiled: int
+    running: int
+    segments: int
+    grants: tuple[GrantStatus, ...]
+
+
+@frozen
+class _Run:
+    """A request between its hold and its end."""
+
+    intent: Intent
+    hold: Tokens
+    claimed: bool = False
+
+
+class Treasury:
+    """Holds, claims, journals and bills for one incarnation.
+
+    Attributes:
+        me: The incarnation.
+        accounts: The workspaces in use here; idle ones are forgotten.
+        runs: Requests between their hold and their end, by run.
+        journal: The journal, once `open` has registered the incarnation.
+    """
+
+    def __init__(
+        self,
+        router: RouterId,
+        table: Table,
+        objects: Objects,
+        policy: Callable[[], Policy],
+        peers: PeerLink | None = None,
+        backend_truth: BackendTruth | None = None,
+        address: str = "",
+        domain: str = "",
+        options: MoneyOptions | None = None,
+    ) -> None:
+        self.me = router
+        self.table = table
+        self.objects = objects
+        self.policy = policy
+        self.peers = peers
+        self.backend_truth = backend_truth
+        self.address = address
+        self.domain = domain
+        self.options = options or MoneyOptions()
+        self.accounts: dict[WorkspaceName, Account] = {}
+        self.runs: dict[str, _Run] = {}
+        self.received: set[str] = set()
+        self.journal: Journal | None = None
+        self.claims: Claims | None = None
+        self.draining = False
+        self.serial = 0
+        self.transfer_serial = 0
+        self.tasks: TaskGroup | None = None
+
+    @property
+    def sealed(self) -> bool:
+        """Whether another router has recovered this incarnation."""
+        return self.journal is not None and self.journal.sealed.is_set()
+
+    async def open(self) -> None:
+        """Register the incarnation in the table.
+
+        Without its row nobody could recover it, so nothing is served before.
+
+        Raises:
+            PlatformError: The table could not be written.
+        """
+        key, row = open_row(self.me, self.domain, self.address, time.time())
+        absent: Seen[RouterRow] = Seen(key)
+        wish = Transaction((absent.check,), (absent.put(row),))
+        router = await self._register(key, wish)
+        self.journal = Journal(self.me, self.table, self.objects, self.options, router)
+        self.claims = Claims(router, self.table)
+
+    async def _register(self, key: str, wish: Transaction) -> Seen[RouterRow]:
+        for _ in range(OPEN_TRIES):
+            with suppress(ConflictError, UnknownOutcomeError):
+                await self.table.commit(wish)
+            (row,) = await self.table.read((key,))
+            router = seen(key, row, RouterRow)
+            if router.value is None:
+                continue
+            if router.value.state is not RouterState.OPEN:
+                raise SealedError(f"{self.me} was sealed")
+            return router
+        raise UnavailableError(f"{self.me} could not be registered")
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run the tasks; returns once the incarnation is sealed or drained."""
+        journal = self._journal()
+        if self.peers is not None:
+            self.peers.handle(TransferRequest, self.answer_request)
+            self.peers.handle(TransferGiven, self.take_given)
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            tasks.start_soon(journal.run)
+            for account in self.accounts.values():
+                tasks.start_soon(self._keep, account)
+            task_status.started()
+            await journal.sealed.wait()
+            tasks.cancel_scope.cancel()
+        self._fail_all()
+
+    def _fail_all(self) -> None:
+        error = SealedError(f"{self.me} was sealed")
+        for account in self.accounts.values():
+            account.fail(error)
+
+    def _journal(self) -> Journal:
+        if self.journal is None:
+            raise UnavailableError(f"{self.me} is not registered yet")
+        return self.journal
+
+    async def begin(self, order: Order) -> Permit | Replay:
+        """Take the hold and the claim, and make the intent durable.
+
+        Raises:
+            BudgetExhaustedError: The table says that nothing is left.
+            BudgetUnreachableError: Tokens may exist elsewhere.
+            KeyReusedError: The same key came with another body.
+            ClaimUnavailableError: A needed claim cannot be recorded now.
+            OutcomeUnknownError: A call that may not be repeated may have run.
+            UnavailableError: The intent cannot be made durable; nothing ran.
+            SealedError: This incarnation has been recovered by another.
+        """
+        if self.sealed:
+            raise SealedError(f"{self.me} was sealed")
+        if self.draining:
+            raise UnavailableError(f"{self.me} is stopping")
+        self._journal()
+        look = await self._look(order)
+        if look is not None and look.decision.kept is not None:
+            return _replay(look)
+        unbilled = _unbilled(look)
+        hold = 0 if unbilled else order.hold
+        if hold:
+            await self._account(order.workspace).acquire(hold)
+        return await self._start(order, look, hold, unbilled)
+
+    async def _look(self, order: Order) -> Look | None:
+        if self.claims is None or not (order.keyed or order.claim_needed):
+            return None
+        try:
+            return await self.claims.look(order)
+        except UnavailableError as error:
+            if needs_claim(order):
+                raise unavailable(error) from error
+            return None
+
+    async def _start(
+        self, order: Order, look: Look | None, hold: Tokens, unbilled: bool
+    ) -> Permit | Replay:
+        self.serial += 1
+        attempt = first_attempt(self.me, self.serial)
+        intent = Intent(
+            workspace=order.workspace,
+            request=order.request,
+            attempt=attempt,
+            backend=order.backend,
+            hold=hold,
+            kind=order.kind,
+            digest=order.digest,
+            keyed=order.keyed,
+            boot=order.boot,
+        )
+        permit = Permit(order, attempt, unbilled)
+        self.runs[run_of(attempt)] = _Run(intent, hold)
+        try:
+            await self._journal().put(intent, keep=False).wait()
+            if look is not None and self.claims is not None:
+                look = await self._claim(order, look, permit)
+        except BaseException:
+            # Nothing was dispatched.  The intent may be durable all the same,
+            # so its outcome follows it, before the hold can be used again.
+            self._end_not_run(permit)
+            raise
+        if look is not None and look.decision.kept is not None:
+            self._end_not_run(permit)
+            return _replay(look)
+        return permit
+
+    async def _claim(self, order: Order, look: Look, permit: Permit) -> Look:
+        assert self.claims is not None
+        try:
+            return await self.claims.take(order, look, permit.attempt)
+        except UnavailableError as error:
+            if needs_claim(order):
+                raise unavailable(error) from error
+            return look
+
+    def _end_not_run(self, permit: Permit) -> None:
+        order = permit.order
+        outcome = Outcome(
+            order.workspace, order.request, permit.attempt, RequestState.NOT_RUN, 0
+        )
+        self._end(permit, outcome)
+
+    async def again(self, permit: Permit, backend: BackendName, boot: str) -> Permit:
+        """Make a further attempt of the same request durable, under the same hold.
+
+        Raises:
+            UnavailableError: The intent cannot be made durable; nothing ran.
+            SealedError: This incarnation has been recovered by another.
+        """
+        run = self.runs.get(run_of(permit.attempt))
+        if run is None or self.sealed:
+            raise SealedError(f"{permit.attempt} is no attempt of {self.me}")
+        attempt = next_attempt(permit.attempt)
+        intent = evolve(run.intent, attempt=attempt, backend=backend, boot=boot)
+        await self._journal().put(intent, keep=False).wait()
+        return evolve(permit, attempt=attempt)
+
+    async def finish(
+        self, permit: Permit, outcome: Outcome, *, durable_within: float = 0.0
+    ) -> None:
+        """Settle the request: release its hold and queue its bill.
+
+        Args:
+            permit: The last permit of the request.
+            outcome: How it ended.
+            durable_within: How long to wait for the journal, in seconds; the
+                outcome is queued either way.
+        """
+        append = self._end(permit, outcome)
+        if append is None or durable_within <= 0:
+            return
+        with anyio.move_on_after(durable_within):
+            await append.done.wait()
+
+    def _end(self, permit: Permit, outcome: Outcome) -> Append | None:
+        # A permit of an earlier incarnation is settled by whoever recovered it.
+        run = self.runs.pop(run_of(permit.attempt), None)
+        if run is None:
+            return None
+        bill = make_bill(run.intent, outcome)
+        append = self._journal().put(evolve(outcome, charge=bill.charge))
+        account = self._account(run.intent.workspace)
+        account.release(run.hold, bill.charge)
+        urgent = run.intent.kind is RequestKind.BOOKING
+        account.file(run_of(permit.attempt), bill, append, urgent=urgent)
+        return append
+
+    def _account(self, workspace: WorkspaceName) -> Account:
+        account = self.accounts.get(workspace)
+        if account is not None:
+            return account
+        account = Account(
+            workspace,
+            self._journal(),
+            self.table,
+            self.options,
+            self.policy,
+            self._routers,
+            self.ask_peers,
+        )
+        account.closing = self.draining
+        self.accounts[workspace] = account
+        if self.tasks is not None:
+            self.tasks.start_soon(self._keep, account)
+        return account
+
+    async def _keep(self, account: Account) -> None:
+        await account.run()
+        if self.accounts.get(account.workspace) is account and not self.sealed:
+            del self.accounts[account.workspace]
+
+    def _routers(self) -> int:
+        return 1 + (len(self.peers.alive()) if self.peers else 0)
+
+    async def ask_peers(self, account: Account, need: Tokens) -> None:
+        """Ask other routers for tokens until the need is met or all were asked."""
+        policy = find_grant_policy(self.policy().grants)
+        if self.peers is None or not policy.asks_peers:
+            return
+        for peer in self.peers.alive()[: self.options.peers_asked]:
+            if account.ledger.available >= need:
+                return
+            await self._ask_peer(peer, account, need)
+
+    async def _ask_peer(self, peer: RouterId, account: Account, need: Tokens) -> None:
+        assert self.peers is not None
+        message = TransferRequest(account.workspace, need)
+        try:
+            given = await self.peers.ask(
+                peer, message, TransferGiven, self.options.ask_within
+            )
+        except PeerError:
+            return
+        await self.take_given(peer, given)
+
+    async def answer_request(
+        self, peer: RouterId, message: PeerMessage
+    ) -> PeerMessage | None:
+        """Give tokens to another router, if there are some to spare."""
+        assert isinstance(message, TransferRequest)
+        account = self.accounts.get(message.workspace)
+        if account is None or self.sealed or self.draining:
+            return TransferGiven(message.workspace, "", 0)
+        given = self._lost_gift(account, peer) or self._new_gift(account, peer, message)
+        if given is None:
+            return TransferGiven(message.workspace, "", 0)
+        with anyio.move_on_after(self.options.given_within):
+            await given.append.done.wait()
+        if not given.append.done.is_set() or given.append.error is not None:
+            return TransferGiven(message.workspace, "", 0)
+        return TransferGiven(message.workspace, given.transfer, given.amount)
+
+    def _lost_gift(self, account: Account, peer: RouterId) -> Given | None:
+        """Return a transfer that this peer may not have received.
+
+        Sending it again is safe, since a receiver counts a transfer once.
+        """
+        for given in account.given.values():
+            if transfer_ends(given.transfer)[1] == peer:
+                return given
+        return None
+
+    def _new_gift(
+        self, account: Account, peer: RouterId, message: TransferRequest
+    ) -> Given | None:
+        policy = find_grant_policy(self.policy().grants)
+        amount = policy.give(account.view(), message.wanted)
+        amount = min(amount, account.ledger.spare)
+        if amount <= 0:
+            return None
+        self.transfer_serial += 1
+        transfer = transfer_name(self.me, peer, self.transfer_serial)
+        entry = TransferOut(account.workspace, transfer, peer, amount)
+        append = self._journal().put(entry)
+        return account.give(transfer, amount, append)
+
+    async def take_given(
+        self, peer: RouterId, message: PeerMessage
+    ) -> PeerMessage | None:
+        """Receive tokens from another router, once."""
+        assert isinstance(message, TransferGiven)
+        transfer = message.transfer
+        if not transfer or message.amount <= 0 or transfer in self.received:
+            return None
+        # Tokens meant for another incarnation must not arrive here: whoever
+        # recovers that one decides about them.
+        if transfer_ends(transfer) != (peer, self.me) or self.sealed:
+            return None
+        self.received.add(transfer)
+        entry = TransferIn(message.workspace, transfer, peer, message.amount)
+        append = self._journal().put(entry)
+        await append.done.wait()
+        if append.error is None:
+            account = self._account(message.workspace)
+            account.arrive(transfer, message.amount)
+        return None
+
+    async def drain(self) -> None:
+        """File every bill, return every unspent token and close the incarnation.
+
+        Call it when no request runs any more.  If it fails or is cancelled,
+        another router recovers the rest.
+
+        Raises:
+            PlatformError: The table could not be reached in the end.
+            SealedError: Another router has recovered this incarnation.
+        """
+        self.draining = True
+        journal = self._journal()
+        await journal.flush()
+        for account in list(self.accounts.values()):
+            account.closing = True
+            account.poke(urgent=True)
+        while self.accounts:
+            if self.sealed:
+                raise SealedError(f"{self.me} was sealed")
+            await anyio.sleep(self.options.retry_pause)
+        await self._close(journal)
+
+    async def _close(self, journal: Journal) -> None:
+        wish = close_transaction(journal.router)
+        assert wish is not None
+        drops = tuple(Delete(key) for key in journal.table_keys())
+        for _ in range(OPEN_TRIES):
+            with suppress(ConflictError, UnknownOutcomeError):
+                await self.table.commit(evolve(wish, writes=(*wish.writes, *drops)))
+            (row,) = await self.table.read((journal.router.key,))
+            if row is not None and row.version != journal.router.version:
+                journal.sealed.set()
+                return
+        raise UnavailableError(f"{self.me} could not be closed")
+
+    def status(self) -> MoneyStatus:
+        """Return what operators see."""
+        journal = self._journal()
+        grants = tuple(_grant_status(account) for account in self.accounts.values())
+        return MoneyStatus(
+            router=self.me,
+            sealed=self.sealed,
+            place=journal.place,
+            unfiled=sum(len(one.unfiled) for one in self.accounts.values()),
+            running=len(self.runs),
+            segments=len(journal.pins),
+            grants=grants,
+        )
+
+
+def _grant_status(account: Account) -> GrantStatus:
+    ledger = account.ledger
+    return GrantStatus(
+        workspace=account.workspace,
+        available=ledger.available,
+        held=ledger.held,
+        unfiled=ledger.unfiled,
+        given=ledger.given,
+        received=ledger.received,
+        budget=account.budget,
+        reachable=account.reachable,
+    )
+
+
+def _replay(look: Look) -> Replay:
+    row = look.request.value
+    assert row is not None
+    assert look.decision.kept is not None
+    return Replay(row, look.decision.kept)
+
+
+def _unbilled(look: Look | None) -> bool:
+    if look is None:
+        return False
+    return look.decision.answer is ClaimAnswer.RUN_UNBILLED
--- /dev/null
+++ b/ebonyhold/money/_verify.py
@@ -0,0 +1,192 @@
+"""Reconciling bills, grants, top-ups, refunds and budgets."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+from attrs import define, field, frozen
+
+from ebonyhold.coordination import (
+    ARCHIVE_PREFIX,
+    BUDGET_PREFIX,
+    GRANT_PREFIX,
+    REFUND_PREFIX,
+    REQUEST_PREFIX,
+    TOPUP_PREFIX,
+    ArchiveRow,
+    BudgetRow,
+    GrantRow,
+    RefundRow,
+    RequestRow,
+    RequestState,
+    Table,
+    TopUpRow,
+    from_json,
+)
+from ebonyhold.types import Json, Tokens, WorkspaceName
+
+PAGE = 500
+
+T = TypeVar("T")
+
+
+@frozen
+class Discrepancy:
+    """One row that does not add up.
+
+    Attributes:
+        key: The row.
+        finding: What is wrong with it.
+        expected: What the other rows say, in tokens.
+        found: What this row says, in tokens.
+    """
+
+    key: str
+    finding: str
+    expected: Tokens
+    found: Tokens
+
+
+@define
+class _Sums:
+    prepaid: Tokens = 0
+    held: Tokens = 0
+    charged: Tokens = 0
+    refunded: Tokens = 0
+    row_refunds: dict[str, Tokens] = field(factory=dict)
+    refund_rows: dict[str, Tokens] = field(factory=dict)
+
+
+async def verify_bills(table: Table) -> list[Discrepancy]:
+    """Check that every budget equals the rows it is made of.
+
+    Run it while no router writes, or run it twice: rows are read one page after
+    another, so that what changes meanwhile may seem not to add up.
+
+    Raises:
+        UnavailableError: The table could not be read.
+    """
+    found: list[Discrepancy] = []
+    sums: dict[WorkspaceName, _Sums] = defaultdict(_Sums)
+    await _add_topups(table, sums)
+    await _add_grants(table, sums, found)
+    await _add_requests(table, sums, found)
+    await _add_refunds(table, sums, found)
+    seen_budgets = set()
+    async for key, row in _rows(table, BUDGET_PREFIX, BudgetRow, found):
+        workspace = key.removeprefix(BUDGET_PREFIX)
+        seen_budgets.add(workspace)
+        _check_budget(key, row, sums[workspace], found)
+    for workspace, total in sums.items():
+        if workspace not in seen_budgets and total != _Sums():
+            found.append(
+                Discrepancy(
+                    f"{BUDGET_PREFIX}{workspace}", "no such budget", total.prepaid, 0
+                )
+            )
+    return found
+
+
+def _check_budget(
+    key: str, row: BudgetRow, sums: _Sums, found: list[Discrepancy]
+) -> None:
+    spent = sums.charged - sums.refunded
+    pairs = (
+        ("prepaid is not the sum of the top-ups", sums.prepaid, row.prepaid),
+        ("outstanding is not the sum of the grants", sums.held, row.outstanding),
+        ("spent is not the bills less the refunds", spent, row.spent),
+    )
+    for finding, expected, value in pairs:
+        if expected != value:
+            found.append(Discrepancy(key, finding, expected, value))
+    if row.remaining < 0:
+        found.append(Discrepancy(key, "overspent", 0, row.remaining))
+
+
+async def _add_topups(table: Table, sums: dict[WorkspaceName, _Sums]) -> None:
+    found: list[Discrepancy] = []
+    async for key, row in _rows(table, TOPUP_PREFIX, TopUpRow, found):
+        sums[_workspace(key, TOPUP_PREFIX)].prepaid += row.amount
+
+
+async def _add_grants(
+    table: Table, sums: dict[WorkspaceName, _Sums], found: list[Discrepancy]
+) -> None:
+    async for key, row in _rows(table, GRANT_PREFIX, GrantRow, found):
+        workspace = key.split("/", 2)[2]
+        sums[workspace].held += row.held
+        if row.held < 0:
+            found.append(Discrepancy(key, "holds less than nothing", 0, row.held))
+
+
+async def _add_requests(
+    table: Table, sums: dict[WorkspaceName, _Sums], found: list[Discrepancy]
+) -> None:
+    async for key, row in _rows(table, REQUEST_PREFIX, RequestRow, found):
+        total = sums[_workspace(key, REQUEST_PREFIX)]
+        total.charged += row.charge
+        if row.refunded:
+            total.row_refunds[key] = row.refunded
+        if row.state in (RequestState.RUNNING, RequestState.NOT_RUN) and row.charge:
+            found.append(
+                Discrepancy(key, f"{row.state.value}, but charged", 0, row.charge)
+            )
+        if not 0 <= row.refunded <= row.charge:
+            found.append(
+                Discrepancy(key, "refunded more than charged", row.charge, row.refunded)
+            )
+    async for key, old in _rows(table, ARCHIVE_PREFIX, ArchiveRow, found):
+        total = sums[key.removeprefix(ARCHIVE_PREFIX)]
+        total.charged += old.charged
+        total.refunded += old.refunded
+
+
+async def _add_refunds(
+    table: Table, sums: dict[WorkspaceName, _Sums], found: list[Discrepancy]
+) -> None:
+    async for key, row in _rows(table, REFUND_PREFIX, RefundRow, found):
+        workspace = _workspace(key, REFUND_PREFIX)
+        request = f"{REQUEST_PREFIX}{workspace}/{row.request}"
+        rows = sums[workspace].refund_rows
+        rows[request] = rows.get(request, 0) + row.amount
+    for total in sums.values():
+        total.refunded += sum(total.row_refunds.values())
+        for key, amount in total.row_refunds.items():
+            expected = total.refund_rows.get(key, 0)
+            if amount != expected:
+                found.append(
+                    Discrepancy(
+                        key, "refunded is not the sum of its refunds", expected, amount
+                    )
+                )
+
+
+async def _rows(
+    table: Table, prefix: str, as_type: type[T], found: list[Discrepancy]
+) -> AsyncIterator[tuple[str, T]]:
+    after = ""
+    while True:
+        page = await table.scan(prefix, after, PAGE)
+        for row in page:
+            typed = _typed(row.key, row.value, as_type, found)
+            if typed is not None:
+                yield row.key, typed
+        if len(page) < PAGE:
+            return
+        after = page[-1].key
+
+
+def _typed(
+    key: str, value: Json, as_type: type[T], found: list[Discrepancy]
+) -> T | None:
+    try:
+        return from_json(value, as_type)
+    except Exception as error:
+        found.append(Discrepancy(key, f"cannot be read: {error}", 0, 0))
+        return None
+
+
+def _workspace(key: str, prefix: str) -> WorkspaceName:
+    return key.removeprefix(prefix).split("/", 1)[0]
