--- /dev/null
+++ b/ebonyhold/fleet.py
@@ -0,0 +1,88 @@
+"""The fleet as one router knows it now."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ebonyhold.coordination import PlannedStop, is_stopped
+from ebonyhold.document import Backend, BackendKind, Document, ModelRoute, ServiceRoute
+from ebonyhold.types import BackendName, Seconds
+
+
+@define
+class FleetView:
+    """The document in force, and which backend servers are leaving.
+
+    The daemon's tasks keep it current, all in one event loop; whoever reads it
+    reads it anew for each request and keeps nothing of it.
+
+    Attributes:
+        document: The document in force.
+        version: The document's version; 0 before there is one.
+        domain: The failure domain of this router.
+        leaving: Backend servers that the membership list calls leaving.
+        reported: Backend servers whose own load report says that they leave.
+        wall_clock: Seconds since the epoch, for planned stops.
+    """
+
+    document: Document
+    version: int = 0
+    domain: str = ""
+    leaving: frozenset[BackendName] = frozenset()
+    reported: set[BackendName] = field(factory=set)
+    wall_clock: Callable[[], Seconds] = time.time
+    planned: tuple[PlannedStop, ...] = field(init=False, factory=tuple)
+
+    def __attrs_post_init__(self) -> None:
+        """Derive what the document implies."""
+        self.adopt(self.document, self.version)
+
+    def adopt(self, document: Document, version: int) -> None:
+        """Put another document in force."""
+        self.document = document
+        self.version = version
+        self.planned = tuple(
+            PlannedStop(
+                stop.name,
+                stop.starts.timestamp(),
+                stop.ends.timestamp(),
+                stop.backend,
+                stop.domain,
+            )
+            for stop in document.stops
+        )
+        known = {backend.name for backend in document.backends}
+        self.reported &= known
+
+    def accepts(self, backend: Backend) -> bool:
+        """Return whether new work may go to a backend server now.
+
+        Three sources say that a server leaves, since any of them may be late:
+        the document's planned stops by this router's clock, the membership
+        list, and the server's own load report or refusal.
+        """
+        if backend.name in self.leaving or backend.name in self.reported:
+            return False
+        now = self.wall_clock()
+        return not is_stopped(self.planned, backend.name, backend.domain, now)
+
+    def model(self, name: str) -> ModelRoute | None:
+        """Return the route of a model, or None."""
+        for route in self.document.models:
+            if route.model == name:
+                return route
+        return None
+
+    def service(self, name: str) -> ServiceRoute | None:
+        """Return the route of a plain service, or None."""
+        for route in self.document.services:
+            if route.service == name:
+                return route
+        return None
+
+    def backends(self, kind: BackendKind) -> tuple[Backend, ...]:
+        """Return the backend servers of one kind, leaving ones included."""
+        return tuple(item for item in self.document.backends if item.kind is kind)
