--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,13 +4,23 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._breaker import (
     BreakerPolicy,
     BreakerState,
     CircuitBreaker,
 )
 from ebonyhold.coordination._bucket import FairTurns, TokenBucket
+from ebonyhold.coordination._choice import (
+    Candidate,
+    ChoicePolicy,
+    Wish,
+    make_policy,
+    policies,
+    policy,
+)
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
 from ebonyhold.coordination._keys import (
     BUDGET_PREFIX,
     CONFIG_HEAD,
@@ -26,6 +36,7 @@
     segment_key,
     topup_key,
 )
+from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
 from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     BudgetRow,
@@ -46,6 +57,13 @@
     TransferIn,
     TransferOut,
 )
+from ebonyhold.coordination._stops import (
+    Holding,
+    InProgress,
+    PlannedStop,
+    holdings,
+    is_stopped,
+)
 from ebonyhold.coordination._transactions import (
     Absent,
     AtVersion,
@@ -65,24 +83,34 @@
     "REQUEST_PREFIX",
     "ROUTER_PREFIX",
     "Absent",
+    "AdmissionQueue",
     "AtVersion",
     "Backoff",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
+    "Candidate",
     "Check",
+    "ChoicePolicy",
     "CircuitBreaker",
     "Delete",
+    "EjectionPolicy",
+    "Ejector",
     "FairTurns",
     "GrantRow",
+    "Holding",
+    "InProgress",
     "Intent",
     "JournalEntry",
     "JournalSegment",
     "KeptAnswer",
     "Objects",
     "Outcome",
+    "PlannedStop",
+    "PrefixIndex",
     "Put",
     "RefundRow",
+    "Refused",
     "RequestKind",
     "RequestRow",
     "RequestState",
@@ -91,19 +119,28 @@
     "RouterState",
     "Row",
     "Seal",
+    "Share",
     "Table",
+    "Ticket",
     "TokenBucket",
     "TopUpRow",
     "Transaction",
     "TransferIn",
     "TransferOut",
+    "Wish",
     "Write",
     "budget_key",
     "from_bytes",
     "from_json",
     "grant_key",
     "grant_prefix",
+    "holdings",
+    "is_stopped",
     "journal_prefix",
+    "make_policy",
+    "policies",
+    "policy",
+    "prefix_hashes",
     "refund_key",
     "request_key",
     "router_key",
