--- a/ebonyhold/backends/__init__.py
+++ b/ebonyhold/backends/__init__.py
@@ -1,1 +1,56 @@
-"""Placeholder docstring of the backends package."""
+"""Backend servers: model engines and plain services, reached over HTTP."""
+
+from ebonyhold.backends._engine import EngineClient
+from ebonyhold.backends._http import RefusedError, UnreachableError, make_client
+from ebonyhold.backends._messages import (
+    Answer,
+    CacheAction,
+    CacheEvent,
+    CacheEvents,
+    EngineCall,
+    LoadReport,
+    ServiceCall,
+    Timeouts,
+    Usage,
+)
+from ebonyhold.backends._service import (
+    ServiceClient,
+    answer_headers,
+    request_headers,
+)
+from ebonyhold.backends._sse import (
+    BrokenStreamError,
+    EventSplitter,
+    StreamCheck,
+    read_usage,
+)
+from ebonyhold.backends._state import BackendState
+from ebonyhold.backends._table import Backends
+from ebonyhold.backends._truth import AttemptState, AttemptTruth
+
+__all__ = [
+    "Answer",
+    "AttemptState",
+    "AttemptTruth",
+    "BackendState",
+    "Backends",
+    "BrokenStreamError",
+    "CacheAction",
+    "CacheEvent",
+    "CacheEvents",
+    "EngineCall",
+    "EngineClient",
+    "EventSplitter",
+    "LoadReport",
+    "RefusedError",
+    "ServiceCall",
+    "ServiceClient",
+    "StreamCheck",
+    "Timeouts",
+    "UnreachableError",
+    "Usage",
+    "answer_headers",
+    "make_client",
+    "read_usage",
+    "request_headers",
+]
--- /dev/null
+++ b/ebonyhold/backends/_service.py
@@ -0,0 +1,116 @@
+"""One attempt at a plain service."""
+
+from __future__ import annotations
+
+import httpx
+from attrs import define
+
+from ebonyhold.backends._http import (
+    ATTEMPT_HEADER,
+    BOOT_HEADER,
+    base_url,
+    check_attempt,
+    opened,
+    read_bounded,
+)
+from ebonyhold.backends._messages import Answer, ServiceCall
+from ebonyhold.document import Backend
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection and are never passed on."""
+
+OWN = frozenset(
+    {"host", "content-length", "authorization", "accept-encoding", "expect"}
+)
+"""Request headers that are the router's own to set, or its secret to keep."""
+
+ANSWER_OWN = frozenset({"content-length", "content-encoding", "date", "server"})
+"""Answer headers that the router's own listener sets."""
+
+
+@define
+class ServiceClient:
+    """Sends attempts to plain services."""
+
+    client: httpx.AsyncClient
+
+    async def call(self, backend: Backend, call: ServiceCall) -> Answer:
+        """Dispatch an attempt and read its whole answer.
+
+        Raises:
+            UnreachableError: Nothing was sent.
+            BackendError: There was no whole answer; it may have run.
+        """
+        request = self.client.build_request(
+            call.method,
+            base_url(backend) + call.target,
+            content=call.body or None,
+            headers=[*call.headers, *own_headers(call)],
+            timeout=httpx.Timeout(call.timeout, connect=connect_timeout(self.client)),
+        )
+        async with opened(self.client, request, call.timeout) as response:
+            check_attempt(response, call.attempt)
+            body = await read_bounded(response, call.most_body)
+            return Answer(
+                response.status_code,
+                response.headers.get("content-type", ""),
+                body,
+                response.headers.get(BOOT_HEADER, ""),
+                answer_headers(response),
+            )
+
+
+def connect_timeout(client: httpx.AsyncClient) -> float | None:
+    """Return the client's timeout for connections, in seconds."""
+    return client.timeout.connect
+
+
+def own_headers(call: ServiceCall) -> list[tuple[str, str]]:
+    """Return the headers that the router adds."""
+    headers = [(ATTEMPT_HEADER, call.attempt), ("Accept-Encoding", "identity")]
+    if call.key:
+        headers.append(("Idempotency-Key", call.key))
+    return headers
+
+
+def request_headers(
+    raw: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    """Return the caller's headers that go on to the service.
+
+    >>> request_headers((("connection", "x-mine"), ("x-mine", "1"), ("accept", "*")))
+    (('accept', '*'),)
+    """
+    dropped = HOP_BY_HOP | OWN | named_by_connection(raw)
+    dropped |= {"idempotency-key", ATTEMPT_HEADER.lower()}
+    return tuple((name, value) for name, value in raw if name.lower() not in dropped)
+
+
+def answer_headers(response: httpx.Response) -> tuple[tuple[str, str], ...]:
+    """Return the service's headers that go on to the caller."""
+    raw = tuple(response.headers.multi_items())
+    dropped = HOP_BY_HOP | ANSWER_OWN | named_by_connection(raw)
+    dropped |= {"content-type", ATTEMPT_HEADER.lower(), BOOT_HEADER.lower()}
+    return tuple((name, value) for name, value in raw if name.lower() not in dropped)
+
+
+def named_by_connection(raw: tuple[tuple[str, str], ...]) -> frozenset[str]:
+    """Return the headers that a Connection header declares hop-by-hop."""
+    return frozenset(
+        token.strip().lower()
+        for name, value in raw
+        if name.lower() == "connection"
+        for token in value.split(",")
+    )
