--- a/ebonyhold/callers/__init__.py
+++ b/ebonyhold/callers/__init__.py
@@ -1,1 +1,24 @@
-"""Placeholder docstring of the callers package."""
+"""Callers: the HTTP interface that they use, and everything it refuses."""
+
+from ebonyhold.callers._app import CallersApp
+from ebonyhold.callers._keys import Caller, KeyRing
+from ebonyhold.callers._refusals import (
+    Kind,
+    Ran,
+    Refusal,
+    RefusalCode,
+    codes,
+    refusal_for,
+)
+
+__all__ = [
+    "Caller",
+    "CallersApp",
+    "KeyRing",
+    "Kind",
+    "Ran",
+    "Refusal",
+    "RefusalCode",
+    "codes",
+    "refusal_for",
+]
--- /dev/null
+++ b/ebonyhold/callers/_app.py
@@ -0,0 +1,259 @@
+"""The ASGI application that callers talk to."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ebonyhold._asgi import (
+    BodyTooLargeError,
+    CallerGoneError,
+    Endpoints,
+    NotFound,
+    Receive,
+    Request,
+    Scope,
+    Send,
+    answer_lifespan,
+    header,
+    send_json,
+)
+from ebonyhold.backends import Backends
+from ebonyhold.callers._ask import (
+    Identity,
+    read_chat,
+    read_identity,
+    read_urgency,
+)
+from ebonyhold.callers._chat import REQUEST_HEADER, StreamedChat, WholeChat
+from ebonyhold.callers._gate import Gate
+from ebonyhold.callers._keys import Caller, KeyRing
+from ebonyhold.callers._pipe import Pipe
+from ebonyhold.callers._refusals import (
+    BODY_TOO_LARGE,
+    INTERNAL,
+    METHOD_NOT_ALLOWED,
+    NOT_FOUND,
+    NOT_READY,
+    ROUTER_STOPPING,
+    SERVICE_UNKNOWN,
+    SOON,
+    Refusal,
+    refusal_for,
+)
+from ebonyhold.callers._run import ChatRun
+from ebonyhold.callers._services import ServiceRun, read_service
+from ebonyhold.coordination import RetryBudget, Share
+from ebonyhold.document import Workspace
+from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.fleet import FleetView
+from ebonyhold.money import Money
+from ebonyhold.types import RequestId
+
+log = logging.getLogger(__name__)
+
+OPEN = "open"
+"""The document's version 0 means that there is none yet."""
+
+
+@define
+class CallersApp:
+    """Answers callers; the daemon serves it with hypercorn.
+
+    Attributes:
+        money: Permits and bills; the daemon replaces it with each incarnation.
+        fleet: The document in force and who is leaving.
+        backends: The backend servers.
+        may_serve: Whether the configuration may be served.
+        stopping: Whether new requests are refused because the router stops.
+        active: Requests that are being answered.
+    """
+
+    money: Money
+    fleet: FleetView
+    backends: Backends
+    may_serve: Callable[[], bool] = field(default=lambda: True)
+    stopping: bool = False
+    active: int = 0
+    keys: KeyRing = field(init=False)
+    gates: dict[str, Gate] = field(factory=dict)
+    retries: RetryBudget = field(factory=RetryBudget)
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the parts."""
+        self.keys = KeyRing(self.fleet)
+        self.backends.changed = self.pump
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self.answer(Request(scope, receive), send)
+
+    async def answer(self, request: Request, send: Send) -> None:
+        """Answer one request, if only with a refusal."""
+        identity = Identity("", keyed=False)
+        self.active += 1
+        try:
+            identity = read_identity(request.headers)
+            self.check_open()
+            await self.handle(request, identity, send)
+        except CallerGoneError:
+            return
+        except BodyTooLargeError as error:
+            await refuse(Refusal(BODY_TOO_LARGE, str(error)), identity.request, send)
+        except EbonyholdError as error:
+            await refuse(refusal_for(error), identity.request, send)
+        except Exception:
+            log.exception("request failed", extra={"request": identity.request})
+            await refuse(Refusal(INTERNAL), identity.request, send)
+        finally:
+            self.active -= 1
+
+    def check_open(self) -> None:
+        """Refuse work while there is no configuration, or at the end.
+
+        Raises:
+            Refusal: The router takes no requests now.
+        """
+        if self.stopping:
+            raise Refusal(ROUTER_STOPPING, retry_after=SOON)
+        if self.fleet.version == 0 or not self.may_serve():
+            raise Refusal(NOT_READY, retry_after=SOON)
+
+    async def handle(self, request: Request, identity: Identity, send: Send) -> None:
+        """Find the endpoint and let it answer.
+
+        Raises:
+            EbonyholdError: The request is refused.
+        """
+        found = endpoints.find(request.method, request.path)
+        if isinstance(found, NotFound):
+            if found.methods:
+                raise Refusal(METHOD_NOT_ALLOWED, "use " + ", ".join(found.methods))
+            raise Refusal(NOT_FOUND)
+        call = Call(self, request, identity, self.keys.caller(request.bearer()))
+        request.parameters = found.parameters
+        await found.endpoint.handler(call, request, send)
+
+    def gate(self, model: str) -> Gate:
+        """Return the gate of a model."""
+        if model not in self.gates:
+            self.gates[model] = Gate(lambda: self.backends.free(model))
+        return self.gates[model]
+
+    def pump(self) -> None:
+        """Let waiting requests through after something has changed."""
+        for gate in self.gates.values():
+            gate.pump()
+
+
+@define
+class Call:
+    """One authenticated request on its way to a handler."""
+
+    app: CallersApp
+    request: Request
+    identity: Identity
+    caller: Caller
+
+    @property
+    def workspace(self) -> Workspace:
+        """Who pays."""
+        return self.caller.workspace
+
+
+endpoints: Endpoints[Call] = Endpoints()
+"""What callers may ask for."""
+
+
+@endpoints.add("POST", "/v1/chat/completions")
+async def answer_chat(call: Call, request: Request, send: Send) -> None:
+    """Answer a chat request."""
+    app = call.app
+    body = await request.body(app.fleet.document.limits.most_body)
+    ask = read_chat(body, app.fleet)
+    urgency = read_urgency(request.headers, ask.route.priority)
+    gate = app.gate(ask.route.model)
+    ticket = await gate.enter(
+        call.workspace.name, share(call.workspace), urgency.priority, urgency.patience
+    )
+    run = ChatRun(
+        app.money,
+        app.backends,
+        app.retries,
+        call.workspace.name,
+        call.identity,
+        ask,
+        urgency.priority,
+        request.headers.get("traceparent", ""),
+    )
+    run.on_chosen = Arrival(gate)
+    try:
+        if ask.stream:
+            pipe = Pipe(app.fleet.document.limits.stream_buffer)
+            await StreamedChat(run, pipe).respond(request, send)
+        else:
+            await WholeChat(run).respond(request, send)
+    finally:
+        run.on_chosen()
+        gate.left(ticket)
+
+
+@endpoints.add("GET", "/v1/models")
+async def answer_models(call: Call, request: Request, send: Send) -> None:
+    """List the models that callers may ask for."""
+    data = [
+        {"id": route.model, "object": "model", "created": 0, "owned_by": "ebonyhold"}
+        for route in call.app.fleet.document.models
+    ]
+    mark = header(REQUEST_HEADER, call.identity.request)
+    await send_json(send, 200, {"object": "list", "data": data}, [mark])
+
+
+@endpoints.add("*", "/services/{service}/{path...}")
+async def answer_service(call: Call, request: Request, send: Send) -> None:
+    """Pass a call through to a plain service."""
+    app = call.app
+    route = app.fleet.service(request.parameters["service"])
+    if route is None:
+        raise Refusal(SERVICE_UNKNOWN)
+    body = await request.body(route.most_body)
+    path = "/" + request.parameters["path"]
+    run = ServiceRun(
+        app.money,
+        app.backends,
+        app.retries,
+        call.workspace.name,
+        call.identity,
+        read_service(request, route, path, body),
+    )
+    await run.respond(send)
+
+
+@define
+class Arrival:
+    """Tells a gate once that its request has chosen a server."""
+
+    gate: Gate
+    told: bool = False
+
+    def __call__(self) -> None:
+        """Tell it, the first time."""
+        if not self.told:
+            self.told = True
+            self.gate.arrived()
+
+
+def share(workspace: Workspace) -> Share:
+    """Return a workspace's bounds."""
+    return Share(workspace.concurrency, workspace.queue, workspace.weight)
+
+
+async def refuse(refusal: Refusal, request: RequestId, send: Send) -> None:
+    """Send a refusal."""
+    headers = [*refusal.headers(), header(REQUEST_HEADER, request)]
+    await send_json(send, refusal.reason.status, refusal.value(request), headers)
--- /dev/null
+++ b/ebonyhold/callers/errors_page.py
@@ -0,0 +1,48 @@
+"""Writes docs/ERRORS.md from the registry of refusals.
+
+Run ``python -m ebonyhold.callers.errors_page > docs/ERRORS.md``.
+"""
+
+from __future__ import annotations
+
+from ebonyhold.callers._refusals import Ran, RefusalCode, codes
+
+INTRODUCTION = """\
+# Refusals
+
+Whatever the fleet refuses, it refuses in one JSON shape, which clients of the
+chat-completions protocol read as well:
+
+```json
+{"error": {"message": "...", "type": "...", "code": "...", "param": null,
+           "request_id": "...", "not_run": true, "retry_after": 1.0}}
+```
+
+- `code` is stable; `message` is for people and may change.
+- `not_run: true` stands only where it is proved that the request did not run.
+  Otherwise there is `outcome: "unknown"` in its place.
+- `retry_after` is in seconds; the header `Retry-After` has it rounded up.  Where
+  it is missing, the same request will be refused again.
+- A stream that has begun and cannot be completed ends with `event: error` and
+  this object as its data, and without `data: [DONE]`.
+
+This page is generated: `python -m ebonyhold.callers.errors_page > docs/ERRORS.md`.
+
+| Code | Status | Ran | Meaning | What to do |
+| --- | --- | --- | --- | --- |
+"""
+
+
+def line(code: RefusalCode) -> str:
+    """Return one line of the table."""
+    ran = "not run" if code.ran is Ran.NO else "unknown"
+    return f"| `{code.code}` | {code.status} | {ran} | {code.meaning} | {code.advice} |"
+
+
+def page() -> str:
+    """Return the whole page."""
+    return INTRODUCTION + "\n".join(line(codes[name]) for name in sorted(codes)) + "\n"
+
+
+if __name__ == "__main__":
+    print(page(), end="")
--- a/ebonyhold/coordination/_prefix.py
+++ b/ebonyhold/coordination/_prefix.py
@@ -22,7 +22,8 @@
 def prefix_hashes(words: Sequence[str]) -> tuple[str, ...]:
     """Return the chained hash of each whole block of a prompt.
 
-    Equal hashes at a position mean equal prompts up to there.
+    Equal hashes at a position mean equal prompts up to there.  It is the hash
+    that engines name in their cache events.
 
     >>> first = prefix_hashes(["w"] * 40)
     >>> second = prefix_hashes(["w"] * 20 + ["v"] * 20)
@@ -30,12 +31,13 @@
     (2, True, False)
     """
     hashes: list[str] = []
-    chain = hashlib.sha256()
+    previous = ""
     for block in range(min(len(words) // BLOCK_WORDS, MOST_BLOCKS)):
         start = block * BLOCK_WORDS
-        chain.update("\x1f".join(words[start : start + BLOCK_WORDS]).encode())
-        chain.update(b"\x1e")
-        hashes.append(chain.hexdigest()[:HASH_DIGITS])
+        text = f"{previous}\0{' '.join(words[start : start + BLOCK_WORDS])}"
+        digest = hashlib.sha256(text.encode("utf-8", "surrogatepass"))
+        previous = digest.hexdigest()[:HASH_DIGITS]
+        hashes.append(previous)
     return tuple(hashes)
 
 
