--- a/ebonyhold/backends/_http.py
+++ b/ebonyhold/backends/_http.py
@@ -55,18 +55,25 @@
         super().__init__(message, ran=False)
 
 
-def make_client(timeouts: Timeouts) -> httpx.AsyncClient:
+def make_client(
+    timeouts: Timeouts, transport: httpx.AsyncBaseTransport | None = None
+) -> httpx.AsyncClient:
     """Return a client for HTTP/1.1 without proxies, redirects or cookies.
 
     HTTP/1.1 gives each attempt a connection of its own.  A connection goes back
     to the pool only after its answer was read to the end; leaving a response
     early closes it, so that no later request can read an earlier answer.
+
+    Args:
+        timeouts: How long to wait.
+        transport: What carries the requests, where that is not TCP.
     """
     return httpx.AsyncClient(
         timeout=httpx.Timeout(
             timeouts.stall, connect=timeouts.connect, pool=timeouts.connect
         ),
         limits=httpx.Limits(max_connections=None, max_keepalive_connections=KEEP_ALIVE),
+        transport=transport,
         trust_env=False,
         follow_redirects=False,
     )
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -49,6 +49,7 @@
         rng: The source of chance.
         timeouts: How long to wait for a server.
         poll_every: Seconds between two polls of one engine.
+        transport: What carries requests, where that is not TCP.
         states: What is known of each server in the document.
         ejector: Which servers fail.
         changed: Called when there may be more room than before.
@@ -58,6 +59,7 @@
     rng: random.Random = field(factory=random.Random)
     timeouts: Timeouts = field(factory=Timeouts)
     poll_every: Seconds = POLL_EVERY
+    transport: httpx.AsyncBaseTransport | None = None
     client: httpx.AsyncClient = field(init=False)
     engines: EngineClient = field(init=False)
     services: ServiceClient = field(init=False)
@@ -69,7 +71,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Make the clients."""
-        self.client = make_client(self.timeouts)
+        self.client = make_client(self.timeouts, self.transport)
         self.engines = EngineClient(self.client, self.timeouts)
         self.services = ServiceClient(self.client)
 
--- a/ebonyhold/callers/_app.py
+++ b/ebonyhold/callers/_app.py
@@ -11,6 +11,7 @@
     BodyTooLargeError,
     CallerGoneError,
     Endpoints,
+    Message,
     NotFound,
     Receive,
     Request,
@@ -23,12 +24,14 @@
 from ebonyhold.backends import Backends
 from ebonyhold.callers._ask import (
     Identity,
+    Urgency,
     read_chat,
     read_identity,
     read_urgency,
 )
+from ebonyhold.callers._caller import until_gone
 from ebonyhold.callers._chat import REQUEST_HEADER, StreamedChat, WholeChat
-from ebonyhold.callers._gate import Gate
+from ebonyhold.callers._gate import Gate, Waiter
 from ebonyhold.callers._keys import Caller, KeyRing
 from ebonyhold.callers._pipe import Pipe
 from ebonyhold.callers._refusals import (
@@ -50,13 +53,10 @@
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.fleet import FleetView
 from ebonyhold.money import Money
-from ebonyhold.types import RequestId
+from ebonyhold.types import Json, RequestId
 
 log = logging.getLogger(__name__)
 
-OPEN = "open"
-"""The document's version 0 means that there is none yet."""
-
 
 @define
 class CallersApp:
@@ -96,6 +96,8 @@
     async def answer(self, request: Request, send: Send) -> None:
         """Answer one request, if only with a refusal."""
         identity = Identity("", keyed=False)
+        started = Started(send)
+        send = started
         self.active += 1
         try:
             identity = read_identity(request.headers)
@@ -109,6 +111,11 @@
             await refuse(refusal_for(error), identity.request, send)
         except Exception:
             log.exception("request failed", extra={"request": identity.request})
+            if started.started:
+                # A second status cannot follow.  Leaving the answer without its
+                # end makes the listener cut the connection, which no caller
+                # takes for the end of an answer.
+                raise
             await refuse(Refusal(INTERNAL), identity.request, send)
         finally:
             self.active -= 1
@@ -177,10 +184,9 @@
     body = await request.body(app.fleet.document.limits.most_body)
     ask = read_chat(body, app.fleet)
     urgency = read_urgency(request.headers, ask.route.priority)
+    app.retries.ratio = app.fleet.document.policy.retry_ratio
     gate = app.gate(ask.route.model)
-    ticket = await gate.enter(
-        call.workspace.name, share(call.workspace), urgency.priority, urgency.patience
-    )
+    waiter = await enter(gate, call, urgency)
     run = ChatRun(
         app.money,
         app.backends,
@@ -200,13 +206,31 @@
             await WholeChat(run).respond(request, send)
     finally:
         run.on_chosen()
-        gate.left(ticket)
+        gate.left(waiter.ticket)
+
+
+async def enter(gate: Gate, call: Call, urgency: Urgency) -> Waiter:
+    """Wait for a request's turn.
+
+    Raises:
+        CallerGoneError: Its caller went away first.
+        Refusal: It will not begin in time.
+    """
+    workspace = call.workspace
+    waiter = gate.offer(
+        workspace.name, share(workspace), urgency.priority, urgency.patience
+    )
+    if not waiter.event.is_set():
+        gone = await until_gone(call.request, lambda: gate.wait(waiter))
+        if gone:
+            raise CallerGoneError("the caller went away while it waited")
+    return waiter
 
 
 @endpoints.add("GET", "/v1/models")
 async def answer_models(call: Call, request: Request, send: Send) -> None:
     """List the models that callers may ask for."""
-    data = [
+    data: list[Json] = [
         {"id": route.model, "object": "model", "created": 0, "owned_by": "ebonyhold"}
         for route in call.app.fleet.document.models
     ]
@@ -222,18 +246,30 @@
     if route is None:
         raise Refusal(SERVICE_UNKNOWN)
     body = await request.body(route.most_body)
-    path = "/" + request.parameters["path"]
     run = ServiceRun(
         app.money,
         app.backends,
         app.retries,
         call.workspace.name,
         call.identity,
-        read_service(request, route, path, body),
+        read_service(request, route, body),
     )
     await run.respond(send)
 
 
+@define
+class Started:
+    """Passes messages on to the listener, and knows whether an answer began."""
+
+    send: Send
+    started: bool = False
+
+    async def __call__(self, message: Message) -> None:
+        """Pass a message on."""
+        self.started = True
+        await self.send(message)
+
+
 @define
 class Arrival:
     """Tells a gate once that its request has chosen a server."""
--- a/ebonyhold/callers/_caller.py
+++ b/ebonyhold/callers/_caller.py
@@ -13,12 +13,13 @@
     """Run `work`, and cancel it when the caller goes away first.
 
     Returns:
-        Whether the caller has gone.
+        Whether the caller has gone before `work` was done.
 
     Raises:
         Exception: Whatever `work` raises, never wrapped in a group.
     """
     gone = False
+    done = False
     failure: Exception | None = None
 
     async with anyio.create_task_group() as group:
@@ -32,9 +33,10 @@
         group.start_soon(watch)
         try:
             await work()
+            done = True
         except Exception as error:
             failure = error
         group.cancel_scope.cancel()
     if failure is not None:
         raise failure
-    return gone
+    return gone and not done
--- a/ebonyhold/callers/_gate.py
+++ b/ebonyhold/callers/_gate.py
@@ -21,6 +21,7 @@
 class Waiter:
     """One request that waits."""
 
+    ticket: Ticket
     event: anyio.Event = field(factory=anyio.Event)
     refused: Refused | None = None
 
@@ -42,17 +43,19 @@
     pending: int = 0
     numbers: int = 0
 
-    async def enter(
+    def offer(
         self,
         workspace: WorkspaceName,
         share: Share,
         priority: int,
         patience: Seconds,
-    ) -> Ticket:
-        """Wait for this request's turn; `arrived` must follow, then `left`.
+    ) -> Waiter:
+        """Queue a request, which has its turn at once if its event is set.
+
+        Once it has its turn, `arrived` must follow, then `left`.
 
         Raises:
-            Refusal: It will not begin in time; it did not run.
+            Refusal: It would not begin in time; it did not run.
         """
         now = anyio.current_time()
         self.numbers += 1
@@ -60,36 +63,39 @@
         refused = self.queue.offer(ticket, share, now)
         if refused is not None:
             raise refusal(refused)
-        waiter = Waiter()
+        waiter = Waiter(ticket)
         self.waiters[ticket.number] = waiter
         self.pump()
-        try:
-            await self.wait(ticket, waiter)
-        except BaseException:
-            self.give_up(ticket, waiter)
-            raise
-        finally:
-            del self.waiters[ticket.number]
-        return ticket
+        return waiter
 
-    async def wait(self, ticket: Ticket, waiter: Waiter) -> None:
-        """Wait until the ticket starts or is refused."""
-        if not waiter.event.is_set():
+    async def wait(self, waiter: Waiter) -> None:
+        """Wait until a request has its turn.
+
+        Raises:
+            Refusal: It will not begin in time; it did not run.
+        """
+        ticket = waiter.ticket
+        try:
             with anyio.move_on_after(ticket.deadline - anyio.current_time()):
                 await waiter.event.wait()
-        if waiter.refused is not None:
-            raise refusal(waiter.refused)
+        except BaseException:
+            self.give_up(waiter)
+            raise
         if not waiter.event.is_set():
+            self.give_up(waiter)
             wait = self.queue.retry_after(anyio.current_time())
             raise refusal(Refused(ticket, wait, expired=True))
+        if waiter.refused is not None:
+            raise refusal(waiter.refused)
 
-    def give_up(self, ticket: Ticket, waiter: Waiter) -> None:
-        """Take back a ticket whose caller has gone or was refused."""
-        if waiter.event.is_set() and waiter.refused is None:
+    def give_up(self, waiter: Waiter) -> None:
+        """Take back a request whose caller has gone or cannot wait longer."""
+        if not waiter.event.is_set():
+            del self.waiters[waiter.ticket.number]
+            self.queue.leave(waiter.ticket)
+        elif waiter.refused is None:
             self.pending -= 1
-            self.left(ticket)
-        else:
-            self.queue.leave(ticket)
+            self.left(waiter.ticket)
 
     def arrived(self) -> None:
         """Note that a request that was let through is now counted at its server."""
@@ -112,7 +118,7 @@
 
     def wake(self, ticket: Ticket, refused: Refused | None) -> None:
         """Tell a waiting request what became of it."""
-        waiter = self.waiters[ticket.number]
+        waiter = self.waiters.pop(ticket.number)
         waiter.refused = refused
         waiter.event.set()
 
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -175,10 +175,11 @@
         self.on_chosen()
         try:
             with anyio.CancelScope(shield=True):
-                self.permit = await self.next_permit(state)
+                permit = await self.next_permit(state)
+                self.permit = permit
         finally:
             state.reserved -= 1
-        return self.permit
+        return permit
 
     async def next_permit(self, state: BackendState) -> Permit:
         """Return leave for an attempt at an engine."""
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from urllib.parse import quote
 
 import anyio
 from attrs import define, field, frozen
@@ -22,8 +23,8 @@
     BACKEND_FAILED,
     NO_BACKEND,
     OUTCOME_UNKNOWN,
+    PARAMETER_INVALID,
     SOON,
-    Ran,
     Refusal,
 )
 from ebonyhold.coordination import (
@@ -83,10 +84,16 @@
     return UNRULED
 
 
-def read_service(
-    request: Request, route: ServiceRoute, path: str, body: bytes
-) -> ServiceAsk:
-    """Read a call."""
+def read_service(request: Request, route: ServiceRoute, body: bytes) -> ServiceAsk:
+    """Read a call.
+
+    Raises:
+        Refusal: Its path has dot segments.  A service that resolves them could
+            be led from a path that may be repeated to one that may not.
+    """
+    path = "/" + request.parameters["path"]
+    if any(segment in (".", "..") for segment in path.split("/")):
+        raise Refusal(PARAMETER_INVALID, "the path has dot segments", param="path")
     query = request.raw_query.decode("latin-1")
     raw = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
@@ -96,12 +103,18 @@
         route,
         rule_for(route, request.method, path),
         request.method,
-        path + (f"?{query}" if query else ""),
+        raw_target(request) + (f"?{query}" if query else ""),
         request_headers(raw),
         body,
     )
 
 
+def raw_target(request: Request) -> str:
+    """Return the path behind the service's name, as the caller encoded it."""
+    raw = request.scope.get("raw_path") or quote(request.path).encode()
+    return "/" + bytes(raw).decode("latin-1").split("/", 3)[3].partition("?")[0]
+
+
 @define
 class ServiceRun:
     """Runs a call, at most once if it may not be repeated.
@@ -248,7 +261,7 @@
         except UnreachableError:
             self.backends.ejector.lost(name)
             self.tried.add(name)
-            self.stop_after(MOST_ATTEMPTS, BACKEND_FAILED)
+            self.check_bound()
         except BackendError as error:
             self.backends.ejector.failed(name, anyio.current_time())
             self.tried.add(name)
@@ -276,15 +289,15 @@
             raise Refusal(OUTCOME_UNKNOWN, str(error)) from error
         if not self.retries.take():
             raise Refusal(BACKEND_FAILED, str(error), retry_after=SOON) from error
-        self.stop_after(MOST_ATTEMPTS, BACKEND_FAILED)
+        self.check_bound()
 
-    def stop_after(self, most: int, reason: object) -> None:
+    def check_bound(self) -> None:
         """End the attempts at a bound.
 
         Raises:
             Refusal: The bound is reached.
         """
-        if self.attempts < most:
+        if self.attempts < MOST_ATTEMPTS:
             return
         if self.may_have_run:
             raise Refusal(BACKEND_FAILED, retry_after=SOON)
@@ -344,8 +357,3 @@
         if self.answer is None or self.answer.status >= CHARGED_BELOW:
             return 0
         return self.ask.rule.price
-
-
-def ran(refusal: Refusal) -> bool:
-    """Return whether a refusal admits that the call may have run."""
-    return refusal.ran is Ran.UNKNOWN
--- /dev/null
+++ b/tests/backends/kit.py
@@ -0,0 +1,190 @@
+"""Scripted backend servers behind a transport: no sockets, any clock."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import anyio.lowlevel
+import httpx
+from attrs import define, field
+
+TOKENS = 6
+PROMPT_TOKENS = 9
+
+Script = Callable[["Engine", httpx.Request], Awaitable[httpx.Response]]
+
+
+class Pieces(httpx.AsyncByteStream):
+    """A body that comes in pieces; an exception among them breaks it off."""
+
+    def __init__(self, engine: Engine, pieces: list[bytes | Exception | float]) -> None:
+        self.engine = engine
+        self.pieces = pieces
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Give the pieces."""
+        for piece in self.pieces:
+            if isinstance(piece, Exception):
+                raise piece
+            if isinstance(piece, float):
+                await anyio.sleep(piece)
+                continue
+            await anyio.lowlevel.checkpoint()
+            yield piece
+
+    async def aclose(self) -> None:
+        self.engine.closed += 1
+
+
+def token(index: int) -> bytes:
+    """Return the event of one token."""
+    chunk = {"choices": [{"index": 0, "delta": {"content": f"t{index} "}}]}
+    return f"id: {index}\ndata: {json.dumps(chunk)}\n\n".encode()
+
+
+def opening() -> bytes:
+    """Return the event before the first token."""
+    chunk = {"choices": [{"index": 0, "delta": {"role": "assistant"}}]}
+    return f"data: {json.dumps(chunk)}\n\n".encode()
+
+
+def closing(completion: int = TOKENS) -> list[bytes]:
+    """Return the events after the last token."""
+    last = {"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}
+    usage = {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": completion}
+    return [
+        f"data: {json.dumps(last)}\n\n".encode(),
+        f"data: {json.dumps({'choices': [], 'usage': usage})}\n\n".encode(),
+        b"data: [DONE]\n\n",
+    ]
+
+
+def whole_body() -> bytes:
+    """Return the whole answer."""
+    text = "".join(f"t{index} " for index in range(TOKENS))
+    usage = {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": TOKENS}
+    message = {"role": "assistant", "content": text}
+    choice = {"index": 0, "message": message, "finish_reason": "stop"}
+    return json.dumps({"choices": [choice], "usage": usage}).encode()
+
+
+@define(eq=False)
+class Engine:
+    """One scripted server.
+
+    Attributes:
+        scripts: What it does with each call, the last one repeated; none means
+            that it answers as it should.
+        calls: The calls that reached it.
+        truth: Its answer to the closing of an attempt.
+    """
+
+    scripts: list[Script] = field(factory=list)
+    calls: list[httpx.Request] = field(factory=list)
+    closed: int = 0
+    closes: list[str] = field(factory=list)
+    boot: str = "boot-1"
+    truth: dict[str, object] | None = None
+    load: dict[str, object] = field(factory=dict)
+
+    async def handle(self, request: httpx.Request) -> httpx.Response:
+        """Answer one request."""
+        path = request.url.path
+        if path == "/v1/load":
+            return httpx.Response(200, json={"boot": self.boot, **self.load})
+        if path == "/v1/cache/events":
+            return httpx.Response(200, json={"events": []})
+        if path.endswith("/close"):
+            self.closes.append(path.split("/")[3])
+            if self.truth is None:
+                return httpx.Response(500)
+            return httpx.Response(200, json={"boot": self.boot, **self.truth})
+        self.calls.append(request)
+        script: Script = good
+        if self.scripts:
+            script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        return await script(self, request)
+
+    def stream(
+        self, request: httpx.Request, pieces: list[bytes | Exception | float]
+    ) -> httpx.Response:
+        """Return a stream of the right attempt."""
+        headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"]}
+        headers["Content-Type"] = "text/event-stream"
+        return httpx.Response(200, headers=headers, stream=Pieces(self, pieces))
+
+
+@define
+class Fleet(httpx.AsyncBaseTransport):
+    """Carries requests to scripted servers by their address."""
+
+    servers: dict[str, Engine]
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Carry one request."""
+        await request.aread()
+        server = self.servers[f"{request.url.host}:{request.url.port}"]
+        response = await server.handle(request)
+        response.request = request
+        return response
+
+
+async def good(engine: Engine, request: httpx.Request) -> httpx.Response:
+    """Answer as an engine should."""
+    if not json.loads(request.content).get("stream"):
+        headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"]}
+        return httpx.Response(200, headers=headers, content=whole_body())
+    first = int(request.headers.get("X-Resume-Tokens", "0"))
+    tokens = [token(index) for index in range(first, TOKENS)]
+    return engine.stream(request, [opening(), *tokens, *closing()])
+
+
+def broken_after(count: int, error: Exception) -> Script:
+    """Return a script that sends some tokens and then breaks off."""
+
+    async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
+        first = int(request.headers.get("X-Resume-Tokens", "0"))
+        tokens = [token(index) for index in range(first, first + count)]
+        return engine.stream(request, [opening(), *tokens, error])
+
+    return run
+
+
+def sends(*pieces: bytes | Exception | float) -> Script:
+    """Return a script that sends these pieces."""
+
+    async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
+        return engine.stream(request, list(pieces))
+
+    return run
+
+
+def fails(error: Exception) -> Script:
+    """Return a script that fails before any answer."""
+
+    async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
+        raise error
+
+    return run
+
+
+def answers(status: int, body: bytes = b"", **headers: str) -> Script:
+    """Return a script that answers with a status."""
+
+    async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return httpx.Response(status, content=body, headers=named)
+
+    return run
+
+
+def hangs(seconds: float) -> Script:
+    """Return a script that answers late."""
+
+    async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
+        await anyio.sleep(seconds)
+        return await good(engine, request)
+
+    return run
