--- a/ebonyhold/callers/_ask.py
+++ b/ebonyhold/callers/_ask.py
@@ -112,7 +112,9 @@
     """
     word = headers.get(PRIORITY_HEADER, "live")
     if word not in ("live", "batch"):
-        raise Refusal(PARAMETER_INVALID, "X-Priority is live or batch", param=word)
+        raise Refusal(
+            PARAMETER_INVALID, "X-Priority is live or batch", param="X-Priority"
+        )
     batch = word == "batch"
     patience = BATCH_PATIENCE if batch else LIVE_PATIENCE
     given = headers.get(DEADLINE_HEADER)
--- a/tests/callers/kit.py
+++ b/tests/callers/kit.py
@@ -171,7 +171,7 @@
             "path": target,
             "raw_path": target.encode(),
             "query_string": query.encode(),
-            "headers": [(k.encode(), v.encode()) for k, v in named.items()],
+            "headers": [(k.encode(), v.encode("latin-1")) for k, v in named.items()],
         }
         await self.app(scope, receive, send)
         return heard
@@ -195,7 +195,7 @@
         )
 
 
-def make_document(engines: int = 2, services: int = 2, **changes: Any) -> Document:
+def make_document(engines: int = 2, service_count: int = 2, **changes: Any) -> Document:
     """Return a document with so many servers."""
     backends = [
         Backend(
@@ -214,7 +214,7 @@
             f"d{index % 2}",
             service="booking",
         )
-        for index in range(services)
+        for index in range(service_count)
     ]
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     document = Document(
