--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -23,6 +23,7 @@
     make_bill,
     plan_settlement,
 )
+from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._breaker import (
     BreakerPolicy,
     BreakerState,
@@ -56,6 +57,16 @@
     JournalReading,
     append_transaction,
 )
+from ebonyhold.coordination._choice import (
+    Candidate,
+    ChoicePolicy,
+    Wish,
+    make_policy,
+    policies,
+    policy,
+)
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -102,6 +113,7 @@
     seal_transaction,
     settle_run,
 )
+from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
 from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
@@ -129,6 +141,13 @@
     Seen,
     seen,
 )
+from ebonyhold.coordination._stops import (
+    Holding,
+    InProgress,
+    PlannedStop,
+    holdings,
+    is_stopped,
+)
 from ebonyhold.coordination._transactions import (
     Absent,
     AtVersion,
@@ -167,6 +186,7 @@
     "Absent",
     "AloneMixin",
     "ArchiveRow",
+    "AdmissionQueue",
     "AtVersion",
     "AttemptState",
     "AttemptTruth",
@@ -175,11 +195,15 @@
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
+    "Candidate",
     "Check",
+    "ChoicePolicy",
     "CircuitBreaker",
     "ClaimAnswer",
     "ClaimDecision",
     "Delete",
+    "EjectionPolicy",
+    "Ejector",
     "FairTurns",
     "Fate",
     "GrantRow",
@@ -190,6 +214,8 @@
     "GrantRow",
     "GrantSize",
     "GrantView",
+    "Holding",
+    "InProgress",
     "Intent",
     "JournalEntry",
     "JournalReading",
@@ -197,8 +223,11 @@
     "KeptAnswer",
     "Objects",
     "Outcome",
+    "PlannedStop",
+    "PrefixIndex",
     "Put",
     "RefundRow",
+    "Refused",
     "RequestKind",
     "RequestRow",
     "RequestState",
@@ -209,7 +238,9 @@
     "Seal",
     "Seen",
     "Settlement",
+    "Share",
     "Table",
+    "Ticket",
     "TokenBucket",
     "TopUp",
     "TopUpRow",
@@ -221,6 +252,7 @@
     "Verdict",
     "Wish",
     "Witness",
+    "Wish",
     "Write",
     "announce_transfer",
     "append_transaction",
@@ -248,6 +280,13 @@
     "may_adopt",
     "plan_apply",
     "plan_initial_topup",
+    "holdings",
+    "is_stopped",
+    "journal_prefix",
+    "make_policy",
+    "policies",
+    "policy",
+    "prefix_hashes",
     "refund_key",
     "request_key",
     "resolve_publication",
