--- /dev/null
+++ b/ebonyhold/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocols, for explicit-state checking."""
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -1,5 +1,6 @@
 """The other routers: messages, heartbeats, the membership view."""
 
+from ebonyhold.routers._fake import FakeLink, FakeNetwork
 from ebonyhold.routers._interface import (
     FateReply,
     FateRequest,
@@ -13,6 +14,8 @@
 )
 
 __all__ = [
+    "FakeLink",
+    "FakeNetwork",
     "FateReply",
     "FateRequest",
     "Handler",
--- /dev/null
+++ b/tests/routers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `ebonyhold.routers`."""
--- /dev/null
+++ b/tests/routers/test_fake.py
@@ -0,0 +1,84 @@
+"""The in-memory network and the exchange of questions and answers."""
+
+from __future__ import annotations
+
+from typing import NoReturn
+
+import anyio
+import pytest
+from trio.testing import MockClock
+
+from ebonyhold.exceptions import PeerError
+from ebonyhold.routers import (
+    FakeLink,
+    FakeNetwork,
+    FateReply,
+    FateRequest,
+    PeerMessage,
+    VersionNotice,
+)
+from ebonyhold.types import RouterId
+
+QUESTION = FateRequest("acme", "r1")
+
+
+async def answer(sender: RouterId, message: PeerMessage) -> PeerMessage:
+    return FateReply(running=True, known=True)
+
+
+async def fail(sender: RouterId, message: PeerMessage) -> NoReturn:
+    raise ValueError(f"no answer for {sender}")
+
+
+def virtual(function: object, *args: object) -> object:
+    """Run an async function on trio with a virtual clock."""
+    options = {"clock": MockClock(autojump_threshold=0)}
+    return anyio.run(function, *args, backend="trio", backend_options=options)  # type: ignore[arg-type]
+
+
+async def ask_once(change: str, replies: list[FateReply]) -> None:
+    async with anyio.create_task_group() as tasks:
+        network = FakeNetwork(tasks)
+        asker, asked = network.join("a.1"), network.join("b.1")
+        asked.handle(FateRequest, fail if change == "failing" else answer)
+        disturb(network, asker, change)
+        replies.append(await asker.ask("b.1", QUESTION, FateReply, 1.0))
+
+
+def disturb(network: FakeNetwork, asker: FakeLink, change: str) -> None:
+    if change == "cut":
+        network.cut("a.1", "b.1")
+    if change == "doubled":
+        network.copies = 2
+    if change == "dead":
+        network.leave("b.1")
+    if change == "slow":
+        network.delay = 2.0
+    if change == "lost answer":
+        network.lose = lambda sender, to, message: isinstance(message, FateReply)
+
+
+@pytest.mark.parametrize("change", ["nothing", "doubled"])
+def test_a_question_is_answered(change: str) -> None:
+    replies: list[FateReply] = []
+    virtual(ask_once, change, replies)
+    assert replies == [FateReply(running=True, known=True)]
+
+
+@pytest.mark.parametrize("change", ["cut", "dead", "slow", "lost answer", "failing"])
+def test_a_question_that_is_not_answered_in_time(change: str) -> None:
+    with pytest.raises(BaseExceptionGroup) as raised:
+        virtual(ask_once, change, [])
+    assert raised.group_contains(PeerError)
+
+
+def test_an_answer_of_another_kind_is_refused() -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            network = FakeNetwork(tasks)
+            asker, asked = network.join("a.1"), network.join("b.1")
+            asked.handle(FateRequest, answer)
+            with pytest.raises(PeerError):
+                await asker.ask("b.1", QUESTION, VersionNotice, 1.0)
+
+    virtual(run)
