Add the peer network and the membership protocol

Routers need each other while the platform is away. PeerNetwork listens on one pull socket, dials peers on demand within bounds, and wraps msgpack frames in ChaCha20-Poly1305 envelopes that bind sender, receiver and incarnation, with a replay window and keys that are reloaded when their file changes. Membership is a SWIM-like state machine without I/O. Tests: three routers find each other and answer on asyncio and trio.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -5,6 +5,12 @@
 """
 
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._heartbeats import (
+    Beat,
+    BeatKind,
+    MembershipOptions,
+    Outgoing,
+)
 from ebonyhold.coordination._keys import (
     BUDGET_PREFIX,
     CONFIG_HEAD,
@@ -20,6 +26,15 @@
     segment_key,
     topup_key,
 )
+from ebonyhold.coordination._members import (
+    Listed,
+    Member,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+    responsible,
+)
+from ebonyhold.coordination._membership import Membership
 from ebonyhold.coordination._rows import (
     BudgetRow,
     GrantRow,
@@ -59,6 +74,8 @@
     "ROUTER_PREFIX",
     "Absent",
     "AtVersion",
+    "Beat",
+    "BeatKind",
     "BudgetRow",
     "Check",
     "Delete",
@@ -67,8 +84,16 @@
     "JournalEntry",
     "JournalSegment",
     "KeptAnswer",
+    "Listed",
+    "Member",
+    "MemberStatus",
+    "MemberUpdate",
+    "MemberView",
+    "Membership",
+    "MembershipOptions",
     "Objects",
     "Outcome",
+    "Outgoing",
     "Put",
     "RefundRow",
     "RequestKind",
@@ -92,6 +117,7 @@
     "journal_prefix",
     "refund_key",
     "request_key",
+    "responsible",
     "router_key",
     "segment_key",
     "to_bytes",
--- a/ebonyhold/exceptions.py
+++ b/ebonyhold/exceptions.py
@@ -124,6 +124,20 @@
     code = "peer_error"
 
 
+class RefusedMessageError(PeerError):
+    """A message of another router was not accepted.
+
+    Attributes:
+        reason: A stable word for the cause, by which refusals are counted.
+    """
+
+    code = "peer_message_refused"
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
 class BackendError(EbonyholdError):
     """A backend server failed an attempt.
 
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -1,5 +1,6 @@
 """The other routers: messages, heartbeats, the membership view."""
 
+from ebonyhold.routers._envelope import Envelopes, Opened
 from ebonyhold.routers._fake import FakeLink, FakeNetwork
 from ebonyhold.routers._interface import (
     FateReply,
@@ -7,22 +8,32 @@
     Handler,
     Leaving,
     PeerLink,
-    PeerMessage,
     TransferGiven,
     TransferRequest,
     VersionNotice,
 )
+from ebonyhold.routers._keys import KeyRing, PeerKey, parse_keys
+from ebonyhold.routers._network import PeerNetwork, PeerStatus
+from ebonyhold.routers._registry import PeerMessage, peer_message
 
 __all__ = [
+    "Envelopes",
     "FakeLink",
     "FakeNetwork",
     "FateReply",
     "FateRequest",
     "Handler",
+    "KeyRing",
     "Leaving",
+    "Opened",
+    "PeerKey",
     "PeerLink",
     "PeerMessage",
+    "PeerNetwork",
+    "PeerStatus",
     "TransferGiven",
     "TransferRequest",
     "VersionNotice",
+    "parse_keys",
+    "peer_message",
 ]
--- a/ebonyhold/routers/_exchange.py
+++ b/ebonyhold/routers/_exchange.py
@@ -11,7 +11,8 @@
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import PeerError
-from ebonyhold.routers._interface import Handler, PeerMessage, Reply
+from ebonyhold.routers._interface import Handler, Reply
+from ebonyhold.routers._registry import PeerMessage
 from ebonyhold.types import RouterId, Seconds
 
 logger = logging.getLogger(__name__)
--- a/ebonyhold/routers/_fake.py
+++ b/ebonyhold/routers/_fake.py
@@ -20,7 +20,8 @@
 from anyio.abc import TaskGroup
 
 from ebonyhold.routers._exchange import Exchange, Frame
-from ebonyhold.routers._interface import Handler, PeerMessage, Reply
+from ebonyhold.routers._interface import Handler, Reply
+from ebonyhold.routers._registry import PeerMessage
 from ebonyhold.types import RouterId, Seconds
 
 LoseRule: TypeAlias = Callable[[RouterId, RouterId, PeerMessage], bool]
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -7,17 +7,13 @@
 
 from attrs import frozen
 
+from ebonyhold.routers._registry import PeerMessage, peer_message
 from ebonyhold.types import RequestId, RouterId, Seconds, Tokens, WorkspaceName
 
-
-@frozen
-class PeerMessage:
-    """The base of everything one router tells another."""
-
-
 Reply = TypeVar("Reply", bound=PeerMessage)
 
 
+@peer_message("transfer_request")
 @frozen
 class TransferRequest(PeerMessage):
     """Please give me tokens of this workspace, if you have some to spare."""
@@ -26,6 +22,7 @@
     wanted: Tokens
 
 
+@peer_message("transfer_given")
 @frozen
 class TransferGiven(PeerMessage):
     """These tokens are yours: they left my journal before this was sent.
@@ -40,6 +37,7 @@
     amount: Tokens
 
 
+@peer_message("fate_request")
 @frozen
 class FateRequest(PeerMessage):
     """Are you running this request, or did you finish it?"""
@@ -48,14 +46,21 @@
     request: RequestId
 
 
+@peer_message("fate_reply")
 @frozen
 class FateReply(PeerMessage):
-    """Whether the request runs here; True in `gave_up` once it is cancelled."""
+    """What the asked router knows of a request.
+
+    Attributes:
+        running: Whether it runs there now.
+        known: Whether the router has heard of it at all.
+    """
 
     running: bool
     known: bool
 
 
+@peer_message("version_notice")
 @frozen
 class VersionNotice(PeerMessage):
     """The newest configuration version I have; fetch it if yours is older."""
@@ -64,6 +69,7 @@
     digest: str
 
 
+@peer_message("leaving")
 @frozen
 class Leaving(PeerMessage):
     """I am stopping: send me no transfers and do not suspect me."""
--- /dev/null
+++ b/ebonyhold/routers/_network.py
@@ -0,0 +1,360 @@
+"""The link to the other routers over pynng: a `PeerLink` with membership."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from typing import Protocol
+
+import anyio
+import pynng
+from anyio.abc import TaskGroup, TaskStatus
+from attrs import frozen
+
+from ebonyhold.coordination import (
+    BeatKind,
+    Listed,
+    Member,
+    Membership,
+    MembershipOptions,
+    MemberStatus,
+    MemberUpdate,
+    Outgoing,
+)
+from ebonyhold.exceptions import EbonyholdError, PeerError, RefusedMessageError
+from ebonyhold.routers._envelope import MAX_ENVELOPE, Envelopes, Opened
+from ebonyhold.routers._exchange import Exchange, Frame, Purpose
+from ebonyhold.routers._interface import Handler, Reply
+from ebonyhold.routers._keys import KeyRing
+from ebonyhold.routers._links import LinkCounters, Links
+from ebonyhold.routers._registry import PeerMessage
+from ebonyhold.routers._wire import Gossip, decode, encode
+from ebonyhold.types import RouterId, Seconds
+
+logger = logging.getLogger(__name__)
+
+LIST_PERIOD: Seconds = 5.0
+KEYS_PERIOD: Seconds = 1.0
+LOG_PERIOD: Seconds = 10.0
+RECEIVE_QUEUE = 256
+MAX_HANDLERS = 128
+"""Handlers that run at once; further messages are dropped."""
+
+
+class ListEntry(Protocol):
+    """One router of the platform's membership list, as its client returns it."""
+
+    @property
+    def name(self) -> str:
+        """Return the VM's name."""
+
+    @property
+    def address(self) -> str:
+        """Return where its peers reach it, ``ip:port``."""
+
+    @property
+    def domain(self) -> str:
+        """Return its failure domain."""
+
+    @property
+    def state(self) -> object:
+        """Return ``live`` or ``leaving``, as text or as an enum of it."""
+
+
+MemberSource = Callable[[], Awaitable[Sequence[ListEntry]]]
+
+
+@frozen
+class PeerStatus:
+    """One other router, as operators see it.
+
+    Attributes:
+        router: The incarnation.
+        address: Where it is reached.
+        domain: Its failure domain.
+        status: What is believed of it.
+        listed: Whether the platform lists it.
+        heard_ago: Seconds since it spoke to this router itself, or None.
+    """
+
+    router: RouterId
+    address: str
+    domain: str
+    status: MemberStatus
+    listed: bool
+    heard_ago: Seconds | None
+
+
+class PeerNetwork:
+    """One router's sockets, envelopes and membership.
+
+    Attributes:
+        membership: The protocol's state.
+        exchange: Handlers and open questions.
+        envelopes: Seals and opens what goes over the wire.
+        received: Counts the messages that were accepted.
+        received_bytes: Counts their bytes, envelopes included.
+        refused: Counts the messages that were not accepted, by reason.
+    """
+
+    def __init__(
+        self,
+        me: RouterId,
+        domain: str,
+        address: str,
+        keys: KeyRing,
+        members: MemberSource | None,
+        seeds: tuple[str, ...] = (),
+        *,
+        options: MembershipOptions | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.keys = keys
+        self.source = members
+        self.rng = rng or random.Random()
+        own = MemberUpdate(
+            me, address, domain, MemberStatus.ALIVE, started=milliseconds()
+        )
+        self.membership = Membership(own, self.rng, 0.0, options, seeds)
+        self.exchange = Exchange(self.transmit)
+        self.envelopes = Envelopes(me, address, keys)
+        self.links: Links | None = None
+        self.tasks: TaskGroup | None = None
+        self.running = 0
+        self.received = 0
+        self.received_bytes = 0
+        self.refused: Counter[str] = Counter()
+        self.logged: dict[str, Seconds] = {}
+
+    # The PeerLink.
+
+    def alive(self) -> tuple[RouterId, ...]:
+        """Return the routers believed alive, this one left out."""
+        return self.membership.alive()
+
+    def handle(self, kind: type[PeerMessage], handler: Handler) -> None:
+        """Register who answers messages of this kind."""
+        self.exchange.handle(kind, handler)
+
+    async def send(self, to: RouterId, message: PeerMessage) -> None:
+        """Send without waiting for an answer; it may be lost."""
+        await self.exchange.send(to, message)
+
+    async def ask(
+        self, to: RouterId, message: PeerMessage, reply: type[Reply], timeout: Seconds
+    ) -> Reply:
+        """Send and wait for the answer.
+
+        Raises:
+            PeerError: There was none in time, or the router is not known.
+        """
+        if to not in self.membership.view.members:
+            raise PeerError(f"{to} is not known")
+        return await self.exchange.ask(to, message, reply, timeout)
+
+    # What the daemon and the operators ask.
+
+    def gone(self) -> tuple[RouterId, ...]:
+        """Return the incarnations that others may recover; a hint, no proof."""
+        return self.membership.gone(anyio.current_time())
+
+    def status(self) -> tuple[PeerStatus, ...]:
+        """Return all that is known of the other routers."""
+        now = anyio.current_time()
+        members = self.membership.view.members.values()
+        return tuple(self.describe(member, now) for member in members)
+
+    def describe(self, member: Member, now: Seconds) -> PeerStatus:
+        """Return one other router as operators see it."""
+        heard = member.heard_at
+        return PeerStatus(
+            member.update.router,
+            member.update.address,
+            member.update.domain,
+            self.membership.status_of(member),
+            self.membership.is_listed(member),
+            None if heard is None else now - heard,
+        )
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Return what became of the messages that were sent."""
+        return LinkCounters() if self.links is None else self.links.counters
+
+    def become(self, router: RouterId) -> None:
+        """Go on as a new incarnation, after this one was sealed."""
+        started = max(milliseconds(), self.membership.me.started + 1)
+        self.membership.become(router, started)
+        self.envelopes.me = router
+
+    def leave(self) -> None:
+        """Tell the others that this router is stopping."""
+        self.send_beats(self.membership.leave())
+
+    # Tasks.
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen and take part until cancelled.
+
+        Raises:
+            pynng.NNGException: The address cannot be bound.
+        """
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            self.links = Links(tasks)
+            with pynng.Pull0(
+                recv_max_size=2 * MAX_ENVELOPE, recv_buffer_size=RECEIVE_QUEUE
+            ) as socket:
+                socket.listen(f"tcp://{self.membership.me.address}")
+                tasks.start_soon(self.beat)
+                tasks.start_soon(self.follow_keys)
+                if self.source is not None:
+                    tasks.start_soon(self.follow_list, self.source)
+                task_status.started()
+                await self.receive(socket)
+
+    async def receive(self, socket: pynng.Pull0) -> None:
+        """Take in messages; one that cannot be used is counted, and that is all."""
+        while True:
+            data = await socket.arecv()
+            try:
+                opened = self.envelopes.open(data)
+                frame = decode(opened.body)
+                self.received += 1
+                self.received_bytes += len(data)
+                self.dispatch(opened, frame)
+            except RefusedMessageError as error:
+                self.refuse(error)
+
+    def dispatch(self, opened: Opened, frame: Frame) -> None:
+        """Give a frame to whom it concerns.
+
+        Raises:
+            RefusedMessageError: It may not come this way.
+        """
+        sender = opened.header.sender
+        fresh = bool(opened.header.receiver)
+        if isinstance(frame.message, Gossip):
+            self.take_beat(sender, frame.message, fresh)
+        elif not fresh:
+            raise RefusedMessageError("unaddressed", type(frame.message).__name__)
+        elif frame.purpose is Purpose.ANSWER:
+            self.exchange.settle(sender, frame)
+        else:
+            self.start_handler(sender, frame)
+
+    def take_beat(self, sender: RouterId, gossip: Gossip, fresh: bool) -> None:
+        """Give a heartbeat to the membership protocol.
+
+        Raises:
+            RefusedMessageError: It is not a probe, and names no receiver.
+        """
+        if not fresh and gossip.beat.kind is not BeatKind.PROBE:
+            raise RefusedMessageError("unaddressed", gossip.beat.kind.name)
+        now = anyio.current_time()
+        self.send_beats(self.membership.receive(sender, gossip.beat, now, fresh=fresh))
+
+    def start_handler(self, sender: RouterId, frame: Frame) -> None:
+        """Run the handler in a task of its own, so that it holds up nobody.
+
+        Raises:
+            RefusedMessageError: Too many run already.
+        """
+        if self.tasks is None or self.running >= MAX_HANDLERS:
+            raise RefusedMessageError("busy", type(frame.message).__name__)
+        self.running += 1
+        self.tasks.start_soon(self.run_handler, sender, frame)
+
+    async def run_handler(self, sender: RouterId, frame: Frame) -> None:
+        """Run one handler and send its answer."""
+        try:
+            await self.exchange.deliver(sender, frame)
+        finally:
+            self.running -= 1
+
+    async def beat(self) -> None:
+        """Send heartbeats when they are due."""
+        self.membership.wake_at = anyio.current_time()
+        while True:
+            self.send_beats(self.membership.tick(anyio.current_time()))
+            await anyio.sleep_until(self.membership.wake_at)
+
+    async def follow_list(self, source: MemberSource) -> None:
+        """Read the platform's list now and then."""
+        while True:
+            try:
+                self.membership.read_list(listed(await source()))
+            except EbonyholdError as error:
+                logger.info("no membership list", extra={"cause": str(error)})
+            await anyio.sleep(LIST_PERIOD * (0.8 + 0.4 * self.rng.random()))
+
+    async def follow_keys(self) -> None:
+        """Read the keys again when their file changes."""
+        while True:
+            if self.keys.refresh():
+                names = list(self.keys.identifiers)
+                logger.info("peer keys reloaded", extra={"keys": names})
+            await anyio.sleep(KEYS_PERIOD)
+
+    # Sending.
+
+    async def transmit(self, to: RouterId, frame: Frame) -> None:
+        """Send a frame to an incarnation, if it is known."""
+        member = self.membership.view.members.get(to)
+        if member is not None:
+            self.post(to, member.update.address, frame)
+
+    def send_beats(self, beats: Iterable[Outgoing]) -> None:
+        """Send heartbeats."""
+        for out in beats:
+            frame = Frame(Purpose.NOTICE, 0, Gossip(out.beat))
+            self.post(out.to, out.address, frame)
+
+    def post(self, to: RouterId, address: str, frame: Frame) -> None:
+        """Encode, seal and queue a frame."""
+        if self.links is None:
+            return
+        try:
+            body = encode(frame)
+        except RefusedMessageError as error:
+            self.refuse(error)
+            return
+        self.links.put(address, self.envelopes.seal(body, to, address))
+
+    def refuse(self, error: RefusedMessageError) -> None:
+        """Count a message that was not accepted, and log it, but not each one.
+
+        Anybody who reaches the port can cause refusals, so the log has one line
+        for each reason in a while.
+        """
+        self.refused[error.reason] += 1
+        now = anyio.current_time()
+        if now >= self.logged.get(error.reason, -LOG_PERIOD) + LOG_PERIOD:
+            self.logged[error.reason] = now
+            count = self.refused[error.reason]
+            extra = {"reason": error.reason, "cause": str(error), "count": count}
+            logger.warning("peer message refused", extra=extra)
+
+
+def listed(entries: Iterable[ListEntry]) -> list[Listed]:
+    """Turn the platform's entries into those of the membership protocol."""
+    return [
+        Listed(entry.name, entry.address, entry.domain, word(entry.state) == "leaving")
+        for entry in entries
+        if word(getattr(entry, "role", "entry")) == "entry"
+    ]
+
+
+def word(value: object) -> str:
+    """Return the text of a string or of an enum of strings."""
+    return str(getattr(value, "value", value))
+
+
+def milliseconds() -> int:
+    """Return the time in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/ebonyhold/routers/_registry.py
@@ -0,0 +1,38 @@
+"""The kinds of messages that routers exchange, by the name they have on the wire."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import attrs
+from attrs import frozen
+
+
+@frozen
+class PeerMessage:
+    """The base of everything one router tells another."""
+
+
+Kind = TypeVar("Kind", bound=type[PeerMessage])
+
+KINDS: dict[str, type[PeerMessage]] = {}
+NAMES: dict[type[PeerMessage], str] = {}
+
+
+def peer_message(name: str) -> Callable[[Kind], Kind]:
+    """Register a class of messages under its name on the wire.
+
+    Fields travel by position: a later release may only append fields with
+    defaults, so that releases can be mixed while a fleet is replaced.
+    """
+
+    def register(kind: Kind) -> Kind:
+        if name in KINDS:
+            raise ValueError(f"two kinds of messages are named {name}")
+        attrs.resolve_types(kind)
+        KINDS[name] = kind
+        NAMES[kind] = name
+        return kind
+
+    return register
