--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -56,3 +56,8 @@
 def segment_key(router: RouterId, number: int) -> str:
     """Return the key of one journal segment."""
     return f"{journal_prefix(router)}{number:0{SEGMENT_DIGITS}d}"
+
+
+def lease_key(name: str) -> str:
+    """Return the key of a lease."""
+    return f"lease/{name}"
