--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,6 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._breaker import (
+    BreakerPolicy,
+    BreakerState,
+    CircuitBreaker,
+)
+from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._heartbeats import (
     Beat,
@@ -52,6 +58,7 @@
     responsible,
 )
 from ebonyhold.coordination._membership import Membership
+from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     BudgetRow,
     GrantRow,
@@ -91,11 +98,16 @@
     "ROUTER_PREFIX",
     "Absent",
     "AtVersion",
+    "Backoff",
     "Beat",
     "BeatKind",
+    "BreakerPolicy",
+    "BreakerState",
     "BudgetRow",
     "Check",
+    "CircuitBreaker",
     "Delete",
+    "FairTurns",
     "GrantRow",
     "HeldLease",
     "Intent",
@@ -120,11 +132,13 @@
     "RequestKind",
     "RequestRow",
     "RequestState",
+    "RetryBudget",
     "RouterRow",
     "RouterState",
     "Row",
     "Seal",
     "Table",
+    "TokenBucket",
     "TopUpRow",
     "Transaction",
     "TransferIn",
