--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -67,6 +67,12 @@
 )
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
+from ebonyhold.coordination._heartbeats import (
+    Beat,
+    BeatKind,
+    MembershipOptions,
+    Outgoing,
+)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -84,6 +90,7 @@
     grant_key,
     grant_prefix,
     journal_prefix,
+    lease_key,
     refund_key,
     request_key,
     router_key,
@@ -114,6 +121,31 @@
     settle_run,
 )
 from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
+from ebonyhold.coordination._leases import (
+    HeldLease,
+    LeasePlan,
+    LeaseRow,
+    LeaseSighting,
+    parse_lease,
+    plan_acquire,
+    plan_release,
+    plan_renew,
+)
+from ebonyhold.coordination._leases import (
+    resolve as resolve_lease,
+)
+from ebonyhold.coordination._leases import (
+    sight as sight_lease,
+)
+from ebonyhold.coordination._members import (
+    Listed,
+    Member,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+    responsible,
+)
+from ebonyhold.coordination._membership import Membership
 from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
@@ -192,6 +224,8 @@
     "AttemptTruth",
     "Backoff",
     "Bill",
+    "Beat",
+    "BeatKind",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
@@ -216,15 +250,27 @@
     "GrantView",
     "Holding",
     "InProgress",
+    "HeldLease",
     "Intent",
     "JournalEntry",
     "JournalReading",
     "JournalSegment",
     "KeptAnswer",
+    "LeasePlan",
+    "LeaseRow",
+    "LeaseSighting",
+    "Listed",
+    "Member",
+    "MemberStatus",
+    "MemberUpdate",
+    "MemberView",
+    "Membership",
+    "MembershipOptions",
     "Objects",
     "Outcome",
     "PlannedStop",
     "PrefixIndex",
+    "Outgoing",
     "Put",
     "RefundRow",
     "Refused",
@@ -302,6 +348,15 @@
     "refund_key",
     "request_key",
     "revoke_transfer",
+    "lease_key",
+    "parse_lease",
+    "plan_acquire",
+    "plan_release",
+    "plan_renew",
+    "refund_key",
+    "request_key",
+    "resolve_lease",
+    "responsible",
     "router_key",
     "router_of",
     "run_of",
@@ -310,6 +365,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -1,5 +1,7 @@
 """The other routers: messages, heartbeats, the membership view."""
 
+from ebonyhold.routers._envelope import Envelopes, Opened
+from ebonyhold.routers._fake import FakeLink, FakeNetwork
 from ebonyhold.routers._interface import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -8,22 +10,34 @@
     Handler,
     Leaving,
     PeerLink,
-    PeerMessage,
     TransferGiven,
     TransferRequest,
     VersionNotice,
 )
+from ebonyhold.routers._keys import KeyRing, PeerKey, parse_keys
+from ebonyhold.routers._network import PeerNetwork, PeerStatus
+from ebonyhold.routers._registry import PeerMessage, peer_message
 
 __all__ = [
     "ConfigurationReply",
     "ConfigurationRequest",
+    "Envelopes",
+    "FakeLink",
+    "FakeNetwork",
     "FateReply",
     "FateRequest",
     "Handler",
+    "KeyRing",
     "Leaving",
+    "Opened",
+    "PeerKey",
     "PeerLink",
     "PeerMessage",
+    "PeerNetwork",
+    "PeerStatus",
     "TransferGiven",
     "TransferRequest",
     "VersionNotice",
+    "parse_keys",
+    "peer_message",
 ]
