Merge the five parts in their thin form

Cause: five parts were built side by side; two had a class of the same name. Change: merged; the money's change of a budget is now a LedgerChange, the request path keeps Wish for what it wants of a backend server.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,6 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -15,21 +21,31 @@
 from ebonyhold.coordination._bills import (
     Bill,
     Filed,
+    LedgerChange,
     Settlement,
     Verdict,
-    Wish,
     filed_row,
     judge,
     make_bill,
     plan_settlement,
 )
-from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._breaker import (
     BreakerPolicy,
     BreakerState,
     CircuitBreaker,
 )
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
+from ebonyhold.coordination._bucket import (
+    FairTurns,
+    TokenBucket,
+)
+from ebonyhold.coordination._choice import (
+    Candidate,
+    ChoicePolicy,
+    Wish,
+    make_policy,
+    policies,
+    policy,
+)
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
     ClaimAnswer,
@@ -37,7 +53,12 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._codec import (
+    from_bytes,
+    from_json,
+    to_bytes,
+    to_json,
+)
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -48,31 +69,26 @@
     plan_apply,
     plan_initial_topup,
     resolve_publication,
+)
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
 from ebonyhold.coordination._grants import (
     GrantLedger,
     change_budget,
     change_grant,
 )
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
-from ebonyhold.coordination._choice import (
-    Candidate,
-    ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
-)
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
-from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
+from ebonyhold.coordination._journal import (
+    JournalReading,
+    append_transaction,
+)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -98,6 +114,27 @@
     topup_key,
     transfer_key,
 )
+from ebonyhold.coordination._leases import (
+    HeldLease,
+    LeasePlan,
+    LeaseRow,
+    LeaseSighting,
+    parse_lease,
+    plan_acquire,
+    plan_release,
+    plan_renew,
+)
+from ebonyhold.coordination._members import (
+    Listed,
+    Member,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+    responsible,
+)
+from ebonyhold.coordination._membership import (
+    Membership,
+)
 from ebonyhold.coordination._operations import (
     plan_refund,
     plan_topup,
@@ -111,6 +148,10 @@
     grant_policies,
     grant_policy,
 )
+from ebonyhold.coordination._prefix import (
+    PrefixIndex,
+    prefix_hashes,
+)
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -120,33 +161,10 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
-from ebonyhold.coordination._leases import (
-    HeldLease,
-    LeasePlan,
-    LeaseRow,
-    LeaseSighting,
-    parse_lease,
-    plan_acquire,
-    plan_release,
-    plan_renew,
-)
-from ebonyhold.coordination._leases import (
-    resolve as resolve_lease,
-)
-from ebonyhold.coordination._leases import (
-    sight as sight_lease,
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
 )
-from ebonyhold.coordination._members import (
-    Listed,
-    Member,
-    MemberStatus,
-    MemberUpdate,
-    MemberView,
-    responsible,
-)
-from ebonyhold.coordination._membership import Membership
-from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -207,8 +225,8 @@
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
-    "INITIAL_TOPUP",
     "GRANT_PREFIX",
+    "INITIAL_TOPUP",
     "MOST_REPEATS",
     "REFUND_PREFIX",
     "REQUEST_PREFIX",
@@ -216,16 +234,16 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
-    "AdmissionQueue",
     "AtVersion",
     "AttemptState",
     "AttemptTruth",
     "Backoff",
-    "Bill",
     "Beat",
     "BeatKind",
+    "Bill",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
@@ -240,17 +258,16 @@
     "Ejector",
     "FairTurns",
     "Fate",
-    "GrantRow",
-    "HeadRow",
     "Filed",
     "GrantLedger",
     "GrantPolicy",
     "GrantRow",
     "GrantSize",
     "GrantView",
+    "HeadRow",
+    "HeldLease",
     "Holding",
     "InProgress",
-    "HeldLease",
     "Intent",
     "JournalEntry",
     "JournalReading",
@@ -259,6 +276,7 @@
     "LeasePlan",
     "LeaseRow",
     "LeaseSighting",
+    "LedgerChange",
     "Listed",
     "Member",
     "MemberStatus",
@@ -268,9 +286,9 @@
     "MembershipOptions",
     "Objects",
     "Outcome",
+    "Outgoing",
     "PlannedStop",
     "PrefixIndex",
-    "Outgoing",
     "Put",
     "RefundRow",
     "Refused",
@@ -298,18 +316,17 @@
     "Verdict",
     "Wish",
     "Witness",
-    "Wish",
     "Write",
     "announce_transfer",
     "append_transaction",
     "archive_key",
     "budget_key",
-    "config_version_key",
     "change_budget",
     "change_grant",
     "claim_transaction",
     "close_grant",
     "close_transaction",
+    "config_version_key",
     "decide_claim",
     "filed_row",
     "find_grant_policy",
@@ -322,41 +339,35 @@
     "grant_policy",
     "grant_prefix",
     "head_of",
-    "journal_prefix",
-    "may_adopt",
-    "plan_apply",
-    "plan_initial_topup",
     "holdings",
     "is_stopped",
     "journal_prefix",
-    "make_policy",
-    "policies",
-    "policy",
-    "prefix_hashes",
-    "refund_key",
-    "request_key",
-    "resolve_publication",
     "judge",
     "lapse_transfer",
+    "lease_key",
     "make_bill",
+    "make_policy",
+    "may_adopt",
     "next_attempt",
     "open_row",
-    "plan_refund",
-    "plan_settlement",
-    "plan_topup",
-    "proves_not_run",
-    "refund_key",
-    "request_key",
-    "revoke_transfer",
-    "lease_key",
     "parse_lease",
     "plan_acquire",
+    "plan_apply",
+    "plan_initial_topup",
+    "plan_refund",
     "plan_release",
     "plan_renew",
+    "plan_settlement",
+    "plan_topup",
+    "policies",
+    "policy",
+    "prefix_hashes",
+    "proves_not_run",
     "refund_key",
     "request_key",
-    "resolve_lease",
+    "resolve_publication",
     "responsible",
+    "revoke_transfer",
     "router_key",
     "router_of",
     "run_of",
@@ -365,7 +376,6 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
-    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
--- a/ebonyhold/coordination/_bills.py
+++ b/ebonyhold/coordination/_bills.py
@@ -89,7 +89,7 @@
 
 
 @frozen
-class Wish:
+class LedgerChange:
     """What one grant wants of the table in one transaction."""
 
     bills: tuple[Bill, ...] = ()
@@ -196,12 +196,12 @@
     budget: Seen[BudgetRow],
     grant: Seen[GrantRow],
     requests: Mapping[str, Seen[RequestRow]],
-    wish: Wish,
+    change: LedgerChange,
     now: float,
 ) -> Settlement:
     """Plan one transaction that files bills and draws or returns tokens.
 
-    The budget's inequality holds afterwards whatever the wish: a draw takes no
+    The budget's inequality holds afterwards whatever the change: a draw takes no
     more than remains, and a bill no more than the grant holds.
 
     Args:
@@ -211,7 +211,7 @@
         budget: The workspace's budget.
         grant: The incarnation's grant from it.
         requests: The requests' rows by key, for every bill.
-        wish: What is wanted.
+        change: What is wanted.
         now: Seconds since the epoch, for the bills.
     """
     before = budget.value or BudgetRow()
@@ -222,7 +222,7 @@
     billed = 0
     spent = 0
     current = dict(requests)
-    for bill in wish.bills:
+    for bill in change.bills:
         row = current[bill.key]
         posting = _post(row, bill, owner, max(held.held - billed, 0), now)
         filed.append(posting.filed)
@@ -231,8 +231,8 @@
         if posting.write is not None:
             checks.append(row.check)
             writes.append(posting.write)
-    drawn = max(min(wish.draw, before.remaining), 0)
-    returned = max(min(wish.give_back, held.held - billed), 0)
+    drawn = max(min(change.draw, before.remaining), 0)
+    returned = max(min(change.give_back, held.held - billed), 0)
     after = change_budget(before, drawn=drawn, returned=returned, paid=billed)
     after = evolve(after, spent=after.spent - billed + spent)
     sequence = held.sequence + 1
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -19,6 +19,7 @@
     GrantRow,
     GrantSize,
     GrantView,
+    LedgerChange,
     RequestRow,
     RouterRow,
     Seen,
@@ -26,7 +27,6 @@
     Table,
     TransferRow,
     TransferState,
-    Wish,
     announce_transfer,
     budget_key,
     find_grant_policy,
@@ -375,7 +375,7 @@
             rows.budget,
             rows.grant,
             rows.requests,
-            Wish(bills, draw, give_back),
+            LedgerChange(bills, draw, give_back),
             time.time(),
         )
         self.ledger.available -= plan.returned
--- a/ebonyhold/money/_recovery.py
+++ b/ebonyhold/money/_recovery.py
@@ -18,6 +18,7 @@
     Intent,
     JournalReading,
     JournalSegment,
+    LedgerChange,
     Objects,
     RequestRow,
     RequestState,
@@ -31,7 +32,6 @@
     TransferRow,
     TransferState,
     Verdict,
-    Wish,
     Witness,
     announce_transfer,
     budget_key,
@@ -354,7 +354,7 @@
                 seen(keys[0], rows[0], BudgetRow),
                 seen(keys[1], rows[1], GrantRow),
                 {bill.key: request},
-                Wish((bill,)),
+                LedgerChange((bill,)),
                 time.time(),
             )
             if plan.filed[0].verdict is Verdict.LEAVE:
