--- a/ebonyhold/standins/_asgi.py
+++ b/ebonyhold/standins/_asgi.py
@@ -40,6 +40,9 @@
 OVERSIZE = 32 * 1024 * 1024
 """The length of an oversized reply, in bytes."""
 
+UNTROUBLED = ("/control", "/records")
+"""Paths that experiments use, and that no fault touches."""
+
 OVERSIZE_CHUNK = 1024 * 1024
 JSON_TYPE = "application/json"
 
@@ -169,7 +172,10 @@
         request = await read_request(scope, receive)
         try:
             reply = await self.answer(request)
-            await self.send(reply, receive, send)
+            if isinstance(reply, Reply) and request.path in UNTROUBLED:
+                await send_whole(reply, send)
+            else:
+                await self.send(reply, receive, send)
         except Dropped:
             await send_dropped(send)
 
@@ -209,7 +215,7 @@
 
         if not self.wrap:
             return await call()
-        if request.method == "GET":
+        if request.method in ("GET", "HEAD"):
             return await self.faults.read(call)
         return await self.faults.write(call)
 
--- a/ebonyhold/standins/_main.py
+++ b/ebonyhold/standins/_main.py
@@ -33,7 +33,8 @@
         options.add_argument("--bind", default="127.0.0.1:0", help="ip:port")
         for option in attrs.fields(kind.profile):
             flag = f"--{option.name.replace('_', '-')}"
-            options.add_argument(flag, dest=option.name, default=None)
+            # A switch may stand alone: its bare flag means yes.
+            options.add_argument(flag, dest=option.name, nargs="?", const="yes")
     return parser.parse_args(arguments)
 
 
@@ -59,11 +60,11 @@
 async def run(kind: str, app: App, address: str) -> None:
     """Serve until a signal comes; print one line once it listens."""
     bound = bind(address)
+    line = {"listening": address_of(bound), "kind": kind}
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await tasks.start(serve_app, app, bound, stop)
-            line = {"listening": address_of(bound), "kind": kind}
             print(json.dumps(line), flush=True)
             async for _ in signals:
                 stop.set()
--- a/ebonyhold/standins/_members.py
+++ b/ebonyhold/standins/_members.py
@@ -23,6 +23,7 @@
 ROLES = ("entry", "backend")
 STATES = ("live", "leaving")
 CHUNK = 65_536
+OCTETS = "application/octet-stream"
 
 
 @frozen
@@ -164,6 +165,11 @@
     app = App()
     shelf = Shelf(profile)
 
+    @app.route("HEAD", "/weights/{model}")
+    async def exists(request: Request) -> Reply:
+        status = 200 if request.params["model"] in profile.models else 404
+        return Reply(status, b"", OCTETS)
+
     @app.route("GET", "/weights/{model}")
     async def weights(request: Request) -> StreamReply:
         model = request.params["model"]
@@ -172,7 +178,7 @@
         shelf.started[model] = shelf.started.get(model, 0) + 1
         headers = {"content-length": str(profile.size)}
         chunks = shelf.chunks(profile.size)
-        return StreamReply(chunks, lambda: None, "application/octet-stream", headers)
+        return StreamReply(chunks, lambda: None, OCTETS, headers)
 
     @app.route("GET", "/records")
     async def records(request: Request) -> Reply:
--- a/ebonyhold/standins/_server.py
+++ b/ebonyhold/standins/_server.py
@@ -23,7 +23,7 @@
 BACKLOG = 1024
 REQUESTS_A_CONNECTION = 1_000_000_000
 STREAMS_A_CONNECTION = 1000
-GRACE = 0.2
+GRACE = 0.05
 
 
 def bind(address: str) -> socket.socket:
@@ -46,9 +46,9 @@
 
 
 def configure(bound: socket.socket) -> Config:
-    """Return the server's settings for a bound socket."""
+    """Return the server's settings for a bound socket, which it then owns."""
     config = Config()
-    config.bind = [f"fd://{bound.fileno()}"]
+    config.bind = [f"fd://{bound.detach()}"]
     config.accesslog = None
     config.errorlog = None
     config.backlog = BACKLOG
@@ -78,25 +78,37 @@
             tasks.start_soon(background)
         task_status.started()
         with anyio.CancelScope(shield=True):
-            # hypercorn's typing has its own idea of an ASGI scope.
-            await serve(
-                app,  # type: ignore[arg-type]
-                configure(bound),
-                shutdown_trigger=stop.wait,
-                mode="asgi",
-            )
+            await serve_until(app, bound, stop)
         tasks.cancel_scope.cancel()
 
 
+async def serve_until(app: App, bound: socket.socket, stop: anyio.Event) -> None:
+    """Run hypercorn until told to stop."""
+    try:
+        # hypercorn's typing has its own idea of an ASGI scope.
+        await serve(
+            app,  # type: ignore[arg-type]
+            configure(bound),
+            shutdown_trigger=stop.wait,
+            mode="asgi",
+        )
+    except anyio.get_cancelled_exc_class():
+        # hypercorn cancels connections that outlive its grace, such as paused
+        # ones, and lets that cancellation out.  Nobody cancelled this task: it
+        # is shielded.  So once it was told to stop, it has stopped.
+        if not stop.is_set():
+            raise
+
+
 @asynccontextmanager
 async def running(app: App, address: str = "127.0.0.1:0") -> AsyncIterator[str]:
     """Serve an application beside a test; gives its base URL."""
     bound = bind(address)
+    base_url = f"http://{address_of(bound)}"
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         await tasks.start(serve_app, app, bound, stop)
         try:
-            yield f"http://{address_of(bound)}"
+            yield base_url
         finally:
             stop.set()
-            bound.close()
--- /dev/null
+++ b/tests/platform/_contract.py
@@ -0,0 +1,85 @@
+"""What the contract tests of the platform share: a stand-in behind a client."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+from attrs import define
+
+from ebonyhold.platform import MembersClient, ObjectClient, TableClient, WeightsClient
+from ebonyhold.standins import MemoryObjects, MemoryTable
+from ebonyhold.standins.http import (
+    App,
+    MemberList,
+    WeightsProfile,
+    build_weights,
+    members_app,
+    objects_app,
+    running,
+    table_app,
+)
+
+TIMEOUT = 0.3
+"""Short, since the cases wait for it; only ever waited out against a stalled peer."""
+
+
+@define
+class Bench:
+    """A stand-in of each service, and its client."""
+
+    table: MemoryTable
+    objects: MemoryObjects
+    members: MemberList
+    weights: App
+    members_app: App
+    table_client: TableClient
+    object_client: ObjectClient
+    members_client: MembersClient
+    weights_client: WeightsClient
+
+
+@asynccontextmanager
+async def bench() -> AsyncIterator[Bench]:
+    """Serve the stand-ins on free ports, and connect the clients."""
+    table, objects, members = MemoryTable(), MemoryObjects(), MemberList(lag=0.0)
+    weights = build_weights(WeightsProfile(size=200_000))
+    listing = members_app(members)
+    async with (
+        running(table_app(table)) as table_url,
+        running(objects_app(objects)) as objects_url,
+        running(listing) as members_url,
+        running(weights) as weights_url,
+    ):
+        made = Bench(
+            table,
+            objects,
+            members,
+            weights,
+            listing,
+            TableClient(table_url, TIMEOUT),
+            ObjectClient(objects_url, TIMEOUT),
+            MembersClient(members_url, TIMEOUT),
+            WeightsClient(weights_url, TIMEOUT),
+        )
+        try:
+            yield made
+        finally:
+            await made.table_client.aclose()
+            await made.object_client.aclose()
+            await made.members_client.aclose()
+            await made.weights_client.aclose()
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test that needs sockets."""
+    anyio.run(test, backend="asyncio")
+
+
+async def control(base_url: str, **switches: object) -> None:
+    """Set fault switches as an experiment does."""
+    async with httpx.AsyncClient(trust_env=False) as client:
+        reply = await client.post(f"{base_url}/control", json=switches)
+        reply.raise_for_status()
