Assemble the daemon and the demo; a peer's death no longer ends the others

Cause: the demo killed one router of three, and half a minute later both survivors ended too. pynng gives up a send under a time limit with a bare CancelledError, which anyio passes on to the daemon's task group. Ruled out: signals (none logged), the recovery (it had not begun).

--- a/ebonyhold/backends/__init__.py
+++ b/ebonyhold/backends/__init__.py
@@ -26,12 +26,9 @@
 )
 from ebonyhold.backends._state import BackendState
 from ebonyhold.backends._table import Backends
-from ebonyhold.backends._truth import AttemptState, AttemptTruth
 
 __all__ = [
     "Answer",
-    "AttemptState",
-    "AttemptTruth",
     "BackendState",
     "Backends",
     "BrokenStreamError",
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -15,8 +15,9 @@
 from ebonyhold.backends._poll import poll_cache, poll_load
 from ebonyhold.backends._service import ServiceClient
 from ebonyhold.backends._state import BackendState
-from ebonyhold.backends._truth import UNKNOWN, AttemptTruth, ask_to_close
+from ebonyhold.backends._truth import UNKNOWN, ask_to_close
 from ebonyhold.coordination import (
+    AttemptTruth,
     ChoicePolicy,
     Ejector,
     Holding,
--- a/ebonyhold/backends/_truth.py
+++ b/ebonyhold/backends/_truth.py
@@ -3,36 +3,15 @@
 from __future__ import annotations
 
 import json
-from enum import Enum
 
 import anyio
 import httpx
-from attrs import frozen
 
 from ebonyhold.backends._http import base_url
+from ebonyhold.coordination import AttemptState, AttemptTruth
 from ebonyhold.document import Backend, BackendKind
 from ebonyhold.exceptions import UnavailableError
-from ebonyhold.types import AttemptId, Seconds, Tokens
-
-
-class AttemptState(Enum):
-    """What a backend server says of an attempt."""
-
-    FINISHED = "finished"
-    CANCELLED = "cancelled"
-    NEVER_RAN = "never_ran"
-    UNKNOWN = "unknown"
-
-
-@frozen
-class AttemptTruth:
-    """The backend server's word on an attempt that is over for good."""
-
-    state: AttemptState
-    prompt_tokens: Tokens = 0
-    completion_tokens: Tokens = 0
-    boot: str = ""
-
+from ebonyhold.types import AttemptId, Seconds
 
 UNKNOWN = AttemptTruth(AttemptState.UNKNOWN)
 
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -9,8 +9,6 @@
 from attrs import define, field, frozen
 
 from ebonyhold.backends import (
-    AttemptState,
-    AttemptTruth,
     Backends,
     BackendState,
     BrokenStreamError,
@@ -32,6 +30,8 @@
     Refusal,
 )
 from ebonyhold.coordination import (
+    AttemptState,
+    AttemptTruth,
     Backoff,
     Outcome,
     RequestKind,
--- a/ebonyhold/daemon/__init__.py
+++ b/ebonyhold/daemon/__init__.py
@@ -1,1 +1,44 @@
-"""Placeholder docstring of the daemon package."""
+"""The daemon ``ebonyholdd``: one router process."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import typer
+
+from ebonyhold.daemon._daemon import Daemon
+from ebonyhold.exceptions import SettingsError
+from ebonyhold.logs import configure_logs
+from ebonyhold.settings import load_settings
+from ebonyhold.tracing import configure_tracing
+from ebonyhold.version import __version__
+
+__all__ = ["Daemon", "main", "serve"]
+
+EXIT_SETTINGS = 2
+
+
+def serve(
+    config: Annotated[Path, typer.Option(help="The daemon's settings file.")],
+) -> None:
+    """Run one ebonyhold router until a signal stops it."""
+    try:
+        settings = load_settings(config)
+        daemon = Daemon(settings)
+        router = daemon.network.membership.me.router
+        configure_logs(settings.log_level, router)
+        provider = configure_tracing(settings.tracing, router)
+    except SettingsError as error:
+        typer.echo(f"ebonyholdd {__version__}: {error.code}: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    anyio.run(daemon.run)
+    if provider is not None:
+        provider.shutdown()
+
+
+def main() -> None:
+    """Run the daemon's command line."""
+    typer.run(serve)
--- /dev/null
+++ b/ebonyhold/daemon/_daemon.py
@@ -0,0 +1,257 @@
+"""One router process, put together from its parts."""
+
+from __future__ import annotations
+
+import logging
+from pathlib import Path
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.backends import Backends
+from ebonyhold.callers import CallersApp
+from ebonyhold.configuration import ConfigurationKeeper, make_keeper
+from ebonyhold.daemon._books import Books
+from ebonyhold.daemon._help import VersionHelp
+from ebonyhold.daemon._lifecycle import Lifecycle
+from ebonyhold.daemon._members import MemberFeed
+from ebonyhold.daemon._messages import StatusRequest
+from ebonyhold.daemon._recoveries import Recoveries
+from ebonyhold.daemon._servers import serve_listener
+from ebonyhold.daemon._status import FleetStatusSource
+from ebonyhold.document import Document, Policy
+from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.fleet import FleetView
+from ebonyhold.metrics import Metrics
+from ebonyhold.misc import new_incarnation
+from ebonyhold.money import Incarnations, Recovery, Treasury
+from ebonyhold.operators import OperatorKeys, OperatorsApp, OperatorsContext
+from ebonyhold.platform import MembersClient, ObjectClient, TableClient
+from ebonyhold.routers import KeyRing, PeerNetwork
+from ebonyhold.settings import Settings
+from ebonyhold.types import RouterId, Seconds
+
+logger = logging.getLogger(__name__)
+
+OPEN_PAUSE: Seconds = 1.0
+"""Between tries to register the first incarnation while the table is away."""
+
+NO_DOCUMENT = Document(fleet="", domains=())
+"""Stands in until the first version is adopted; it serves nobody."""
+
+
+@define
+class Daemon:
+    """Everything of one router process.
+
+    Attributes:
+        settings: The daemon's own settings.
+        metrics: What is counted.
+        table: The platform's table service.
+        objects: The platform's object store.
+        members: The platform's membership list.
+        fleet: The document in force and who is leaving.
+        keeper: Follows configuration versions.
+        network: The other routers.
+        backends: The backend servers.
+        money: Grants, journal, claims and bills.
+        callers: The callers' application.
+        recoveries: Recovers routers that are gone.
+        lifecycle: The router's own stop.
+    """
+
+    settings: Settings
+    metrics: Metrics = field(factory=Metrics)
+    table: TableClient = field(init=False)
+    objects: ObjectClient = field(init=False)
+    members: MemberFeed = field(init=False)
+    fleet: FleetView = field(init=False)
+    keeper: ConfigurationKeeper = field(init=False)
+    network: PeerNetwork = field(init=False)
+    backends: Backends = field(init=False)
+    money: Incarnations = field(init=False)
+    callers: CallersApp = field(init=False)
+    recoveries: Recoveries = field(init=False)
+    lifecycle: Lifecycle = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the parts; nothing is opened yet."""
+        platform = self.settings.platform
+        self.table = TableClient(platform.table, platform.timeout)
+        self.objects = ObjectClient(platform.objects, platform.timeout)
+        self.fleet = FleetView(NO_DOCUMENT, domain=self.settings.domain)
+        self.members = MemberFeed(self.members_client(), self.fleet)
+        self.keeper = make_keeper(self.table, self.objects)
+        self.backends = Backends(self.fleet)
+        first = new_incarnation(self.settings.name)
+        self.network = PeerNetwork(
+            first,
+            self.settings.domain,
+            self.settings.peers,
+            KeyRing.load(Path(self.settings.peer_keys)),
+            self.members.entries,
+        )
+        self.money = Incarnations(Names(self.settings.name, first), self.make_treasury)
+        self.callers = CallersApp(
+            self.money, self.fleet, self.backends, self.keeper.may_serve
+        )
+        self.recoveries = Recoveries(
+            self.table,
+            self.make_recovery,
+            lambda: self.money.current.me,
+            self.network.alive,
+            self.network.gone,
+        )
+        self.lifecycle = Lifecycle(
+            self.callers,
+            self.money,
+            self.network,
+            lambda: self.fleet.document.limits.drain,
+        )
+
+    def members_client(self) -> MembersClient | None:
+        """Return the client of the membership list, if the settings name one."""
+        platform = self.settings.platform
+        if not platform.members:
+            return None
+        return MembersClient(platform.members, platform.timeout)
+
+    def policy(self) -> Policy:
+        """Return the policy in force."""
+        return self.fleet.document.policy
+
+    def make_treasury(self, router: RouterId) -> Treasury:
+        """Make the money side of one incarnation, and be that incarnation."""
+        if self.network.membership.me.router != router:
+            self.network.become(router)
+        return Treasury(
+            router,
+            self.table,
+            self.objects,
+            self.policy,
+            peers=self.network,
+            backend_truth=self.backends,
+            address=self.settings.peers,
+            domain=self.settings.domain,
+        )
+
+    def make_recovery(self) -> Recovery:
+        """Make a recovery on behalf of the present incarnation."""
+        return Recovery(
+            self.table,
+            self.objects,
+            self.money.current.me,
+            self.backends,
+            self.policy,
+        )
+
+    def operators_app(self) -> OperatorsApp:
+        """Make the operators' application."""
+        status = FleetStatusSource(
+            self.settings.domain,
+            self.money,
+            self.network,
+            self.keeper,
+            self.callers,
+            self.backends,
+            self.recoveries,
+            self.lifecycle,
+        )
+        self.network.handle(StatusRequest, status.answer)
+        keys = OperatorKeys(Path(self.settings.operator_keys))
+        keys.reload()
+        books = Books(self.table)
+        return OperatorsApp(
+            OperatorsContext(
+                keys, self.keeper, status, books, books, self.render_metrics
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve until a signal asks for the stop.
+
+        Raises:
+            SettingsError: A key file cannot be used.
+        """
+        operators = self.operators_app()
+        stop = self.lifecycle.ended
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.lifecycle.follow_signals)
+            tasks.start_soon(self.members.run)
+            await tasks.start(self.network.run)
+            await tasks.start(serve_listener, operators, self.settings.operators, stop)
+            tasks.start_soon(self.start_keeper)
+            tasks.start_soon(self.follow_versions)
+            tasks.start_soon(self.backends.run)
+            await self.open_money()
+            tasks.start_soon(self.money.run)
+            tasks.start_soon(self.recoveries.run)
+            await tasks.start(serve_listener, self.callers, self.settings.callers, stop)
+            logger.info("serving", extra={"callers": self.settings.callers.bind})
+            await self.lifecycle.run()
+            tasks.cancel_scope.cancel()
+        await self.close()
+
+    async def open_money(self) -> None:
+        """Register the first incarnation, however long the table is away."""
+        while True:
+            try:
+                await self.money.open()
+            except EbonyholdError as error:
+                logger.warning("not registered yet", extra={"cause": str(error)})
+                await anyio.sleep(OPEN_PAUSE)
+            else:
+                return
+
+    async def start_keeper(self) -> None:
+        """Follow configuration versions and pass them on."""
+        help_with_versions = VersionHelp(self.keeper, self.network)
+        help_with_versions.register()
+        self.keeper.evidence = help_with_versions
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(help_with_versions.run)
+            await self.keeper.run()
+
+    async def follow_versions(self) -> None:
+        """Put each adopted version in force for the request path."""
+        version = 0
+        while True:
+            version = await self.keeper.wait_changed(version)
+            if self.keeper.document is not None:
+                self.fleet.adopt(self.keeper.document, version)
+            self.callers.pump()
+
+    def render_metrics(self) -> bytes:
+        """Set the gauges and return the exposition text."""
+        metrics = self.metrics
+        metrics.in_flight.set(self.callers.active)
+        metrics.configuration_version.set(self.keeper.version)
+        metrics.alive_routers.set(len(self.network.alive()))
+        if self.money.current.journal is not None:
+            status = self.money.current.status()
+            metrics.unfiled_bills.set(status.unfiled)
+            metrics.tokens_held.set(sum(one.available for one in status.grants))
+        return metrics.render()
+
+    async def close(self) -> None:
+        """Close the clients."""
+        await self.table.aclose()
+        await self.objects.aclose()
+        if self.members.client is not None:
+            await self.members.client.aclose()
+
+
+@define
+class Names:
+    """Names the incarnations: the first as the network knows it, then new ones."""
+
+    vm: str
+    first: RouterId
+    used: bool = False
+
+    def __call__(self) -> RouterId:
+        """Return the next name."""
+        if self.used:
+            return new_incarnation(self.vm)
+        self.used = True
+        return self.first
--- /dev/null
+++ b/ebonyhold/daemon/_recoveries.py
@@ -0,0 +1,148 @@
+"""The task that recovers routers which are gone, each by one survivor if it can."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.coordination import (
+    ROUTER_PREFIX,
+    RouterRow,
+    RouterState,
+    Table,
+    from_json,
+    responsible,
+)
+from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.money import Recovery, RecoveryReport
+from ebonyhold.types import RouterId, Seconds, Tokens
+
+logger = logging.getLogger(__name__)
+
+LOOK_EVERY: Seconds = 2.0
+"""Mean time between looks at who is gone."""
+
+SCAN_EVERY: Seconds = 30.0
+"""Mean time between looks at all rows of routers in the table.
+
+Heartbeats tell of routers that somebody here knew.  After a total restart nobody
+knew the ones before, and only their rows in the table tell of them.
+"""
+
+GRACE: Seconds = 20.0
+"""How long a router's row may be unknown to the heartbeats before it counts as gone.
+
+A router that has just opened its row is not yet known to all; sealing it would
+cost it a new incarnation for nothing.
+"""
+
+
+@define
+class Recoveries:
+    """Finds routers that are gone and recovers them.
+
+    Whether a router is gone is a guess, and two survivors may guess at once: the
+    recovery itself is safe in both cases, so the guess only decides how soon
+    tokens return and how much work is done twice.
+
+    Attributes:
+        table: Where the rows of routers are.
+        make: Makes the recovery on behalf of the present incarnation.
+        me: Names the present incarnation.
+        alive: Names the other routers believed alive.
+        gone: Names the incarnations believed gone.
+        rng: Spreads the looks of the routers.
+        unknown: When a row was first seen whose router nobody here knows.
+        closed: Incarnations that are settled; their rows are not looked at again.
+        stranded: Tokens that wait, by incarnation, as the last try left them.
+    """
+
+    table: Table
+    make: Callable[[], Recovery]
+    me: Callable[[], RouterId]
+    alive: Callable[[], tuple[RouterId, ...]]
+    gone: Callable[[], tuple[RouterId, ...]]
+    rng: random.Random = field(factory=random.Random)
+    unknown: dict[RouterId, Seconds] = field(factory=dict)
+    closed: set[RouterId] = field(factory=set)
+    stranded: dict[RouterId, Tokens] = field(factory=dict)
+    next_scan: Seconds = 0.0
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        self.next_scan = anyio.current_time() + SCAN_EVERY * self.rng.random()
+        while True:
+            await anyio.sleep(LOOK_EVERY * self.rng.uniform(0.5, 1.5))
+            try:
+                await self.look()
+            except EbonyholdError as error:
+                logger.info("no recovery now", extra={"cause": str(error)})
+
+    async def look(self) -> None:
+        """Recover every router that is gone and falls to this one.
+
+        Raises:
+            EbonyholdError: The platform could not be reached; look again later.
+        """
+        candidates = set(self.gone())
+        if anyio.current_time() >= self.next_scan:
+            candidates |= await self.scan()
+            self.next_scan = anyio.current_time() + SCAN_EVERY * self.rng.uniform(
+                0.5, 1.5
+            )
+        survivors = (self.me(), *self.alive())
+        for router in sorted(candidates - self.closed - {self.me()}):
+            if responsible(router, survivors) == self.me():
+                await self.recover(router)
+
+    async def scan(self) -> set[RouterId]:
+        """Return routers with an unsettled row whom nobody here has known for long.
+
+        Raises:
+            UnavailableError: The table cannot be reached.
+        """
+        now = anyio.current_time()
+        known = {self.me(), *self.alive()}
+        found: set[RouterId] = set()
+        last = ""
+        while rows := await self.table.scan(ROUTER_PREFIX, last):
+            last = rows[-1].key
+            for row in rows:
+                router = row.key.removeprefix(ROUTER_PREFIX)
+                if from_json(row.value, RouterRow).state is RouterState.CLOSED:
+                    continue
+                if router not in known:
+                    found.add(router)
+        self.unknown = {router: self.unknown.get(router, now) for router in found}
+        return {
+            router for router, since in self.unknown.items() if now - since >= GRACE
+        }
+
+    async def recover(self, router: RouterId) -> RecoveryReport:
+        """Recover one router.
+
+        Raises:
+            EbonyholdError: A place could not be reached; it is tried again.
+        """
+        report = await self.make().recover(router)
+        if report.closed:
+            self.closed.add(router)
+            self.stranded.pop(router, None)
+        else:
+            self.stranded[router] = report.stranded
+        logger.info(
+            "router recovered",
+            extra={
+                "recovered": router,
+                "closed": report.closed,
+                "billed": report.billed,
+                "paid": report.paid,
+                "returned": report.returned,
+                "stranded": report.stranded,
+            },
+        )
+        return report
--- a/ebonyhold/experiments/_local_fleet.py
+++ b/ebonyhold/experiments/_local_fleet.py
@@ -9,6 +9,10 @@
 import signal
 import subprocess
 import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from http import HTTPStatus
 from pathlib import Path
 
 import anyio
@@ -16,7 +20,7 @@
 import yaml
 from attrs import define, evolve, field
 
-from ebonyhold.document import Backend, BackendKind, Document
+from ebonyhold.document import Backend, BackendKind, Document, to_yaml
 from ebonyhold.misc import free_port, sha256_hex
 from ebonyhold.types import Seconds
 
@@ -24,7 +28,9 @@
 PEER_KEY = "k1:" + "5a" * 32
 START_TIMEOUT: Seconds = 20.0
 POLL: Seconds = 0.05
+STOP_TIMEOUT: Seconds = 30.0
 LOOPBACK = "127.0.0.1"
+PLATFORM_KINDS = ("table", "objects", "members", "weights")
 
 
 @define
@@ -51,12 +57,21 @@
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
 
+    def wait_or_kill(self) -> None:
+        """Wait for its end, and end it if that takes too long."""
+        try:
+            self.process.wait(STOP_TIMEOUT)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
 
 @define
 class Router(Child):
-    """A daemon, with its second listener."""
+    """A daemon, with its other listeners."""
 
     operators: str = ""
+    peers: str = ""
+    domain: str = ""
 
     @property
     def operators_url(self) -> str:
@@ -82,10 +97,6 @@
     backends: dict[str, Child] = field(factory=dict)
     routers: list[Router] = field(factory=list)
 
-    def children(self) -> list[Child]:
-        """Return every process, the routers first."""
-        return [*self.routers, *self.backends.values(), *self.platform.values()]
-
     def spawn(self, name: str, address: str, *arguments: str) -> Child:
         """Start one process whose output goes to a log of its own."""
         log = self.folder / f"{name}.log"
@@ -105,16 +116,38 @@
             name, address, "ebonyhold.standins", kind, "--bind", address, *options
         )
 
-    def spawn_backend(self, backend: Backend) -> Backend:
+    def spawn_backend(
+        self, backend: Backend, engine_options: tuple[str, ...]
+    ) -> Backend:
         """Start the stand-in of a backend server; return it at its new address."""
-        kind = "engine" if backend.kind is BackendKind.ENGINE else "service"
-        options: list[str] = []
-        if kind == "engine" and backend.checks_fencing:
-            options.append("--checks-fencing")
+        if backend.kind is BackendKind.ENGINE:
+            kind = "engine"
+            models = ",".join(backend.models)
+            options = [
+                *engine_options,
+                "--models",
+                models,
+                "--slots",
+                str(backend.slots),
+            ]
+            if backend.checks_fencing:
+                options.append("--checks-fencing")
+        else:
+            kind = "service"
+            options = ["--honours-keys"] if self.honours_keys(backend) else []
+        options += ["--name", backend.name]
         child = self.spawn_standin(backend.name, kind, *options)
         self.backends[backend.name] = child
         return evolve(backend, address=child.address)
 
+    def honours_keys(self, backend: Backend) -> bool:
+        """Tell whether a plain service runs each idempotency key once."""
+        return any(
+            route.honours_idempotency_key
+            for route in self.document.services
+            if route.service == backend.service
+        )
+
     def spawn_router(self, name: str, domain: str) -> Router:
         """Start one daemon."""
         callers = f"{LOOPBACK}:{free_port()}"
@@ -125,7 +158,9 @@
             yaml.safe_dump(self.settings(name, domain, callers, operators, peers))
         )
         child = self.spawn(name, callers, "ebonyhold.daemon", "--config", str(path))
-        router = Router(child.name, callers, child.process, child.log, operators)
+        router = Router(
+            child.name, callers, child.process, child.log, operators, peers, domain
+        )
         self.routers.append(router)
         return router
 
@@ -149,19 +184,89 @@
             "operator_keys": str(self.folder / "operator.keys"),
         }
 
-    async def register_member(self, router: Router, domain: str, peers: str) -> None:
-        """Tell the membership stand-in of a VM."""
-        async with httpx.AsyncClient() as client:
-            await client.put(
-                f"{self.platform['members'].url}/members/{router.name}",
-                json={
-                    "name": router.name,
-                    "address": peers,
-                    "domain": domain,
-                    "role": "entry",
-                    "state": "live",
-                },
+    def register(self, router: Router) -> None:
+        """Tell the membership stand-in of a router's VM."""
+        entry = {
+            "name": router.name,
+            "address": router.peers,
+            "domain": router.domain,
+            "role": "entry",
+            "state": "live",
+        }
+        url = f"{self.platform['members'].url}/members/{router.name}"
+        httpx.put(url, json=entry).raise_for_status()
+
+    async def start_platform(self) -> None:
+        """Start the platform's stand-ins and wait until they answer."""
+        for kind in PLATFORM_KINDS:
+            self.platform[kind] = self.spawn_standin(kind, kind)
+        for child in self.platform.values():
+            await wait_for_line(child)
+
+    async def start_backends(self, engine_options: tuple[str, ...] = ()) -> None:
+        """Start a stand-in for each backend server of the document."""
+        moved = [
+            self.spawn_backend(item, engine_options) for item in self.document.backends
+        ]
+        self.document = evolve(self.document, backends=tuple(moved))
+        for child in self.backends.values():
+            await wait_for_line(child)
+
+    async def start_router(self, name: str, domain: str) -> Router:
+        """Start one daemon and wait until it answers operators."""
+        router = self.spawn_router(name, domain)
+        self.register(router)
+        await wait_for_answer(f"{router.operators_url}/healthz", router)
+        return router
+
+    async def apply(self) -> None:
+        """Put the document in force and wait until each router serves it."""
+        first = self.routers[0]
+        async with httpx.AsyncClient(timeout=START_TIMEOUT) as client:
+            response = await client.put(
+                f"{first.operators_url}/v1/document?based_on=0",
+                content=to_yaml(self.document).encode(),
+                headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
             )
+        if response.status_code >= HTTPStatus.BAD_REQUEST:
+            raise RuntimeError(f"the document was refused: {response.text}")
+        for router in self.routers:
+            await wait_for_answer(f"{router.operators_url}/readyz", router)
+
+    def stop(self) -> None:
+        """End every process, the daemons first and in order."""
+        for router in self.routers:
+            router.terminate()
+        for router in self.routers:
+            router.wait_or_kill()
+        for child in (*self.backends.values(), *self.platform.values()):
+            child.kill()
+
+
+@asynccontextmanager
+async def local_fleet(
+    document: Document, routers: int, engine_options: tuple[str, ...] = ()
+) -> AsyncIterator[LocalFleet]:
+    """Run stand-ins and daemons on loopback until the block ends.
+
+    Args:
+        document: The document; its backend servers are moved to free ports.
+        routers: How many daemons, spread over the failure domains.
+        engine_options: Further options of the engines' stand-ins.
+    """
+    with tempfile.TemporaryDirectory(prefix="ebonyhold-") as folder:
+        fleet = LocalFleet(Path(folder), document)
+        try:
+            await fleet.start_platform()
+            await fleet.start_backends(engine_options)
+            for number in range(routers):
+                domain = document.domains[number % len(document.domains)]
+                await fleet.start_router(f"entry-{number + 1}", domain)
+            await fleet.apply()
+            yield fleet
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.to_thread.run_sync(fleet.stop)
 
 
 async def wait_for_line(child: Child) -> None:
@@ -178,19 +283,17 @@
     raise RuntimeError(f"{child.name} did not start: {child.log.read_text()[-2000:]}")
 
 
-async def wait_for_ready(url: str, path: str, child: Child) -> None:
-    """Wait until an HTTP health endpoint answers 200.
+async def wait_for_answer(url: str, child: Child) -> None:
+    """Wait until a health endpoint answers 200.
 
     Raises:
-        RuntimeError: The process ended, or was not ready in time.
+        RuntimeError: The process ended, or did not answer so in time.
     """
     async with httpx.AsyncClient() as client:
         with anyio.move_on_after(START_TIMEOUT):
             while child.process.poll() is None:
-                try:
-                    if (await client.get(f"{url}{path}")).status_code == httpx.codes.OK:
+                with suppress(httpx.TransportError):
+                    if (await client.get(url)).status_code == HTTPStatus.OK:
                         return
-                except httpx.TransportError:
-                    pass
                 await anyio.sleep(POLL)
     raise RuntimeError(f"{child.name} is not ready: {child.log.read_text()[-2000:]}")
--- a/ebonyhold/operators/_money_endpoints.py
+++ b/ebonyhold/operators/_money_endpoints.py
@@ -42,6 +42,7 @@
         "state": row.state.value,
         "kind": row.kind.value,
         "owner": row.owner,
+        "attempt": row.attempt,
         "backend": row.backend,
         "charge": row.charge,
         "prompt_tokens": row.prompt_tokens,
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -69,12 +69,13 @@
     digest: str
 
 
-@peer_message("leaving")
+@peer_message("configuration_request")
 @frozen
 class ConfigurationRequest(PeerMessage):
     """Which configuration version have you, and when did you last confirm it?"""
 
 
+@peer_message("configuration_reply")
 @frozen
 class ConfigurationReply(PeerMessage):
     """My version; the table confirmed it so many seconds ago, or never if < 0."""
@@ -84,6 +85,7 @@
     confirmed_age: Seconds
 
 
+@peer_message("leaving")
 @frozen
 class Leaving(PeerMessage):
     """I am stopping: send me no transfers and do not suspect me."""
--- a/ebonyhold/routers/_links.py
+++ b/ebonyhold/routers/_links.py
@@ -18,7 +18,6 @@
 QUEUE = 32
 """Messages that wait for one peer; more are dropped."""
 
-SEND_TIMEOUT: Seconds = 2.0
 IDLE_TIMEOUT: Seconds = 30.0
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2000
@@ -100,13 +99,19 @@
                     return
             if data is None:
                 return
-            await self.send(socket, data)
+            self.send(socket, data)
 
-    async def send(self, socket: pynng.Push0, data: bytes) -> None:
-        """Send one message, or drop it when the peer does not take it in time."""
-        with anyio.move_on_after(SEND_TIMEOUT) as scope:
-            await socket.asend(data)
-        if scope.cancelled_caught:
+    def send(self, socket: pynng.Push0, data: bytes) -> None:
+        """Send one message, or drop it when the socket's buffer is full.
+
+        A peer that died takes nothing, and its buffer fills up.  Waiting for room
+        under a time limit ended the whole router: a wait that pynng gives up on
+        raises a bare `asyncio.CancelledError`, which anyio does not know as its
+        own and passes on to the task group of all.  So nothing waits here.
+        """
+        try:
+            socket.send(data, block=False)
+        except pynng.TryAgain:
             self.counters.dropped += 1
             return
         self.counters.sent += 1
