--- a/ebonyhold/daemon/_books.py
+++ b/ebonyhold/daemon/_books.py
@@ -14,6 +14,7 @@
 )
 from ebonyhold.money import refund, top_up, verify_bills
 from ebonyhold.operators import Bill, BillPage, Budget, Discrepancy, Verification
+from ebonyhold.scans import scan_rows
 from ebonyhold.types import RequestId, Tokens, WorkspaceName
 
 
@@ -96,12 +97,8 @@
         found = await verify_bills(self.table)
         bills = 0
         for workspace in workspaces:
-            page = BillPage((), "")
-            while True:
-                page = await self.bills(workspace, page.next_after, 1000)
-                bills += len(page.bills)
-                if not page.next_after:
-                    break
+            async for _ in scan_rows(self.table, f"{REQUEST_PREFIX}{workspace}/"):
+                bills += 1
         discrepancies = tuple(
             Discrepancy(
                 workspace_of(one.key),
--- a/ebonyhold/daemon/_recoveries.py
+++ b/ebonyhold/daemon/_recoveries.py
@@ -19,6 +19,7 @@
 )
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.money import Recovery, RecoveryReport
+from ebonyhold.scans import scan_rows
 from ebonyhold.types import RouterId, Seconds, Tokens
 
 logger = logging.getLogger(__name__)
@@ -108,15 +109,12 @@
         now = anyio.current_time()
         known = {self.me(), *self.alive()}
         found: set[RouterId] = set()
-        last = ""
-        while rows := await self.table.scan(ROUTER_PREFIX, last):
-            last = rows[-1].key
-            for row in rows:
-                router = row.key.removeprefix(ROUTER_PREFIX)
-                if from_json(row.value, RouterRow).state is RouterState.CLOSED:
-                    continue
-                if router not in known:
-                    found.add(router)
+        async for row in scan_rows(self.table, ROUTER_PREFIX):
+            router = row.key.removeprefix(ROUTER_PREFIX)
+            if from_json(row.value, RouterRow).state is RouterState.CLOSED:
+                continue
+            if router not in known:
+                found.add(router)
         self.unknown = {router: self.unknown.get(router, now) for router in found}
         return {
             router for router, since in self.unknown.items() if now - since >= GRACE
--- /dev/null
+++ b/tests/test_scans.py
@@ -0,0 +1,55 @@
+"""Scans keep under the table's ceiling."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+import trio.testing
+
+from ebonyhold.coordination import Absent, Put, Row, Transaction
+from ebonyhold.exceptions import ThrottledError
+from ebonyhold.scans import PAGE, scan_rows
+from ebonyhold.standins import MemoryTable
+
+READS_A_SECOND = 600.0
+
+
+async def fill(table: MemoryTable, count: int) -> None:
+    for number in range(count):
+        key = f"r/{number:06d}"
+        await table.commit(Transaction((Absent(key),), (Put(key, number),)))
+
+
+@pytest.mark.parametrize("count", [0, 1, PAGE - 1, PAGE, PAGE + 1, 20 * PAGE])
+def test_reads_every_row_once(count: int) -> None:
+    """Operators verify the bills of a busy fleet.
+
+    ``bill verify`` answered 503 each time it was tried: it read page after page
+    without a pause, and ran into the table's ceiling on reads.
+    """
+
+    async def run() -> list[object]:
+        table = MemoryTable.limited(0, READS_A_SECOND)
+        await fill(table, count)
+        return [row.value async for row in scan_rows(table, "r/")]
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    found = anyio.run(run, backend="trio", backend_options={"clock": clock})
+    assert found == list(range(count))
+
+
+class FullTable(MemoryTable):
+    """A table whose ceiling others use up."""
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        raise ThrottledError("the rate ceiling is reached")
+
+
+def test_gives_up_in_the_end() -> None:
+    async def run() -> None:
+        async for _ in scan_rows(FullTable(), "r/"):
+            pass
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    with pytest.raises(ThrottledError):
+        anyio.run(run, backend="trio", backend_options={"clock": clock})
