Leave the machine's certificates out of plain HTTP clients

Cause: each client read them, 41 ms of 73 ms of a small contract test. Change: a context without certificates where the base URL is http. Figures: tests/standins and tests/platform took 15.2 s before, 10.4 s after.

--- a/ebonyhold/platform/_http.py
+++ b/ebonyhold/platform/_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import ssl
 from collections.abc import Mapping
 from typing import Any
 
@@ -103,6 +104,7 @@
             base_url=base_url,
             limits=limits,
             timeout=httpx.Timeout(timeout, connect=share, pool=share),
+            verify=trust(base_url),
             trust_env=False,
         )
         return cls(timeout, client)
@@ -154,6 +156,18 @@
             return Answer(response.status_code, bytes(body))
 
 
+def trust(base_url: str) -> ssl.SSLContext:
+    """Return whose certificates are trusted.
+
+    Reading the machine's certificates takes tens of milliseconds, so it is
+    left out where plain HTTP needs none.  That is safe: redirects are not
+    followed, and a context without certificates trusts nobody.
+    """
+    if base_url.startswith("https:"):
+        return ssl.create_default_context()
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
 @define
 class HttpClient:
     """The base of the clients: where a service answers, and how long to wait.
--- a/tests/platform/_contract.py
+++ b/tests/platform/_contract.py
@@ -80,6 +80,6 @@
 
 async def control(base_url: str, **switches: object) -> None:
     """Set fault switches as an experiment does."""
-    async with httpx.AsyncClient(trust_env=False) as client:
+    async with httpx.AsyncClient(trust_env=False, verify=False) as client:
         reply = await client.post(f"{base_url}/control", json=switches)
         reply.raise_for_status()
