Guard the platform's services with ceilings, a breaker and retry budgets

Cause: a flood of one kind of write must not keep others from the table, and retries must not keep an outage alive or write twice. Change: GuardedTable and GuardedObjects give a view for each class of calls: fair turns under a ceiling in rows a second, a bounded queue, a circuit breaker, a retry budget for what is proved to have had no effect, and a rate that adapts when routers share a ceiling. TokenBucket tolerates rounding: without that, a wait too short to move the clock repeated for ever (a test hung on it).

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -9,7 +9,7 @@
     BreakerState,
     CircuitBreaker,
 )
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
+from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._keys import (
     BUDGET_PREFIX,
@@ -65,6 +65,7 @@
     "REQUEST_PREFIX",
     "ROUTER_PREFIX",
     "Absent",
+    "AdaptiveRate",
     "AtVersion",
     "Backoff",
     "BreakerPolicy",
--- a/ebonyhold/coordination/_bucket.py
+++ b/ebonyhold/coordination/_bucket.py
@@ -9,6 +9,9 @@
 
 from ebonyhold.types import Seconds
 
+MARGIN = 1e-6
+"""What may be missing from an amount, in units."""
+
 
 @define
 class TokenBucket:
@@ -44,11 +47,18 @@
         debt, so that one large call cannot wait for ever.
         """
         self.refill(now)
-        if self.level < min(amount, self.burst):
+        # Without the margin, rounding leaves a level just short of the amount,
+        # with a wait too short to move the clock, and the caller waits for ever.
+        if self.level < min(amount, self.burst) - MARGIN:
             return False
         self.level -= amount
         return True
 
+    def spend(self, amount: float, now: Seconds) -> None:
+        """Take units that are used already, into debt if need be."""
+        self.refill(now)
+        self.level -= amount
+
     def wait(self, amount: float, now: Seconds) -> Seconds:
         """Return how long until `take` would succeed, in seconds."""
         self.refill(now)
@@ -56,6 +66,57 @@
         return max(0.0, missing / self.rate)
 
 
+BACKOFF = 0.7
+"""What a refusal leaves of the rate."""
+
+RECOVERY = 0.05
+"""The part of the full rate that comes back each second."""
+
+FLOOR = 0.05
+"""The least part of the full rate."""
+
+HOLD_OFF = 1.0
+"""Refusals closer together than this count once, in seconds.
+
+A burst of refusals is one sign of one overload; counting each would stop this
+client altogether.
+"""
+
+
+@define
+class AdaptiveRate:
+    """The rate a client allows itself of a ceiling that it shares with others.
+
+    It falls by a factor when the service refuses, and comes back evenly, so
+    that clients that share a ceiling converge to equal shares without talking.
+
+    Attributes:
+        limit: The full rate, in units a second.
+        rate: The rate now.
+        updated_at: When `rate` was computed.
+        lowered_at: When it was last lowered.
+    """
+
+    limit: float
+    rate: float
+    updated_at: Seconds = 0.0
+    lowered_at: Seconds = -HOLD_OFF
+
+    def current(self, now: Seconds) -> float:
+        """Return the rate, with what has come back since the last call."""
+        earned = max(0.0, now - self.updated_at) * self.limit * RECOVERY
+        self.rate = min(self.limit, self.rate + earned)
+        self.updated_at = max(self.updated_at, now)
+        return self.rate
+
+    def refused(self, now: Seconds) -> None:
+        """Lower the rate, since the service has refused a call."""
+        if now < self.lowered_at + HOLD_OFF:
+            return
+        self.lowered_at = now
+        self.rate = max(self.limit * FLOOR, self.current(now) * BACKOFF)
+
+
 K = TypeVar("K", bound=Hashable)
 
 
--- a/ebonyhold/platform/__init__.py
+++ b/ebonyhold/platform/__init__.py
@@ -1,5 +1,7 @@
 """The platform: table service, object store, membership list, weight store."""
 
+from ebonyhold.platform._guard import Counters, Guard, GuardPolicy
+from ebonyhold.platform._guarded import GuardedObjects, GuardedTable
 from ebonyhold.platform._members import (
     Member,
     MemberRole,
@@ -9,13 +11,21 @@
 )
 from ebonyhold.platform._objects import ObjectClient
 from ebonyhold.platform._table import TableClient
+from ebonyhold.platform._turnstile import Priority, RefusedHereError
 
 __all__ = [
+    "Counters",
+    "Guard",
+    "GuardPolicy",
+    "GuardedObjects",
+    "GuardedTable",
     "Member",
     "MemberRole",
     "MemberState",
     "MembersClient",
     "ObjectClient",
+    "Priority",
+    "RefusedHereError",
     "TableClient",
     "WeightsClient",
 ]
