--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -7,11 +7,24 @@
 BUDGET_PREFIX = "budget/"
 ROUTER_PREFIX = "router/"
 REQUEST_PREFIX = "request/"
+TOPUP_PREFIX = "topup/"
+REFUND_PREFIX = "refund/"
+GRANT_PREFIX = "grant/"
+TRANSFER_PREFIX = "transfer/"
+ARCHIVE_PREFIX = "archive/"
 CONFIG_HEAD = "config/head"
+CONFIG_VERSION_PREFIX = "config/version/"
 
 SEGMENT_DIGITS = 10
 """Enough for a segment every millisecond for a hundred days."""
 
+VERSION_DIGITS = 10
+
+
+def config_version_key(version: int) -> str:
+    """Return the key of a configuration version's history row."""
+    return f"{CONFIG_VERSION_PREFIX}{version:0{VERSION_DIGITS}d}"
+
 
 def budget_key(workspace: WorkspaceName) -> str:
     """Return the key of a workspace's budget row."""
@@ -20,12 +33,12 @@
 
 def topup_key(workspace: WorkspaceName, key: str) -> str:
     """Return the key of one top-up."""
-    return f"topup/{workspace}/{key}"
+    return f"{TOPUP_PREFIX}{workspace}/{key}"
 
 
 def refund_key(workspace: WorkspaceName, key: str) -> str:
     """Return the key of one refund."""
-    return f"refund/{workspace}/{key}"
+    return f"{REFUND_PREFIX}{workspace}/{key}"
 
 
 def router_key(router: RouterId) -> str:
@@ -35,7 +48,7 @@
 
 def grant_prefix(router: RouterId) -> str:
     """Return the prefix of all grants of one incarnation."""
-    return f"grant/{router}/"
+    return f"{GRANT_PREFIX}{router}/"
 
 
 def grant_key(router: RouterId, workspace: WorkspaceName) -> str:
@@ -43,6 +56,16 @@
     return f"{grant_prefix(router)}{workspace}"
 
 
+def transfer_key(transfer: str) -> str:
+    """Return the key of one transfer between routers."""
+    return f"{TRANSFER_PREFIX}{transfer}"
+
+
+def archive_key(workspace: WorkspaceName) -> str:
+    """Return the key of the sums of a workspace's deleted bills."""
+    return f"{ARCHIVE_PREFIX}{workspace}"
+
+
 def request_key(workspace: WorkspaceName, request: RequestId) -> str:
     """Return the key of a request's claim and bill."""
     return f"{REQUEST_PREFIX}{workspace}/{request}"
@@ -56,3 +79,8 @@
 def segment_key(router: RouterId, number: int) -> str:
     """Return the key of one journal segment."""
     return f"{journal_prefix(router)}{number:0{SEGMENT_DIGITS}d}"
+
+
+def lease_key(name: str) -> str:
+    """Return the key of a lease."""
+    return f"lease/{name}"
