--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -34,6 +34,8 @@
     BreakerState,
     CircuitBreaker,
 )
+from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._bucket import (
     FairTurns,
     TokenBucket,
@@ -234,6 +236,7 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
