--- /dev/null
+++ b/tests/document/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet document."""
