--- /dev/null
+++ b/tests/operators/fakes.py
@@ -0,0 +1,105 @@
+"""A router's parts behind the operators' interface, in memory."""
+
+from __future__ import annotations
+
+import hashlib
+from pathlib import Path
+from random import Random
+
+from attrs import define, field
+
+from ebonyhold.configuration import ConfigurationKeeper, VersionStore
+from ebonyhold.coordination import RequestKind, RequestRow, RequestState
+from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.operators import (
+    Bill,
+    BillPage,
+    Budget,
+    Discrepancy,
+    FleetStatus,
+    OperatorKeys,
+    OperatorsContext,
+    Readiness,
+    Verification,
+)
+from tests.configuration.fakes import FakeObjects, FakeTable
+
+KEY = "open-sesame"
+
+
+@define
+class FakeStatus:
+    """A status that tests set."""
+
+    status: FleetStatus = field(factory=FleetStatus)
+    ready: Readiness = field(factory=lambda: Readiness(True))
+
+    async def fleet(self) -> FleetStatus:
+        return self.status
+
+    def readiness(self) -> Readiness:
+        return self.ready
+
+
+@define
+class FakeAccounts:
+    """Budgets and bills; it fails when told to."""
+
+    prepaid: dict[str, int] = field(factory=dict)
+    keys: set[str] = field(factory=set)
+    error: EbonyholdError | None = None
+    discrepancies: tuple[Discrepancy, ...] = ()
+
+    def budget(self, workspace: str) -> Budget:
+        if self.error:
+            raise self.error
+        return Budget(workspace, self.prepaid.get(workspace, 0), 0, 0)
+
+    async def budgets(self, workspaces: tuple[str, ...]) -> tuple[Budget, ...]:
+        return tuple(self.budget(each) for each in workspaces)
+
+    async def top_up(
+        self, workspace: str, key: str, amount: int, operator: str
+    ) -> Budget:
+        if key not in self.keys:
+            self.keys.add(key)
+            self.prepaid[workspace] = self.prepaid.get(workspace, 0) + amount
+        return self.budget(workspace)
+
+    async def refund(
+        self, workspace: str, key: str, request: str, amount: int, operator: str
+    ) -> Budget:
+        return await self.top_up(workspace, key, amount, operator)
+
+    async def bills(self, workspace: str, after: str, limit: int) -> BillPage:
+        row = RequestRow(
+            RequestState.COMPLETE, RequestKind.CHAT, "r.1", "a", "e1", "d", 12, 5, 7
+        )
+        return BillPage((Bill(workspace, "q1", row),))
+
+    async def verify(self, workspaces: tuple[str, ...]) -> Verification:
+        return Verification(len(workspaces), 1, self.discrepancies)
+
+
+@define
+class Bench:
+    """All of it, wired."""
+
+    context: OperatorsContext
+    table: FakeTable
+    objects: FakeObjects
+    status: FakeStatus
+    accounts: FakeAccounts
+
+
+def make_bench(folder: Path) -> Bench:
+    """Wire the operators' interface to fakes; its keys are kept in a folder."""
+    keys = folder / "operator-keys"
+    keys.write_text(f"ana:{hashlib.sha256(KEY.encode()).hexdigest()}\n")
+    table, objects = FakeTable(), FakeObjects()
+    keeper = ConfigurationKeeper(table, VersionStore(objects), random=Random(1))
+    status, accounts = FakeStatus(), FakeAccounts()
+    context = OperatorsContext(
+        OperatorKeys(keys), keeper, status, accounts, accounts, lambda: b"metric 1\n"
+    )
+    return Bench(context, table, objects, status, accounts)
