Test the command line before a router of fakes

22 cases: both output forms, each exit code, lost answers of apply and top-up that are repeated safely, and the routers that lack a version by name.

--- a/ebonyhold/operators/_client.py
+++ b/ebonyhold/operators/_client.py
@@ -47,6 +47,11 @@
         self.detail: dict[str, Any] = detail if isinstance(detail, dict) else {}
 
 
+def open_http() -> httpx.Client:
+    """Return an HTTP client."""
+    return httpx.Client(timeout=DEFAULT_TIMEOUT)
+
+
 @define
 class OperatorsClient:
     """Calls one router's operators' interface.
@@ -59,7 +64,7 @@
 
     server: str
     key: str
-    http: httpx.Client = field(factory=lambda: httpx.Client(timeout=DEFAULT_TIMEOUT))
+    http: httpx.Client = field(factory=lambda: open_http())
 
     def __enter__(self) -> OperatorsClient:
         """Return the client."""
--- /dev/null
+++ b/tests/command/test_command.py
@@ -0,0 +1,248 @@
+"""The command line: output in both forms, and one exit code for each ending."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import httpx
+import pytest
+from anyio.from_thread import BlockingPortal, start_blocking_portal
+from attrs import define
+from typer.testing import CliRunner, Result
+
+from ebonyhold.command import app
+from ebonyhold.exceptions import UnavailableError, UnknownOutcomeError
+from ebonyhold.operators import (
+    BackendStatus,
+    Discrepancy,
+    FleetStatus,
+    GrantStatus,
+    OperatorsApp,
+    RouterStatus,
+    _client,
+)
+from tests.document.test_check import BASE, FEBRUARY, JANUARY
+from tests.operators.fakes import KEY, Bench, make_bench
+
+PLAN = ["stop", "plan", "x", "--starts", JANUARY, "--ends", FEBRUARY]
+
+
+@define
+class PortalTransport(httpx.BaseTransport):
+    """Carries a synchronous client's requests to an application in a portal."""
+
+    portal: BlockingPortal
+    inner: httpx.ASGITransport
+    error: httpx.TransportError | None = None
+
+    def handle_request(self, request: httpx.Request) -> httpx.Response:
+        response = self.portal.call(self.exchange, request)
+        if self.error:
+            raise self.error
+        return response
+
+    async def exchange(self, request: httpx.Request) -> httpx.Response:
+        request.read()
+        response = await self.inner.handle_async_request(
+            httpx.Request(
+                request.method,
+                request.url,
+                headers=request.headers,
+                content=request.content,
+            )
+        )
+        body = await response.aread()
+        return httpx.Response(response.status_code, content=body)
+
+
+@define
+class Tool:
+    """The command-line tool before a router of fakes."""
+
+    bench: Bench
+    transport: PortalTransport
+    folder: Path
+
+    def run(self, *arguments: str) -> Result:
+        env = {"EBONYHOLD_KEY": KEY, "EBONYHOLD_SERVER": "http://router"}
+        return CliRunner().invoke(app, list(arguments), env=env)
+
+    def file(self, text: str = BASE) -> str:
+        path = self.folder / "document.yaml"
+        path.write_text(text)
+        return str(path)
+
+
+@pytest.fixture
+def tool(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Tool]:
+    bench = make_bench(tmp_path)
+    with start_blocking_portal() as portal:
+        inner = httpx.ASGITransport(OperatorsApp(bench.context))
+        transport = PortalTransport(portal, inner)
+        monkeypatch.setattr(
+            _client, "open_http", lambda: httpx.Client(transport=transport)
+        )
+        yield Tool(bench, transport, tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "shown"),
+    [
+        (BASE, 0, "no findings"),
+        (BASE.replace("fleet: f", "fleet: 1"), 1, "wrong_type"),
+        ("[", 1, "syntax"),
+    ],
+)
+def test_check(tool: Tool, text: str, code: int, shown: str) -> None:
+    result = tool.run("check", tool.file(text))
+    assert (result.exit_code, shown in result.output) == (code, True)
+    as_json = json.loads(tool.run("check", tool.file(text), "--output", "json").stdout)
+    assert as_json["usable"] is (code == 0)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["check", "/no/such/file"],
+        ["apply"],
+        ["status", "--output", "xml"],
+        ["budget", "top-up", "w", "0"],
+    ],
+)
+def test_usage_errors(tool: Tool, arguments: list[str]) -> None:
+    assert tool.run(*arguments).exit_code == 2
+
+
+def test_schema_is_json(tool: Tool) -> None:
+    assert json.loads(tool.run("schema").stdout)["title"] == "ebonyhold fleet document"
+
+
+def test_apply_show_history_rollback(tool: Tool) -> None:
+    assert "version 1 is accepted" in tool.run("apply", tool.file()).output
+    assert tool.run("show").stdout.startswith("# version 1\nfleet: f\n")
+    changed = tool.file(BASE.replace("fleet: f", "fleet: g"))
+    assert tool.run("apply", changed, "--based-on", "1").exit_code == 0
+    assert "version 3" in tool.run("rollback", "1").output
+    versions = json.loads(tool.run("history", "--output", "json").stdout)["versions"]
+    assert [each["version"] for each in versions] == [3, 2, 1]
+    assert "ana" in tool.run("history").stdout
+
+
+def test_the_loser_of_a_race_exits_with_3(tool: Tool) -> None:
+    tool.run("apply", tool.file())
+    result = tool.run("apply", tool.file(BASE.replace("fleet: f", "fleet: g")),
+                      "--based-on", "0")  # fmt: skip
+    assert result.exit_code == 3
+    assert "changed meanwhile: workspaces.w (added)" in result.stderr
+
+
+def test_a_repeated_apply_is_no_lost_race(tool: Tool) -> None:
+    """The answer to an accepted apply is lost between router and operator.
+
+    The operator sees a timeout and repeats the same command, still based on
+    the old version.  The document is in force already, so this is a success
+    and there is no second version.
+    """
+    tool.transport.error = httpx.ReadTimeout("no answer")
+    lost = tool.run("apply", tool.file(), "--based-on", "0")
+    assert (lost.exit_code, "unanswered" in lost.stderr) == (5, True)
+    tool.transport.error = None
+    again = tool.run("apply", tool.file(), "--based-on", "0")
+    assert (again.exit_code, "version 1" in again.output) == (0, True)
+
+
+@pytest.mark.parametrize(
+    ("error", "arguments", "code"),
+    [
+        (httpx.ConnectError("refused"), ["budget", "top-up", "w", "5"], 4),
+        (httpx.ReadError("reset"), ["budget", "top-up", "w", "5"], 5),
+        (httpx.ReadError("reset"), ["status"], 4),
+    ],
+)
+def test_broken_connections(
+    tool: Tool, error: httpx.TransportError, arguments: list[str], code: int
+) -> None:
+    tool.run("apply", tool.file())
+    tool.transport.error = error
+    assert tool.run(*arguments).exit_code == code
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [(UnavailableError("down"), 4), (UnknownOutcomeError("lost"), 5)],
+)
+def test_platform_failures(
+    tool: Tool, error: UnavailableError | UnknownOutcomeError, code: int
+) -> None:
+    tool.run("apply", tool.file())
+    tool.bench.accounts.error = error
+    assert tool.run("budget", "show").exit_code == code
+
+
+def test_a_wrong_key_fails(tool: Tool) -> None:
+    result = tool.run("status", "--key", "wrong")
+    assert (result.exit_code, "unauthorized" in result.stderr) == (1, True)
+
+
+def test_wait_names_the_routers_that_lack_it(tool: Tool) -> None:
+    routers = (
+        RouterStatus("a.1", "a", 1, "alive"),
+        RouterStatus("b.1", "b", 0, "suspect"),
+        RouterStatus("c.1", "c", 0, "gone"),
+    )
+    tool.bench.status.status = FleetStatus(routers)
+    result = tool.run("apply", tool.file(), "--wait", "0.01")
+    assert result.exit_code == 1
+    assert "not yet in force at b.1 (has 0, suspect)" in result.output
+    assert "c.1" not in result.output
+
+
+def test_status_and_stops_name_what_holds_a_server(tool: Tool) -> None:
+    tool.run("apply", tool.file())
+    router = RouterStatus("a.1", "a", 1, "alive", 2, (GrantStatus("w", 70, 30),), 1.0)
+    backends = (
+        BackendStatus("e1", "a", "leaving", 2, ("a.1",)),
+        BackendStatus("e2", "b", "serving"),
+    )
+    tool.bench.status.status = FleetStatus((router,), backends)
+    shown = tool.run("status").output
+    assert "100" in shown
+    assert "1s ago" in shown
+    assert tool.run(*PLAN, "--backend", "e1").exit_code == 0
+    assert "2 in flight at a.1" in tool.run("stop", "list").output
+    assert tool.run("stop", "cancel", "x").exit_code == 0
+    assert "no planned stops" in tool.run("stop", "list").output
+
+
+def test_a_stop_with_findings_fails(tool: Tool) -> None:
+    tool.run("apply", tool.file())
+    result = tool.run(*PLAN, "--backend", "e9")
+    assert (result.exit_code, "bad_reference" in result.stderr) == (1, True)
+
+
+def test_a_top_up_names_its_key_before_it_is_sent(tool: Tool) -> None:
+    """The answer to a top-up is lost; the operator must be able to repeat it.
+
+    The tokens were added, but the command ends with exit code 5.  The key was
+    printed before the call, and the repeat with it adds nothing.
+    """
+    tool.run("apply", tool.file())
+    tool.transport.error = httpx.ReadTimeout("no answer")
+    lost = tool.run("budget", "top-up", "w", "500")
+    assert lost.exit_code == 5
+    key = lost.stderr.partition("--repeat-key ")[2].split()[0]
+    tool.transport.error = None
+    tool.run("budget", "top-up", "w", "500", "--repeat-key", key)
+    shown = json.loads(tool.run("budget", "show", "w", "--output", "json").stdout)
+    assert shown["budgets"][0]["prepaid"] == 500
+
+
+def test_bills(tool: Tool) -> None:
+    tool.run("apply", tool.file())
+    assert "q1" in tool.run("bill", "list", "w").output
+    assert "1 bills of 1 workspaces add up" in tool.run("bill", "verify").output
+    tool.bench.accounts.discrepancies = (Discrepancy("w", "overspent", "by 5"),)
+    result = tool.run("bill", "verify")
+    assert (result.exit_code, "overspent" in result.output) == (1, True)
