--- a/tests/configuration/fakes.py
+++ b/tests/configuration/fakes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from attrs import define, field
@@ -21,6 +21,7 @@
         lost: Commits that take effect but whose answer is lost.
         dropped: Commits that never arrive, which their sender cannot tell.
         before_commit: Called once before the next commit takes effect.
+        after_lost: Called once between a commit and the loss of its answer.
         reads: Rows read so far.
     """
 
@@ -29,6 +30,7 @@
     lost: int = 0
     dropped: int = 0
     before_commit: Callable[[], None] | None = None
+    after_lost: Callable[[], Awaitable[None]] | None = None
     reads: int = 0
     commits: list[Transaction] = field(factory=list)
 
@@ -60,6 +62,9 @@
         self.apply(transaction)
         if self.lost:
             self.lost -= 1
+            then, self.after_lost = self.after_lost, None
+            if then:
+                await then()
             raise UnknownOutcomeError("no answer")
 
     def apply(self, transaction: Transaction) -> None:
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -4,25 +4,45 @@
 
 from random import Random
 
+import anyio
 import attrs
 import pytest
 
-from ebonyhold.configuration import ConfigurationKeeper, VersionStore
-from ebonyhold.coordination import budget_key
-from ebonyhold.document import Document, Workspace
+from ebonyhold.configuration import ConfigurationKeeper, Evidence, VersionStore
+from ebonyhold.coordination import CONFIG_HEAD, budget_key
+from ebonyhold.document import Document, Policy, StaleConfiguration, Workspace
+from ebonyhold.exceptions import (
+    ConfigurationError,
+)
 from tests.configuration.fakes import FakeObjects, FakeTable
 
 pytestmark = pytest.mark.anyio
 
 DOCUMENT = Document("fleet", ("a", "b"), (Workspace("w", (), prepaid=100),))
+REFUSING = attrs.evolve(
+    DOCUMENT,
+    policy=Policy(stale_configuration=StaleConfiguration.REFUSE, stale_after=60.0),
+)
 
 
-def named(fleet: str) -> Document:
-    return attrs.evolve(DOCUMENT, fleet=fleet)
+def named(fleet: str, document: Document = DOCUMENT) -> Document:
+    return attrs.evolve(document, fleet=fleet)
 
 
-def keeper_on(table: FakeTable, objects: FakeObjects) -> ConfigurationKeeper:
-    return ConfigurationKeeper(table, VersionStore(objects), random=Random(1))
+def keeper_on(
+    table: FakeTable, objects: FakeObjects, seed: int = 1
+) -> ConfigurationKeeper:
+    return ConfigurationKeeper(table, VersionStore(objects), random=Random(seed))
+
+
+@attrs.define
+class FakeOthers:
+    """Other routers that answer with what a test sets."""
+
+    answers: tuple[Evidence, ...] = ()
+
+    async def ask(self) -> tuple[Evidence, ...]:
+        return self.answers
 
 
 async def test_publish_and_adopt() -> None:
@@ -34,7 +54,231 @@
     assert table.rows[budget_key("w")].value == {"prepaid": 100}
 
 
-async def test_publishing_the_same_again_changes_nothing() -> None:
-    keeper = keeper_on(FakeTable(), FakeObjects())
+async def test_an_older_version_is_never_adopted() -> None:
+    """A table restored from an old copy shows version 1 while 2 is in force.
+
+    The router must keep version 2, tell operators, and refuse to publish on
+    top of the old head, which would revert what was accepted.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
     await keeper.publish(DOCUMENT, 0, "ana")
-    assert await keeper.publish(DOCUMENT, 1, "ana") == 1
+    old = table.rows[CONFIG_HEAD]
+    await keeper.publish(named("two"), 1, "ana")
+    confirmed_at = keeper.confirmed_at
+    table.rows[CONFIG_HEAD] = old
+    with pytest.raises(ConfigurationError):
+        await keeper.refresh()
+    assert (keeper.version, keeper.regressed) == (2, True)
+    assert keeper.confirmed_at == confirmed_at
+    with pytest.raises(ConfigurationError):
+        await keeper.publish(named("three"), 2, "ana")
+
+
+async def test_a_delayed_read_does_not_revert() -> None:
+    """A router reads version 1, is paused, and goes on after version 2 came.
+
+    The old answer arrives last; installing it would revert the configuration.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    await keeper.publish(DOCUMENT, 0, "ana")
+    assert keeper.head is not None
+    old_head, old_state = keeper.head, keeper.state
+    await keeper.publish(named("two"), 1, "ana")
+    keeper.install(old_head, old_state)
+    assert (keeper.version, keeper.document) == (2, named("two"))
+
+
+async def test_a_restart_finds_the_newest_version() -> None:
+    """A router restarts with nothing on disk, long after its peers moved on."""
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    for version in range(200):
+        await keeper.publish(named(f"f{version}"), version, "ana")
+    restarted = keeper_on(table, objects)
+    await restarted.refresh()
+    assert (restarted.version, restarted.document) == (200, named("f199"))
+    assert restarted.state.digest == keeper.state.digest
+
+
+async def test_a_cold_start_without_the_table() -> None:
+    """All routers are replaced while the table is down.
+
+    With the policy to serve, they take the newest copy of an accepted head;
+    with the policy to refuse, they stay unready.  Once the table answers, both
+    have the newest version, also one whose copy was never written.
+    """
+    for document, serves in ((DOCUMENT, True), (REFUSING, False)):
+        table, objects = FakeTable(), FakeObjects()
+        keeper = keeper_on(table, objects)
+        await keeper.publish(document, 0, "ana")
+        await keeper.publish(named("two", document), 1, "ana")
+        objects.bodies = {
+            key: body for key, body in objects.bodies.items() if not key.endswith("98")
+        }
+        table.down = True
+        started = keeper_on(table, objects)
+        await started.follow()
+        assert (started.version, started.may_serve()) == (int(serves), serves)
+        assert started.stale
+        table.down = False
+        await started.follow()
+        assert (started.version, started.may_serve()) == (2, True)
+
+
+async def test_a_missing_copy_of_the_head_is_written() -> None:
+    """The publisher's router dies after its version was accepted.
+
+    The head's copy was not written, so that a router that starts in the next
+    table outage would miss the version; the surviving routers write it.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
+    copies = [key for key in objects.bodies if key.startswith("config/heads/")]
+    del objects.bodies[copies[0]]
+    survivor = keeper_on(table, objects)
+    async with anyio.create_task_group() as group:
+        group.start_soon(survivor.run)
+        await anyio.sleep(30)
+        group.cancel_scope.cancel()
+    assert copies[0] in objects.bodies
+
+
+async def test_a_notice_brings_a_version_while_the_table_is_down() -> None:
+    """Version 2 was accepted just before the table went down.
+
+    A router that missed it hears of it from a peer, fetches the copy by its
+    number, and does not count it as confirmed.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    first, second = keeper_on(table, objects), keeper_on(table, objects)
+    await first.publish(DOCUMENT, 0, "ana")
+    await second.refresh()
+    confirmed_at = second.confirmed_at
+    await first.publish(named("two"), 1, "ana")
+    table.down = True
+    await anyio.sleep(10)
+    second.notice(1)
+    assert not second.noticed.is_set()
+    second.notice(2)
+    await second.follow()
+    assert (second.version, second.confirmed_at) == (2, confirmed_at)
+
+
+@pytest.mark.parametrize(
+    ("document", "answers", "serves"),
+    [
+        (DOCUMENT, (), True),
+        (REFUSING, (), False),
+        (REFUSING, (("own", 5.0),), True),
+        (REFUSING, (("own", -1.0),), False),
+        (REFUSING, (("own", 500.0),), False),
+        (REFUSING, (("other", 5.0),), False),
+    ],
+)
+async def test_a_long_outage(
+    document: Document, answers: tuple[tuple[str, float], ...], serves: bool
+) -> None:
+    """A router has not reached the table for longer than `stale_after`.
+
+    Whether callers are refused is the policy's choice.  A router that is cut
+    off alone stays fresh by the word of peers that reach the table, if they
+    have the same version.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    await keeper.publish(document, 0, "ana")
+    assert keeper.may_serve()
+    assert keeper.head is not None
+    digests = {"own": keeper.head.digest, "other": "0" * 64}
+    keeper.evidence = FakeOthers(
+        tuple(Evidence(1, digests[whose], age) for whose, age in answers)
+    )
+    table.down = objects.down = True
+    await anyio.sleep(8000)
+    await keeper.follow()
+    assert keeper.may_serve() is serves
+    table.down = False
+    await keeper.follow()
+    assert keeper.may_serve()
+    assert not keeper.stale
+
+
+async def test_evidence_counts_from_before_the_question() -> None:
+    """A peer's answer was under way for a minute before it arrived.
+
+    It must not make the version look fresher than the table's last word.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    await keeper.publish(REFUSING, 0, "ana")
+
+    class SlowOthers:
+        async def ask(self) -> tuple[Evidence, ...]:
+            await anyio.sleep(60)
+            return (keeper_evidence,)
+
+    keeper_evidence = attrs.evolve(keeper.own_evidence(), confirmed_age=0.0)
+    keeper.evidence = SlowOthers()
+    asked_at = anyio.current_time()
+    await keeper.ask_others()
+    assert keeper.confirmed_at <= asked_at
+
+
+async def test_every_router_has_a_version_within_seconds() -> None:
+    """Nine routers follow the head; an operator publishes through one of them.
+
+    The table fails for a while in between; afterwards all have the version
+    within two polls.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keepers = [keeper_on(table, objects, seed) for seed in range(9)]
+    async with anyio.create_task_group() as group:
+        for keeper in keepers:
+            group.start_soon(keeper.run)
+        await keepers[0].publish(DOCUMENT, 0, "ana")
+        await anyio.sleep(8)
+        assert {keeper.version for keeper in keepers} == {1}
+        table.down = True
+        await anyio.sleep(300)
+        table.down = False
+        await keepers[3].publish(named("two"), 1, "ben")
+        await anyio.sleep(8)
+        assert {keeper.version for keeper in keepers} == {2}
+        group.cancel_scope.cancel()
+
+
+async def test_a_notice_wakes_the_reader() -> None:
+    table, objects = FakeTable(), FakeObjects()
+    first, second = keeper_on(table, objects), keeper_on(table, objects)
+    async with anyio.create_task_group() as group:
+        await group.start(second.run)
+        await first.publish(DOCUMENT, 0, "ana")
+        started = anyio.current_time()
+        second.notice(1)
+        assert await second.wait_changed(0) == 1
+        assert anyio.current_time() - started < 0.01
+        group.cancel_scope.cancel()
+
+
+async def test_damaged_objects_are_not_adopted() -> None:
+    """An object of the new version is damaged in the store.
+
+    The router keeps the version it has, and does not count as confirmed.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    first, second = keeper_on(table, objects), keeper_on(table, objects)
+    await first.publish(DOCUMENT, 0, "ana")
+    await second.refresh()
+    await first.publish(named("two"), 1, "ana")
+    assert first.head is not None
+    key = "config/object/" + first.head.manifest
+    for body in (b"{}", b"", None):
+        if body is None:
+            del objects.bodies[key]
+        else:
+            objects.bodies[key] = body
+        with pytest.raises(ConfigurationError):
+            await second.refresh()
+        assert (second.version, second.document) == (1, DOCUMENT)
--- /dev/null
+++ b/tests/configuration/test_publisher.py
@@ -0,0 +1,153 @@
+"""A publication is accepted once or refused, whatever happens to its answers."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+import pytest
+
+from ebonyhold.coordination import CONFIG_HEAD, HeadRow, budget_key, config_version_key
+from ebonyhold.document import Workspace
+from ebonyhold.exceptions import (
+    ConfigurationError,
+    LostRaceError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from tests.configuration.fakes import FakeObjects, FakeTable
+from tests.configuration.test_keeper import DOCUMENT, keeper_on, named
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_publishing_the_same_again_changes_nothing() -> None:
+    keeper = keeper_on(FakeTable(), FakeObjects())
+    await keeper.publish(DOCUMENT, 0, "ana")
+    assert await keeper.publish(DOCUMENT, 0, "ana") == 1
+
+
+@pytest.mark.parametrize(
+    ("lost", "dropped", "outages"),
+    [(1, 0, 0), (0, 1, 0), (0, 3, 0), (0, 0, 1), (1, 1, 0)],
+)
+async def test_a_lost_answer_is_resolved(lost: int, dropped: int, outages: int) -> None:
+    """The table accepts a version, but its answer never reaches the router.
+
+    The operator must neither be told of a failure that was a success, nor get
+    a second version, nor a second first top-up for the new workspace.  Whether
+    the commit arrived cannot be told from the error; its history row tells.
+    """
+    table, objects = FakeTable(lost=lost, dropped=dropped), FakeObjects()
+    if outages:
+        table.before_commit = lambda: (_ for _ in ()).throw(UnavailableError("busy"))
+    keeper = keeper_on(table, objects)
+    assert await keeper.publish(DOCUMENT, 0, "ana") == 1
+    assert len(table.commits) == 1
+    assert table.rows[budget_key("w")].value == {"prepaid": 100}
+
+
+async def test_a_lost_answer_is_resolved_after_the_next_version() -> None:
+    """Ana's version is accepted, its answer is lost, and Ben publishes on top.
+
+    When Ana's router reads back, the head is Ben's.  It would look like a lost
+    race, and Ana would publish her change again; her own history row says that
+    it was accepted.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    ana, ben = keeper_on(table, objects), keeper_on(table, objects)
+
+    async def publish_on_top() -> None:
+        await ben.refresh()
+        await ben.publish(named("ben"), 1, "ben")
+
+    table.lost, table.after_lost = 1, publish_on_top
+    assert await ana.publish(DOCUMENT, 0, "ana") == 1
+    await ana.refresh()
+    assert (ana.version, ana.document) == (2, named("ben"))
+
+
+async def test_the_table_stays_silent() -> None:
+    """No answer comes for so long that the router gives up on a publication.
+
+    It must say that the outcome is unknown: the commits may still arrive.
+    """
+    table, objects = FakeTable(dropped=100), FakeObjects()
+    with pytest.raises(UnknownOutcomeError):
+        await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
+    with pytest.raises(UnavailableError):
+        await keeper_on(FakeTable(down=True), objects).publish(DOCUMENT, 0, "ana")
+
+
+async def test_racing_operators() -> None:
+    """Five operators publish on the same version at the same moment.
+
+    One is accepted; each other one is told the version in force, its author
+    and what changed, and nothing of theirs is in force.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
+    keepers = [keeper_on(table, objects) for _ in range(5)]
+    accepted: list[int] = []
+    lost: list[LostRaceError] = []
+
+    async def publish(index: int) -> None:
+        try:
+            await keepers[index].publish(named(f"f{index}"), 1, f"operator-{index}")
+            accepted.append(index)
+        except LostRaceError as error:
+            lost.append(error)
+
+    async with anyio.create_task_group() as group:
+        for index in range(5):
+            group.start_soon(publish, index)
+    (winner,) = accepted
+    assert {(each.version, each.author) for each in lost} == {(2, f"operator-{winner}")}
+    assert {each.changed for each in lost} == {("fleet.fleet",)}
+    for keeper in keepers:
+        await keeper.refresh()
+        assert keeper.document == named(f"f{winner}")
+
+
+async def test_many_new_workspaces_are_filled_once() -> None:
+    """A document adds more workspaces than fit into one transaction.
+
+    An answer is lost while their first top-ups are made one by one; each must
+    have its prepaid tokens exactly once.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    workspaces = tuple(Workspace(f"w{n}", (), prepaid=n + 1) for n in range(60))
+    many = attrs.evolve(DOCUMENT, workspaces=workspaces)
+    table.lost = 3
+    await keeper.publish(many, 0, "ana")
+    fewer = attrs.evolve(many, workspaces=workspaces[:10])
+    await keeper.publish(fewer, 1, "ana")
+    await keeper.publish(many, 2, "ana")
+    prepaid = [table.rows[budget_key(f"w{n}")].value for n in range(60)]
+    assert prepaid == [{"prepaid": n + 1} for n in range(60)]
+
+
+async def test_a_workspace_topped_up_before_its_document_keeps_that() -> None:
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    await keeper.publish(attrs.evolve(DOCUMENT, workspaces=()), 0, "ana")
+    row = attrs.evolve(table.rows[CONFIG_HEAD], key=budget_key("w"), version=1)
+    table.rows[row.key] = attrs.evolve(row, value={"prepaid": 7, "spent": 2})
+    await keeper.publish(DOCUMENT, 1, "ana")
+    assert table.rows[row.key].value == {"prepaid": 107, "spent": 2}
+
+
+async def test_a_rollback_is_a_new_version() -> None:
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    await keeper.publish(DOCUMENT, 0, "ana")
+    await keeper.publish(named("two"), 1, "ana")
+    state = await keeper.read_version(1)
+    assert await keeper.publish(state.document(), 2, "ana") == 3
+    assert keeper.document == DOCUMENT
+    heads = await keeper.history(10)
+    assert [head.version for head in heads] == [3, 2, 1]
+    assert isinstance(heads[0], HeadRow)
+    assert config_version_key(3) in table.rows
+    with pytest.raises(ConfigurationError):
+        await keeper.read_version(9)
