Serve budgets and bills to operators from the table

The interface named a BudgetSource and a BillSource that nobody provided. TableAccounts provides both on the money's own top-up, refund and verification; a discrepancy now has the shape that the verification gives (expected and found, in tokens). The check also finds policies that no registry knows, which would otherwise fail in each router.

--- a/ebonyhold/command/_money.py
+++ b/ebonyhold/command/_money.py
@@ -31,7 +31,12 @@
     "backend": "Backend server",
     "when": "Filed",
 }
-DISCREPANCY_COLUMNS = {"workspace": "Workspace", "code": "Code", "message": "Message"}
+DISCREPANCY_COLUMNS = {
+    "workspace": "Workspace",
+    "finding": "Finding",
+    "expected": "Expected",
+    "found": "Found",
+}
 
 budgets = typer.Typer(no_args_is_help=True, help="Prepaid token budgets.")
 bills = typer.Typer(no_args_is_help=True, help="Bills.")
@@ -134,7 +139,7 @@
     with OperatorsClient(server, key) as client:
         answer = client.call("GET", "/v1/bills/verify", query=query)
     found = answer["discrepancies"]
-    fine = f"{answer['bills']} bills of {answer['workspaces']} workspaces add up"
+    fine = f"bills, grants and budgets of {answer['workspaces']} workspaces add up"
     write_rows(output, answer, found, DISCREPANCY_COLUMNS, fine)
     if found:
         raise typer.Exit(ExitCode.FAILED)
--- a/ebonyhold/document/_rules.py
+++ b/ebonyhold/document/_rules.py
@@ -9,6 +9,8 @@
 
 from attrs import frozen
 
+from ebonyhold.coordination import grant_policies
+from ebonyhold.coordination import policies as choice_policies
 from ebonyhold.document._capacity import find_shortages
 from ebonyhold.document._findings import (
     FindingCode,
@@ -188,6 +190,19 @@
             draft.add(FindingCode.UNKNOWN_KEY, (*path, excess), message)
 
 
+@rule
+def _policies_are_registered(draft: Draft) -> None:
+    policy = draft.document.policy
+    named = {
+        "grants": (policy.grants, sorted(grant_policies)),
+        "choice": (policy.choice, sorted(choice_policies)),
+    }
+    for attribute, (name, known) in named.items():
+        if name not in known:
+            message = f"there is no policy {name!r}; known are {', '.join(known)}"
+            draft.add(FindingCode.BAD_REFERENCE, ("policy", attribute), message)
+
+
 @rule
 def _bounds_agree(draft: Draft) -> None:
     for index, route in enumerate(draft.document.models):
--- a/ebonyhold/operators/__init__.py
+++ b/ebonyhold/operators/__init__.py
@@ -1,5 +1,6 @@
 """The operators: the daemon's control interface and its client."""
 
+from ebonyhold.operators._accounts import TableAccounts
 from ebonyhold.operators._app import OperatorsApp
 from ebonyhold.operators._client import (
     OperatorsClient,
@@ -44,6 +45,7 @@
     "RemoteError",
     "RouterStatus",
     "StatusSource",
+    "TableAccounts",
     "UnansweredError",
     "UnreachableError",
     "Verification",
--- /dev/null
+++ b/ebonyhold/operators/_accounts.py
@@ -0,0 +1,124 @@
+"""Budgets and bills as the platform's table has them."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from ebonyhold.coordination import (
+    GRANT_PREFIX,
+    BudgetRow,
+    RequestRow,
+    Row,
+    Table,
+    budget_key,
+    from_json,
+    request_key,
+)
+from ebonyhold.exceptions import BudgetError
+from ebonyhold.money import refund, top_up, verify_bills
+from ebonyhold.operators._interface import (
+    Bill,
+    BillPage,
+    Budget,
+    Discrepancy,
+    Verification,
+)
+from ebonyhold.types import RequestId, Tokens, WorkspaceName
+
+BUDGETS_AT_ONCE = 200
+"""Rows of one read."""
+
+
+@frozen
+class TableAccounts:
+    """The `BudgetSource` and the `BillSource` of a table."""
+
+    table: Table
+
+    async def budgets(
+        self, workspaces: tuple[WorkspaceName, ...]
+    ) -> tuple[Budget, ...]:
+        """Return budgets; a workspace without a row has all zeros."""
+        found: list[Budget] = []
+        for first in range(0, len(workspaces), BUDGETS_AT_ONCE):
+            names = workspaces[first : first + BUDGETS_AT_ONCE]
+            rows = await self.table.read(tuple(budget_key(name) for name in names))
+            found.extend(map(budget_of, names, rows))
+        return tuple(found)
+
+    async def top_up(
+        self, workspace: WorkspaceName, key: str, amount: Tokens, operator: str
+    ) -> Budget:
+        """Add prepaid tokens; the same key adds them once.
+
+        Raises:
+            BudgetError: The key was used for another amount.
+        """
+        try:
+            await top_up(self.table, workspace, key, amount, operator)
+        except ValueError as error:
+            raise BudgetError(str(error)) from error
+        return (await self.budgets((workspace,)))[0]
+
+    async def refund(
+        self,
+        workspace: WorkspaceName,
+        key: str,
+        request: RequestId,
+        amount: Tokens,
+        operator: str,
+    ) -> Budget:
+        """Give billed tokens back; the same key gives them back once.
+
+        Raises:
+            BudgetError: The request was not billed as much, or the key was used
+                for another refund.
+        """
+        try:
+            await refund(self.table, workspace, request, key, amount, operator)
+        except ValueError as error:
+            raise BudgetError(str(error)) from error
+        return (await self.budgets((workspace,)))[0]
+
+    async def bills(self, workspace: WorkspaceName, after: str, limit: int) -> BillPage:
+        """Return a page of a workspace's requests, in the order of their keys."""
+        prefix = request_key(workspace, "")
+        last = request_key(workspace, after) if after else ""
+        rows = await self.table.scan(prefix, last, limit)
+        bills = tuple(
+            Bill(
+                workspace,
+                row.key.removeprefix(prefix),
+                from_json(row.value, RequestRow),
+            )
+            for row in rows
+        )
+        return BillPage(bills, bills[-1].request if len(rows) == limit else "")
+
+    async def verify(self, workspaces: tuple[WorkspaceName, ...]) -> Verification:
+        """Check that the rows of these workspaces add up."""
+        wanted = set(workspaces)
+        found = [
+            Discrepancy(workspace_of(each.key), each.finding, each.expected, each.found)
+            for each in await verify_bills(self.table)
+            if workspace_of(each.key) in wanted
+        ]
+        return Verification(len(workspaces), tuple(found))
+
+
+def budget_of(workspace: WorkspaceName, row: Row | None) -> Budget:
+    """Return a budget from its row."""
+    value = BudgetRow() if row is None else from_json(row.value, BudgetRow)
+    return Budget(workspace, value.prepaid, value.outstanding, value.spent)
+
+
+def workspace_of(key: str) -> WorkspaceName:
+    """Return the workspace that a row is about.
+
+    >>> workspace_of("grant/r.1/w"), workspace_of("request/w/q")
+    ('w', 'w')
+    """
+    rest = key.partition("/")[2]
+    if key.startswith(GRANT_PREFIX):
+        rest = rest.partition("/")[2]
+    return rest.partition("/")[0]
--- a/ebonyhold/operators/_interface.py
+++ b/ebonyhold/operators/_interface.py
@@ -141,11 +141,19 @@
 
 @frozen
 class Discrepancy:
-    """Something in the books that does not add up."""
+    """Rows that do not add up.
+
+    Attributes:
+        workspace: Whose.
+        finding: What is wrong.
+        expected: What the other rows say, in tokens.
+        found: What the row says, in tokens.
+    """
 
     workspace: WorkspaceName
-    code: str
-    message: str
+    finding: str
+    expected: Tokens
+    found: Tokens
 
 
 @frozen
@@ -154,12 +162,10 @@
 
     Attributes:
         workspaces: Budgets that were checked.
-        bills: Bills that were read.
         discrepancies: What does not add up.
     """
 
     workspaces: int
-    bills: int
     discrepancies: tuple[Discrepancy, ...] = field(factory=tuple)
 
 
@@ -184,7 +190,7 @@
         Raises:
             UnavailableError: It had no effect.
             UnknownOutcomeError: Repeat it with the same key.
-            KeyReusedError: The key was used for another amount.
+            BudgetError: The key was used for another amount.
         """
         ...
 
@@ -201,8 +207,8 @@
         Raises:
             UnavailableError: It had no effect.
             UnknownOutcomeError: Repeat it with the same key.
-            KeyReusedError: The key was used for another amount.
-            BudgetError: The request was not billed as much.
+            BudgetError: The request was not billed as much, or the key was used
+                for another refund.
         """
         ...
 
@@ -211,7 +217,7 @@
     """Reads bills from the table."""
 
     async def bills(self, workspace: WorkspaceName, after: str, limit: int) -> BillPage:
-        """Return a page of a workspace's bills, in the order of their requests.
+        """Return a page of a workspace's bills and claims, ordered by request.
 
         Raises:
             UnavailableError: The table cannot be reached.
--- a/ebonyhold/operators/_money_endpoints.py
+++ b/ebonyhold/operators/_money_endpoints.py
@@ -47,6 +47,7 @@
         "prompt_tokens": row.prompt_tokens,
         "completion_tokens": row.completion_tokens,
         "overshoot": row.overshoot,
+        "refunded": row.refunded,
         "filed_at": row.filed_at,
     }
 
@@ -115,9 +116,5 @@
     workspaces = context.workspaces(request.query("workspace"))
     found = await context.bills.verify(workspaces)
     discrepancies = [to_json(each) for each in found.discrepancies]
-    answer: Json = {
-        "workspaces": found.workspaces,
-        "bills": found.bills,
-        "discrepancies": discrepancies,
-    }
+    answer: Json = {"workspaces": found.workspaces, "discrepancies": discrepancies}
     await send_json(send, 200, answer)
--- a/tests/document/test_check.py
+++ b/tests/document/test_check.py
@@ -133,6 +133,8 @@
         ("reserve_share: 1:30", "wrong_type"),
         ("retry_ratio: many", "wrong_type"),
         ("unknown_outcome: guess", "bad_value"),
+        ("grants: generous", "bad_reference"),
+        ("choice: favourite", "bad_reference"),
     ],
 )
 def test_policy_finding(policy: str, code: str) -> None:
