Prove the money against deaths, lost calls, partitions and chance

Cause: the promises must hold through any interleaving of failures.

Found and stated: a tombstone forgotten at an engine's restart lets a paused router run what was proved not run, so dispatches must name the boot.

--- a/ebonyhold/experiments/_memory_fleet.py
+++ b/ebonyhold/experiments/_memory_fleet.py
@@ -152,9 +152,13 @@
     down: bool = False
     ran: dict[AttemptId, int] = field(factory=dict)
 
-    def start(self, attempt: AttemptId, prompt: Tokens) -> bool:
-        """Start an attempt, unless it was closed."""
-        if attempt in self.closed:
+    def start(self, attempt: AttemptId, prompt: Tokens, boot: str = "") -> bool:
+        """Start an attempt, unless it was closed or is meant for another boot.
+
+        A restart forgets which attempts were closed.  The boot that the intent
+        named is what then keeps a late dispatch of a closed attempt out.
+        """
+        if attempt in self.closed or (boot and boot != self.boot):
             return False
         self.ran[attempt] = self.ran.get(attempt, 0) + 1
         self.attempts[attempt] = AttemptTruth(
@@ -281,6 +285,7 @@
     *,
     keyed: bool = False,
     digest: str = "d",
+    boot: str = "boot-1",
 ) -> Order:
     """Make an order as the request path would."""
     booking = kind is RequestKind.BOOKING
@@ -292,7 +297,7 @@
         keyed=keyed,
         hold=hold,
         backend="engine",
-        boot="boot-1",
+        boot=boot,
         claim_needed=booking,
     )
 
--- a/ebonyhold/money/__init__.py
+++ b/ebonyhold/money/__init__.py
@@ -1,5 +1,6 @@
 """The tasks that own a router's budgets, journal, claims and bills."""
 
+from ebonyhold.money._incarnations import Incarnations
 from ebonyhold.money._interface import BackendTruth, Money, Order, Permit, Replay
 from ebonyhold.money._journal import Place
 from ebonyhold.money._operators import refund, top_up
@@ -12,6 +13,7 @@
     "BackendTruth",
     "Discrepancy",
     "GrantStatus",
+    "Incarnations",
     "Money",
     "MoneyOptions",
     "MoneyStatus",
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -253,6 +253,7 @@
             try:
                 await self.settle()
             except SealedError as error:
+                self.journal.seal([], error)
                 self.fail(error)
                 return
             except PlatformError as error:
@@ -318,7 +319,8 @@
             if await self._commit(plan):
                 return True
             await anyio.sleep(self.random.random() * self.options.conflict_pause)
-        raise UnavailableError(f"the budget of {self.workspace} met other writers")
+        reason = "did not answer" if self.doubt else "met other writers"
+        raise UnavailableError(f"the budget of {self.workspace} {reason}")
 
     def _ready_bills(self) -> tuple[Bill, ...]:
         chosen: dict[str, Bill] = {}
--- a/ebonyhold/money/_interface.py
+++ b/ebonyhold/money/_interface.py
@@ -76,7 +76,11 @@
         """Cancel an attempt, forbid its later start, and learn what it came to.
 
         A server that cannot be reached, or cannot tell, gives
-        `AttemptState.UNKNOWN`.
+        `AttemptState.UNKNOWN`.  `AttemptState.NEVER_RAN` is a promise for the
+        future too: only a server that refuses the closed attempt for the rest
+        of its boot, and attempts addressed to another boot, may give it.
+        Otherwise a router that was paused between its intent and its dispatch
+        could run the attempt after the server was restarted.
         """
         ...
 
--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -14,6 +14,7 @@
     BudgetRow,
     ClaimAnswer,
     Delete,
+    GrantRow,
     Intent,
     Objects,
     Outcome,
@@ -29,6 +30,7 @@
     close_transaction,
     find_grant_policy,
     first_attempt,
+    grant_prefix,
     make_bill,
     next_attempt,
     open_row,
@@ -55,6 +57,9 @@
 
 OPEN_TRIES = 5
 
+DROPPED_AT_ONCE = 100
+"""Rows of grants that one transaction deletes."""
+
 
 @frozen
 class GrantStatus:
@@ -321,9 +326,9 @@
             await append.done.wait()
 
     def _end(self, permit: Permit, outcome: Outcome) -> Append | None:
-        # A permit of an earlier incarnation is settled by whoever recovered it.
+        # What a sealed incarnation began is settled by whoever recovered it.
         run = self.runs.pop(run_of(permit.attempt), None)
-        if run is None:
+        if run is None or self.sealed:
             return None
         bill = make_bill(run.intent, outcome)
         append = self._journal().put(evolve(outcome, charge=bill.charge))
@@ -348,7 +353,7 @@
         )
         account.closing = self.draining
         self.accounts[workspace] = account
-        if self.tasks is not None:
+        if self.tasks is not None and not self.sealed:
             self.tasks.start_soon(self._keep, account)
         return account
 
@@ -463,8 +468,32 @@
             if self.sealed:
                 raise SealedError(f"{self.me} was sealed")
             await anyio.sleep(self.options.retry_pause)
+        await self._drop_empty_grants(journal)
         await self._close(journal)
 
+    async def _drop_empty_grants(self, journal: Journal) -> None:
+        """Delete the rows of grants that hold nothing any more.
+
+        One that still holds tokens has given them to a router that did not
+        settle them yet; its row stays until that is decided.
+        """
+        prefix = grant_prefix(self.me)
+        after = ""
+        while True:
+            page = await self.table.scan(prefix, after, DROPPED_AT_ONCE)
+            grants = [seen(row.key, row, GrantRow) for row in page]
+            empty = [one for one in grants if one.value and one.value.held == 0]
+            checks = tuple(one.check for one in empty)
+            drops = tuple(Delete(one.key) for one in empty)
+            if drops:
+                with suppress(ConflictError, UnknownOutcomeError):
+                    await self.table.commit(
+                        Transaction((journal.router.check, *checks), drops)
+                    )
+            if len(page) < DROPPED_AT_ONCE:
+                return
+            after = page[-1].key
+
     async def _close(self, journal: Journal) -> None:
         wish = close_transaction(journal.router)
         assert wish is not None
--- /dev/null
+++ b/tests/money/chaos.py
@@ -0,0 +1,373 @@
+"""Random interleavings of work and failures, from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.coordination import (
+    KeptAnswer,
+    Outcome,
+    RequestKind,
+    RequestState,
+    run_of,
+)
+from ebonyhold.document import Policy
+from ebonyhold.exceptions import EbonyholdError, OutcomeUnknownError, PlatformError
+from ebonyhold.experiments._memory_fleet import MemoryFleet, order
+from ebonyhold.money import Order, Permit, Replay, Treasury, refund, top_up
+from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
+from tests.money.stories import check_books, request
+
+WORKSPACES = ("w1", "w2")
+FAULTS = ("lose_answers", "lose_requests", "late", "duplicates", "throttled")
+
+Action = Callable[[], Awaitable[None]]
+
+
+@define
+class Chaos:
+    """One random history of a small fleet.
+
+    Attributes:
+        fleet: What it happens to.
+        random: The only source of chance.
+        tables: Each router's own view of the table, for partitions.
+        bookings: Attempts that the booking service ran, by request.
+        stores: Each router's own view of the object store.
+        completed: Requests that a caller saw complete.
+        dead: Routers that were killed or stopped.
+        started: Routers started.
+        requests: Chats with a key of their own.
+        topups: Calls for a top-up.
+        refused: Requests refused.
+    """
+
+    fleet: MemoryFleet
+    random: random.Random
+    tables: dict[str, MemoryTable] = field(factory=dict)
+    stores: dict[str, MemoryObjects] = field(factory=dict)
+    bookings: dict[str, int] = field(factory=dict)
+    completed: set[tuple[str, str]] = field(factory=set)
+    dead: list[str] = field(factory=list)
+    started: int = 0
+    requests: int = 0
+    topups: int = 0
+    refused: int = 0
+
+    async def play(self, steps: int) -> None:
+        """Let things happen, then mend everything and check the books."""
+        for workspace in WORKSPACES:
+            await self.fleet.top_up(workspace, 3000, "first")
+        for _ in range(3):
+            await self.start()
+        actions = self.actions()
+        async with anyio.create_task_group() as callers:
+            for _ in range(steps):
+                (action,) = self.random.choices(
+                    list(actions), weights=list(actions.values())
+                )
+                callers.start_soon(self.guard, action)
+                await anyio.sleep(self.random.expovariate(2.0))
+            self.mend()
+        await self.settle()
+        await self.check()
+
+    def actions(self) -> dict[Action, float]:
+        """Return what may happen, and how often."""
+        return {
+            self.chat: 30,
+            self.keyed_chat: 10,
+            self.booking: 12,
+            self.kill: 2,
+            self.start: 2,
+            self.recover_somebody: 2,
+            self.table_fault: 4,
+            self.store_fault: 2,
+            self.cut_table: 2,
+            self.cut_store: 1,
+            self.cut_link: 2,
+            self.lose_reply: 1,
+            self.flush: 2,
+            self.heal: 3,
+            self.add_tokens: 1,
+            self.give_back: 1,
+            self.drain: 1,
+            self.restart_engine: 0.5,
+        }
+
+    async def guard(self, action: Action) -> None:
+        """Run an action that the failures around it may end."""
+        try:
+            await action()
+        except PlatformError:
+            return
+
+    def some_router(self) -> Treasury | None:
+        """Choose a router at random."""
+        if not self.fleet.routers:
+            return None
+        name = self.random.choice(sorted(self.fleet.routers))
+        return self.fleet.routers[name].treasury
+
+    async def start(self) -> None:
+        """Start a router with a view of its own."""
+        if len(self.fleet.routers) >= 4:
+            return
+        self.started += 1
+        name = f"r{self.started}.1"
+        rows = self.fleet.table
+        table = MemoryTable(Faults(), rows.writes, rows.reads, rows.rows, rows.order)
+        store = MemoryObjects(Faults(), objects=self.fleet.objects.objects)
+        self.tables[name] = table
+        self.stores[name] = store
+        await self.fleet.start(name, table, store)
+
+    async def chat(self) -> None:
+        """Send a chat whose key nobody repeats."""
+        self.requests += 1
+        await self.ask(self.a_chat(f"u{self.requests}", keyed=False))
+
+    async def keyed_chat(self) -> None:
+        """Send a chat by one of a few keys, which others may be using."""
+        await self.ask(self.a_chat(f"k{self.random.randrange(12)}", keyed=True))
+
+    def a_chat(self, name: str, *, keyed: bool) -> Order:
+        """Make an order for a chat."""
+        workspace = self.random.choice(WORKSPACES)
+        hold = self.random.choice((40, 100, 200))
+        boot = self.fleet.engine.boot
+        return order(workspace, name, hold, keyed=keyed, boot=boot)
+
+    async def booking(self) -> None:
+        """Send a booking by one of a few keys."""
+        name = f"b{self.random.randrange(15)}"
+        boot = self.fleet.engine.boot
+        wish = order("w1", name, 5, RequestKind.BOOKING, keyed=True, boot=boot)
+        await self.ask(wish)
+
+    async def ask(self, wish: Order) -> None:
+        """Carry a request through a router, with pauses where they hurt."""
+        treasury = self.some_router()
+        if treasury is None:
+            return
+        try:
+            permit = await treasury.begin(wish)
+        except OutcomeUnknownError:
+            return
+        except EbonyholdError:
+            self.refused += 1
+            return
+        if isinstance(permit, Replay):
+            assert permit.answer.body == wish.request
+            return
+        await self.run(treasury, permit)
+
+    async def run(self, treasury: Treasury, permit: Permit) -> None:
+        """Dispatch an attempt, maybe after a long pause, and settle it."""
+        long = self.random.random() < 0.1
+        await anyio.sleep(self.random.uniform(5, 60) if long else 0.01)
+        alive = treasury.me in self.fleet.routers
+        if not alive:
+            return
+        engine = self.fleet.engine
+        wish = permit.order
+        if not engine.start(permit.attempt, 5, wish.boot):
+            await treasury.finish(permit, _outcome(permit, RequestState.NOT_RUN, 0))
+            return
+        if wish.kind is RequestKind.BOOKING:
+            count = self.bookings.get(wish.request, 0)
+            self.bookings[wish.request] = count + 1
+        await anyio.sleep(self.random.uniform(0.01, 5))
+        tokens = self.random.randrange(1, wish.hold)
+        if permit.attempt not in engine.attempts:
+            # The engine was restarted in between, and the stream broke.
+            state = RequestState.UNKNOWN
+            await treasury.finish(permit, _outcome(permit, state, wish.hold))
+            return
+        engine.progress(permit.attempt, tokens, last=True)
+        if treasury.me not in self.fleet.routers:
+            return
+        cost = 5 if wish.kind is RequestKind.BOOKING else 5 + tokens
+        outcome = _outcome(permit, RequestState.COMPLETE, cost)
+        await treasury.finish(permit, outcome, durable_within=1)
+        self.completed.add((wish.workspace, wish.request))
+
+    async def kill(self) -> None:
+        """End a router."""
+        if len(self.fleet.routers) < 2:
+            return
+        name = self.random.choice(sorted(self.fleet.routers))
+        self.fleet.kill(name)
+        self.dead.append(name)
+
+    async def recover_somebody(self) -> None:
+        """Recover any router, dead or alive, perhaps by two at once."""
+        names = sorted({*self.dead, *self.fleet.routers})
+        if not names:
+            return
+        name = self.random.choice(names)
+        async with anyio.create_task_group() as survivors:
+            for by in ("s.1", "s.2")[: self.random.randrange(1, 3)]:
+                survivors.start_soon(self.recover, name, by)
+
+    async def recover(self, name: str, by: str) -> None:
+        """Recover one router."""
+        with suppress(PlatformError):
+            await self.fleet.recover(name, by)
+
+    async def table_fault(self) -> None:
+        """Make the next calls of a router to the table go wrong."""
+        self.break_one(self.tables)
+
+    async def store_fault(self) -> None:
+        """Make the next calls of a router to the store go wrong."""
+        self.break_one(self.stores)
+
+    def break_one(
+        self, views: dict[str, MemoryTable] | dict[str, MemoryObjects]
+    ) -> None:
+        """Switch on one counted fault."""
+        name = self.random.choice(sorted(views))
+        fault = self.random.choice(FAULTS)
+        setattr(views[name].faults, fault, self.random.randrange(1, 4))
+
+    async def cut_table(self) -> None:
+        """Cut a router off from the table."""
+        self.tables[self.random.choice(sorted(self.tables))].faults.down = True
+
+    async def cut_store(self) -> None:
+        """Cut a router off from the store."""
+        self.stores[self.random.choice(sorted(self.stores))].faults.down = True
+
+    async def cut_link(self) -> None:
+        """Cut the way from one router to another."""
+        names = sorted(self.fleet.routers)
+        if len(names) >= 2:
+            one, other = self.random.sample(names, 2)
+            self.fleet.network.cut.add((one, other))
+
+    async def lose_reply(self) -> None:
+        """Lose the next answer between routers."""
+        self.fleet.network.lose_replies += 1
+
+    def faults(self) -> list[Faults]:
+        """Return the faults of every router's view of table and store."""
+        tables = [table.faults for table in self.tables.values()]
+        return tables + [store.faults for store in self.stores.values()]
+
+    async def flush(self) -> None:
+        """Let late calls arrive."""
+        for faults in self.faults():
+            await faults.flush()
+
+    async def restart_engine(self) -> None:
+        """Make the backend server forget what ran."""
+        self.fleet.engine.restart()
+
+    async def heal(self) -> None:
+        """Mend every partition."""
+        self.mend()
+
+    def mend(self) -> None:
+        """Mend every partition and switch off every fault."""
+        self.fleet.network.heal()
+        for faults in self.faults():
+            faults.down = False
+            for fault in FAULTS:
+                setattr(faults, fault, 0)
+
+    async def add_tokens(self) -> None:
+        """Top up a budget, with a key that is used twice."""
+        self.topups += 1
+        workspace = self.random.choice(WORKSPACES)
+        key = f"t{self.topups // 2}"
+        await top_up(self.fleet.table, workspace, key, 500)
+
+    async def give_back(self) -> None:
+        """Refund a part of some bill."""
+        key = f"u{self.random.randrange(1, self.requests + 2)}"
+        try:
+            await refund(self.fleet.table, "w1", key, "f", 3)
+        except ValueError:
+            return
+
+    async def drain(self) -> None:
+        """Stop a router that has nothing running."""
+        idle = [
+            name
+            for name, router in sorted(self.fleet.routers.items())
+            if not router.treasury.runs
+        ]
+        if len(idle) < 2:
+            return
+        treasury = self.fleet.routers[idle[0]].treasury
+        with anyio.move_on_after(20):
+            with suppress(EbonyholdError):
+                await treasury.drain()
+        if idle[0] in self.fleet.routers:
+            self.fleet.kill(idle[0])
+            self.dead.append(idle[0])
+
+    async def settle(self) -> None:
+        """Let the rest arrive and settle every router."""
+        await anyio.sleep(60)
+        await self.flush()
+        for name in sorted(self.fleet.routers):
+            treasury = self.fleet.routers[name].treasury
+            with anyio.move_on_after(60):
+                with suppress(EbonyholdError):
+                    await treasury.drain()
+            self.dead.append(name)
+        for name in self.tables:
+            report = await self.fleet.recover(name)
+            assert report.closed, report
+        await self.flush()
+        assert await self.fleet.recovery("s.1").sweep() == 0
+
+    async def check(self) -> None:
+        """Check everything that must hold whatever happened."""
+        await check_books(self.fleet)
+        for workspace in WORKSPACES:
+            assert self.fleet.budget(workspace).outstanding == 0
+        assert all(count == 1 for count in self.bookings.values()), self.bookings
+        for workspace, name in self.completed:
+            row = request(self.fleet, workspace, name)
+            assert row is not None, name
+            assert row.state is not RequestState.RUNNING, name
+            assert row.state is not RequestState.NOT_RUN, name
+            assert row.charge > 0, name
+        self.check_runs()
+
+    def check_runs(self) -> None:
+        """Check that what ran is not called "not run" by its own row."""
+        for row_key in self.fleet.table.matching("request/", "", 100_000):
+            _, workspace, name = row_key.key.split("/")
+            row = request(self.fleet, workspace, name)
+            assert row is not None
+            if row.state is RequestState.NOT_RUN:
+                ran = {run_of(attempt) for attempt in self.fleet.engine.ran}
+                assert run_of(row.attempt) not in ran, name
+
+
+def _outcome(permit: Permit, state: RequestState, charge: int) -> Outcome:
+    wish = permit.order
+    booked = wish.kind is RequestKind.BOOKING and state is RequestState.COMPLETE
+    answer = KeptAnswer(201, "text/plain", wish.request) if booked else None
+    return Outcome(
+        wish.workspace, wish.request, permit.attempt, state, charge, answer=answer
+    )
+
+
+async def play(fleet: MemoryFleet, seed: int, steps: int) -> Chaos:
+    """Play one history."""
+    chaos = Chaos(fleet, random.Random(seed))
+    await chaos.play(steps)
+    return chaos
+
+
+CHAOS_POLICY = Policy(grants="adaptive_transfer", grant_horizon=600)
