Test doubled transfers and late intents of refused requests

Cause: two mutants of the money survived the tests (a transfer counted twice; a refused request without an outcome). Change: one story for each.

--- a/tests/money/test_partitions.py
+++ b/tests/money/test_partitions.py
@@ -15,6 +15,7 @@
 )
 from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
 from ebonyhold.money import Incarnations, MoneyOptions, Permit, Treasury, top_up
+from ebonyhold.routers import TransferGiven
 from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 from tests.money.stories import (
     begin,
@@ -331,8 +332,6 @@
         given = next(iter(rich.accounts["w"].given.values()))
         fleet.table.faults.down = False
         successor = await fleet.start("b.2")
-        from ebonyhold.routers import TransferGiven
-
         late = TransferGiven("w", given.transfer, given.amount)
         await successor.take_given("a.1", late)
         assert "w" not in successor.accounts
@@ -443,3 +442,28 @@
             await treasury.begin(order("w", "r"))
 
     run(story)
+
+
+def test_transfer_that_arrives_twice() -> None:
+    """One transfer is delivered three times, two of them at the same moment."""
+
+    async def story(fleet: MemoryFleet) -> None:
+        rich, poor = await two_with_tokens(fleet)
+        fleet.network.lose_replies = 1
+        with pytest.raises(BudgetUnreachableError):
+            await begin(poor, order("w", "r1", 400))
+        given = next(iter(rich.accounts["w"].given.values()))
+        message = TransferGiven("w", given.transfer, given.amount)
+        before = poor.accounts["w"].ledger.available
+        async with anyio.create_task_group() as deliveries:
+            deliveries.start_soon(poor.take_given, "a.1", message)
+            deliveries.start_soon(poor.take_given, "a.1", message)
+        await poor.take_given("a.1", message)
+        assert poor.accounts["w"].ledger.available == before + given.amount
+        fleet.table.faults.down = False
+        await anyio.sleep(30)
+        await poor.drain()
+        await rich.drain()
+        await check_all_returned(fleet, "w")
+
+    run(story)
--- a/tests/money/test_platform_faults.py
+++ b/tests/money/test_platform_faults.py
@@ -277,3 +277,36 @@
         await check_books(fleet)
 
     run(story, Policy(grants="adaptive"))
+
+
+def test_refused_request_whose_intent_arrives_late() -> None:
+    """A request is refused as not run, and its intent reaches the journal later.
+
+    Both places swallowed the append, which arrives after the refusal.  Then the
+    router dies and the engine forgets.  The outcome that followed the intent
+    says that nothing ran, so the caller is not charged for a refused request.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 1000, "t")
+        treasury = await fleet.start("a.1")
+        warm = await begin(treasury, order("w", "r0"))
+        await treasury.finish(warm, ended(warm, 1))
+        await anyio.sleep(3)
+        fleet.table.faults.late = 100
+        fleet.objects.faults.late = 100
+        with pytest.raises(UnavailableError):
+            await treasury.begin(order("w", "r1", 50))
+        fleet.table.faults.late = 0
+        fleet.objects.faults.late = 0
+        await fleet.table.faults.flush()
+        await fleet.objects.faults.flush()
+        await anyio.sleep(0.5)
+        fleet.kill("a.1")
+        fleet.engine.restart()
+        report = await fleet.recover("a.1")
+        assert report.closed
+        assert fleet.budget("w").spent == 1
+        await check_all_returned(fleet, "w")
+
+    run(story)
