--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,6 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -15,9 +21,9 @@
 from ebonyhold.coordination._bills import (
     Bill,
     Filed,
+    LedgerChange,
     Settlement,
     Verdict,
-    Wish,
     filed_row,
     judge,
     make_bill,
@@ -28,7 +34,18 @@
     BreakerState,
     CircuitBreaker,
 )
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
+from ebonyhold.coordination._bucket import (
+    FairTurns,
+    TokenBucket,
+)
+from ebonyhold.coordination._choice import (
+    Candidate,
+    ChoicePolicy,
+    Wish,
+    make_policy,
+    policies,
+    policy,
+)
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
     ClaimAnswer,
@@ -36,12 +53,38 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._codec import (
+    from_bytes,
+    from_json,
+    to_bytes,
+    to_json,
+)
+from ebonyhold.coordination._configuration import (
+    INITIAL_TOPUP,
+    Fate,
+    HeadRow,
+    TopUp,
+    head_of,
+    may_adopt,
+    plan_apply,
+    plan_initial_topup,
+    resolve_publication,
+)
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
 from ebonyhold.coordination._grants import (
     GrantLedger,
     change_budget,
     change_grant,
 )
+from ebonyhold.coordination._heartbeats import (
+    Beat,
+    BeatKind,
+    MembershipOptions,
+    Outgoing,
+)
 from ebonyhold.coordination._journal import (
     JournalReading,
     append_transaction,
@@ -50,6 +93,7 @@
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
     CONFIG_HEAD,
+    CONFIG_VERSION_PREFIX,
     GRANT_PREFIX,
     REFUND_PREFIX,
     REQUEST_PREFIX,
@@ -58,9 +102,11 @@
     TRANSFER_PREFIX,
     archive_key,
     budget_key,
+    config_version_key,
     grant_key,
     grant_prefix,
     journal_prefix,
+    lease_key,
     refund_key,
     request_key,
     router_key,
@@ -68,6 +114,27 @@
     topup_key,
     transfer_key,
 )
+from ebonyhold.coordination._leases import (
+    HeldLease,
+    LeasePlan,
+    LeaseRow,
+    LeaseSighting,
+    parse_lease,
+    plan_acquire,
+    plan_release,
+    plan_renew,
+)
+from ebonyhold.coordination._members import (
+    Listed,
+    Member,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+    responsible,
+)
+from ebonyhold.coordination._membership import (
+    Membership,
+)
 from ebonyhold.coordination._operations import (
     plan_refund,
     plan_topup,
@@ -81,6 +148,10 @@
     grant_policies,
     grant_policy,
 )
+from ebonyhold.coordination._prefix import (
+    PrefixIndex,
+    prefix_hashes,
+)
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -90,7 +161,10 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import Backoff, RetryBudget
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
+)
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -117,6 +191,13 @@
     Seen,
     seen,
 )
+from ebonyhold.coordination._stops import (
+    Holding,
+    InProgress,
+    PlannedStop,
+    holdings,
+    is_stopped,
+)
 from ebonyhold.coordination._transactions import (
     Absent,
     AtVersion,
@@ -143,7 +224,9 @@
     "ARCHIVE_PREFIX",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
+    "CONFIG_VERSION_PREFIX",
     "GRANT_PREFIX",
+    "INITIAL_TOPUP",
     "MOST_REPEATS",
     "REFUND_PREFIX",
     "REQUEST_PREFIX",
@@ -151,37 +234,64 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
     "AtVersion",
     "AttemptState",
     "AttemptTruth",
     "Backoff",
+    "Beat",
+    "BeatKind",
     "Bill",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
+    "Candidate",
     "Check",
+    "ChoicePolicy",
     "CircuitBreaker",
     "ClaimAnswer",
     "ClaimDecision",
     "Delete",
+    "EjectionPolicy",
+    "Ejector",
     "FairTurns",
+    "Fate",
     "Filed",
     "GrantLedger",
     "GrantPolicy",
     "GrantRow",
     "GrantSize",
     "GrantView",
+    "HeadRow",
+    "HeldLease",
+    "Holding",
+    "InProgress",
     "Intent",
     "JournalEntry",
     "JournalReading",
     "JournalSegment",
     "KeptAnswer",
+    "LeasePlan",
+    "LeaseRow",
+    "LeaseSighting",
+    "LedgerChange",
+    "Listed",
+    "Member",
+    "MemberStatus",
+    "MemberUpdate",
+    "MemberView",
+    "Membership",
+    "MembershipOptions",
     "Objects",
     "Outcome",
+    "Outgoing",
+    "PlannedStop",
+    "PrefixIndex",
     "Put",
     "RefundRow",
+    "Refused",
     "RequestKind",
     "RequestRow",
     "RequestState",
@@ -192,8 +302,11 @@
     "Seal",
     "Seen",
     "Settlement",
+    "Share",
     "Table",
+    "Ticket",
     "TokenBucket",
+    "TopUp",
     "TopUpRow",
     "Transaction",
     "TransferIn",
@@ -213,6 +326,7 @@
     "claim_transaction",
     "close_grant",
     "close_transaction",
+    "config_version_key",
     "decide_claim",
     "filed_row",
     "find_grant_policy",
@@ -224,18 +338,35 @@
     "grant_policies",
     "grant_policy",
     "grant_prefix",
+    "head_of",
+    "holdings",
+    "is_stopped",
     "journal_prefix",
     "judge",
     "lapse_transfer",
+    "lease_key",
     "make_bill",
+    "make_policy",
+    "may_adopt",
     "next_attempt",
     "open_row",
+    "parse_lease",
+    "plan_acquire",
+    "plan_apply",
+    "plan_initial_topup",
     "plan_refund",
+    "plan_release",
+    "plan_renew",
     "plan_settlement",
     "plan_topup",
+    "policies",
+    "policy",
+    "prefix_hashes",
     "proves_not_run",
     "refund_key",
     "request_key",
+    "resolve_publication",
+    "responsible",
     "revoke_transfer",
     "router_key",
     "router_of",
--- a/ebonyhold/exceptions.py
+++ b/ebonyhold/exceptions.py
@@ -32,6 +32,33 @@
     code = "document_invalid"
 
 
+class ConfigurationError(EbonyholdError):
+    """A configuration version cannot be read or put into force."""
+
+    code = "configuration_damaged"
+
+
+class LostRaceError(EbonyholdError):
+    """Another version was accepted since the one this was based on.
+
+    Attributes:
+        version: The version in force.
+        author: The operator who published it.
+        changed: What differs between the version that this was based on and the
+            one in force.
+    """
+
+    code = "lost_race"
+
+    def __init__(
+        self, message: str, version: int, author: str, changed: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(message)
+        self.version = version
+        self.author = author
+        self.changed = changed
+
+
 class PlatformError(EbonyholdError):
     """The platform did not do what was asked."""
 
@@ -124,6 +151,20 @@
     code = "peer_error"
 
 
+class RefusedMessageError(PeerError):
+    """A message of another router was not accepted.
+
+    Attributes:
+        reason: A stable word for the cause, by which refusals are counted.
+    """
+
+    code = "peer_message_refused"
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
 class BackendError(EbonyholdError):
     """A backend server failed an attempt.
 
