--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -9,8 +9,6 @@
 from attrs import define, field, frozen
 
 from ebonyhold.backends import (
-    AttemptState,
-    AttemptTruth,
     Backends,
     BackendState,
     BrokenStreamError,
@@ -32,12 +30,14 @@
     Refusal,
 )
 from ebonyhold.coordination import (
+    AttemptState,
+    AttemptTruth,
     Backoff,
+    Need,
     Outcome,
     RequestKind,
     RequestState,
     RetryBudget,
-    Wish,
 )
 from ebonyhold.exceptions import BackendError
 from ebonyhold.money import Money, Order, Permit, Replay
@@ -144,9 +144,9 @@
         Raises:
             Refusal: None is left.
         """
-        wish = Wish(self.ask.words, self.ask.most, self.priority)
+        need = Need(self.ask.words, self.ask.most, self.priority)
         state = self.backends.choose(
-            self.ask.route.model, wish, self.ask.hashes, self.tried
+            self.ask.route.model, need, self.ask.hashes, self.tried
         )
         if state is None:
             raise self.refusal()
