--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -13,10 +13,18 @@
 TRANSFER_PREFIX = "transfer/"
 ARCHIVE_PREFIX = "archive/"
 CONFIG_HEAD = "config/head"
+CONFIG_VERSION_PREFIX = "config/version/"
 
 SEGMENT_DIGITS = 10
 """Enough for a segment every millisecond for a hundred days."""
 
+VERSION_DIGITS = 10
+
+
+def config_version_key(version: int) -> str:
+    """Return the key of a configuration version's history row."""
+    return f"{CONFIG_VERSION_PREFIX}{version:0{VERSION_DIGITS}d}"
+
 
 def budget_key(workspace: WorkspaceName) -> str:
     """Return the key of a workspace's budget row."""
@@ -71,3 +79,8 @@
 def segment_key(router: RouterId, number: int) -> str:
     """Return the key of one journal segment."""
     return f"{journal_prefix(router)}{number:0{SEGMENT_DIGITS}d}"
+
+
+def lease_key(name: str) -> str:
+    """Return the key of a lease."""
+    return f"lease/{name}"
