--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -24,11 +24,7 @@
     make_bill,
     plan_settlement,
 )
-from ebonyhold.coordination._breaker import (
-    BreakerPolicy,
-    BreakerState,
-    CircuitBreaker,
-)
+from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
 from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
@@ -46,7 +42,6 @@
     decide_claim,
 )
 from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
-from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -57,31 +52,16 @@
     plan_apply,
     plan_initial_topup,
     resolve_publication,
-from ebonyhold.coordination._grants import (
-    GrantLedger,
-    change_budget,
-    change_grant,
-)
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
-from ebonyhold.coordination._choice import (
-    Candidate,
-    ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
 )
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
+from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
+from ebonyhold.coordination._journal import JournalReading, append_transaction
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -107,10 +87,26 @@
     topup_key,
     transfer_key,
 )
-from ebonyhold.coordination._operations import (
-    plan_refund,
-    plan_topup,
+from ebonyhold.coordination._leases import (
+    HeldLease,
+    LeasePlan,
+    LeaseRow,
+    LeaseSighting,
+    parse_lease,
+    plan_acquire,
+    plan_release,
+    plan_renew,
 )
+from ebonyhold.coordination._members import (
+    Listed,
+    Member,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+    responsible,
+)
+from ebonyhold.coordination._membership import Membership
+from ebonyhold.coordination._operations import plan_refund, plan_topup
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantPolicy,
@@ -130,32 +126,6 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
-from ebonyhold.coordination._leases import (
-    HeldLease,
-    LeasePlan,
-    LeaseRow,
-    LeaseSighting,
-    parse_lease,
-    plan_acquire,
-    plan_release,
-    plan_renew,
-)
-from ebonyhold.coordination._leases import (
-    resolve as resolve_lease,
-)
-from ebonyhold.coordination._leases import (
-    sight as sight_lease,
-)
-from ebonyhold.coordination._members import (
-    Listed,
-    Member,
-    MemberStatus,
-    MemberUpdate,
-    MemberView,
-    responsible,
-)
-from ebonyhold.coordination._membership import Membership
 from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
@@ -179,10 +149,7 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -217,8 +184,8 @@
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
-    "INITIAL_TOPUP",
     "GRANT_PREFIX",
+    "INITIAL_TOPUP",
     "MOST_REPEATS",
     "REFUND_PREFIX",
     "REQUEST_PREFIX",
@@ -233,9 +200,9 @@
     "AttemptState",
     "AttemptTruth",
     "Backoff",
-    "Bill",
     "Beat",
     "BeatKind",
+    "Bill",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
@@ -250,23 +217,21 @@
     "Ejector",
     "FairTurns",
     "Fate",
-    "GrantRow",
-    "HeadRow",
     "Filed",
     "GrantLedger",
     "GrantPolicy",
     "GrantRow",
     "GrantSize",
     "GrantView",
+    "HeadRow",
+    "HeldLease",
     "Holding",
     "InProgress",
-    "HeldLease",
     "Intent",
     "JournalEntry",
     "JournalReading",
     "JournalSegment",
     "KeptAnswer",
-    "Need",
     "LeasePlan",
     "LeaseRow",
     "LeaseSighting",
@@ -277,11 +242,12 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "Need",
     "Objects",
     "Outcome",
+    "Outgoing",
     "PlannedStop",
     "PrefixIndex",
-    "Outgoing",
     "Put",
     "RefundRow",
     "Refused",
@@ -314,7 +280,6 @@
     "append_transaction",
     "archive_key",
     "budget_key",
-    "config_version_key",
     "change_budget",
     "change_grant",
     "choice_policies",
@@ -322,6 +287,7 @@
     "claim_transaction",
     "close_grant",
     "close_transaction",
+    "config_version_key",
     "decide_claim",
     "filed_row",
     "find_grant_policy",
@@ -334,43 +300,33 @@
     "grant_policy",
     "grant_prefix",
     "head_of",
-    "journal_prefix",
-    "may_adopt",
-    "plan_apply",
-    "plan_initial_topup",
     "holdings",
     "is_stopped",
     "journal_prefix",
-    "make_policy",
-    "policies",
-    "policy",
-    "prefix_hashes",
-    "refund_key",
-    "request_key",
-    "resolve_publication",
     "judge",
     "lapse_transfer",
+    "lease_key",
     "make_bill",
     "make_choice_policy",
+    "may_adopt",
     "next_attempt",
     "open_row",
+    "parse_lease",
+    "plan_acquire",
+    "plan_apply",
+    "plan_initial_topup",
     "plan_refund",
+    "plan_release",
+    "plan_renew",
     "plan_settlement",
     "plan_topup",
     "prefix_hashes",
     "proves_not_run",
     "refund_key",
     "request_key",
-    "revoke_transfer",
-    "lease_key",
-    "parse_lease",
-    "plan_acquire",
-    "plan_release",
-    "plan_renew",
-    "refund_key",
-    "request_key",
-    "resolve_lease",
+    "resolve_publication",
     "responsible",
+    "revoke_transfer",
     "router_key",
     "router_of",
     "run_of",
@@ -379,7 +335,6 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
-    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
