--- a/ebonyhold/backends/_poll.py
+++ b/ebonyhold/backends/_poll.py
@@ -7,7 +7,7 @@
 import httpx
 
 from ebonyhold.backends._http import base_url
-from ebonyhold.backends._messages import CacheAction, CacheEvents, LoadReport
+from ebonyhold.backends._messages import CacheEvents, LoadReport
 from ebonyhold.backends._state import BackendState
 from ebonyhold.coordination import from_bytes
 from ebonyhold.document import Backend
@@ -65,11 +65,4 @@
         news = from_bytes(body, CacheEvents)
     except (ValueError, cattrs.BaseValidationError):
         return
-    for event in sorted(news.events, key=lambda item: item.sequence):
-        if event.sequence <= state.prefixes.sequence:
-            continue
-        state.prefixes.sequence = event.sequence
-        if event.action is CacheAction.STORED:
-            state.prefixes.stored(event.prefix)
-        else:
-            state.prefixes.removed(event.prefix)
+    state.learn(news.events)
--- a/ebonyhold/backends/_state.py
+++ b/ebonyhold/backends/_state.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 from attrs import define, field
 
-from ebonyhold.backends._messages import LoadReport
+from ebonyhold.backends._messages import CacheAction, CacheEvent, LoadReport
 from ebonyhold.coordination import Candidate, InProgress, PrefixIndex
 from ebonyhold.document import Backend
 from ebonyhold.types import AttemptId, RequestId, Seconds
@@ -77,6 +78,17 @@
         self.own_at_report = min(self.own, report.running + report.queued)
         self.boot = report.boot
 
+    def learn(self, events: Iterable[CacheEvent]) -> None:
+        """Take in cache events; those that were seen before change nothing."""
+        for event in sorted(events, key=lambda item: item.sequence):
+            if event.sequence <= self.prefixes.sequence:
+                continue
+            self.prefixes.sequence = event.sequence
+            if event.action is CacheAction.STORED:
+                self.prefixes.stored(event.prefix)
+            else:
+                self.prefixes.removed(event.prefix)
+
     def candidate(self, hashes: tuple[str, ...]) -> Candidate:
         """Return what the choice policy needs to know."""
         return Candidate(
