Drop an event of another answer inside a stream; test over sockets

Change: each event must carry the identifier of its attempt's first event, found by a search for bytes; a resumed attempt's events go out under the first one's. An engine that failed is tried again when no other is left, within the bound. Conclusion: crossed events are found with nothing decoded.

--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -103,6 +103,7 @@
             RefusedError: The engine did not take it.
             BackendError: The stream broke.
         """
+        check.begin()
         async with self.open(backend, call) as response:
             with anyio.move_on_after(self.timeouts.stall) as scope:
                 await self.deliver_events(response, check, deliver, scope)
--- a/ebonyhold/backends/_sse.py
+++ b/ebonyhold/backends/_sse.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import re
 
-from attrs import define, field
+from attrs import define
 
 from ebonyhold.backends._messages import Usage
 from ebonyhold.exceptions import BackendError
@@ -13,6 +14,7 @@
 MOST_EVENT = 1_048_576
 """The largest event, in bytes; a larger one is a fault, not an answer."""
 
+IDENTIFIER = re.compile(rb'"id": ?"[^"]*"')
 DONE = b"data: [DONE]"
 END = b"\n\n"
 
@@ -64,6 +66,9 @@
         usage: What the last attempt said it took.
         indexed: Whether the engine numbers its tokens, so that it can resume.
         opened: Whether anything was passed on.
+        first_mark: The answer's identifier, as the first attempt wrote it.
+        mark: The answer's identifier, as this attempt writes it.
+        skipped: Tokens that came again and were dropped.
     """
 
     usage_wanted: bool = False
@@ -73,7 +78,14 @@
     usage: Usage | None = None
     indexed: bool = True
     opened: bool = False
-    skipped: int = field(default=0)
+    first_mark: bytes = b""
+    mark: bytes = b""
+    skipped: int = 0
+
+    def begin(self) -> None:
+        """Start another attempt of the same answer."""
+        self.mark = b""
+        self.usage = None
 
     def take(self, event: bytes) -> bytes:
         """Return what of an event goes to the caller; empty for nothing.
@@ -84,12 +96,29 @@
         if self.done:
             raise BrokenStreamError("there is more after the end of the stream")
         if event.startswith(b"id: "):
-            return self.take_token(event)
+            return self.take_token(self.checked(event))
         if event == DONE:
             return self.take_done(event)
         if event.startswith(b":") or not event.strip():
             return b""
-        return self.take_decoded(event)
+        return self.take_decoded(self.checked(event))
+
+    def checked(self, event: bytes) -> bytes:
+        """Check that an event belongs to this answer.
+
+        Crossed answers show as events whose identifier differs from that of the
+        events before them, within one connection.  All events of one attempt
+        carry the same, so a search for it finds a stranger without decoding.  A
+        resumed attempt has another; the caller goes on reading the first.
+        """
+        if not self.mark:
+            self.mark = identifier(event)
+            self.first_mark = self.first_mark or self.mark
+        if self.mark not in event:
+            raise BrokenStreamError("an event belongs to another answer")
+        if self.mark and self.mark != self.first_mark:
+            return event.replace(self.mark, self.first_mark, 1)
+        return event
 
     def take_token(self, event: bytes) -> bytes:
         """Check the index of a token.
@@ -149,6 +178,16 @@
         return self.indexed and not self.done
 
 
+def identifier(event: bytes) -> bytes:
+    """Return the identifier of an event's answer as it is written, or nothing.
+
+    >>> identifier(b'data: {"id":"chatcmpl-7","choices":[]}')
+    b'"id":"chatcmpl-7"'
+    """
+    found = IDENTIFIER.search(event)
+    return found.group(0) if found else b""
+
+
 def read_usage(value: object) -> Usage:
     """Read a usage object, whatever an engine makes of it.
 
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -80,6 +80,8 @@
         priority: Larger is served first.
         traceparent: The W3C trace context, or empty.
         check: How far a streamed answer has come.
+        tried: Engines that failed an attempt; others come first.
+        barred: Engines that cannot be reached or do not want the request.
         usage: What a whole answer took, once it is there.
     """
 
@@ -98,6 +100,7 @@
     permit: Permit | None = None
     dangling: list[Dangling] = field(factory=list)
     tried: set[BackendName] = field(factory=set)
+    barred: set[BackendName] = field(factory=set)
     attempts: int = 0
     ended: bool = False
 
@@ -139,18 +142,19 @@
                 self.backends.changed()
 
     def choose(self) -> BackendState:
-        """Choose the next engine.
+        """Choose the next engine, best one that was not tried yet.
 
         Raises:
             Refusal: None is left.
         """
         need = Need(self.ask.words, self.ask.most, self.priority)
-        state = self.backends.choose(
-            self.ask.route.model, need, self.ask.hashes, self.tried
-        )
-        if state is None:
-            raise self.refusal()
-        return state
+        for avoided in (self.tried, self.barred):
+            state = self.backends.choose(
+                self.ask.route.model, need, self.ask.hashes, avoided
+            )
+            if state is not None:
+                return state
+        raise self.refusal()
 
     def refusal(self) -> Refusal:
         """Return why the request cannot go on."""
@@ -224,6 +228,8 @@
             Refusal: None may.
         """
         self.tried.add(state.backend.name)
+        if not error.ran:
+            self.barred.add(state.backend.name)
         self.note(state, error)
         if error.ran:
             self.dangle(state, permit)
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -5,12 +5,6 @@
 """
 
 from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
-from ebonyhold.coordination._admission import (
-    AdmissionQueue,
-    Refused,
-    Share,
-    Ticket,
-)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -39,22 +33,6 @@
     choice_policies,
     choice_policy,
     make_choice_policy,
-from ebonyhold.coordination._breaker import (
-    BreakerPolicy,
-    BreakerState,
-    CircuitBreaker,
-)
-from ebonyhold.coordination._bucket import (
-    FairTurns,
-    TokenBucket,
-)
-from ebonyhold.coordination._choice import (
-    Candidate,
-    ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -63,12 +41,7 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import (
-    from_bytes,
-    from_json,
-    to_bytes,
-    to_json,
-)
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -82,16 +55,6 @@
 )
 from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
 from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
-)
-from ebonyhold.coordination._ejection import (
-    EjectionPolicy,
-    Ejector,
-)
-from ebonyhold.coordination._grants import (
-    GrantLedger,
-    change_budget,
-    change_grant,
-)
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
@@ -99,10 +62,6 @@
     Outgoing,
 )
 from ebonyhold.coordination._journal import JournalReading, append_transaction
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -168,48 +127,6 @@
     settle_run,
 )
 from ebonyhold.coordination._retry import Backoff, RetryBudget
-)
-from ebonyhold.coordination._members import (
-    Listed,
-    Member,
-    MemberStatus,
-    MemberUpdate,
-    MemberView,
-    responsible,
-)
-from ebonyhold.coordination._membership import (
-    Membership,
-)
-from ebonyhold.coordination._operations import (
-    plan_refund,
-    plan_topup,
-)
-from ebonyhold.coordination._policies import (
-    AloneMixin,
-    GrantPolicy,
-    GrantSize,
-    GrantView,
-    find_grant_policy,
-    grant_policies,
-    grant_policy,
-)
-from ebonyhold.coordination._prefix import (
-    PrefixIndex,
-    prefix_hashes,
-)
-from ebonyhold.coordination._recovery import (
-    Witness,
-    close_grant,
-    close_transaction,
-    open_row,
-    proves_not_run,
-    seal_transaction,
-    settle_run,
-)
-from ebonyhold.coordination._retry import (
-    Backoff,
-    RetryBudget,
-)
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -357,7 +274,6 @@
     "TransferRow",
     "TransferState",
     "Verdict",
-    "Wish",
     "Witness",
     "Write",
     "announce_transfer",
@@ -392,7 +308,6 @@
     "lease_key",
     "make_bill",
     "make_choice_policy",
-    "make_policy",
     "may_adopt",
     "next_attempt",
     "open_row",
@@ -405,8 +320,6 @@
     "plan_renew",
     "plan_settlement",
     "plan_topup",
-    "policies",
-    "policy",
     "prefix_hashes",
     "proves_not_run",
     "refund_key",
--- a/tests/callers/kit.py
+++ b/tests/callers/kit.py
@@ -48,6 +48,7 @@
     error: Exception | None = None
     replay: Replay | None = None
     delay: float = 0.0
+    finished: anyio.Event = field(factory=anyio.Event)
 
     async def begin(self, order: Order) -> Permit | Replay:
         await anyio.sleep(self.delay)
@@ -72,6 +73,7 @@
         assert permit.attempt == outcome.attempt
         self.log.append(f"finish {durable_within:g}")
         self.outcomes.append(outcome)
+        self.finished.set()
 
 
 @define
--- a/tests/callers/test_faults.py
+++ b/tests/callers/test_faults.py
@@ -28,6 +28,9 @@
 RESET = httpx.ReadError("reset")
 HALF = httpx.RemoteProtocolError("closed early")
 TRICKLE: list[bytes | Exception | float] = [b"d", 1.0] * 30
+NAMED = b'data: {"id":"c-1","choices":[{"delta":{}}]}\n\n'
+MINE = token(0).replace(b"{", b'{"id":"c-1",', 1)
+STRANGE = token(1).replace(b"{", b'{"id":"c-2",', 1)
 ALL = [token(index) for index in range(TOKENS)]
 
 
@@ -53,6 +56,7 @@
     "trickled event": sends(opening(), ALL[0], *TRICKLE),
     "ends without its end": sends(opening(), *ALL),
     "ends without finish reason": sends(opening(), *ALL, closing()[2]),
+    "a stranger's token": sends(NAMED, MINE, NAMED, STRANGE, *ALL[2:]),
     "a token missing": sends(opening(), *ALL[:2], *ALL[3:], *closing()),
     "malformed event": sends(opening(), ALL[0], b"data: {half\n\n"),
     "malformed index": sends(opening(), b"id: x\ndata: {}\n\n"),
@@ -196,7 +200,7 @@
     assert b'"outcome":"unknown"' in heard.body
     (outcome,) = bench.money.outcomes
     assert outcome.state is RequestState.INTERRUPTED
-    assert 2 <= outcome.charge <= 4
+    assert outcome.charge == len(heard.text.split()) >= 2
 
 
 async def test_resume_asks_for_the_next_token() -> None:
--- /dev/null
+++ b/tests/callers/test_loopback.py
@@ -0,0 +1,225 @@
+"""The whole request path over real sockets: unmodified client, router, engine."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any, cast
+
+import anyio
+import httpx
+import openai
+import pytest
+from attrs import evolve, field, frozen
+
+from ebonyhold._asgi import Receive, Scope, Send
+from ebonyhold.backends import Backends
+from ebonyhold.callers import CallersApp
+from ebonyhold.document import BackendKind, Document
+from ebonyhold.fleet import FleetView
+from ebonyhold.standins import EngineProfile, expected_text
+from ebonyhold.standins.http import (
+    App,
+    ServiceProfile,
+    build_engine,
+    build_service,
+    running,
+)
+from tests.callers.kit import KEY, FakeMoney, make_document
+
+pytestmark = pytest.mark.anyio
+MESSAGES: list[Any] = [{"role": "user", "content": "which wood burns long"}]
+QUICK = EngineProfile(step=0.001, step_each=0.0, load_lag=0.0)
+TEXT = expected_text("assistant", MESSAGES, 512)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Hypercorn needs asyncio."""
+    return "asyncio"
+
+
+@frozen
+class Served:
+    """An application as the stand-ins' server wants it."""
+
+    app: CallersApp
+    background: Sequence[Any] = field(factory=tuple)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await self.app(scope, receive, send)
+
+
+@frozen
+class Rig:
+    """A router in front of stand-ins, on loopback."""
+
+    url: str
+    engines: tuple[str, ...]
+    service: str
+    money: FakeMoney
+    app: CallersApp
+
+    def client(self, key: str = KEY) -> openai.AsyncOpenAI:
+        """Return an unmodified client of the protocol."""
+        return openai.AsyncOpenAI(
+            api_key=key, base_url=f"{self.url}/v1", max_retries=0, timeout=10.0
+        )
+
+    async def control(self, engine: int, **switches: Any) -> None:
+        """Set switches of an engine."""
+        async with httpx.AsyncClient() as client:
+            url = f"{self.engines[engine]}/control"
+            (await client.post(url, json=switches)).raise_for_status()
+
+    async def records(self, url: str) -> Any:
+        """Return a stand-in's records."""
+        async with httpx.AsyncClient() as client:
+            return (await client.get(f"{url}/records")).json()
+
+
+@asynccontextmanager
+async def rig(engines: int = 2) -> AsyncIterator[Rig]:
+    """Serve a router in front of stand-in engines and one plain service."""
+    async with AsyncExitStack() as stack:
+        urls = [
+            await stack.enter_async_context(running(build_engine(QUICK)))
+            for _ in range(engines)
+        ]
+        service = await stack.enter_async_context(
+            running(build_service(ServiceProfile()))
+        )
+        fleet = FleetView(with_addresses(urls, service), version=1, domain="d0")
+        backends = Backends(fleet, rng=random.Random(1), poll_every=0.05)
+        money = FakeMoney()
+        app = CallersApp(money, fleet, backends)
+        url = await stack.enter_async_context(running(cast("App", Served(app))))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(backends.run)
+            yield Rig(url, tuple(urls), service, money, app)
+            tasks.cancel_scope.cancel()
+
+
+def with_addresses(engines: Sequence[str], service: str) -> Document:
+    """Return a document whose servers are at these URLs."""
+    document = make_document(engines=len(engines), service_count=1)
+    urls = {f"e{index}": url for index, url in enumerate(engines)} | {"s0": service}
+    placed = tuple(
+        evolve(
+            backend,
+            address=urls[backend.name].removeprefix("http://"),
+            slots=16 if backend.kind is BackendKind.ENGINE else backend.slots,
+        )
+        for backend in document.backends
+    )
+    return evolve(document, backends=placed)
+
+
+async def test_unmodified_client_streams() -> None:
+    async with rig() as here, here.client() as client:
+        stream = await client.chat.completions.create(
+            model="assistant",
+            messages=MESSAGES,
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+        text, usage = "", None
+        async for chunk in stream:
+            usage = chunk.usage or usage
+            for choice in chunk.choices:
+                text += choice.delta.content or ""
+    assert text == TEXT
+    assert usage is not None
+    assert usage.completion_tokens == len(TEXT.split())
+    assert here.money.outcomes[0].charge == usage.total_tokens
+
+
+async def test_unmodified_client_whole() -> None:
+    async with rig() as here, here.client() as client:
+        answer = await client.chat.completions.create(
+            model="assistant", messages=MESSAGES, max_tokens=5
+        )
+        models = [model.id async for model in client.models.list()]
+    assert answer.choices[0].message.content is not None
+    assert answer.choices[0].message.content.split() == TEXT.split()[:5]
+    assert answer.choices[0].finish_reason == "length"
+    assert models == ["assistant"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "key", "model", "code"),
+    [
+        (openai.AuthenticationError, "wrong", "assistant", "key_unknown"),
+        (openai.NotFoundError, KEY, "other", "model_unknown"),
+    ],
+)
+async def test_unmodified_client_understands_refusals(
+    kind: type[openai.APIStatusError], key: str, model: str, code: str
+) -> None:
+    async with rig(engines=1) as here, here.client(key) as client:
+        with pytest.raises(kind) as caught:
+            await client.chat.completions.create(model=model, messages=MESSAGES)
+    assert caught.value.code == code
+    assert caught.value.request_id
+
+
+FAULTS = ["die", "half", "crossed", "malformed", "oversized", "doubled", "skipped"]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_a_faulty_engine_over_sockets(fault: str) -> None:
+    """An engine's answer goes wrong after three tokens.
+
+    The client reads the whole answer, from the other engine where it must.
+    """
+    async with rig() as here, here.client() as client:
+        for engine in (0, 1):
+            trouble = {"kind": fault, "after": 3, "count": 1}
+            await here.control(engine, stream=trouble)
+        for _ in range(3):
+            answer = await client.chat.completions.create(
+                model="assistant", messages=MESSAGES, stream=True
+            )
+            text = ""
+            async for chunk in answer:
+                for choice in chunk.choices:
+                    text += choice.delta.content or ""
+            assert text == TEXT
+    assert len(here.money.outcomes) == 3
+
+
+async def test_caller_that_goes_away_over_sockets() -> None:
+    """A client closes its connection in the middle of a slow stream.
+
+    The engine's attempt ends as cancelled, and the bill says what it ran.
+    """
+    async with rig(engines=1) as here:
+        await here.control(0, slowdown=20.0)
+        async with httpx.AsyncClient() as client:
+            request = client.build_request(
+                "POST",
+                f"{here.url}/v1/chat/completions",
+                json={"model": "assistant", "messages": MESSAGES, "stream": True},
+                headers={"Authorization": f"Bearer {KEY}"},
+            )
+            response = await client.send(request, stream=True)
+            await anext(response.aiter_raw())
+            await response.aclose()
+        with anyio.fail_after(5):
+            await here.money.finished.wait()
+        records = await here.records(here.engines[0])
+    (outcome,) = here.money.outcomes
+    assert "cancelled" in str(records)
+    assert 0 < outcome.charge < len(TEXT.split())
+
+
+async def test_booking_over_sockets() -> None:
+    async with rig(engines=1) as here, httpx.AsyncClient() as client:
+        headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": "k-1"}
+        url = f"{here.url}/services/booking"
+        answer = await client.post(f"{url}/bookings", json={"slot": 1}, headers=headers)
+        stock = await client.get(f"{url}/stock", headers=headers)
+    assert (answer.status_code, answer.json()["booking"]) == (201, 1)
+    assert stock.json()["booked"] == 1
+    assert here.money.outcomes[0].charge == 5
