--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -22,9 +22,9 @@
     Ejector,
     Holding,
     InProgress,
-    Wish,
+    Need,
     holdings,
-    make_policy,
+    make_choice_policy,
 )
 from ebonyhold.document import Backend, BackendKind
 from ebonyhold.exceptions import UnavailableError
@@ -158,7 +158,7 @@
     def choose(
         self,
         model: str,
-        wish: Wish,
+        need: Need,
         hashes: tuple[str, ...],
         tried: Iterable[BackendName] = (),
     ) -> BackendState | None:
@@ -172,7 +172,7 @@
         if not roomy:
             return None
         candidates = [state.candidate(hashes) for state in roomy]
-        chosen = self.policy().choose(wish, candidates, self.rng)
+        chosen = self.policy().choose(need, candidates, self.rng)
         return self.states[chosen.name]
 
     def choose_service(
@@ -188,7 +188,7 @@
         """Return the choice policy that the document names."""
         name = self.fleet.document.policy.choice
         if name not in self.policies:
-            self.policies[name] = make_policy(name)
+            self.policies[name] = make_choice_policy(name)
         return self.policies[name]
 
     async def close_attempt(
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,12 +4,7 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import (
-    AdmissionQueue,
-    Refused,
-    Share,
-    Ticket,
-)
+from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -40,13 +35,15 @@
     FairTurns,
     TokenBucket,
 )
+from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
+from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
+    Need,
+    choice_policies,
+    choice_policy,
+    make_choice_policy,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -55,12 +52,7 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import (
-    from_bytes,
-    from_json,
-    to_bytes,
-    to_json,
-)
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -72,25 +64,15 @@
     plan_initial_topup,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import (
-    EjectionPolicy,
-    Ejector,
-)
-from ebonyhold.coordination._grants import (
-    GrantLedger,
-    change_budget,
-    change_grant,
-)
+from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
+from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
+from ebonyhold.coordination._journal import JournalReading, append_transaction
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -134,13 +116,8 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import (
-    Membership,
-)
-from ebonyhold.coordination._operations import (
-    plan_refund,
-    plan_topup,
-)
+from ebonyhold.coordination._membership import Membership
+from ebonyhold.coordination._operations import plan_refund, plan_topup
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantPolicy,
@@ -150,10 +127,7 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import (
-    PrefixIndex,
-    prefix_hashes,
-)
+from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -163,10 +137,7 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import (
-    Backoff,
-    RetryBudget,
-)
+from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -189,10 +160,7 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -287,6 +255,7 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "Need",
     "Objects",
     "Outcome",
     "Outgoing",
@@ -317,7 +286,6 @@
     "TransferRow",
     "TransferState",
     "Verdict",
-    "Wish",
     "Witness",
     "Write",
     "announce_transfer",
@@ -326,6 +294,8 @@
     "budget_key",
     "change_budget",
     "change_grant",
+    "choice_policies",
+    "choice_policy",
     "claim_transaction",
     "close_grant",
     "close_transaction",
@@ -349,7 +319,7 @@
     "lapse_transfer",
     "lease_key",
     "make_bill",
-    "make_policy",
+    "make_choice_policy",
     "may_adopt",
     "next_attempt",
     "open_row",
@@ -362,8 +332,6 @@
     "plan_renew",
     "plan_settlement",
     "plan_topup",
-    "policies",
-    "policy",
     "prefix_hashes",
     "proves_not_run",
     "refund_key",
