--- a/ebonyhold/coordination/_heartbeats.py
+++ b/ebonyhold/coordination/_heartbeats.py
@@ -62,8 +62,9 @@
         target: For a relay: whom to probe.
         address: For a relay: where it is reached.
         after: In a probe: the sender lacks members, and wants those whose
-            identifier follows this one; None when it lacks none.
+            identifiers follow this one; None when it lacks none.
         known: How many present members the sender knows.
+        page_end: In an answer to that: the last identifier of the page.
     """
 
     kind: BeatKind
@@ -73,6 +74,7 @@
     address: str = ""
     after: str | None = None
     known: int = 0
+    page_end: str = ""
 
 
 @frozen
--- a/ebonyhold/coordination/_members.py
+++ b/ebonyhold/coordination/_members.py
@@ -104,16 +104,28 @@
 
     Attributes:
         members: By incarnation.
+        by_name: The incarnations of each name.
+        by_address: The newest incarnation at each address.
         listed: The platform's list by name, as last read; None before.
+        present_count: How many members are not gone.
     """
 
     members: dict[RouterId, Member] = field(factory=dict)
+    by_name: dict[str, list[Member]] = field(factory=dict)
+    by_address: dict[str, Member] = field(factory=dict)
     listed: dict[str, Listed] | None = None
+    present_count: int = 0
 
     def present(self) -> list[Member]:
         """Return the members that are not gone."""
         return [member for member in self.members.values() if member.present]
 
+    def is_superseded(self, member: Member) -> bool:
+        """Say whether a later incarnation of the same name is known."""
+        started = member.update.started
+        same = self.by_name.get(member.update.name, [])
+        return any(other.update.started > started for other in same)
+
     def merge(self, update: MemberUpdate, now: Seconds) -> bool:
         """Take in one statement; return whether it was news.
 
@@ -124,21 +136,33 @@
         if member is not None and update.order <= member.update.order:
             return False
         if member is None:
-            member = self.members[update.router] = Member(update)
-        member.update = update
-        self.stamp(member, now)
+            member = self.add(update)
+        self.change(member, update, now)
         self.replace_older(update, now)
         return True
 
-    def stamp(self, member: Member, now: Seconds) -> None:
-        """Set the member's times to fit its new status."""
-        status = member.update.status
-        if status is MemberStatus.ALIVE:
+    def add(self, update: MemberUpdate) -> Member:
+        """Begin to know an incarnation."""
+        member = Member(update)
+        self.members[update.router] = member
+        self.by_name.setdefault(update.name, []).append(member)
+        self.present_count += member.present
+        known = self.by_address.get(update.address)
+        if known is None or known.update.started <= update.started:
+            self.by_address[update.address] = member
+        return member
+
+    def change(self, member: Member, update: MemberUpdate, now: Seconds) -> None:
+        """Set what holds of a member, and its times to fit."""
+        self.present_count -= member.present
+        member.update = update
+        self.present_count += member.present
+        if update.status is MemberStatus.ALIVE:
             member.silent_at = None
-        elif status is MemberStatus.SUSPECT and member.silent_at is None:
+        elif update.status is MemberStatus.SUSPECT and member.silent_at is None:
             member.silent_at = now
-        gone = status is MemberStatus.GONE
-        member.gone_at = (member.gone_at or now) if gone else None
+        gone_at = now if member.gone_at is None else member.gone_at
+        member.gone_at = None if member.present else gone_at
 
     def replace_older(self, update: MemberUpdate, now: Seconds) -> None:
         """Call the older incarnations of a name gone for ever.
@@ -147,20 +171,20 @@
         gone, which would show as a healthy router being sealed.  The start
         times order the two whatever the order of arrival.
         """
-        same = [
-            member
-            for member in self.members.values()
-            if member.update.name == update.name
-        ]
-        newest = max(same, key=lambda member: member.update.started)
-        for member in same:
-            if member.update.started < newest.update.started and member.present:
-                member.update = final(member.update)
-                self.stamp(member, now)
-
-    def forget(self, router: RouterId) -> None:
+        for member in self.by_name[update.name]:
+            if self.is_superseded(member):
+                self.change(member, final(member.update), now)
+
+    def forget(self, member: Member) -> None:
         """Remove a member."""
-        self.members.pop(router, None)
+        update = member.update
+        del self.members[update.router]
+        self.present_count -= member.present
+        self.by_name[update.name].remove(member)
+        if not self.by_name[update.name]:
+            del self.by_name[update.name]
+        if self.by_address.get(update.address) is member:
+            del self.by_address[update.address]
 
 
 def final(update: MemberUpdate) -> MemberUpdate:
--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -33,7 +33,13 @@
 from ebonyhold.types import RouterId, Seconds
 
 JOIN_HURRY = 0.5
-"""Multiplies the period while a router still collects the list of members."""
+"""Multiplies the period while a router that has started lacks members."""
+
+JOIN_PERIODS = 60
+"""For how many periods after its start a router is in that hurry."""
+
+COMPLETE = 0.9
+"""The part of the fleet that a router must know to ask for no more pages."""
 
 
 @define
@@ -92,10 +98,13 @@
         self.probe: Probe | None = None
         self.next_probe_at = self.wake_at
         self.sequence = 0
-        self.round: list[tuple[RouterId, str]] = []
+        self.round: list[str] = []
         self.rumours = Rumours(self.options.updates, self.options.repeats)
         self.relayed: dict[int, RelayedProbe] = {}
-        self.cursor: str | None = ""
+        self.cursor = me.router
+        self.known_elsewhere = 0
+        self.joining = True
+        self.hurry_until = now + JOIN_PERIODS * self.options.period
         self.suspicions = 0
         self.pauses = 0
 
@@ -149,13 +158,9 @@
 
     def is_superseded(self, member: Member) -> bool:
         """Say whether a later incarnation of the same name is known."""
-        name, started = member.update.name, member.update.started
-        if name == self.me.name and started < self.me.started:
-            return True
-        return any(
-            other.update.name == name and other.update.started > started
-            for other in self.view.members.values()
-        )
+        update = member.update
+        own = update.name == self.me.name and update.started < self.me.started
+        return own or self.view.is_superseded(member)
 
     def is_listed(self, member: Member) -> bool:
         """Say whether the platform lists the member; True while no list was read."""
@@ -166,7 +171,7 @@
         """Say whether this router and those present are at least half of all."""
         listed = self.view.listed
         known = len(self.view.members if listed is None else listed)
-        return 2 * (len(self.view.present()) + 1) >= known + 1
+        return 2 * (self.view.present_count + 1) >= known + 1
 
     def suspicion_length(self, member: Member) -> Seconds:
         """Return how long a suspicion may last before the member is called gone.
@@ -174,7 +179,7 @@
         It grows with the logarithm of the fleet, as the time does that a
         suspicion and its refutation need to reach everybody.
         """
-        doublings = math.log2(len(self.view.present()) + 2)
+        doublings = math.log2(self.view.present_count + 2)
         length = self.options.suspicion * max(doublings, 2.0) * self.options.period
         if not self.is_listed(member):
             length *= self.options.unlisted_factor
@@ -219,19 +224,28 @@
             self.end_probe(now)
             self.expire(now)
             out += self.start_probe()
-            self.next_probe_at = now + self.wait()
+            self.next_probe_at = now + self.wait(now)
             self.wake_at = min(now + self.options.answer_within, self.next_probe_at)
         else:
             out += self.ask_relays(now)
             self.wake_at = self.next_probe_at
         return out
 
-    def wait(self) -> Seconds:
-        """Return the time to the next probe: short while members are lacking."""
+    def wait(self, now: Seconds) -> Seconds:
+        """Return the time to the next probe."""
         spread = 0.9 + 0.2 * self.rng.random()
-        lacking = self.cursor is not None and bool(self.view.members)
-        hurry = JOIN_HURRY if lacking else 1.0
-        return self.options.period * spread * hurry
+        self.joining = now < self.hurry_until and self.lacks_members()
+        return self.options.period * spread * (JOIN_HURRY if self.joining else 1.0)
+
+    def lacks_members(self) -> bool:
+        """Say whether this router knows fewer than it should.
+
+        One that has just started wants all of them.  Later a few may be missing:
+        the platform's list lags, and lists those that are gone.
+        """
+        expected = max(len(self.view.listed or {}), self.known_elsewhere)
+        enough = expected if self.joining else COMPLETE * expected
+        return self.view.present_count < enough
 
     def notice_pause(self, now: Seconds) -> None:
         """Trust no silence from a time when this process itself did not run.
@@ -281,7 +295,7 @@
         finished = listed is not None and member.update.name not in listed
         old = now > gone_at + self.options.forget_after
         if old and (finished or self.is_superseded(member)):
-            self.view.forget(member.update.router)
+            self.view.forget(member)
 
     def expire_suspicion(self, member: Member, now: Seconds) -> None:
         """End one suspicion, if it is time, for or against the member."""
@@ -295,39 +309,35 @@
 
     def start_probe(self) -> list[Outgoing]:
         """Probe the next router of a shuffled round."""
-        target = self.next_target()
-        if target is None:
+        address = self.next_address()
+        if address is None:
             return []
-        router, address = target
+        member = self.view.by_address.get(address)
+        router = "" if member is None else member.update.router
         self.sequence += 1
         self.probe = Probe(router, address, self.sequence)
         return [self.make_probe(router, address, self.sequence)]
 
-    def next_target(self) -> tuple[RouterId, str] | None:
+    def next_address(self) -> str | None:
         """Return whom to probe next: each once a round, in random order."""
         if not self.round:
-            self.round = self.targets()
+            self.round = self.addresses()
             self.rng.shuffle(self.round)
-        while self.round:
-            router, address = self.round.pop()
-            if not router or router in self.view.members:
-                return router, address
-        return None
+        return self.round.pop() if self.round else None
 
-    def targets(self) -> list[tuple[RouterId, str]]:
+    def addresses(self) -> list[str]:
         """Return whom to probe in a round.
 
-        The gone are among them: after a partition nobody else would find out
-        that they are back.
+        Those that are gone are among them: after a partition nobody else would
+        find out that they are back.
         """
-        members = [member.update for member in self.view.members.values()]
-        replaced = [m for m in self.view.members.values() if self.is_superseded(m)]
-        skip = {member.update.router for member in replaced}
-        known = {update.address for update in members} | {self.me.address}
         found = {entry.address for entry in (self.view.listed or {}).values()}
-        unknown = (found | self.seeds) - known
-        targets = [(m.router, m.address) for m in members if m.router not in skip]
-        return targets + [("", address) for address in sorted(unknown)]
+        known = {
+            member.update.address
+            for member in self.view.members.values()
+            if not self.is_superseded(member)
+        }
+        return sorted((found | known | self.seeds) - {self.me.address})
 
     def ask_relays(self, now: Seconds) -> list[Outgoing]:
         """Ask others to try, when the probe has had no answer yet."""
@@ -368,26 +378,24 @@
             return [self.answer_probe(member.update, beat)]
         if beat.kind is BeatKind.RELAY:
             return [self.start_relay(member.update, beat, now)]
-        return self.take_ack(member.update, beat)
+        return self.take_ack(beat)
 
     def answer_probe(self, prober: MemberUpdate, beat: Beat) -> Outgoing:
         """Acknowledge a probe, with a page of members for whoever lacks them."""
         ack = self.make_beat(BeatKind.ACK, beat.sequence, prober.router)
         if beat.after is not None:
-            ack = evolve(ack, updates=ack.updates + self.page_after(beat.after))
+            page = self.page_after(beat.after)
+            end = page[-1].router if page else ""
+            ack = evolve(ack, updates=ack.updates + page, page_end=end)
         return Outgoing(prober.router, prober.address, ack)
 
     def page_after(self, after: str) -> tuple[MemberUpdate, ...]:
-        """Return the next present members in the order of their identifiers."""
-        updates = sorted(
-            (
-                member.update
-                for member in self.view.present()
-                if member.update.router > after
-            ),
-            key=lambda update: update.router,
+        """Return the present members that follow an identifier, round and round."""
+        present = sorted(
+            (member.update for member in self.view.present()),
+            key=lambda update: (update.router <= after, update.router),
         )
-        return tuple(updates[: self.options.page])
+        return tuple(present[: self.options.page])
 
     def start_relay(self, origin: MemberUpdate, beat: Beat, now: Seconds) -> Outgoing:
         """Probe somebody for another router."""
@@ -398,7 +406,7 @@
         )
         return self.make_probe(beat.target, beat.address, self.sequence)
 
-    def take_ack(self, sender: MemberUpdate, beat: Beat) -> list[Outgoing]:
+    def take_ack(self, beat: Beat) -> list[Outgoing]:
         """End the probe that was answered, or pass the answer on."""
         relayed = self.relayed.pop(beat.sequence, None)
         if relayed is not None:
@@ -406,21 +414,14 @@
             return [Outgoing(relayed.origin, relayed.origin_address, ack)]
         if self.probe is not None and self.probe.sequence == beat.sequence:
             self.probe = None
-        self.turn_page(sender, beat)
+        self.turn_page(beat)
         return []
 
-    def turn_page(self, sender: MemberUpdate, beat: Beat) -> None:
-        """Move on in the list of members, or find that the view is complete."""
-        if self.cursor is None:
-            if beat.known > 1.2 * len(self.view.present()) + 2:
-                self.cursor = ""
-            return
-        page = [update.router for update in beat.updates[1:]]
-        later = [router for router in page if router > self.cursor]
-        if len(later) >= self.options.page:
-            self.cursor = sorted(later)[self.options.page - 1]
-        else:
-            self.cursor = None
+    def turn_page(self, beat: Beat) -> None:
+        """Note what the answer says of the members that are lacking here."""
+        self.known_elsewhere = beat.known
+        if beat.page_end:
+            self.cursor = beat.page_end
 
     # Statements.
 
@@ -452,7 +453,8 @@
     def make_probe(self, to: RouterId, address: str, sequence: int) -> Outgoing:
         """Return a probe."""
         beat = self.make_beat(BeatKind.PROBE, sequence, to)
-        return Outgoing(to, address, evolve(beat, after=self.cursor))
+        after = self.cursor if self.lacks_members() or not to else None
+        return Outgoing(to, address, evolve(beat, after=after))
 
     def send_probe(self, to: MemberUpdate) -> Outgoing:
         """Return a probe outside the usual round, whose answer is not awaited."""
@@ -461,7 +463,7 @@
 
     def make_beat(self, kind: BeatKind, sequence: int, to: RouterId) -> Beat:
         """Return a heartbeat with the statements that are due."""
-        known = len(self.view.present())
+        known = self.view.present_count
         rumours = self.rumours.take(to, known)
         updates = (self.me, *self.about(to), *rumours)
         return Beat(kind, sequence, updates, known=known)
--- a/ebonyhold/coordination/_rumours.py
+++ b/ebonyhold/coordination/_rumours.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 
 from attrs import define, field
 
-from ebonyhold.coordination._members import MemberUpdate
+from ebonyhold.coordination._members import MemberStatus, MemberUpdate
 from ebonyhold.types import RouterId
 
 
@@ -18,6 +19,18 @@
     sent: int = 0
 
 
+def urgency(rumour: Rumour) -> tuple[bool, int]:
+    """Return the rank of a statement; the least goes first.
+
+    When a whole fleet starts at once there are as many new members to tell of as
+    routers.  A suspicion or its refutation must not wait behind them, which would
+    show as healthy routers called gone; pages carry the new members anyway.
+    """
+    update = rumour.update
+    joins = update.status is MemberStatus.ALIVE and update.revision == 0
+    return (joins, rumour.sent)
+
+
 @define
 class Rumours:
     """The statements that are still being passed on.
@@ -44,9 +57,8 @@
             size: How many routers the fleet has.
         """
         enough = math.ceil(self.repeats * math.log2(size + 2))
-        fewest = sorted(self.waiting.values(), key=lambda rumour: rumour.sent)
-        others = [rumour for rumour in fewest if rumour.update.router != to]
-        chosen = others[: self.limit]
+        others = [one for one in self.waiting.values() if one.update.router != to]
+        chosen = heapq.nsmallest(self.limit, others, key=urgency)
         for rumour in chosen:
             rumour.sent += 1
             if rumour.sent >= enough:
