--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,25 +4,105 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
+from ebonyhold.coordination._attempts import (
+    AttemptState,
+    AttemptTruth,
+    first_attempt,
+    next_attempt,
+    router_of,
+    run_of,
+)
+from ebonyhold.coordination._bills import (
+    Bill,
+    Filed,
+    LedgerChange,
+    Settlement,
+    Verdict,
+    filed_row,
+    judge,
+    make_bill,
+    plan_settlement,
+)
 from ebonyhold.coordination._breaker import (
     BreakerPolicy,
     BreakerState,
     CircuitBreaker,
 )
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._bucket import (
+    FairTurns,
+    TokenBucket,
+)
+from ebonyhold.coordination._choice import (
+    Candidate,
+    ChoicePolicy,
+    Wish,
+    make_policy,
+    policies,
+    policy,
+)
+from ebonyhold.coordination._claims import (
+    MOST_REPEATS,
+    ClaimAnswer,
+    ClaimDecision,
+    claim_transaction,
+    decide_claim,
+)
+from ebonyhold.coordination._codec import (
+    from_bytes,
+    from_json,
+    to_bytes,
+    to_json,
+)
+from ebonyhold.coordination._configuration import (
+    INITIAL_TOPUP,
+    Fate,
+    HeadRow,
+    TopUp,
+    head_of,
+    may_adopt,
+    plan_apply,
+    plan_initial_topup,
+    resolve_publication,
+)
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
+from ebonyhold.coordination._grants import (
+    GrantLedger,
+    change_budget,
+    change_grant,
+)
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
+from ebonyhold.coordination._journal import (
+    JournalReading,
+    append_transaction,
+)
 from ebonyhold.coordination._keys import (
+    ARCHIVE_PREFIX,
     BUDGET_PREFIX,
     CONFIG_HEAD,
+    CONFIG_VERSION_PREFIX,
+    GRANT_PREFIX,
+    REFUND_PREFIX,
     REQUEST_PREFIX,
     ROUTER_PREFIX,
+    TOPUP_PREFIX,
+    TRANSFER_PREFIX,
+    archive_key,
     budget_key,
+    config_version_key,
     grant_key,
     grant_prefix,
     journal_prefix,
@@ -32,6 +112,7 @@
     router_key,
     segment_key,
     topup_key,
+    transfer_key,
 )
 from ebonyhold.coordination._leases import (
     HeldLease,
@@ -43,12 +124,6 @@
     plan_release,
     plan_renew,
 )
-from ebonyhold.coordination._leases import (
-    resolve as resolve_lease,
-)
-from ebonyhold.coordination._leases import (
-    sight as sight_lease,
-)
 from ebonyhold.coordination._members import (
     Listed,
     Member,
@@ -57,9 +132,41 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import Membership
-from ebonyhold.coordination._retry import Backoff, RetryBudget
+from ebonyhold.coordination._membership import (
+    Membership,
+)
+from ebonyhold.coordination._operations import (
+    plan_refund,
+    plan_topup,
+)
+from ebonyhold.coordination._policies import (
+    AloneMixin,
+    GrantPolicy,
+    GrantSize,
+    GrantView,
+    find_grant_policy,
+    grant_policies,
+    grant_policy,
+)
+from ebonyhold.coordination._prefix import (
+    PrefixIndex,
+    prefix_hashes,
+)
+from ebonyhold.coordination._recovery import (
+    Witness,
+    close_grant,
+    close_transaction,
+    open_row,
+    proves_not_run,
+    seal_transaction,
+    settle_run,
+)
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
+)
 from ebonyhold.coordination._rows import (
+    ArchiveRow,
     BudgetRow,
     GrantRow,
     Intent,
@@ -77,6 +184,19 @@
     TopUpRow,
     TransferIn,
     TransferOut,
+    TransferRow,
+    TransferState,
+)
+from ebonyhold.coordination._seen import (
+    Seen,
+    seen,
+)
+from ebonyhold.coordination._stops import (
+    Holding,
+    InProgress,
+    PlannedStop,
+    holdings,
+    is_stopped,
 )
 from ebonyhold.coordination._transactions import (
     Absent,
@@ -90,33 +210,73 @@
     Transaction,
     Write,
 )
+from ebonyhold.coordination._transfers import (
+    announce_transfer,
+    grant_keys,
+    lapse_transfer,
+    revoke_transfer,
+    settle_transfer,
+    transfer_ends,
+    transfer_name,
+)
 
 __all__ = [
+    "ARCHIVE_PREFIX",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
+    "CONFIG_VERSION_PREFIX",
+    "GRANT_PREFIX",
+    "INITIAL_TOPUP",
+    "MOST_REPEATS",
+    "REFUND_PREFIX",
     "REQUEST_PREFIX",
     "ROUTER_PREFIX",
+    "TOPUP_PREFIX",
+    "TRANSFER_PREFIX",
     "Absent",
+    "AdmissionQueue",
+    "AloneMixin",
+    "ArchiveRow",
     "AtVersion",
+    "AttemptState",
+    "AttemptTruth",
     "Backoff",
     "Beat",
     "BeatKind",
+    "Bill",
     "BreakerPolicy",
     "BreakerState",
     "BudgetRow",
+    "Candidate",
     "Check",
+    "ChoicePolicy",
     "CircuitBreaker",
+    "ClaimAnswer",
+    "ClaimDecision",
     "Delete",
+    "EjectionPolicy",
+    "Ejector",
     "FairTurns",
+    "Fate",
+    "Filed",
+    "GrantLedger",
+    "GrantPolicy",
     "GrantRow",
+    "GrantSize",
+    "GrantView",
+    "HeadRow",
     "HeldLease",
+    "Holding",
+    "InProgress",
     "Intent",
     "JournalEntry",
+    "JournalReading",
     "JournalSegment",
     "KeptAnswer",
     "LeasePlan",
     "LeaseRow",
     "LeaseSighting",
+    "LedgerChange",
     "Listed",
     "Member",
     "MemberStatus",
@@ -127,8 +287,11 @@
     "Objects",
     "Outcome",
     "Outgoing",
+    "PlannedStop",
+    "PrefixIndex",
     "Put",
     "RefundRow",
+    "Refused",
     "RequestKind",
     "RequestRow",
     "RequestState",
@@ -137,32 +300,86 @@
     "RouterState",
     "Row",
     "Seal",
+    "Seen",
+    "Settlement",
+    "Share",
     "Table",
+    "Ticket",
     "TokenBucket",
+    "TopUp",
     "TopUpRow",
     "Transaction",
     "TransferIn",
     "TransferOut",
+    "TransferRow",
+    "TransferState",
+    "Verdict",
+    "Wish",
+    "Witness",
     "Write",
+    "announce_transfer",
+    "append_transaction",
+    "archive_key",
     "budget_key",
+    "change_budget",
+    "change_grant",
+    "claim_transaction",
+    "close_grant",
+    "close_transaction",
+    "config_version_key",
+    "decide_claim",
+    "filed_row",
+    "find_grant_policy",
+    "first_attempt",
     "from_bytes",
     "from_json",
     "grant_key",
+    "grant_keys",
+    "grant_policies",
+    "grant_policy",
     "grant_prefix",
+    "head_of",
+    "holdings",
+    "is_stopped",
     "journal_prefix",
+    "judge",
+    "lapse_transfer",
     "lease_key",
+    "make_bill",
+    "make_policy",
+    "may_adopt",
+    "next_attempt",
+    "open_row",
     "parse_lease",
     "plan_acquire",
+    "plan_apply",
+    "plan_initial_topup",
+    "plan_refund",
     "plan_release",
     "plan_renew",
+    "plan_settlement",
+    "plan_topup",
+    "policies",
+    "policy",
+    "prefix_hashes",
+    "proves_not_run",
     "refund_key",
     "request_key",
-    "resolve_lease",
+    "resolve_publication",
     "responsible",
+    "revoke_transfer",
     "router_key",
+    "router_of",
+    "run_of",
+    "seal_transaction",
+    "seen",
     "segment_key",
-    "sight_lease",
+    "settle_run",
+    "settle_transfer",
     "to_bytes",
     "to_json",
     "topup_key",
+    "transfer_ends",
+    "transfer_key",
+    "transfer_name",
 ]
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -3,6 +3,8 @@
 from ebonyhold.routers._envelope import Envelopes, Opened
 from ebonyhold.routers._fake import FakeLink, FakeNetwork
 from ebonyhold.routers._interface import (
+    ConfigurationReply,
+    ConfigurationRequest,
     FateReply,
     FateRequest,
     Handler,
@@ -17,6 +19,8 @@
 from ebonyhold.routers._registry import PeerMessage, peer_message
 
 __all__ = [
+    "ConfigurationReply",
+    "ConfigurationRequest",
     "Envelopes",
     "FakeLink",
     "FakeNetwork",
