--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -123,6 +123,8 @@
     plan_acquire,
     plan_release,
     plan_renew,
+    resolve_lease,
+    sight_lease,
 )
 from ebonyhold.coordination._members import (
     Listed,
@@ -365,6 +367,7 @@
     "proves_not_run",
     "refund_key",
     "request_key",
+    "resolve_lease",
     "resolve_publication",
     "responsible",
     "revoke_transfer",
@@ -376,6 +379,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
--- a/ebonyhold/coordination/_leases.py
+++ b/ebonyhold/coordination/_leases.py
@@ -99,7 +99,9 @@
         raise ValueError(f"{row.key} is no lease") from error
 
 
-def sight(previous: LeaseSighting | None, row: Row, now: Seconds) -> LeaseSighting:
+def sight_lease(
+    previous: LeaseSighting | None, row: Row, now: Seconds
+) -> LeaseSighting:
     """Note that the row was read; the time counts from the first such reading."""
     if previous is not None and previous.version == row.version:
         return previous
@@ -135,11 +137,11 @@
         now: The time on this router's clock, from before the commit is sent.
     """
     if row is None:
-        return plan(name, LeaseRow(me, 1, length), 0, now)
+        return plan_write(name, LeaseRow(me, 1, length), 0, now)
     lease = parse_lease(row)
     if lease is None or not has_lapsed(row, sighting, now):
         return None
-    return plan(name, LeaseRow(me, lease.fencing + 1, length), row.version, now)
+    return plan_write(name, LeaseRow(me, lease.fencing + 1, length), row.version, now)
 
 
 def plan_renew(held: HeldLease, now: Seconds) -> LeasePlan:
@@ -150,17 +152,17 @@
         now: The time from before the commit is sent: counted from the answer,
             the holder would believe longer than the others wait.
     """
-    return plan(held.name, held.row, held.version, now)
+    return plan_write(held.name, held.row, held.version, now)
 
 
 def plan_release(held: HeldLease) -> LeasePlan:
     """Plan to give the lease up, so that the next holder need not wait."""
     row = evolve(held.row, holder="")
-    transaction = plan(held.name, row, held.version, 0.0).transaction
+    transaction = plan_write(held.name, row, held.version, 0.0).transaction
     return LeasePlan(transaction, None)
 
 
-def plan(name: str, row: LeaseRow, version: int, now: Seconds) -> LeasePlan:
+def plan_write(name: str, row: LeaseRow, version: int, now: Seconds) -> LeasePlan:
     """Plan one write of the row, on the version that was read; 0 for none."""
     key = lease_key(name)
     check: Check = AtVersion(key, version) if version else Absent(key)
@@ -168,7 +170,7 @@
     return LeasePlan(transaction, HeldLease(name, row, version + 1, now + row.length))
 
 
-def resolve(wanted: LeasePlan, row: Row | None) -> HeldLease | None:
+def resolve_lease(wanted: LeasePlan, row: Row | None) -> HeldLease | None:
     """Find out by reading back whether a plan took effect whose answer was lost.
 
     The version and the content must both be those that were planned: another
