--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $(READY)
 
 test: $(READY)
-	$(BIN)/python -m pytest -m "not soak and not deep"
+	$(BIN)/python -m pytest
 
 soak: $(READY)
 	$(BIN)/python -m pytest -m soak
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,7 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -29,14 +34,11 @@
     BreakerState,
     CircuitBreaker,
 )
-from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._bucket import (
+    AdaptiveRate,
     FairTurns,
     TokenBucket,
 )
-from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
@@ -52,7 +54,12 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._codec import (
+    from_bytes,
+    from_json,
+    to_bytes,
+    to_json,
+)
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -64,15 +71,25 @@
     plan_initial_topup,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
-from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
+from ebonyhold.coordination._grants import (
+    GrantLedger,
+    change_budget,
+    change_grant,
+)
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import JournalReading, append_transaction
+from ebonyhold.coordination._journal import (
+    JournalReading,
+    append_transaction,
+)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -118,8 +135,13 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import Membership
-from ebonyhold.coordination._operations import plan_refund, plan_topup
+from ebonyhold.coordination._membership import (
+    Membership,
+)
+from ebonyhold.coordination._operations import (
+    plan_refund,
+    plan_topup,
+)
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantPolicy,
@@ -129,7 +151,10 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
+from ebonyhold.coordination._prefix import (
+    PrefixIndex,
+    prefix_hashes,
+)
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -139,7 +164,10 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import Backoff, RetryBudget
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
+)
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -162,7 +190,10 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._seen import (
+    Seen,
+    seen,
+)
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
