--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -35,11 +35,6 @@
     CircuitBreaker,
 )
 from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
-from ebonyhold.coordination._bucket import (
-    FairTurns,
-    TokenBucket,
-)
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
@@ -55,12 +50,7 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import (
-    from_bytes,
-    from_json,
-    to_bytes,
-    to_json,
-)
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
@@ -151,6 +141,7 @@
     grant_policy,
 )
 from ebonyhold.coordination._prefix import (
+    BLOCK_WORDS,
     PrefixIndex,
     prefix_hashes,
 )
@@ -224,6 +215,7 @@
 
 __all__ = [
     "ARCHIVE_PREFIX",
+    "BLOCK_WORDS",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
--- a/ebonyhold/standins/__init__.py
+++ b/ebonyhold/standins/__init__.py
@@ -6,7 +6,6 @@
 
 from ebonyhold.standins._answers import Answer, expected_text, prompt_digest, words_of
 from ebonyhold.standins._attempts import Attempt, AttemptState, EngineProfile, Job
-from ebonyhold.standins._cache import prefix_hashes
 from ebonyhold.standins._ceiling import Ceiling
 from ebonyhold.standins._engine import Engine, EngineRefusal
 from ebonyhold.standins._faults import Faults
@@ -38,7 +37,6 @@
     "ServiceRecord",
     "ServiceRecords",
     "expected_text",
-    "prefix_hashes",
     "prompt_digest",
     "words_of",
 ]
--- a/ebonyhold/standins/_asgi.py
+++ b/ebonyhold/standins/_asgi.py
@@ -141,6 +141,7 @@
         faults: The switches that ``POST /control`` sets.
         wrap: Whether faults are applied around the handlers; False where what
             they call applies them itself.
+        ends_with_caller: Whether work ends when its caller has gone.
         routes: In the order in which they are tried.
         background: What must run beside the server.
         controlled: Called with each control message, for what a kind adds.
@@ -148,6 +149,7 @@
 
     faults: Faults = field(factory=Faults)
     wrap: bool = True
+    ends_with_caller: bool = False
     routes: list[Route] = field(factory=list)
     background: list[Background] = field(factory=list)
     controlled: list[Callable[[Control], None]] = field(factory=list)
@@ -171,7 +173,9 @@
             return
         request = await read_request(scope, receive)
         try:
-            reply = await self.answer(request)
+            reply = await self.answer_caller(request, receive)
+            if reply is None:
+                return
             if isinstance(reply, Reply) and request.path in UNTROUBLED:
                 await send_whole(reply, send)
             else:
@@ -179,6 +183,29 @@
         except Dropped:
             await send_dropped(send)
 
+    async def answer_caller(
+        self, request: Request, receive: Receive
+    ) -> Reply | StreamReply | None:
+        """Answer a request; None when its caller has gone and the work ended.
+
+        Raises:
+            Dropped: The answer is to be lost.
+        """
+        if not self.ends_with_caller:
+            return await self.answer(request)
+        reply: Reply | StreamReply | Dropped | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch, receive, tasks.cancel_scope.cancel)
+            try:
+                reply = await self.answer(request)
+            except Dropped as error:
+                # Kept, since the task group would wrap it.
+                reply = error
+            tasks.cancel_scope.cancel()
+        if isinstance(reply, Dropped):
+            raise reply
+        return reply
+
     async def answer(self, request: Request) -> Reply | StreamReply:
         """Find the handler and turn its errors into replies.
 
@@ -198,6 +225,8 @@
             return json_reply({"error": str(error)}, 503)
         except UnknownOutcomeError as error:
             raise Dropped from error
+        except Dropped:
+            raise
         except Exception as error:
             logger.exception("a handler failed")
             return json_reply({"error": repr(error)}, 500)
@@ -332,7 +361,12 @@
     """Send a reply bit by bit until it ends or the caller goes."""
     await send_start(send, 200, reply.content_type, reply.headers)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch, receive, reply.gone, tasks.cancel_scope)
+
+        def leave() -> None:
+            reply.gone()
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(watch, receive, leave)
         try:
             async for chunk in reply.chunks:
                 await send_body(send, chunk, more=True)
@@ -343,13 +377,10 @@
         tasks.cancel_scope.cancel()
 
 
-async def watch(
-    receive: Receive, gone: Callable[[], None], scope: anyio.CancelScope
-) -> None:
+async def watch(receive: Receive, gone: Callable[[], None]) -> None:
     """Wait for the caller to go."""
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             gone()
-            scope.cancel()
             return
--- a/ebonyhold/standins/_attempts.py
+++ b/ebonyhold/standins/_attempts.py
@@ -34,7 +34,6 @@
         step: The time of one step of an empty batch, in seconds.
         step_each: What each stream adds to a step, in seconds.
         prefill_rate: Prompt tokens a second, those cached left out.
-        block: The length of a cache block in words.
         blocks: Blocks of the prefix cache.
         load_lag: How old the reported load is, in seconds.
         event_lag: How late cache events come, in seconds.
@@ -54,7 +53,6 @@
     step: Seconds = 0.008
     step_each: Seconds = 0.0005
     prefill_rate: float = 20_000.0
-    block: int = 16
     blocks: int = 2048
     load_lag: Seconds = 0.2
     event_lag: Seconds = 0.2
--- a/ebonyhold/standins/_cache.py
+++ b/ebonyhold/standins/_cache.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections import OrderedDict, deque
 
 from attrs import define, field, frozen
 
+from ebonyhold.coordination import BLOCK_WORDS, prefix_hashes
 from ebonyhold.types import Seconds
 
-HASH_DIGITS = 16
 KEPT_EVENTS = 10_000
 
 
@@ -24,31 +23,12 @@
     at: Seconds
 
 
-def prefix_hashes(words: tuple[str, ...], block: int) -> tuple[str, ...]:
-    """Return the hash of each prefix that is a whole number of blocks long.
-
-    Each hash covers the one before it, so that equal hashes mean equal prefixes.
-
-    Args:
-        words: The prompt.
-        block: The length of a block in words.
-    """
-    hashes: list[str] = []
-    previous = ""
-    for start in range(0, len(words) - block + 1, block):
-        text = f"{previous}\0{' '.join(words[start : start + block])}"
-        previous = hashlib.sha256(text.encode()).hexdigest()[:HASH_DIGITS]
-        hashes.append(previous)
-    return tuple(hashes)
-
-
 @define
 class PrefixCache:
     """Blocks of prompts, the least recently used removed first.
 
     Attributes:
         capacity: Blocks it can hold.
-        block: The length of a block in words.
         lag: How late events become visible, in seconds.
         gap: The part of the events that never do.
         chance: Decides which.
@@ -58,7 +38,6 @@
     """
 
     capacity: int
-    block: int
     lag: Seconds
     gap: float
     chance: random.Random
@@ -69,15 +48,15 @@
     def cached_tokens(self, words: tuple[str, ...]) -> int:
         """Return how long a prefix of a prompt is held, in words."""
         length = 0
-        for prefix in prefix_hashes(words, self.block):
+        for prefix in prefix_hashes(words):
             if prefix not in self.held:
                 break
-            length += self.block
+            length += BLOCK_WORDS
         return length
 
     def store(self, words: tuple[str, ...], now: Seconds) -> None:
         """Hold the blocks of a prompt."""
-        for prefix in prefix_hashes(words, self.block):
+        for prefix in prefix_hashes(words):
             self.add(prefix, now)
 
     def add(self, prefix: str, now: Seconds) -> None:
--- a/ebonyhold/standins/_engine.py
+++ b/ebonyhold/standins/_engine.py
@@ -104,7 +104,6 @@
         self.chance = random.Random(profile.seed)
         self.cache = PrefixCache(
             profile.blocks,
-            profile.block,
             profile.event_lag,
             profile.event_gap,
             self.chance,
--- a/ebonyhold/standins/_engine_app.py
+++ b/ebonyhold/standins/_engine_app.py
@@ -193,7 +193,6 @@
                 "running": seen.running,
                 "queued": seen.queued,
                 "free_blocks": seen.free_blocks,
-                "block_words": engine.profile.block,
                 "slots": engine.profile.slots,
                 "token_rate": engine.token_rate,
                 "models": sorted(engine.loaded()),
@@ -241,7 +240,7 @@
 def engine_app(engine: Engine) -> App:
     """Make the application of an engine."""
     server = EngineServer(engine)
-    app = App()
+    app = App(ends_with_caller=True)
     app.background.append(engine.run)
     app.controlled.append(server.controlled)
 
