Let the checker know an overshooting engine's answer

Change: an answer may be longer than due exactly as far as the engine's own record of that trace says; shorter or longer than that stays a breach.

--- a/ebonyhold/experiments/_evidence.py
+++ b/ebonyhold/experiments/_evidence.py
@@ -188,6 +188,7 @@
         owners_by_run: Whose request each run of a router was.
         holds: The hold of each attempt whose intent is still in the table.
         by_attempt: The engine's record of each attempt.
+        by_trace: The engines' records of each trace.
         callers_by_trace: The caller's record of each trace.
     """
 
@@ -196,6 +197,7 @@
     owners_by_run: dict[str, Owner] = field(factory=dict)
     holds: dict[AttemptId, Tokens] = field(factory=dict)
     by_attempt: dict[AttemptId, EngineRecord] = field(factory=dict)
+    by_trace: dict[str, list[EngineRecord]] = field(factory=dict)
     callers_by_trace: dict[str, CallerRecord] = field(factory=dict)
 
     def owner_of(self, record: Run) -> Owner | None:
@@ -237,6 +239,7 @@
         index.callers_by_trace[caller.trace] = caller
     for record in evidence.engines:
         index.by_attempt[record.attempt] = record
+        index.by_trace.setdefault(trace_of(record.traceparent), []).append(record)
     return index
 
 
--- a/ebonyhold/standins/_answers.py
+++ b/ebonyhold/standins/_answers.py
@@ -51,7 +51,10 @@
 
     def text(self, max_tokens: int) -> str:
         """Return the whole answer under a bound on its tokens."""
-        count = min(self.length, max_tokens)
+        return self.first(min(self.length, max_tokens))
+
+    def first(self, count: int) -> str:
+        """Return the first tokens, whatever the answer's own length."""
         return "".join(self.token(index) for index in range(count))
 
 
--- a/tests/experiments/test_checker.py
+++ b/tests/experiments/test_checker.py
@@ -32,7 +32,7 @@
     VersionSighting,
     check,
 )
-from ebonyhold.standins import EngineRecord, ServiceRecord
+from ebonyhold.standins import Answer, EngineRecord, ServiceRecord
 
 RUN_A, RUN_B, RUN_C, RUN_D = "r1.7~1~1", "r1.7~2~1", "r2.3~1~1", "r2.3~2~1"
 TRACES = {name: f"{number:032x}" for number, name in enumerate("abcde", start=1)}
@@ -312,6 +312,23 @@
     assert (check(evidence) == []) is kept
 
 
+@pytest.mark.parametrize(
+    ("received", "kept"), [(5, True), (4, False), (6, False), (3, True)]
+)
+def test_longer_answers(received: int, kept: bool) -> None:
+    """Three tokens were due; the engine overshot and says that it gave five."""
+    answer = Answer("digest")
+    record = evolve(CLEAN.engines[0], completion_tokens=5)
+    told = evolve(
+        CLEAN.callers[0], received=answer.first(received), expected=answer.first(3)
+    )
+    evidence = evolve(
+        CLEAN, engines=(record, CLEAN.engines[1]), callers=(told, *CLEAN.callers[1:])
+    )
+    broken = [one for one in check(evidence) if one.promise is Promise.ANSWER]
+    assert (broken == []) is kept
+
+
 @pytest.mark.parametrize(("charge", "kept"), [(6, True), (30, True), (12, False)])
 def test_interrupted_charge(charge: int, kept: bool) -> None:
     """What ran, or the hold where the engine could not tell; nothing between."""
