Keep followers off the base when a publisher writes a new one

A manifest now keeps the newest half of its changes beside a new base, so that the changes alone lead to it from some tens of versions back; test_store.py holds a follower that misses two of three versions to one object of at most 16 KiB.

Publishing also looked up first top-ups in quadratic time and unstructured the whole document for each change; both are gone, and first top-ups go forty to a transaction, outside the keeper's lock, and are completed by a repeat.

--- a/ebonyhold/command/_document.py
+++ b/ebonyhold/command/_document.py
@@ -9,13 +9,12 @@
 
 import attrs
 import typer
-import yaml
 
 from ebonyhold.command._app import app
 from ebonyhold.command._exits import ExitCode, errors, reports_errors
 from ebonyhold.command._options import DEFAULT_SERVER, Key, Output, OutputForm, Server
 from ebonyhold.command._output import console, render_time, write_json, write_rows
-from ebonyhold.document import check_bytes
+from ebonyhold.document import check_bytes, plain_to_yaml
 from ebonyhold.document import schema as document_schema
 from ebonyhold.operators import OperatorsClient
 
@@ -120,7 +119,7 @@
     if output is OutputForm.JSON:
         write_json(answer)
         return
-    text = yaml.safe_dump(answer["document"], sort_keys=False, allow_unicode=True)
+    text = plain_to_yaml(answer["document"])
     print(f"# version {answer['version']}\n{text}", end="")
 
 
--- a/ebonyhold/configuration/_keeper.py
+++ b/ebonyhold/configuration/_keeper.py
@@ -313,11 +313,14 @@
         Raises:
             LostRaceError: Another version was accepted since `based_on`.
             UnavailableError: It was not accepted.
-            UnknownOutcomeError: It may have been accepted; look at the history.
+            UnknownOutcomeError: It may have been accepted, or some first top-ups
+                are not made; publish it again.
         """
+        publisher = Publisher(self, document, based_on, author)
         async with self.lock:
-            publisher = Publisher(self, document, based_on, author)
-            return await publisher.publish()
+            version = await publisher.publish()
+        await publisher.fill_budgets()
+        return version
 
 
 def make_keeper(table: Table, objects: Objects) -> ConfigurationKeeper:
--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -111,6 +111,11 @@
         section, _, name = key.partition("/")
         self.objects.get(section, {}).pop(name, None)
 
+    def find(self, key: str) -> Any:
+        """Return a part as a model object, or None."""
+        section, _, name = key.partition("/")
+        return self.objects.get(section, {}).get(name)
+
     def add_digest(self, amount: int) -> None:
         """Move the digest."""
         self.total = (self.total + amount) % DIGEST_MODULUS
@@ -147,25 +152,27 @@
     return part_converter.structure(value, kind)
 
 
-def split_document(document: Document) -> Iterator[tuple[str, Json]]:
-    """Yield the parts of a document with their keys."""
-    fleet = FleetPart(document.fleet, document.domains)
-    yield FLEET_PART, part_converter.unstructure(fleet)
+def split_document(document: Document) -> Iterator[tuple[str, Any]]:
+    """Yield the parts of a document, as model objects, with their keys."""
+    yield FLEET_PART, FleetPart(document.fleet, document.domains)
     for section in SINGLE_PARTS:
-        yield section, part_converter.unstructure(getattr(document, section))
+        yield section, getattr(document, section)
     for section, (_, name) in LIST_PARTS.items():
         for item in getattr(document, section):
-            key = f"{section}/{getattr(item, name)}"
-            yield key, part_converter.unstructure(item)
+            yield f"{section}/{getattr(item, name)}", item
 
 
 def find_change(before: DocumentState, document: Document, version: int) -> Change:
-    """Return what a document changes of a state."""
+    """Return what a document changes of a state.
+
+    Objects are compared, since turning all of them into JSON values takes most
+    of the time of a change to a large document.
+    """
     after = dict(split_document(document))
     upserts = {
-        key: value
-        for key, value in after.items()
-        if key not in before.values or before.values[key] != value
+        key: part_converter.unstructure(item)
+        for key, item in after.items()
+        if before.find(key) != item
     }
     deletes = tuple(key for key in before.values if key not in after)
     return Change(version, upserts, deletes)
--- a/ebonyhold/configuration/_publisher.py
+++ b/ebonyhold/configuration/_publisher.py
@@ -24,12 +24,11 @@
     HeadRow,
     Row,
     TopUp,
-    Transaction,
     budget_key,
     config_version_key,
     head_of,
     plan_apply,
-    plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
     topup_key,
 )
@@ -39,10 +38,11 @@
     ConflictError,
     EbonyholdError,
     LostRaceError,
+    PlatformError,
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.types import Seconds
+from ebonyhold.types import Seconds, Tokens
 
 if TYPE_CHECKING:
     from ebonyhold.configuration._keeper import ConfigurationKeeper
@@ -51,7 +51,7 @@
 """Commits of one version before its publisher gives up."""
 
 MOST_TOPUPS = 40
-"""First top-ups in the transaction of their version; more follow one by one."""
+"""First top-ups in one transaction; the first of them go with their version."""
 
 RETRY_DELAY = 0.25
 """Seconds before the first retry; it doubles with each."""
@@ -65,7 +65,7 @@
 
 @define
 class Publisher:
-    """Publishes one document; the keeper's lock is held meanwhile.
+    """Publishes one document.
 
     Attributes:
         keeper: Whose state it builds on.
@@ -74,6 +74,8 @@
         author: The operator.
         publication: Unique for this publication.
         doubtful: Whether a commit may have taken effect unseen.
+        unfilled: Workspaces whose first top-up may still be missing.
+        amounts: The first top-up of each workspace, in tokens.
     """
 
     keeper: ConfigurationKeeper
@@ -82,26 +84,33 @@
     author: str
     publication: str = field(factory=lambda: uuid4().hex)
     doubtful: bool = False
+    unfilled: tuple[str, ...] = ()
+    amounts: dict[str, Tokens] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Look up what each workspace gets first."""
+        self.amounts = {each.name: each.prepaid for each in self.document.workspaces}
 
     async def publish(self) -> int:
-        """Publish, and return the version in force.
+        """Publish, and return the version in force; the keeper's lock is held.
 
         A document that is in force already is not published again, whatever
         it was based on: that is how an operator repeats a command whose
-        answer was lost between router and command line.
+        answer was lost between router and command line.  The repeat also makes
+        first top-ups that the lost one did not get to.
         """
         row = await self.keeper.refresh_locked()
         change = find_change(self.keeper.state, self.document, self.based_on + 1)
         if not change.upserts and not change.deletes:
+            self.unfilled = tuple(self.amounts)
             return self.keeper.version
         await self.check_base(row)
         state = self.keeper.state.copy()
         state.apply(change)
         head = await self.write_objects(state, change)
-        added = await self.commit(head, self.added_workspaces(change))
+        self.unfilled = await self.commit(head, self.added_workspaces(change))
         self.keeper.install(head, state)
         await self.write_copy(head)
-        await self.fill_budgets(added, head)
         return head.version
 
     async def check_base(self, row: Row | None) -> None:
@@ -218,14 +227,15 @@
 
     async def missing_topups(self, workspaces: tuple[str, ...]) -> tuple[TopUp, ...]:
         """Return the first top-ups that have not been made yet."""
-        amounts = {each.name: each.prepaid for each in self.document.workspaces}
-        topups: list[TopUp] = []
-        for workspace in workspaces:
-            keys = (topup_key(workspace, INITIAL_TOPUP), budget_key(workspace))
-            made, budget = await self.keeper.table.read(keys)
-            if made is None:
-                topups.append(TopUp(workspace, amounts[workspace], budget))
-        return tuple(topups)
+        made_keys = tuple(topup_key(each, INITIAL_TOPUP) for each in workspaces)
+        keys = (*made_keys, *map(budget_key, workspaces))
+        rows = await self.keeper.table.read(keys) if keys else ()
+        made, budgets = rows[: len(workspaces)], rows[len(workspaces) :]
+        return tuple(
+            TopUp(workspace, self.amounts[workspace], budget)
+            for workspace, done, budget in zip(workspaces, made, budgets, strict=True)
+            if done is None
+        )
 
     async def write_copy(self, head: HeadRow) -> None:
         """Copy the head; if that fails, the routers' keepers see to it."""
@@ -234,24 +244,40 @@
         except EbonyholdError as error:
             logger.warning("no copy of the head", extra={"reason": str(error)})
 
-    async def fill_budgets(self, workspaces: tuple[str, ...], head: HeadRow) -> None:
-        """Make the first top-ups that did not fit into the version's transaction."""
-        for workspace in workspaces:
-            await self.insist(partial(self.fill_budget, workspace, head))
+    async def fill_budgets(self) -> None:
+        """Make the first top-ups that did not fit into the version's transaction.
+
+        There may be minutes of them, so the keeper's lock is not held.
+
+        Raises:
+            UnknownOutcomeError: Some could not be made; publish again.
+        """
+        for first in range(0, len(self.unfilled), MOST_TOPUPS):
+            some = self.unfilled[first : first + MOST_TOPUPS]
+            try:
+                await self.insist(partial(self.fill_some_budgets, some))
+            except PlatformError as error:
+                message = f"accepted, but not all first top-ups are made: {error}"
+                raise UnknownOutcomeError(message) from error
+
+    async def fill_some_budgets(self, workspaces: tuple[str, ...]) -> None:
+        """Make some first top-ups; the rows of the top-ups make it idempotent.
 
-    async def fill_budget(self, workspace: str, head: HeadRow) -> None:
-        """Make one first top-up; the row of the top-up makes it idempotent."""
+        Raises:
+            UnavailableError: Other writers were faster each time.
+        """
         for _ in range(MOST_ATTEMPTS):
-            for topup in await self.missing_topups((workspace,)):
-                transaction: Transaction = plan_initial_topup(
-                    topup, head.author, head.at
-                )
-                try:
-                    await self.keeper.table.commit(transaction)
-                except ConflictError:
-                    break
-            else:
+            topups = await self.missing_topups(workspaces)
+            if not topups:
                 return
+            at = self.keeper.clock()
+            transaction = plan_initial_topups(topups, self.author, at)
+            try:
+                await self.keeper.table.commit(transaction)
+            except ConflictError:
+                continue
+            return
+        raise UnavailableError("first top-ups met other writers")
 
 
 def delay_of(attempt: int) -> Seconds:
--- a/ebonyhold/configuration/_store.py
+++ b/ebonyhold/configuration/_store.py
@@ -29,7 +29,11 @@
 """Copies of heads are numbered down from this, so that the newest lists first."""
 
 MOST_INLINE = 16_384
-"""Bytes of changes that a manifest carries before a new base is written."""
+"""Bytes of a manifest, beyond which a new base is written."""
+
+KEPT_INLINE = MOST_INLINE // 2
+"""Bytes of changes that stay in a manifest beside a new base, so that a router
+that is some versions behind need not read the base."""
 
 PACK_BYTES = 131_072
 """The size that packs of a base aim at."""
@@ -48,7 +52,8 @@
         version: The version.
         base: SHA-256 of the index of the base.
         base_version: The version that the base holds.
-        changes: What changed since then, the oldest first.
+        changes: The latest changes, the oldest first, without a gap up to
+            `version`; they reach back to the base, and mostly further.
     """
 
     version: int
@@ -56,6 +61,11 @@
     base_version: int
     changes: tuple[Change, ...] = ()
 
+    @property
+    def reaches_back_to(self) -> int:
+        """The oldest version from which the changes alone lead here."""
+        return self.changes[0].version - 1 if self.changes else self.version
+
 
 @frozen
 class BaseIndex:
@@ -124,7 +134,7 @@
             ConfigurationError: What the store holds does not fit the head.
         """
         manifest = await self.read_manifest(head)
-        if own is not None and own_version >= manifest.base_version:
+        if own is not None and own_version >= manifest.reaches_back_to:
             state = own.copy()
             apply_changes(state, manifest, own_version)
             if state.digest == head.digest:
@@ -179,8 +189,8 @@
         Returns:
             The manifest's SHA-256, for the head row.
         """
+        changes = (*(previous.changes if previous else ()), change)
         if previous is not None:
-            changes = (*previous.changes, change)
             manifest = Manifest(
                 change.version, previous.base, previous.base_version, changes
             )
@@ -188,7 +198,9 @@
             if len(body) <= MOST_INLINE:
                 return await self.put(body)
         base = await self.write_base(state, change.version, previous)
-        return await self.put(to_bytes(Manifest(change.version, base, change.version)))
+        kept = newest_changes(changes, KEPT_INLINE)
+        manifest = Manifest(change.version, base, change.version, kept)
+        return await self.put(to_bytes(manifest))
 
     async def write_base(
         self, state: DocumentState, version: int, previous: Manifest | None
@@ -243,6 +255,16 @@
     return f"{HEAD_PREFIX}{HEAD_NUMBERS - version:011d}"
 
 
+def newest_changes(changes: tuple[Change, ...], most: int) -> tuple[Change, ...]:
+    """Return the newest changes that fit into a number of bytes."""
+    size = 0
+    for index in range(len(changes) - 1, -1, -1):
+        size += len(to_bytes(changes[index]))
+        if size > most:
+            return changes[index + 1 :]
+    return changes
+
+
 def apply_changes(state: DocumentState, manifest: Manifest, version: int) -> None:
     """Apply the manifest's changes that are newer than a version."""
     for change in manifest.changes:
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -68,6 +68,7 @@
     may_adopt,
     plan_apply,
     plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
 )
 from ebonyhold.coordination._ejection import (
@@ -354,6 +355,7 @@
     "plan_acquire",
     "plan_apply",
     "plan_initial_topup",
+    "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
--- a/ebonyhold/coordination/_configuration.py
+++ b/ebonyhold/coordination/_configuration.py
@@ -118,16 +118,25 @@
     ]
     if head.version > KEPT_VERSIONS:
         writes.append(Delete(config_version_key(head.version - KEPT_VERSIONS)))
-    checks: list[Check] = [check]
+    filling = plan_initial_topups(topups, head.author, head.at)
+    return Transaction((check, *filling.checks), (*writes, *filling.writes))
+
+
+def plan_initial_topups(
+    topups: tuple[TopUp, ...], author: str, at: float
+) -> Transaction:
+    """Plan the first top-ups of workspaces; committing them twice counts once."""
+    checks: list[Check] = []
+    writes: list[Write] = []
     for topup in topups:
-        part = plan_initial_topup(topup, head.author, head.at)
+        part = plan_initial_topup(topup, author, at)
         checks.extend(part.checks)
         writes.extend(part.writes)
     return Transaction(tuple(checks), tuple(writes))
 
 
 def plan_initial_topup(topup: TopUp, author: str, at: float) -> Transaction:
-    """Plan the first top-up of a workspace; committing it twice counts once."""
+    """Plan the first top-up of one workspace."""
     key = topup_key(topup.workspace, INITIAL_TOPUP)
     row = topup.budget
     check: Check = Absent(budget_key(topup.workspace))
--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -31,6 +31,7 @@
 )
 from ebonyhold.document._render import (
     part_converter,
+    plain_to_yaml,
     to_canonical_json,
     to_plain,
     to_yaml,
@@ -61,6 +62,7 @@
     "load_document",
     "parse_duration",
     "part_converter",
+    "plain_to_yaml",
     "render_duration",
     "render_findings",
     "schema",
--- a/ebonyhold/document/_render.py
+++ b/ebonyhold/document/_render.py
@@ -23,6 +23,8 @@
 
 WIDTH = 88
 
+_DUMPER: Any = getattr(yaml, "CSafeDumper", yaml.SafeDumper)
+
 
 def to_plain(value: Any, *, defaults: bool = False) -> Json:
     """Return a document, or a part of one, as operators write it.
@@ -48,9 +50,15 @@
 
 def to_yaml(document: Document) -> str:
     """Return a document as YAML; reading it gives an equal document."""
-    return yaml.safe_dump(
-        to_plain(document), sort_keys=False, width=WIDTH, allow_unicode=True
+    return plain_to_yaml(to_plain(document))
+
+
+def plain_to_yaml(plain: Json) -> str:
+    """Return a document as YAML, from what `to_plain` returned for it."""
+    text: str = yaml.dump(
+        plain, Dumper=_DUMPER, sort_keys=False, width=WIDTH, allow_unicode=True
     )
+    return text
 
 
 def to_canonical_json(document: Document) -> bytes:
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from ebonyhold.configuration._publisher import Publisher
 from ebonyhold.coordination import CONFIG_HEAD, HeadRow, budget_key, config_version_key
 from ebonyhold.document import Workspace
 from ebonyhold.exceptions import (
@@ -127,6 +128,26 @@
     assert prepaid == [{"prepaid": n + 1} for n in range(60)]
 
 
+async def test_first_top_ups_that_failed_are_made_by_a_repeat() -> None:
+    """The table goes down between a large document and its first top-ups.
+
+    The operator is told that not all is done and applies the same document
+    again; it is in force, but its workspaces must not stay without tokens.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    keeper = keeper_on(table, objects)
+    workspaces = tuple(Workspace(f"w{n}", (), prepaid=n + 1) for n in range(60))
+    many = attrs.evolve(DOCUMENT, workspaces=workspaces)
+    publisher = Publisher(keeper, many, 0, "ana")
+    assert await publisher.publish() == 1
+    table.down = True
+    with pytest.raises(UnknownOutcomeError):
+        await publisher.fill_budgets()
+    table.down = False
+    assert await keeper.publish(many, 0, "ana") == 1
+    assert table.rows[budget_key("w59")].value == {"prepaid": 60}
+
+
 async def test_a_workspace_topped_up_before_its_document_keeps_that() -> None:
     table, objects = FakeTable(), FakeObjects()
     keeper = keeper_on(table, objects)
--- /dev/null
+++ b/tests/configuration/test_store.py
@@ -0,0 +1,131 @@
+"""Versions travel as small changes, and arrive whole from any older version."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from random import Random
+
+import attrs
+import pytest
+
+from ebonyhold.configuration import (
+    ConfigurationKeeper,
+    VersionStore,
+    _store,
+    find_changed_paths,
+)
+from ebonyhold.document import ApiKey, Document, Stop, Workspace
+from ebonyhold.document import load_document as load
+from tests.configuration.fakes import FakeObjects, FakeTable
+from tests.document.test_check import EXAMPLES
+
+pytestmark = pytest.mark.anyio
+
+
+def workspace(number: int, concurrency: int = 64) -> Workspace:
+    key = ApiKey("k", f"{number:064x}")
+    return Workspace(f"w{number}", (key,), concurrency=concurrency)
+
+
+def large(workspaces: int) -> Document:
+    return Document("f", ("a",), tuple(map(workspace, range(workspaces))))
+
+
+def in_order(document: Document) -> dict[str, object]:
+    """Return a document's attributes; the order of its lists means nothing."""
+    return {
+        field.name: sorted(value, key=repr) if isinstance(value, tuple) else value
+        for field in attrs.fields(Document)
+        for value in [getattr(document, field.name)]
+    }
+
+
+def changed(document: Document, random: Random) -> Document:
+    """Add, change or remove one workspace."""
+    workspaces = list(document.workspaces)
+    index = random.randrange(len(workspaces))
+    match random.randrange(4):
+        case 0:
+            workspaces.pop(index)
+        case 1:
+            workspaces.append(workspace(random.randrange(10**6, 10**9)))
+        case _:
+            fresh = random.randrange(1, 10**5)
+            workspaces[index] = attrs.evolve(workspaces[index], concurrency=fresh)
+    return attrs.evolve(document, workspaces=tuple(workspaces))
+
+
+async def test_followers_at_any_distance_arrive_at_the_same_state(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Routers that read each version, some versions, or start anew, agree."""
+    monkeypatch.setattr(_store, "PACK_BYTES", 2000)
+    random = Random(5)
+    table, objects = FakeTable(), FakeObjects()
+    store = VersionStore(objects)
+    publisher = ConfigurationKeeper(table, store)
+    followers = [ConfigurationKeeper(table, store) for _ in range(4)]
+    document = large(120)
+    for version in range(150):
+        await publisher.publish(document, version, "ana")
+        for index, follower in enumerate(followers):
+            if version % (10**index) == 0:
+                await follower.refresh()
+        document = changed(document, random)
+    for follower in (*followers, ConfigurationKeeper(table, store)):
+        await follower.refresh()
+        assert follower.state.digest == publisher.state.digest
+        assert follower.state.values == publisher.state.values
+        assert follower.document is not None
+        assert set(follower.document.workspaces) == set(
+            publisher.document.workspaces if publisher.document else ()
+        )
+
+
+async def test_a_change_costs_a_follower_one_small_object() -> None:
+    """Also when the publisher writes a new base, and when a poll was missed."""
+    random = Random(5)
+    table, objects = FakeTable(), FakeObjects()
+    store = VersionStore(objects)
+    publisher = ConfigurationKeeper(table, store)
+    follower = ConfigurationKeeper(table, store)
+    document = large(2000)
+    await publisher.publish(document, 0, "ana")
+    await follower.refresh()
+    assert objects.bytes_read > 150_000
+    for version in range(1, 300):
+        document = changed(document, random)
+        await publisher.publish(document, version, "ana")
+        if version % 3:
+            continue
+        objects.reads = objects.bytes_read = 0
+        await follower.refresh()
+        assert objects.reads == 1
+        assert objects.bytes_read <= _store.MOST_INLINE
+
+
+async def test_every_part_of_a_document_travels() -> None:
+    table, objects = FakeTable(), FakeObjects()
+    store = VersionStore(objects)
+    document = load(EXAMPLES / "bagmati-dhoka.yaml")
+    first, second = (datetime(2027, 1, day, tzinfo=UTC) for day in (1, 2))
+    stop = Stop("s", first, second, domain=document.domains[0])
+    document = attrs.evolve(document, stops=(stop,))
+    await ConfigurationKeeper(table, store).publish(document, 0, "ana")
+    follower = ConfigurationKeeper(table, store)
+    await follower.refresh()
+    assert follower.document is not None
+    assert in_order(follower.document) == in_order(document)
+
+
+async def test_changed_paths_name_parts_and_attributes() -> None:
+    keeper = ConfigurationKeeper(FakeTable(), VersionStore(FakeObjects()))
+    await keeper.publish(large(3), 0, "ana")
+    before = keeper.state
+    workspaces = (workspace(0, 9), workspace(1), workspace(7))
+    await keeper.publish(attrs.evolve(large(3), workspaces=workspaces), 1, "ana")
+    assert set(find_changed_paths(before, keeper.state)) == {
+        "workspaces.w0.concurrency",
+        "workspaces.w2 (removed)",
+        "workspaces.w7 (added)",
+    }
