Check documents aside of the streams, and stops as parts

Planning a stop wrote the whole document as YAML and checked that again; it checks the stop as a part and then only what ties values together.

--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -2,7 +2,10 @@
 
 from ebonyhold.document._capacity import is_stopped
 from ebonyhold.document._check import (
+    FindingsError,
     check_bytes,
+    check_document,
+    check_part,
     check_text,
     load_document,
     render_findings,
@@ -46,6 +49,7 @@
     "Document",
     "Finding",
     "FindingCode",
+    "FindingsError",
     "Limits",
     "ModelRoute",
     "Policy",
@@ -57,6 +61,8 @@
     "UnknownOutcome",
     "Workspace",
     "check_bytes",
+    "check_document",
+    "check_part",
     "check_text",
     "is_stopped",
     "load_document",
--- a/ebonyhold/document/_check.py
+++ b/ebonyhold/document/_check.py
@@ -4,6 +4,7 @@
 
 from datetime import datetime
 from pathlib import Path as FilePath
+from typing import TypeVar
 
 from ebonyhold.document._findings import (
     CheckResult,
@@ -19,10 +20,24 @@
 from ebonyhold.document._rules import Draft, apply_rules
 from ebonyhold.exceptions import DocumentError
 
+Part = TypeVar("Part")
+
 SHOWN_FINDINGS = 20
 """Findings named in the message of a `DocumentError`."""
 
 
+class FindingsError(DocumentError):
+    """A document, or a part of one, has findings that forbid its use.
+
+    Attributes:
+        findings: All of them.
+    """
+
+    def __init__(self, findings: tuple[Finding, ...], source: str = "document") -> None:
+        super().__init__(f"{source}: {render_findings(findings)}")
+        self.findings = findings
+
+
 def check_text(text: str, now: datetime | None = None) -> CheckResult:
     """Check a document.
 
@@ -40,6 +55,38 @@
     reader = ModelReader(report)
     document: Document = reader.read(root, Document, NO_RULE, ())
     apply_rules(Draft(document, reader.places, report, now))
+    return conclude(document, report)
+
+
+def check_document(document: Document, now: datetime | None = None) -> CheckResult:
+    """Check what ties the values of a document together.
+
+    For a document that was put together from checked parts: their own form is
+    not looked at again, and findings have a path but no line.
+    """
+    report = Report()
+    apply_rules(Draft(document, {}, report, now))
+    return conclude(document, report)
+
+
+def check_part(text: str, kind: type[Part]) -> Part:
+    """Read one part of a document, such as a planned stop.
+
+    Raises:
+        FindingsError: It has findings.
+    """
+    report = Report()
+    root = read_nodes(text, report)
+    part: Part | None = None
+    if root is not None:
+        part = ModelReader(report).read(root, kind, NO_RULE, ())
+    if part is None or report.findings:
+        raise FindingsError(report.ordered())
+    return part
+
+
+def conclude(document: Document, report: Report) -> CheckResult:
+    """Return the outcome of a check."""
     findings = report.ordered()
     failed = any(each.severity is Severity.ERROR for each in findings)
     return CheckResult(None if failed else document, findings)
@@ -64,7 +111,8 @@
     """Read a document from a file.
 
     Raises:
-        DocumentError: It cannot be read, or has findings that forbid its use.
+        DocumentError: It cannot be read.
+        FindingsError: It has findings that forbid its use.
     """
     try:
         body = path.read_bytes()
@@ -72,7 +120,7 @@
         raise DocumentError(f"{path}: {error.strerror}") from error
     result = check_bytes(body)
     if result.document is None:
-        raise DocumentError(f"{path}: {render_findings(result.findings)}")
+        raise FindingsError(result.findings, str(path))
     return result.document
 
 
--- a/ebonyhold/operators/_document_endpoints.py
+++ b/ebonyhold/operators/_document_endpoints.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from datetime import UTC, datetime
 
+import anyio
 import attrs
 
 from ebonyhold._asgi import Request, Send, send_json
@@ -11,11 +13,12 @@
 from ebonyhold.document import (
     CheckResult,
     Document,
+    FindingsError,
     Stop,
     check_bytes,
-    check_text,
+    check_document,
+    check_part,
     to_plain,
-    to_yaml,
 )
 from ebonyhold.exceptions import LostRaceError
 from ebonyhold.operators._context import (
@@ -23,11 +26,9 @@
     endpoints,
     query_number,
     read_object,
-    take_text,
 )
 from ebonyhold.operators._errors import (
     BadRequestError,
-    FindingsError,
     NotFoundError,
     finding_to_json,
 )
@@ -65,6 +66,15 @@
     return query_number(request, "based_on", 0)
 
 
+async def check_aside(body: bytes) -> CheckResult:
+    """Check a document in a thread of its own.
+
+    The check of a large document takes seconds, which the streams of callers
+    must not wait for.
+    """
+    return await anyio.to_thread.run_sync(check_bytes, body, datetime.now(UTC))
+
+
 def require_document(result: CheckResult) -> Document:
     """Return a checked document.
 
@@ -94,8 +104,7 @@
 @endpoints.add("POST", "/v1/check")
 async def check(context: OperatorsContext, request: Request, send: Send) -> None:
     """Answer with all findings of a document."""
-    body = await request.body(MOST_DOCUMENT)
-    result = check_bytes(body, datetime.now(UTC))
+    result = await check_aside(await request.body(MOST_DOCUMENT))
     usable = result.document is not None
     await send_json(send, 200, {"usable": usable, "findings": findings_of(result)})
 
@@ -104,8 +113,7 @@
 async def apply(context: OperatorsContext, request: Request, send: Send) -> None:
     """Put a document into force."""
     based_on = base_of(request)
-    body = await request.body(MOST_DOCUMENT)
-    result = check_bytes(body, datetime.now(UTC))
+    result = await check_aside(await request.body(MOST_DOCUMENT))
     document = require_document(result)
     version = await context.configuration.publish(
         document, based_on, operator_of(request)
@@ -147,8 +155,8 @@
 async def plan_stop(context: OperatorsContext, request: Request, send: Send) -> None:
     """Plan a stop, or move the one of that name."""
     value = await read_object(request)
-    stop = read_stop(request.parameters["name"], value)
-    answer = await change_stops(context, request, stop)
+    text = json.dumps(value | {"name": request.parameters["name"]})
+    answer = await change_stops(context, request, check_part(text, Stop))
     await send_json(send, 200, answer)
 
 
@@ -159,25 +167,6 @@
     await send_json(send, 200, answer)
 
 
-def read_stop(name: str, value: dict[str, Json]) -> Stop:
-    """Read a stop from a request; the document's check judges it further.
-
-    Raises:
-        BadRequestError: A time has no ISO 8601 form or no zone.
-    """
-    times: list[datetime] = []
-    for key in ("starts", "ends"):
-        try:
-            moment = datetime.fromisoformat(take_text(value, key))
-        except ValueError as error:
-            raise BadRequestError(f"{key} must be an ISO 8601 time") from error
-        if moment.utcoffset() is None:
-            raise BadRequestError(f"{key} needs a time zone")
-        times.append(moment)
-    backend, domain = take_text(value, "backend", ""), take_text(value, "domain", "")
-    return Stop(name, times[0], times[1], backend, domain)
-
-
 async def change_stops(
     context: OperatorsContext, request: Request, stop: Stop | None
 ) -> Json:
@@ -208,7 +197,7 @@
         raise NotFoundError(f"there is no planned stop {name!r}")
     stops = others if stop is None else (*others, stop)
     changed = attrs.evolve(document, stops=stops)
-    result = check_text(to_yaml(changed), datetime.now(UTC))
+    result = check_document(changed, datetime.now(UTC))
     checked = require_document(result)
     accepted = await context.configuration.publish(checked, version, operator)
     return {"version": accepted, "findings": findings_of(result)}
--- a/ebonyhold/operators/_errors.py
+++ b/ebonyhold/operators/_errors.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from ebonyhold._asgi import BodyTooLargeError, Send, send_json
-from ebonyhold.document import Finding
+from ebonyhold.document import Finding, FindingsError
 from ebonyhold.exceptions import (
     BudgetError,
     ConfigurationError,
@@ -36,20 +36,6 @@
     code = "unauthorized"
 
 
-class FindingsError(EbonyholdError):
-    """A document has findings that forbid its use.
-
-    Attributes:
-        findings: All of them.
-    """
-
-    code = "document_invalid"
-
-    def __init__(self, findings: tuple[Finding, ...]) -> None:
-        super().__init__(f"the document has {len(findings)} findings")
-        self.findings = findings
-
-
 @frozen
 class Refusal:
     """What an operator's client receives for an error."""
@@ -78,7 +64,10 @@
 def refusal_of(error: EbonyholdError) -> Refusal:
     """Return what the client receives for an error."""
     status = next((code for kind, code in STATUSES if isinstance(error, kind)), 500)
-    return Refusal(status, error.code, str(error), detail_of(error))
+    message = str(error)
+    if isinstance(error, FindingsError):
+        message = f"{len(error.findings)} findings"
+    return Refusal(status, error.code, message, detail_of(error))
 
 
 def detail_of(error: EbonyholdError) -> Json:
