Delete versions that are no longer kept, and survive a newer release

A publication now deletes the objects of the oldest versions and, in its own commit, their history rows; the rows go last, so that whatever fails half-way is found again. Packs carry the base they were written for, which makes one that a base leaves out unused for good.

A document that a newer release wrote, and that this one cannot read, or a head of another form, ends as a ConfigurationError: the keeper goes on with its version. Before, the error ended the keeper's task and with it the router.

--- a/ebonyhold/configuration/_keeper.py
+++ b/ebonyhold/configuration/_keeper.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import anyio
+import cattrs
 from anyio.abc import TaskStatus
 from attrs import define, field, frozen
 
@@ -142,7 +143,7 @@
         """Refresh while the lock is held, and return the head row as read."""
         asked_at = anyio.current_time()
         row = (await self.table.read((CONFIG_HEAD,)))[0]
-        head = head_of(row)
+        head = read_head(row)
         if head is not None and may_adopt(self.version, head.version):
             self.install(
                 head,
@@ -286,7 +287,7 @@
         if version == self.version:
             return self.state
         row = (await self.table.read((config_version_key(version),)))[0]
-        head = head_of(row)
+        head = read_head(row)
         if head is None:
             raise ConfigurationError(f"version {version} is not kept")
         return await self.store.read_state(head)
@@ -301,7 +302,7 @@
             await self.refresh_locked()
             first = config_version_key(max(0, self.version - limit))
         rows = await self.table.scan(CONFIG_VERSION_PREFIX, after=first, limit=limit)
-        heads = [head for row in rows if (head := head_of(row)) is not None]
+        heads = [head for row in rows if (head := read_head(row)) is not None]
         return tuple(reversed(heads))
 
     async def publish(self, document: Document, based_on: int, author: str) -> int:
@@ -323,6 +324,18 @@
         return version
 
 
+def read_head(row: Row | None) -> HeadRow | None:
+    """Decode a head row or a history row.
+
+    Raises:
+        ConfigurationError: This release cannot read it.
+    """
+    try:
+        return head_of(row)
+    except (cattrs.BaseValidationError, TypeError) as error:
+        raise ConfigurationError("the head cannot be read by this release") from error
+
+
 def make_keeper(table: Table, objects: Objects) -> ConfigurationKeeper:
     """Return a keeper on the platform's table and object store."""
     return ConfigurationKeeper(table, VersionStore(objects))
--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import cattrs
 from attrs import define, field, frozen
 
 from ebonyhold.document import (
@@ -25,6 +26,7 @@
     Workspace,
     part_converter,
 )
+from ebonyhold.exceptions import ConfigurationError
 from ebonyhold.types import Json
 
 DIGEST_MODULUS = 1 << 256
@@ -95,13 +97,18 @@
         return f"{self.total:064x}"
 
     def put(self, key: str, value: Json) -> None:
-        """Add or replace a part."""
+        """Add or replace a part.
+
+        Raises:
+            ConfigurationError: This release cannot read the part.
+        """
+        section, _, name = key.partition("/")
+        structured = structure_part(section, value)
         if key in self.values:
             self.add_digest(-part_digest(key, self.values[key]))
         self.values[key] = value
         self.add_digest(part_digest(key, value))
-        section, _, name = key.partition("/")
-        self.objects.setdefault(section, {})[name] = structure_part(section, value)
+        self.objects.setdefault(section, {})[name] = structured
 
     def remove(self, key: str) -> None:
         """Remove a part, if it is there."""
@@ -133,8 +140,14 @@
         return DocumentState(dict(self.values), objects, self.total)
 
     def document(self) -> Document:
-        """Assemble the document."""
-        fleet: FleetPart = self.objects[FLEET_PART][""]
+        """Assemble the document.
+
+        Raises:
+            ConfigurationError: The part that every document has is missing.
+        """
+        fleet: FleetPart | None = self.find(FLEET_PART)
+        if fleet is None:
+            raise ConfigurationError("the version has no fleet part")
         rest: dict[str, Any] = {
             section: tuple(self.objects.get(section, {}).values())
             for section in LIST_PARTS
@@ -145,11 +158,23 @@
 
 
 def structure_part(section: str, value: Json) -> Any:
-    """Turn a part's JSON value into its model object."""
-    if section in LIST_PARTS:
-        return part_converter.structure(value, LIST_PARTS[section][0])
+    """Turn a part's JSON value into its model object.
+
+    While routers are replaced by a newer release, a document may hold what an
+    older one cannot read.  That must end as an error which its keeper survives
+    with the version it has, not as the end of the router.
+
+    Raises:
+        ConfigurationError: The value does not have the part's form.
+    """
     kind: type = SINGLE_PARTS.get(section, FleetPart)
-    return part_converter.structure(value, kind)
+    if section in LIST_PARTS:
+        kind = LIST_PARTS[section][0]
+    try:
+        return part_converter.structure(value, kind)
+    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError) as error:
+        message = f"a part of {section} cannot be read by this release"
+        raise ConfigurationError(message) from error
 
 
 def split_document(document: Document) -> Iterator[tuple[str, Any]]:
--- a/ebonyhold/configuration/_publisher.py
+++ b/ebonyhold/configuration/_publisher.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
+from itertools import pairwise
 from typing import TYPE_CHECKING, TypeVar
 from uuid import uuid4
 
@@ -19,6 +20,7 @@
 )
 from ebonyhold.coordination import (
     CONFIG_HEAD,
+    CONFIG_VERSION_PREFIX,
     INITIAL_TOPUP,
     Fate,
     HeadRow,
@@ -50,6 +52,12 @@
 MOST_ATTEMPTS = 8
 """Commits of one version before its publisher gives up."""
 
+KEPT_VERSIONS = 20_000
+"""Versions that can be read and rolled back to: four days at 4,800 a day."""
+
+MOST_OLD = 4
+"""History rows that one publication looks at; it deletes all but the last."""
+
 MOST_TOPUPS = 40
 """First top-ups in one transaction; the first of them go with their version."""
 
@@ -75,6 +83,7 @@
         publication: Unique for this publication.
         doubtful: Whether a commit may have taken effect unseen.
         unfilled: Workspaces whose first top-up may still be missing.
+        forgotten: Old versions whose objects are deleted.
         amounts: The first top-up of each workspace, in tokens.
     """
 
@@ -85,6 +94,7 @@
     publication: str = field(factory=lambda: uuid4().hex)
     doubtful: bool = False
     unfilled: tuple[str, ...] = ()
+    forgotten: tuple[int, ...] = ()
     amounts: dict[str, Tokens] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -108,6 +118,7 @@
         state = self.keeper.state.copy()
         state.apply(change)
         head = await self.write_objects(state, change)
+        self.forgotten = await self.delete_oldest(head.version - KEPT_VERSIONS)
         self.unfilled = await self.commit(head, self.added_workspaces(change))
         self.keeper.install(head, state)
         await self.write_copy(head)
@@ -158,6 +169,30 @@
             publication=self.publication,
         )
 
+    async def delete_oldest(self, newest: int) -> tuple[int, ...]:
+        """Delete the objects of old versions; their rows go with the commit.
+
+        The rows go last: if this router dies in between, or the object store
+        fails, the next publication finds them still there and does it again.
+
+        Args:
+            newest: The newest version that may go.
+        """
+        forgotten: list[int] = []
+        if newest < 1:
+            return ()
+        try:
+            rows = await self.keeper.table.scan(CONFIG_VERSION_PREFIX, "", MOST_OLD)
+            heads = [head for row in rows if (head := head_of(row)) is not None]
+            for old, following in pairwise(heads):
+                if old.version > newest:
+                    break
+                await self.keeper.store.delete_version(old, following)
+                forgotten.append(old.version)
+        except EbonyholdError as error:
+            logger.warning("old version not deleted", extra={"reason": str(error)})
+        return tuple(forgotten)
+
     async def insist(self, step: Callable[[], Awaitable[Answer]]) -> Answer:
         """Repeat a step that may be repeated without harm."""
         for attempt in range(MOST_ATTEMPTS - 1):
@@ -191,7 +226,7 @@
                 if await self.is_accepted(row, head.version):
                     return added[MOST_TOPUPS:]
                 topups = await self.missing_topups(added[:MOST_TOPUPS])
-                transaction = plan_apply(row, head, topups)
+                transaction = plan_apply(row, head, topups, self.forgotten)
                 if transaction is None:
                     raise ConfigurationError("the head moved while it was read")
                 await self.keeper.table.commit(transaction)
--- a/ebonyhold/configuration/_store.py
+++ b/ebonyhold/configuration/_store.py
@@ -67,18 +67,39 @@
         return self.changes[0].version - 1 if self.changes else self.version
 
 
+@frozen
+class PackEntry:
+    """One pack in an index.
+
+    Attributes:
+        digest: SHA-256 of the pack's object.
+        content: SHA-256 of its parts alone.
+    """
+
+    digest: str
+    content: str
+
+
 @frozen
 class BaseIndex:
     """The packs that together hold one version; a pack may be empty."""
 
     version: int
-    packs: tuple[str, ...]
+    packs: tuple[PackEntry, ...]
 
 
 @frozen
 class Pack:
-    """Parts whose keys have the same hash, modulo the number of packs."""
+    """Parts whose keys have the same hash, modulo the number of packs.
+
+    Attributes:
+        since: The base that it was written for.  It makes the object unique, so
+            that a pack which one base leaves out is never used again and can
+            be deleted with that base's predecessor.
+        parts: The parts by key.
+    """
 
+    since: int
     parts: Mapping[str, Any] = field(factory=dict)
 
 
@@ -145,13 +166,17 @@
             raise ConfigurationError(f"version {head.version} has another digest")
         return state
 
+    async def read_index(self, manifest: Manifest) -> BaseIndex:
+        """Read the index of a version's base."""
+        return _decode(await self.get(manifest.base), BaseIndex)
+
     async def read_base(self, manifest: Manifest) -> DocumentState:
         """Read a whole base."""
-        index = _decode(await self.get(manifest.base), BaseIndex)
-        packs = await self.read_packs(tuple(dict.fromkeys(index.packs)))
+        index = await self.read_index(manifest)
+        packs = await self.read_packs(tuple(each.digest for each in index.packs))
         state = DocumentState()
-        for digest in index.packs:
-            for key, value in packs[digest].parts.items():
+        for entry in index.packs:
+            for key, value in packs[entry.digest].parts.items():
                 state.put(key, value)
         return state
 
@@ -206,19 +231,49 @@
         self, state: DocumentState, version: int, previous: Manifest | None
     ) -> str:
         """Write a base, leaving out the packs that the last one has already."""
-        present: frozenset[str] = frozenset()
+        present: dict[str, PackEntry] = {}
         if previous is not None:
-            last = _decode(await self.get(previous.base), BaseIndex)
-            present = frozenset(last.packs)
-        packs: list[str] = []
+            last = await self.read_index(previous)
+            present = {entry.content: entry for entry in last.packs}
+        packs: list[PackEntry] = []
         for parts in pack_parts(state.values):
-            body = to_bytes(Pack(parts))
-            digest = hashlib.sha256(body).hexdigest()
-            if digest not in present:
-                await self.put(body)
-            packs.append(digest)
+            content = hashlib.sha256(to_bytes(parts)).hexdigest()
+            entry = present.get(content)
+            if entry is None:
+                digest = await self.put(to_bytes(Pack(version, parts)))
+                entry = PackEntry(digest, content)
+            packs.append(entry)
         return await self.put(to_bytes(BaseIndex(version, tuple(packs))))
 
+    async def delete_version(self, old: HeadRow, following: HeadRow) -> None:
+        """Delete the objects of the oldest version that the next one can miss.
+
+        Versions refer to bases in order, so that a base which the next version
+        leaves is used by no later one.  The manifest goes last: if this ends
+        half-way, doing it again finds what is left; doing it twice is harmless.
+        """
+        try:
+            manifest = await self.read_manifest(old)
+        except ConfigurationError:
+            return
+        next_manifest = await self.read_manifest(following)
+        if manifest.base != next_manifest.base:
+            for digest in await self.packs_left_out(manifest, next_manifest):
+                await self.objects.delete(OBJECT_PREFIX + digest)
+            await self.objects.delete(OBJECT_PREFIX + manifest.base)
+        await self.objects.delete(head_copy_key(old.version))
+        await self.objects.delete(OBJECT_PREFIX + old.manifest)
+
+    async def packs_left_out(
+        self, manifest: Manifest, following: Manifest
+    ) -> tuple[str, ...]:
+        """Name the packs of a base that the next base left out."""
+        if await self.objects.get(OBJECT_PREFIX + manifest.base) is None:
+            return ()
+        kept = {entry.digest for entry in (await self.read_index(following)).packs}
+        packs = (await self.read_index(manifest)).packs
+        return tuple(each.digest for each in packs if each.digest not in kept)
+
     async def write_head_copy(self, head: HeadRow) -> None:
         """Keep a copy of an accepted head, for routers that miss the table."""
         try:
--- a/ebonyhold/coordination/_configuration.py
+++ b/ebonyhold/coordination/_configuration.py
@@ -35,9 +35,6 @@
 INITIAL_TOPUP = "initial"
 """The key of the top-up that a new workspace gets from the document."""
 
-KEPT_VERSIONS = 20_000
-"""History rows that stay: four days at 4,800 changes a day."""
-
 
 @frozen
 class HeadRow:
@@ -91,7 +88,10 @@
 
 
 def plan_apply(
-    current: Row | None, head: HeadRow, topups: tuple[TopUp, ...] = ()
+    current: Row | None,
+    head: HeadRow,
+    topups: tuple[TopUp, ...] = (),
+    forgotten: tuple[int, ...] = (),
 ) -> Transaction | None:
     """Plan to accept a version.
 
@@ -99,6 +99,7 @@
         current: The head row as read.
         head: The version to accept; it is based on the one in `current`.
         topups: First top-ups of workspaces that it adds.
+        forgotten: Old versions whose history rows go.
 
     Returns:
         The transaction, or None when the version is based on an older one: then
@@ -116,8 +117,7 @@
         Put(CONFIG_HEAD, value),
         Put(config_version_key(head.version), value),
     ]
-    if head.version > KEPT_VERSIONS:
-        writes.append(Delete(config_version_key(head.version - KEPT_VERSIONS)))
+    writes.extend(Delete(config_version_key(old)) for old in forgotten)
     filling = plan_initial_topups(topups, head.author, head.at)
     return Transaction((check, *filling.checks), (*writes, *filling.writes))
 
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -11,7 +11,6 @@
 from ebonyhold.backends import Backends
 from ebonyhold.callers import CallersApp
 from ebonyhold.configuration import ConfigurationKeeper, make_keeper
-from ebonyhold.daemon._books import Books
 from ebonyhold.daemon._help import VersionHelp
 from ebonyhold.daemon._lifecycle import Lifecycle
 from ebonyhold.daemon._members import MemberFeed
@@ -25,7 +24,12 @@
 from ebonyhold.metrics import Metrics
 from ebonyhold.misc import new_incarnation
 from ebonyhold.money import Incarnations, Recovery, Treasury
-from ebonyhold.operators import OperatorKeys, OperatorsApp, OperatorsContext
+from ebonyhold.operators import (
+    OperatorKeys,
+    OperatorsApp,
+    OperatorsContext,
+    TableAccounts,
+)
 from ebonyhold.platform import MembersClient, ObjectClient, TableClient
 from ebonyhold.routers import KeyRing, PeerNetwork
 from ebonyhold.settings import Settings
@@ -160,7 +164,7 @@
         self.network.handle(StatusRequest, status.answer)
         keys = OperatorKeys(Path(self.settings.operator_keys))
         keys.reload()
-        books = Books(self.table)
+        books = TableAccounts(self.table)
         return OperatorsApp(
             OperatorsContext(
                 keys, self.keeper, status, books, books, self.render_metrics
--- a/ebonyhold/experiments/demo.py
+++ b/ebonyhold/experiments/demo.py
@@ -174,7 +174,7 @@
         if row["spent"] + row["outstanding"] > row["prepaid"]:
             found.append(f"budget {row['workspace']} is overspent")
     for one in books.discrepancies:
-        found.append(f"{one['workspace']}: {one['code']}: {one['message']}")
+        found.append(f"{one['workspace']}: {one['finding']}: {one}")
     return found
 
 
--- a/tests/configuration/fakes.py
+++ b/tests/configuration/fakes.py
@@ -94,6 +94,8 @@
     bytes_read: int = 0
     bytes_written: int = 0
     reads: int = 0
+    deletes: int = 0
+    fail_deletes: bool = False
 
     def check_up(self) -> None:
         if self.down:
@@ -118,6 +120,9 @@
     async def delete(self, key: str) -> None:
         await anyio.lowlevel.checkpoint()
         self.check_up()
+        self.deletes += 1
+        if self.fail_deletes and self.deletes % 2:
+            raise UnavailableError("the object store is busy")
         self.bodies.pop(key, None)
 
     async def keys(self, prefix: str, after: str = "", limit: int = 1000) -> list[str]:
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -8,12 +8,19 @@
 import attrs
 import pytest
 
-from ebonyhold.configuration import ConfigurationKeeper, Evidence, VersionStore
-from ebonyhold.coordination import CONFIG_HEAD, budget_key
+from ebonyhold.configuration import (
+    Change,
+    ConfigurationKeeper,
+    Evidence,
+    Manifest,
+    VersionStore,
+)
+from ebonyhold.coordination import CONFIG_HEAD, Row, budget_key, plan_apply, to_bytes
 from ebonyhold.document import Document, Policy, StaleConfiguration, Workspace
 from ebonyhold.exceptions import (
     ConfigurationError,
 )
+from ebonyhold.types import Json
 from tests.configuration.fakes import FakeObjects, FakeTable
 
 pytestmark = pytest.mark.anyio
@@ -127,6 +134,42 @@
         assert (started.version, started.may_serve()) == (2, True)
 
 
+@pytest.mark.parametrize(
+    ("section", "value"),
+    [
+        ("workspaces/v", {"name": "v"}),
+        ("workspaces/v", [1]),
+        ("policy", {"stale_configuration": "ask_somebody"}),
+        ("stops/s", {"name": "s", "starts": "noon", "ends": "noon"}),
+        ("fleet", None),
+    ],
+)
+async def test_a_version_of_a_newer_release(section: str, value: Json) -> None:
+    """Half of the routers run a newer release, whose document says more.
+
+    An older router cannot read it: it must go on with the version it has, not
+    end, and follow again once it can.
+    """
+    table, objects = FakeTable(), FakeObjects()
+    newer, older = keeper_on(table, objects), keeper_on(table, objects)
+    await newer.publish(DOCUMENT, 0, "ana")
+    await older.follow()
+    assert newer.head is not None
+    manifest = Manifest(2, "", 0, (Change(2, {section: value}),))
+    digest = await newer.store.put(to_bytes(manifest))
+    head = attrs.evolve(newer.head, version=2, based_on=1, manifest=digest)
+    plan = plan_apply(table.rows[CONFIG_HEAD], head)
+    assert plan is not None
+    table.apply(plan)
+    confirmed_at = older.confirmed_at
+    await older.follow()
+    assert (older.version, older.document) == (1, DOCUMENT)
+    assert older.confirmed_at == confirmed_at
+    table.rows[CONFIG_HEAD] = Row(CONFIG_HEAD, 9, {"odd": 1})
+    await older.follow()
+    assert older.version == 1
+
+
 async def test_a_missing_copy_of_the_head_is_written() -> None:
     """The publisher's router dies after its version was accepted.
 
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -11,6 +11,7 @@
 from ebonyhold.configuration import (
     ConfigurationKeeper,
     VersionStore,
+    _publisher,
     _store,
     find_changed_paths,
 )
@@ -104,6 +105,40 @@
         assert objects.bytes_read <= _store.MOST_INLINE
 
 
+async def test_old_versions_leave_nothing_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Thousands of changes a day must not fill the object store.
+
+    Versions beyond those that are kept go with all their objects, also when a
+    deletion ends half-way, while each kept version can still be read.
+    """
+    kept = 12
+    monkeypatch.setattr(_store, "PACK_BYTES", 2000)
+    monkeypatch.setattr(_store, "MOST_INLINE", 1200)
+    monkeypatch.setattr(_store, "KEPT_INLINE", 600)
+    monkeypatch.setattr(_publisher, "KEPT_VERSIONS", kept)
+    random = Random(5)
+    table, objects = FakeTable(), FakeObjects()
+    keeper = ConfigurationKeeper(table, VersionStore(objects))
+    document = large(60)
+    for version in range(120):
+        objects.fail_deletes = version < 110 and version % 7 == 0
+        await keeper.publish(document, version, "ana")
+        document = changed(document, random)
+    versions = await keeper.history(100)
+    assert len(versions) == kept
+    used: set[str] = set()
+    for head in versions:
+        assert (await keeper.store.read_state(head)).digest == head.digest
+        manifest = await keeper.store.read_manifest(head)
+        packs = (await keeper.store.read_index(manifest)).packs
+        digests = (head.manifest, manifest.base, *(each.digest for each in packs))
+        used |= {_store.OBJECT_PREFIX + digest for digest in digests}
+        used.add(_store.head_copy_key(head.version))
+    assert set(objects.bodies) == used
+
+
 async def test_every_part_of_a_document_travels() -> None:
     table, objects = FakeTable(), FakeObjects()
     store = VersionStore(objects)
