Race operators against a failing platform on fixed seeds

Single failures have their stories already; this mixes them.

The status table showed blanks in place of zeros for idle backend servers.

--- a/ebonyhold/command/_fleet.py
+++ b/ebonyhold/command/_fleet.py
@@ -58,7 +58,7 @@
     console().print(f"configuration version {answer['version']}{remark}")
     routers = [router_row(each) for each in answer["routers"]]
     write_rows(output, None, routers, ROUTER_COLUMNS, "no routers known")
-    backends = answer["backends"]
+    backends = [{"in_flight": 0} | each for each in answer["backends"]]
     write_rows(output, None, backends, BACKEND_COLUMNS, "no backend servers known")
 
 
--- a/ebonyhold/command/_output.py
+++ b/ebonyhold/command/_output.py
@@ -12,7 +12,7 @@
 
 from ebonyhold.command._options import OutputForm
 
-NARROWEST = 100
+NARROWEST = 132
 """Columns of a table that does not go to a terminal."""
 
 
--- /dev/null
+++ b/tests/configuration/test_chaos.py
@@ -0,0 +1,125 @@
+"""Operators race while table and object store fail in every way, on fixed seeds."""
+
+from __future__ import annotations
+
+from random import Random
+
+import anyio
+import attrs
+import pytest
+from attrs import define, field
+
+from ebonyhold.configuration import ConfigurationKeeper
+from ebonyhold.coordination import config_version_key, head_of
+from ebonyhold.exceptions import (
+    EbonyholdError,
+    LostRaceError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from tests.configuration.fakes import FakeObjects, FakeTable
+from tests.configuration.test_keeper import keeper_on, named
+
+pytestmark = pytest.mark.anyio
+
+ROUTERS = 4
+OPERATORS = 3
+STEPS = 12
+
+
+@define
+class World:
+    """Routers and operators on one failing platform.
+
+    Attributes:
+        accepted: Content by the version that its operator was told.
+        refused: Content whose operator was told that it is not in force.
+        seen: The digest that routers had in force, by version.
+    """
+
+    random: Random
+    table: FakeTable = field(factory=FakeTable)
+    objects: FakeObjects = field(factory=FakeObjects)
+    keepers: list[ConfigurationKeeper] = field(factory=list)
+    accepted: dict[int, str] = field(factory=dict)
+    refused: set[str] = field(factory=set)
+    seen: dict[int, str] = field(factory=dict)
+    running: bool = True
+
+    async def run(self) -> None:
+        self.keepers = [keeper_on(self.table, self.objects) for _ in range(ROUTERS)]
+        async with anyio.create_task_group() as everything:
+            for index in range(ROUTERS):
+                everything.start_soon(self.route, index)
+            everything.start_soon(self.break_things)
+            async with anyio.create_task_group() as group:
+                for index in range(OPERATORS):
+                    group.start_soon(self.operate, index)
+            self.running = False
+            everything.cancel_scope.cancel()
+
+    async def route(self, index: int) -> None:
+        """Follow versions, restart at times, and never go back."""
+        version = 0
+        while True:
+            keeper = self.keepers[index]
+            await keeper.follow()
+            assert keeper.version >= version
+            version = keeper.version
+            if keeper.head is not None:
+                digest = self.seen.setdefault(version, keeper.head.digest)
+                assert digest == keeper.head.digest
+            await anyio.sleep(self.random.uniform(0, 5))
+            if self.random.random() < 0.1:
+                self.keepers[index] = keeper_on(self.table, self.objects)
+                version = 0
+
+    async def operate(self, operator: int) -> None:
+        """Publish changes on top of whatever some router has."""
+        for step in range(STEPS):
+            await anyio.sleep(self.random.uniform(0, 4))
+            keeper = self.random.choice(self.keepers)
+            content = f"o{operator}-{step}"
+            base = keeper.version
+            try:
+                version = await keeper.publish(named(content), base, content)
+                assert self.accepted.setdefault(version, content) == content
+            except (LostRaceError, UnavailableError):
+                self.refused.add(content)
+            except UnknownOutcomeError:
+                continue
+            except EbonyholdError as error:
+                raise AssertionError(f"unexpected: {error}") from error
+
+    async def break_things(self) -> None:
+        """Break and mend table and object store."""
+        while True:
+            await anyio.sleep(self.random.uniform(0, 3))
+            self.table.lost = self.random.choice((0, 0, 1, 2))
+            self.table.dropped = self.random.choice((0, 0, 1, 3))
+            self.table.down = self.random.random() < 0.25
+            self.objects.down = self.random.random() < 0.25
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_no_version_is_lost_doubled_or_reverted(seed: int) -> None:
+    """What an operator is told is true, whatever failed while it was told.
+
+    An accepted content has its version for ever, a refused one has none, no
+    two routers have different contents of one version, and no router goes back.
+    """
+    world = World(Random(seed))
+    await world.run()
+    world.table = attrs.evolve(world.table, down=False)
+    rows = world.table.rows
+    heads = [head_of(row) for key, row in rows.items() if "config/version/" in key]
+    contents = {head.version: head.author for head in heads if head}
+    assert world.accepted.items() <= contents.items()
+    assert world.refused.isdisjoint(contents.values())
+    assert len(set(contents.values())) == len(contents)
+    assert sorted(contents) == list(range(1, len(contents) + 1))
+    assert len(contents) > 5
+    for version, digest in world.seen.items():
+        head = head_of(rows[config_version_key(version)])
+        assert head is not None
+        assert head.digest == digest
