--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -65,6 +65,7 @@
     may_adopt,
     plan_apply,
     plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
 )
 from ebonyhold.coordination._ejection import (
@@ -358,6 +359,7 @@
     "plan_acquire",
     "plan_apply",
     "plan_initial_topup",
+    "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
