Keep goodput under overload: windows per engine, shedding of a standing queue

Change: a router bounds its own requests at each engine by a window that shrinks on a reported queue and grows while there are free slots; a queue that has not been empty for a second gives up requests after 0.25 s and starts the newest.

--- a/ebonyhold/backends/_state.py
+++ b/ebonyhold/backends/_state.py
@@ -12,12 +12,17 @@
 from ebonyhold.document import Backend
 from ebonyhold.types import AttemptId, RequestId, Seconds
 
-QUEUE_SHARE = 0.5
-"""Requests that may queue in a server, as a part of its slots.
+FIRST_WINDOW = 0.25
+"""The part of a server's slots that a router begins with."""
 
-A short queue keeps its batch full between the router's decisions; a long one
-would take the order of service away from the router's fair queues.
-"""
+PROBING = 0.5
+"""The part by which a window grows with each report before a queue was seen."""
+
+SHRINK = 0.7
+"""What a report of a queue leaves of a window."""
+
+GROWTH = 0.2
+"""What a router's window grows by with each report that shows no queue."""
 
 
 @define
@@ -32,6 +37,8 @@
         own_at_report: What this router had there at that time.
         running: This router's requests there, by attempt.
         prefixes: The prompt prefixes it is believed to hold.
+        window: The most requests that this router keeps there.
+        probing: Whether the window still grows fast, having met no bound.
         boot: Its boot identifier, as last heard.
     """
 
@@ -42,6 +49,8 @@
     own_at_report: int = 0
     running: dict[AttemptId, InProgress] = field(factory=dict)
     reserved: int = 0
+    window: float = field(init=False)
+    probing: bool = True
     prefixes: PrefixIndex = field(factory=PrefixIndex)
     boot: str = ""
 
@@ -59,8 +68,11 @@
     @property
     def room(self) -> int:
         """Requests that may still be sent there."""
-        most = self.backend.slots + max(1, int(self.backend.slots * QUEUE_SHARE))
-        return max(0, most - self.load)
+        return max(0, min(self.backend.slots - self.load, int(self.window) - self.own))
+
+    def __attrs_post_init__(self) -> None:
+        """Start with a part of the server."""
+        self.window = max(1.0, self.backend.slots * FIRST_WINDOW)
 
     def heard(self, report: LoadReport, now: Seconds) -> None:
         """Take in a load report; an older one than the last is ignored.
@@ -74,10 +86,30 @@
         if restarted:
             self.prefixes.clear()
         self.report = report
+        self.adapt()
         self.reported_at = now
         self.own_at_report = min(self.own, report.running + report.queued)
         self.boot = report.boot
 
+    def adapt(self) -> None:
+        """Fit this router's window to what the report says.
+
+        Several routers that see the same free slots would all fill them, and
+        the requests would wait in the server, out of reach of any router's
+        order or deadline.  So each router bounds its own requests there: it
+        shrinks the bound when the server reports a queue, leaves it while the
+        server is full, and grows it slowly while there are free slots.  Routers
+        that share a server end up with fair parts of it, as TCP's do of a link,
+        without a word between them.
+        """
+        queued, running = self.report.queued, self.report.running
+        if queued:
+            self.window = max(1.0, self.window * SHRINK)
+            self.probing = False
+        elif running + 1 < self.backend.slots and self.own + 1 >= self.window:
+            growth = self.window * PROBING if self.probing else GROWTH
+            self.window = min(float(self.backend.slots), self.window + growth)
+
     def learn(self, events: Iterable[CacheEvent]) -> None:
         """Take in cache events; those that were seen before change nothing."""
         for event in sorted(events, key=lambda item: item.sequence):
--- a/ebonyhold/callers/_app.py
+++ b/ebonyhold/callers/_app.py
@@ -218,7 +218,11 @@
     """
     workspace = call.workspace
     waiter = gate.offer(
-        workspace.name, share(workspace), urgency.priority, urgency.patience
+        workspace.name,
+        share(workspace),
+        urgency.priority,
+        urgency.patience,
+        urgency.shed_after,
     )
     if not waiter.event.is_set():
         gone = await until_gone(call.request, lambda: gate.wait(waiter))
--- a/ebonyhold/callers/_ask.py
+++ b/ebonyhold/callers/_ask.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import math
 import re
 import uuid
 from collections.abc import Iterator, Mapping
@@ -34,6 +35,8 @@
 LIVE_PATIENCE: Seconds = 5.0
 BATCH_PATIENCE: Seconds = 60.0
 MOST_PATIENCE: Seconds = 600.0
+LIVE_SHED: Seconds = 0.25
+BATCH_SHED: Seconds = 10.0
 
 MESSAGE_OVERHEAD: Tokens = 16
 """Tokens that a chat template may add around one message."""
@@ -52,10 +55,18 @@
 
 @frozen
 class Urgency:
-    """How urgent a request is, and how long it may wait to begin."""
+    """How urgent a request is, and how long it may wait to begin.
+
+    Attributes:
+        priority: Larger is served first.
+        patience: The longest wait, in seconds.
+        shed_after: The longest wait in a queue that is standing, in seconds; a
+            caller that names a deadline is waited for as long as it says.
+    """
 
     priority: int
     patience: Seconds
+    shed_after: Seconds = math.inf
 
 
 @frozen
@@ -116,11 +127,14 @@
             PARAMETER_INVALID, "X-Priority is live or batch", param="X-Priority"
         )
     batch = word == "batch"
-    patience = BATCH_PATIENCE if batch else LIVE_PATIENCE
     given = headers.get(DEADLINE_HEADER)
-    if given is not None:
-        patience = read_deadline(given)
-    return Urgency(priority - BATCH_STEP if batch else priority, patience)
+    if batch:
+        usual = Urgency(priority - BATCH_STEP, BATCH_PATIENCE, BATCH_SHED)
+    else:
+        usual = Urgency(priority, LIVE_PATIENCE, LIVE_SHED)
+    if given is None:
+        return usual
+    return Urgency(usual.priority, read_deadline(given))
 
 
 def read_deadline(given: str) -> Seconds:
--- a/ebonyhold/callers/_gate.py
+++ b/ebonyhold/callers/_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -49,6 +50,7 @@
         share: Share,
         priority: int,
         patience: Seconds,
+        shed_after: Seconds = math.inf,
     ) -> Waiter:
         """Queue a request, which has its turn at once if its event is set.
 
@@ -59,7 +61,9 @@
         """
         now = anyio.current_time()
         self.numbers += 1
-        ticket = Ticket(self.numbers, workspace, priority, now + patience)
+        ticket = Ticket(
+            self.numbers, workspace, priority, now + patience, now, shed_after
+        )
         refused = self.queue.offer(ticket, share, now)
         if refused is not None:
             raise refusal(refused)
--- a/ebonyhold/coordination/_admission.py
+++ b/ebonyhold/coordination/_admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from attrs import define, field, frozen
@@ -43,12 +44,16 @@
         workspace: Whose it is.
         priority: Larger starts first.
         deadline: When waiting becomes useless, on the owner's clock.
+        arrived: When it came.
+        shed_after: The longest it waits while the queue is standing, in seconds.
     """
 
     number: int
     workspace: WorkspaceName
     priority: int
     deadline: Seconds
+    arrived: Seconds = 0.0
+    shed_after: Seconds = math.inf
 
 
 @frozen
@@ -91,13 +96,23 @@
     finish time starts first, so that one that floods waits behind its own
     requests and not before those of the others.
 
+    A short burst may wait as long as its deadlines allow.  A queue that has not
+    been empty for a while is no burst but overload: first in, first out would
+    then serve every request, each too late to be of use.  So in a standing
+    queue the newest request of a workspace starts first, a request is given up
+    once it has waited for `shed_after`, and those that are served begin in time.
+
     Attributes:
         most_waiting: Requests that may wait in all.
+        standing_after: How long the queue is not empty in a burst, in seconds.
         rate: Completions a second, as estimated; 0 before any is known.
+        empty_at: When the queue was last empty.
     """
 
     most_waiting: int = 512
+    standing_after: Seconds = 1.0
     rate: float = 0.0
+    empty_at: Seconds = 0.0
     virtual: float = 0.0
     last_completion: Seconds | None = None
     workspaces: dict[WorkspaceName, WorkspaceQueue] = field(factory=dict)
@@ -109,13 +124,15 @@
         expected is longer than its deadline allows: an early truthful refusal
         lets the caller go elsewhere, a late one costs it the deadline too.
         """
+        if not self.waiting:
+            self.empty_at = now
         entry = self.entry(ticket.workspace, share)
         if entry.length >= share.queue:
             return Refused(ticket, self.retry_after(now), workspace_bound=True)
         ahead = self.ahead_of(ticket)
         if ahead >= self.most_waiting:
             return Refused(ticket, self.retry_after(now))
-        if self.rate > 0 and now + ahead / self.rate > ticket.deadline:
+        if self.rate > 0 and ahead / self.rate > self.patience(ticket, now):
             return Refused(ticket, self.retry_after(now))
         queue = entry.waiting.setdefault(ticket.priority, deque())
         if entry.length == 0 and entry.running == 0:
@@ -127,13 +144,22 @@
         """Return the requests that start, given that many free places."""
         started: list[Ticket] = []
         while free > 0:
-            ticket = self.next_ticket()
+            ticket = self.next_ticket(now)
             if ticket is None:
                 break
             started.append(ticket)
             free -= 1
+        if not self.waiting:
+            self.empty_at = now
         return started
 
+    def patience(self, ticket: Ticket, now: Seconds) -> Seconds:
+        """Return how much longer a request may wait."""
+        left = ticket.deadline - now
+        if not self.is_standing(now):
+            return left
+        return min(left, ticket.arrived + ticket.shed_after - now)
+
     def finished(self, ticket: Ticket, now: Seconds) -> None:
         """Note that a started request has ended."""
         entry = self.workspaces[ticket.workspace]
@@ -156,17 +182,18 @@
         return True
 
     def expire(self, now: Seconds) -> list[Refused]:
-        """Refuse what can no longer start in time."""
+        """Give up what can no longer start in time, at once and not later."""
         late = [
             ticket
             for entry in self.workspaces.values()
             for queue in entry.waiting.values()
             for ticket in queue
-            if ticket.deadline <= now
+            if self.patience(ticket, now) <= 0
         ]
+        wait = self.retry_after(now)
         for ticket in late:
             self.leave(ticket)
-        return [Refused(item, self.retry_after(now), expired=True) for item in late]
+        return [Refused(item, wait, expired=item.deadline <= now) for item in late]
 
     def retry_after(self, now: Seconds) -> Seconds:
         """Return how long the present queue takes to empty."""
@@ -194,7 +221,11 @@
             if priority >= ticket.priority
         )
 
-    def next_ticket(self) -> Ticket | None:
+    def is_standing(self, now: Seconds) -> bool:
+        """Return whether requests have waited without a break for too long."""
+        return now - self.empty_at > self.standing_after
+
+    def next_ticket(self, now: Seconds) -> Ticket | None:
         """Take the request whose turn it is, if any may start."""
         best: WorkspaceQueue | None = None
         best_rank = (0.0, 0.0)
@@ -207,7 +238,8 @@
                 best, best_rank = entry, rank
         if best is None:
             return None
-        ticket = best.waiting[int(-best_rank[0])].popleft()
+        queue = best.waiting[int(-best_rank[0])]
+        ticket = queue.pop() if self.is_standing(now) else queue.popleft()
         self.virtual = max(self.virtual, best.finish)
         best.finish = max(best.finish, self.virtual) + 1.0 / max(1, best.share.weight)
         best.running += 1
--- a/ebonyhold/experiments/choice/_run.py
+++ b/ebonyhold/experiments/choice/_run.py
@@ -13,6 +13,7 @@
 
 from ebonyhold.backends import Backends, BackendState
 from ebonyhold.callers import Refusal
+from ebonyhold.callers._ask import read_urgency
 from ebonyhold.callers._gate import Gate
 from ebonyhold.coordination import Need, Share
 from ebonyhold.document import (
@@ -30,8 +31,6 @@
 
 MODEL = "assistant"
 POLL: Seconds = 0.5
-LIVE_PATIENCE: Seconds = 5.0
-BATCH_PATIENCE: Seconds = 60.0
 SAMPLE: Seconds = 0.25
 
 
@@ -108,11 +107,15 @@
     async def serve(self, ask: Ask) -> None:
         """Serve one request, or refuse it."""
         arrived = anyio.current_time()
-        patience = LIVE_PATIENCE if ask.priority == 0 else BATCH_PATIENCE
+        urgency = read_urgency({"x-priority": "live" if ask.live else "batch"}, 0)
         self.tally.asked += 1
         try:
             waiter = self.gate.offer(
-                ask.workspace, Share(10_000, 10_000), ask.priority, patience
+                ask.workspace,
+                Share(10_000, 10_000),
+                urgency.priority,
+                urgency.patience,
+                urgency.shed_after,
             )
             if not waiter.event.is_set():
                 await self.gate.wait(waiter)
@@ -125,7 +128,7 @@
         state.started(name, name, arrived)
         state.prefixes.sent(ask.hashes)
         await anyio.sleep(state.distance)
-        job = Job(ask.hashes, ask.prompt, ask.answer, ask.priority, arrived)
+        job = Job(ask.hashes, ask.prompt, ask.answer, urgency.priority, arrived)
         self.engines[state.backend.name].submit(job)
         await job.done.wait()
         await anyio.sleep(state.distance)
@@ -135,7 +138,7 @@
 
     def choose(self, ask: Ask) -> BackendState:
         """Let the product choose."""
-        need = Need(ask.prompt, ask.answer, ask.priority)
+        need = Need(ask.prompt, ask.answer)
         state = self.backends.choose(MODEL, need, ask.hashes)
         assert state is not None
         return state
--- a/ebonyhold/experiments/choice/_workload.py
+++ b/ebonyhold/experiments/choice/_workload.py
@@ -32,7 +32,7 @@
         hashes: Its prompt's blocks.
         prompt: The prompt, in tokens.
         answer: The answer, in tokens.
-        priority: Larger is more urgent.
+        live: Whether somebody waits for it.
     """
 
     at: Seconds
@@ -40,7 +40,7 @@
     hashes: tuple[str, ...]
     prompt: Tokens
     answer: Tokens
-    priority: int = 0
+    live: bool = True
 
 
 def asks(rng: random.Random, rate: float, length: Seconds) -> list[Ask]:
@@ -74,7 +74,7 @@
     if rng.random() < SHEET_SHARE:
         own = tuple(f"s{session}/{index}" for index in range(rng.randint(60, 140)))
         prompt = (len(shared) + len(own)) * BLOCK + rng.randint(1, BLOCK)
-        yield Ask(at, workspace, shared + own, prompt, rng.randint(200, 500), -100)
+        yield Ask(at, workspace, shared + own, prompt, rng.randint(200, 500), False)
         return
     history = 0
     for _ in range(rng.randint(*TURNS)):
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,124 @@
+"""Who starts, who waits and who is refused."""
+
+from __future__ import annotations
+
+import pytest
+
+from ebonyhold.coordination import AdmissionQueue, Share, Ticket
+
+ONE = Share(concurrency=100, queue=100)
+
+
+def ticket(
+    number: int,
+    workspace: str = "w",
+    priority: int = 0,
+    deadline: float = 100.0,
+    arrived: float = 0.0,
+    shed_after: float = 100.0,
+) -> Ticket:
+    return Ticket(number, workspace, priority, deadline, arrived, shed_after)
+
+
+def numbers(tickets: list[Ticket]) -> list[int]:
+    return [item.number for item in tickets]
+
+
+@pytest.mark.parametrize(
+    ("offers", "shares", "free", "started"),
+    [
+        pytest.param([("a", 0), ("a", 0)], {}, 5, [0, 1], id="in order"),
+        pytest.param([("a", -100), ("a", 0)], {}, 1, [1], id="live before batch"),
+        pytest.param(
+            [("a", 0), ("a", 0), ("a", 0), ("b", 0)], {}, 2, [0, 3], id="no flood"
+        ),
+        pytest.param(
+            [("a", 0)] * 4 + [("b", 0)] * 4,
+            {"a": Share(weight=3)},
+            4,
+            [0, 4, 1, 2],
+            id="by weight",
+        ),
+        pytest.param(
+            [("a", 0), ("a", 0), ("b", 0)],
+            {"a": Share(concurrency=1)},
+            3,
+            [0, 2],
+            id="bound of a workspace",
+        ),
+        pytest.param([("a", 0)], {}, 0, [], id="nothing free"),
+    ],
+)
+def test_order(
+    offers: list[tuple[str, int]],
+    shares: dict[str, Share],
+    free: int,
+    started: list[int],
+) -> None:
+    queue = AdmissionQueue()
+    for number, (workspace, priority) in enumerate(offers):
+        share = shares.get(workspace, ONE)
+        assert queue.offer(ticket(number, workspace, priority), share, 0.0) is None
+    assert numbers(queue.start(free, 0.0)) == started
+
+
+def test_a_workspace_that_floods_is_refused_alone() -> None:
+    """One workspace sends a thousand requests at once, another sends one.
+
+    The flood fills its own bound and is refused there; the other one starts
+    next.
+    """
+    queue = AdmissionQueue()
+    flood = [queue.offer(ticket(n, "a"), Share(queue=10), 0.0) for n in range(1000)]
+    assert sum(refused is None for refused in flood) == 10
+    assert all(refused.workspace_bound for refused in flood if refused)
+    assert queue.offer(ticket(1000, "b"), ONE, 0.0) is None
+    assert numbers(queue.start(2, 0.0)) == [0, 1000]
+
+
+def test_a_request_that_cannot_begin_in_time_is_refused_at_once() -> None:
+    """Completions come one a second and five requests wait.
+
+    A sixth that allows two seconds is refused when it comes, not two seconds
+    later, and is told how long the queue takes.
+    """
+    queue = AdmissionQueue()
+    for number in range(3):
+        queue.offer(ticket(number), ONE, 0.0)
+    for at, started in enumerate(queue.start(3, 0.0)):
+        queue.finished(started, float(at))
+    for number in range(3, 8):
+        assert queue.offer(ticket(number), ONE, 3.0) is None
+    refused = queue.offer(ticket(9, deadline=5.0), ONE, 3.0)
+    assert refused is not None
+    assert refused.retry_after == pytest.approx(5.0)
+
+
+def test_a_burst_waits_and_a_standing_queue_sheds() -> None:
+    """Two requests wait half a second in a burst: both stay.
+
+    In a queue that has stood for longer than a second, the old one is given up
+    and the newest starts first.
+    """
+    queue = AdmissionQueue()
+    queue.offer(ticket(0, arrived=0.0, shed_after=0.25), ONE, 0.0)
+    queue.offer(ticket(1, arrived=0.1, shed_after=0.25), ONE, 0.1)
+    assert queue.expire(0.6) == []
+    queue.offer(ticket(2, arrived=1.1, shed_after=0.25), ONE, 1.1)
+    queue.offer(ticket(3, arrived=1.15, shed_after=0.25), ONE, 1.15)
+    assert numbers([item.ticket for item in queue.expire(1.2)]) == [0, 1]
+    assert numbers(queue.start(1, 1.2)) == [3]
+
+
+def test_deadlines_and_departures() -> None:
+    queue = AdmissionQueue()
+    tickets = [ticket(n, deadline=float(n)) for n in range(1, 4)]
+    for item in tickets:
+        queue.offer(item, ONE, 0.0)
+    assert queue.leave(tickets[2])
+    assert not queue.leave(tickets[2])
+    (late,) = queue.expire(1.5)
+    assert (late.ticket.number, late.expired) == (1, True)
+    assert numbers(queue.start(9, 1.5)) == [2]
+    queue.finished(tickets[1], 2.0)
+    assert queue.workspaces == {}
--- /dev/null
+++ b/tests/coordination/test_request_decisions.py
@@ -0,0 +1,164 @@
+"""Planned stops, ejection, prefixes, and what each choice policy prefers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ebonyhold.coordination import (
+    Candidate,
+    EjectionPolicy,
+    Ejector,
+    InProgress,
+    Need,
+    PlannedStop,
+    PrefixIndex,
+    choice_policies,
+    holdings,
+    is_stopped,
+    make_choice_policy,
+    prefix_hashes,
+)
+from ebonyhold.standins import prefix_hashes as engine_hashes
+
+
+@pytest.mark.parametrize(
+    ("stop", "now", "stopped"),
+    [
+        (PlannedStop("s", 100, 200, backend="e1"), 98.9, False),
+        (PlannedStop("s", 100, 200, backend="e1"), 99.0, True),
+        (PlannedStop("s", 100, 200, backend="e1"), 199.9, True),
+        (PlannedStop("s", 100, 200, backend="e1"), 200.0, False),
+        (PlannedStop("s", 100, 200, backend="e2"), 150, False),
+        (PlannedStop("s", 100, 200, domain="north"), 150, True),
+        (PlannedStop("s", 100, 200, domain="south"), 150, False),
+        (PlannedStop("s", 100, 200), 150, False),
+    ],
+)
+def test_planned_stops(stop: PlannedStop, now: float, stopped: bool) -> None:
+    assert is_stopped([stop], "e1", "north", now) is stopped
+
+
+def test_what_still_holds_a_leaving_server() -> None:
+    running = [InProgress("late", "e1", 5.0), InProgress("early", "e1", 2.0)]
+    running.append(InProgress("other", "e2", 1.0))
+    first, second = holdings(["e1", "e3"], running)
+    assert [item.request for item in first.requests] == ["early", "late"]
+    assert second.requests == ()
+
+
+NINE = {f"e{n}": f"d{n % 3}" for n in range(9)}
+
+
+def test_errors_everywhere_eject_only_a_part() -> None:
+    """A prompt that breaks every engine makes all nine look like outliers.
+
+    No failure domain loses more than half of its engines, and the fleet no more
+    than a third.
+    """
+    ejector = Ejector()
+    for name in NINE:
+        for _ in range(10):
+            ejector.failed(name, 0.0)
+    out = ejector.ejected(NINE, 0.1)
+    assert len(out) == 3
+    assert max(sum(NINE[name] == d for name in out) for d in set(NINE.values())) == 1
+
+
+def test_a_dead_domain_is_left_out_whole() -> None:
+    """A failure domain is gone: its three engines refuse every connection."""
+    ejector = Ejector()
+    dead = {name for name, domain in NINE.items() if domain == "d1"}
+    for name in dead:
+        ejector.lost(name)
+        ejector.lost(name)
+    assert ejector.ejected(NINE, 0.0) == dead
+    ejector.reached("e1")
+    assert ejector.ejected(NINE, 0.0) == dead - {"e1"}
+
+
+def test_when_nothing_is_reached_nothing_is_left_out() -> None:
+    """This router's own network is cut: to it, every engine looks dead."""
+    ejector = Ejector()
+    for name in NINE:
+        ejector.lost(name)
+        ejector.lost(name)
+    assert ejector.ejected(NINE, 0.0) == frozenset()
+
+
+def test_ejection_ends_and_grows() -> None:
+    ejector = Ejector(EjectionPolicy(errors=2, first=1.0, most=3.0))
+    ejector.failed("e0", 0.0)
+    assert ejector.ejected(NINE, 0.0) == frozenset()
+    spans = []
+    for now in (0.0, 10.0, 20.0):
+        ejector.failed("e0", now)
+        spans.append(ejector.records["e0"].until - now)
+    assert spans == [1.0, 2.0, 3.0]
+    ejector.succeeded("e0")
+    assert ejector.ejected(NINE, 20.5) == frozenset()
+
+
+def test_hashes_are_those_of_the_engines() -> None:
+    words = [f"w{n}" for n in range(70)]
+    assert prefix_hashes(words) == engine_hashes(tuple(words), 16)
+
+
+def test_prefix_index() -> None:
+    index = PrefixIndex(most=4)
+    hashes = prefix_hashes([f"w{n}" for n in range(64)])
+    index.sent(hashes)
+    assert index.reuse(hashes) == 64
+    index.removed(hashes[2])
+    assert index.reuse(hashes) == 32
+    index.stored("another")
+    index.stored("one more")
+    assert index.reuse(hashes) == 0
+    index.clear()
+    assert not index.held
+
+
+IDLE = Candidate("idle", 16)
+BUSY = Candidate("busy", 16, reported=14)
+FULL = Candidate("full", 16, reported=16, own_at_report=1, own=9)
+WARM = Candidate("warm", 16, reported=3, reuse=800)
+NEED = Need(prompt=1000, most=100)
+
+
+@pytest.mark.parametrize(
+    ("policy", "candidates", "chosen"),
+    [
+        ("least_load", [IDLE, BUSY], {"idle"}),
+        ("least_load", [Candidate("sent to", 16, own=9), BUSY], {"sent to"}),
+        ("two_choices", [IDLE, FULL], {"idle"}),
+        ("two_choices", [IDLE, BUSY, FULL], {"idle", "busy"}),
+        ("prefix_aware", [IDLE, WARM, BUSY, FULL], {"warm"}),
+        ("prefix_aware", [IDLE, Candidate("far", 16, distance=0.2)], {"idle"}),
+        (
+            "prefix_aware",
+            [IDLE, Candidate("warm", 16, reported=40, reuse=16)],
+            {"idle"},
+        ),
+        ("round_robin", [IDLE, BUSY], {"idle", "busy"}),
+        ("random", [IDLE, BUSY], {"idle", "busy"}),
+    ],
+)
+def test_preferences(
+    policy: str, candidates: list[Candidate], chosen: set[str]
+) -> None:
+    made = make_choice_policy(policy)
+    rng = random.Random(1)
+    seen = {made.choose(NEED, candidates, rng).name for _ in range(50)}
+    assert seen == chosen
+
+
+@pytest.mark.parametrize("policy", sorted(choice_policies))
+def test_one_candidate(policy: str) -> None:
+    assert make_choice_policy(policy).choose(NEED, [BUSY], random.Random(1)) is BUSY
+
+
+def test_own_requests_are_counted_once() -> None:
+    """A report that includes this router's requests does not count them again."""
+    item = Candidate("e", 16, reported=10, own_at_report=4, own=6)
+    assert item.load == 12
--- a/tests/routers/test_links.py
+++ b/tests/routers/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from ebonyhold.misc import free_port
@@ -30,7 +31,7 @@
             address = f"127.0.0.1:{free_port()}"
             for _ in range(BURST):
                 links.put(address, MESSAGE)
-                await anyio.sleep(0)
+                await anyio.lowlevel.checkpoint()
             with anyio.fail_after(5):
                 while links.counters.dropped + links.counters.sent < BURST:
                     await anyio.sleep(0.001)
