--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -24,6 +24,17 @@
     make_bill,
     plan_settlement,
 )
+from ebonyhold.coordination._breaker import (
+    BreakerPolicy,
+    BreakerState,
+    CircuitBreaker,
+)
+from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
+from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._bucket import (
+    FairTurns,
+    TokenBucket,
+)
 from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
 from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
@@ -96,6 +107,8 @@
     plan_acquire,
     plan_release,
     plan_renew,
+    resolve_lease,
+    sight_lease,
 )
 from ebonyhold.coordination._members import (
     Listed,
@@ -193,6 +206,7 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
@@ -324,6 +338,7 @@
     "proves_not_run",
     "refund_key",
     "request_key",
+    "resolve_lease",
     "resolve_publication",
     "responsible",
     "revoke_transfer",
@@ -335,6 +350,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
