--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -30,13 +30,6 @@
     CircuitBreaker,
 )
 from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
-from ebonyhold.coordination._bucket import (
-    FairTurns,
-    TokenBucket,
-)
-from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
-from ebonyhold.coordination._bucket import FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
