--- a/ebonyhold/document/_rules.py
+++ b/ebonyhold/document/_rules.py
@@ -9,8 +9,7 @@
 
 from attrs import frozen
 
-from ebonyhold.coordination import grant_policies
-from ebonyhold.coordination import policies as choice_policies
+from ebonyhold.coordination import choice_policies, grant_policies
 from ebonyhold.document._capacity import find_shortages
 from ebonyhold.document._findings import (
     FindingCode,
