Refuse at once what cannot start, count and trace requests, end streams on a stop

Cause: whoever waited while the last engine left heard so at its deadline only; a stop whose patience ended would have cut streams in silence. Change: a gate refuses its whole queue when no engine serves any more; requests, attempts and first tokens are counted; each hop has its span; CallersApp.interrupt ends every stream with an explicit error event and settles.

--- a/ebonyhold/backends/_service.py
+++ b/ebonyhold/backends/_service.py
@@ -94,7 +94,7 @@
     (('accept', '*'),)
     """
     dropped = HOP_BY_HOP | OWN | named_by_connection(raw)
-    dropped |= {"idempotency-key", ATTEMPT_HEADER.lower()}
+    dropped |= {"idempotency-key", ATTEMPT_HEADER.lower(), "traceparent", "tracestate"}
     return tuple((name, value) for name, value in raw if name.lower() not in dropped)
 
 
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -97,6 +97,7 @@
         name = state.backend.name
         if report is None:
             self.ejector.lost(name)
+            self.changed()
             return
         self.ejector.reached(name)
         state.heard(report, anyio.current_time())
--- a/ebonyhold/callers/_app.py
+++ b/ebonyhold/callers/_app.py
@@ -5,7 +5,9 @@
 import logging
 from collections.abc import Callable
 
+import anyio
 from attrs import define, field
+from opentelemetry.trace import SpanKind
 
 from ebonyhold._asgi import (
     BodyTooLargeError,
@@ -49,13 +51,18 @@
 from ebonyhold.callers._run import ChatRun
 from ebonyhold.callers._services import ServiceRun, read_service
 from ebonyhold.coordination import RetryBudget, Share
-from ebonyhold.document import Workspace
+from ebonyhold.document import BackendKind, Workspace
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.fleet import FleetView
+from ebonyhold.metrics import Metrics
 from ebonyhold.money import Money
-from ebonyhold.types import Json, RequestId
+from ebonyhold.tracing import context_from, hop
+from ebonyhold.types import Json, RequestId, Seconds
 
-log = logging.getLogger(__name__)
+logger = logging.getLogger(__name__)
+
+INTERRUPT_WITHIN: Seconds = 3.0
+"""How long streams have to say that they end, when a stop cannot wait longer."""
 
 
 @define
@@ -68,15 +75,19 @@
         backends: The backend servers.
         may_serve: Whether the configuration may be served.
         stopping: Whether new requests are refused because the router stops.
+        metrics: Counts requests, attempts and times.
         active: Requests that are being answered.
+        streams: Streams that are being sent.
     """
 
     money: Money
     fleet: FleetView
     backends: Backends
     may_serve: Callable[[], bool] = field(default=lambda: True)
+    metrics: Metrics = field(factory=Metrics)
     stopping: bool = False
     active: int = 0
+    streams: set[StreamedChat] = field(factory=set)
     keys: KeyRing = field(init=False)
     gates: dict[str, Gate] = field(factory=dict)
     retries: RetryBudget = field(factory=RetryBudget)
@@ -95,30 +106,69 @@
 
     async def answer(self, request: Request, send: Send) -> None:
         """Answer one request, if only with a refusal."""
-        identity = Identity("", keyed=False)
-        started = Started(send)
-        send = started
+        watched = Watched(send)
+        ended = "complete"
         self.active += 1
         try:
-            identity = read_identity(request.headers)
-            self.check_open()
-            await self.handle(request, identity, send)
+            await self.answer_or_raise(request, watched)
         except CallerGoneError:
-            return
-        except BodyTooLargeError as error:
-            await refuse(Refusal(BODY_TOO_LARGE, str(error)), identity.request, send)
-        except EbonyholdError as error:
-            await refuse(refusal_for(error), identity.request, send)
+            ended = "caller_gone"
+        except Refusal as refusal:
+            ended = refusal.reason.code
+            await refuse(refusal, watched)
         except Exception:
-            log.exception("request failed", extra={"request": identity.request})
-            if started.started:
+            ended = "internal"
+            logger.exception("request failed", extra={"request": watched.request})
+            if watched.started:
                 # A second status cannot follow.  Leaving the answer without its
                 # end makes the listener cut the connection, which no caller
                 # takes for the end of an answer.
                 raise
-            await refuse(Refusal(INTERNAL), identity.request, send)
+            await refuse(Refusal(INTERNAL), watched)
         finally:
             self.active -= 1
+            self.count(request, watched, ended)
+
+    async def answer_or_raise(self, request: Request, send: Watched) -> None:
+        """Answer one request within its span.
+
+        Raises:
+            Refusal: It is refused.
+            CallerGoneError: Nobody is there to be answered.
+        """
+        try:
+            with hop("caller", context_from(request.headers), SpanKind.SERVER) as span:
+                identity = read_identity(request.headers)
+                send.request = identity.request
+                span.set_attribute("request", identity.request)
+                self.check_open()
+                await self.handle(request, identity, send)
+        except BodyTooLargeError as error:
+            raise Refusal(BODY_TOO_LARGE, str(error)) from error
+        except CallerGoneError:
+            raise
+        except EbonyholdError as error:
+            raise refusal_for(error) from error
+
+    def count(self, request: Request, send: Watched, ended: str) -> None:
+        """Count a request that has ended."""
+        kind = "service" if request.path.startswith("/services/") else "chat"
+        self.metrics.requests.labels(kind, ended).inc()
+        if send.first is not None and ended == "complete":
+            self.metrics.first_token.observe(send.first - send.arrived)
+
+    async def interrupt(self) -> None:
+        """End all streams with an explicit error event, and settle them.
+
+        It is for the end of a stop's patience: without it the listener would
+        cut the streams, which a caller might take for their end.
+        """
+        streams = tuple(self.streams)
+        for stream in streams:
+            stream.interrupt()
+        with anyio.move_on_after(INTERRUPT_WITHIN):
+            for stream in streams:
+                await stream.ended.wait()
 
     def check_open(self) -> None:
         """Refuse work while there is no configuration, or at the end.
@@ -149,7 +199,10 @@
     def gate(self, model: str) -> Gate:
         """Return the gate of a model."""
         if model not in self.gates:
-            self.gates[model] = Gate(lambda: self.backends.free(model))
+            self.gates[model] = Gate(
+                lambda: self.backends.free(model),
+                lambda: bool(self.backends.usable(BackendKind.ENGINE, model)),
+            )
         return self.gates[model]
 
     def pump(self) -> None:
@@ -195,13 +248,18 @@
         call.identity,
         ask,
         urgency.priority,
-        request.headers.get("traceparent", ""),
+        app.metrics,
     )
     run.on_chosen = Arrival(gate)
     try:
         if ask.stream:
-            pipe = Pipe(app.fleet.document.limits.stream_buffer)
-            await StreamedChat(run, pipe).respond(request, send)
+            stream = StreamedChat(run, Pipe(app.fleet.document.limits.stream_buffer))
+            app.streams.add(stream)
+            try:
+                await stream.respond(request, send)
+            finally:
+                app.streams.discard(stream)
+                stream.ended.set()
         else:
             await WholeChat(run).respond(request, send)
     finally:
@@ -262,15 +320,30 @@
 
 
 @define
-class Started:
-    """Passes messages on to the listener, and knows whether an answer began."""
+class Watched:
+    """Passes messages on to the listener, and knows whether an answer began.
+
+    Attributes:
+        send: The listener's own callable.
+        request: The request's identifier, once it is known.
+        arrived: When the request came.
+        first: When its answer began, or None.
+    """
 
     send: Send
-    started: bool = False
+    request: RequestId = ""
+    arrived: Seconds = field(factory=anyio.current_time)
+    first: Seconds | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether the answer began."""
+        return self.first is not None
 
     async def __call__(self, message: Message) -> None:
         """Pass a message on."""
-        self.started = True
+        if self.first is None:
+            self.first = anyio.current_time()
         await self.send(message)
 
 
@@ -293,7 +366,8 @@
     return Share(workspace.concurrency, workspace.queue, workspace.weight)
 
 
-async def refuse(refusal: Refusal, request: RequestId, send: Send) -> None:
+async def refuse(refusal: Refusal, send: Watched) -> None:
     """Send a refusal."""
-    headers = [*refusal.headers(), header(REQUEST_HEADER, request)]
-    await send_json(send, refusal.reason.status, refusal.value(request), headers)
+    headers = [*refusal.headers(), header(REQUEST_HEADER, send.request)]
+    value = refusal.value(send.request)
+    await send_json(send, refusal.reason.status, value, headers)
--- a/ebonyhold/callers/_chat.py
+++ b/ebonyhold/callers/_chat.py
@@ -78,7 +78,7 @@
         self.answer = answer
 
 
-@define
+@define(eq=False)
 class StreamedChat:
     """Answers a chat request with a stream of events.
 
@@ -94,6 +94,8 @@
     tail: bytes = b""
     settled: Ran | None = None
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+    producing: anyio.CancelScope = field(factory=anyio.CancelScope)
+    ended: anyio.Event = field(factory=anyio.Event)
 
     async def respond(self, request: Request, send: Send) -> None:
         """Run the request and send its answer.
@@ -114,6 +116,12 @@
             assert self.settled is not None
             await answer_failure(error, self.settled, self.run.request, send)
 
+    def interrupt(self) -> None:
+        """End the stream now, with an explicit error event."""
+        if not self.pipe.closed:
+            self.pipe.close(Refusal(ANSWER_INCOMPLETE, "this router is stopping"))
+            self.producing.cancel()
+
     async def both(self, response: StreamingResponse) -> None:
         """Run the engine's side beside the caller's."""
         async with anyio.create_task_group() as group:
@@ -123,7 +131,8 @@
     async def produce(self) -> None:
         """Get the answer from an engine, or from several in turn."""
         try:
-            await self.run.run(self.dispatch)
+            with self.producing:
+                await self.run.run(self.dispatch)
         except Exception as error:
             self.pipe.close(error)
             if isinstance(error, Refusal) and error.reason is CALLER_TOO_SLOW:
@@ -132,7 +141,8 @@
                 self.scope.deadline = anyio.current_time() + SLOW_GRACE
             return
         await self.settle()
-        self.pipe.close()
+        if not self.pipe.closed:
+            self.pipe.close()
 
     async def dispatch(self, state: BackendState, call: EngineCall) -> None:
         """Make one attempt."""
--- a/ebonyhold/callers/_gate.py
+++ b/ebonyhold/callers/_gate.py
@@ -10,7 +10,9 @@
 
 from ebonyhold.callers._refusals import (
     DEADLINE_UNREACHABLE,
+    NO_BACKEND,
     OVERLOADED,
+    SOON,
     WORKSPACE_LIMIT,
     Refusal,
 )
@@ -24,7 +26,7 @@
 
     ticket: Ticket
     event: anyio.Event = field(factory=anyio.Event)
-    refused: Refused | None = None
+    refusal: Refusal | None = None
 
 
 @define
@@ -33,12 +35,14 @@
 
     Attributes:
         free: Returns how many requests the backend servers could take now.
+        served: Returns whether any backend server may take such requests at all.
         queue: Who waits.
         pending: Requests let through that have not chosen a server yet; they
             are not yet in what `free` counts.
     """
 
     free: Callable[[], int]
+    served: Callable[[], bool] = field(default=lambda: True)
     queue: AdmissionQueue = field(factory=AdmissionQueue)
     waiters: dict[int, Waiter] = field(factory=dict)
     pending: int = 0
@@ -70,6 +74,8 @@
         waiter = Waiter(ticket)
         self.waiters[ticket.number] = waiter
         self.pump()
+        if waiter.refusal is not None:
+            raise waiter.refusal
         return waiter
 
     async def wait(self, waiter: Waiter) -> None:
@@ -89,15 +95,15 @@
             self.give_up(waiter)
             wait = self.queue.retry_after(anyio.current_time())
             raise refusal(Refused(ticket, wait, expired=True))
-        if waiter.refused is not None:
-            raise refusal(waiter.refused)
+        if waiter.refusal is not None:
+            raise waiter.refusal
 
     def give_up(self, waiter: Waiter) -> None:
         """Take back a request whose caller has gone or cannot wait longer."""
         if not waiter.event.is_set():
             del self.waiters[waiter.ticket.number]
             self.queue.leave(waiter.ticket)
-        elif waiter.refused is None:
+        elif waiter.refusal is None:
             self.pending -= 1
             self.left(waiter.ticket)
 
@@ -114,16 +120,21 @@
         """Let through whoever's turn it is."""
         now = anyio.current_time()
         for refused in self.queue.expire(now):
-            self.wake(refused.ticket, refused)
+            self.wake(refused.ticket, refusal(refused))
+        if self.queue.waiting and not self.served():
+            # Nothing will become free.  Whoever waits would otherwise hear so
+            # at its deadline only.
+            for ticket in self.queue.clear():
+                self.wake(ticket, Refusal(NO_BACKEND, retry_after=SOON))
         room = self.free() - self.pending if self.queue.waiting else 0
         for ticket in self.queue.start(room, now):
             self.pending += 1
             self.wake(ticket, None)
 
-    def wake(self, ticket: Ticket, refused: Refused | None) -> None:
+    def wake(self, ticket: Ticket, refusal: Refusal | None) -> None:
         """Tell a waiting request what became of it."""
         waiter = self.waiters.pop(ticket.number)
-        waiter.refused = refused
+        waiter.refusal = refusal
         waiter.event.set()
 
 
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -40,7 +40,9 @@
     RetryBudget,
 )
 from ebonyhold.exceptions import BackendError
+from ebonyhold.metrics import Metrics
 from ebonyhold.money import Money, Order, Permit, Replay
+from ebonyhold.tracing import context_headers, hop
 from ebonyhold.types import AttemptId, BackendName, RequestId, Tokens, WorkspaceName
 
 MOST_ATTEMPTS = 4
@@ -78,7 +80,7 @@
         identity: The request's identifier.
         ask: What is asked.
         priority: Larger is served first.
-        traceparent: The W3C trace context, or empty.
+        metrics: Counts attempts and times.
         check: How far a streamed answer has come.
         tried: Engines that failed an attempt; others come first.
         barred: Engines that cannot be reached or do not want the request.
@@ -92,7 +94,7 @@
     identity: Identity
     ask: ChatAsk
     priority: int = 0
-    traceparent: str = ""
+    metrics: Metrics = field(factory=Metrics)
     on_chosen: Callable[[], None] = field(default=lambda: None)
     backoff: Backoff = field(factory=Backoff)
     check: StreamCheck = field(init=False)
@@ -127,13 +129,16 @@
             state.started(permit.attempt, self.request, anyio.current_time())
             state.prefixes.sent(self.ask.hashes)
             try:
-                await dispatch(state, self.call(permit))
+                with hop("engine"):
+                    await dispatch(state, self.call(permit))
             except BackendError as error:
+                self.count(state, error.code)
                 await self.failed(state, permit, error)
             except BaseException:
                 self.dangle(state, permit)
                 raise
             else:
+                self.count(state, "complete")
                 self.backends.ejector.succeeded(state.backend.name)
                 self.ended = True
                 return
@@ -141,6 +146,10 @@
                 state.ended(permit.attempt)
                 self.backends.changed()
 
+    def count(self, state: BackendState, result: str) -> None:
+        """Count an attempt."""
+        self.metrics.attempts.labels(state.backend.name, result).inc()
+
     def choose(self) -> BackendState:
         """Choose the next engine, best one that was not tried yet.
 
@@ -178,7 +187,11 @@
         state.reserved += 1
         self.on_chosen()
         try:
-            with anyio.CancelScope(shield=True):
+            with (
+                anyio.CancelScope(shield=True),
+                hop("money"),
+                self.metrics.permit.time(),
+            ):
                 permit = await self.next_permit(state)
                 self.permit = permit
         finally:
@@ -216,7 +229,7 @@
             self.ask.stream,
             self.priority,
             self.check.expected,
-            self.traceparent,
+            context_headers().get("traceparent", ""),
         )
 
     async def failed(
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -36,6 +36,7 @@
 from ebonyhold.document import ServiceRoute, ServiceRule
 from ebonyhold.exceptions import BackendError
 from ebonyhold.money import Money, Order, Permit, Replay
+from ebonyhold.tracing import context_headers, hop
 from ebonyhold.types import AttemptId, BackendName, Seconds, Tokens, WorkspaceName
 
 MOST_ATTEMPTS = 3
@@ -60,7 +61,6 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    traceparent: str = ""
 
     @property
     def digest(self) -> str:
@@ -257,7 +257,8 @@
         call = self.call()
         state.started(call.attempt, self.identity.request, anyio.current_time())
         try:
-            self.answer = await self.backends.services.call(state.backend, call)
+            with hop("service"):
+                self.answer = await self.backends.services.call(state.backend, call)
         except UnreachableError:
             self.backends.ejector.lost(name)
             self.tried.add(name)
@@ -309,7 +310,7 @@
             self.attempt_id(),
             self.ask.method,
             self.ask.target,
-            self.ask.headers,
+            (*self.ask.headers, *context_headers().items()),
             self.ask.body,
             self.ask.route.timeout,
             self.ask.route.most_body,
--- a/ebonyhold/coordination/_admission.py
+++ b/ebonyhold/coordination/_admission.py
@@ -195,6 +195,18 @@
             self.leave(ticket)
         return [Refused(item, wait, expired=item.deadline <= now) for item in late]
 
+    def clear(self) -> list[Ticket]:
+        """Take out everything that waits."""
+        waiting = [
+            ticket
+            for entry in self.workspaces.values()
+            for queue in entry.waiting.values()
+            for ticket in queue
+        ]
+        for ticket in waiting:
+            self.leave(ticket)
+        return waiting
+
     def retry_after(self, now: Seconds) -> Seconds:
         """Return how long the present queue takes to empty."""
         if self.rate <= 0:
--- a/tests/callers/test_chat.py
+++ b/tests/callers/test_chat.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
+from ebonyhold.backends import Timeouts
 from ebonyhold.coordination import RequestState
-from tests.backends.kit import PROMPT_TOKENS, TOKENS
-from tests.callers.kit import make_bench
+from tests.backends.kit import PROMPT_TOKENS, TOKENS, opening, sends, token
+from tests.callers.kit import Heard, make_bench, make_document
 
 pytestmark = pytest.mark.anyio
 TEXT = "".join(f"t{index} " for index in range(TOKENS))
@@ -34,3 +36,121 @@
     assert heard.status == 200
     assert TEXT.encode() in heard.body
     assert bench.money.outcomes[0].charge == PROMPT_TOKENS + TOKENS
+
+
+async def test_an_interrupted_stream_says_so() -> None:
+    """A stop's patience is over while a stream is under way.
+
+    The caller reads an explicit error event and no ``[DONE]``; the engine is
+    told, and the request is settled.
+    """
+    bench = make_bench(make_document(engines=1))
+    engine = bench.servers["e0"]
+    engine.scripts = [sends(opening(), token(0), 600.0)]
+    engine.truth = {"state": "cancelled", "prompt_tokens": 9, "completion_tokens": 1}
+    bench.app.backends.timeouts = bench.app.backends.engines.timeouts = Timeouts(
+        stall=900.0, first=900.0
+    )
+    heard: list[Heard] = []
+
+    async def ask() -> None:
+        heard.append(await bench.chat())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(1.0)
+        await bench.app.interrupt()
+    assert heard[0].ended
+    assert b"event: error" in heard[0].body
+    assert b"[DONE]" not in heard[0].body
+    assert bench.money.outcomes[0].charge == 10
+    assert len(engine.closes) == 1
+
+
+@pytest.mark.parametrize("left", ["at once", "while it waits"])
+async def test_no_engine_is_said_at_once(left: str) -> None:
+    """All engines leave; nobody waits for a deadline to hear so."""
+    bench = make_bench(make_document(engines=1))
+    fleet = bench.app.fleet
+    if left == "at once":
+        fleet.leaving = frozenset({"e0"})
+    else:
+        bench.app.backends.refresh()
+        bench.app.backends.states["e0"].reserved = 100
+    heard: list[Heard] = []
+
+    async def ask() -> None:
+        heard.append(await bench.chat(x_deadline_ms="60000"))
+        heard[0].headers["at"] = str(anyio.current_time())
+
+    begun = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(1.0)
+        fleet.leaving = frozenset({"e0"})
+        bench.app.pump()
+    assert heard[0].error["code"] == "no_backend"
+    assert heard[0].error["not_run"] is True
+    assert float(heard[0].headers["at"]) <= begun + 1.0
+
+
+async def test_a_deadline_that_passes() -> None:
+    """The engine is full for as long as the caller allows; nothing ran."""
+    bench = make_bench(make_document(engines=1))
+    bench.app.backends.refresh()
+    bench.app.backends.states["e0"].reserved = 100
+    heard = await bench.chat(x_deadline_ms="700")
+    assert heard.error["code"] == "deadline_unreachable"
+    assert heard.error["not_run"] is True
+    assert heard.error["retry_after"] > 0
+    assert bench.money.log == []
+
+
+async def test_a_caller_that_leaves_the_queue() -> None:
+    """A caller goes away while it waits; its place and its share are free again."""
+    bench = make_bench(make_document(engines=1))
+    bench.app.backends.refresh()
+    state = bench.app.backends.states["e0"]
+    state.reserved = 100
+    gone = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lambda: bench.chat(gone=gone))
+        await anyio.sleep(1.0)
+        gone.set()
+    state.reserved = 0
+    gate = bench.app.gate("assistant")
+    assert (gate.waiters, gate.pending, gate.queue.workspaces) == ({}, 0, {})
+    assert (await bench.chat()).whole
+
+
+async def test_live_before_batch_when_engines_are_full() -> None:
+    bench = make_bench(make_document(engines=1))
+    bench.app.backends.refresh()
+    state = bench.app.backends.states["e0"]
+    state.reserved = state.backend.slots
+    order: list[str] = []
+
+    async def ask(kind: str) -> None:
+        heard = await bench.chat(x_priority=kind, x_deadline_ms="9000")
+        assert heard.whole
+        order.append(kind)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask, "batch")
+        await anyio.sleep(0.1)
+        tasks.start_soon(ask, "live")
+        await anyio.sleep(0.1)
+        state.reserved = state.backend.slots - 1
+        state.window = float(state.backend.slots)
+        bench.app.pump()
+    assert order == ["live", "batch"]
+
+
+async def test_metrics() -> None:
+    bench = make_bench()
+    await bench.chat()
+    await bench.chat(key="")
+    text = bench.app.metrics.render().decode()
+    assert 'ebonyhold_requests_total{ended="complete",kind="chat"} 1.0' in text
+    assert 'ebonyhold_requests_total{ended="key_missing",kind="chat"} 1.0' in text
+    assert "ebonyhold_first_token_seconds_count 1.0" in text
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -21,6 +21,7 @@
 
 pytestmark = pytest.mark.anyio
 BOOKED = answers(201, b'{"slot": 7}', content_type="application/json")
+TRACE = "1" * 32
 BOOKING = b'{"slot": 7}'
 
 
@@ -212,12 +213,13 @@
         connection="x-mine, close",
         x_mine="secret hop",
         accept="text/plain",
-        traceparent="00-1-2-01",
+        traceparent=f"00-{TRACE}-{'2' * 16}-01",
     )
     (request,) = seen
     assert request.url.raw_path == b"/stock/a%2Fb?x=1&y=%20"
     names = set(request.headers)
-    assert {"accept", "traceparent", "x-attempt-id"} <= names
+    assert {"accept", "x-attempt-id"} <= names
+    assert TRACE in request.headers["traceparent"]
     assert not {"authorization", "x-mine", "te"} & names
     assert heard.headers["etag"] == "e"
     assert "x-inner" not in heard.headers
