--- a/ebonyhold/models/_configuration.py
+++ b/ebonyhold/models/_configuration.py
@@ -88,7 +88,7 @@
 
     def __init__(self, without: str, deep: bool) -> None:
         self.without = without
-        self.max_versions = 4 if deep else 3
+        self.max_versions = 5 if deep else 3
 
     def successors(self, s: ConfigState) -> Iterator[tuple[str, ConfigState]]:
         """Return what may happen next."""
@@ -241,7 +241,7 @@
     model = ConfigModel(without, deep)
     return Model(
         "configuration",
-        ConfigState(restarts=2 if deep else 1),
+        ConfigState(restarts=4 if deep else 1),
         model.successors,
         {
             "every version is based on the one before": lambda s: all(
--- a/ebonyhold/models/_grants.py
+++ b/ebonyhold/models/_grants.py
@@ -108,7 +108,7 @@
 
     def __init__(self, without: str, deep: bool) -> None:
         self.without = without
-        self.prepaid = 2 if deep else 1
+        self.prepaid = 3 if deep else 1
 
     def successors(self, s: GrantState) -> Iterator[tuple[str, GrantState]]:
         """Return what may happen next."""
@@ -292,7 +292,7 @@
     model = GrantModel(without, deep)
     return Model(
         "grants",
-        GrantState(draws=3 if deep else 2),
+        GrantState(draws=4 if deep else 2),
         model.successors,
         {
             "the budget is never exceeded": lambda s: (
