--- a/ebonyhold/coordination/_policies.py
+++ b/ebonyhold/coordination/_policies.py
@@ -24,6 +24,7 @@
         available: Tokens of the own grant that nobody holds.
         rate: Expected demand, in tokens a second.
         typical: An expected hold, in tokens.
+        drawn: Tokens drawn from the budget so far, less what was returned.
         idle: Seconds since the last request of this workspace.
         routers: Routers believed alive, this one counted.
         budget: The budget as last read, or None when it could not be read.
@@ -35,6 +36,7 @@
     available: Tokens = 0
     rate: float = 0.0
     typical: Tokens = 0
+    drawn: Tokens = 0
     idle: Seconds = 0.0
     routers: int = 1
     budget: BudgetRow | None = None
@@ -116,11 +118,11 @@
     """Every router takes an equal share of the budget, once, and keeps it."""
 
     def size(self, view: GrantView) -> GrantSize:
-        """Draw an equal share of what is left when a request first needs some."""
+        """Draw what is missing from an equal share of all that was prepaid."""
         if not view.need or view.budget is None:
             return GrantSize()
-        share = view.budget.remaining // max(view.routers, 1)
-        return GrantSize(draw=max(share, view.need))
+        share = view.budget.prepaid // max(view.routers, 1)
+        return GrantSize(draw=max(share - view.drawn, 0))
 
 
 FIXED_GRANT = 20_000
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -148,6 +148,7 @@
     wake: anyio.Event = field(factory=anyio.Event)
     used_at: float = field(factory=anyio.current_time)
     pause: float = 0.0
+    drawn: Tokens = 0
     reads: int = 0
     settlements: int = 0
     gifts_checked_at: float = 0.0
@@ -239,6 +240,7 @@
             available=self.ledger.available,
             rate=self.demand.rate(now),
             typical=self.demand.typical,
+            drawn=self.drawn,
             idle=now - self.used_at,
             routers=self.routers(),
             budget=self.budget,
@@ -427,6 +429,7 @@
         self.settlements += 1
         self.budget = plan.budget
         self.ledger.available += plan.drawn
+        self.drawn += plan.drawn - plan.returned
         for filed in plan.filed:
             self._filed(filed.bill, filed.paid)
 
