Order engines to load and drop models, under a lease with fencing numbers

Cause: nothing placed models on engines, and two routers could have. Change: one router holds the lease; pure decisions with hysteresis, one load at a time; a drop is written to the table before it is sent, so that a later holder does not count on that engine until the drop is answered, fenced off or too old. An engine that lacks a model (404) is no longer taken for a wrong request.

--- a/ebonyhold/backends/__init__.py
+++ b/ebonyhold/backends/__init__.py
@@ -13,6 +13,7 @@
     Timeouts,
     Usage,
 )
+from ebonyhold.backends._placement import PlacementHolder
 from ebonyhold.backends._service import (
     ServiceClient,
     answer_headers,
@@ -39,6 +40,7 @@
     "EngineClient",
     "EventSplitter",
     "LoadReport",
+    "PlacementHolder",
     "RefusedError",
     "ServiceCall",
     "ServiceClient",
--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -12,10 +12,9 @@
 from ebonyhold.backends._http import (
     ATTEMPT_HEADER,
     BOOT_HEADER,
-    NOT_STARTED,
+    ELSEWHERE,
     PRIORITY_HEADER,
     RESUME_HEADER,
-    TOMBSTONED,
     RefusedError,
     base_url,
     check_attempt,
@@ -155,7 +154,7 @@
 async def refuse(response: httpx.Response) -> None:
     """Raise what a status other than 200 means."""
     status = response.status_code
-    if status in NOT_STARTED or status == TOMBSTONED:
+    if status in ELSEWHERE:
         body = await read_bounded(response, MOST_REFUSAL)
         raise RefusedError(status, body, final=False)
     if 400 <= status < 500:
--- a/ebonyhold/backends/_http.py
+++ b/ebonyhold/backends/_http.py
@@ -21,11 +21,12 @@
 KEEP_ALIVE = 64
 """Idle connections that are kept, in all."""
 
-NOT_STARTED = (429, 503)
-"""Statuses by which a server says that it did not begin."""
+ELSEWHERE = (404, 409, 429, 503)
+"""Statuses by which an engine says that it did not begin and another one may.
 
-TOMBSTONED = 409
-"""The status for an attempt that was closed before it came."""
+They are for a model it has not loaded, an attempt that was closed before it came,
+a full queue, and a server that leaves.
+"""
 
 
 class RefusedError(BackendError):
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -84,6 +84,8 @@
     grant_prefix,
     journal_prefix,
     lease_key,
+    order_key,
+    order_prefix,
     refund_key,
     request_key,
     router_key,
@@ -113,6 +115,14 @@
 )
 from ebonyhold.coordination._membership import Membership
 from ebonyhold.coordination._operations import plan_refund, plan_topup
+from ebonyhold.coordination._orders import (
+    Action,
+    EngineOrder,
+    EngineView,
+    OrderRow,
+    Placement,
+    PlacementPolicy,
+)
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantPolicy,
@@ -199,6 +209,7 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "Action",
     "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
@@ -222,6 +233,8 @@
     "Delete",
     "EjectionPolicy",
     "Ejector",
+    "EngineOrder",
+    "EngineView",
     "FairTurns",
     "Fate",
     "Filed",
@@ -252,8 +265,11 @@
     "MembershipOptions",
     "Need",
     "Objects",
+    "OrderRow",
     "Outcome",
     "Outgoing",
+    "Placement",
+    "PlacementPolicy",
     "PlannedStop",
     "PrefixIndex",
     "Put",
@@ -318,6 +334,8 @@
     "may_adopt",
     "next_attempt",
     "open_row",
+    "order_key",
+    "order_prefix",
     "parse_lease",
     "plan_acquire",
     "plan_apply",
--- a/ebonyhold/coordination/_keys.py
+++ b/ebonyhold/coordination/_keys.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ebonyhold.types import RequestId, RouterId, WorkspaceName
+from ebonyhold.types import BackendName, RequestId, RouterId, WorkspaceName
 
 BUDGET_PREFIX = "budget/"
 ROUTER_PREFIX = "router/"
@@ -76,6 +76,20 @@
     return f"journal/{router}/"
 
 
+def order_prefix() -> str:
+    """Return the prefix of all orders that were not answered yet."""
+    return "order/"
+
+
+def order_key(backend: BackendName, fencing: int) -> str:
+    """Return the key of one holder's order to an engine that was not answered yet.
+
+    Each holder writes keys of its own, so that one which was replaced cannot
+    overwrite what a later one has written.
+    """
+    return f"{order_prefix()}{backend}/{fencing}"
+
+
 def segment_key(router: RouterId, number: int) -> str:
     """Return the key of one journal segment."""
     return f"{journal_prefix(router)}{number:0{SEGMENT_DIGITS}d}"
--- a/ebonyhold/daemon/_lifecycle.py
+++ b/ebonyhold/daemon/_lifecycle.py
@@ -90,10 +90,11 @@
         while self.callers.active and not self.hurried.is_set():
             if anyio.current_time() >= deadline:
                 logger.warning(
-                    "streams cut by the stop", extra={"count": self.callers.active}
+                    "streams ended by the stop", extra={"count": self.callers.active}
                 )
-                return
+                break
             await anyio.sleep(LOOK)
+        await self.callers.interrupt()
 
     async def settle(self) -> None:
         """File the bills and give the grants back.
--- a/tests/backends/kit.py
+++ b/tests/backends/kit.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import anyio
 import anyio.lowlevel
@@ -79,6 +80,8 @@
             that it answers as it should.
         calls: The calls that reached it.
         truth: Its answer to the closing of an attempt.
+        orders: The orders it carried out.
+        order_delay: Holds orders back on their way until it is set.
     """
 
     scripts: list[Script] = field(factory=list)
@@ -88,14 +91,23 @@
     boot: str = "boot-1"
     truth: dict[str, object] | None = None
     load: dict[str, object] = field(factory=dict)
+    models: set[str] = field(factory=set)
+    orders: list[str] = field(factory=list)
+    fencing: dict[str, int] = field(factory=dict)
+    checks_fencing: bool = False
+    order_delay: anyio.Event | None = None
 
     async def handle(self, request: httpx.Request) -> httpx.Response:
         """Answer one request."""
         path = request.url.path
         if path == "/v1/load":
-            return httpx.Response(200, json={"boot": self.boot, **self.load})
+            models = sorted(self.models)
+            report = {"boot": self.boot, "models": models, **self.load}
+            return httpx.Response(200, json=report)
         if path == "/v1/cache/events":
             return httpx.Response(200, json={"events": []})
+        if path == "/v1/orders":
+            return await self.obey(json.loads(request.content))
         if path.endswith("/close"):
             self.closes.append(path.split("/")[3])
             if self.truth is None:
@@ -107,6 +119,21 @@
             script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         return await script(self, request)
 
+    async def obey(self, order: dict[str, Any]) -> httpx.Response:
+        """Carry out an order, unless its fencing number is checked and old."""
+        if self.order_delay is not None:
+            await self.order_delay.wait()
+        latest = self.fencing.get(order["model"], 0)
+        if self.checks_fencing and order["fencing"] < latest:
+            return httpx.Response(409)
+        self.fencing[order["model"]] = max(latest, order["fencing"])
+        self.orders.append(f"{order['order']} {order['model']} {order['fencing']}")
+        if order["order"] == "load":
+            self.models.add(order["model"])
+        else:
+            self.models.discard(order["model"])
+        return httpx.Response(200, json={})
+
     def stream(
         self, request: httpx.Request, pieces: list[bytes | Exception | float]
     ) -> httpx.Response:
