--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,7 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -29,6 +34,11 @@
     BreakerState,
     CircuitBreaker,
 )
+from ebonyhold.coordination._bucket import (
+    AdaptiveRate,
+    FairTurns,
+    TokenBucket,
+)
 from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
@@ -55,17 +65,28 @@
     may_adopt,
     plan_apply,
     plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
-from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
+from ebonyhold.coordination._grants import (
+    GrantLedger,
+    change_budget,
+    change_grant,
+)
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import JournalReading, append_transaction
+from ebonyhold.coordination._journal import (
+    JournalReading,
+    append_transaction,
+)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -122,6 +143,12 @@
     OrderRow,
     Placement,
     PlacementPolicy,
+from ebonyhold.coordination._membership import (
+    Membership,
+)
+from ebonyhold.coordination._operations import (
+    plan_refund,
+    plan_topup,
 )
 from ebonyhold.coordination._policies import (
     AloneMixin,
@@ -132,7 +159,11 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import PrefixIndex, prefix_hashes
+from ebonyhold.coordination._prefix import (
+    BLOCK_WORDS,
+    PrefixIndex,
+    prefix_hashes,
+)
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -142,7 +173,10 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import Backoff, RetryBudget
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
+)
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -165,7 +199,10 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._seen import (
+    Seen,
+    seen,
+)
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -197,6 +234,7 @@
 
 __all__ = [
     "ARCHIVE_PREFIX",
+    "BLOCK_WORDS",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
@@ -340,6 +378,7 @@
     "plan_acquire",
     "plan_apply",
     "plan_initial_topup",
+    "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
