Break ties between warm engines by load

Cause: many engines hold a workspace's shared prefix, and the first in order won. Change: of equally warm engines the least loaded joins the drawn ones; two are drawn by chance instead of three.

--- a/ebonyhold/coordination/_choice.py
+++ b/ebonyhold/coordination/_choice.py
@@ -161,7 +161,7 @@
 MEAN_ANSWER: Tokens = 128
 """Tokens of a usual answer, for the time that a slot takes to become free."""
 
-SAMPLED = 3
+SAMPLED = 2
 """Candidates that are drawn by chance beside the one with the longest prefix."""
 
 
@@ -179,7 +179,7 @@
     ) -> Candidate:
         """Return the candidate with the least expected cost."""
         drawn = list(rng.sample(candidates, min(SAMPLED, len(candidates))))
-        longest = max(candidates, key=lambda item: item.reuse)
+        longest = max(candidates, key=lambda item: (item.reuse, -item.load))
         if longest.reuse > 0 and longest not in drawn:
             drawn.append(longest)
         return min(drawn, key=lambda item: cost(need, item))
