--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -41,7 +41,12 @@
     claim_transaction,
     decide_claim,
 )
-from ebonyhold.coordination._codec import from_bytes, from_json, to_bytes, to_json
+from ebonyhold.coordination._codec import (
+    from_bytes,
+    from_json,
+    to_bytes,
+    to_json,
+)
 from ebonyhold.coordination._configuration import (
     INITIAL_TOPUP,
     Fate,
--- a/tests/coordination/test_request_decisions.py
+++ b/tests/coordination/test_request_decisions.py
@@ -21,6 +21,7 @@
     make_choice_policy,
     prefix_hashes,
 )
+from ebonyhold.standins._cache import PrefixCache
 
 
 @pytest.mark.parametrize(
@@ -108,6 +109,13 @@
     assert prefix_hashes(words) == (first, second.hexdigest()[:16])
 
 
+def test_hashes_are_those_of_the_engines() -> None:
+    words = [f"w{n}" for n in range(70)]
+    cache = PrefixCache(100, 0.0, 0.0, random.Random(1))
+    cache.store(tuple(words), 0.0)
+    assert tuple(cache.held) == prefix_hashes(words)
+
+
 def test_prefix_index() -> None:
     index = PrefixIndex(most=4)
     hashes = prefix_hashes([f"w{n}" for n in range(64)])
