--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,12 +4,7 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import (
-    AdmissionQueue,
-    Refused,
-    Share,
-    Ticket,
-)
+from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -29,16 +24,8 @@
     make_bill,
     plan_settlement,
 )
-from ebonyhold.coordination._breaker import (
-    BreakerPolicy,
-    BreakerState,
-    CircuitBreaker,
-)
-from ebonyhold.coordination._bucket import (
-    AdaptiveRate,
-    FairTurns,
-    TokenBucket,
-)
+from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
+from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
@@ -72,25 +59,15 @@
     plan_initial_topups,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import (
-    EjectionPolicy,
-    Ejector,
-)
-from ebonyhold.coordination._grants import (
-    GrantLedger,
-    change_budget,
-    change_grant,
-)
+from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
+from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
+from ebonyhold.coordination._journal import JournalReading, append_transaction
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -109,6 +86,8 @@
     grant_prefix,
     journal_prefix,
     lease_key,
+    order_key,
+    order_prefix,
     refund_key,
     request_key,
     router_key,
@@ -136,12 +115,15 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import (
-    Membership,
-)
-from ebonyhold.coordination._operations import (
-    plan_refund,
-    plan_topup,
+from ebonyhold.coordination._membership import Membership
+from ebonyhold.coordination._operations import plan_refund, plan_topup
+from ebonyhold.coordination._orders import (
+    Action,
+    EngineOrder,
+    EngineView,
+    OrderRow,
+    Placement,
+    PlacementPolicy,
 )
 from ebonyhold.coordination._policies import (
     AloneMixin,
@@ -152,11 +134,7 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import (
-    BLOCK_WORDS,
-    PrefixIndex,
-    prefix_hashes,
-)
+from ebonyhold.coordination._prefix import BLOCK_WORDS, PrefixIndex, prefix_hashes
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -166,10 +144,7 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import (
-    Backoff,
-    RetryBudget,
-)
+from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -192,10 +167,7 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -240,6 +212,7 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "Action",
     "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
@@ -263,6 +236,8 @@
     "Delete",
     "EjectionPolicy",
     "Ejector",
+    "EngineOrder",
+    "EngineView",
     "FairTurns",
     "Fate",
     "Filed",
@@ -293,8 +268,11 @@
     "MembershipOptions",
     "Need",
     "Objects",
+    "OrderRow",
     "Outcome",
     "Outgoing",
+    "Placement",
+    "PlacementPolicy",
     "PlannedStop",
     "PrefixIndex",
     "Put",
@@ -359,6 +337,8 @@
     "may_adopt",
     "next_attempt",
     "open_row",
+    "order_key",
+    "order_prefix",
     "parse_lease",
     "plan_acquire",
     "plan_apply",
