--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import socket
+import types
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import anyio
+import pynng
 import pytest
 
-from ebonyhold.coordination import MembershipOptions
+from ebonyhold.coordination import MembershipOptions, MemberStatus
 from ebonyhold.routers import (
     FateReply,
     FateRequest,
@@ -17,7 +20,11 @@
     PeerKey,
     PeerMessage,
     PeerNetwork,
+    VersionNotice,
+    _network,
 )
+from ebonyhold.routers._exchange import Frame, Purpose
+from ebonyhold.routers._wire import encode
 from ebonyhold.types import RouterId
 
 BACKENDS = ["asyncio", "trio"]
@@ -32,9 +39,17 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-def network(name: str, seeds: tuple[str, ...] = ()) -> PeerNetwork:
-    ring = KeyRing((KEY,))
-    return PeerNetwork(name, "d1", free_address(), ring, None, seeds, options=FAST)
+def network(
+    name: str, seeds: tuple[str, ...] = (), ring: KeyRing | None = None
+) -> PeerNetwork:
+    keys = ring or KeyRing((KEY,))
+    return PeerNetwork(name, "d1", free_address(), keys, None, seeds, options=FAST)
+
+
+def pair(ring: KeyRing | None = None) -> tuple[PeerNetwork, PeerNetwork]:
+    """Return two routers, of which the second knows the first's address."""
+    one = network("a.1")
+    return one, network("b.1", (one.membership.me.address,), ring)
 
 
 @asynccontextmanager
@@ -52,6 +67,13 @@
         await anyio.sleep(0.01)
 
 
+def push(address: str, *messages: bytes) -> None:
+    """Send raw messages, as anybody on the network can."""
+    with pynng.Push0(dial=f"tcp://{address}", block_on_dial=True) as sender:
+        for message in messages:
+            sender.send(message)
+
+
 async def answer(sender: RouterId, message: PeerMessage) -> PeerMessage:
     return FateReply(running=True, known=sender == "a.1")
 
@@ -70,3 +92,181 @@
             assert reply == FateReply(running=True, known=True)
 
     anyio.run(run, backend=backend)
+
+
+def test_garbage_does_not_stop_the_listener() -> None:
+    """Somebody who can reach the port sends noise, and a lot of it.
+
+    The router counts it and goes on talking to its peers.
+    """
+
+    async def run() -> None:
+        one, two = pair()
+        two.handle(FateRequest, answer)
+        async with running(one, two):
+            noise = [b"", b"x" * 50, b"\x00" * 3000, b"\x93" * 70_000]
+            address = two.membership.me.address
+            await anyio.to_thread.run_sync(push, address, *noise)
+            await until(lambda: two.refused["malformed"] >= 3)
+            await until(lambda: two.refused["oversized"] == 1)
+            await until(lambda: one.alive() == ("b.1",))
+            await one.ask("b.1", FateRequest("acme", "r"), FateReply, GUARD)
+
+    anyio.run(run)
+
+
+def test_a_router_with_a_wrong_key_is_refused() -> None:
+    """One VM was set up with the wrong key.
+
+    Neither side takes it for alive, and both count what they refused.
+    """
+
+    async def run() -> None:
+        one, two = pair(KeyRing((PeerKey("k9", b"9" * 32),)))
+        async with running(one, two):
+            await until(lambda: one.refused["unknown_key"] >= 3)
+            assert one.alive() == two.alive() == ()
+
+    anyio.run(run)
+
+
+def test_keys_rotate_without_a_stop(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Operators bring a new key to both routers, then take the old one away.
+
+    The routers never lose each other: nobody is suspected at any step.
+    """
+    monkeypatch.setattr(_network, "KEYS_PERIOD", 0.02)
+    old, new = "k1:" + "01" * 32, "k2:" + "02" * 32
+    files = [tmp_path / "one", tmp_path / "two"]
+    for path in files:
+        path.write_text(old, encoding="ascii")
+
+    async def put(path: Path, ring: KeyRing, *lines: str) -> None:
+        await anyio.Path(path).write_text("\n".join(lines), encoding="ascii")
+        names = tuple(line.split(":")[0] for line in lines)
+        await until(lambda: ring.identifiers == names)
+
+    async def run() -> None:
+        rings = [KeyRing.load(path) for path in files]
+        one = network("a.1", (), rings[0])
+        two = network("b.1", (one.membership.me.address,), rings[1])
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",) and two.alive() == ("a.1",))
+            steps = [(0, (new, old)), (1, (new, old)), (0, (new,)), (1, (new,))]
+            for place, lines in steps:
+                await put(files[place], rings[place], *lines)
+                received = one.received, two.received
+                await until(lambda r=received: one.received > r[0] + 3)  # type: ignore[misc]
+                await until(lambda r=received: two.received > r[1] + 3)  # type: ignore[misc]
+            assert one.alive() == ("b.1",)
+            assert two.alive() == ("a.1",)
+
+    anyio.run(run)
+
+
+def test_a_message_for_the_incarnation_before_is_refused() -> None:
+    """A router is sealed while a peer's message to it is under way.
+
+    It goes on at once as a new incarnation on the same address.  The message
+    arrives there and is refused; the peer soon knows the new one, and takes the
+    old one for gone.
+    """
+
+    async def run() -> None:
+        one, two = pair()
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",))
+            late = one.envelopes.seal(b"", "b.1", "")
+            two.become("b.2")
+            await anyio.to_thread.run_sync(push, two.membership.me.address, late)
+            await until(lambda: two.refused["other_receiver"] >= 1)
+            await until(lambda: one.alive() == ("b.2",))
+            old = one.membership.view.members["b.1"]
+            assert old.update.status is MemberStatus.GONE
+            assert one.gone() == ("b.1",)
+
+    anyio.run(run)
+
+
+def test_a_doubled_message_is_handled_once() -> None:
+    """A message is recorded on the network and sent again."""
+    heard = []
+
+    async def hear(sender: RouterId, message: PeerMessage) -> None:
+        heard.append(message)
+
+    async def run() -> None:
+        one, two = pair()
+        two.handle(VersionNotice, hear)
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",))
+            frame = Frame(Purpose.NOTICE, 0, VersionNotice(3, "d"))
+            sealed = one.envelopes.seal(encode(frame), "b.1", "")
+            address = two.membership.me.address
+            await anyio.to_thread.run_sync(push, address, sealed, sealed, sealed)
+            await until(lambda: two.refused["replayed"] == 2)
+            await until(lambda: len(heard) > 0)
+
+    anyio.run(run)
+    assert heard == [VersionNotice(3, "d")]
+
+
+def test_a_flood_of_questions_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A peer asks faster than the handlers answer.
+
+    What exceeds the bound is dropped and counted; heartbeats go on.
+    """
+    monkeypatch.setattr(_network, "MAX_HANDLERS", 2)
+
+    async def run() -> None:
+        one, two = pair()
+        release = anyio.Event()
+
+        async def wait(sender: RouterId, message: PeerMessage) -> None:
+            await release.wait()
+
+        two.handle(VersionNotice, wait)
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",))
+            for number in range(10):
+                await one.send("b.1", VersionNotice(number, ""))
+            await until(lambda: two.refused["busy"] == 8)
+            received = two.received
+            await until(lambda: two.received > received + 3)
+            release.set()
+            await until(lambda: two.running == 0)
+
+    anyio.run(run)
+
+
+def test_the_list_brings_routers_together() -> None:
+    """Routers know each other only by the platform's list, which has engines too."""
+
+    def entry(name: str, address: str, role: str) -> types.SimpleNamespace:
+        return types.SimpleNamespace(
+            name=name, address=address, domain="d", state="live", role=role
+        )
+
+    async def run() -> None:
+        one, two = network("a.1"), network("b.1")
+        entries = [
+            entry("a", one.membership.me.address, "entry"),
+            entry("b", two.membership.me.address, "entry"),
+            entry("e", "127.0.0.1:9", "backend"),
+        ]
+
+        async def source() -> list[types.SimpleNamespace]:
+            return entries
+
+        one.source = source
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",) and two.alive() == ("a.1",))
+            (status,) = one.status()
+            assert status.listed
+            assert status.heard_ago is not None
+            two.leave()
+            await until(lambda: one.status()[0].status is MemberStatus.LEAVING)
+
+    anyio.run(run)
