Guard the daemon's calls to the platform, class by class

Claims queued behind filings of up to 42 rows in one class, and 40 rows a second were less than a router of a small fleet needs. Ruled out: the turnstile itself (a virtual-clock trial at 45 rows a second under a rate of 100 waits 0 s), the table (0 calls throttled). Change: calls are classed by their rows' keys, a claim apart from a filing; filings of 10 bills; 100 row writes and 400 reads a second by default, less by itself when the table refuses; counters of the guard at /metrics.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,7 +4,12 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
+from ebonyhold.coordination._admission import (
+    AdmissionQueue,
+    Refused,
+    Share,
+    Ticket,
+)
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -24,8 +29,16 @@
     make_bill,
     plan_settlement,
 )
-from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
-from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
+from ebonyhold.coordination._breaker import (
+    BreakerPolicy,
+    BreakerState,
+    CircuitBreaker,
+)
+from ebonyhold.coordination._bucket import (
+    AdaptiveRate,
+    FairTurns,
+    TokenBucket,
+)
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
@@ -59,15 +72,25 @@
     plan_initial_topups,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
-from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
+from ebonyhold.coordination._ejection import (
+    EjectionPolicy,
+    Ejector,
+)
+from ebonyhold.coordination._grants import (
+    GrantLedger,
+    change_budget,
+    change_grant,
+)
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import JournalReading, append_transaction
+from ebonyhold.coordination._journal import (
+    JournalReading,
+    append_transaction,
+)
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -115,8 +138,13 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import Membership
-from ebonyhold.coordination._operations import plan_refund, plan_topup
+from ebonyhold.coordination._membership import (
+    Membership,
+)
+from ebonyhold.coordination._operations import (
+    plan_refund,
+    plan_topup,
+)
 from ebonyhold.coordination._orders import (
     Action,
     EngineOrder,
@@ -134,7 +162,11 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import BLOCK_WORDS, PrefixIndex, prefix_hashes
+from ebonyhold.coordination._prefix import (
+    BLOCK_WORDS,
+    PrefixIndex,
+    prefix_hashes,
+)
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -144,7 +176,10 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import Backoff, RetryBudget
+from ebonyhold.coordination._retry import (
+    Backoff,
+    RetryBudget,
+)
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -167,7 +202,10 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._seen import (
+    Seen,
+    seen,
+)
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import anyio
+import attrs
 from attrs import define, field
 
 from ebonyhold.backends import Backends
@@ -30,7 +31,17 @@
     OperatorsContext,
     TableAccounts,
 )
-from ebonyhold.platform import MembersClient, ObjectClient, TableClient
+from ebonyhold.platform import (
+    ClassifiedObjects,
+    ClassifiedTable,
+    Counters,
+    Guard,
+    GuardedObjects,
+    GuardedTable,
+    MembersClient,
+    ObjectClient,
+    TableClient,
+)
 from ebonyhold.routers import KeyRing, PeerNetwork
 from ebonyhold.settings import Settings
 from ebonyhold.types import RouterId, Seconds
@@ -51,8 +62,12 @@
     Attributes:
         settings: The daemon's own settings.
         metrics: What is counted.
-        table: The platform's table service.
-        objects: The platform's object store.
+        table_client: The platform's table service.
+        objects_client: The platform's object store.
+        table_guard: Ceilings, breaker and retries of the table.
+        objects_guard: The same of the object store.
+        table: The table as the parts use it.
+        objects: The object store as the parts use it.
         members: The platform's membership list.
         fleet: The document in force and who is leaving.
         keeper: Follows configuration versions.
@@ -66,8 +81,12 @@
 
     settings: Settings
     metrics: Metrics = field(factory=Metrics)
-    table: TableClient = field(init=False)
-    objects: ObjectClient = field(init=False)
+    table_client: TableClient = field(init=False)
+    objects_client: ObjectClient = field(init=False)
+    table_guard: GuardedTable = field(init=False)
+    objects_guard: GuardedObjects = field(init=False)
+    table: ClassifiedTable = field(init=False)
+    objects: ClassifiedObjects = field(init=False)
     members: MemberFeed = field(init=False)
     fleet: FleetView = field(init=False)
     keeper: ConfigurationKeeper = field(init=False)
@@ -81,8 +100,12 @@
     def __attrs_post_init__(self) -> None:
         """Make the parts; nothing is opened yet."""
         platform = self.settings.platform
-        self.table = TableClient(platform.table, platform.timeout)
-        self.objects = ObjectClient(platform.objects, platform.timeout)
+        self.table_client = TableClient(platform.table, platform.timeout)
+        self.objects_client = ObjectClient(platform.objects, platform.timeout)
+        self.table_guard = GuardedTable(self.table_client)
+        self.objects_guard = GuardedObjects(self.objects_client)
+        self.table = ClassifiedTable(self.table_guard)
+        self.objects = ClassifiedObjects(self.objects_guard)
         self.fleet = FleetView(NO_DOCUMENT, domain=self.settings.domain)
         self.members = MemberFeed(self.members_client(), self.fleet)
         self.keeper = make_keeper(self.table, self.objects)
@@ -97,7 +120,11 @@
         )
         self.money = Incarnations(Names(self.settings.name, first), self.make_treasury)
         self.callers = CallersApp(
-            self.money, self.fleet, self.backends, self.keeper.may_serve
+            self.money,
+            self.fleet,
+            self.backends,
+            self.keeper.may_serve,
+            metrics=self.metrics,
         )
         self.recoveries = Recoveries(
             self.table,
@@ -180,6 +207,8 @@
         operators = self.operators_app()
         stop = self.lifecycle.ended
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.table_guard.run)
+            tasks.start_soon(self.objects_guard.run)
             tasks.start_soon(self.lifecycle.follow_signals)
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
@@ -223,8 +252,14 @@
             version = await self.keeper.wait_changed(version)
             if self.keeper.document is not None:
                 self.fleet.adopt(self.keeper.document, version)
+                self.follow_limits()
             self.callers.pump()
 
+    def follow_limits(self) -> None:
+        """Put the document's ceilings in force."""
+        limits = self.fleet.document.limits
+        self.table_guard.guard.set_rates(limits.table_writes, limits.table_reads)
+
     def render_metrics(self) -> bytes:
         """Set the gauges and return the exposition text."""
         metrics = self.metrics
@@ -235,12 +270,28 @@
             status = self.money.current.status()
             metrics.unfiled_bills.set(status.unfiled)
             metrics.tokens_held.set(sum(one.available for one in status.grants))
+        self.set_platform_gauges("table", self.table_guard.guard)
+        self.set_platform_gauges("objects", self.objects_guard.guard)
+        counters = self.network.counters
+        metrics.peer_messages.labels("sent").set(counters.sent)
+        metrics.peer_messages.labels("dropped").set(counters.dropped)
+        metrics.peer_messages.labels("received").set(self.network.received)
+        metrics.peer_messages.labels("refused").set(sum(self.network.refused.values()))
         return metrics.render()
 
+    def set_platform_gauges(self, service: str, guard: Guard) -> None:
+        """Set the gauges of the calls to one of the platform's services."""
+        for priority, counters in guard.counters.items():
+            for counted in attrs.fields(Counters):
+                value = getattr(counters, counted.name)
+                self.metrics.platform_calls.labels(
+                    service, priority.value, counted.name
+                ).set(value)
+
     async def close(self) -> None:
         """Close the clients."""
-        await self.table.aclose()
-        await self.objects.aclose()
+        await self.table_client.aclose()
+        await self.objects_client.aclose()
         if self.members.client is not None:
             await self.members.client.aclose()
 
--- a/ebonyhold/document/_model.py
+++ b/ebonyhold/document/_model.py
@@ -214,15 +214,16 @@
 
     Attributes:
         most_body: The largest request body, in bytes.
-        table_writes: Rows a second this router may write to the table.
+        table_writes: Rows a second this router may write to the table; it takes
+            less by itself while the table refuses calls as too many.
         table_reads: Rows a second this router may read from the table.
         drain: The longest a router waits for its streams when it stops, seconds.
         stream_buffer: Bytes held for one slow caller before its stream is ended.
     """
 
     most_body: int = field(default=1_048_576, metadata=bounded(1, MOST_BODY))
-    table_writes: float = field(default=40.0, metadata=bounded(0.1, 100_000))
-    table_reads: float = field(default=200.0, metadata=bounded(0.1, 100_000))
+    table_writes: float = field(default=100.0, metadata=bounded(0.1, 100_000))
+    table_reads: float = field(default=400.0, metadata=bounded(0.1, 100_000))
     drain: Seconds = field(default=30.0, metadata=duration(0, 86_400))
     stream_buffer: int = field(default=262_144, metadata=bounded(1024, MOST_BODY))
 
--- a/ebonyhold/metrics.py
+++ b/ebonyhold/metrics.py
@@ -51,16 +51,17 @@
             ("backend", "result"),
             registry=self.registry,
         )
-        self.platform_calls = Counter(
-            "ebonyhold_platform_calls_total",
-            "Calls to the platform by service and result.",
-            ("service", "result"),
+        self.platform_calls = Gauge(
+            "ebonyhold_platform_calls",
+            "What became of calls to the platform since the start, by service, by"
+            " class, and by what is counted.",
+            ("service", "priority", "counted"),
             registry=self.registry,
         )
-        self.peer_messages = Counter(
-            "ebonyhold_peer_messages_total",
-            "Messages between routers by direction and result.",
-            ("direction", "result"),
+        self.peer_messages = Gauge(
+            "ebonyhold_peer_messages",
+            "Messages between routers since the start, by what became of them.",
+            ("counted",),
             registry=self.registry,
         )
         self.configuration_version = Gauge(
--- a/ebonyhold/money/_options.py
+++ b/ebonyhold/money/_options.py
@@ -30,7 +30,7 @@
     """
 
     filing_interval: Seconds = 1.0
-    bills_at_once: int = 40
+    bills_at_once: int = 10
     resize_interval: Seconds = 5.0
     evict_after: Seconds = 120.0
     table_rest: Seconds = 2.0
