--- a/ebonyhold/experiments/_troubles.py
+++ b/ebonyhold/experiments/_troubles.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime, timedelta
+from http import HTTPStatus
 
 import httpx
 from attrs import define, field
@@ -173,7 +174,9 @@
     reply = await strikes.client.put(
         f"{url}/v1/stops/trial", json=stop, headers=OPERATOR_HEADERS
     )
-    reply.raise_for_status()
+    if reply.status_code != HTTPStatus.OK:
+        # The table may be out of reach; the operator tries again soon.
+        return
     version = int(reply.json()["version"])
     strikes.accepted.append(AcceptedVersion(version, time.time()))
     end = (now + STOP_LENGTH).timestamp()
