--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -67,23 +67,30 @@
     deletes: tuple[str, ...] = ()
 
 
-def part_digest(key: str, value: Json) -> int:
+def encode_part(value: Json) -> bytes:
+    """Return the one JSON form of a part."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def part_digest(key: str, body: bytes) -> int:
     """Return the number that a part adds to its state's digest."""
-    body = json.dumps([key, value], sort_keys=True, separators=(",", ":"))
-    return int.from_bytes(hashlib.sha256(body.encode()).digest())
+    return int.from_bytes(hashlib.sha256(key.encode() + b"\0" + body).digest())
 
 
 @define
 class DocumentState:
-    """All parts of one version, as JSON values and as model objects.
+    """All parts of one version, as JSON and as model objects.
+
+    The JSON is kept because it may hold what only a newer release knows; it is
+    kept encoded, which takes less memory than its values.
 
     Attributes:
-        values: The parts as JSON values, by key.
+        values: The parts as JSON, by key.
         objects: The parts as model objects, by list and name.
         total: The sum of the parts' digests.
     """
 
-    values: dict[str, Json] = field(factory=dict)
+    values: dict[str, bytes] = field(factory=dict)
     objects: dict[str, dict[str, Any]] = field(factory=dict)
     total: int = 0
 
@@ -106,8 +113,9 @@
         structured = structure_part(section, value)
         if key in self.values:
             self.add_digest(-part_digest(key, self.values[key]))
-        self.values[key] = value
-        self.add_digest(part_digest(key, value))
+        body = encode_part(value)
+        self.values[key] = body
+        self.add_digest(part_digest(key, body))
         self.objects.setdefault(section, {})[name] = structured
 
     def remove(self, key: str) -> None:
@@ -207,9 +215,10 @@
     """Name what differs between two states, down to the attribute."""
     paths: list[str] = []
     for key in dict.fromkeys((*before.values, *after.values)):
-        old, new = before.values.get(key), after.values.get(key)
+        old, new = before.values.get(key, b"null"), after.values.get(key, b"null")
         if old != new:
-            paths.extend(_changed_attributes(key, old, new))
+            changed = _changed_attributes(key, json.loads(old), json.loads(new))
+            paths.extend(changed)
     return tuple(paths)
 
 
--- a/ebonyhold/configuration/_store.py
+++ b/ebonyhold/configuration/_store.py
@@ -21,7 +21,6 @@
 from ebonyhold.configuration._parts import Change, DocumentState
 from ebonyhold.coordination import HeadRow, Objects, from_bytes, to_bytes
 from ebonyhold.exceptions import ConfigurationError, ConflictError, EbonyholdError
-from ebonyhold.types import Json
 
 OBJECT_PREFIX = "config/object/"
 HEAD_PREFIX = "config/heads/"
@@ -237,10 +236,11 @@
             present = {entry.content: entry for entry in last.packs}
         packs: list[PackEntry] = []
         for parts in pack_parts(state.values):
-            content = hashlib.sha256(to_bytes(parts)).hexdigest()
+            content = content_digest(parts)
             entry = present.get(content)
             if entry is None:
-                digest = await self.put(to_bytes(Pack(version, parts)))
+                values = {key: json.loads(body) for key, body in parts.items()}
+                digest = await self.put(to_bytes(Pack(version, values)))
                 entry = PackEntry(digest, content)
             packs.append(entry)
         return await self.put(to_bytes(BaseIndex(version, tuple(packs))))
@@ -327,18 +327,26 @@
             state.apply(change)
 
 
-def pack_parts(values: Mapping[str, Json]) -> list[dict[str, Json]]:
+def pack_parts(values: Mapping[str, bytes]) -> list[dict[str, bytes]]:
     """Distribute parts over packs by the hash of their key."""
-    size = sum(len(json.dumps(value)) for value in values.values())
+    size = sum(map(len, values.values()))
     count = 1
     while count * PACK_BYTES < size:
         count *= 2
-    packs: list[dict[str, Json]] = [{} for _ in range(count)]
-    for key, value in values.items():
-        packs[pack_number(key, count)][key] = value
+    packs: list[dict[str, bytes]] = [{} for _ in range(count)]
+    for key, body in values.items():
+        packs[pack_number(key, count)][key] = body
     return packs
 
 
+def content_digest(parts: Mapping[str, bytes]) -> str:
+    """Return the digest of a pack's parts, whatever their order."""
+    hasher = hashlib.sha256()
+    for key, body in sorted(parts.items()):
+        hasher.update(key.encode() + b"\0" + body + b"\0")
+    return hasher.hexdigest()
+
+
 def pack_number(key: str, count: int) -> int:
     """Return the pack that a part belongs to."""
     digest = hashlib.sha256(key.encode()).digest()
--- a/ebonyhold/experiments/configuration_size.py
+++ b/ebonyhold/experiments/configuration_size.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import time
+import tracemalloc
 from random import Random
 from typing import Annotated
 
@@ -93,6 +94,7 @@
         start_bytes: Bytes that a router reads when it starts.
         start_calls: Objects that a router reads when it starts.
         start_time: Processor seconds of a router's start.
+        held_bytes: Bytes of memory that a router's document and parts take.
     """
 
     workspaces: int
@@ -105,6 +107,7 @@
     start_bytes: int
     start_calls: int
     start_time: Seconds
+    held_bytes: int
 
     @property
     def bytes_a_second(self) -> float:
@@ -179,9 +182,20 @@
         objects.bytes_read,
         objects.calls_read,
         starting,
+        await weigh(table, store),
     )
 
 
+async def weigh(table: MemoryTable, store: VersionStore) -> int:
+    """Return the memory of a router's keeper, as Python's allocator counts it."""
+    keeper = ConfigurationKeeper(table, store)
+    tracemalloc.start()
+    await keeper.refresh()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held
+
+
 def render(costs: list[Cost]) -> RichTable:
     """Return the costs as a table."""
     table = RichTable(title="One change, by workspaces in the document")
@@ -197,6 +211,7 @@
         "start reads, B",
         "objects",
         "start, ms",
+        "held, MB",
     )
     for name in columns:
         table.add_column(name, justify="right")
@@ -213,6 +228,7 @@
             f"{cost.start_bytes:,}",
             f"{cost.start_calls:,}",
             f"{cost.start_time * 1000:,.0f}",
+            f"{cost.held_bytes / 1e6:,.1f}",
         )
     return table
 
@@ -227,7 +243,7 @@
 ) -> None:
     """Measure what one change of configuration costs."""
     costs = [anyio.run(measure, each, changes) for each in size or DEFAULT_SIZES]
-    Console(width=160).print(render(costs))
+    Console(width=200).print(render(costs))
 
 
 if __name__ == "__main__":
