Find a change by identity first

A publication compared every part of the document by value; a planned stop shares all other parts with the version in force, so identity answers for them.

--- a/ebonyhold/configuration/__init__.py
+++ b/ebonyhold/configuration/__init__.py
@@ -11,7 +11,6 @@
     DocumentState,
     find_change,
     find_changed_paths,
-    split_document,
 )
 from ebonyhold.configuration._store import Manifest, VersionStore
 
@@ -26,5 +25,4 @@
     "find_change",
     "find_changed_paths",
     "make_keeper",
-    "split_document",
 ]
--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 from collections.abc import Iterator, Mapping
+from operator import attrgetter
 from typing import Any
 
 import cattrs
@@ -185,30 +186,39 @@
         raise ConfigurationError(message) from error
 
 
-def split_document(document: Document) -> Iterator[tuple[str, Any]]:
-    """Yield the parts of a document, as model objects, with their keys."""
-    yield FLEET_PART, FleetPart(document.fleet, document.domains)
+def named_parts(document: Document) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield each section of a document with its parts, as model objects, by name."""
+    yield FLEET_PART, {"": FleetPart(document.fleet, document.domains)}
     for section in SINGLE_PARTS:
-        yield section, getattr(document, section)
+        yield section, {"": getattr(document, section)}
     for section, (_, name) in LIST_PARTS.items():
-        for item in getattr(document, section):
-            yield f"{section}/{getattr(item, name)}", item
+        name_of = attrgetter(name)
+        yield section, {name_of(item): item for item in getattr(document, section)}
+
+
+def part_key(section: str, name: str) -> str:
+    """Return the key of a part."""
+    return f"{section}/{name}" if name else section
 
 
 def find_change(before: DocumentState, document: Document, version: int) -> Change:
     """Return what a document changes of a state.
 
-    Objects are compared, since turning all of them into JSON values takes most
-    of the time of a change to a large document.
+    Objects are compared, by identity first: turning all of them into JSON, or
+    only comparing all of them by value, takes most of the time of a change to
+    a large document.
     """
-    after = dict(split_document(document))
-    upserts = {
-        key: part_converter.unstructure(item)
-        for key, item in after.items()
-        if before.find(key) != item
-    }
-    deletes = tuple(key for key in before.values if key not in after)
-    return Change(version, upserts, deletes)
+    upserts: dict[str, Any] = {}
+    deletes: list[str] = []
+    for section, items in named_parts(document):
+        known = before.objects.get(section, {})
+        for name, item in items.items():
+            old = known.get(name)
+            if old is not item and old != item:
+                upserts[part_key(section, name)] = part_converter.unstructure(item)
+        gone = [name for name in known if name not in items]
+        deletes.extend(part_key(section, name) for name in gone)
+    return Change(version, upserts, tuple(deletes))
 
 
 def find_changed_paths(before: DocumentState, after: DocumentState) -> tuple[str, ...]:
