Pace the first top-ups of a large import

They went as fast as the table took them, which with its ceiling of some hundred writes a second would keep bills waiting. A pause between transactions now leaves at most 160 row writes and 800 row reads a second to them; documents with up to forty new workspaces are not concerned.

--- a/ebonyhold/configuration/_publisher.py
+++ b/ebonyhold/configuration/_publisher.py
@@ -61,6 +61,13 @@
 MOST_TOPUPS = 40
 """First top-ups in one transaction; the first of them go with their version."""
 
+WRITE_PAUSE: Seconds = 0.5
+"""Between two transactions of first top-ups: 160 row writes a second at most, so
+that a large import leaves the table's ceiling to the bills."""
+
+READ_PAUSE: Seconds = 0.1
+"""Between two looks for first top-ups: 800 row reads a second at most."""
+
 RETRY_DELAY = 0.25
 """Seconds before the first retry; it doubles with each."""
 
@@ -287,31 +294,37 @@
         Raises:
             UnknownOutcomeError: Some could not be made; publish again.
         """
+        pause = 0.0
         for first in range(0, len(self.unfilled), MOST_TOPUPS):
             some = self.unfilled[first : first + MOST_TOPUPS]
+            await anyio.sleep(pause)
             try:
-                await self.insist(partial(self.fill_some_budgets, some))
+                wrote = await self.insist(partial(self.fill_some_budgets, some))
+                pause = WRITE_PAUSE if wrote else READ_PAUSE
             except PlatformError as error:
                 message = f"accepted, but not all first top-ups are made: {error}"
                 raise UnknownOutcomeError(message) from error
 
-    async def fill_some_budgets(self, workspaces: tuple[str, ...]) -> None:
+    async def fill_some_budgets(self, workspaces: tuple[str, ...]) -> bool:
         """Make some first top-ups; the rows of the top-ups make it idempotent.
 
+        Returns:
+            Whether any was missing.
+
         Raises:
             UnavailableError: Other writers were faster each time.
         """
         for _ in range(MOST_ATTEMPTS):
             topups = await self.missing_topups(workspaces)
             if not topups:
-                return
+                return False
             at = self.keeper.clock()
             transaction = plan_initial_topups(topups, self.author, at)
             try:
                 await self.keeper.table.commit(transaction)
             except ConflictError:
                 continue
-            return
+            return True
         raise UnavailableError("first top-ups met other writers")
 
 
