Test the configuration on the stand-ins' table and object store

The tests had a table and an object store of their own, which the stand-ins now cover with more faults. The same cases run on MemoryTable and MemoryObjects; lost answers gain late and doubled commits (8 cases for 5), an outage at the commit became a case of its own, and the races run with a delay on each call.

--- a/tests/configuration/test_chaos.py
+++ b/tests/configuration/test_chaos.py
@@ -5,7 +5,6 @@
 from random import Random
 
 import anyio
-import attrs
 import pytest
 from attrs import define, field
 
@@ -17,7 +16,7 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from tests.configuration.fakes import FakeObjects, FakeTable
+from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 from tests.configuration.test_keeper import keeper_on, named
 
 pytestmark = pytest.mark.anyio
@@ -38,8 +37,8 @@
     """
 
     random: Random
-    table: FakeTable = field(factory=FakeTable)
-    objects: FakeObjects = field(factory=FakeObjects)
+    table: MemoryTable = field(factory=MemoryTable)
+    objects: MemoryObjects = field(factory=MemoryObjects)
     keepers: list[ConfigurationKeeper] = field(factory=list)
     accepted: dict[int, str] = field(factory=dict)
     refused: set[str] = field(factory=set)
@@ -95,10 +94,17 @@
         """Break and mend table and object store."""
         while True:
             await anyio.sleep(self.random.uniform(0, 3))
-            self.table.lost = self.random.choice((0, 0, 1, 2))
-            self.table.dropped = self.random.choice((0, 0, 1, 3))
-            self.table.down = self.random.random() < 0.25
-            self.objects.down = self.random.random() < 0.25
+            await self.table.faults.flush()
+            self.table.faults = Faults(
+                down=self.random.random() < 0.25,
+                delay=self.random.uniform(0.001, 0.2),
+                answer_delay=self.random.uniform(0, 0.2),
+                lose_answers=self.random.choice((0, 0, 1, 2)),
+                lose_requests=self.random.choice((0, 0, 1, 3)),
+                late=self.random.choice((0, 0, 1)),
+                duplicates=self.random.choice((0, 1)),
+            )
+            self.objects.faults.down = self.random.random() < 0.25
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -110,7 +116,7 @@
     """
     world = World(Random(seed))
     await world.run()
-    world.table = attrs.evolve(world.table, down=False)
+    await world.table.faults.flush()
     rows = world.table.rows
     heads = [head_of(row) for key, row in rows.items() if "config/version/" in key]
     contents = {head.version: head.author for head in heads if head}
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -20,8 +20,8 @@
 from ebonyhold.exceptions import (
     ConfigurationError,
 )
+from ebonyhold.standins import MemoryObjects, MemoryTable
 from ebonyhold.types import Json
-from tests.configuration.fakes import FakeObjects, FakeTable
 
 pytestmark = pytest.mark.anyio
 
@@ -37,7 +37,7 @@
 
 
 def keeper_on(
-    table: FakeTable, objects: FakeObjects, seed: int = 1
+    table: MemoryTable, objects: MemoryObjects, seed: int = 1
 ) -> ConfigurationKeeper:
     return ConfigurationKeeper(table, VersionStore(objects), random=Random(seed))
 
@@ -53,7 +53,7 @@
 
 
 async def test_publish_and_adopt() -> None:
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     first, second = keeper_on(table, objects), keeper_on(table, objects)
     assert await first.publish(DOCUMENT, 0, "ana") == 1
     await second.refresh()
@@ -67,7 +67,7 @@
     The router must keep version 2, tell operators, and refuse to publish on
     top of the old head, which would revert what was accepted.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(DOCUMENT, 0, "ana")
     old = table.rows[CONFIG_HEAD]
@@ -87,7 +87,7 @@
 
     The old answer arrives last; installing it would revert the configuration.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(DOCUMENT, 0, "ana")
     assert keeper.head is not None
@@ -99,7 +99,7 @@
 
 async def test_a_restart_finds_the_newest_version() -> None:
     """A router restarts with nothing on disk, long after its peers moved on."""
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     for version in range(200):
         await keeper.publish(named(f"f{version}"), version, "ana")
@@ -117,19 +117,19 @@
     have the newest version, also one whose copy was never written.
     """
     for document, serves in ((DOCUMENT, True), (REFUSING, False)):
-        table, objects = FakeTable(), FakeObjects()
+        table, objects = MemoryTable(), MemoryObjects()
         keeper = keeper_on(table, objects)
         await keeper.publish(document, 0, "ana")
         await keeper.publish(named("two", document), 1, "ana")
-        objects.bodies = {
-            key: body for key, body in objects.bodies.items() if not key.endswith("98")
+        objects.objects = {
+            key: body for key, body in objects.objects.items() if not key.endswith("98")
         }
-        table.down = True
+        table.faults.down = True
         started = keeper_on(table, objects)
         await started.follow()
         assert (started.version, started.may_serve()) == (int(serves), serves)
         assert started.stale
-        table.down = False
+        table.faults.down = False
         await started.follow()
         assert (started.version, started.may_serve()) == (2, True)
 
@@ -150,7 +150,7 @@
     An older router cannot read it: it must go on with the version it has, not
     end, and follow again once it can.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     newer, older = keeper_on(table, objects), keeper_on(table, objects)
     await newer.publish(DOCUMENT, 0, "ana")
     await older.follow()
@@ -176,16 +176,16 @@
     The head's copy was not written, so that a router that starts in the next
     table outage would miss the version; the surviving routers write it.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
-    copies = [key for key in objects.bodies if key.startswith("config/heads/")]
-    del objects.bodies[copies[0]]
+    copies = [key for key in objects.objects if key.startswith("config/heads/")]
+    del objects.objects[copies[0]]
     survivor = keeper_on(table, objects)
     async with anyio.create_task_group() as group:
         group.start_soon(survivor.run)
         await anyio.sleep(30)
         group.cancel_scope.cancel()
-    assert copies[0] in objects.bodies
+    assert copies[0] in objects.objects
 
 
 async def test_a_notice_brings_a_version_while_the_table_is_down() -> None:
@@ -194,13 +194,13 @@
     A router that missed it hears of it from a peer, fetches the copy by its
     number, and does not count it as confirmed.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     first, second = keeper_on(table, objects), keeper_on(table, objects)
     await first.publish(DOCUMENT, 0, "ana")
     await second.refresh()
     confirmed_at = second.confirmed_at
     await first.publish(named("two"), 1, "ana")
-    table.down = True
+    table.faults.down = True
     await anyio.sleep(10)
     second.notice(1)
     assert not second.noticed.is_set()
@@ -229,7 +229,7 @@
     off alone stays fresh by the word of peers that reach the table, if they
     have the same version.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(document, 0, "ana")
     assert keeper.may_serve()
@@ -238,11 +238,11 @@
     keeper.evidence = FakeOthers(
         tuple(Evidence(1, digests[whose], age) for whose, age in answers)
     )
-    table.down = objects.down = True
+    table.faults.down = objects.faults.down = True
     await anyio.sleep(8000)
     await keeper.follow()
     assert keeper.may_serve() is serves
-    table.down = False
+    table.faults.down = False
     await keeper.follow()
     assert keeper.may_serve()
     assert not keeper.stale
@@ -253,7 +253,7 @@
 
     It must not make the version look fresher than the table's last word.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(REFUSING, 0, "ana")
 
@@ -275,7 +275,7 @@
     The table fails for a while in between; afterwards all have the version
     within two polls.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keepers = [keeper_on(table, objects, seed) for seed in range(9)]
     async with anyio.create_task_group() as group:
         for keeper in keepers:
@@ -283,9 +283,9 @@
         await keepers[0].publish(DOCUMENT, 0, "ana")
         await anyio.sleep(8)
         assert {keeper.version for keeper in keepers} == {1}
-        table.down = True
+        table.faults.down = True
         await anyio.sleep(300)
-        table.down = False
+        table.faults.down = False
         await keepers[3].publish(named("two"), 1, "ben")
         await anyio.sleep(8)
         assert {keeper.version for keeper in keepers} == {2}
@@ -293,7 +293,7 @@
 
 
 async def test_a_notice_wakes_the_reader() -> None:
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     first, second = keeper_on(table, objects), keeper_on(table, objects)
     async with anyio.create_task_group() as group:
         await group.start(second.run)
@@ -310,7 +310,7 @@
 
     The router keeps the version it has, and does not count as confirmed.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     first, second = keeper_on(table, objects), keeper_on(table, objects)
     await first.publish(DOCUMENT, 0, "ana")
     await second.refresh()
@@ -319,9 +319,9 @@
     key = "config/object/" + first.head.manifest
     for body in (b"{}", b"", None):
         if body is None:
-            del objects.bodies[key]
+            del objects.objects[key]
         else:
-            objects.bodies[key] = body
+            objects.objects[key] = body
         with pytest.raises(ConfigurationError):
             await second.refresh()
         assert (second.version, second.document) == (1, DOCUMENT)
--- a/tests/configuration/test_publisher.py
+++ b/tests/configuration/test_publisher.py
@@ -2,49 +2,94 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 import attrs
 import pytest
+from attrs import define
 
 from ebonyhold.configuration._publisher import Publisher
-from ebonyhold.coordination import CONFIG_HEAD, HeadRow, budget_key, config_version_key
+from ebonyhold.coordination import HeadRow, Transaction, budget_key, config_version_key
 from ebonyhold.document import Workspace
 from ebonyhold.exceptions import (
     ConfigurationError,
     LostRaceError,
+    ThrottledError,
     UnavailableError,
     UnknownOutcomeError,
 )
-from tests.configuration.fakes import FakeObjects, FakeTable
+from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 from tests.configuration.test_keeper import DOCUMENT, keeper_on, named
 
 pytestmark = pytest.mark.anyio
 
 
+@define
+class ScriptedTable(MemoryTable):
+    """A table that refuses commits, or loses one answer after something else.
+
+    Attributes:
+        refusals: Commits that are refused without effect.
+        after_commit: Run between the next commit and the loss of its answer.
+    """
+
+    refusals: int = 0
+    after_commit: Callable[[], Awaitable[None]] | None = None
+
+    async def commit(self, transaction: Transaction) -> None:
+        if self.refusals:
+            self.refusals -= 1
+            raise ThrottledError("too many calls")
+        await MemoryTable.commit(self, transaction)
+        then, self.after_commit = self.after_commit, None
+        if then:
+            await then()
+            raise UnknownOutcomeError("no answer")
+
+
 async def test_publishing_the_same_again_changes_nothing() -> None:
-    keeper = keeper_on(FakeTable(), FakeObjects())
+    keeper = keeper_on(MemoryTable(), MemoryObjects())
     await keeper.publish(DOCUMENT, 0, "ana")
     assert await keeper.publish(DOCUMENT, 0, "ana") == 1
 
 
 @pytest.mark.parametrize(
-    ("lost", "dropped", "outages"),
-    [(1, 0, 0), (0, 1, 0), (0, 3, 0), (0, 0, 1), (1, 1, 0)],
+    "faults",
+    [
+        Faults(lose_answers=1),
+        Faults(lose_requests=1),
+        Faults(lose_requests=3),
+        Faults(late=1),
+        Faults(late=3),
+        Faults(duplicates=1),
+        Faults(duplicates=1, lose_answers=1),
+        Faults(lose_requests=1, late=1, lose_answers=1),
+    ],
+    ids=repr,
 )
-async def test_a_lost_answer_is_resolved(lost: int, dropped: int, outages: int) -> None:
+async def test_a_lost_answer_is_resolved(faults: Faults) -> None:
     """The table accepts a version, but its answer never reaches the router.
 
     The operator must neither be told of a failure that was a success, nor get
-    a second version, nor a second first top-up for the new workspace.  Whether
-    the commit arrived cannot be told from the error; its history row tells.
+    a second version, nor a second first top-up for the new workspace; not even
+    when a commit that was given up takes effect late.  Whether it arrived
+    cannot be told from the error; its history row tells.
     """
-    table, objects = FakeTable(lost=lost, dropped=dropped), FakeObjects()
-    if outages:
-        table.before_commit = lambda: (_ for _ in ()).throw(UnavailableError("busy"))
-    keeper = keeper_on(table, objects)
+    table = MemoryTable(attrs.evolve(faults))
+    keeper = keeper_on(table, MemoryObjects())
+    assert await keeper.publish(DOCUMENT, 0, "ana") == 1
+    await table.faults.flush()
+    await keeper.refresh()
+    assert (table.commits, keeper.version, keeper.document) == (1, 1, DOCUMENT)
+    assert table.value(budget_key("w")) == {"prepaid": 100}
+
+
+async def test_a_refused_commit_is_sent_again() -> None:
+    table = ScriptedTable(refusals=3)
+    keeper = keeper_on(table, MemoryObjects())
     assert await keeper.publish(DOCUMENT, 0, "ana") == 1
-    assert len(table.commits) == 1
-    assert table.rows[budget_key("w")].value == {"prepaid": 100}
+    assert table.commits == 1
 
 
 async def test_a_lost_answer_is_resolved_after_the_next_version() -> None:
@@ -54,14 +99,14 @@
     race, and Ana would publish her change again; her own history row says that
     it was accepted.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = ScriptedTable(), MemoryObjects()
     ana, ben = keeper_on(table, objects), keeper_on(table, objects)
 
     async def publish_on_top() -> None:
         await ben.refresh()
         await ben.publish(named("ben"), 1, "ben")
 
-    table.lost, table.after_lost = 1, publish_on_top
+    table.after_commit = publish_on_top
     assert await ana.publish(DOCUMENT, 0, "ana") == 1
     await ana.refresh()
     assert (ana.version, ana.document) == (2, named("ben"))
@@ -72,11 +117,13 @@
 
     It must say that the outcome is unknown: the commits may still arrive.
     """
-    table, objects = FakeTable(dropped=100), FakeObjects()
+    table, objects = MemoryTable(Faults(lose_requests=100)), MemoryObjects()
     with pytest.raises(UnknownOutcomeError):
         await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
     with pytest.raises(UnavailableError):
-        await keeper_on(FakeTable(down=True), objects).publish(DOCUMENT, 0, "ana")
+        await keeper_on(MemoryTable(Faults(down=True)), objects).publish(
+            DOCUMENT, 0, "ana"
+        )
 
 
 async def test_racing_operators() -> None:
@@ -85,7 +132,7 @@
     One is accepted; each other one is told the version in force, its author
     and what changed, and nothing of theirs is in force.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(Faults(delay=0.01)), MemoryObjects()
     await keeper_on(table, objects).publish(DOCUMENT, 0, "ana")
     keepers = [keeper_on(table, objects) for _ in range(5)]
     accepted: list[int] = []
@@ -115,11 +162,11 @@
     An answer is lost while their first top-ups are made one by one; each must
     have its prepaid tokens exactly once.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     workspaces = tuple(Workspace(f"w{n}", (), prepaid=n + 1) for n in range(60))
     many = attrs.evolve(DOCUMENT, workspaces=workspaces)
-    table.lost = 3
+    table.faults.lose_answers = 3
     await keeper.publish(many, 0, "ana")
     fewer = attrs.evolve(many, workspaces=workspaces[:10])
     await keeper.publish(fewer, 1, "ana")
@@ -134,32 +181,31 @@
     The operator is told that not all is done and applies the same document
     again; it is in force, but its workspaces must not stay without tokens.
     """
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     workspaces = tuple(Workspace(f"w{n}", (), prepaid=n + 1) for n in range(60))
     many = attrs.evolve(DOCUMENT, workspaces=workspaces)
     publisher = Publisher(keeper, many, 0, "ana")
     assert await publisher.publish() == 1
-    table.down = True
+    table.faults.down = True
     with pytest.raises(UnknownOutcomeError):
         await publisher.fill_budgets()
-    table.down = False
+    table.faults.down = False
     assert await keeper.publish(many, 0, "ana") == 1
     assert table.rows[budget_key("w59")].value == {"prepaid": 60}
 
 
 async def test_a_workspace_topped_up_before_its_document_keeps_that() -> None:
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(attrs.evolve(DOCUMENT, workspaces=()), 0, "ana")
-    row = attrs.evolve(table.rows[CONFIG_HEAD], key=budget_key("w"), version=1)
-    table.rows[row.key] = attrs.evolve(row, value={"prepaid": 7, "spent": 2})
+    table.put(budget_key("w"), {"prepaid": 7, "spent": 2})
     await keeper.publish(DOCUMENT, 1, "ana")
-    assert table.rows[row.key].value == {"prepaid": 107, "spent": 2}
+    assert table.value(budget_key("w")) == {"prepaid": 107, "spent": 2}
 
 
 async def test_a_rollback_is_a_new_version() -> None:
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = keeper_on(table, objects)
     await keeper.publish(DOCUMENT, 0, "ana")
     await keeper.publish(named("two"), 1, "ana")
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -7,6 +7,7 @@
 
 import attrs
 import pytest
+from attrs import define
 
 from ebonyhold.configuration import (
     ConfigurationKeeper,
@@ -17,7 +18,9 @@
 )
 from ebonyhold.document import ApiKey, Document, Stop, Workspace
 from ebonyhold.document import load_document as load
-from tests.configuration.fakes import FakeObjects, FakeTable
+from ebonyhold.exceptions import UnavailableError
+from ebonyhold.experiments.configuration_size import CountingObjects
+from ebonyhold.standins import MemoryObjects, MemoryTable
 from tests.document.test_check import EXAMPLES
 
 pytestmark = pytest.mark.anyio
@@ -62,7 +65,7 @@
     """Routers that read each version, some versions, or start anew, agree."""
     monkeypatch.setattr(_store, "PACK_BYTES", 2000)
     random = Random(5)
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     store = VersionStore(objects)
     publisher = ConfigurationKeeper(table, store)
     followers = [ConfigurationKeeper(table, store) for _ in range(4)]
@@ -86,7 +89,7 @@
 async def test_a_change_costs_a_follower_one_small_object() -> None:
     """Also when the publisher writes a new base, and when a poll was missed."""
     random = Random(5)
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), CountingObjects()
     store = VersionStore(objects)
     publisher = ConfigurationKeeper(table, store)
     follower = ConfigurationKeeper(table, store)
@@ -99,12 +102,26 @@
         await publisher.publish(document, version, "ana")
         if version % 3:
             continue
-        objects.reads = objects.bytes_read = 0
+        objects.reset()
         await follower.refresh()
-        assert objects.reads == 1
+        assert objects.calls_read == 1
         assert objects.bytes_read <= _store.MOST_INLINE
 
 
+@define
+class DeletesFail(MemoryObjects):
+    """An object store where each second delete fails, when told to."""
+
+    failing: bool = False
+    deletes: int = 0
+
+    async def delete(self, key: str) -> None:
+        self.deletes += 1
+        if self.failing and self.deletes % 2:
+            raise UnavailableError("busy")
+        await MemoryObjects.delete(self, key)
+
+
 async def test_old_versions_leave_nothing_behind(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -119,11 +136,11 @@
     monkeypatch.setattr(_store, "KEPT_INLINE", 600)
     monkeypatch.setattr(_publisher, "KEPT_VERSIONS", kept)
     random = Random(5)
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), DeletesFail()
     keeper = ConfigurationKeeper(table, VersionStore(objects))
     document = large(60)
     for version in range(120):
-        objects.fail_deletes = version < 110 and version % 7 == 0
+        objects.failing = version < 110 and version % 7 == 0
         await keeper.publish(document, version, "ana")
         document = changed(document, random)
     versions = await keeper.history(100)
@@ -136,11 +153,11 @@
         digests = (head.manifest, manifest.base, *(each.digest for each in packs))
         used |= {_store.OBJECT_PREFIX + digest for digest in digests}
         used.add(_store.head_copy_key(head.version))
-    assert set(objects.bodies) == used
+    assert set(objects.objects) == used
 
 
 async def test_every_part_of_a_document_travels() -> None:
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     store = VersionStore(objects)
     document = load(EXAMPLES / "bagmati-dhoka.yaml")
     first, second = (datetime(2027, 1, day, tzinfo=UTC) for day in (1, 2))
@@ -154,7 +171,7 @@
 
 
 async def test_changed_paths_name_parts_and_attributes() -> None:
-    keeper = ConfigurationKeeper(FakeTable(), VersionStore(FakeObjects()))
+    keeper = ConfigurationKeeper(MemoryTable(), VersionStore(MemoryObjects()))
     await keeper.publish(large(3), 0, "ana")
     before = keeper.state
     workspaces = (workspace(0, 9), workspace(1), workspace(7))
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -22,7 +22,7 @@
     Readiness,
     Verification,
 )
-from tests.configuration.fakes import FakeObjects, FakeTable
+from ebonyhold.standins import MemoryObjects, MemoryTable
 
 KEY = "open-sesame"
 
@@ -86,8 +86,8 @@
     """All of it, wired."""
 
     context: OperatorsContext
-    table: FakeTable
-    objects: FakeObjects
+    table: MemoryTable
+    objects: MemoryObjects
     status: FakeStatus
     accounts: FakeAccounts
 
@@ -96,7 +96,7 @@
     """Wire the operators' interface to fakes; its keys are kept in a folder."""
     keys = folder / "operator-keys"
     keys.write_text(f"ana:{hashlib.sha256(KEY.encode()).hexdigest()}\n")
-    table, objects = FakeTable(), FakeObjects()
+    table, objects = MemoryTable(), MemoryObjects()
     keeper = ConfigurationKeeper(table, VersionStore(objects), random=Random(1))
     status, accounts = FakeStatus(), FakeAccounts()
     context = OperatorsContext(
--- a/tests/operators/test_accounts.py
+++ b/tests/operators/test_accounts.py
@@ -11,14 +11,13 @@
     RequestKind,
     RequestRow,
     RequestState,
-    Row,
     budget_key,
     request_key,
     to_json,
 )
 from ebonyhold.exceptions import BudgetError
 from ebonyhold.operators import Budget, TableAccounts
-from tests.configuration.fakes import FakeTable
+from ebonyhold.standins import MemoryTable
 
 pytestmark = pytest.mark.anyio
 
@@ -37,15 +36,12 @@
 
 @pytest.fixture
 async def accounts() -> TableAccounts:
-    table = FakeTable()
+    table = MemoryTable()
     found = TableAccounts(table)
     await found.top_up("w", "first", 100, "ana")
-    table.rows[budget_key("w")] = Row(
-        budget_key("w"), 2, to_json(BudgetRow(100, 0, 30))
-    )
+    table.put(budget_key("w"), to_json(BudgetRow(100, 0, 30)))
     for name, charge in (("q1", 10), ("q2", 20)):
-        key = request_key("w", name)
-        table.rows[key] = Row(key, 1, to_json(billed(charge)))
+        table.put(request_key("w", name), to_json(billed(charge)))
     return found
 
 
@@ -71,9 +67,8 @@
 
 
 async def test_what_does_not_add_up_is_found(accounts: TableAccounts) -> None:
-    assert isinstance(accounts.table, FakeTable)
-    key = budget_key("w")
-    accounts.table.rows[key] = Row(key, 3, to_json(BudgetRow(100, 0, 25)))
+    assert isinstance(accounts.table, MemoryTable)
+    accounts.table.put(budget_key("w"), to_json(BudgetRow(100, 0, 25)))
     (found,) = (await accounts.verify(("w",))).discrepancies
     assert (found.workspace, found.expected, found.found) == ("w", 30, 25)
     assert (await accounts.verify(("other",))).discrepancies == ()
