Size grants ahead of trouble; add refusal patience, rulings and retention

Cause: with a horizon of a minute an outage of an hour refused two thirds of all requests, while tokens lay unspent. Change: grants cover an hour of demand, up to 0.8 of an even share of what remains, less near the end; demand is remembered for ten minutes; a request waits up to 2 s for tokens that others return; a peer gives what is lacking. A pause of an account no longer overlooks an urgent request. Operators can rule on unknown outcomes; old bills are deleted and their sums kept. Conclusion: small workspaces still hold too little ahead of an outage.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -136,7 +136,9 @@
     Membership,
 )
 from ebonyhold.coordination._operations import (
+    plan_archive,
     plan_refund,
+    plan_ruling,
     plan_topup,
 )
 from ebonyhold.coordination._policies import (
@@ -353,10 +355,12 @@
     "parse_lease",
     "plan_acquire",
     "plan_apply",
+    "plan_archive",
     "plan_initial_topup",
     "plan_refund",
     "plan_release",
     "plan_renew",
+    "plan_ruling",
     "plan_settlement",
     "plan_topup",
     "policies",
--- a/ebonyhold/coordination/_policies.py
+++ b/ebonyhold/coordination/_policies.py
@@ -29,7 +29,8 @@
         routers: Routers believed alive, this one counted.
         budget: The budget as last read, or None when it could not be read.
         horizon: How much expected demand a grant covers, in seconds.
-        reserve_share: The largest part of what remains that one draw may take.
+        reserve_share: The largest part of an even share of what remains that a
+            grant keeps ahead of need.
     """
 
     need: Tokens = 0
@@ -40,8 +41,8 @@
     idle: Seconds = 0.0
     routers: int = 1
     budget: BudgetRow | None = None
-    horizon: Seconds = 60.0
-    reserve_share: float = 0.25
+    horizon: Seconds = 3600.0
+    reserve_share: float = 0.8
 
 
 @frozen
@@ -53,9 +54,16 @@
 
 
 class GrantPolicy(Protocol):
-    """Sizes the grants of one router."""
+    """Sizes the grants of one router.
+
+    Attributes:
+        asks_peers: Whether routers that lack tokens ask each other.
+        patience: How long a request waits for tokens that others may return,
+            while the table can be read, in seconds.
+    """
 
     asks_peers: bool
+    patience: Seconds
 
     def size(self, view: GrantView) -> GrantSize:
         """Say how much to draw from the budget or to return to it."""
@@ -95,6 +103,7 @@
     """For policies whose routers do not ask each other."""
 
     asks_peers = False
+    patience: Seconds = 0.0
 
     def give(self, view: GrantView, wanted: Tokens) -> Tokens:
         """Give nothing."""
@@ -143,14 +152,25 @@
 
 @grant_policy("adaptive")
 class Adaptive(AloneMixin):
-    """A grant covers the expected demand of a while, less as the budget empties."""
+    """A grant covers the expected demand of a while, less as the budget empties.
+
+    With plenty left, tokens lying in grants hurt nobody, and they are what
+    serves callers through an outage of the table.  Near the end of a budget
+    every token that lies idle here is a refusal elsewhere, so the grant
+    shrinks to what the requests themselves need.
+    """
+
+    patience: Seconds = 2.0
 
     keep_below = 0.5
     """A new draw comes before this part of the wanted grant is used up."""
 
-    return_above = 2.0
+    return_above = 1.5
     """What exceeds this many wanted grants goes back."""
 
+    scarce = 3.0
+    """Each router's even share counts as scarce up to this many typical holds."""
+
     def size(self, view: GrantView) -> GrantSize:
         """Draw up to the wanted grant, or return what exceeds it."""
         wanted = self.wanted(view)
@@ -170,7 +190,8 @@
         # The own free tokens count as remaining: otherwise two reads of one
         # state would disagree about what the share is a part of.
         left = max(view.budget.remaining, 0) + view.available
-        return int(min(demand, view.reserve_share * left / max(view.routers, 1)))
+        even = left / max(view.routers, 1) - self.scarce * view.typical
+        return max(int(min(demand, view.reserve_share * even)), 0)
 
 
 @grant_policy("adaptive_transfer")
@@ -180,8 +201,17 @@
     asks_peers = True
 
     give_share = 0.5
-    """The part of the free tokens that one request from a peer may take."""
+    """The part of the free tokens that a peer may take beyond what it lacks."""
+
+    ahead = 4
+    """A peer gets this many times what it lacks, while that is no more than its part.
+
+    Asking again for every request would cost each of them a round trip.
+    """
 
     def give(self, view: GrantView, wanted: Tokens) -> Tokens:
-        """Give what is wanted, up to a part of what is free."""
-        return min(wanted, int(view.available * self.give_share))
+        """Give what is lacking, and some more if there is plenty."""
+        if view.need:
+            return 0
+        ample = min(self.ahead * wanted, int(view.available * self.give_share))
+        return max(ample, min(wanted, view.available))
--- a/ebonyhold/coordination/_recovery.py
+++ b/ebonyhold/coordination/_recovery.py
@@ -143,12 +143,12 @@
     return evolve(row, outstanding=row.outstanding - back)
 
 
-def close_transaction(router: Seen[RouterRow]) -> Transaction | None:
+def close_transaction(router: Seen[RouterRow], now: float = 0.0) -> Transaction | None:
     """Mark an incarnation as closed: everything of its journal is settled."""
     row = router.value
     if row is None or row.state is RouterState.CLOSED:
         return None
-    closed = evolve(row, state=RouterState.CLOSED)
+    closed = evolve(row, state=RouterState.CLOSED, closed_at=now)
     return Transaction((router.check,), (router.put(closed),))
 
 
--- a/ebonyhold/coordination/_rows.py
+++ b/ebonyhold/coordination/_rows.py
@@ -86,13 +86,23 @@
 
 @frozen
 class RouterRow:
-    """One incarnation of a router, at ``router/{incarnation}``."""
+    """One incarnation of a router, at ``router/{incarnation}``.
+
+    Attributes:
+        state: Whether it may still write.
+        domain: Its failure domain.
+        address: Where other routers reach it.
+        started_at: When it registered, in seconds since the epoch.
+        sealed_by: Who sealed it, if anybody did.
+        closed_at: When everything of it was settled; 0 before.
+    """
 
     state: RouterState
     domain: str
     address: str
     started_at: float
     sealed_by: RouterId = ""
+    closed_at: float = 0.0
 
 
 @frozen
--- a/ebonyhold/document/_model.py
+++ b/ebonyhold/document/_model.py
@@ -187,7 +187,8 @@
         grants: The registered policy that sizes grants.
         choice: The registered policy that chooses a backend server.
         grant_horizon: How much expected demand a grant covers, in seconds.
-        reserve_share: The largest part of what remains that one draw may take.
+        reserve_share: The largest part of an even share of what remains that a
+            grant keeps ahead of need.
         unknown_outcome: What recovery does when nobody can tell what ran.
         stale_configuration: What a router does that cannot confirm its version.
         stale_after: After how long without confirmation that applies, in seconds.
@@ -197,8 +198,8 @@
 
     grants: str = field(default="adaptive", metadata=NAME)
     choice: str = field(default="prefix_aware", metadata=NAME)
-    grant_horizon: Seconds = field(default=60.0, metadata=duration(0.1, 86_400))
-    reserve_share: float = field(default=0.25, metadata=bounded(0.001, 1))
+    grant_horizon: Seconds = field(default=3600.0, metadata=duration(0.1, 86_400))
+    reserve_share: float = field(default=0.8, metadata=bounded(0.001, 1))
     unknown_outcome: UnknownOutcome = UnknownOutcome.CHARGE_HOLD
     stale_configuration: StaleConfiguration = StaleConfiguration.SERVE
     stale_after: Seconds = field(default=3600.0, metadata=duration(1, 365 * 86_400))
--- a/ebonyhold/money/__init__.py
+++ b/ebonyhold/money/__init__.py
@@ -3,9 +3,10 @@
 from ebonyhold.money._incarnations import Incarnations
 from ebonyhold.money._interface import BackendTruth, Money, Order, Permit, Replay
 from ebonyhold.money._journal import Place
-from ebonyhold.money._operators import refund, top_up
+from ebonyhold.money._operators import refund, rule, top_up
 from ebonyhold.money._options import MoneyOptions
 from ebonyhold.money._recovery import Recovery, RecoveryReport, Unsettled
+from ebonyhold.money._retention import Retention, RetentionReport
 from ebonyhold.money._treasury import GrantStatus, MoneyStatus, Treasury
 from ebonyhold.money._verify import Discrepancy, verify_bills
 
@@ -23,9 +24,12 @@
     "Recovery",
     "RecoveryReport",
     "Replay",
+    "Retention",
+    "RetentionReport",
     "Treasury",
     "Unsettled",
     "refund",
+    "rule",
     "top_up",
     "verify_bills",
 ]
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -54,7 +53,7 @@
 from ebonyhold.money._demand import DemandEstimate
 from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
-from ebonyhold.types import RouterId, Tokens, WorkspaceName
+from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
 SETTLE_ROUNDS = 50
 """Settlements of one round, before waiting requests are looked at again."""
@@ -69,6 +68,7 @@
 
     Attributes:
         need: Tokens it wants to hold.
+        since: When it came.
         joined: How often the budget had been read when it came: only a read
             after that is fresh enough to refuse it.
         done: Set when it is granted or refused.
@@ -77,7 +77,8 @@
     """
 
     need: Tokens
-    joined: int = 0
+    since: float
+    joined: int
     done: anyio.Event = field(factory=anyio.Event)
     granted: bool = False
     error: BudgetError | SealedError | None = None
@@ -153,11 +154,6 @@
     settlements: int = 0
     gifts_checked_at: float = 0.0
     gifts_announced: bool = False
-    random: random.Random = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Seed the jitter by the names, so that two routers do not agree on it."""
-        self.random = random.Random(f"{self.me}/{self.workspace}")
 
     @property
     def me(self) -> RouterId:
@@ -179,7 +175,7 @@
             if self._wants_resize():
                 self.poke()
             return
-        waiter = Waiter(need, self.reads)
+        waiter = Waiter(need, now, self.reads)
         self.waiters.append(waiter)
         self.poke(urgent=True)
         try:
@@ -265,19 +261,25 @@
                 await self._refuse_the_rest()
             if self._forgettable():
                 return
+            if self.closing:
+                await anyio.sleep(self.options.retry_pause)
 
     async def _wait_for_work(self) -> None:
         # Filing waits for company; a request in need or a booking does not.
-        with anyio.move_on_after(self.options.resize_interval):
-            await self.wake.wait()
-        if not self.urgent:
-            with anyio.move_on_after(self.options.filing_interval):
-                while not self.urgent and not self.closing:
-                    self.wake = anyio.Event()
-                    await self.wake.wait()
+        await self._pause(self.options.resize_interval, until_poked=True)
+        await self._pause(self.options.filing_interval)
         self.wake = anyio.Event()
         self.urgent = False
 
+    async def _pause(self, longest: Seconds, *, until_poked: bool = False) -> None:
+        """Wait until something urgent comes, or just something, or time is up."""
+        with anyio.move_on_after(longest):
+            while not (self.urgent or self.closing):
+                await self.wake.wait()
+                if until_poked:
+                    return
+                self.wake = anyio.Event()
+
     def _forgettable(self) -> bool:
         idle = anyio.current_time() - self.used_at
         if idle < self.options.evict_after and not self.closing:
@@ -320,7 +322,9 @@
                 return False
             if await self._commit(plan):
                 return True
-            await anyio.sleep(self.random.random() * self.options.conflict_pause)
+            await anyio.sleep(
+                self.journal.random.random() * self.options.conflict_pause
+            )
         reason = "did not answer" if self.doubt else "met other writers"
         raise UnavailableError(f"the budget of {self.workspace} {reason}")
 
@@ -528,10 +532,11 @@
         self.journal.settle(given.transfer)
 
     def _serve(self) -> None:
-        while self.waiters and self.ledger.hold(self.waiters[0].need):
-            waiter = self.waiters.popleft()
-            waiter.granted = True
-            waiter.done.set()
+        for waiter in list(self.waiters):
+            if self.ledger.hold(waiter.need):
+                self.waiters.remove(waiter)
+                waiter.granted = True
+                waiter.done.set()
 
     def _wants_resize(self) -> bool:
         size = self._size()
@@ -547,9 +552,19 @@
         if not judged:
             return
         await self._beg()
+        now = anyio.current_time()
+        patience = find_grant_policy(self.policy().grants).patience
         for waiter in judged:
-            if not waiter.granted:
+            if not waiter.granted and now >= waiter.since + patience:
                 self._refuse(waiter, self._refusal(waiter.need))
+        if self.waiters:
+            await self._wait_for_returns()
+
+    async def _wait_for_returns(self) -> None:
+        """Give other requests a moment to end, here and at other routers."""
+        with anyio.move_on_after(self.options.patience_step):
+            await self.wake.wait()
+        self.poke(urgent=True)
 
     def _judged(self) -> list[Waiter]:
         return [waiter for waiter in self.waiters if waiter.joined < self.reads]
@@ -585,10 +600,7 @@
             self._refuse(waiter, BudgetUnreachableError(reason))
         longer = max(self.options.retry_pause, self.pause * 2)
         self.pause = min(longer, self.options.most_pause)
-        with anyio.move_on_after(self.pause):
-            while not self.urgent:
-                await self.wake.wait()
-                self.wake = anyio.Event()
+        await self._pause(self.pause)
 
     async def _beg(self) -> None:
         need = sum(waiter.need for waiter in self.waiters) - self.ledger.available
--- a/ebonyhold/money/_demand.py
+++ b/ebonyhold/money/_demand.py
@@ -8,7 +8,7 @@
 
 from ebonyhold.types import Seconds, Tokens
 
-MEMORY: Seconds = 60.0
+MEMORY: Seconds = 600.0
 """After this long, an old request counts for 1/e of a new one."""
 
 
--- a/ebonyhold/money/_journal.py
+++ b/ebonyhold/money/_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -112,6 +113,7 @@
         sealed: Set once another router has sealed this journal.
         appended: Entries made durable.
         segments: Segments written, by place.
+        random: The source of jitter for all tasks of this incarnation.
     """
 
     me: RouterId
@@ -132,6 +134,11 @@
     pins: dict[int, set[str]] = field(factory=dict)
     pinned: dict[str, list[int]] = field(factory=dict)
     droppable: deque[int] = field(factory=deque)
+    random: random.Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the jitter by the name, so that two routers do not agree on it."""
+        self.random = random.Random(self.me)
 
     def put(self, *entries: JournalEntry, keep: bool = True) -> Append:
         """Queue entries; the returned append says when they are durable."""
--- a/ebonyhold/money/_operators.py
+++ b/ebonyhold/money/_operators.py
@@ -12,6 +12,7 @@
     TopUpRow,
     budget_key,
     plan_refund,
+    plan_ruling,
     plan_topup,
     refund_key,
     request_key,
@@ -106,3 +107,37 @@
             continue
         return True
     raise UnavailableError(f"the refund {key} met other writers")
+
+
+async def rule(
+    table: Table, workspace: WorkspaceName, request: RequestId, *, ran: bool
+) -> bool:
+    """Settle a request whose outcome is unknown, on an operator's word.
+
+    Returns:
+        Whether this call settled it; False when it had been settled that way.
+
+    Raises:
+        ValueError: There is no such request, or its outcome is not unknown.
+        PlatformError: The table could not be written; try again.
+    """
+    keys = (request_key(workspace, request), budget_key(workspace))
+    unclear = False
+    for _ in range(TRIES):
+        rows = await table.read(keys)
+        wish = plan_ruling(
+            seen(keys[0], rows[0], RequestRow),
+            seen(keys[1], rows[1], BudgetRow),
+            ran=ran,
+        )
+        if wish is None:
+            return unclear
+        try:
+            await table.commit(wish)
+        except ConflictError:
+            continue
+        except UnknownOutcomeError:
+            unclear = True
+            continue
+        return True
+    raise UnavailableError(f"{request} met other writers")
--- a/ebonyhold/money/_options.py
+++ b/ebonyhold/money/_options.py
@@ -24,6 +24,7 @@
         most_pause: The longest pause.
         acquire_within: The longest a request waits for tokens.
         ask_within: The longest wait for one peer's answer.
+        patience_step: How often a patient request looks for returned tokens.
         peers_asked: Peers asked for tokens, at most, for one request.
         given_within: The longest a giver waits for its journal.
         drops_at_once: Settled segments that one append deletes.
@@ -31,14 +32,15 @@
 
     filing_interval: Seconds = 1.0
     bills_at_once: int = 40
-    resize_interval: Seconds = 5.0
-    evict_after: Seconds = 120.0
+    resize_interval: Seconds = 15.0
+    evict_after: Seconds = 900.0
     table_rest: Seconds = 2.0
     conflict_pause: Seconds = 0.03
     retry_pause: Seconds = 0.05
-    most_pause: Seconds = 2.0
+    most_pause: Seconds = 10.0
     acquire_within: Seconds = 8.0
     ask_within: Seconds = 0.5
-    peers_asked: int = 4
+    patience_step: Seconds = 0.25
+    peers_asked: int = 8
     given_within: Seconds = 0.4
     drops_at_once: int = 16
--- a/ebonyhold/money/_recovery.py
+++ b/ebonyhold/money/_recovery.py
@@ -20,6 +20,7 @@
     JournalSegment,
     LedgerChange,
     Objects,
+    Outcome,
     RequestRow,
     RequestState,
     RouterRow,
@@ -44,6 +45,7 @@
     grant_prefix,
     journal_prefix,
     lapse_transfer,
+    make_bill,
     plan_settlement,
     request_key,
     router_key,
@@ -64,7 +66,7 @@
     UnknownOutcomeError,
 )
 from ebonyhold.money._interface import BackendTruth
-from ebonyhold.types import RouterId, Tokens, WorkspaceName
+from ebonyhold.types import AttemptId, RouterId, Tokens, WorkspaceName
 
 TRIES = 20
 """Tries of one step against other writers: two survivors may race each other."""
@@ -147,6 +149,30 @@
             report.closed = True
         return report
 
+    async def rule(
+        self, router: RouterId, attempt: AttemptId, state: RequestState, charge: Tokens
+    ) -> None:
+        """Settle a run that waits for evidence, on an operator's word.
+
+        Call `recover` again afterwards: it returns the rest of the hold.
+
+        Raises:
+            ValueError: The sealed router's journal has no such run open.
+            PlatformError: A place could not be reached; call it again later.
+        """
+        row = await self._seal_table(router)
+        reading = await self._read_journal(router)
+        for attempts in reading.open_runs():
+            if run_of(attempts[0].attempt) == run_of(attempt):
+                intent = attempts[-1]
+                outcome = Outcome(
+                    intent.workspace, intent.request, intent.attempt, state, charge
+                )
+                bill = make_bill(intent, outcome)
+                await self._file(row, bill, RecoveryReport(router))
+                return
+        raise ValueError(f"{attempt} is not open in the journal of {router}")
+
     async def _seal_table(self, router: RouterId) -> Seen[RouterRow]:
         key = router_key(router)
         for _ in range(TRIES):
@@ -403,7 +429,7 @@
         raise UnavailableError(f"{key} could not be returned")
 
     async def _close(self, router: Seen[RouterRow]) -> None:
-        wish = close_transaction(router)
+        wish = close_transaction(router, time.time())
         if wish is not None:
             await self._try(wish)
         await self._drop_journal(router.key.removeprefix(router_key("")))
--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -495,7 +495,7 @@
             after = page[-1].key
 
     async def _close(self, journal: Journal) -> None:
-        wish = close_transaction(journal.router)
+        wish = close_transaction(journal.router, time.time())
         assert wish is not None
         drops = tuple(Delete(key) for key in journal.table_keys())
         for _ in range(OPEN_TRIES):
--- /dev/null
+++ b/tests/money/test_operators.py
@@ -0,0 +1,183 @@
+"""Top-ups, refunds, rulings, retention, and the check of all bills."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+
+from ebonyhold.coordination import (
+    BudgetRow,
+    GrantRow,
+    RequestState,
+    TopUpRow,
+    budget_key,
+    grant_key,
+    request_key,
+    to_json,
+    topup_key,
+)
+from ebonyhold.document import Policy, UnknownOutcome
+from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
+from ebonyhold.money import Retention, refund, rule, top_up, verify_bills
+from tests.money.stories import begin, check_all_returned, check_books, request, run
+
+MONTH = 30 * 86_400.0
+
+
+@pytest.mark.parametrize("fault", ["", "lose_answers", "lose_requests", "duplicates"])
+def test_top_up_and_refund_count_once(fault: str) -> None:
+    """An operator's call is lost or doubled, and the operator sends it again."""
+
+    async def story(fleet: MemoryFleet) -> None:
+        if fault:
+            setattr(fleet.table.faults, fault, 1)
+        await top_up(fleet.table, "w", "t", 500)
+        assert not await top_up(fleet.table, "w", "t", 500)
+        treasury = await fleet.start("a.1")
+        permit = await begin(treasury, order("w", "r"))
+        await treasury.finish(permit, ended(permit, 60))
+        await anyio.sleep(3)
+        if fault:
+            setattr(fleet.table.faults, fault, 1)
+        await refund(fleet.table, "w", "r", "f", 20)
+        assert not await refund(fleet.table, "w", "r", "f", 20)
+        budget = fleet.budget("w")
+        assert (budget.prepaid, budget.spent) == (500, 40)
+        await check_books(fleet)
+
+    run(story)
+
+
+@pytest.mark.parametrize("amount", [0, -1, 61])
+def test_refund_that_does_not_fit(amount: int) -> None:
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 500, "t")
+        treasury = await fleet.start("a.1")
+        permit = await begin(treasury, order("w", "r"))
+        await treasury.finish(permit, ended(permit, 60))
+        await anyio.sleep(3)
+        with pytest.raises(ValueError, match="refund of"):
+            await refund(fleet.table, "w", "r", "f", amount)
+        with pytest.raises(ValueError, match="no bill"):
+            await refund(fleet.table, "w", "other", "f", 1)
+
+    run(story)
+
+
+@pytest.mark.parametrize("ran", [True, False])
+def test_ruling_on_an_unknown_outcome(ran: bool) -> None:
+    """Nobody can tell whether a request ran, until a person looks.
+
+    Its hold was charged.  The operator's word keeps the charge or frees it.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 500, "t")
+        treasury = await fleet.start("a.1")
+        await begin(treasury, order("w", "r"))
+        fleet.kill("a.1")
+        fleet.engine.restart()
+        await fleet.recover("a.1")
+        assert await rule(fleet.table, "w", "r", ran=ran)
+        assert not await rule(fleet.table, "w", "r", ran=ran)
+        assert fleet.budget("w").spent == (100 if ran else 0)
+        await check_all_returned(fleet, "w")
+
+    run(story)
+
+
+def test_ruling_on_a_run_that_waits() -> None:
+    """The document says to wait for evidence, and none will ever come.
+
+    The hold stays stranded and named, until an operator settles the run.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 500, "t")
+        treasury = await fleet.start("a.1")
+        await begin(treasury, order("w", "r"))
+        fleet.kill("a.1")
+        fleet.engine.restart()
+        report = await fleet.recover("a.1")
+        assert report.stranded == 100
+        (waiting,) = report.unsettled
+        recovery = fleet.recovery("s.1")
+        await recovery.rule("a.1", waiting.attempt, RequestState.COMPLETE, 30)
+        assert (await fleet.recover("a.1")).closed
+        assert fleet.budget("w").spent == 30
+        await check_all_returned(fleet, "w")
+
+    run(story, Policy(unknown_outcome=UnknownOutcome.WAIT))
+
+
+def test_retention_keeps_the_sums() -> None:
+    """Bills and routers older than the document keeps them are deleted.
+
+    The budget still adds up, a running claim stays, and a retry after that is
+    a new request.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 1000, "t")
+        treasury = await fleet.start("a.1")
+        for number in range(5):
+            permit = await begin(treasury, order("w", f"r{number}", keyed=True))
+            await treasury.finish(permit, ended(permit, 10))
+        await anyio.sleep(3)
+        await refund(fleet.table, "w", "r1", "f", 4)
+        await begin(treasury, order("w", "running", keyed=True))
+        fleet.kill("a.1")
+        keeper = Retention(fleet.table, fleet.objects, MONTH)
+        assert (await keeper.sweep(time.time())).bills == 0
+        report = await keeper.sweep(time.time() + 2 * MONTH)
+        assert (report.bills, report.routers) == (5, 0)
+        assert request(fleet, "w", "running") is not None
+        await check_books(fleet)
+        await fleet.recover("a.1")
+        report = await keeper.sweep(time.time() + 2 * MONTH)
+        assert (report.bills, report.routers) == (1, 1)
+        assert fleet.objects.objects == {}
+        await check_all_returned(fleet, "w")
+        other = await fleet.start("b.1")
+        permit = await begin(other, order("w", "r1", keyed=True))
+        assert not permit.unbilled
+
+    run(story)
+
+
+DAMAGE = [
+    (budget_key("w"), BudgetRow(500, 0, 60), "outstanding"),
+    (budget_key("w"), BudgetRow(500, 440, 50), "spent"),
+    (budget_key("w"), BudgetRow(400, 440, 60), "prepaid"),
+    (topup_key("w", "t"), TopUpRow(400, "", 0), "prepaid"),
+    (grant_key("a.1", "w"), GrantRow(drawn=30), "outstanding"),
+]
+
+
+@pytest.mark.parametrize(("key", "value", "finding"), DAMAGE)
+def test_verification_names_what_does_not_add_up(
+    key: str, value: object, finding: str
+) -> None:
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 500, "t")
+        treasury = await fleet.start("a.1")
+        permit = await begin(treasury, order("w", "r"))
+        await treasury.finish(permit, ended(permit, 60))
+        await anyio.sleep(3)
+        assert await verify_bills(fleet.table) == []
+        fleet.table.put(key, to_json(value))
+        found = await verify_bills(fleet.table)
+        assert any(finding in one.finding for one in found)
+
+    run(story)
+
+
+def test_verification_names_a_row_that_cannot_be_read() -> None:
+    async def story(fleet: MemoryFleet) -> None:
+        fleet.table.put(request_key("w", "r"), {"state": "no such state"})
+        (found,) = await verify_bills(fleet.table)
+        assert found.key == request_key("w", "r")
+
+    run(story)
