--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -142,7 +142,9 @@
     Membership,
 )
 from ebonyhold.coordination._operations import (
+    plan_archive,
     plan_refund,
+    plan_ruling,
     plan_topup,
 )
 from ebonyhold.coordination._orders import (
@@ -380,11 +382,13 @@
     "parse_lease",
     "plan_acquire",
     "plan_apply",
+    "plan_archive",
     "plan_initial_topup",
     "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
+    "plan_ruling",
     "plan_settlement",
     "plan_topup",
     "prefix_hashes",
