--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -27,6 +27,12 @@
 from ebonyhold.exceptions import BackendError
 
 COMPLETIONS = "/v1/chat/completions"
+FRESH = 0.9
+"""The part of the stall's time that is left at least before it is put off.
+
+Putting it off with every token would cost a timer each.
+"""
+
 MOST_ANSWER = 8_388_608
 MOST_REFUSAL = 16_384
 
@@ -128,8 +134,9 @@
                 passed = b"".join(map(check.take, splitter.feed(data)))
                 if passed:
                     deliver(passed)
-                    if scope.deadline - anyio.current_time() < stall / 2:
-                        scope.deadline = anyio.current_time() + stall
+                    now = anyio.current_time()
+                    if scope.deadline - now < stall * FRESH:
+                        scope.deadline = now + stall
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise BrokenStreamError(f"the stream broke: {error!r}") from error
         if not check.done:
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -8,7 +8,7 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.backends import Backends
+from ebonyhold.backends import Backends, PlacementHolder
 from ebonyhold.callers import CallersApp
 from ebonyhold.configuration import ConfigurationKeeper, make_keeper
 from ebonyhold.daemon._help import VersionHelp
@@ -76,6 +76,7 @@
     money: Incarnations = field(init=False)
     callers: CallersApp = field(init=False)
     recoveries: Recoveries = field(init=False)
+    placement: PlacementHolder = field(init=False)
     lifecycle: Lifecycle = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -99,6 +100,9 @@
         self.callers = CallersApp(
             self.money, self.fleet, self.backends, self.keeper.may_serve
         )
+        self.placement = PlacementHolder(
+            lambda: self.money.current.me, self.table, self.backends
+        )
         self.recoveries = Recoveries(
             self.table,
             self.make_recovery,
@@ -190,6 +194,7 @@
             await self.open_money()
             tasks.start_soon(self.money.run)
             tasks.start_soon(self.recoveries.run)
+            tasks.start_soon(self.placement.run)
             await tasks.start(serve_listener, self.callers, self.settings.callers, stop)
             logger.info("serving", extra={"callers": self.settings.callers.bind})
             await self.lifecycle.run()
