Test faults byte by byte over sockets

Conclusion: a header that trickles within every read's timeout is cut off, and an attempt that ended early never leaves its connection to the next.

--- /dev/null
+++ b/tests/backends/test_sockets.py
@@ -0,0 +1,226 @@
+"""Contract tests against servers that are scripted byte by byte, over sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+from attrs import define, field
+
+from ebonyhold.backends import (
+    EngineCall,
+    EngineClient,
+    RefusedError,
+    ServiceCall,
+    ServiceClient,
+    StreamCheck,
+    Timeouts,
+    UnreachableError,
+    make_client,
+)
+from ebonyhold.document import Backend, BackendKind
+from ebonyhold.exceptions import BackendError
+from tests.backends.kit import TOKENS, closing, opening, token
+
+pytestmark = pytest.mark.anyio
+QUICK = Timeouts(connect=0.5, first=0.4, stall=0.4, close=0.4)
+EVENTS = b"".join([opening(), *map(token, range(TOKENS)), *closing()])
+HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nContent-Length: {length}\r\n\r\n"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+GONE = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+Script = Callable[["Peer", SocketStream, str], Awaitable[None]]
+
+
+@define
+class Peer:
+    """A server that follows a script for each request.
+
+    Attributes:
+        script: What it does with a request.
+        connections: Connections it has accepted.
+        requests: The requests' attempts, with the connection each came on.
+    """
+
+    script: Script
+    connections: int = 0
+    requests: list[tuple[int, str]] = field(factory=list)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        number = self.connections
+        async with stream:
+            try:
+                while True:
+                    attempt = await read_attempt(stream)
+                    self.requests.append((number, attempt))
+                    await self.script(self, stream, attempt)
+            except GONE:
+                return
+
+
+async def read_attempt(stream: SocketStream) -> str:
+    """Read one request and return its attempt."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    named = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (line.partition(b":") for line in head.split(b"\r\n"))
+    }
+    while len(body) < int(named.get(b"content-length", b"0")):
+        body += await stream.receive()
+    return named[b"x-attempt-id"].decode()
+
+
+def answer(attempt: str, body: bytes) -> bytes:
+    """Return a whole response."""
+    return HEAD.format(attempt=attempt, length=len(body)).encode() + body
+
+
+async def good(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(answer(attempt, EVENTS))
+
+
+async def reset(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.aclose()
+
+
+async def half(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(answer(attempt, EVENTS)[: len(EVENTS) // 2])
+    await stream.aclose()
+
+
+async def crossed(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(answer("another", EVENTS))
+
+
+async def silent(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await anyio.sleep(2)
+
+
+async def trickled(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    """Send the header a byte at a time, each within every read's timeout."""
+    for byte in answer(attempt, EVENTS):
+        await stream.send(bytes([byte]))
+        await anyio.sleep(0.05)
+
+
+async def garbage(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(b"\x16\x03\x01 what is this\r\n\r\n")
+
+
+async def long_header(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 300_000 + b"\r\n\r\n")
+
+
+async def busy(peer: Peer, stream: SocketStream, attempt: str) -> None:
+    await stream.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+
+@asynccontextmanager
+async def serving(script: Script) -> AsyncIterator[tuple[Peer, Backend]]:
+    """Run a scripted server."""
+    peer = Peer(script)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, peer.serve)
+        yield peer, Backend("e", BackendKind.ENGINE, f"127.0.0.1:{port}", "d")
+        tasks.cancel_scope.cancel()
+
+
+async def ask(client: EngineClient, backend: Backend, attempt: str) -> bytes:
+    """Stream one answer."""
+    heard: list[bytes] = []
+    call = EngineCall(attempt, b"{}", stream=True)
+    await client.stream(backend, call, StreamCheck(), heard.append)
+    return b"".join(heard)
+
+
+FAULTS: list[Script] = [reset, half, crossed, silent, trickled, garbage, long_header]
+
+
+@pytest.mark.parametrize("script", FAULTS, ids=lambda script: script.__name__)
+async def test_engine_faults(script: Script) -> None:
+    async with serving(script) as (_, backend), make_client(QUICK) as http:
+        with pytest.raises(BackendError) as caught:
+            await ask(EngineClient(http, QUICK), backend, "a-1")
+    assert caught.value.ran is True
+
+
+@pytest.mark.parametrize("script", FAULTS, ids=lambda script: script.__name__)
+async def test_service_faults(script: Script) -> None:
+    async with serving(script) as (_, backend), make_client(QUICK) as http:
+        call = ServiceCall("a-1", "POST", "/bookings", timeout=0.4)
+        with pytest.raises(BackendError) as caught:
+            await ServiceClient(http).call(backend, call)
+    assert caught.value.ran is True
+
+
+async def test_refused_connection_did_not_run() -> None:
+    async with serving(good) as (_, backend):
+        pass
+    async with make_client(QUICK) as http:
+        with pytest.raises(UnreachableError) as caught:
+            await ask(EngineClient(http, QUICK), backend, "a-1")
+        with pytest.raises(UnreachableError):
+            await ServiceClient(http).call(backend, ServiceCall("a", "GET", "/"))
+    assert caught.value.ran is False
+
+
+async def test_busy_did_not_run() -> None:
+    async with serving(busy) as (_, backend), make_client(QUICK) as http:
+        with pytest.raises(RefusedError) as caught:
+            await ask(EngineClient(http, QUICK), backend, "a-1")
+    assert (caught.value.ran, caught.value.final) == (False, False)
+
+
+async def test_a_whole_answer_leaves_its_connection_for_the_next() -> None:
+    async with serving(good) as (peer, backend), make_client(QUICK) as http:
+        client = EngineClient(http, QUICK)
+        for attempt in ("a-1", "a-2"):
+            assert (await ask(client, backend, attempt)).endswith(b"[DONE]\n\n")
+    assert peer.requests == [(1, "a-1"), (1, "a-2")]
+
+
+@pytest.mark.parametrize("left", ["caller gone", "stalled", "crossed"])
+async def test_an_unread_answer_is_never_read_by_the_next(left: str) -> None:
+    """An attempt ends before its answer was read; the answer comes late.
+
+    The next attempt must not read it as its own, so it goes out on another
+    connection and hears its own answer.
+    """
+
+    async def script(peer: Peer, stream: SocketStream, attempt: str) -> None:
+        if attempt == "a-2":
+            await good(peer, stream, attempt)
+        elif left == "crossed":
+            await crossed(peer, stream, attempt)
+        else:
+            whole = answer(attempt, EVENTS)
+            await stream.send(whole[: len(whole) - 20])
+            await anyio.sleep(1.0)
+            await stream.send(whole[len(whole) - 20 :])
+
+    async with serving(script) as (peer, backend), make_client(QUICK) as http:
+        client = EngineClient(http, QUICK)
+        if left == "caller gone":
+            with anyio.move_on_after(0.1):
+                await ask(client, backend, "a-1")
+        else:
+            with pytest.raises(BackendError):
+                await ask(client, backend, "a-1")
+        assert (await ask(client, backend, "a-2")).count(b"id: 0\n") == 1
+    assert peer.requests == [(1, "a-1"), (2, "a-2")]
