Take an event without an identifier for this answer's own

Cause: an engine that leaves the identifier out of its last events was taken for one that crosses answers. Change: only another identifier gives a stranger away.

--- a/ebonyhold/backends/_sse.py
+++ b/ebonyhold/backends/_sse.py
@@ -114,7 +114,7 @@
         if not self.mark:
             self.mark = identifier(event)
             self.first_mark = self.first_mark or self.mark
-        if self.mark not in event:
+        if self.mark not in event and identifier(event):
             raise BrokenStreamError("an event belongs to another answer")
         if self.mark and self.mark != self.first_mark:
             return event.replace(self.mark, self.first_mark, 1)
