Bound plain services, price answers without usage, never bill overshoot

Cause: calls to plain services had no admission; an answer whose usage was left out cost nothing; an engine that ran further than told could be billed up to the hold, since the bound on the prompt is wide; a trickled body held its connection.

--- a/ebonyhold/backends/_state.py
+++ b/ebonyhold/backends/_state.py
@@ -9,7 +9,7 @@
 
 from ebonyhold.backends._messages import CacheAction, CacheEvent, LoadReport
 from ebonyhold.coordination import Candidate, InProgress, PrefixIndex
-from ebonyhold.document import Backend
+from ebonyhold.document import Backend, BackendKind
 from ebonyhold.types import AttemptId, RequestId, Seconds
 
 FIRST_WINDOW = 0.25
@@ -71,8 +71,10 @@
         return max(0, min(self.backend.slots - self.load, int(self.window) - self.own))
 
     def __attrs_post_init__(self) -> None:
-        """Start with a part of the server."""
-        self.window = max(1.0, self.backend.slots * FIRST_WINDOW)
+        """Start with a part of an engine; plain services report no load."""
+        slots = float(self.backend.slots)
+        engine = self.backend.kind is BackendKind.ENGINE
+        self.window = max(1.0, slots * FIRST_WINDOW) if engine else slots
 
     def heard(self, report: LoadReport, now: Seconds) -> None:
         """Take in a load report; an older one than the last is ignored.
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -152,9 +152,9 @@
             if state.backend.name not in out and state.backend.name not in tried
         ]
 
-    def free(self, model: str) -> int:
-        """Return how many requests the engines of a model could take now."""
-        return sum(state.room for state in self.usable(BackendKind.ENGINE, model))
+    def free(self, kind: BackendKind, name: str) -> int:
+        """Return how many requests the servers of a name could take now."""
+        return sum(state.room for state in self.usable(kind, name))
 
     def choose(
         self,
--- a/ebonyhold/callers/__init__.py
+++ b/ebonyhold/callers/__init__.py
@@ -1,15 +1,14 @@
 """Callers: the HTTP interface that they use, and everything it refuses."""
 
 from ebonyhold.callers._app import CallersApp
-from ebonyhold.callers._keys import Caller, KeyRing
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     Kind,
     Ran,
-    Refusal,
     RefusalCode,
     codes,
-    refusal_for,
 )
+from ebonyhold.callers._keys import Caller, KeyRing
+from ebonyhold.callers._refusals import Refusal, refusal_for
 
 __all__ = [
     "Caller",
--- a/ebonyhold/callers/_ask.py
+++ b/ebonyhold/callers/_ask.py
@@ -12,13 +12,13 @@
 
 from attrs import frozen
 
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     BODY_MALFORMED,
     KEY_INVALID,
     MODEL_UNKNOWN,
     PARAMETER_INVALID,
-    Refusal,
 )
+from ebonyhold.callers._refusals import Refusal
 from ebonyhold.coordination import prefix_hashes
 from ebonyhold.document import ModelRoute
 from ebonyhold.fleet import FleetView
--- a/ebonyhold/callers/_chat.py
+++ b/ebonyhold/callers/_chat.py
@@ -10,15 +10,14 @@
 from ebonyhold._asgi import Request, Send, StreamingResponse, header, send_body
 from ebonyhold.backends import Answer, BackendState, EngineCall
 from ebonyhold.callers._caller import until_gone
-from ebonyhold.callers._pipe import Pipe
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     ANSWER_INCOMPLETE,
     BACKEND_FAILED,
     CALLER_TOO_SLOW,
     Ran,
-    Refusal,
-    refusal_for,
 )
+from ebonyhold.callers._pipe import Pipe
+from ebonyhold.callers._refusals import Refusal, refusal_for
 from ebonyhold.callers._run import ChatRun, ReplayedError, read_whole
 from ebonyhold.coordination import KeptAnswer
 from ebonyhold.types import RequestId, Seconds
--- a/ebonyhold/callers/_gate.py
+++ b/ebonyhold/callers/_gate.py
@@ -8,14 +8,13 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     DEADLINE_UNREACHABLE,
     NO_BACKEND,
     OVERLOADED,
-    SOON,
     WORKSPACE_LIMIT,
-    Refusal,
 )
+from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.types import Seconds, WorkspaceName
 
--- a/ebonyhold/callers/_keys.py
+++ b/ebonyhold/callers/_keys.py
@@ -7,7 +7,11 @@
 
 from attrs import define, field, frozen
 
-from ebonyhold.callers._refusals import KEY_MISSING, KEY_UNKNOWN, Refusal
+from ebonyhold.callers._codes import (
+    KEY_MISSING,
+    KEY_UNKNOWN,
+)
+from ebonyhold.callers._refusals import Refusal
 from ebonyhold.document import Document, Workspace
 from ebonyhold.fleet import FleetView
 
--- a/ebonyhold/callers/_pipe.py
+++ b/ebonyhold/callers/_pipe.py
@@ -5,7 +5,10 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.callers._refusals import CALLER_TOO_SLOW, Refusal
+from ebonyhold.callers._codes import (
+    CALLER_TOO_SLOW,
+)
+from ebonyhold.callers._refusals import Refusal
 
 
 @define
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -20,15 +20,14 @@
     read_usage,
 )
 from ebonyhold.callers._ask import ChatAsk, Identity
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     ANSWER_INCOMPLETE,
     BACKEND_FAILED,
     BACKEND_REJECTED,
     NO_BACKEND,
-    SOON,
     Ran,
-    Refusal,
 )
+from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
     AttemptState,
     AttemptTruth,
@@ -139,6 +138,10 @@
                 raise
             else:
                 self.count(state, "complete")
+                if self.usage is None and self.check.usage is None:
+                    # The usage was left out.  The engine is asked for it, since
+                    # the answer would otherwise have no price.
+                    self.dangle(state, permit)
                 self.backends.ejector.succeeded(state.backend.name)
                 self.ended = True
                 return
@@ -318,7 +321,7 @@
         """
         assert self.permit is not None
         prompt, completion = self.ran_tokens(truths)
-        charge = min(self.ask.hold, prompt + completion)
+        charge = min(self.ask.bound, prompt) + min(self.ask.most, completion)
         state = RequestState.COMPLETE if self.ended else RequestState.INTERRUPTED
         if ran is Ran.NO:
             state = RequestState.NOT_RUN
@@ -371,8 +374,8 @@
         return body[:500]
 
 
-def read_whole(body: bytes) -> Usage:
-    """Return the usage of a whole answer.
+def read_whole(body: bytes) -> Usage | None:
+    """Return the usage of a whole answer, or None where it is left out.
 
     Raises:
         BrokenStreamError: It is not the JSON it should be.
@@ -383,4 +386,5 @@
         raise BrokenStreamError("the answer is not JSON") from error
     if not isinstance(value, dict) or not value.get("choices"):
         raise BrokenStreamError("the answer has no choices")
-    return read_usage(value.get("usage") or {})
+    usage = value.get("usage")
+    return read_usage(usage) if usage else None
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from urllib.parse import quote
 
 import anyio
@@ -19,14 +20,13 @@
 )
 from ebonyhold.callers._ask import Identity
 from ebonyhold.callers._chat import REQUEST_HEADER, keep, send_kept
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     BACKEND_FAILED,
     NO_BACKEND,
     OUTCOME_UNKNOWN,
     PARAMETER_INVALID,
-    SOON,
-    Refusal,
 )
+from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
     Outcome,
     RequestKind,
@@ -136,6 +136,7 @@
     workspace: WorkspaceName
     identity: Identity
     ask: ServiceAsk
+    on_chosen: Callable[[], None] = field(default=lambda: None)
     permit: Permit | None = None
     answer: Answer | None = None
     tried: set[BackendName] = field(factory=set)
@@ -188,13 +189,14 @@
             state = self.choose()
             self.attempts += 1
             state.reserved += 1
+            self.on_chosen()
             try:
                 replay = await self.reserve(state)
-                if replay is not None:
-                    return replay
-                await self.attempt(state)
             finally:
                 state.reserved -= 1
+            if replay is not None:
+                return replay
+            await self.attempt(state)
         return None
 
     def choose(self) -> BackendState:
@@ -275,6 +277,7 @@
             self.backends.ejector.succeeded(name)
         finally:
             state.ended(call.attempt)
+            self.backends.changed()
 
     def check_repeat(self, error: BackendError) -> None:
         """Let another attempt follow one whose answer was lost, or not.
--- a/ebonyhold/callers/errors_page.py
+++ b/ebonyhold/callers/errors_page.py
@@ -5,7 +5,11 @@
 
 from __future__ import annotations
 
-from ebonyhold.callers._refusals import Ran, RefusalCode, codes
+from ebonyhold.callers._codes import (
+    Ran,
+    RefusalCode,
+    codes,
+)
 
 INTRODUCTION = """\
 # Refusals
--- a/ebonyhold/experiments/choice/_run.py
+++ b/ebonyhold/experiments/choice/_run.py
@@ -91,7 +91,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Open the gate."""
-        self.gate = Gate(lambda: self.backends.free(MODEL))
+        self.gate = Gate(lambda: self.backends.free(BackendKind.ENGINE, MODEL))
 
     async def poll(self) -> None:
         """Ask all engines now and then, as the product does."""
--- a/tests/callers/kit.py
+++ b/tests/callers/kit.py
@@ -130,6 +130,7 @@
         *,
         key: str = KEY,
         gone: anyio.Event | None = None,
+        never: bool = False,
         **headers: str,
     ) -> Heard:
         """Send one request and hear its answer out."""
@@ -140,7 +141,7 @@
 
         async def receive() -> Message:
             nonlocal sent
-            if not sent:
+            if not sent and not never:
                 sent = True
                 return {"type": "http.request", "body": body, "more_body": False}
             await gone.wait()
--- a/tests/callers/test_chat.py
+++ b/tests/callers/test_chat.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import json
+
 import anyio
 import pytest
 
 from ebonyhold.backends import Timeouts
 from ebonyhold.coordination import RequestState
-from tests.backends.kit import PROMPT_TOKENS, TOKENS, opening, sends, token
+from ebonyhold.document import BackendKind
+from tests.backends.kit import (
+    PROMPT_TOKENS,
+    TOKENS,
+    answers,
+    closing,
+    opening,
+    sends,
+    token,
+)
 from tests.callers.kit import Heard, make_bench, make_document
 
 pytestmark = pytest.mark.anyio
@@ -118,7 +129,7 @@
         await anyio.sleep(1.0)
         gone.set()
     state.reserved = 0
-    gate = bench.app.gate("assistant")
+    gate = bench.app.gate(BackendKind.ENGINE, "assistant")
     assert (gate.waiters, gate.pending, gate.queue.workspaces) == ({}, 0, {})
     assert (await bench.chat()).whole
 
@@ -154,3 +165,44 @@
     assert 'ebonyhold_requests_total{ended="complete",kind="chat"} 1.0' in text
     assert 'ebonyhold_requests_total{ended="key_missing",kind="chat"} 1.0' in text
     assert "ebonyhold_first_token_seconds_count 1.0" in text
+
+
+@pytest.mark.parametrize("stream", [True, False])
+async def test_overshoot_is_the_operators(stream: bool) -> None:
+    """An engine runs further than it was told to.
+
+    The workspace pays what it asked for at most; the rest stands in the bill as
+    overshoot.
+    """
+    bench = make_bench(make_document(engines=1))
+    usage = {"prompt_tokens": 9, "completion_tokens": 50}
+    if stream:
+        tokens = [token(index) for index in range(TOKENS)]
+        script = sends(opening(), *tokens, *closing(50))
+    else:
+        choice = {"index": 0, "message": {"content": "t0"}, "finish_reason": "stop"}
+        body = json.dumps({"choices": [choice], "usage": usage}).encode()
+        script = answers(200, body)
+    bench.servers["e0"].scripts = [script]
+    await bench.chat(stream=stream, max_tokens=8)
+    (outcome,) = bench.money.outcomes
+    assert (outcome.charge, outcome.overshoot) == (9 + 8, 42)
+
+
+async def test_an_answer_without_usage_has_its_price() -> None:
+    """An engine leaves the usage out; it is asked for it before the bill."""
+    bench = make_bench(make_document(engines=1))
+    engine = bench.servers["e0"]
+    tokens = [token(index) for index in range(TOKENS)]
+    first, _, last = closing()
+    engine.scripts = [sends(opening(), *tokens, first, last)]
+    engine.truth = {"state": "finished", "prompt_tokens": 9, "completion_tokens": 6}
+    assert (await bench.chat()).whole
+    (outcome,) = bench.money.outcomes
+    assert (outcome.state, outcome.charge) == (RequestState.COMPLETE, 15)
+
+
+async def test_a_body_that_never_comes() -> None:
+    heard = await make_bench().ask("POST", "/v1/chat/completions", never=True)
+    assert (heard.status, heard.error["code"]) == (408, "body_timeout")
+    assert heard.error["not_run"] is True
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -4,6 +4,7 @@
 
 import base64
 
+import anyio
 import httpx
 import pytest
 
@@ -241,3 +242,37 @@
     assert heard.error["code"] == code
     assert heard.error["not_run"] is True
     assert calls(bench) == 0
+
+
+async def test_servers_are_bounded() -> None:
+    """Forty callers book at once at servers that take sixteen each.
+
+    No server ever runs more than that; the others wait their turn, and all are
+    answered.
+    """
+    bench = make_bench()
+    running: dict[str, int] = {}
+    most = 0
+
+    async def slowly(engine: Engine, request: httpx.Request) -> httpx.Response:
+        nonlocal most
+        host = request.url.host
+        running[host] = running.get(host, 0) + 1
+        most = max(most, running[host])
+        await anyio.sleep(0.1)
+        running[host] -= 1
+        return httpx.Response(201, content=b"{}")
+
+    for name in ("s0", "s1"):
+        bench.servers[name].scripts = [slowly]
+    statuses: list[int] = []
+
+    async def book() -> None:
+        heard = await bench.ask("POST", "/services/booking/bookings", BOOKING)
+        statuses.append(heard.status)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(40):
+            tasks.start_soon(book)
+    assert statuses == [201] * 40
+    assert most == 16
