--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -84,6 +84,9 @@
         tried: Engines that failed an attempt; others come first.
         barred: Engines that cannot be reached or do not want the request.
         usage: What a whole answer took, once it is there.
+        ended: Whether the answer is whole.
+        given_up: Whether it was this side that ended an attempt: the caller has
+            gone or is too slow, or the router stops.
     """
 
     money: Money
@@ -104,6 +107,7 @@
     barred: set[BackendName] = field(factory=set)
     attempts: int = 0
     ended: bool = False
+    given_up: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start the answer at its first token."""
@@ -134,6 +138,7 @@
                 self.count(state, error.code)
                 await self.failed(state, permit, error)
             except BaseException:
+                self.given_up = True
                 self.dangle(state, permit)
                 raise
             else:
@@ -345,9 +350,9 @@
             )
         prompt = max((truth.prompt_tokens for truth in truths), default=0)
         completion = max((truth.completion_tokens for truth in truths), default=0)
-        if self.check.opened or not self.ask.stream:
-            completion = max(completion, self.check.expected)
-        return prompt, completion
+        if self.ended or self.given_up:
+            return prompt, max(completion, self.check.expected)
+        return (prompt if self.check.opened else 0), self.check.expected
 
 
 def may_have_run(truths: list[AttemptTruth]) -> bool:
--- a/tests/backends/kit.py
+++ b/tests/backends/kit.py
@@ -80,6 +80,7 @@
             that it answers as it should.
         calls: The calls that reached it.
         truth: Its answer to the closing of an attempt.
+        tells: Whether its answer to a closing is what `ran` says.
         orders: The orders it carried out.
         order_delay: Holds orders back on their way until it is set.
     """
@@ -91,6 +92,8 @@
     boot: str = "boot-1"
     truth: dict[str, object] | None = None
     load: dict[str, object] = field(factory=dict)
+    tells: bool = False
+    ran: set[str] = field(factory=set)
     models: set[str] = field(factory=set)
     orders: list[str] = field(factory=list)
     fencing: dict[str, int] = field(factory=dict)
@@ -109,7 +112,10 @@
         if path == "/v1/orders":
             return await self.obey(json.loads(request.content))
         if path.endswith("/close"):
-            self.closes.append(path.split("/")[3])
+            attempt = path.split("/")[3]
+            self.closes.append(attempt)
+            if self.tells:
+                return httpx.Response(200, json=self.fate(attempt))
             if self.truth is None:
                 return httpx.Response(500)
             return httpx.Response(200, json={"boot": self.boot, **self.truth})
@@ -119,6 +125,17 @@
             script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         return await script(self, request)
 
+    def fate(self, attempt: str) -> dict[str, object]:
+        """Return what became of an attempt."""
+        if attempt not in self.ran:
+            return {"boot": self.boot, "state": "never_ran"}
+        return {
+            "boot": self.boot,
+            "state": "cancelled",
+            "prompt_tokens": PROMPT_TOKENS,
+            "completion_tokens": TOKENS,
+        }
+
     async def obey(self, order: dict[str, Any]) -> httpx.Response:
         """Carry out an order, unless its fencing number is checked and old."""
         if self.order_delay is not None:
@@ -173,7 +190,7 @@
 
     async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
         first = int(request.headers.get("X-Resume-Tokens", "0"))
-        tokens = [token(index) for index in range(first, first + count)]
+        tokens = [token(index) for index in range(first, min(first + count, TOKENS))]
         return engine.stream(request, [opening(), *tokens, error])
 
     return run
