--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -20,15 +20,14 @@
     read_usage,
 )
 from ebonyhold.callers._ask import ChatAsk, Identity
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     ANSWER_INCOMPLETE,
     BACKEND_FAILED,
     BACKEND_REJECTED,
     NO_BACKEND,
-    SOON,
     Ran,
-    Refusal,
 )
+from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
     AttemptState,
     AttemptTruth,
@@ -85,6 +84,9 @@
         tried: Engines that failed an attempt; others come first.
         barred: Engines that cannot be reached or do not want the request.
         usage: What a whole answer took, once it is there.
+        ended: Whether the answer is whole.
+        given_up: Whether it was this side that ended an attempt: the caller has
+            gone or is too slow, or the router stops.
     """
 
     money: Money
@@ -105,6 +107,7 @@
     barred: set[BackendName] = field(factory=set)
     attempts: int = 0
     ended: bool = False
+    given_up: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start the answer at its first token."""
@@ -135,10 +138,15 @@
                 self.count(state, error.code)
                 await self.failed(state, permit, error)
             except BaseException:
+                self.given_up = True
                 self.dangle(state, permit)
                 raise
             else:
                 self.count(state, "complete")
+                if self.usage is None and self.check.usage is None:
+                    # The usage was left out.  The engine is asked for it, since
+                    # the answer would otherwise have no price.
+                    self.dangle(state, permit)
                 self.backends.ejector.succeeded(state.backend.name)
                 self.ended = True
                 return
@@ -318,7 +326,7 @@
         """
         assert self.permit is not None
         prompt, completion = self.ran_tokens(truths)
-        charge = min(self.ask.hold, prompt + completion)
+        charge = min(self.ask.bound, prompt) + min(self.ask.most, completion)
         state = RequestState.COMPLETE if self.ended else RequestState.INTERRUPTED
         if ran is Ran.NO:
             state = RequestState.NOT_RUN
@@ -342,9 +350,9 @@
             )
         prompt = max((truth.prompt_tokens for truth in truths), default=0)
         completion = max((truth.completion_tokens for truth in truths), default=0)
-        if self.check.opened or not self.ask.stream:
-            completion = max(completion, self.check.expected)
-        return prompt, completion
+        if self.ended or self.given_up:
+            return prompt, max(completion, self.check.expected)
+        return (prompt if self.check.opened else 0), self.check.expected
 
 
 def may_have_run(truths: list[AttemptTruth]) -> bool:
@@ -371,8 +379,8 @@
         return body[:500]
 
 
-def read_whole(body: bytes) -> Usage:
-    """Return the usage of a whole answer.
+def read_whole(body: bytes) -> Usage | None:
+    """Return the usage of a whole answer, or None where it is left out.
 
     Raises:
         BrokenStreamError: It is not the JSON it should be.
@@ -383,4 +391,5 @@
         raise BrokenStreamError("the answer is not JSON") from error
     if not isinstance(value, dict) or not value.get("choices"):
         raise BrokenStreamError("the answer has no choices")
-    return read_usage(value.get("usage") or {})
+    usage = value.get("usage")
+    return read_usage(usage) if usage else None
