--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -222,12 +222,16 @@
                 await self.receive(socket)
 
     async def receive(self, socket: pynng.Pull0) -> None:
-        """Take in messages: wait for one, then take what else is there."""
+        """Take in messages: wait for one, then take what else is there.
+
+        They are taken as nng's messages: its plain `recv` fails on an empty one,
+        so that a single empty message would end this task.
+        """
         while True:
             self.take(await socket.arecv())
             for _ in range(RECEIVE_BATCH):
                 try:
-                    self.take(socket.recv(block=False))
+                    self.take(socket.recv_msg(block=False).bytes)
                 except pynng.TryAgain:
                     break
 
