--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -12,10 +12,9 @@
 from ebonyhold.backends._http import (
     ATTEMPT_HEADER,
     BOOT_HEADER,
-    NOT_STARTED,
+    ELSEWHERE,
     PRIORITY_HEADER,
     RESUME_HEADER,
-    TOMBSTONED,
     RefusedError,
     base_url,
     check_attempt,
@@ -103,6 +102,7 @@
             RefusedError: The engine did not take it.
             BackendError: The stream broke.
         """
+        check.begin()
         async with self.open(backend, call) as response:
             with anyio.move_on_after(self.timeouts.stall) as scope:
                 await self.deliver_events(response, check, deliver, scope)
@@ -154,7 +154,7 @@
 async def refuse(response: httpx.Response) -> None:
     """Raise what a status other than 200 means."""
     status = response.status_code
-    if status in NOT_STARTED or status == TOMBSTONED:
+    if status in ELSEWHERE:
         body = await read_bounded(response, MOST_REFUSAL)
         raise RefusedError(status, body, final=False)
     if 400 <= status < 500:
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -9,8 +9,6 @@
 from attrs import define, field, frozen
 
 from ebonyhold.backends import (
-    AttemptState,
-    AttemptTruth,
     Backends,
     BackendState,
     BrokenStreamError,
@@ -32,15 +30,19 @@
     Refusal,
 )
 from ebonyhold.coordination import (
+    AttemptState,
+    AttemptTruth,
     Backoff,
+    Need,
     Outcome,
     RequestKind,
     RequestState,
     RetryBudget,
-    Wish,
 )
 from ebonyhold.exceptions import BackendError
+from ebonyhold.metrics import Metrics
 from ebonyhold.money import Money, Order, Permit, Replay
+from ebonyhold.tracing import context_headers, hop
 from ebonyhold.types import AttemptId, BackendName, RequestId, Tokens, WorkspaceName
 
 MOST_ATTEMPTS = 4
@@ -78,8 +80,10 @@
         identity: The request's identifier.
         ask: What is asked.
         priority: Larger is served first.
-        traceparent: The W3C trace context, or empty.
+        metrics: Counts attempts and times.
         check: How far a streamed answer has come.
+        tried: Engines that failed an attempt; others come first.
+        barred: Engines that cannot be reached or do not want the request.
         usage: What a whole answer took, once it is there.
     """
 
@@ -90,7 +94,7 @@
     identity: Identity
     ask: ChatAsk
     priority: int = 0
-    traceparent: str = ""
+    metrics: Metrics = field(factory=Metrics)
     on_chosen: Callable[[], None] = field(default=lambda: None)
     backoff: Backoff = field(factory=Backoff)
     check: StreamCheck = field(init=False)
@@ -98,6 +102,7 @@
     permit: Permit | None = None
     dangling: list[Dangling] = field(factory=list)
     tried: set[BackendName] = field(factory=set)
+    barred: set[BackendName] = field(factory=set)
     attempts: int = 0
     ended: bool = False
 
@@ -124,13 +129,16 @@
             state.started(permit.attempt, self.request, anyio.current_time())
             state.prefixes.sent(self.ask.hashes)
             try:
-                await dispatch(state, self.call(permit))
+                with hop("engine"):
+                    await dispatch(state, self.call(permit))
             except BackendError as error:
+                self.count(state, error.code)
                 await self.failed(state, permit, error)
             except BaseException:
                 self.dangle(state, permit)
                 raise
             else:
+                self.count(state, "complete")
                 self.backends.ejector.succeeded(state.backend.name)
                 self.ended = True
                 return
@@ -138,19 +146,24 @@
                 state.ended(permit.attempt)
                 self.backends.changed()
 
+    def count(self, state: BackendState, result: str) -> None:
+        """Count an attempt."""
+        self.metrics.attempts.labels(state.backend.name, result).inc()
+
     def choose(self) -> BackendState:
-        """Choose the next engine.
+        """Choose the next engine, best one that was not tried yet.
 
         Raises:
             Refusal: None is left.
         """
-        wish = Wish(self.ask.words, self.ask.most, self.priority)
-        state = self.backends.choose(
-            self.ask.route.model, wish, self.ask.hashes, self.tried
-        )
-        if state is None:
-            raise self.refusal()
-        return state
+        need = Need(self.ask.words, self.ask.most, self.priority)
+        for avoided in (self.tried, self.barred):
+            state = self.backends.choose(
+                self.ask.route.model, need, self.ask.hashes, avoided
+            )
+            if state is not None:
+                return state
+        raise self.refusal()
 
     def refusal(self) -> Refusal:
         """Return why the request cannot go on."""
@@ -174,7 +187,11 @@
         state.reserved += 1
         self.on_chosen()
         try:
-            with anyio.CancelScope(shield=True):
+            with (
+                anyio.CancelScope(shield=True),
+                hop("money"),
+                self.metrics.permit.time(),
+            ):
                 permit = await self.next_permit(state)
                 self.permit = permit
         finally:
@@ -212,7 +229,7 @@
             self.ask.stream,
             self.priority,
             self.check.expected,
-            self.traceparent,
+            context_headers().get("traceparent", ""),
         )
 
     async def failed(
@@ -224,6 +241,8 @@
             Refusal: None may.
         """
         self.tried.add(state.backend.name)
+        if not error.ran:
+            self.barred.add(state.backend.name)
         self.note(state, error)
         if error.ran:
             self.dangle(state, permit)
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -4,12 +4,7 @@
 Nothing here imports a web server, a client or another package of ebonyhold.
 """
 
-from ebonyhold.coordination._admission import (
-    AdmissionQueue,
-    Refused,
-    Share,
-    Ticket,
-)
+from ebonyhold.coordination._admission import AdmissionQueue, Refused, Share, Ticket
 from ebonyhold.coordination._attempts import (
     AttemptState,
     AttemptTruth,
@@ -29,22 +24,15 @@
     make_bill,
     plan_settlement,
 )
-from ebonyhold.coordination._breaker import (
-    BreakerPolicy,
-    BreakerState,
-    CircuitBreaker,
-)
-from ebonyhold.coordination._bucket import (
-    FairTurns,
-    TokenBucket,
-)
+from ebonyhold.coordination._breaker import BreakerPolicy, BreakerState, CircuitBreaker
+from ebonyhold.coordination._bucket import AdaptiveRate, FairTurns, TokenBucket
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
+    Need,
+    choice_policies,
+    choice_policy,
+    make_choice_policy,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -68,27 +56,18 @@
     may_adopt,
     plan_apply,
     plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
 )
-from ebonyhold.coordination._ejection import (
-    EjectionPolicy,
-    Ejector,
-)
-from ebonyhold.coordination._grants import (
-    GrantLedger,
-    change_budget,
-    change_grant,
-)
+from ebonyhold.coordination._ejection import EjectionPolicy, Ejector
+from ebonyhold.coordination._grants import GrantLedger, change_budget, change_grant
 from ebonyhold.coordination._heartbeats import (
     Beat,
     BeatKind,
     MembershipOptions,
     Outgoing,
 )
-from ebonyhold.coordination._journal import (
-    JournalReading,
-    append_transaction,
-)
+from ebonyhold.coordination._journal import JournalReading, append_transaction
 from ebonyhold.coordination._keys import (
     ARCHIVE_PREFIX,
     BUDGET_PREFIX,
@@ -107,6 +86,8 @@
     grant_prefix,
     journal_prefix,
     lease_key,
+    order_key,
+    order_prefix,
     refund_key,
     request_key,
     router_key,
@@ -134,12 +115,15 @@
     MemberView,
     responsible,
 )
-from ebonyhold.coordination._membership import (
-    Membership,
-)
-from ebonyhold.coordination._operations import (
-    plan_refund,
-    plan_topup,
+from ebonyhold.coordination._membership import Membership
+from ebonyhold.coordination._operations import plan_refund, plan_topup
+from ebonyhold.coordination._orders import (
+    Action,
+    EngineOrder,
+    EngineView,
+    OrderRow,
+    Placement,
+    PlacementPolicy,
 )
 from ebonyhold.coordination._policies import (
     AloneMixin,
@@ -150,10 +134,7 @@
     grant_policies,
     grant_policy,
 )
-from ebonyhold.coordination._prefix import (
-    PrefixIndex,
-    prefix_hashes,
-)
+from ebonyhold.coordination._prefix import BLOCK_WORDS, PrefixIndex, prefix_hashes
 from ebonyhold.coordination._recovery import (
     Witness,
     close_grant,
@@ -163,10 +144,7 @@
     seal_transaction,
     settle_run,
 )
-from ebonyhold.coordination._retry import (
-    Backoff,
-    RetryBudget,
-)
+from ebonyhold.coordination._retry import Backoff, RetryBudget
 from ebonyhold.coordination._rows import (
     ArchiveRow,
     BudgetRow,
@@ -189,10 +167,7 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -224,6 +199,7 @@
 
 __all__ = [
     "ARCHIVE_PREFIX",
+    "BLOCK_WORDS",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
@@ -236,6 +212,8 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "Action",
+    "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
@@ -258,6 +236,8 @@
     "Delete",
     "EjectionPolicy",
     "Ejector",
+    "EngineOrder",
+    "EngineView",
     "FairTurns",
     "Fate",
     "Filed",
@@ -286,9 +266,13 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "Need",
     "Objects",
+    "OrderRow",
     "Outcome",
     "Outgoing",
+    "Placement",
+    "PlacementPolicy",
     "PlannedStop",
     "PrefixIndex",
     "Put",
@@ -316,7 +300,6 @@
     "TransferRow",
     "TransferState",
     "Verdict",
-    "Wish",
     "Witness",
     "Write",
     "announce_transfer",
@@ -325,6 +308,8 @@
     "budget_key",
     "change_budget",
     "change_grant",
+    "choice_policies",
+    "choice_policy",
     "claim_transaction",
     "close_grant",
     "close_transaction",
@@ -348,21 +333,22 @@
     "lapse_transfer",
     "lease_key",
     "make_bill",
-    "make_policy",
+    "make_choice_policy",
     "may_adopt",
     "next_attempt",
     "open_row",
+    "order_key",
+    "order_prefix",
     "parse_lease",
     "plan_acquire",
     "plan_apply",
     "plan_initial_topup",
+    "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
     "plan_settlement",
     "plan_topup",
-    "policies",
-    "policy",
     "prefix_hashes",
     "proves_not_run",
     "refund_key",
