Trials with small budgets, a paused router and a slow table

Cause: the example's budgets are too large for a trial to run dry, and no trial paused a router that goes on believing in its grants.

--- a/ebonyhold/experiments/_troubles.py
+++ b/ebonyhold/experiments/_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime, timedelta
@@ -28,6 +29,8 @@
 STOP_LENGTH = timedelta(seconds=20)
 STOP_GRACE: Seconds = 5.0
 OUTAGE: Seconds = 1.5
+SLOWNESS: Seconds = 0.8
+FREEZE: Seconds = 10.0
 OPERATOR_HEADERS = {"Authorization": f"Bearer {OPERATOR_KEY}"}
 
 
@@ -44,7 +47,8 @@
         stops: The planned stops.
         accepted: The versions that were accepted on the way.
         sightings: The versions that the routers said were in force.
-        down_since: When the table was taken down; 0 while it is up.
+        down_since: When the table was last taken down or up; 0 before.
+        frozen_at: When a router was paused; 0 before.
     """
 
     fleet: LocalFleet
@@ -56,6 +60,7 @@
     accepted: list[AcceptedVersion] = field(factory=list)
     sightings: list[VersionSighting] = field(factory=list)
     down_since: float = 0.0
+    frozen_at: float = 0.0
 
     @property
     def engines(self) -> list[Child]:
@@ -158,6 +163,29 @@
         strikes.fleet.routers[0].kill()
 
 
+@trouble("freeze")
+async def freeze_router(strikes: Strikes) -> None:
+    """Pause one router for longer than its peers believe in it, then let it go on.
+
+    It still believes that it holds its grants, and goes on with its streams.
+    """
+    now = time.monotonic()
+    process = strikes.fleet.routers[1].process
+    if strikes.frozen_at and now > strikes.frozen_at + FREEZE:
+        process.send_signal(signal.SIGCONT)
+    elif not strikes.frozen_at and strikes.progress > 1 / 4:
+        strikes.frozen_at = now
+        process.send_signal(signal.SIGSTOP)
+
+
+@trouble("slow")
+async def slow_table(strikes: Strikes) -> None:
+    """Make the table slow for a while, and fast again."""
+    is_slow = strikes.chance.random() < 0.5
+    delay = SLOWNESS if is_slow else 0.0
+    await strikes.control(strikes.fleet.platform["table"], answer_slow=delay)
+
+
 @trouble("stop")
 async def plan_stop(strikes: Strikes) -> None:
     """Plan the stop of one engine, a quarter into the trial."""
@@ -197,7 +225,9 @@
 
 async def calm(strikes: Strikes) -> None:
     """End all troubles, so that the fleet can settle."""
-    switches: dict[str, object] = {"down": False, "flush": True}
+    if strikes.frozen_at:
+        strikes.fleet.routers[1].process.send_signal(signal.SIGCONT)
+    switches: dict[str, object] = {"down": False, "flush": True, "answer_slow": 0.0}
     switches |= dict.fromkeys((*TABLE_FAULTS,), 0)
     backends = strikes.fleet.backends.values()
     for child in (*backends, *strikes.fleet.platform.values()):
--- a/ebonyhold/experiments/trial.py
+++ b/ebonyhold/experiments/trial.py
@@ -17,7 +17,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from ebonyhold.coordination import REQUEST_PREFIX, RequestRow, RequestState
+from ebonyhold.coordination import (
+    BUDGET_PREFIX,
+    REQUEST_PREFIX,
+    BudgetRow,
+    RequestRow,
+    RequestState,
+)
 from ebonyhold.document import Document, load_document
 from ebonyhold.experiments._callers import make_jobs
 from ebonyhold.experiments._local_fleet import LocalFleet, local_fleet
@@ -38,7 +44,7 @@
     fetch_services,
 )
 from ebonyhold.experiments.demo import EXAMPLE
-from ebonyhold.types import Seconds
+from ebonyhold.types import Seconds, Tokens
 
 AT_ONCE = 24
 ROUTERS = 3
@@ -58,17 +64,26 @@
     broken: tuple[Broken, ...]
 
 
-def trial_document() -> Document:
-    """Return an example document with backend servers for one machine."""
+def trial_document(prepaid: Tokens) -> Document:
+    """Return an example document with backend servers for one machine.
+
+    Args:
+        prepaid: What each workspace has, in tokens; 0 for the example's amounts.
+    """
     document = load_document(EXAMPLE)
     backends = document.backends[ENGINES] + document.backends[SERVICES]
-    return evolve(document, backends=backends)
+    workspaces = document.workspaces
+    if prepaid:
+        workspaces = tuple(evolve(one, prepaid=prepaid) for one in workspaces)
+    return evolve(document, backends=backends, workspaces=workspaces)
 
 
-async def run_trial(requests: int, troubles: Sequence[str], seed: int) -> Verdict:
+async def run_trial(
+    requests: int, troubles: Sequence[str], seed: int, prepaid: Tokens = 0
+) -> Verdict:
     """Run a trial and judge it."""
     chance = random.Random(seed)
-    document = trial_document()
+    document = trial_document(prepaid)
     workspaces = [workspace.name for workspace in document.workspaces]
     jobs = make_jobs(workspaces, document.models[0].model, requests, chance)
     async with local_fleet(document, ROUTERS) as fleet:
@@ -147,6 +162,10 @@
     for name, counts in (("tries", outcomes), ("codes", codes), ("bills", states)):
         shown = ", ".join(f"{key}: {count}" for key, count in sorted(counts.items()))
         table.add_row(name, shown or "none")
+    budgets = dict(evidence.rows_under(BUDGET_PREFIX, BudgetRow)).values()
+    table.add_row("tokens prepaid", str(sum(one.prepaid for one in budgets)))
+    table.add_row("tokens spent", str(sum(one.spent for one in budgets)))
+    table.add_row("tokens held", str(sum(one.outstanding for one in budgets)))
     table.add_row("engine runs", str(len(evidence.engines)))
     table.add_row("service runs", str(len(evidence.services)))
     table.add_row("promises broken", str(len(verdict.broken)))
@@ -163,8 +182,11 @@
     )
     parser.add_argument("--requests", type=int, default=300)
     parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--prepaid", type=int, default=0, help="tokens, each")
     options = parser.parse_args(arguments)
-    verdict = anyio.run(run_trial, options.requests, options.troubles, options.seed)
+    verdict = anyio.run(
+        run_trial, options.requests, options.troubles, options.seed, options.prepaid
+    )
     print_verdict(Console(), verdict)
     return 1 if verdict.broken else 0
 
--- a/tests/experiments/test_trial.py
+++ b/tests/experiments/test_trial.py
@@ -27,6 +27,8 @@
     ("objects", "table", "kill"),
     ("outage",),
     ("stop",),
+    ("freeze",),
+    ("slow",),
 )
 
 
@@ -37,6 +39,14 @@
     assert [str(one) for one in verdict.broken] == []
 
 
+@pytest.mark.soak
+def test_small_budgets_are_not_overspent() -> None:
+    """Every workspace runs dry while the table loses answers and a router dies."""
+    verdict = anyio.run(run_trial, 300, ("table", "kill"), 7, 2000)
+    assert [str(one) for one in verdict.broken] == []
+    assert "budget_exhausted" in verdict.codes
+
+
 @pytest.mark.parametrize(
     ("fault", "outcome", "tokens"),
     [
