--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -12,10 +12,9 @@
 from ebonyhold.backends._http import (
     ATTEMPT_HEADER,
     BOOT_HEADER,
-    NOT_STARTED,
+    ELSEWHERE,
     PRIORITY_HEADER,
     RESUME_HEADER,
-    TOMBSTONED,
     RefusedError,
     base_url,
     check_attempt,
@@ -28,6 +27,12 @@
 from ebonyhold.exceptions import BackendError
 
 COMPLETIONS = "/v1/chat/completions"
+FRESH = 0.9
+"""The part of the stall's time that is left at least before it is put off.
+
+Putting it off with every token would cost a timer each.
+"""
+
 MOST_ANSWER = 8_388_608
 MOST_REFUSAL = 16_384
 
@@ -129,8 +134,9 @@
                 passed = b"".join(map(check.take, splitter.feed(data)))
                 if passed:
                     deliver(passed)
-                    if scope.deadline - anyio.current_time() < stall / 2:
-                        scope.deadline = anyio.current_time() + stall
+                    now = anyio.current_time()
+                    if scope.deadline - now < stall * FRESH:
+                        scope.deadline = now + stall
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise BrokenStreamError(f"the stream broke: {error!r}") from error
         if not check.done:
@@ -155,7 +161,7 @@
 async def refuse(response: httpx.Response) -> None:
     """Raise what a status other than 200 means."""
     status = response.status_code
-    if status in NOT_STARTED or status == TOMBSTONED:
+    if status in ELSEWHERE:
         body = await read_bounded(response, MOST_REFUSAL)
         raise RefusedError(status, body, final=False)
     if 400 <= status < 500:
--- a/tests/coordination/test_request_decisions.py
+++ b/tests/coordination/test_request_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 
 import pytest
@@ -100,6 +101,14 @@
     assert ejector.ejected(NINE, 20.5) == frozenset()
 
 
+def test_hashes_are_those_that_engines_name() -> None:
+    """Engines in service name these hashes; another form would match nothing."""
+    words = [f"w{n}" for n in range(40)]
+    first = hashlib.sha256(f"\0{' '.join(words[:16])}".encode()).hexdigest()[:16]
+    second = hashlib.sha256(f"{first}\0{' '.join(words[16:32])}".encode())
+    assert prefix_hashes(words) == (first, second.hexdigest()[:16])
+
+
 def test_hashes_are_those_of_the_engines() -> None:
     words = [f"w{n}" for n in range(70)]
     cache = PrefixCache(100, 0.0, 0.0, random.Random(1))
