Let tokens pass on between routers; spread budgets by how long they last

Cause: in an outage routers refused while their peers had tokens. The giver sent an old transfer again, since in an outage none is ever settled; the asker stopped asking when it had as much as it lacked, not as it needed; received tokens could not be given on; small budgets were kept in the table.

--- a/ebonyhold/coordination/_grants.py
+++ b/ebonyhold/coordination/_grants.py
@@ -108,9 +108,11 @@
 
     @property
     def spare(self) -> Tokens:
-        """Tokens that may be given away.
+        """Tokens that may go back to the budget.
 
-        Received tokens stay until they are settled: a chain of transfers
-        would otherwise leave a row in between below zero.
+        Received tokens are in this grant's row only once they are settled.
+        They may be given on before that: the row is below zero then, until
+        this router or whoever recovers it settles the receipt, which both do
+        before they file or return anything.
         """
         return max(self.available - self.received, 0)
--- a/ebonyhold/coordination/_policies.py
+++ b/ebonyhold/coordination/_policies.py
@@ -42,7 +42,7 @@
     routers: int = 1
     budget: BudgetRow | None = None
     horizon: Seconds = 3600.0
-    reserve_share: float = 0.8
+    reserve_share: float = 0.95
 
 
 @frozen
@@ -162,14 +162,17 @@
 
     patience: Seconds = 2.0
 
-    keep_below = 0.5
+    keep_below = 0.8
     """A new draw comes before this part of the wanted grant is used up."""
 
     return_above = 1.5
     """What exceeds this many wanted grants goes back."""
 
-    scarce = 3.0
-    """Each router's even share counts as scarce up to this many typical holds."""
+    scarce: Seconds = 120.0
+    """A budget that would last no longer than this is kept in the table."""
+
+    ample: Seconds = 450.0
+    """A budget that would last this long is spread over the routers in full."""
 
     def size(self, view: GrantView) -> GrantSize:
         """Draw up to the wanted grant, or return what exceeds it."""
@@ -190,8 +193,11 @@
         # The own free tokens count as remaining: otherwise two reads of one
         # state would disagree about what the share is a part of.
         left = max(view.budget.remaining, 0) + view.available
-        even = left / max(view.routers, 1) - self.scarce * view.typical
-        return max(int(min(demand, view.reserve_share * even)), 0)
+        even = left / max(view.routers, 1)
+        lasts = even / view.rate if view.rate else self.ample
+        spread = (lasts - self.scarce) / (self.ample - self.scarce)
+        share = view.reserve_share * min(max(spread, 0.0), 1.0)
+        return int(min(demand, share * even))
 
 
 @grant_policy("adaptive_transfer")
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -55,6 +55,9 @@
 from ebonyhold.money._options import MoneyOptions
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
+RECEIPTS = 32
+"""Transfers that a request for more names as received."""
+
 SETTLE_ROUNDS = 50
 """Settlements of one round, before waiting requests are looked at again."""
 
@@ -123,6 +126,7 @@
         budget: The budget as last read or written.
         unfiled: Bills on their way, by run.
         arrivals: Received transfers on their way.
+        receipts: The last transfers received, settled or not.
         given: Transfers to others on their way, by name.
         doubt: A settlement that may or may not have taken effect.
         reachable: Whether the last call to the table succeeded.
@@ -140,6 +144,7 @@
     budget: BudgetRow | None = None
     unfiled: dict[str, Unfiled] = field(factory=dict)
     arrivals: dict[str, Arrival] = field(factory=dict)
+    receipts: deque[str] = field(factory=partial(deque, maxlen=RECEIPTS))
     given: dict[str, Given] = field(factory=dict)
     waiters: deque[Waiter] = field(factory=deque)
     doubt: Settlement | None = None
@@ -218,6 +223,7 @@
         """Add tokens whose receipt is durable."""
         self.ledger.receive(amount)
         self.arrivals[transfer] = Arrival(transfer, amount)
+        self.receipts.append(transfer)
         self._serve()
         self.poke()
 
@@ -603,9 +609,9 @@
         await self._pause(self.pause)
 
     async def _beg(self) -> None:
-        need = sum(waiter.need for waiter in self.waiters) - self.ledger.available
-        if need > 0:
-            await self.ask_peers(self, need)
+        lack = sum(waiter.need for waiter in self.waiters) - self.ledger.available
+        if lack > 0:
+            await self.ask_peers(self, lack)
         self._serve()
 
     def fail(self, error: SealedError) -> None:
--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -365,19 +365,26 @@
     def _routers(self) -> int:
         return 1 + (len(self.peers.alive()) if self.peers else 0)
 
-    async def ask_peers(self, account: Account, need: Tokens) -> None:
-        """Ask other routers for tokens until the need is met or all were asked."""
+    async def ask_peers(self, account: Account, lack: Tokens) -> None:
+        """Ask other routers for tokens until nothing lacks or all were asked."""
         policy = find_grant_policy(self.policy().grants)
         if self.peers is None or not policy.asks_peers:
             return
+        wanted = account.ledger.available + lack
         for peer in self.peers.alive()[: self.options.peers_asked]:
-            if account.ledger.available >= need:
+            still = wanted - account.ledger.available
+            if still <= 0:
                 return
-            await self._ask_peer(peer, account, need)
+            await self._ask_peer(peer, account, still)
 
     async def _ask_peer(self, peer: RouterId, account: Account, need: Tokens) -> None:
         assert self.peers is not None
-        message = TransferRequest(account.workspace, need)
+        have = tuple(
+            transfer
+            for transfer in account.receipts
+            if transfer_ends(transfer)[0] == peer
+        )
+        message = TransferRequest(account.workspace, need, have)
         try:
             given = await self.peers.ask(
                 peer, message, TransferGiven, self.options.ask_within
@@ -394,7 +401,9 @@
         account = self.accounts.get(message.workspace)
         if account is None or self.sealed or self.draining:
             return TransferGiven(message.workspace, "", 0)
-        given = self._lost_gift(account, peer) or self._new_gift(account, peer, message)
+        given = self._lost_gift(account, peer, message.have) or self._new_gift(
+            account, peer, message
+        )
         if given is None:
             return TransferGiven(message.workspace, "", 0)
         with anyio.move_on_after(self.options.given_within):
@@ -403,13 +412,16 @@
             return TransferGiven(message.workspace, "", 0)
         return TransferGiven(message.workspace, given.transfer, given.amount)
 
-    def _lost_gift(self, account: Account, peer: RouterId) -> Given | None:
-        """Return a transfer that this peer may not have received.
+    def _lost_gift(
+        self, account: Account, peer: RouterId, have: tuple[str, ...]
+    ) -> Given | None:
+        """Return a transfer that this peer has not received.
 
         Sending it again is safe, since a receiver counts a transfer once.
         """
         for given in account.given.values():
-            if transfer_ends(given.transfer)[1] == peer:
+            to = transfer_ends(given.transfer)[1]
+            if to == peer and given.transfer not in have:
                 return given
         return None
 
@@ -418,7 +430,7 @@
     ) -> Given | None:
         policy = find_grant_policy(self.policy().grants)
         amount = policy.give(account.view(), message.wanted)
-        amount = min(amount, account.ledger.spare)
+        amount = min(amount, account.ledger.available)
         if amount <= 0:
             return None
         self.transfer_serial += 1
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -16,10 +16,18 @@
 @peer_message("transfer_request")
 @frozen
 class TransferRequest(PeerMessage):
-    """Please give me tokens of this workspace, if you have some to spare."""
+    """Please give me tokens of this workspace, if you have some to spare.
+
+    Attributes:
+        workspace: Whose tokens.
+        wanted: How many are lacking.
+        have: The last transfers from you that arrived: any other that you gave
+            me lately was lost on its way, and may be sent again.
+    """
 
     workspace: WorkspaceName
     wanted: Tokens
+    have: tuple[str, ...] = ()
 
 
 @peer_message("transfer_given")
--- a/tests/money/test_partitions.py
+++ b/tests/money/test_partitions.py
@@ -467,3 +467,34 @@
         await check_all_returned(fleet, "w")
 
     run(story)
+
+
+def test_tokens_given_on_before_they_are_settled() -> None:
+    """Tokens pass through three routers while the table is down.
+
+    The one in between has nothing in the table when the last one settles, so
+    its row is below zero for a while.  The sum of all grants is right at every
+    moment, also when the one in between dies.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        rich, middle = await two_with_tokens(fleet)
+        fleet.table.faults.down = False
+        last = await fleet.start("c.1")
+        fleet.table.faults.down = True
+        fleet.network.part("a.1", "c.1")
+        permit = await begin(middle, order("w", "r1", 400))
+        await middle.finish(permit, ended(permit, 1))
+        await spend(last, "r2", 200, 150)
+        fleet.kill("b.1")
+        fleet.table.faults.down = False
+        await anyio.sleep(30)
+        await check_books(fleet)
+        await fleet.recover("b.1")
+        await check_books(fleet)
+        await last.drain()
+        await rich.drain()
+        assert fleet.budget("w").spent == 1000 + 10 + 1 + 150
+        await check_all_returned(fleet, "w")
+
+    run(story)
