--- a/ebonyhold/backends/__init__.py
+++ b/ebonyhold/backends/__init__.py
@@ -13,6 +13,7 @@
     Timeouts,
     Usage,
 )
+from ebonyhold.backends._placement import PlacementHolder
 from ebonyhold.backends._service import (
     ServiceClient,
     answer_headers,
@@ -26,12 +27,9 @@
 )
 from ebonyhold.backends._state import BackendState
 from ebonyhold.backends._table import Backends
-from ebonyhold.backends._truth import AttemptState, AttemptTruth
 
 __all__ = [
     "Answer",
-    "AttemptState",
-    "AttemptTruth",
     "BackendState",
     "Backends",
     "BrokenStreamError",
@@ -42,6 +40,7 @@
     "EngineClient",
     "EventSplitter",
     "LoadReport",
+    "PlacementHolder",
     "RefusedError",
     "ServiceCall",
     "ServiceClient",
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -15,15 +15,16 @@
 from ebonyhold.backends._poll import poll_cache, poll_load
 from ebonyhold.backends._service import ServiceClient
 from ebonyhold.backends._state import BackendState
-from ebonyhold.backends._truth import UNKNOWN, AttemptTruth, ask_to_close
+from ebonyhold.backends._truth import UNKNOWN, ask_to_close
 from ebonyhold.coordination import (
+    AttemptTruth,
     ChoicePolicy,
     Ejector,
     Holding,
     InProgress,
-    Wish,
+    Need,
     holdings,
-    make_policy,
+    make_choice_policy,
 )
 from ebonyhold.document import Backend, BackendKind
 from ebonyhold.exceptions import UnavailableError
@@ -96,6 +97,7 @@
         name = state.backend.name
         if report is None:
             self.ejector.lost(name)
+            self.changed()
             return
         self.ejector.reached(name)
         state.heard(report, anyio.current_time())
@@ -150,14 +152,14 @@
             if state.backend.name not in out and state.backend.name not in tried
         ]
 
-    def free(self, model: str) -> int:
-        """Return how many requests the engines of a model could take now."""
-        return sum(state.room for state in self.usable(BackendKind.ENGINE, model))
+    def free(self, kind: BackendKind, name: str) -> int:
+        """Return how many requests the servers of a name could take now."""
+        return sum(state.room for state in self.usable(kind, name))
 
     def choose(
         self,
         model: str,
-        wish: Wish,
+        need: Need,
         hashes: tuple[str, ...],
         tried: Iterable[BackendName] = (),
     ) -> BackendState | None:
@@ -171,7 +173,7 @@
         if not roomy:
             return None
         candidates = [state.candidate(hashes) for state in roomy]
-        chosen = self.policy().choose(wish, candidates, self.rng)
+        chosen = self.policy().choose(need, candidates, self.rng)
         return self.states[chosen.name]
 
     def choose_service(
@@ -187,7 +189,7 @@
         """Return the choice policy that the document names."""
         name = self.fleet.document.policy.choice
         if name not in self.policies:
-            self.policies[name] = make_policy(name)
+            self.policies[name] = make_choice_policy(name)
         return self.policies[name]
 
     async def close_attempt(
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -9,8 +9,6 @@
 from attrs import define, field, frozen
 
 from ebonyhold.backends import (
-    AttemptState,
-    AttemptTruth,
     Backends,
     BackendState,
     BrokenStreamError,
@@ -22,25 +20,28 @@
     read_usage,
 )
 from ebonyhold.callers._ask import ChatAsk, Identity
-from ebonyhold.callers._refusals import (
+from ebonyhold.callers._codes import (
     ANSWER_INCOMPLETE,
     BACKEND_FAILED,
     BACKEND_REJECTED,
     NO_BACKEND,
-    SOON,
     Ran,
-    Refusal,
 )
+from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
+    AttemptState,
+    AttemptTruth,
     Backoff,
+    Need,
     Outcome,
     RequestKind,
     RequestState,
     RetryBudget,
-    Wish,
 )
 from ebonyhold.exceptions import BackendError
+from ebonyhold.metrics import Metrics
 from ebonyhold.money import Money, Order, Permit, Replay
+from ebonyhold.tracing import context_headers, hop
 from ebonyhold.types import AttemptId, BackendName, RequestId, Tokens, WorkspaceName
 
 MOST_ATTEMPTS = 4
@@ -78,9 +79,14 @@
         identity: The request's identifier.
         ask: What is asked.
         priority: Larger is served first.
-        traceparent: The W3C trace context, or empty.
+        metrics: Counts attempts and times.
         check: How far a streamed answer has come.
+        tried: Engines that failed an attempt; others come first.
+        barred: Engines that cannot be reached or do not want the request.
         usage: What a whole answer took, once it is there.
+        ended: Whether the answer is whole.
+        given_up: Whether it was this side that ended an attempt: the caller has
+            gone or is too slow, or the router stops.
     """
 
     money: Money
@@ -90,7 +96,7 @@
     identity: Identity
     ask: ChatAsk
     priority: int = 0
-    traceparent: str = ""
+    metrics: Metrics = field(factory=Metrics)
     on_chosen: Callable[[], None] = field(default=lambda: None)
     backoff: Backoff = field(factory=Backoff)
     check: StreamCheck = field(init=False)
@@ -98,8 +104,10 @@
     permit: Permit | None = None
     dangling: list[Dangling] = field(factory=list)
     tried: set[BackendName] = field(factory=set)
+    barred: set[BackendName] = field(factory=set)
     attempts: int = 0
     ended: bool = False
+    given_up: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start the answer at its first token."""
@@ -124,13 +132,21 @@
             state.started(permit.attempt, self.request, anyio.current_time())
             state.prefixes.sent(self.ask.hashes)
             try:
-                await dispatch(state, self.call(permit))
+                with hop("engine"):
+                    await dispatch(state, self.call(permit))
             except BackendError as error:
+                self.count(state, error.code)
                 await self.failed(state, permit, error)
             except BaseException:
+                self.given_up = True
                 self.dangle(state, permit)
                 raise
             else:
+                self.count(state, "complete")
+                if self.usage is None and self.check.usage is None:
+                    # The usage was left out.  The engine is asked for it, since
+                    # the answer would otherwise have no price.
+                    self.dangle(state, permit)
                 self.backends.ejector.succeeded(state.backend.name)
                 self.ended = True
                 return
@@ -138,19 +154,24 @@
                 state.ended(permit.attempt)
                 self.backends.changed()
 
+    def count(self, state: BackendState, result: str) -> None:
+        """Count an attempt."""
+        self.metrics.attempts.labels(state.backend.name, result).inc()
+
     def choose(self) -> BackendState:
-        """Choose the next engine.
+        """Choose the next engine, best one that was not tried yet.
 
         Raises:
             Refusal: None is left.
         """
-        wish = Wish(self.ask.words, self.ask.most, self.priority)
-        state = self.backends.choose(
-            self.ask.route.model, wish, self.ask.hashes, self.tried
-        )
-        if state is None:
-            raise self.refusal()
-        return state
+        need = Need(self.ask.words, self.ask.most, self.priority)
+        for avoided in (self.tried, self.barred):
+            state = self.backends.choose(
+                self.ask.route.model, need, self.ask.hashes, avoided
+            )
+            if state is not None:
+                return state
+        raise self.refusal()
 
     def refusal(self) -> Refusal:
         """Return why the request cannot go on."""
@@ -174,7 +195,11 @@
         state.reserved += 1
         self.on_chosen()
         try:
-            with anyio.CancelScope(shield=True):
+            with (
+                anyio.CancelScope(shield=True),
+                hop("money"),
+                self.metrics.permit.time(),
+            ):
                 permit = await self.next_permit(state)
                 self.permit = permit
         finally:
@@ -212,7 +237,7 @@
             self.ask.stream,
             self.priority,
             self.check.expected,
-            self.traceparent,
+            context_headers().get("traceparent", ""),
         )
 
     async def failed(
@@ -224,6 +249,8 @@
             Refusal: None may.
         """
         self.tried.add(state.backend.name)
+        if not error.ran:
+            self.barred.add(state.backend.name)
         self.note(state, error)
         if error.ran:
             self.dangle(state, permit)
@@ -299,7 +326,7 @@
         """
         assert self.permit is not None
         prompt, completion = self.ran_tokens(truths)
-        charge = min(self.ask.hold, prompt + completion)
+        charge = min(self.ask.bound, prompt) + min(self.ask.most, completion)
         state = RequestState.COMPLETE if self.ended else RequestState.INTERRUPTED
         if ran is Ran.NO:
             state = RequestState.NOT_RUN
@@ -323,9 +350,9 @@
             )
         prompt = max((truth.prompt_tokens for truth in truths), default=0)
         completion = max((truth.completion_tokens for truth in truths), default=0)
-        if self.check.opened or not self.ask.stream:
-            completion = max(completion, self.check.expected)
-        return prompt, completion
+        if self.ended or self.given_up:
+            return prompt, max(completion, self.check.expected)
+        return (prompt if self.check.opened else 0), self.check.expected
 
 
 def may_have_run(truths: list[AttemptTruth]) -> bool:
@@ -352,8 +379,8 @@
         return body[:500]
 
 
-def read_whole(body: bytes) -> Usage:
-    """Return the usage of a whole answer.
+def read_whole(body: bytes) -> Usage | None:
+    """Return the usage of a whole answer, or None where it is left out.
 
     Raises:
         BrokenStreamError: It is not the JSON it should be.
@@ -364,4 +391,5 @@
         raise BrokenStreamError("the answer is not JSON") from error
     if not isinstance(value, dict) or not value.get("choices"):
         raise BrokenStreamError("the answer has no choices")
-    return read_usage(value.get("usage") or {})
+    usage = value.get("usage")
+    return read_usage(usage) if usage else None
--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -10,8 +10,10 @@
 import hashlib
 import json
 from collections.abc import Iterator, Mapping
+from operator import attrgetter
 from typing import Any
 
+import cattrs
 from attrs import define, field, frozen
 
 from ebonyhold.document import (
@@ -25,6 +27,7 @@
     Workspace,
     part_converter,
 )
+from ebonyhold.exceptions import ConfigurationError
 from ebonyhold.types import Json
 
 DIGEST_MODULUS = 1 << 256
@@ -65,23 +68,30 @@
     deletes: tuple[str, ...] = ()
 
 
-def part_digest(key: str, value: Json) -> int:
+def encode_part(value: Json) -> bytes:
+    """Return the one JSON form of a part."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def part_digest(key: str, body: bytes) -> int:
     """Return the number that a part adds to its state's digest."""
-    body = json.dumps([key, value], sort_keys=True, separators=(",", ":"))
-    return int.from_bytes(hashlib.sha256(body.encode()).digest())
+    return int.from_bytes(hashlib.sha256(key.encode() + b"\0" + body).digest())
 
 
 @define
 class DocumentState:
-    """All parts of one version, as JSON values and as model objects.
+    """All parts of one version, as JSON and as model objects.
+
+    The JSON is kept because it may hold what only a newer release knows; it is
+    kept encoded, which takes less memory than its values.
 
     Attributes:
-        values: The parts as JSON values, by key.
+        values: The parts as JSON, by key.
         objects: The parts as model objects, by list and name.
         total: The sum of the parts' digests.
     """
 
-    values: dict[str, Json] = field(factory=dict)
+    values: dict[str, bytes] = field(factory=dict)
     objects: dict[str, dict[str, Any]] = field(factory=dict)
     total: int = 0
 
@@ -95,13 +105,19 @@
         return f"{self.total:064x}"
 
     def put(self, key: str, value: Json) -> None:
-        """Add or replace a part."""
+        """Add or replace a part.
+
+        Raises:
+            ConfigurationError: This release cannot read the part.
+        """
+        section, _, name = key.partition("/")
+        structured = structure_part(section, value)
         if key in self.values:
             self.add_digest(-part_digest(key, self.values[key]))
-        self.values[key] = value
-        self.add_digest(part_digest(key, value))
-        section, _, name = key.partition("/")
-        self.objects.setdefault(section, {})[name] = structure_part(section, value)
+        body = encode_part(value)
+        self.values[key] = body
+        self.add_digest(part_digest(key, body))
+        self.objects.setdefault(section, {})[name] = structured
 
     def remove(self, key: str) -> None:
         """Remove a part, if it is there."""
@@ -111,6 +127,11 @@
         section, _, name = key.partition("/")
         self.objects.get(section, {}).pop(name, None)
 
+    def find(self, key: str) -> Any:
+        """Return a part as a model object, or None."""
+        section, _, name = key.partition("/")
+        return self.objects.get(section, {}).get(name)
+
     def add_digest(self, amount: int) -> None:
         """Move the digest."""
         self.total = (self.total + amount) % DIGEST_MODULUS
@@ -128,8 +149,14 @@
         return DocumentState(dict(self.values), objects, self.total)
 
     def document(self) -> Document:
-        """Assemble the document."""
-        fleet: FleetPart = self.objects[FLEET_PART][""]
+        """Assemble the document.
+
+        Raises:
+            ConfigurationError: The part that every document has is missing.
+        """
+        fleet: FleetPart | None = self.find(FLEET_PART)
+        if fleet is None:
+            raise ConfigurationError("the version has no fleet part")
         rest: dict[str, Any] = {
             section: tuple(self.objects.get(section, {}).values())
             for section in LIST_PARTS
@@ -140,44 +167,68 @@
 
 
 def structure_part(section: str, value: Json) -> Any:
-    """Turn a part's JSON value into its model object."""
-    if section in LIST_PARTS:
-        return part_converter.structure(value, LIST_PARTS[section][0])
+    """Turn a part's JSON value into its model object.
+
+    While routers are replaced by a newer release, a document may hold what an
+    older one cannot read.  That must end as an error which its keeper survives
+    with the version it has, not as the end of the router.
+
+    Raises:
+        ConfigurationError: The value does not have the part's form.
+    """
     kind: type = SINGLE_PARTS.get(section, FleetPart)
-    return part_converter.structure(value, kind)
+    if section in LIST_PARTS:
+        kind = LIST_PARTS[section][0]
+    try:
+        return part_converter.structure(value, kind)
+    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError) as error:
+        message = f"a part of {section} cannot be read by this release"
+        raise ConfigurationError(message) from error
 
 
-def split_document(document: Document) -> Iterator[tuple[str, Json]]:
-    """Yield the parts of a document with their keys."""
-    fleet = FleetPart(document.fleet, document.domains)
-    yield FLEET_PART, part_converter.unstructure(fleet)
+def named_parts(document: Document) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield each section of a document with its parts, as model objects, by name."""
+    yield FLEET_PART, {"": FleetPart(document.fleet, document.domains)}
     for section in SINGLE_PARTS:
-        yield section, part_converter.unstructure(getattr(document, section))
+        yield section, {"": getattr(document, section)}
     for section, (_, name) in LIST_PARTS.items():
-        for item in getattr(document, section):
-            key = f"{section}/{getattr(item, name)}"
-            yield key, part_converter.unstructure(item)
+        name_of = attrgetter(name)
+        yield section, {name_of(item): item for item in getattr(document, section)}
+
+
+def part_key(section: str, name: str) -> str:
+    """Return the key of a part."""
+    return f"{section}/{name}" if name else section
 
 
 def find_change(before: DocumentState, document: Document, version: int) -> Change:
-    """Return what a document changes of a state."""
-    after = dict(split_document(document))
-    upserts = {
-        key: value
-        for key, value in after.items()
-        if key not in before.values or before.values[key] != value
-    }
-    deletes = tuple(key for key in before.values if key not in after)
-    return Change(version, upserts, deletes)
+    """Return what a document changes of a state.
+
+    Objects are compared, by identity first: turning all of them into JSON, or
+    only comparing all of them by value, takes most of the time of a change to
+    a large document.
+    """
+    upserts: dict[str, Any] = {}
+    deletes: list[str] = []
+    for section, items in named_parts(document):
+        known = before.objects.get(section, {})
+        for name, item in items.items():
+            old = known.get(name)
+            if old is not item and old != item:
+                upserts[part_key(section, name)] = part_converter.unstructure(item)
+        gone = [name for name in known if name not in items]
+        deletes.extend(part_key(section, name) for name in gone)
+    return Change(version, upserts, tuple(deletes))
 
 
 def find_changed_paths(before: DocumentState, after: DocumentState) -> tuple[str, ...]:
     """Name what differs between two states, down to the attribute."""
     paths: list[str] = []
     for key in dict.fromkeys((*before.values, *after.values)):
-        old, new = before.values.get(key), after.values.get(key)
+        old, new = before.values.get(key, b"null"), after.values.get(key, b"null")
         if old != new:
-            paths.extend(_changed_attributes(key, old, new))
+            changed = _changed_attributes(key, json.loads(old), json.loads(new))
+            paths.extend(changed)
     return tuple(paths)
 
 
--- a/ebonyhold/configuration/_store.py
+++ b/ebonyhold/configuration/_store.py
@@ -21,7 +21,6 @@
 from ebonyhold.configuration._parts import Change, DocumentState
 from ebonyhold.coordination import HeadRow, Objects, from_bytes, to_bytes
 from ebonyhold.exceptions import ConfigurationError, ConflictError, EbonyholdError
-from ebonyhold.types import Json
 
 OBJECT_PREFIX = "config/object/"
 HEAD_PREFIX = "config/heads/"
@@ -29,7 +28,11 @@
 """Copies of heads are numbered down from this, so that the newest lists first."""
 
 MOST_INLINE = 16_384
-"""Bytes of changes that a manifest carries before a new base is written."""
+"""Bytes of a manifest, beyond which a new base is written."""
+
+KEPT_INLINE = MOST_INLINE // 2
+"""Bytes of changes that stay in a manifest beside a new base, so that a router
+that is some versions behind need not read the base."""
 
 PACK_BYTES = 131_072
 """The size that packs of a base aim at."""
@@ -48,7 +51,8 @@
         version: The version.
         base: SHA-256 of the index of the base.
         base_version: The version that the base holds.
-        changes: What changed since then, the oldest first.
+        changes: The latest changes, the oldest first, without a gap up to
+            `version`; they reach back to the base, and mostly further.
     """
 
     version: int
@@ -56,19 +60,45 @@
     base_version: int
     changes: tuple[Change, ...] = ()
 
+    @property
+    def reaches_back_to(self) -> int:
+        """The oldest version from which the changes alone lead here."""
+        return self.changes[0].version - 1 if self.changes else self.version
+
+
+@frozen
+class PackEntry:
+    """One pack in an index.
+
+    Attributes:
+        digest: SHA-256 of the pack's object.
+        content: SHA-256 of its parts alone.
+    """
+
+    digest: str
+    content: str
+
 
 @frozen
 class BaseIndex:
     """The packs that together hold one version; a pack may be empty."""
 
     version: int
-    packs: tuple[str, ...]
+    packs: tuple[PackEntry, ...]
 
 
 @frozen
 class Pack:
-    """Parts whose keys have the same hash, modulo the number of packs."""
+    """Parts whose keys have the same hash, modulo the number of packs.
+
+    Attributes:
+        since: The base that it was written for.  It makes the object unique, so
+            that a pack which one base leaves out is never used again and can
+            be deleted with that base's predecessor.
+        parts: The parts by key.
+    """
 
+    since: int
     parts: Mapping[str, Any] = field(factory=dict)
 
 
@@ -124,7 +154,7 @@
             ConfigurationError: What the store holds does not fit the head.
         """
         manifest = await self.read_manifest(head)
-        if own is not None and own_version >= manifest.base_version:
+        if own is not None and own_version >= manifest.reaches_back_to:
             state = own.copy()
             apply_changes(state, manifest, own_version)
             if state.digest == head.digest:
@@ -135,13 +165,17 @@
             raise ConfigurationError(f"version {head.version} has another digest")
         return state
 
+    async def read_index(self, manifest: Manifest) -> BaseIndex:
+        """Read the index of a version's base."""
+        return _decode(await self.get(manifest.base), BaseIndex)
+
     async def read_base(self, manifest: Manifest) -> DocumentState:
         """Read a whole base."""
-        index = _decode(await self.get(manifest.base), BaseIndex)
-        packs = await self.read_packs(tuple(dict.fromkeys(index.packs)))
+        index = await self.read_index(manifest)
+        packs = await self.read_packs(tuple(each.digest for each in index.packs))
         state = DocumentState()
-        for digest in index.packs:
-            for key, value in packs[digest].parts.items():
+        for entry in index.packs:
+            for key, value in packs[entry.digest].parts.items():
                 state.put(key, value)
         return state
 
@@ -179,8 +213,8 @@
         Returns:
             The manifest's SHA-256, for the head row.
         """
+        changes = (*(previous.changes if previous else ()), change)
         if previous is not None:
-            changes = (*previous.changes, change)
             manifest = Manifest(
                 change.version, previous.base, previous.base_version, changes
             )
@@ -188,25 +222,58 @@
             if len(body) <= MOST_INLINE:
                 return await self.put(body)
         base = await self.write_base(state, change.version, previous)
-        return await self.put(to_bytes(Manifest(change.version, base, change.version)))
+        kept = newest_changes(changes, KEPT_INLINE)
+        manifest = Manifest(change.version, base, change.version, kept)
+        return await self.put(to_bytes(manifest))
 
     async def write_base(
         self, state: DocumentState, version: int, previous: Manifest | None
     ) -> str:
         """Write a base, leaving out the packs that the last one has already."""
-        present: frozenset[str] = frozenset()
+        present: dict[str, PackEntry] = {}
         if previous is not None:
-            last = _decode(await self.get(previous.base), BaseIndex)
-            present = frozenset(last.packs)
-        packs: list[str] = []
+            last = await self.read_index(previous)
+            present = {entry.content: entry for entry in last.packs}
+        packs: list[PackEntry] = []
         for parts in pack_parts(state.values):
-            body = to_bytes(Pack(parts))
-            digest = hashlib.sha256(body).hexdigest()
-            if digest not in present:
-                await self.put(body)
-            packs.append(digest)
+            content = content_digest(parts)
+            entry = present.get(content)
+            if entry is None:
+                values = {key: json.loads(body) for key, body in parts.items()}
+                digest = await self.put(to_bytes(Pack(version, values)))
+                entry = PackEntry(digest, content)
+            packs.append(entry)
         return await self.put(to_bytes(BaseIndex(version, tuple(packs))))
 
+    async def delete_version(self, old: HeadRow, following: HeadRow) -> None:
+        """Delete the objects of the oldest version that the next one can miss.
+
+        Versions refer to bases in order, so that a base which the next version
+        leaves is used by no later one.  The manifest goes last: if this ends
+        half-way, doing it again finds what is left; doing it twice is harmless.
+        """
+        try:
+            manifest = await self.read_manifest(old)
+        except ConfigurationError:
+            return
+        next_manifest = await self.read_manifest(following)
+        if manifest.base != next_manifest.base:
+            for digest in await self.packs_left_out(manifest, next_manifest):
+                await self.objects.delete(OBJECT_PREFIX + digest)
+            await self.objects.delete(OBJECT_PREFIX + manifest.base)
+        await self.objects.delete(head_copy_key(old.version))
+        await self.objects.delete(OBJECT_PREFIX + old.manifest)
+
+    async def packs_left_out(
+        self, manifest: Manifest, following: Manifest
+    ) -> tuple[str, ...]:
+        """Name the packs of a base that the next base left out."""
+        if await self.objects.get(OBJECT_PREFIX + manifest.base) is None:
+            return ()
+        kept = {entry.digest for entry in (await self.read_index(following)).packs}
+        packs = (await self.read_index(manifest)).packs
+        return tuple(each.digest for each in packs if each.digest not in kept)
+
     async def write_head_copy(self, head: HeadRow) -> None:
         """Keep a copy of an accepted head, for routers that miss the table."""
         try:
@@ -243,6 +310,16 @@
     return f"{HEAD_PREFIX}{HEAD_NUMBERS - version:011d}"
 
 
+def newest_changes(changes: tuple[Change, ...], most: int) -> tuple[Change, ...]:
+    """Return the newest changes that fit into a number of bytes."""
+    size = 0
+    for index in range(len(changes) - 1, -1, -1):
+        size += len(to_bytes(changes[index]))
+        if size > most:
+            return changes[index + 1 :]
+    return changes
+
+
 def apply_changes(state: DocumentState, manifest: Manifest, version: int) -> None:
     """Apply the manifest's changes that are newer than a version."""
     for change in manifest.changes:
@@ -250,18 +327,26 @@
             state.apply(change)
 
 
-def pack_parts(values: Mapping[str, Json]) -> list[dict[str, Json]]:
+def pack_parts(values: Mapping[str, bytes]) -> list[dict[str, bytes]]:
     """Distribute parts over packs by the hash of their key."""
-    size = sum(len(json.dumps(value)) for value in values.values())
+    size = sum(map(len, values.values()))
     count = 1
     while count * PACK_BYTES < size:
         count *= 2
-    packs: list[dict[str, Json]] = [{} for _ in range(count)]
-    for key, value in values.items():
-        packs[pack_number(key, count)][key] = value
+    packs: list[dict[str, bytes]] = [{} for _ in range(count)]
+    for key, body in values.items():
+        packs[pack_number(key, count)][key] = body
     return packs
 
 
+def content_digest(parts: Mapping[str, bytes]) -> str:
+    """Return the digest of a pack's parts, whatever their order."""
+    hasher = hashlib.sha256()
+    for key, body in sorted(parts.items()):
+        hasher.update(key.encode() + b"\0" + body + b"\0")
+    return hasher.hexdigest()
+
+
 def pack_number(key: str, count: int) -> int:
     """Return the pack that a part belongs to."""
     digest = hashlib.sha256(key.encode()).digest()
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -35,16 +35,17 @@
     CircuitBreaker,
 )
 from ebonyhold.coordination._bucket import (
+    AdaptiveRate,
     FairTurns,
     TokenBucket,
 )
 from ebonyhold.coordination._choice import (
     Candidate,
     ChoicePolicy,
-    Wish,
-    make_policy,
-    policies,
-    policy,
+    Need,
+    choice_policies,
+    choice_policy,
+    make_choice_policy,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -68,6 +69,7 @@
     may_adopt,
     plan_apply,
     plan_initial_topup,
+    plan_initial_topups,
     resolve_publication,
 )
 from ebonyhold.coordination._ejection import (
@@ -107,6 +109,8 @@
     grant_prefix,
     journal_prefix,
     lease_key,
+    order_key,
+    order_prefix,
     refund_key,
     request_key,
     router_key,
@@ -123,6 +127,8 @@
     plan_acquire,
     plan_release,
     plan_renew,
+    resolve_lease,
+    sight_lease,
 )
 from ebonyhold.coordination._members import (
     Listed,
@@ -141,6 +147,14 @@
     plan_ruling,
     plan_topup,
 )
+from ebonyhold.coordination._orders import (
+    Action,
+    EngineOrder,
+    EngineView,
+    OrderRow,
+    Placement,
+    PlacementPolicy,
+)
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantPolicy,
@@ -151,6 +165,7 @@
     grant_policy,
 )
 from ebonyhold.coordination._prefix import (
+    BLOCK_WORDS,
     PrefixIndex,
     prefix_hashes,
 )
@@ -224,6 +239,7 @@
 
 __all__ = [
     "ARCHIVE_PREFIX",
+    "BLOCK_WORDS",
     "BUDGET_PREFIX",
     "CONFIG_HEAD",
     "CONFIG_VERSION_PREFIX",
@@ -236,6 +252,8 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "Absent",
+    "Action",
+    "AdaptiveRate",
     "AdmissionQueue",
     "AloneMixin",
     "ArchiveRow",
@@ -258,6 +276,8 @@
     "Delete",
     "EjectionPolicy",
     "Ejector",
+    "EngineOrder",
+    "EngineView",
     "FairTurns",
     "Fate",
     "Filed",
@@ -286,9 +306,13 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "Need",
     "Objects",
+    "OrderRow",
     "Outcome",
     "Outgoing",
+    "Placement",
+    "PlacementPolicy",
     "PlannedStop",
     "PrefixIndex",
     "Put",
@@ -316,7 +340,6 @@
     "TransferRow",
     "TransferState",
     "Verdict",
-    "Wish",
     "Witness",
     "Write",
     "announce_transfer",
@@ -325,6 +348,8 @@
     "budget_key",
     "change_budget",
     "change_grant",
+    "choice_policies",
+    "choice_policy",
     "claim_transaction",
     "close_grant",
     "close_transaction",
@@ -348,27 +373,29 @@
     "lapse_transfer",
     "lease_key",
     "make_bill",
-    "make_policy",
+    "make_choice_policy",
     "may_adopt",
     "next_attempt",
     "open_row",
+    "order_key",
+    "order_prefix",
     "parse_lease",
     "plan_acquire",
     "plan_apply",
     "plan_archive",
     "plan_initial_topup",
+    "plan_initial_topups",
     "plan_refund",
     "plan_release",
     "plan_renew",
     "plan_ruling",
     "plan_settlement",
     "plan_topup",
-    "policies",
-    "policy",
     "prefix_hashes",
     "proves_not_run",
     "refund_key",
     "request_key",
+    "resolve_lease",
     "resolve_publication",
     "responsible",
     "revoke_transfer",
@@ -380,6 +407,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "sight_lease",
     "to_bytes",
     "to_json",
     "topup_key",
--- a/ebonyhold/coordination/_choice.py
+++ b/ebonyhold/coordination/_choice.py
@@ -48,7 +48,7 @@
 
 
 @frozen
-class Wish:
+class Need:
     """What the request needs of its backend server.
 
     Attributes:
@@ -66,49 +66,49 @@
     """Picks one of several candidates; it may keep state between calls."""
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return the candidate that gets the request; there is at least one."""
         ...
 
 
-policies: dict[str, Callable[[], ChoicePolicy]] = {}
+choice_policies: dict[str, Callable[[], ChoicePolicy]] = {}
 """The registered policies by the name that the document uses."""
 
 
-def policy(
+def choice_policy(
     name: str,
 ) -> Callable[[type[ChoicePolicy]], type[ChoicePolicy]]:
     """Register the decorated class as a choice policy."""
 
     def register(kind: type[ChoicePolicy]) -> type[ChoicePolicy]:
-        policies[name] = kind
+        choice_policies[name] = kind
         return kind
 
     return register
 
 
-def make_policy(name: str) -> ChoicePolicy:
+def make_choice_policy(name: str) -> ChoicePolicy:
     """Return a new instance of a registered policy.
 
     Raises:
         KeyError: No policy has that name.
     """
-    return policies[name]()
+    return choice_policies[name]()
 
 
-@policy("random")
+@choice_policy("random")
 class RandomChoice:
     """Any candidate, each as likely as the others."""
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return a random candidate."""
         return rng.choice(candidates)
 
 
-@policy("round_robin")
+@choice_policy("round_robin")
 @define
 class RoundRobin:
     """One candidate after the other, in the order of their names."""
@@ -116,7 +116,7 @@
     turn: int = -1
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return the next candidate; the first one is random, or routers march."""
         if self.turn < 0:
@@ -126,12 +126,12 @@
         return ordered[self.turn % len(ordered)]
 
 
-@policy("least_load")
+@choice_policy("least_load")
 class LeastLoad:
     """The candidate whose last report was the lowest; ties by chance."""
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return the candidate with the least reported load."""
         return min(
@@ -139,12 +139,12 @@
         )
 
 
-@policy("two_choices")
+@choice_policy("two_choices")
 class TwoChoices:
     """The less loaded of two random candidates, by the corrected load."""
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return the better of two random candidates."""
         if len(candidates) == 1:
@@ -161,11 +161,11 @@
 MEAN_ANSWER: Tokens = 128
 """Tokens of a usual answer, for the time that a slot takes to become free."""
 
-SAMPLED = 3
+SAMPLED = 2
 """Candidates that are drawn by chance beside the one with the longest prefix."""
 
 
-@policy("prefix_aware")
+@choice_policy("prefix_aware")
 class PrefixAware:
     """The least expected time to the first token among a few candidates.
 
@@ -175,23 +175,23 @@
     """
 
     def choose(
-        self, wish: Wish, candidates: Sequence[Candidate], rng: random.Random
+        self, need: Need, candidates: Sequence[Candidate], rng: random.Random
     ) -> Candidate:
         """Return the candidate with the least expected cost."""
         drawn = list(rng.sample(candidates, min(SAMPLED, len(candidates))))
-        longest = max(candidates, key=lambda item: item.reuse)
+        longest = max(candidates, key=lambda item: (item.reuse, -item.load))
         if longest.reuse > 0 and longest not in drawn:
             drawn.append(longest)
-        return min(drawn, key=lambda item: cost(wish, item))
+        return min(drawn, key=lambda item: cost(need, item))
 
 
-def cost(wish: Wish, item: Candidate) -> float:
+def cost(need: Need, item: Candidate) -> float:
     """Return the expected time to the first token, in seconds.
 
     It is the way there and back, the wait for a slot, and the part of the
     prompt that the cache does not hold, read while others want the engine too.
     """
-    fresh = max(0, wish.prompt - item.reuse)
+    fresh = max(0, need.prompt - item.reuse)
     share = item.load / item.slots
     waiting = max(0.0, item.load + 1 - item.slots) / item.slots
     turnover = MEAN_ANSWER * max(1.0, share) / max(item.token_rate, 1.0) * item.slots
--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -2,7 +2,10 @@
 
 from ebonyhold.document._capacity import is_stopped
 from ebonyhold.document._check import (
+    FindingsError,
     check_bytes,
+    check_document,
+    check_part,
     check_text,
     load_document,
     render_findings,
@@ -31,6 +34,7 @@
 )
 from ebonyhold.document._render import (
     part_converter,
+    plain_to_yaml,
     to_canonical_json,
     to_plain,
     to_yaml,
@@ -45,6 +49,7 @@
     "Document",
     "Finding",
     "FindingCode",
+    "FindingsError",
     "Limits",
     "ModelRoute",
     "Policy",
@@ -56,11 +61,14 @@
     "UnknownOutcome",
     "Workspace",
     "check_bytes",
+    "check_document",
+    "check_part",
     "check_text",
     "is_stopped",
     "load_document",
     "parse_duration",
     "part_converter",
+    "plain_to_yaml",
     "render_duration",
     "render_findings",
     "schema",
