--- a/ebonyhold/document/_model.py
+++ b/ebonyhold/document/_model.py
@@ -196,7 +196,7 @@
         keep_bills: How long bills and claims stay, in seconds.
     """
 
-    grants: str = field(default="adaptive", metadata=NAME)
+    grants: str = field(default="adaptive_transfer", metadata=NAME)
     choice: str = field(default="prefix_aware", metadata=NAME)
     grant_horizon: Seconds = field(default=3600.0, metadata=duration(0.1, 86_400))
     reserve_share: float = field(default=0.95, metadata=bounded(0.001, 1))
