Split the account and the treasury by job; judge refusals by later reads

Change: transfers, waiting requests, the exchange between routers and the status have modules of their own; a refusal needs a read that began after the request came. Conclusion: same behaviour but for the read.

--- a/ebonyhold/money/__init__.py
+++ b/ebonyhold/money/__init__.py
@@ -7,7 +7,8 @@
 from ebonyhold.money._options import MoneyOptions
 from ebonyhold.money._recovery import Recovery, RecoveryReport, Unsettled
 from ebonyhold.money._retention import Retention, RetentionReport
-from ebonyhold.money._treasury import GrantStatus, MoneyStatus, Treasury
+from ebonyhold.money._status import GrantStatus, MoneyStatus
+from ebonyhold.money._treasury import Treasury
 from ebonyhold.money._verify import Discrepancy, verify_bills
 
 __all__ = [
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections import deque
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from functools import partial
 
 import anyio
@@ -20,24 +18,15 @@
     GrantView,
     LedgerChange,
     RequestRow,
-    RouterRow,
     Seen,
     Settlement,
     Table,
-    TransferRow,
-    TransferState,
-    announce_transfer,
     budget_key,
     find_grant_policy,
     grant_key,
-    grant_keys,
     plan_settlement,
-    revoke_transfer,
     router_key,
     seen,
-    settle_transfer,
-    transfer_ends,
-    transfer_key,
 )
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import (
@@ -53,11 +42,10 @@
 from ebonyhold.money._demand import DemandEstimate
 from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
+from ebonyhold.money._transfer_book import TransferBook
+from ebonyhold.money._waiters import Waiter, WaitingRequests
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
-RECEIPTS = 32
-"""Transfers that a request for more names as received."""
-
 SETTLE_ROUNDS = 50
 """Settlements of one round, before waiting requests are looked at again."""
 
@@ -65,28 +53,6 @@
 """Tries of one settlement against other writers, before the next round."""
 
 
-@define(eq=False)
-class Waiter:
-    """A request that waits for a hold.
-
-    Attributes:
-        need: Tokens it wants to hold.
-        since: When it came.
-        joined: How often the budget had been read when it came: only a read
-            after that is fresh enough to refuse it.
-        done: Set when it is granted or refused.
-        granted: Whether it has its hold.
-        error: Why it was refused.
-    """
-
-    need: Tokens
-    since: float
-    joined: int
-    done: anyio.Event = field(factory=anyio.Event)
-    granted: bool = False
-    error: BudgetError | SealedError | None = None
-
-
 @frozen
 class Unfiled:
     """A bill that is not in the table yet, and the append of its outcome."""
@@ -95,23 +61,6 @@
     append: Append
 
 
-@frozen
-class Arrival:
-    """A received transfer that is not settled in the table yet."""
-
-    transfer: str
-    amount: Tokens
-
-
-@frozen
-class Given:
-    """A transfer to another router that is not settled in the table yet."""
-
-    transfer: str
-    amount: Tokens
-    append: Append
-
-
 @define(eq=False)
 class Account:
     """One workspace's grant, as long as it is in use here.
@@ -125,9 +74,8 @@
         ledger: The tokens of the grant.
         budget: The budget as last read or written.
         unfiled: Bills on their way, by run.
-        arrivals: Received transfers on their way.
-        receipts: The last transfers received, settled or not.
-        given: Transfers to others on their way, by name.
+        transfers: Tokens on their way to and from other routers.
+        waiters: Requests that wait for a hold.
         doubt: A settlement that may or may not have taken effect.
         reachable: Whether the last call to the table succeeded.
     """
@@ -143,10 +91,8 @@
     demand: DemandEstimate = field(factory=DemandEstimate)
     budget: BudgetRow | None = None
     unfiled: dict[str, Unfiled] = field(factory=dict)
-    arrivals: dict[str, Arrival] = field(factory=dict)
-    receipts: deque[str] = field(factory=partial(deque, maxlen=RECEIPTS))
-    given: dict[str, Given] = field(factory=dict)
-    waiters: deque[Waiter] = field(factory=deque)
+    transfers: TransferBook = field(init=False)
+    waiters: WaitingRequests = field(factory=WaitingRequests)
     doubt: Settlement | None = None
     reachable: bool = True
     urgent: bool = False
@@ -155,10 +101,15 @@
     used_at: float = field(factory=anyio.current_time)
     pause: float = 0.0
     drawn: Tokens = 0
-    reads: int = 0
+    reads_begun: int = 0
+    last_read: int = 0
     settlements: int = 0
-    gifts_checked_at: float = 0.0
-    gifts_announced: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Open the book of transfers over the same ledger."""
+        self.transfers = TransferBook(
+            self.workspace, self.ledger, self.journal, self.table, self.options
+        )
 
     @property
     def me(self) -> RouterId:
@@ -180,8 +131,8 @@
             if self._wants_resize():
                 self.poke()
             return
-        waiter = Waiter(need, now, self.reads)
-        self.waiters.append(waiter)
+        waiter = Waiter(need, now, self.reads_begun)
+        self.waiters.join(waiter)
         self.poke(urgent=True)
         try:
             with anyio.move_on_after(self.options.acquire_within):
@@ -191,8 +142,7 @@
                 self.release(need, 0)
             raise
         finally:
-            if waiter in self.waiters:
-                self.waiters.remove(waiter)
+            self.waiters.leave(waiter)
         if waiter.granted:
             return
         if waiter.error is not None:
@@ -212,18 +162,9 @@
         if append.done.is_set():
             append.then()
 
-    def give(self, transfer: str, amount: Tokens, append: Append) -> Given:
-        """Take tokens out for another router."""
-        self.ledger.give(amount)
-        given = Given(transfer, amount, append)
-        self.given[transfer] = given
-        return given
-
     def arrive(self, transfer: str, amount: Tokens) -> None:
-        """Add tokens whose receipt is durable."""
-        self.ledger.receive(amount)
-        self.arrivals[transfer] = Arrival(transfer, amount)
-        self.receipts.append(transfer)
+        """Add tokens from another router, whose receipt is durable."""
+        self.transfers.arrive(transfer, amount)
         self._serve()
         self.poke()
 
@@ -236,9 +177,8 @@
         """Return what a policy may look at."""
         now = anyio.current_time()
         policy = self.policy()
-        need = sum(waiter.need for waiter in self.waiters)
         return GrantView(
-            need=max(need - self.ledger.available, 0),
+            need=max(self.waiters.need - self.ledger.available, 0),
             available=self.ledger.available,
             rate=self.demand.rate(now),
             typical=self.demand.typical,
@@ -290,11 +230,13 @@
         idle = anyio.current_time() - self.used_at
         if idle < self.options.evict_after and not self.closing:
             return False
-        if self.unfiled or self.arrivals or self.waiters or self.doubt is not None:
+        if self.unfiled or self.waiters or self.doubt is not None:
+            return False
+        if self.transfers.arrivals:
             return False
         if self.closing:
-            return self.gifts_announced and not self.ledger.mine
-        return not self.given and self.ledger.empty
+            return self.transfers.announced and not self.ledger.mine
+        return not self.transfers.given and self.ledger.empty
 
     async def settle(self) -> None:
         """File, draw, return: until nothing is wanted of the table now.
@@ -303,11 +245,9 @@
             PlatformError: The table could not be reached.
             SealedError: This incarnation is over.
         """
-        for arrival in list(self.arrivals.values()):
-            await self._settle_arrival(arrival)
-        await self._settle_gifts()
+        await self.transfers.settle()
         if self.closing:
-            await self._announce_gifts()
+            await self.transfers.announce()
         for _ in range(SETTLE_ROUNDS):
             if not await self._settle_once():
                 break
@@ -350,6 +290,8 @@
             grant_key(self.me, self.workspace),
             *(bill.key for bill in bills),
         )
+        self.reads_begun += 1
+        read = self.reads_begun
         router, budget, grant, *requests = await self.table.read(keys)
         if router is None or router.version != self.journal.router.version:
             raise SealedError(f"{self.me} was sealed")
@@ -362,7 +304,7 @@
             },
         )
         self.budget = rows.budget.value
-        self.reads += 1
+        self.last_read = read
         return rows
 
     def _resolve_doubt(self, rows: _Rows) -> bool:
@@ -450,99 +392,8 @@
                 self.ledger.filed(bill.charge, paid)
                 self.journal.settle(run)
 
-    async def _settle_arrival(self, arrival: Arrival) -> None:
-        source_key, own_key = grant_keys(arrival.transfer, self.workspace)
-        keys = (
-            transfer_key(arrival.transfer),
-            router_key(self.me),
-            source_key,
-            own_key,
-        )
-        for _ in range(SETTLE_TRIES):
-            transfer, router, source, own = await self.table.read(keys)
-            if router is None or router.version != self.journal.router.version:
-                raise SealedError(f"{self.me} was sealed")
-            wish = settle_transfer(
-                seen(keys[0], transfer, TransferRow),
-                seen(keys[1], router, RouterRow),
-                seen(keys[2], source, GrantRow),
-                seen(keys[3], own, GrantRow),
-                self.workspace,
-                arrival.amount,
-            )
-            if wish is None:
-                del self.arrivals[arrival.transfer]
-                self.ledger.received -= arrival.amount
-                self.journal.settle(arrival.transfer)
-                return
-            try:
-                await self.table.commit(wish)
-            except (ConflictError, UnknownOutcomeError):
-                continue
-        raise UnavailableError(f"transfer {arrival.transfer} met other writers")
-
-    async def _settle_gifts(self) -> None:
-        """Find out which transfers to others are settled, or can never be."""
-        now = anyio.current_time()
-        if now < self.gifts_checked_at + self.options.resize_interval:
-            return
-        self.gifts_checked_at = now
-        for given in list(self.given.values()):
-            await self._settle_gift(given)
-
-    async def _announce_gifts(self) -> None:
-        """Leave transfers that nobody settled yet to whoever sweeps later."""
-        for given in self.given.values():
-            key = transfer_key(given.transfer)
-            for _ in range(SETTLE_TRIES):
-                (row,) = await self.table.read((key,))
-                wish = announce_transfer(
-                    seen(key, row, TransferRow), self.workspace, given.amount
-                )
-                if wish is None:
-                    break
-                with suppress(ConflictError, UnknownOutcomeError):
-                    await self.table.commit(wish)
-            else:
-                raise UnavailableError(f"{given.transfer} could not be announced")
-        self.gifts_announced = True
-
-    async def _settle_gift(self, given: Given) -> None:
-        _, to = transfer_ends(given.transfer)
-        keys = (transfer_key(given.transfer), router_key(to))
-        row, receiver = await self.table.read(keys)
-        transfer = seen(keys[0], row, TransferRow)
-        if transfer.value is not None:
-            self._gift_ended(given, transfer.value.state)
-            return
-        router = seen(keys[1], receiver, RouterRow)
-        wish = revoke_transfer(
-            self.journal.router, transfer, router, self.workspace, given.amount
-        )
-        if wish is None:
-            return
-        try:
-            await self.table.commit(wish)
-        except (ConflictError, UnknownOutcomeError):
-            return
-        self._gift_ended(given, TransferState.LAPSED)
-
-    def _gift_ended(self, given: Given, state: TransferState) -> None:
-        if state is TransferState.PENDING:
-            return
-        if self.given.pop(given.transfer, None) is None:
-            return
-        self.ledger.given -= given.amount
-        if state is TransferState.LAPSED:
-            self.ledger.available += given.amount
-        self.journal.settle(given.transfer)
-
     def _serve(self) -> None:
-        for waiter in list(self.waiters):
-            if self.ledger.hold(waiter.need):
-                self.waiters.remove(waiter)
-                waiter.granted = True
-                waiter.done.set()
+        self.waiters.serve(self.ledger)
 
     def _wants_resize(self) -> bool:
         size = self._size()
@@ -551,10 +402,10 @@
     async def _refuse_the_rest(self) -> None:
         """Refuse whom the budget, read just now, cannot serve."""
         self._serve()
-        for waiter in self._judged():
+        for waiter in self.waiters.judged_by(self.last_read):
             if self._exhausted(waiter.need):
-                self._refuse(waiter, self._refusal(waiter.need))
-        judged = self._judged()
+                self.waiters.refuse(waiter, self._refusal(waiter.need))
+        judged = self.waiters.judged_by(self.last_read)
         if not judged:
             return
         await self._beg()
@@ -562,7 +413,7 @@
         patience = find_grant_policy(self.policy().grants).patience
         for waiter in judged:
             if not waiter.granted and now >= waiter.since + patience:
-                self._refuse(waiter, self._refusal(waiter.need))
+                self.waiters.refuse(waiter, self._refusal(waiter.need))
         if self.waiters:
             await self._wait_for_returns()
 
@@ -572,15 +423,6 @@
             await self.wake.wait()
         self.poke(urgent=True)
 
-    def _judged(self) -> list[Waiter]:
-        return [waiter for waiter in self.waiters if waiter.joined < self.reads]
-
-    def _refuse(self, waiter: Waiter, error: BudgetError | SealedError) -> None:
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
-        waiter.error = error
-        waiter.done.set()
-
     def _exhausted(self, need: Tokens) -> bool:
         row = self.budget or BudgetRow()
         return row.prepaid - row.spent < need
@@ -602,22 +444,22 @@
         if self.waiters:
             await self._beg()
         reason = f"the budget of {self.workspace} cannot be reached: {error}"
-        for waiter in list(self.waiters):
-            self._refuse(waiter, BudgetUnreachableError(reason))
+        for waiter in self.waiters:
+            self.waiters.refuse(waiter, BudgetUnreachableError(reason))
         longer = max(self.options.retry_pause, self.pause * 2)
         self.pause = min(longer, self.options.most_pause)
         await self._pause(self.pause)
 
     async def _beg(self) -> None:
-        lack = sum(waiter.need for waiter in self.waiters) - self.ledger.available
+        lack = self.waiters.need - self.ledger.available
         if lack > 0:
             await self.ask_peers(self, lack)
         self._serve()
 
     def fail(self, error: SealedError) -> None:
         """Fail everybody: this incarnation is over."""
-        for waiter in list(self.waiters):
-            self._refuse(waiter, error)
+        for waiter in self.waiters:
+            self.waiters.refuse(waiter, error)
 
 
 @frozen
--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -11,7 +11,6 @@
 from attrs import evolve, frozen
 
 from ebonyhold.coordination import (
-    BudgetRow,
     ClaimAnswer,
     Delete,
     GrantRow,
@@ -25,10 +24,7 @@
     Seen,
     Table,
     Transaction,
-    TransferIn,
-    TransferOut,
     close_transaction,
-    find_grant_policy,
     first_attempt,
     grant_prefix,
     make_bill,
@@ -36,23 +32,22 @@
     open_row,
     run_of,
     seen,
-    transfer_ends,
-    transfer_name,
 )
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import (
     ConflictError,
-    PeerError,
     SealedError,
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.money._account import Account, Given
+from ebonyhold.money._account import Account
 from ebonyhold.money._claims import Claims, Look, needs_claim, unavailable
+from ebonyhold.money._exchange import TokenExchange
 from ebonyhold.money._interface import BackendTruth, Order, Permit, Replay
-from ebonyhold.money._journal import Append, Journal, Place
+from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
-from ebonyhold.routers import PeerLink, PeerMessage, TransferGiven, TransferRequest
+from ebonyhold.money._status import MoneyStatus, grant_status
+from ebonyhold.routers import PeerLink
 from ebonyhold.types import BackendName, RouterId, Tokens, WorkspaceName
 
 OPEN_TRIES = 5
@@ -61,43 +56,6 @@
 """Rows of grants that one transaction deletes."""
 
 
-@frozen
-class GrantStatus:
-    """One grant, for operators."""
-
-    workspace: WorkspaceName
-    available: Tokens
-    held: Tokens
-    unfiled: Tokens
-    given: Tokens
-    received: Tokens
-    budget: BudgetRow | None
-    reachable: bool
-
-
-@frozen
-class MoneyStatus:
-    """The money side of a router, for operators.
-
-    Attributes:
-        router: The incarnation.
-        sealed: Whether another router has recovered it.
-        place: Where the journal's last append went.
-        unfiled: Bills that are not in the table yet.
-        running: Requests with a hold.
-        segments: Journal segments in the table that are not settled.
-        grants: What is held, by workspace.
-    """
-
-    router: RouterId
-    sealed: bool
-    place: Place
-    unfiled: int
-    running: int
-    segments: int
-    grants: tuple[GrantStatus, ...]
-
-
 @frozen
 class _Run:
     """A request between its hold and its end."""
@@ -140,12 +98,11 @@
         self.options = options or MoneyOptions()
         self.accounts: dict[WorkspaceName, Account] = {}
         self.runs: dict[str, _Run] = {}
-        self.received: set[str] = set()
         self.journal: Journal | None = None
         self.claims: Claims | None = None
         self.draining = False
         self.serial = 0
-        self.transfer_serial = 0
+        self.exchange: TokenExchange | None = None
         self.tasks: TaskGroup | None = None
 
     @property
@@ -167,6 +124,16 @@
         router = await self._register(key, wish)
         self.journal = Journal(self.me, self.table, self.objects, self.options, router)
         self.claims = Claims(router, self.table)
+        self.exchange = TokenExchange(
+            self.me,
+            self.peers,
+            self.journal,
+            self.policy,
+            self.options,
+            self.accounts,
+            self._account,
+            lambda: self.sealed or self.draining,
+        )
 
     async def _register(self, key: str, wish: Transaction) -> Seen[RouterRow]:
         for _ in range(OPEN_TRIES):
@@ -186,9 +153,7 @@
     ) -> None:
         """Run the tasks; returns once the incarnation is sealed or drained."""
         journal = self._journal()
-        if self.peers is not None:
-            self.peers.handle(TransferRequest, self.answer_request)
-            self.peers.handle(TransferGiven, self.take_given)
+        self._exchange().listen()
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             tasks.start_soon(journal.run)
@@ -209,6 +174,11 @@
             raise UnavailableError(f"{self.me} is not registered yet")
         return self.journal
 
+    def _exchange(self) -> TokenExchange:
+        if self.exchange is None:
+            raise UnavailableError(f"{self.me} is not registered yet")
+        return self.exchange
+
     async def begin(self, order: Order) -> Permit | Replay:
         """Take the hold and the claim, and make the intent durable.
 
@@ -348,8 +318,8 @@
             self.table,
             self.options,
             self.policy,
-            self._routers,
-            self.ask_peers,
+            self._exchange().routers,
+            self._exchange().ask_peers,
         )
         account.closing = self.draining
         self.accounts[workspace] = account
@@ -362,104 +332,6 @@
         if self.accounts.get(account.workspace) is account and not self.sealed:
             del self.accounts[account.workspace]
 
-    def _routers(self) -> int:
-        return 1 + (len(self.peers.alive()) if self.peers else 0)
-
-    async def ask_peers(self, account: Account, lack: Tokens) -> None:
-        """Ask other routers for tokens until nothing lacks or all were asked."""
-        policy = find_grant_policy(self.policy().grants)
-        if self.peers is None or not policy.asks_peers:
-            return
-        wanted = account.ledger.available + lack
-        for peer in self.peers.alive()[: self.options.peers_asked]:
-            still = wanted - account.ledger.available
-            if still <= 0:
-                return
-            await self._ask_peer(peer, account, still)
-
-    async def _ask_peer(self, peer: RouterId, account: Account, need: Tokens) -> None:
-        assert self.peers is not None
-        have = tuple(
-            transfer
-            for transfer in account.receipts
-            if transfer_ends(transfer)[0] == peer
-        )
-        message = TransferRequest(account.workspace, need, have)
-        try:
-            given = await self.peers.ask(
-                peer, message, TransferGiven, self.options.ask_within
-            )
-        except PeerError:
-            return
-        await self.take_given(peer, given)
-
-    async def answer_request(
-        self, peer: RouterId, message: PeerMessage
-    ) -> PeerMessage | None:
-        """Give tokens to another router, if there are some to spare."""
-        assert isinstance(message, TransferRequest)
-        account = self.accounts.get(message.workspace)
-        if account is None or self.sealed or self.draining:
-            return TransferGiven(message.workspace, "", 0)
-        given = self._lost_gift(account, peer, message.have) or self._new_gift(
-            account, peer, message
-        )
-        if given is None:
-            return TransferGiven(message.workspace, "", 0)
-        with anyio.move_on_after(self.options.given_within):
-            await given.append.done.wait()
-        if not given.append.done.is_set() or given.append.error is not None:
-            return TransferGiven(message.workspace, "", 0)
-        return TransferGiven(message.workspace, given.transfer, given.amount)
-
-    def _lost_gift(
-        self, account: Account, peer: RouterId, have: tuple[str, ...]
-    ) -> Given | None:
-        """Return a transfer that this peer has not received.
-
-        Sending it again is safe, since a receiver counts a transfer once.
-        """
-        for given in account.given.values():
-            to = transfer_ends(given.transfer)[1]
-            if to == peer and given.transfer not in have:
-                return given
-        return None
-
-    def _new_gift(
-        self, account: Account, peer: RouterId, message: TransferRequest
-    ) -> Given | None:
-        policy = find_grant_policy(self.policy().grants)
-        amount = policy.give(account.view(), message.wanted)
-        amount = min(amount, account.ledger.available)
-        if amount <= 0:
-            return None
-        self.transfer_serial += 1
-        transfer = transfer_name(self.me, peer, self.transfer_serial)
-        entry = TransferOut(account.workspace, transfer, peer, amount)
-        append = self._journal().put(entry)
-        return account.give(transfer, amount, append)
-
-    async def take_given(
-        self, peer: RouterId, message: PeerMessage
-    ) -> PeerMessage | None:
-        """Receive tokens from another router, once."""
-        assert isinstance(message, TransferGiven)
-        transfer = message.transfer
-        if not transfer or message.amount <= 0 or transfer in self.received:
-            return None
-        # Tokens meant for another incarnation must not arrive here: whoever
-        # recovers that one decides about them.
-        if transfer_ends(transfer) != (peer, self.me) or self.sealed:
-            return None
-        self.received.add(transfer)
-        entry = TransferIn(message.workspace, transfer, peer, message.amount)
-        append = self._journal().put(entry)
-        await append.done.wait()
-        if append.error is None:
-            account = self._account(message.workspace)
-            account.arrive(transfer, message.amount)
-        return None
-
     async def drain(self) -> None:
         """File every bill, return every unspent token and close the incarnation.
 
@@ -522,7 +394,7 @@
     def status(self) -> MoneyStatus:
         """Return what operators see."""
         journal = self._journal()
-        grants = tuple(_grant_status(account) for account in self.accounts.values())
+        grants = tuple(grant_status(account) for account in self.accounts.values())
         return MoneyStatus(
             router=self.me,
             sealed=self.sealed,
@@ -534,20 +406,6 @@
         )
 
 
-def _grant_status(account: Account) -> GrantStatus:
-    ledger = account.ledger
-    return GrantStatus(
-        workspace=account.workspace,
-        available=ledger.available,
-        held=ledger.held,
-        unfiled=ledger.unfiled,
-        given=ledger.given,
-        received=ledger.received,
-        budget=account.budget,
-        reachable=account.reachable,
-    )
-
-
 def _replay(look: Look) -> Replay:
     row = look.request.value
     assert row is not None
--- a/tests/money/test_partitions.py
+++ b/tests/money/test_partitions.py
@@ -15,6 +15,7 @@
 )
 from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
 from ebonyhold.money import Incarnations, MoneyOptions, Permit, Treasury, top_up
+from ebonyhold.money._exchange import TokenExchange
 from ebonyhold.routers import TransferGiven
 from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 from tests.money.stories import (
@@ -39,6 +40,12 @@
     return table, objects
 
 
+def exchange(treasury: Treasury) -> TokenExchange:
+    """Return what a router gives and takes tokens through."""
+    assert treasury.exchange is not None
+    return treasury.exchange
+
+
 async def spend(treasury: Treasury, name: str, hold: int, charge: int) -> None:
     """Run one request to its end."""
     permit = await begin(treasury, order("w", name, hold))
@@ -264,7 +271,7 @@
         with pytest.raises(BudgetUnreachableError):
             await begin(poor, order("w", "r1", 400))
         await spend(poor, "r2", 400, 300)
-        assert rich.transfer_serial == 1
+        assert exchange(rich).serial == 1
         fleet.table.faults.down = False
         await anyio.sleep(30)
         await poor.drain()
@@ -329,11 +336,11 @@
         fleet.network.lose_replies = 1
         with pytest.raises(BudgetUnreachableError):
             await begin(poor, order("w", "r1", 400))
-        given = next(iter(rich.accounts["w"].given.values()))
+        given = next(iter(rich.accounts["w"].transfers.given.values()))
         fleet.table.faults.down = False
         successor = await fleet.start("b.2")
         late = TransferGiven("w", given.transfer, given.amount)
-        await successor.take_given("a.1", late)
+        await exchange(successor).take_given("a.1", late)
         assert "w" not in successor.accounts
 
     run(story)
@@ -452,13 +459,13 @@
         fleet.network.lose_replies = 1
         with pytest.raises(BudgetUnreachableError):
             await begin(poor, order("w", "r1", 400))
-        given = next(iter(rich.accounts["w"].given.values()))
+        given = next(iter(rich.accounts["w"].transfers.given.values()))
         message = TransferGiven("w", given.transfer, given.amount)
         before = poor.accounts["w"].ledger.available
         async with anyio.create_task_group() as deliveries:
-            deliveries.start_soon(poor.take_given, "a.1", message)
-            deliveries.start_soon(poor.take_given, "a.1", message)
-        await poor.take_given("a.1", message)
+            deliveries.start_soon(exchange(poor).take_given, "a.1", message)
+            deliveries.start_soon(exchange(poor).take_given, "a.1", message)
+        await exchange(poor).take_given("a.1", message)
         assert poor.accounts["w"].ledger.available == before + given.amount
         fleet.table.faults.down = False
         await anyio.sleep(30)
