Give sealing a module; scans keep under the table's ceiling

Change: SealedJournal seals, reads and drops; recovery and retention use the paced scan; a ruling needs a sealed router.

--- a/ebonyhold/money/_recovery.py
+++ b/ebonyhold/money/_recovery.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 
 from attrs import define, field, frozen
 
@@ -13,11 +12,9 @@
     AttemptTruth,
     Bill,
     BudgetRow,
-    Delete,
     GrantRow,
     Intent,
     JournalReading,
-    JournalSegment,
     LedgerChange,
     Objects,
     Outcome,
@@ -25,8 +22,6 @@
     RequestState,
     RouterRow,
     RouterState,
-    Row,
-    Seal,
     Seen,
     Table,
     Transaction,
@@ -38,24 +33,18 @@
     budget_key,
     close_grant,
     close_transaction,
-    from_bytes,
-    from_json,
     grant_key,
     grant_keys,
     grant_prefix,
-    journal_prefix,
     lapse_transfer,
     make_bill,
     plan_settlement,
     request_key,
     router_key,
     run_of,
-    seal_transaction,
     seen,
-    segment_key,
     settle_run,
     settle_transfer,
-    to_bytes,
     transfer_key,
 )
 from ebonyhold.document import Policy, UnknownOutcome
@@ -66,13 +55,13 @@
     UnknownOutcomeError,
 )
 from ebonyhold.money._interface import BackendTruth
+from ebonyhold.money._sealing import SealedJournal
+from ebonyhold.scans import scan_rows
 from ebonyhold.types import AttemptId, RouterId, Tokens, WorkspaceName
 
 TRIES = 20
 """Tries of one step against other writers: two survivors may race each other."""
 
-PAGE = 500
-
 
 @frozen
 class Unsettled:
@@ -133,12 +122,12 @@
             PlatformError: A place could not be reached; call it again later.
         """
         report = RecoveryReport(router)
-        row = await self._seal_table(router)
+        journal = SealedJournal(self.table, self.objects, router, self.me)
+        row = await journal.seal()
         if row.value is None or row.value.state is RouterState.CLOSED:
             report.closed = True
             return report
-        await self._seal_objects(router)
-        reading = await self._read_journal(router)
+        reading = await journal.read()
         await self._settle_receipts(row, reading)
         pending = await self._announce_gifts(reading)
         bills = [*reading.bills(), *await self._judge_open(row, reading, report)]
@@ -146,6 +135,7 @@
         await self._return_all(row, report, pending)
         if not report.unsettled:
             await self._close(row)
+            await journal.drop()
             report.closed = True
         return report
 
@@ -160,8 +150,11 @@
             ValueError: The sealed router's journal has no such run open.
             PlatformError: A place could not be reached; call it again later.
         """
-        row = await self._seal_table(router)
-        reading = await self._read_journal(router)
+        journal = SealedJournal(self.table, self.objects, router, self.me)
+        row = await journal.row()
+        if row.value is None or row.value.state is not RouterState.SEALED:
+            raise ValueError(f"{router} is not sealed")
+        reading = await journal.read()
         for attempts in reading.open_runs():
             if run_of(attempts[0].attempt) == run_of(attempt):
                 intent = attempts[-1]
@@ -173,65 +166,6 @@
                 return
         raise ValueError(f"{attempt} is not open in the journal of {router}")
 
-    async def _seal_table(self, router: RouterId) -> Seen[RouterRow]:
-        key = router_key(router)
-        for _ in range(TRIES):
-            (raw,) = await self.table.read((key,))
-            row = seen(key, raw, RouterRow)
-            wish = seal_transaction(row, self.me)
-            if wish is None:
-                return row
-            await self._try(wish)
-        raise UnavailableError(f"{router} could not be sealed")
-
-    async def _seal_objects(self, router: RouterId) -> None:
-        """Put a seal at the next free number of the chain in the object store.
-
-        The router numbers its segments densely, so whatever it still has under
-        way is for the very number that the seal takes, or was written before.
-        """
-        prefix = journal_prefix(router)
-        keys = await self._object_keys(prefix)
-        number = int(keys[-1].removeprefix(prefix)) if keys else 1
-        seal = to_bytes(JournalSegment((Seal(self.me),)))
-        while True:
-            key = segment_key(router, number)
-            there = await self.objects.get(key)
-            if there is None:
-                with suppress(ConflictError, UnknownOutcomeError):
-                    await self.objects.put(key, seal, if_absent=True)
-                continue
-            if _holds_seal(there):
-                return
-            number += 1
-
-    async def _object_keys(self, prefix: str) -> list[str]:
-        keys: list[str] = []
-        while True:
-            page = await self.objects.keys(prefix, keys[-1] if keys else "", PAGE)
-            keys.extend(page)
-            if len(page) < PAGE:
-                return keys
-
-    async def _rows(self, prefix: str) -> list[Row]:
-        rows: list[Row] = []
-        while True:
-            page = await self.table.scan(prefix, rows[-1].key if rows else "", PAGE)
-            rows.extend(page)
-            if len(page) < PAGE:
-                return rows
-
-    async def _read_journal(self, router: RouterId) -> JournalReading:
-        reading = JournalReading()
-        prefix = journal_prefix(router)
-        for row in await self._rows(prefix):
-            reading.add(from_json(row.value, JournalSegment).entries)
-        for key in await self._object_keys(prefix):
-            body = await self.objects.get(key)
-            if body is not None:
-                reading.add(from_bytes(body, JournalSegment).entries)
-        return reading
-
     async def _settle_receipts(
         self, router: Seen[RouterRow], reading: JournalReading
     ) -> None:
@@ -308,7 +242,7 @@
             PlatformError: The table could not be reached.
         """
         left = 0
-        for row in await self._rows(transfer_key("")):
+        async for row in scan_rows(self.table, transfer_key("")):
             transfer = seen(row.key, row, TransferRow)
             value = transfer.value
             if value is None or value.state is not TransferState.PENDING:
@@ -402,7 +336,7 @@
             waiting[run.workspace] = waiting.get(run.workspace, 0) + run.hold
         report.stranded = sum(waiting.values())
         prefix = grant_prefix(report.router)
-        for row in await self._rows(prefix):
+        async for row in scan_rows(self.table, prefix):
             workspace = row.key.removeprefix(prefix)
             stay = waiting.get(workspace, 0)
             await self._return(router, row.key, workspace, stay, report)
@@ -432,19 +366,6 @@
         wish = close_transaction(router, time.time())
         if wish is not None:
             await self._try(wish)
-        await self._drop_journal(router.key.removeprefix(router_key("")))
-
-    async def _drop_journal(self, router: RouterId) -> None:
-        """Delete a closed incarnation's journal, but for the seal.
-
-        The seal must outlive the incarnation: a router that wakes after a long
-        pause would otherwise find its next number in the store free.
-        """
-        prefix = journal_prefix(router)
-        for row in await self._rows(prefix):
-            await self._try(Transaction((), (Delete(row.key),)))
-        for key in (await self._object_keys(prefix))[:-1]:
-            await self.objects.delete(key)
 
     async def _try(self, wish: Transaction) -> bool:
         """Commit; False when it is not known to have taken effect."""
@@ -461,11 +382,6 @@
     return run_of(row.attempt) == run_of(bill.attempt) and row.state is bill.state
 
 
-def _holds_seal(body: bytes) -> bool:
-    entries = from_bytes(body, JournalSegment).entries
-    return any(isinstance(entry, Seal) for entry in entries)
-
-
 def _unsettled(intent: Intent) -> Unsettled:
     return Unsettled(
         intent.workspace, intent.request, intent.attempt, intent.backend, intent.hold
--- a/ebonyhold/money/_retention.py
+++ b/ebonyhold/money/_retention.py
@@ -29,10 +29,9 @@
     seen,
 )
 from ebonyhold.exceptions import ConflictError, UnknownOutcomeError
+from ebonyhold.scans import scan_rows
 from ebonyhold.types import RouterId, Seconds, WorkspaceName
 
-PAGE = 200
-
 BILLS_AT_ONCE = 50
 """Bills that one transaction deletes."""
 
@@ -147,20 +146,15 @@
             if await self.table.scan(f"{GRANT_PREFIX}{name}/", "", 1):
                 continue
             # The row goes last, so that a sweep that dies is repeated.
-            for key in await self.objects.keys(journal_prefix(name)):
-                await self.objects.delete(key)
+            while keys := await self.objects.keys(journal_prefix(name)):
+                for key in keys:
+                    await self.objects.delete(key)
             wish = Transaction((row.check,), (Delete(row.key),))
             report.routers += await self._try(wish)
 
     async def _scan(self, prefix: str, as_type: type[T]) -> AsyncIterator[Seen[T]]:
-        after = ""
-        while True:
-            page = await self.table.scan(prefix, after, PAGE)
-            for row in page:
-                yield seen(row.key, row, as_type)
-            if len(page) < PAGE:
-                return
-            after = page[-1].key
+        async for row in scan_rows(self.table, prefix):
+            yield seen(row.key, row, as_type)
 
     async def _try(self, wish: Transaction) -> bool:
         try:
