Let a booking run again where the service itself runs a key once

Change: the claim's decision knows that the service deduplicates. Conclusion: at most once still rests on the service's own promise there.

--- a/ebonyhold/coordination/_claims.py
+++ b/ebonyhold/coordination/_claims.py
@@ -46,13 +46,24 @@
 
 
 def decide_claim(
-    row: RequestRow | None, kind: RequestKind, digest: str
+    row: RequestRow | None,
+    kind: RequestKind,
+    digest: str,
+    *,
+    deduplicated: bool = False,
 ) -> ClaimDecision:
     """Decide what a request may do, given its row.
 
     A booking never runs while its row leaves open whether it ran before; that
     is what makes it at most once.  A chat may run beside itself: its one row
     takes one bill.
+
+    Args:
+        row: The request's row, if there is one.
+        kind: What is asked for.
+        digest: SHA-256 of the body, hexadecimal.
+        deduplicated: Whether the backend server itself runs a key once, so that
+            a booking may be sent there again.
     """
     if row is None:
         return ClaimDecision(ClaimAnswer.RUN)
@@ -62,7 +73,7 @@
         return ClaimDecision(ClaimAnswer.RUN)
     if row.state is RequestState.COMPLETE and row.answer is not None:
         return ClaimDecision(ClaimAnswer.REPLAY, row.answer)
-    if kind is RequestKind.BOOKING:
+    if kind is RequestKind.BOOKING and not deduplicated:
         return ClaimDecision(ClaimAnswer.UNKNOWN)
     if row.state is RequestState.RUNNING:
         return ClaimDecision(ClaimAnswer.RUN)
--- a/ebonyhold/money/_claims.py
+++ b/ebonyhold/money/_claims.py
@@ -59,7 +59,7 @@
         key = request_key(order.workspace, order.request)
         (row,) = await self.table.read((key,))
         request = seen(key, row, RequestRow)
-        decision = decide_claim(request.value, order.kind, order.digest)
+        decision = decide(order, request.value)
         refuse(decision, order)
         return Look(request, decision)
 
@@ -107,11 +107,18 @@
         claim = request.value
         if claim is not None and claim.attempt == attempt:
             return None
-        decision = decide_claim(claim, order.kind, order.digest)
+        decision = decide(order, claim)
         refuse(decision, order)
         return Look(request, decision)
 
 
+def decide(order: Order, row: RequestRow | None) -> ClaimDecision:
+    """Decide what an order may do, given its row."""
+    return decide_claim(
+        row, order.kind, order.digest, deduplicated=not order.claim_needed
+    )
+
+
 def refuse(decision: ClaimDecision, order: Order) -> None:
     """Raise what a caller hears of a claim that may not run."""
     if decision.answer is ClaimAnswer.KEY_REUSED:
--- a/tests/coordination/test_bills.py
+++ b/tests/coordination/test_bills.py
@@ -145,3 +145,20 @@
 )
 def test_claim(row: RequestRow | None, kind: RequestKind, answer: ClaimAnswer) -> None:
     assert decide_claim(row, kind, "d").answer is answer
+
+
+@pytest.mark.parametrize(
+    ("state", "answer"),
+    [
+        (S.RUNNING, ClaimAnswer.RUN),
+        (S.UNKNOWN, ClaimAnswer.RUN),
+        (S.COMPLETE, ClaimAnswer.RUN_UNBILLED),
+    ],
+)
+def test_claim_where_the_service_runs_a_key_once(
+    state: RequestState, answer: ClaimAnswer
+) -> None:
+    """A booking may be sent again to a service that honours its key."""
+    row = evolve(BOOKED, state=state)
+    decision = decide_claim(row, RequestKind.BOOKING, "d", deduplicated=True)
+    assert decision.answer is answer
