Give the settlement in doubt a module of its own

Change: GrantWriter reads, plans and commits; the account keeps the ledger. Conclusion: same behaviour.

--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -13,33 +12,24 @@
     Bill,
     BudgetRow,
     GrantLedger,
-    GrantRow,
     GrantSize,
     GrantView,
     LedgerChange,
-    RequestRow,
-    Seen,
     Settlement,
     Table,
-    budget_key,
     find_grant_policy,
-    grant_key,
-    plan_settlement,
-    router_key,
-    seen,
 )
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import (
     BudgetError,
     BudgetExhaustedError,
     BudgetUnreachableError,
-    ConflictError,
     PlatformError,
     SealedError,
     UnavailableError,
-    UnknownOutcomeError,
 )
 from ebonyhold.money._demand import DemandEstimate
+from ebonyhold.money._grant_writer import GrantRows, GrantWriter
 from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
 from ebonyhold.money._transfer_book import TransferBook
@@ -72,11 +62,10 @@
     Attributes:
         workspace: Whose grant.
         ledger: The tokens of the grant.
-        budget: The budget as last read or written.
         unfiled: Bills on their way, by run.
         transfers: Tokens on their way to and from other routers.
         waiters: Requests that wait for a hold.
-        doubt: A settlement that may or may not have taken effect.
+        writer: Reads and writes the budget and the grant.
         reachable: Whether the last call to the table succeeded.
     """
 
@@ -89,11 +78,10 @@
     ask_peers: Callable[[Account, Tokens], Awaitable[None]]
     ledger: GrantLedger = field(factory=GrantLedger)
     demand: DemandEstimate = field(factory=DemandEstimate)
-    budget: BudgetRow | None = None
     unfiled: dict[str, Unfiled] = field(factory=dict)
     transfers: TransferBook = field(init=False)
     waiters: WaitingRequests = field(factory=WaitingRequests)
-    doubt: Settlement | None = None
+    writer: GrantWriter = field(init=False)
     reachable: bool = True
     urgent: bool = False
     closing: bool = False
@@ -101,16 +89,21 @@
     used_at: float = field(factory=anyio.current_time)
     pause: float = 0.0
     drawn: Tokens = 0
-    reads_begun: int = 0
-    last_read: int = 0
-    settlements: int = 0
 
     def __attrs_post_init__(self) -> None:
-        """Open the book of transfers over the same ledger."""
+        """Make the parts that share the ledger."""
+        self.writer = GrantWriter(
+            self.workspace, self.journal, self.table, self._take_effect, self._drop
+        )
         self.transfers = TransferBook(
             self.workspace, self.ledger, self.journal, self.table, self.options
         )
 
+    @property
+    def budget(self) -> BudgetRow | None:
+        """Return the budget as last read or written."""
+        return self.writer.budget
+
     @property
     def me(self) -> RouterId:
         """Return the incarnation that this account belongs to."""
@@ -131,7 +124,7 @@
             if self._wants_resize():
                 self.poke()
             return
-        waiter = Waiter(need, now, self.reads_begun)
+        waiter = Waiter(need, now, self.writer.reads_begun)
         self.waiters.join(waiter)
         self.poke(urgent=True)
         try:
@@ -230,7 +223,7 @@
         idle = anyio.current_time() - self.used_at
         if idle < self.options.evict_after and not self.closing:
             return False
-        if self.unfiled or self.waiters or self.doubt is not None:
+        if self.unfiled or self.waiters or self.writer.doubt is not None:
             return False
         if self.transfers.arrivals:
             return False
@@ -258,20 +251,21 @@
         """Make one settlement; False when the table is not wanted now."""
         for _ in range(SETTLE_TRIES):
             bills = self._ready_bills()
-            if not (bills or self.waiters or self.doubt or self._wants_resize()):
+            doubt = self.writer.doubt
+            if not (bills or self.waiters or doubt or self._wants_resize()):
                 return False
-            rows = await self._read(bills)
-            if self._resolve_doubt(rows):
+            rows = await self.writer.read(bills)
+            if self.writer.resolve(rows):
                 return True
-            plan = self.doubt or self._plan(rows, bills)
+            plan = self.writer.doubt or self._plan(rows, bills)
             if plan is None:
                 return False
-            if await self._commit(plan):
+            if await self.writer.commit(plan):
                 return True
             await anyio.sleep(
                 self.journal.random.random() * self.options.conflict_pause
             )
-        reason = "did not answer" if self.doubt else "met other writers"
+        reason = "did not answer" if self.writer.doubt else "met other writers"
         raise UnavailableError(f"the budget of {self.workspace} {reason}")
 
     def _ready_bills(self) -> tuple[Bill, ...]:
@@ -283,59 +277,15 @@
                 chosen.setdefault(unfiled.bill.key, unfiled.bill)
         return tuple(chosen.values())
 
-    async def _read(self, bills: tuple[Bill, ...]) -> _Rows:
-        keys = (
-            router_key(self.me),
-            budget_key(self.workspace),
-            grant_key(self.me, self.workspace),
-            *(bill.key for bill in bills),
-        )
-        self.reads_begun += 1
-        read = self.reads_begun
-        router, budget, grant, *requests = await self.table.read(keys)
-        if router is None or router.version != self.journal.router.version:
-            raise SealedError(f"{self.me} was sealed")
-        rows = _Rows(
-            seen(keys[1], budget, BudgetRow),
-            seen(keys[2], grant, GrantRow),
-            {
-                key: seen(key, row, RequestRow)
-                for key, row in zip(keys[3:], requests, strict=True)
-            },
-        )
-        self.budget = rows.budget.value
-        self.last_read = read
-        return rows
-
-    def _resolve_doubt(self, rows: _Rows) -> bool:
-        """Learn from the grant's sequence number whether a lost commit took effect."""
-        if self.doubt is None:
-            return False
-        doubt = self.doubt
-        grant = rows.grant.value or GrantRow()
-        if grant.sequence >= doubt.sequence:
-            self._took_effect(doubt)
-            return True
-        return False
-
-    def _plan(self, rows: _Rows, bills: tuple[Bill, ...]) -> Settlement | None:
+    def _plan(self, rows: GrantRows, bills: tuple[Bill, ...]) -> Settlement | None:
         size = self._size()
         left = self.budget.remaining if self.budget else 0
         draw = min(size.draw, max(left, 0))
         give_back = min(size.give_back, self.ledger.spare)
         if not (bills or draw or give_back):
             return None
-        plan = plan_settlement(
-            self.me,
-            self.journal.router,
-            rows.budget,
-            rows.grant,
-            rows.requests,
-            LedgerChange(bills, draw, give_back),
-            time.time(),
-        )
+        plan = self.writer.plan(rows, LedgerChange(bills, draw, give_back))
         self.ledger.available -= plan.returned
-        self.doubt = plan
         return plan
 
     def _size(self) -> GrantSize:
@@ -345,46 +295,15 @@
             return GrantSize(give_back=self.ledger.spare)
         return find_grant_policy(self.policy().grants).size(view)
 
-    async def _commit(self, plan: Settlement) -> bool:
-        """Commit a plan, perhaps for the second time; False when it did not count.
-
-        A call whose answer was lost may still arrive.  It carries the versions
-        of the rows that it read, so sending it again takes effect once at most;
-        a conflict then says, by the grant's sequence number, which it was.
-        """
-        if plan.returned:
-            # What goes back may have been set free by outcomes that only this
-            # router knows; recovery must not charge a hold that has left.
-            await self.journal.flush()
-        try:
-            await self.table.commit(plan.transaction)
-        except ConflictError:
-            return await self._after_conflict(plan)
-        except UnknownOutcomeError:
-            return False
-        self._took_effect(plan)
-        return True
-
-    async def _after_conflict(self, plan: Settlement) -> bool:
-        rows = await self._read(())
-        grant = rows.grant.value or GrantRow()
-        if grant.sequence >= plan.sequence:
-            self._took_effect(plan)
-            return True
-        # A check failed, and a version never comes back: this plan is dead.
-        self.doubt = None
-        self.ledger.available += plan.returned
-        return False
-
-    def _took_effect(self, plan: Settlement) -> None:
-        self.doubt = None
-        self.settlements += 1
-        self.budget = plan.budget
+    def _take_effect(self, plan: Settlement) -> None:
         self.ledger.available += plan.drawn
         self.drawn += plan.drawn - plan.returned
         for filed in plan.filed:
             self._filed(filed.bill, filed.paid)
 
+    def _drop(self, plan: Settlement) -> None:
+        self.ledger.available += plan.returned
+
     def _filed(self, bill: Bill, paid: Tokens) -> None:
         for run, unfiled in list(self.unfiled.items()):
             if unfiled.bill is bill:
@@ -402,10 +321,10 @@
     async def _refuse_the_rest(self) -> None:
         """Refuse whom the budget, read just now, cannot serve."""
         self._serve()
-        for waiter in self.waiters.judged_by(self.last_read):
+        for waiter in self.waiters.judged_by(self.writer.last_read):
             if self._exhausted(waiter.need):
                 self.waiters.refuse(waiter, self._refusal(waiter.need))
-        judged = self.waiters.judged_by(self.last_read)
+        judged = self.waiters.judged_by(self.writer.last_read)
         if not judged:
             return
         await self._beg()
@@ -460,10 +379,3 @@
         """Fail everybody: this incarnation is over."""
         for waiter in self.waiters:
             self.waiters.refuse(waiter, error)
-
-
-@frozen
-class _Rows:
-    budget: Seen[BudgetRow]
-    grant: Seen[GrantRow]
-    requests: dict[str, Seen[RequestRow]]
