Bound what control costs: fewer polls, a pool for each server, working sets

Change: a pool for each server; cache events every fourth round; at most eight polls a second; with more than 24 engines of a kind a router works with 24 of them, by a hash of both names.

--- a/ebonyhold/backends/_http.py
+++ b/ebonyhold/backends/_http.py
@@ -9,6 +9,7 @@
 import httpx
 
 from ebonyhold.backends._messages import Timeouts
+from ebonyhold.backends._transport import PooledByServer
 from ebonyhold.document import Backend
 from ebonyhold.exceptions import BackendError
 from ebonyhold.types import AttemptId
@@ -18,9 +19,6 @@
 RESUME_HEADER = "X-Resume-Tokens"
 PRIORITY_HEADER = "X-Priority"
 
-KEEP_ALIVE = 64
-"""Idle connections that are kept, in all."""
-
 ELSEWHERE = (404, 409, 429, 503)
 """Statuses by which an engine says that it did not begin and another one may.
 
@@ -73,8 +71,7 @@
         timeout=httpx.Timeout(
             timeouts.stall, connect=timeouts.connect, pool=timeouts.connect
         ),
-        limits=httpx.Limits(max_connections=None, max_keepalive_connections=KEEP_ALIVE),
-        transport=transport,
+        transport=transport or PooledByServer(),
         trust_env=False,
         follow_redirects=False,
     )
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -25,6 +25,7 @@
     Need,
     holdings,
     make_choice_policy,
+    working_set,
 )
 from ebonyhold.document import Backend, BackendKind
 from ebonyhold.exceptions import UnavailableError
@@ -32,7 +33,22 @@
 from ebonyhold.types import AttemptId, BackendName, Seconds
 
 POLL_EVERY: Seconds = 0.5
-"""Between two load reports of one engine."""
+"""Between two load reports of one engine, at least."""
+
+POLLS_A_SECOND = 8.0
+"""Load reports that a router asks for, at most: that is what control costs.
+
+A poll was measured at 1.4 ms of processor time.
+"""
+
+WORKING_SET = 24
+"""Engines of one kind that a router works with, where there are more."""
+
+CACHE_EVERY = 4
+"""Rounds of polls for one question for cache events.
+
+They come late in any case, and this router knows at once what it sent itself.
+"""
 
 JITTER = 0.2
 """The part by which polls are spread, so that routers do not poll together."""
@@ -53,6 +69,8 @@
         transport: What carries requests, where that is not TCP.
         states: What is known of each server in the document.
         ejector: Which servers fail.
+        working: The engines that this router polls and prefers.
+        me: What tells this router's choice of them from the others'.
         changed: Called when there may be more room than before.
     """
 
@@ -68,10 +86,14 @@
     ejector: Ejector = field(factory=Ejector)
     policies: dict[str, ChoicePolicy] = field(factory=dict)
     version: int = -1
+    rounds: int = 0
+    working: frozenset[BackendName] = frozenset()
+    me: str = field(init=False)
     changed: Callable[[], None] = field(default=lambda: None)
 
     def __attrs_post_init__(self) -> None:
         """Make the clients."""
+        self.me = f"{self.rng.getrandbits(64):016x}"
         self.client = make_client(self.timeouts, self.transport)
         self.engines = EngineClient(self.client, self.timeouts)
         self.services = ServiceClient(self.client)
@@ -81,16 +103,20 @@
         try:
             while True:
                 self.refresh()
+                self.rounds += 1
                 async with anyio.create_task_group() as group:
-                    for state in self.states.values():
-                        if state.backend.kind is BackendKind.ENGINE:
-                            group.start_soon(self.poll, state)
-                wait = self.poll_every * (1 + JITTER * (self.rng.random() - 0.5))
-                await anyio.sleep(wait)
+                    for name in self.working:
+                        group.start_soon(self.poll, self.states[name])
+                await anyio.sleep(self.pause())
         finally:
             with anyio.CancelScope(shield=True):
                 await self.client.aclose()
 
+    def pause(self) -> Seconds:
+        """Return the time to the next round of polls."""
+        period = max(self.poll_every, len(self.working) / POLLS_A_SECOND)
+        return period * (1 + JITTER * (self.rng.random() - 0.5))
+
     async def poll(self, state: BackendState) -> None:
         """Ask one engine for its load and its cache events."""
         report = await poll_load(self.client, state.backend, self.poll_every)
@@ -102,7 +128,8 @@
         self.ejector.reached(name)
         state.heard(report, anyio.current_time())
         self.note_leaving(name, report.leaving)
-        await poll_cache(self.client, state, self.poll_every)
+        if self.rounds % CACHE_EVERY == 0:
+            await poll_cache(self.client, state, self.poll_every)
         self.changed()
 
     def note_leaving(self, name: BackendName, leaving: bool) -> None:
@@ -127,6 +154,15 @@
         for name, backend in wanted.items():
             if name not in self.states:
                 self.states[name] = BackendState(backend, self.distance(backend))
+        self.working = self.choose_working()
+
+    def choose_working(self) -> frozenset[BackendName]:
+        """Return the engines that this router polls and prefers."""
+        kinds: dict[tuple[str, ...], list[BackendName]] = {}
+        for backend in self.fleet.backends(BackendKind.ENGINE):
+            kinds.setdefault(backend.models, []).append(backend.name)
+        sets = [working_set(self.me, names, WORKING_SET) for names in kinds.values()]
+        return frozenset().union(*sets)
 
     def distance(self, backend: Backend) -> Seconds:
         """Return the expected one-way delay to a server."""
@@ -144,6 +180,9 @@
             for state in self.states.values()
             if serves(state, kind, name) and self.fleet.accepts(state.backend)
         ]
+        if kind is BackendKind.ENGINE:
+            near = [state for state in able if state.backend.name in self.working]
+            able = near or able
         domains = {state.backend.name: state.backend.domain for state in able}
         out = self.ejector.ejected(domains, anyio.current_time())
         return [
--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -33,6 +33,7 @@
     choice_policies,
     choice_policy,
     make_choice_policy,
+    working_set,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -372,4 +373,5 @@
     "transfer_ends",
     "transfer_key",
     "transfer_name",
+    "working_set",
 ]
--- a/ebonyhold/coordination/_choice.py
+++ b/ebonyhold/coordination/_choice.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -155,6 +156,28 @@
         return first
 
 
+def working_set(
+    chooser: str, names: Sequence[BackendName], size: int
+) -> frozenset[BackendName]:
+    """Return the servers that one router works with, where there are very many.
+
+    Each router ranks all servers by a hash of both names and keeps the first
+    ones.  So every server has about as many routers, a server that comes or
+    goes changes few sets, and a router's state and polls stay bounded.
+
+    >>> names = [f"e{number}" for number in range(100)]
+    >>> len(working_set("r1", names, 8)), len(working_set("r1", names[:3], 8))
+    (8, 3)
+    """
+    if len(names) <= size:
+        return frozenset(names)
+
+    def rank(name: BackendName) -> bytes:
+        return hashlib.sha256(f"{chooser}/{name}".encode()).digest()
+
+    return frozenset(sorted(names, key=rank)[:size])
+
+
 PREFILL_RATE = 8_000.0
 """Prompt tokens a second that an engine reads when it is not known."""
 
--- a/ebonyhold/experiments/choice/_run.py
+++ b/ebonyhold/experiments/choice/_run.py
@@ -12,6 +12,7 @@
 from attrs import define, field, frozen
 
 from ebonyhold.backends import Backends, BackendState
+from ebonyhold.backends._table import CACHE_EVERY
 from ebonyhold.callers import Refusal
 from ebonyhold.callers._ask import read_urgency
 from ebonyhold.callers._gate import Gate
@@ -30,7 +31,6 @@
 from ebonyhold.types import BackendName, Seconds
 
 MODEL = "assistant"
-POLL: Seconds = 0.5
 SAMPLE: Seconds = 0.25
 
 
@@ -96,12 +96,13 @@
     async def poll(self) -> None:
         """Ask all engines now and then, as the product does."""
         while True:
-            await anyio.sleep(POLL * (0.9 + 0.2 * self.backends.rng.random()))
+            await anyio.sleep(self.backends.pause())
             self.sequence += 1
             for name, engine in self.engines.items():
                 state = self.backends.states[name]
                 state.heard(engine.report(self.sequence), anyio.current_time())
-                state.learn(engine.news(state.prefixes.sequence))
+                if self.sequence % CACHE_EVERY == 0:
+                    state.learn(engine.news(state.prefixes.sequence))
             self.gate.pump()
 
     async def serve(self, ask: Ask) -> None:
--- a/tests/coordination/test_request_decisions.py
+++ b/tests/coordination/test_request_decisions.py
@@ -20,6 +20,7 @@
     is_stopped,
     make_choice_policy,
     prefix_hashes,
+    working_set,
 )
 from ebonyhold.standins._cache import PrefixCache
 
@@ -173,3 +174,19 @@
     """A report that includes this router's requests does not count them again."""
     item = Candidate("e", 16, reported=10, own_at_report=4, own=6)
     assert item.load == 12
+
+
+def test_working_sets_share_the_servers() -> None:
+    """A hundred routers keep ten of two hundred servers each.
+
+    No server is left out or crowded, and one that goes changes only the sets
+    that had it.
+    """
+    names = [f"e{number}" for number in range(200)]
+    sets = [working_set(f"r{number}", names, 10) for number in range(100)]
+    counts = [sum(name in kept for kept in sets) for name in names]
+    assert sum(counts) == 1000
+    assert max(counts) <= 16
+    after = [working_set(f"r{number}", names[1:], 10) for number in range(100)]
+    changed = [old != new for old, new in zip(sets, after, strict=True)]
+    assert sum(changed) == counts[0]
