Test the pause between polls by its definition

Change: the pause is compared with the bound on polls, both ways, which is stricter than one upper bound.

--- a/tests/backends/test_table.py
+++ b/tests/backends/test_table.py
@@ -8,7 +8,7 @@
 from attrs import evolve
 
 from ebonyhold.backends import Backends, LoadReport
-from ebonyhold.backends._table import POLLS_A_SECOND, WORKING_SET
+from ebonyhold.backends._table import JITTER, POLLS_A_SECOND, WORKING_SET
 from ebonyhold.document import BackendKind
 from ebonyhold.fleet import FleetView
 from tests.backends.kit import Engine, Fleet
@@ -28,7 +28,9 @@
 async def test_few_engines_are_all_worked_with() -> None:
     table = make_table(9)
     assert len(table.usable(BackendKind.ENGINE, MODEL)) == 9
-    assert table.pause() < 1.0
+    pauses = [table.pause() for _ in range(50)]
+    assert min(pauses) >= 9 / POLLS_A_SECOND * (1 - JITTER / 2)
+    assert max(pauses) <= 9 / POLLS_A_SECOND * (1 + JITTER / 2)
 
 
 async def test_many_engines_cost_no_more() -> None:
