Show that the unmodified client hears of a cut stream

Cause: the promise that a cut stream never looks whole was shown on our own bytes only. Change: the openai client raises answer_incomplete in its loop.

--- a/tests/callers/test_loopback.py
+++ b/tests/callers/test_loopback.py
@@ -223,3 +223,26 @@
     assert (answer.status_code, answer.json()["booking"]) == (201, 1)
     assert stock.json()["booked"] == 1
     assert here.money.outcomes[0].charge == 5
+
+
+async def test_unmodified_client_hears_that_a_stream_is_cut() -> None:
+    """The only engine dies after two tokens, each time that it is asked.
+
+    The client's loop over the answer ends in an error and not as if the answer
+    were whole.
+    """
+    async with rig(engines=1) as here, here.client() as client:
+        await here.control(0, stream={"kind": "die", "after": 2, "count": 99})
+        answer = await client.chat.completions.create(
+            model="assistant", messages=MESSAGES, stream=True
+        )
+        text = ""
+        with pytest.raises(openai.APIError) as caught:
+            async for chunk in answer:
+                text += chunk.choices[0].delta.content or ""
+        with anyio.fail_after(5):
+            await here.money.finished.wait()
+    assert TEXT.startswith(text)
+    assert text != TEXT
+    assert caught.value.code == "answer_incomplete"
+    assert here.money.outcomes[0].charge >= len(text.split())
