--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -168,6 +168,7 @@
     TransferState,
 )
 from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._startup import StartupPolicy
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -289,6 +290,7 @@
     "Seen",
     "Settlement",
     "Share",
+    "StartupPolicy",
     "Table",
     "Ticket",
     "TokenBucket",
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -270,3 +270,29 @@
             await until(lambda: one.status()[0].status is MemberStatus.LEAVING)
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize("backend", BACKENDS)
+def test_a_dead_peer_does_not_end_the_others(backend: str) -> None:
+    """One of three routers dies, and the others go on sending to it.
+
+    Its socket takes nothing, its queue fills up, and what does not fit is
+    dropped; the other two call it gone and still hear each other.
+    """
+
+    async def run() -> None:
+        one, two = pair()
+        three = network("c.1", (one.membership.me.address,))
+        async with running(one, two):
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(three.run)
+                await until(lambda: set(one.alive()) == {"b.1", "c.1"})
+                tasks.cancel_scope.cancel()
+            for number in range(200):
+                await one.send("c.1", VersionNotice(number, ""))
+            await until(lambda: one.counters.dropped > 0)
+            await until(lambda: one.alive() == ("b.1",) and two.alive() == ("a.1",))
+            received = one.received
+            await until(lambda: one.received > received + 3)
+
+    anyio.run(run, backend=backend)
