--- a/ebonyhold/configuration/_parts.py
+++ b/ebonyhold/configuration/_parts.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 from collections.abc import Iterator, Mapping
+from operator import attrgetter
 from typing import Any
 
 import cattrs
@@ -67,23 +68,30 @@
     deletes: tuple[str, ...] = ()
 
 
-def part_digest(key: str, value: Json) -> int:
+def encode_part(value: Json) -> bytes:
+    """Return the one JSON form of a part."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def part_digest(key: str, body: bytes) -> int:
     """Return the number that a part adds to its state's digest."""
-    body = json.dumps([key, value], sort_keys=True, separators=(",", ":"))
-    return int.from_bytes(hashlib.sha256(body.encode()).digest())
+    return int.from_bytes(hashlib.sha256(key.encode() + b"\0" + body).digest())
 
 
 @define
 class DocumentState:
-    """All parts of one version, as JSON values and as model objects.
+    """All parts of one version, as JSON and as model objects.
+
+    The JSON is kept because it may hold what only a newer release knows; it is
+    kept encoded, which takes less memory than its values.
 
     Attributes:
-        values: The parts as JSON values, by key.
+        values: The parts as JSON, by key.
         objects: The parts as model objects, by list and name.
         total: The sum of the parts' digests.
     """
 
-    values: dict[str, Json] = field(factory=dict)
+    values: dict[str, bytes] = field(factory=dict)
     objects: dict[str, dict[str, Any]] = field(factory=dict)
     total: int = 0
 
@@ -106,8 +114,9 @@
         structured = structure_part(section, value)
         if key in self.values:
             self.add_digest(-part_digest(key, self.values[key]))
-        self.values[key] = value
-        self.add_digest(part_digest(key, value))
+        body = encode_part(value)
+        self.values[key] = body
+        self.add_digest(part_digest(key, body))
         self.objects.setdefault(section, {})[name] = structured
 
     def remove(self, key: str) -> None:
@@ -177,39 +186,49 @@
         raise ConfigurationError(message) from error
 
 
-def split_document(document: Document) -> Iterator[tuple[str, Any]]:
-    """Yield the parts of a document, as model objects, with their keys."""
-    yield FLEET_PART, FleetPart(document.fleet, document.domains)
+def named_parts(document: Document) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield each section of a document with its parts, as model objects, by name."""
+    yield FLEET_PART, {"": FleetPart(document.fleet, document.domains)}
     for section in SINGLE_PARTS:
-        yield section, getattr(document, section)
+        yield section, {"": getattr(document, section)}
     for section, (_, name) in LIST_PARTS.items():
-        for item in getattr(document, section):
-            yield f"{section}/{getattr(item, name)}", item
+        name_of = attrgetter(name)
+        yield section, {name_of(item): item for item in getattr(document, section)}
+
+
+def part_key(section: str, name: str) -> str:
+    """Return the key of a part."""
+    return f"{section}/{name}" if name else section
 
 
 def find_change(before: DocumentState, document: Document, version: int) -> Change:
     """Return what a document changes of a state.
 
-    Objects are compared, since turning all of them into JSON values takes most
-    of the time of a change to a large document.
+    Objects are compared, by identity first: turning all of them into JSON, or
+    only comparing all of them by value, takes most of the time of a change to
+    a large document.
     """
-    after = dict(split_document(document))
-    upserts = {
-        key: part_converter.unstructure(item)
-        for key, item in after.items()
-        if before.find(key) != item
-    }
-    deletes = tuple(key for key in before.values if key not in after)
-    return Change(version, upserts, deletes)
+    upserts: dict[str, Any] = {}
+    deletes: list[str] = []
+    for section, items in named_parts(document):
+        known = before.objects.get(section, {})
+        for name, item in items.items():
+            old = known.get(name)
+            if old is not item and old != item:
+                upserts[part_key(section, name)] = part_converter.unstructure(item)
+        gone = [name for name in known if name not in items]
+        deletes.extend(part_key(section, name) for name in gone)
+    return Change(version, upserts, tuple(deletes))
 
 
 def find_changed_paths(before: DocumentState, after: DocumentState) -> tuple[str, ...]:
     """Name what differs between two states, down to the attribute."""
     paths: list[str] = []
     for key in dict.fromkeys((*before.values, *after.values)):
-        old, new = before.values.get(key), after.values.get(key)
+        old, new = before.values.get(key, b"null"), after.values.get(key, b"null")
         if old != new:
-            paths.extend(_changed_attributes(key, old, new))
+            changed = _changed_attributes(key, json.loads(old), json.loads(new))
+            paths.extend(changed)
     return tuple(paths)
 
 
