Do not recover routers merely because they are not known as alive

The scan of router rows took every incarnation that was not among the living for 20 s for gone. That holds for a router that is leaving and still finishing its streams, and, for a router whose own network has failed, for the whole fleet: it would have sealed all the others every half minute. The scan now asks the membership, which answers by list, incarnation and connection.

Silence that many routers share is now given 300 s instead of five suspicions: regions lose each other for minutes, and sealing would cut the streams of routers that go on serving. Stories of both are tested on the virtual clock.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -206,10 +206,6 @@
 )
 from ebonyhold.coordination._seen import Seen, seen
 from ebonyhold.coordination._startup import StartupPolicy
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
--- a/ebonyhold/coordination/_heartbeats.py
+++ b/ebonyhold/coordination/_heartbeats.py
@@ -24,6 +24,12 @@
             the platform's list as well.
         recover_factor: For how many such lengths a router that is still listed
             stays gone before others may recover it.
+        shared_part: If more than this part of the listed routers is silent at
+            once, it is taken for a partition rather than for deaths.
+        shared_patience: How long such routers stay gone before others may
+            recover them, in seconds; regions lose each other for minutes.
+        grace: How long an incarnation may be unknown here, while its row in the
+            table is open, before others may recover it, in seconds.
         updates: The most statements in one message.
         page: The most statements sent to a router that knows too little.
         repeats: How often a statement is passed on, for each doubling of the
@@ -37,6 +43,9 @@
     suspicion: float = 2.0
     unlisted_factor: float = 0.3
     recover_factor: float = 5.0
+    shared_part: float = 0.1
+    shared_patience: Seconds = 300.0
+    grace: Seconds = 20.0
     updates: int = 6
     page: int = 40
     repeats: float = 2.0
--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -153,8 +153,51 @@
             return False
         if self.is_superseded(member) or not self.is_listed(member):
             return True
-        patience = self.options.recover_factor * self.suspicion_length(member)
-        return connected and now >= member.gone_at + patience
+        return connected and now >= member.gone_at + self.patience(member)
+
+    def patience(self, member: Member) -> Seconds:
+        """Return how long a gone router that the platform still lists is left alone.
+
+        When two regions lose each other, each sees many routers fall silent that
+        go on serving.  Sealing them is safe, but cuts their streams.  Deaths come
+        one by one or are soon followed by the platform's list or by a new
+        incarnation, so silence that many share is given more time.
+        """
+        listed = self.view.listed or {}
+        silent = sum(
+            1
+            for other in self.view.members.values()
+            if other.gone_at is not None and not self.is_superseded(other)
+        )
+        if silent > max(1.0, self.options.shared_part * len(listed)):
+            return self.options.shared_patience
+        return self.options.recover_factor * self.suspicion_length(member)
+
+    def may_recover(self, router: RouterId, unknown_for: Seconds, now: Seconds) -> bool:
+        """Say whether an incarnation with an open row in the table may be recovered.
+
+        Rows tell of incarnations that nobody alive has known, as after a total
+        restart.  A router that is leaving, suspect, or only silent for the moment
+        also is not among those alive; it must not be sealed for that.
+
+        Args:
+            router: The incarnation.
+            unknown_for: For how long its row has been seen while the incarnation
+                was unknown here, in seconds.
+            now: The time, in seconds.
+        """
+        connected = self.is_connected()
+        member = self.view.members.get(router)
+        if member is not None:
+            return self.is_recoverable(member, now, connected)
+        name = router.rpartition(".")[0]
+        same = self.view.by_name.get(name, [])
+        if name == self.me.name or any(member.present for member in same):
+            return unknown_for >= self.options.grace
+        listed = self.view.listed
+        if listed is not None and name not in listed:
+            return connected and unknown_for >= self.options.grace
+        return connected and unknown_for >= self.options.shared_patience
 
     def is_superseded(self, member: Member) -> bool:
         """Say whether a later incarnation of the same name is known."""
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -136,6 +136,7 @@
             lambda: self.money.current.me,
             self.network.alive,
             self.network.gone,
+            self.network.may_recover,
         )
         self.lifecycle = Lifecycle(
             self.callers,
--- a/ebonyhold/daemon/_recoveries.py
+++ b/ebonyhold/daemon/_recoveries.py
@@ -34,13 +34,6 @@
 knew the ones before, and only their rows in the table tell of them.
 """
 
-GRACE: Seconds = 20.0
-"""How long a router's row may be unknown to the heartbeats before it counts as gone.
-
-A router that has just opened its row is not yet known to all; sealing it would
-cost it a new incarnation for nothing.
-"""
-
 
 @define
 class Recoveries:
@@ -56,6 +49,8 @@
         me: Names the present incarnation.
         alive: Names the other routers believed alive.
         gone: Names the incarnations believed gone.
+        may_recover: Says whether an incarnation may be recovered whose row is open,
+            given for how long it has been among nobody's living.
         rng: Spreads the looks of the routers.
         unknown: When a row was first seen whose router nobody here knows.
         closed: Incarnations that are settled; their rows are not looked at again.
@@ -67,6 +62,7 @@
     me: Callable[[], RouterId]
     alive: Callable[[], tuple[RouterId, ...]]
     gone: Callable[[], tuple[RouterId, ...]]
+    may_recover: Callable[[RouterId, Seconds], bool]
     rng: random.Random = field(factory=random.Random)
     unknown: dict[RouterId, Seconds] = field(factory=dict)
     closed: set[RouterId] = field(factory=set)
@@ -101,7 +97,12 @@
                 await self.recover(router)
 
     async def scan(self) -> set[RouterId]:
-        """Return routers with an unsettled row whom nobody here has known for long.
+        """Return routers with an unsettled row that are not alive here, and may go.
+
+        Not being alive here is not enough: a router that is leaving is still
+        finishing its streams, and one whose own network has failed knows nobody.
+        Sealing on that ground would cut streams, and in the second case of the
+        whole fleet, again and again.
 
         Raises:
             UnavailableError: The table cannot be reached.
@@ -117,7 +118,9 @@
                 found.add(router)
         self.unknown = {router: self.unknown.get(router, now) for router in found}
         return {
-            router for router, since in self.unknown.items() if now - since >= GRACE
+            router
+            for router, since in self.unknown.items()
+            if self.may_recover(router, now - since)
         }
 
     async def recover(self, router: RouterId) -> RecoveryReport:
--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -164,6 +164,11 @@
         """Return the incarnations that others may recover; a hint, no proof."""
         return self.membership.gone(anyio.current_time())
 
+    def may_recover(self, router: RouterId, unknown_for: Seconds) -> bool:
+        """Say whether an incarnation with an open row may be recovered; a hint."""
+        now = anyio.current_time()
+        return self.membership.may_recover(router, unknown_for, now)
+
     def status(self) -> tuple[PeerStatus, ...]:
         """Return all that is known of the other routers."""
         now = anyio.current_time()
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -237,6 +237,71 @@
     assert MemberStatus.GONE not in statuses
 
 
+def test_many_that_fall_silent_together_are_left_alone_for_longer() -> None:
+    """A region loses the others for two minutes, and all its routers go on serving.
+
+    The larger side calls a third of the fleet gone.  Sealing them would cut their
+    streams, and the platform still lists them, so nobody is recovered yet; if the
+    silence lasts, they are.
+    """
+    fleet = settled()
+    side = {address(n) for n in range(3)}
+    fleet.cut = lambda sender, receiver: (sender in side) != (receiver in side)
+    large = fleet.nodes[address(8)].membership
+    fleet.run(fleet.now + 120.0)
+    assert len(large.alive()) == 5
+    assert large.gone(fleet.now) == ()
+    fleet.run(fleet.now + 300.0)
+    assert set(large.gone(fleet.now)) == {"0.1", "1.1", "2.1"}
+    small = fleet.nodes[address(0)].membership
+    assert small.gone(fleet.now) == ()
+
+
+@pytest.mark.parametrize(
+    ("router", "unknown_for", "allowed"),
+    [
+        ("1.1", 1e6, False),
+        ("1.0", 10.0, False),
+        ("1.0", 25.0, True),
+        ("8.0", 10.0, False),
+        ("8.0", 25.0, True),
+        ("77.1", 25.0, True),
+        ("5.1", 1e6, False),
+    ],
+    ids=[
+        "alive",
+        "just opened under a known name",
+        "an older one of a known name",
+        "just opened under the own name",
+        "an older one of the own name",
+        "not listed",
+        "leaving",
+    ],
+)
+def test_rows_of_routers_that_are_not_alive_here(
+    router: str, unknown_for: float, allowed: bool
+) -> None:
+    """The table has open rows of incarnations that heartbeats do not show as alive."""
+    fleet = settled()
+    leaving = fleet.nodes[address(5)]
+    fleet.send(address(5), leaving, leaving.membership.leave())
+    fleet.run(fleet.now + 5.0)
+    asked = fleet.nodes[address(8)].membership
+    assert asked.may_recover(router, unknown_for, fleet.now) == allowed
+
+
+def test_a_router_that_is_cut_off_recovers_no_rows_either() -> None:
+    """One router has been cut off from its peers since it started.
+
+    It reads open rows of the whole fleet in the table and knows nobody.
+    """
+    fleet = start_fleet(SIZE, Network(), MembershipOptions(), 1)
+    fleet.cut = lambda sender, receiver: address(1) in (sender, receiver)
+    fleet.run(60.0)
+    alone = fleet.nodes[address(1)].membership
+    assert not any(alone.may_recover(f"{n}.1", 1e6, 60.0) for n in range(2, SIZE))
+
+
 def test_traffic_does_not_grow_with_the_fleet() -> None:
     rates = []
     for size in (20, 60):
