Give starts their turn in the daemon; split the membership modules

wait_for_start looks around for 1.5 s and returns at once when most of the listed routers answer; the daemon calls it before it reads the platform.

--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -9,11 +9,10 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Iterable
 
-from attrs import define, evolve
+from attrs import evolve
 
 from ebonyhold.coordination._heartbeats import (
     Beat,
@@ -21,6 +20,7 @@
     MembershipOptions,
     Outgoing,
 )
+from ebonyhold.coordination._joining import JOIN_PERIODS, Joining
 from ebonyhold.coordination._members import (
     FINAL_REVISION,
     Listed,
@@ -29,45 +29,11 @@
     MemberUpdate,
     MemberView,
 )
+from ebonyhold.coordination._probes import Probe, RelayedProbe
+from ebonyhold.coordination._recoverable import RecoveryJudge
 from ebonyhold.coordination._rumours import Rumours
 from ebonyhold.types import RouterId, Seconds
 
-JOIN_HURRY = 0.5
-"""Multiplies the period while a router that has started lacks members."""
-
-JOIN_PERIODS = 60
-"""For how many periods after its start a router is in that hurry."""
-
-COMPLETE = 0.9
-"""The part of the fleet that a router must know to ask for no more pages."""
-
-
-@define
-class Probe:
-    """The probe in progress.
-
-    Attributes:
-        target: Who is probed, or empty when only its address is known.
-        address: Where it is reached.
-        sequence: The number that its answer must carry.
-        relayed: Whether others were asked to try.
-    """
-
-    target: RouterId
-    address: str
-    sequence: int
-    relayed: bool = False
-
-
-@define
-class RelayedProbe:
-    """A probe made for another router."""
-
-    origin: RouterId
-    origin_address: str
-    origin_sequence: int
-    until: Seconds
-
 
 class Membership:
     """One router's part in the membership protocol.
@@ -93,6 +59,7 @@
         self.rng = rng
         self.options = options or MembershipOptions()
         self.view = MemberView()
+        self.judge = RecoveryJudge(me, self.view, self.options)
         self.seeds = set(seeds) - {me.address}
         self.wake_at = now + rng.random() * self.options.period
         self.probe: Probe | None = None
@@ -101,10 +68,8 @@
         self.round: list[str] = []
         self.rumours = Rumours(self.options.updates, self.options.repeats)
         self.relayed: dict[int, RelayedProbe] = {}
-        self.cursor = me.router
-        self.known_elsewhere = 0
-        self.joining = True
-        self.hurry_until = now + JOIN_PERIODS * self.options.period
+        hurry_until = now + JOIN_PERIODS * self.options.period
+        self.joining = Joining(self.view, self.options.page, me.router, hurry_until)
         self.suspicions = 0
         self.pauses = 0
 
@@ -132,101 +97,19 @@
         return status
 
     def gone(self, now: Seconds) -> tuple[RouterId, ...]:
-        """Return the incarnations that others may recover.
-
-        One router whose own network fails would otherwise call all the others
-        gone and seal them, which shows as the whole fleet taking new
-        incarnations again and again.  Those that the platform still lists are
-        only recovered after a long silence, and only by a router that hears
-        from at least half of the list.
-        """
-        connected = self.is_connected()
-        return tuple(
-            member.update.router
-            for member in self.view.members.values()
-            if self.is_recoverable(member, now, connected)
-        )
-
-    def is_recoverable(self, member: Member, now: Seconds, connected: bool) -> bool:
-        """Say whether a member's grants and bills may be taken over."""
-        if member.gone_at is None:
-            return False
-        if self.is_superseded(member) or not self.is_listed(member):
-            return True
-        return connected and now >= member.gone_at + self.patience(member)
-
-    def patience(self, member: Member) -> Seconds:
-        """Return how long a gone router that the platform still lists is left alone.
-
-        When two regions lose each other, each sees many routers fall silent that
-        go on serving.  Sealing them is safe, but cuts their streams.  Deaths come
-        one by one or are soon followed by the platform's list or by a new
-        incarnation, so silence that many share is given more time.
-        """
-        listed = self.view.listed or {}
-        silent = sum(
-            1
-            for other in self.view.members.values()
-            if other.gone_at is not None and not self.is_superseded(other)
-        )
-        if silent > max(1.0, self.options.shared_part * len(listed)):
-            return self.options.shared_patience
-        return self.options.recover_factor * self.suspicion_length(member)
+        """Return the incarnations that others may recover."""
+        return self.judge.gone(now)
 
     def may_recover(self, router: RouterId, unknown_for: Seconds, now: Seconds) -> bool:
-        """Say whether an incarnation with an open row in the table may be recovered.
-
-        Rows tell of incarnations that nobody alive has known, as after a total
-        restart.  A router that is leaving, suspect, or only silent for the moment
-        also is not among those alive; it must not be sealed for that.
+        """Say whether an incarnation with an open row may be recovered.
 
         Args:
             router: The incarnation.
             unknown_for: For how long its row has been seen while the incarnation
-                was unknown here, in seconds.
+                was not alive here, in seconds.
             now: The time, in seconds.
         """
-        connected = self.is_connected()
-        member = self.view.members.get(router)
-        if member is not None:
-            return self.is_recoverable(member, now, connected)
-        name = router.rpartition(".")[0]
-        same = self.view.by_name.get(name, [])
-        if name == self.me.name or any(member.present for member in same):
-            return unknown_for >= self.options.grace
-        listed = self.view.listed
-        if listed is not None and name not in listed:
-            return connected and unknown_for >= self.options.grace
-        return connected and unknown_for >= self.options.shared_patience
-
-    def is_superseded(self, member: Member) -> bool:
-        """Say whether a later incarnation of the same name is known."""
-        update = member.update
-        own = update.name == self.me.name and update.started < self.me.started
-        return own or self.view.is_superseded(member)
-
-    def is_listed(self, member: Member) -> bool:
-        """Say whether the platform lists the member; True while no list was read."""
-        listed = self.view.listed
-        return listed is None or member.update.name in listed
-
-    def is_connected(self) -> bool:
-        """Say whether this router and those present are at least half of all."""
-        listed = self.view.listed
-        known = len(self.view.members if listed is None else listed)
-        return 2 * (self.view.present_count + 1) >= known + 1
-
-    def suspicion_length(self, member: Member) -> Seconds:
-        """Return how long a suspicion may last before the member is called gone.
-
-        It grows with the logarithm of the fleet, as the time does that a
-        suspicion and its refutation need to reach everybody.
-        """
-        doublings = math.log2(self.view.present_count + 2)
-        length = self.options.suspicion * max(doublings, 2.0) * self.options.period
-        if not self.is_listed(member):
-            length *= self.options.unlisted_factor
-        return length
+        return self.judge.may_recover(router, unknown_for, now)
 
     # What the platform says.
 
@@ -247,6 +130,7 @@
             revision=0,
             status=MemberStatus.ALIVE,
         )
+        self.judge.me = self.me
         self.spread(self.me)
 
     def leave(self) -> list[Outgoing]:
@@ -277,18 +161,7 @@
     def wait(self, now: Seconds) -> Seconds:
         """Return the time to the next probe."""
         spread = 0.9 + 0.2 * self.rng.random()
-        self.joining = now < self.hurry_until and self.lacks_members()
-        return self.options.period * spread * (JOIN_HURRY if self.joining else 1.0)
-
-    def lacks_members(self) -> bool:
-        """Say whether this router knows fewer than it should.
-
-        One that has just started wants all of them.  Later a few may be missing:
-        the platform's list lags, and lists those that are gone.
-        """
-        expected = max(len(self.view.listed or {}), self.known_elsewhere)
-        enough = expected if self.joining else COMPLETE * expected
-        return self.view.present_count < enough
+        return self.options.period * spread * self.joining.hurry(now)
 
     def notice_pause(self, now: Seconds) -> None:
         """Trust no silence from a time when this process itself did not run.
@@ -337,13 +210,13 @@
         listed = self.view.listed
         finished = listed is not None and member.update.name not in listed
         old = now > gone_at + self.options.forget_after
-        if old and (finished or self.is_superseded(member)):
+        if old and (finished or self.judge.is_superseded(member)):
             self.view.forget(member)
 
     def expire_suspicion(self, member: Member, now: Seconds) -> None:
         """End one suspicion, if it is time, for or against the member."""
         assert member.silent_at is not None
-        if now < member.silent_at + self.suspicion_length(member):
+        if now < member.silent_at + self.judge.suspicion_length(member):
             return
         if member.heard_at is not None and member.heard_at > member.silent_at:
             member.silent_at = None
@@ -378,7 +251,7 @@
         known = {
             member.update.address
             for member in self.view.members.values()
-            if not self.is_superseded(member)
+            if not self.judge.is_superseded(member)
         }
         return sorted((found | known | self.seeds) - {self.me.address})
 
@@ -427,19 +300,11 @@
         """Acknowledge a probe, with a page of members for whoever lacks them."""
         ack = self.make_beat(BeatKind.ACK, beat.sequence, prober.router)
         if beat.after is not None:
-            page = self.page_after(beat.after)
+            page = self.joining.page_after(beat.after)
             end = page[-1].router if page else ""
             ack = evolve(ack, updates=ack.updates + page, page_end=end)
         return Outgoing(prober.router, prober.address, ack)
 
-    def page_after(self, after: str) -> tuple[MemberUpdate, ...]:
-        """Return the present members that follow an identifier, round and round."""
-        present = sorted(
-            (member.update for member in self.view.present()),
-            key=lambda update: (update.router <= after, update.router),
-        )
-        return tuple(present[: self.options.page])
-
     def start_relay(self, origin: MemberUpdate, beat: Beat, now: Seconds) -> Outgoing:
         """Probe somebody for another router."""
         self.sequence += 1
@@ -457,15 +322,9 @@
             return [Outgoing(relayed.origin, relayed.origin_address, ack)]
         if self.probe is not None and self.probe.sequence == beat.sequence:
             self.probe = None
-        self.turn_page(beat)
+        self.joining.turn_page(beat)
         return []
 
-    def turn_page(self, beat: Beat) -> None:
-        """Note what the answer says of the members that are lacking here."""
-        self.known_elsewhere = beat.known
-        if beat.page_end:
-            self.cursor = beat.page_end
-
     # Statements.
 
     def hear_of(self, update: MemberUpdate, now: Seconds) -> None:
@@ -496,7 +355,8 @@
     def make_probe(self, to: RouterId, address: str, sequence: int) -> Outgoing:
         """Return a probe."""
         beat = self.make_beat(BeatKind.PROBE, sequence, to)
-        after = self.cursor if self.lacks_members() or not to else None
+        wanted = self.joining.lacks_members() or not to
+        after = self.joining.cursor if wanted else None
         return Outgoing(to, address, evolve(beat, after=after))
 
     def send_probe(self, to: MemberUpdate) -> Outgoing:
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -218,6 +218,7 @@
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
             await tasks.start(serve_listener, operators, self.settings.operators, stop)
+            await self.network.wait_for_start()
             tasks.start_soon(self.start_keeper)
             tasks.start_soon(self.follow_versions)
             tasks.start_soon(self.backends.run)
--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -15,7 +15,8 @@
     VersionNotice,
 )
 from ebonyhold.routers._keys import KeyRing, PeerKey, parse_keys
-from ebonyhold.routers._network import PeerNetwork, PeerStatus
+from ebonyhold.routers._listing import PeerStatus
+from ebonyhold.routers._network import PeerNetwork
 from ebonyhold.routers._registry import PeerMessage, peer_message
 
 __all__ = [
--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -6,23 +6,21 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Protocol
+from collections.abc import Iterable
 
 import anyio
 import pynng
 from anyio.abc import TaskGroup, TaskStatus
-from attrs import frozen
 
 from ebonyhold.coordination import (
     BeatKind,
-    Listed,
     Member,
     Membership,
     MembershipOptions,
     MemberStatus,
     MemberUpdate,
     Outgoing,
+    StartupPolicy,
 )
 from ebonyhold.exceptions import EbonyholdError, PeerError, RefusedMessageError
 from ebonyhold.routers._envelope import MAX_ENVELOPE, Envelopes, Opened
@@ -30,6 +28,7 @@
 from ebonyhold.routers._interface import Handler, Reply
 from ebonyhold.routers._keys import KeyRing
 from ebonyhold.routers._links import LinkCounters, Links
+from ebonyhold.routers._listing import MemberSource, PeerStatus, listed
 from ebonyhold.routers._registry import PeerMessage
 from ebonyhold.routers._wire import Gossip, decode, encode
 from ebonyhold.types import RouterId, Seconds
@@ -39,6 +38,10 @@
 LIST_PERIOD: Seconds = 5.0
 KEYS_PERIOD: Seconds = 1.0
 LOG_PERIOD: Seconds = 10.0
+LOOKS_A_PERIOD = 20
+LOOKS_AROUND = 30
+"""Looks at who is alive before a start is taken for one of many."""
+
 RECEIVE_QUEUE = 256
 RECEIVE_BATCH = 64
 """Messages taken in without letting other tasks run in between."""
@@ -47,50 +50,6 @@
 """Handlers that run at once; further messages are dropped."""
 
 
-class ListEntry(Protocol):
-    """One router of the platform's membership list, as its client returns it."""
-
-    @property
-    def name(self) -> str:
-        """Return the VM's name."""
-
-    @property
-    def address(self) -> str:
-        """Return where its peers reach it, ``ip:port``."""
-
-    @property
-    def domain(self) -> str:
-        """Return its failure domain."""
-
-    @property
-    def state(self) -> object:
-        """Return ``live`` or ``leaving``, as text or as an enum of it."""
-
-
-MemberSource = Callable[[], Awaitable[Sequence[ListEntry]]]
-
-
-@frozen
-class PeerStatus:
-    """One other router, as operators see it.
-
-    Attributes:
-        router: The incarnation.
-        address: Where it is reached.
-        domain: Its failure domain.
-        status: What is believed of it.
-        listed: Whether the platform lists it.
-        heard_ago: Seconds since it spoke to this router itself, or None.
-    """
-
-    router: RouterId
-    address: str
-    domain: str
-    status: MemberStatus
-    listed: bool
-    heard_ago: Seconds | None
-
-
 class PeerNetwork:
     """One router's sockets, envelopes and membership.
 
@@ -183,7 +142,7 @@
             member.update.address,
             member.update.domain,
             self.membership.status_of(member),
-            self.membership.is_listed(member),
+            self.membership.judge.is_listed(member),
             None if heard is None else now - heard,
         )
 
@@ -192,6 +151,25 @@
         """Return what became of the messages that were sent."""
         return LinkCounters() if self.links is None else self.links.counters
 
+    async def wait_for_start(self, policy: StartupPolicy | None = None) -> None:
+        """Wait until it is this router's turn to read from the platform.
+
+        It looks around for a moment; if most of the listed routers answer, this
+        start is one among few and waits no longer.
+        """
+        policy = policy or StartupPolicy()
+        for _ in range(LOOKS_AROUND):
+            if not self.start_wait(policy, 1.0):
+                return
+            await anyio.sleep(self.membership.options.period / LOOKS_A_PERIOD)
+        await anyio.sleep(self.start_wait(policy, self.rng.random()))
+
+    def start_wait(self, policy: StartupPolicy, chance: float) -> Seconds:
+        """Return how long the policy lets this router wait, as things look now."""
+        listed = self.membership.view.listed
+        size = None if listed is None else len(listed)
+        return policy.first_wait(size, len(self.alive()), chance)
+
     def become(self, router: RouterId) -> None:
         """Go on as a new incarnation, after this one was sealed."""
         started = max(milliseconds(), self.membership.me.started + 1)
@@ -361,20 +339,6 @@
             logger.warning("peer message refused", extra=extra)
 
 
-def listed(entries: Iterable[ListEntry]) -> list[Listed]:
-    """Turn the platform's entries into those of the membership protocol."""
-    return [
-        Listed(entry.name, entry.address, entry.domain, word(entry.state) == "leaving")
-        for entry in entries
-        if word(getattr(entry, "role", "entry")) == "entry"
-    ]
-
-
-def word(value: object) -> str:
-    """Return the text of a string or of an enum of strings."""
-    return str(getattr(value, "value", value))
-
-
 def milliseconds() -> int:
     """Return the time in milliseconds since the epoch."""
     return time.time_ns() // 1_000_000
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -11,8 +11,14 @@
 import anyio
 import pynng
 import pytest
+from trio.testing import MockClock
 
-from ebonyhold.coordination import MembershipOptions, MemberStatus
+from ebonyhold.coordination import (
+    Listed,
+    MembershipOptions,
+    MemberStatus,
+    MemberUpdate,
+)
 from ebonyhold.routers import (
     FateReply,
     FateRequest,
@@ -94,6 +100,45 @@
     anyio.run(run, backend=backend)
 
 
+@pytest.mark.parametrize(
+    ("listed", "alive", "least", "most"),
+    [
+        (0, 0, 0.0, 0.0),
+        (8, 8, 0.0, 0.0),
+        (8, 4, 0.0, 0.0),
+        (8, 3, 1.5, 1.5 + 8 / 30),
+        (329, 0, 1.5, 1.5 + 329 / 30),
+        (None, 0, 1.5, 1.5 + 9 / 30),
+    ],
+)
+def test_a_start_waits_for_its_turn(
+    listed: int | None, alive: int, least: float, most: float
+) -> None:
+    """All routers start after a power cut, or only this one does.
+
+    Alone it starts at once; among many it takes its part of the time that all
+    of them need.
+    """
+
+    async def run() -> None:
+        keys = KeyRing((KEY,))
+        one = PeerNetwork("a.1", "d1", "127.0.0.1:1", keys, None)
+        view = one.membership.view
+        if listed is not None:
+            view.listed = {
+                str(n): Listed(str(n), f"10.0.0.{n}:1") for n in range(listed)
+            }
+        for number in range(alive):
+            update = MemberUpdate(f"{number}.1", "10.0.0.1:1", "d", MemberStatus.ALIVE)
+            view.merge(update, 0.0)
+        start = anyio.current_time()
+        await one.wait_for_start()
+        assert least <= anyio.current_time() - start <= most + 0.001
+
+    options = {"clock": MockClock(autojump_threshold=0)}
+    anyio.run(run, backend="trio", backend_options=options)
+
+
 def test_garbage_does_not_stop_the_listener() -> None:
     """Somebody who can reach the port sends noise, and a lot of it.
 
