--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -9,7 +9,10 @@
 from hypothesis import strategies as st
 
 from ebonyhold.coordination import (
+    Beat,
+    BeatKind,
     Listed,
+    Membership,
     MembershipOptions,
     MemberStatus,
     MemberUpdate,
@@ -75,6 +78,42 @@
     assert one.present_count == len(one.present())
 
 
+beats = st.builds(
+    Beat,
+    kind=st.sampled_from(BeatKind),
+    sequence=st.integers(-1, 5),
+    updates=st.lists(updates, max_size=4).map(tuple),
+    target=st.sampled_from(["", "a.1", "b.1", "me.1", "nobody"]),
+    address=st.sampled_from(["", "10.0.0.1:1", "no address"]),
+    after=st.none() | st.sampled_from(["", "a.2", "zzz"]),
+    known=st.integers(-1, 1000),
+    page_end=st.sampled_from(["", "a.1"]),
+)
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(["a.1", "b.1", "x"]), beats), max_size=12))
+def test_no_message_of_a_peer_breaks_the_protocol(
+    received: list[tuple[str, Beat]],
+) -> None:
+    """A peer of another release, or with a fault, sends what makes no sense.
+
+    The router stays alive in its own view, counts right, and goes on.
+    """
+    own = MemberUpdate("me.1", "10.0.0.9:1", "d", MemberStatus.ALIVE)
+    part = Membership(own, random.Random(1), 0.0)
+    now = 0.0
+    for sender, beat in received:
+        part.receive(sender, beat, now)
+        now = max(now + 0.1, part.wake_at)
+        part.tick(now)
+    assert part.me.status is MemberStatus.ALIVE
+    assert "me.1" not in part.view.members
+    assert part.view.present_count == len(part.view.present())
+    assert part.wake_at > now
+    part.gone(now + 1e4)
+
+
 @pytest.mark.parametrize("size", [2, 3, 9, 30])
 def test_a_fleet_finds_itself(size: int) -> None:
     fleet = settled(size)
