Count streamed chunks rightly in the benchmark; keep the bounds of two checks

Cause: the bench added to a sum that it had read before it waited, so chunks of other streams were lost (265 a second direct instead of 7,500). Two checks came in with smaller bounds to save time. Change: sums after the wait; the membership check has its 90 routers again and the replays their 4,000 steps, with an own least count for the smaller model.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -205,8 +205,13 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import Seen, seen
-from ebonyhold.coordination._startup import StartupPolicy
+from ebonyhold.coordination._seen import (
+    Seen,
+    seen,
+)
+from ebonyhold.coordination._startup import (
+    StartupPolicy,
+)
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
--- a/ebonyhold/experiments/bench.py
+++ b/ebonyhold/experiments/bench.py
@@ -170,7 +170,8 @@
     async def work() -> None:
         nonlocal chunks
         for _ in range(2):
-            chunks += await calls.stream(STREAM_TOKENS)
+            got = await calls.stream(STREAM_TOKENS)
+            chunks += got
 
     return await timed(work, STREAMS, pid, lambda: (2 * STREAMS, chunks))
 
@@ -182,7 +183,8 @@
 
     async def one() -> None:
         nonlocal chunks
-        chunks += await calls.stream(STREAM_TOKENS)
+        got = await calls.stream(STREAM_TOKENS)
+        chunks += got
 
     async def paced() -> None:
         began = anyio.current_time()
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -343,7 +343,7 @@
 
 def test_traffic_does_not_grow_with_the_fleet() -> None:
     rates = []
-    for size in (20, 60):
+    for size in (30, 90):
         fleet = settled(size)
         fleet.run(60.0)
         before = sum(node.sent_bytes for node in fleet.running())
--- a/tests/models/test_replay.py
+++ b/tests/models/test_replay.py
@@ -22,12 +22,15 @@
     "billing": BillingAdapter(),
 }
 
+FEWEST_STATES = {"billing": 500}
+"""The model of billing is smaller; the others must reach a thousand states."""
+
 
 @pytest.mark.parametrize("name", ADAPTERS)
 def test_the_parts_follow_the_model(name: str) -> None:
     model = FAMILIES[name].build("", False)
-    report = replay(model, ADAPTERS[name], limit=2500)
-    assert report.edges > report.states > 500
+    report = replay(model, ADAPTERS[name], limit=4000)
+    assert report.edges > report.states > FEWEST_STATES.get(name, 1000)
 
 
 @pytest.mark.parametrize(
