--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -154,14 +154,19 @@
         """Run the tasks; returns once the incarnation is sealed or drained."""
         journal = self._journal()
         self._exchange().listen()
-        async with anyio.create_task_group() as tasks:
-            self.tasks = tasks
-            tasks.start_soon(journal.run)
-            for account in self.accounts.values():
-                tasks.start_soon(self._keep, account)
-            task_status.started()
-            await journal.sealed.wait()
-            tasks.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                tasks.start_soon(journal.run)
+                for account in self.accounts.values():
+                    tasks.start_soon(self._keep, account)
+                task_status.started()
+                await journal.sealed.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            # A request may still settle while the daemon stops: its account
+            # must not start a task in a group that has ended.
+            self.tasks = None
         self._fail_all()
 
     def _fail_all(self) -> None:
--- a/tests/money/test_deaths.py
+++ b/tests/money/test_deaths.py
@@ -304,3 +304,26 @@
         await check_all_returned(fleet, "w")
 
     run(story)
+
+
+def test_request_that_ends_after_its_router_stopped() -> None:
+    """A daemon stops its tasks while the last stream is still being relayed.
+
+    The stream's end reaches the money after that.  It must not fail: the
+    outcome is lost with the process, and whoever recovers it asks the engine.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 1000, "t")
+        treasury = await fleet.start("a.1")
+        permit = await begin(treasury, order("w", "r"))
+        await fleet.dispatch(permit, 40)
+        fleet.kill("a.1")
+        await anyio.sleep(1)
+        treasury.accounts.clear()
+        await treasury.finish(permit, ended(permit, 45))
+        assert (await fleet.recover("a.1")).closed
+        assert fleet.budget("w").spent == 45
+        await check_all_returned(fleet, "w")
+
+    run(story)
