--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -46,6 +46,7 @@
     choice_policies,
     choice_policy,
     make_choice_policy,
+    working_set,
 )
 from ebonyhold.coordination._claims import (
     MOST_REPEATS,
@@ -204,10 +205,8 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._startup import StartupPolicy
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -329,6 +328,7 @@
     "Seen",
     "Settlement",
     "Share",
+    "StartupPolicy",
     "Table",
     "Ticket",
     "TokenBucket",
@@ -414,4 +414,5 @@
     "transfer_ends",
     "transfer_key",
     "transfer_name",
+    "working_set",
 ]
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -136,6 +136,7 @@
             lambda: self.money.current.me,
             self.network.alive,
             self.network.gone,
+            self.network.may_recover,
         )
         self.lifecycle = Lifecycle(
             self.callers,
@@ -217,6 +218,7 @@
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
             await tasks.start(serve_listener, operators, self.settings.operators, stop)
+            await self.network.wait_for_start()
             tasks.start_soon(self.start_keeper)
             tasks.start_soon(self.follow_versions)
             tasks.start_soon(self.backends.run)
