--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -24,7 +24,7 @@
 from ebonyhold.fleet import FleetView
 from ebonyhold.metrics import Metrics
 from ebonyhold.misc import new_incarnation
-from ebonyhold.money import Incarnations, Recovery, Treasury
+from ebonyhold.money import Incarnations, Recovery, Treasury, Upkeep
 from ebonyhold.operators import (
     OperatorKeys,
     OperatorsApp,
@@ -95,6 +95,7 @@
     money: Incarnations = field(init=False)
     callers: CallersApp = field(init=False)
     recoveries: Recoveries = field(init=False)
+    upkeep: Upkeep = field(init=False)
     placement: PlacementHolder = field(init=False)
     lifecycle: Lifecycle = field(init=False)
 
@@ -138,6 +139,14 @@
             self.network.gone,
             self.network.may_recover,
         )
+        self.upkeep = Upkeep(
+            self.table,
+            self.objects,
+            self.make_recovery,
+            lambda: self.policy().keep_bills,
+            lambda: self.money.current.me,
+            self.network.alive,
+        )
         self.lifecycle = Lifecycle(
             self.callers,
             self.money,
@@ -225,6 +234,7 @@
             await self.open_money()
             tasks.start_soon(self.money.run)
             tasks.start_soon(self.recoveries.run)
+            tasks.start_soon(self.upkeep.run)
             tasks.start_soon(self.placement.run)
             await tasks.start(serve_listener, self.callers, self.settings.callers, stop)
             logger.info("serving", extra={"callers": self.settings.callers.bind})
--- a/ebonyhold/money/__init__.py
+++ b/ebonyhold/money/__init__.py
@@ -9,6 +9,7 @@
 from ebonyhold.money._retention import Retention, RetentionReport
 from ebonyhold.money._status import GrantStatus, MoneyStatus
 from ebonyhold.money._treasury import Treasury
+from ebonyhold.money._upkeep import Upkeep
 from ebonyhold.money._verify import Discrepancy, verify_bills
 
 __all__ = [
@@ -29,6 +30,7 @@
     "RetentionReport",
     "Treasury",
     "Unsettled",
+    "Upkeep",
     "refund",
     "rule",
     "top_up",
--- a/tests/money/test_operators.py
+++ b/tests/money/test_operators.py
@@ -19,8 +19,9 @@
     topup_key,
 )
 from ebonyhold.document import Policy, UnknownOutcome
+from ebonyhold.exceptions import BudgetUnreachableError
 from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
-from ebonyhold.money import Retention, refund, rule, top_up, verify_bills
+from ebonyhold.money import Retention, Upkeep, refund, rule, top_up, verify_bills
 from tests.money.stories import begin, check_all_returned, check_books, request, run
 
 MONTH = 30 * 86_400.0
@@ -181,3 +182,49 @@
         assert found.key == request_key("w", "r")
 
     run(story)
+
+
+def test_upkeep_goes_on_after_an_outage() -> None:
+    """A transfer was lost between two routers, and the table is away for a while.
+
+    The upkeep finds the platform down, tries again later, and returns the
+    tokens once both routers are closed.  A router that is not responsible does
+    nothing.
+    """
+
+    async def story(fleet: MemoryFleet) -> None:
+        await fleet.top_up("w", 10_000, "t")
+        rich = await fleet.start("a.1")
+        poor = await fleet.start("b.1")
+        for treasury, hold in ((rich, 500), (poor, 10)):
+            permit = await begin(treasury, order("w", f"r{hold}", hold))
+            await treasury.finish(permit, ended(permit, 10))
+        await anyio.sleep(3)
+        fleet.table.faults.down = True
+        fleet.network.lose_replies = 1
+        with pytest.raises(BudgetUnreachableError):
+            await begin(poor, order("w", "r", 5000))
+        for name in ("a.1", "b.1"):
+            fleet.kill(name)
+        fleet.table.faults.down = False
+        for name in ("a.1", "b.1"):
+            await fleet.recover(name)
+        assert fleet.budget("w").outstanding > 0
+        fleet.table.faults.down = True
+        upkeep = Upkeep(
+            fleet.table,
+            fleet.objects,
+            lambda: fleet.recovery("c.1"),
+            lambda: MONTH,
+            lambda: "c.1",
+            lambda: (),
+        )
+        fleet.tasks.start_soon(upkeep.run)
+        await anyio.sleep(1000)
+        fleet.table.faults.down = False
+        await anyio.sleep(1000)
+        assert fleet.budget("w").outstanding == 0
+        assert upkeep.pending == 0
+        await check_books(fleet)
+
+    run(story)
