--- a/ebonyhold/experiments/money_costs.py
+++ b/ebonyhold/experiments/money_costs.py
@@ -36,6 +36,9 @@
 RATES = (1.0, 10.0, 100.0, 400.0)
 """Requests a second through one router."""
 
+FILED_WITHIN = 1.0
+"""How often to look whether all bills are filed, in seconds."""
+
 WORKSPACES = 10
 """As many as each deployment has today."""
 
@@ -63,7 +66,7 @@
 
     Attributes:
         rate: Requests a second.
-        writes: Row writes a second.
+        writes: Row writes a second, those of bills filed later counted in.
         segments: Journal segments a second.
         added_p95: Latency that the money adds to 95 in 100 requests, in seconds.
     """
@@ -171,10 +174,12 @@
                 callers.start_soon(request, number)
                 await anyio.sleep(chance.expovariate(rate))
         lasted = anyio.current_time() - started
+        while treasury.status().unfiled:
+            await anyio.sleep(FILED_WITHIN)
         assert treasury.journal is not None
         segments = sum(treasury.journal.segments.values()) / lasted
         p95 = percentile(latencies, 0.95)
-        found.append(WriteCost(rate, counter.rows / lasted, segments, p95))
+        found.append(WriteCost(rate, counter.rows / requests * rate, segments, p95))
 
     play(story)
     return found[0]
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -11,12 +11,14 @@
 from ebonyhold.coordination import (
     Bill,
     BudgetRow,
+    Filed,
     GrantLedger,
     GrantSize,
     GrantView,
     LedgerChange,
     Settlement,
     Table,
+    Verdict,
     find_grant_policy,
 )
 from ebonyhold.document import Policy
@@ -149,11 +151,9 @@
         self._serve()
 
     def file(self, run: str, bill: Bill, append: Append, *, urgent: bool) -> None:
-        """Queue a bill; it is filed once its outcome is durable."""
+        """Queue a bill."""
         self.unfiled[run] = Unfiled(bill, append)
-        append.then = partial(self.poke, urgent=urgent)
-        if append.done.is_set():
-            append.then()
+        self.poke(urgent=urgent)
 
     def arrive(self, transfer: str, amount: Tokens) -> None:
         """Add tokens from another router, whose receipt is durable."""
@@ -273,8 +273,7 @@
         for unfiled in self.unfiled.values():
             if len(chosen) >= self.options.bills_at_once:
                 break
-            if unfiled.append.done.is_set():
-                chosen.setdefault(unfiled.bill.key, unfiled.bill)
+            chosen.setdefault(unfiled.bill.key, unfiled.bill)
         return tuple(chosen.values())
 
     def _plan(self, rows: GrantRows, bills: tuple[Bill, ...]) -> Settlement | None:
@@ -299,17 +298,31 @@
         self.ledger.available += plan.drawn
         self.drawn += plan.drawn - plan.returned
         for filed in plan.filed:
-            self._filed(filed.bill, filed.paid)
+            self._filed(filed)
 
     def _drop(self, plan: Settlement) -> None:
         self.ledger.available += plan.returned
 
-    def _filed(self, bill: Bill, paid: Tokens) -> None:
+    def _filed(self, filed: Filed) -> None:
         for run, unfiled in list(self.unfiled.items()):
-            if unfiled.bill is bill:
+            if unfiled.bill is filed.bill:
                 del self.unfiled[run]
-                self.ledger.filed(bill.charge, paid)
-                self.journal.settle(run)
+                self.ledger.filed(filed.bill.charge, filed.paid)
+                self._forget_run(run, unfiled.append, filed.verdict)
+
+    def _forget_run(self, run: str, append: Append, verdict: Verdict) -> None:
+        """Let the journal drop a run whose bill is decided.
+
+        Its own row is all that recovery needs to know of it.  Where another
+        run's bill stands in the row, only the outcome tells how this one ended.
+        """
+        if verdict is not Verdict.LEAVE:
+            self.journal.withdraw(append)
+        settle = partial(self.journal.settle, run)
+        if append.done.is_set():
+            settle()
+        else:
+            append.then = settle
 
     def _serve(self) -> None:
         self.waiters.serve(self.ledger)
--- a/ebonyhold/money/_journal.py
+++ b/ebonyhold/money/_journal.py
@@ -126,6 +126,7 @@
     appended: int = 0
     segments: dict[Place, int] = field(factory=dict)
     queue: deque[Append] = field(factory=deque)
+    some: anyio.Event = field(factory=anyio.Event)
     wake: anyio.Event = field(factory=anyio.Event)
     table_number: int = 1
     object_number: int = 1
@@ -140,16 +141,38 @@
         """Seed the jitter by the name, so that two routers do not agree on it."""
         self.random = random.Random(self.me)
 
-    def put(self, *entries: JournalEntry, keep: bool = True) -> Append:
-        """Queue entries; the returned append says when they are durable."""
+    def put(
+        self, *entries: JournalEntry, keep: bool = True, lazy: bool = False
+    ) -> Append:
+        """Queue entries; the returned append says when they are durable.
+
+        Args:
+            entries: What to append, together.
+            keep: Whether they stay queued until they are durable.
+            lazy: Whether they may wait a moment for other entries, and be
+                withdrawn meanwhile.
+        """
         append = Append(entries, keep)
         if self.sealed.is_set():
             append.end(SealedError(f"{self.me} was sealed"))
             return append
         self.queue.append(append)
-        self.wake.set()
+        self.some.set()
+        if not lazy:
+            self.wake.set()
         return append
 
+    def withdraw(self, append: Append) -> bool:
+        """Take entries back that are not on their way yet; False when they are.
+
+        An outcome is not needed any more once its bill is in the table.
+        """
+        if append not in self.queue:
+            return False
+        self.queue.remove(append)
+        append.end()
+        return True
+
     async def flush(self) -> None:
         """Wait until everything queued so far is durable.
 
@@ -175,7 +198,10 @@
     async def run(self) -> None:
         """Append what is queued until the journal is sealed or the task ends."""
         while not self.sealed.is_set():
-            await self.wake.wait()
+            await self.some.wait()
+            with anyio.move_on_after(self.options.outcome_delay):
+                await self.wake.wait()
+            self.some = anyio.Event()
             self.wake = anyio.Event()
             while self.queue and not self.sealed.is_set():
                 await self._append_queued()
--- a/ebonyhold/money/_options.py
+++ b/ebonyhold/money/_options.py
@@ -13,6 +13,10 @@
 
     Attributes:
         filing_interval: How long a bill may wait for others of its workspace.
+        outcome_delay: How long a chat's outcome may wait for company in the
+            journal.  It is longer than the filing interval, since an outcome
+            whose bill is filed first need not be written at all; a router that
+            dies meanwhile leaves the question to the engine.
         bills_at_once: Bills of one transaction.
         resize_interval: How often a grant's size is looked at without need.
         evict_after: How long a workspace may be idle before its grant returns
@@ -31,6 +35,7 @@
     """
 
     filing_interval: Seconds = 1.0
+    outcome_delay: Seconds = 2.0
     bills_at_once: int = 10
     resize_interval: Seconds = 15.0
     evict_after: Seconds = 900.0
--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -306,10 +306,15 @@
         if run is None or self.sealed:
             return None
         bill = make_bill(run.intent, outcome)
-        append = self._journal().put(evolve(outcome, charge=bill.charge))
+        urgent = run.intent.kind is RequestKind.BOOKING
+        # What a chat came to can be asked of its engine; that something did not
+        # run, and what a service answered, nobody else may be able to tell.
+        chat = run.intent.kind is RequestKind.CHAT
+        lazy = chat and outcome.state is not RequestState.NOT_RUN
+        entry = evolve(outcome, charge=bill.charge)
+        append = self._journal().put(entry, lazy=lazy)
         account = self._account(run.intent.workspace)
         account.release(run.hold, bill.charge)
-        urgent = run.intent.kind is RequestKind.BOOKING
         account.file(run_of(permit.attempt), bill, append, urgent=urgent)
         return append
 
