--- a/ebonyhold/experiments/money_costs.py
+++ b/ebonyhold/experiments/money_costs.py
@@ -36,8 +36,8 @@
 RATES = (1.0, 10.0, 100.0, 400.0)
 """Requests a second through one router."""
 
-FILED_WITHIN = 1.0
-"""How often to look whether all bills are filed, in seconds."""
+FILED_WITHIN = 60.0
+"""After this long all bills are filed, in seconds."""
 
 WORKSPACES = 10
 """As many as each deployment has today."""
@@ -174,8 +174,8 @@
                 callers.start_soon(request, number)
                 await anyio.sleep(chance.expovariate(rate))
         lasted = anyio.current_time() - started
-        while treasury.status().unfiled:
-            await anyio.sleep(FILED_WITHIN)
+        await anyio.sleep(FILED_WITHIN)
+        assert treasury.status().unfiled == 0
         assert treasury.journal is not None
         segments = sum(treasury.journal.segments.values()) / lasted
         p95 = percentile(latencies, 0.95)
