--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -154,14 +154,19 @@
         """Run the tasks; returns once the incarnation is sealed or drained."""
         journal = self._journal()
         self._exchange().listen()
-        async with anyio.create_task_group() as tasks:
-            self.tasks = tasks
-            tasks.start_soon(journal.run)
-            for account in self.accounts.values():
-                tasks.start_soon(self._keep, account)
-            task_status.started()
-            await journal.sealed.wait()
-            tasks.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                tasks.start_soon(journal.run)
+                for account in self.accounts.values():
+                    tasks.start_soon(self._keep, account)
+                task_status.started()
+                await journal.sealed.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            # A request may still settle while the daemon stops: its account
+            # must not start a task in a group that has ended.
+            self.tasks = None
         self._fail_all()
 
     def _fail_all(self) -> None:
@@ -301,10 +306,15 @@
         if run is None or self.sealed:
             return None
         bill = make_bill(run.intent, outcome)
-        append = self._journal().put(evolve(outcome, charge=bill.charge))
+        urgent = run.intent.kind is RequestKind.BOOKING
+        # What a chat came to can be asked of its engine; that something did not
+        # run, and what a service answered, nobody else may be able to tell.
+        chat = run.intent.kind is RequestKind.CHAT
+        lazy = chat and outcome.state is not RequestState.NOT_RUN
+        entry = evolve(outcome, charge=bill.charge)
+        append = self._journal().put(entry, lazy=lazy)
         account = self._account(run.intent.workspace)
         account.release(run.hold, bill.charge)
-        urgent = run.intent.kind is RequestKind.BOOKING
         account.file(run_of(permit.attempt), bill, append, urgent=urgent)
         return append
 
