Try an unreachable server again after a while

Cause: a plain service that refused two connections was left out for good, since nothing polls it and nothing was sent there any more; while one other server was up nobody would have noticed. Change: it is left out for 1 s, doubled to 8 s.

--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -122,7 +122,7 @@
         report = await poll_load(self.client, state.backend, self.poll_every)
         name = state.backend.name
         if report is None:
-            self.ejector.lost(name)
+            self.ejector.lost(name, anyio.current_time())
             self.changed()
             return
         self.ejector.reached(name)
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -268,7 +268,7 @@
         """Tell the ejector, which judges servers and not requests."""
         name = state.backend.name
         if isinstance(error, UnreachableError):
-            self.backends.ejector.lost(name)
+            self.backends.ejector.lost(name, anyio.current_time())
         elif not isinstance(error, RefusedError):
             self.backends.ejector.failed(name, anyio.current_time())
 
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -262,7 +262,7 @@
             with hop("service"):
                 self.answer = await self.backends.services.call(state.backend, call)
         except UnreachableError:
-            self.backends.ejector.lost(name)
+            self.backends.ejector.lost(name, anyio.current_time())
             self.tried.add(name)
             self.check_bound()
         except BackendError as error:
--- a/ebonyhold/coordination/_ejection.py
+++ b/ebonyhold/coordination/_ejection.py
@@ -18,6 +18,7 @@
         lost: Failed connections in a row that make a server unreachable.
         first: How long the first ejection lasts, in seconds.
         most: The bound on that time, which doubles with each ejection in a row.
+        most_lost: The bound on the time that an unreachable server is left out.
         domain_share: The largest part of a failure domain that errors may eject.
         fleet_share: The largest part of the fleet that errors may eject.
         panic_share: If a larger part of the fleet than this is unreachable, the
@@ -28,6 +29,7 @@
     lost: int = 2
     first: Seconds = 1.0
     most: Seconds = 30.0
+    most_lost: Seconds = 8.0
     domain_share: float = 0.5
     fleet_share: float = 0.34
     panic_share: float = 0.67
@@ -41,6 +43,7 @@
     lost: int = 0
     rounds: int = 0
     until: Seconds = 0.0
+    lost_until: Seconds = 0.0
 
 
 @define
@@ -57,9 +60,17 @@
         if record.errors >= self.policy.errors:
             self.eject(record, now)
 
-    def lost(self, name: BackendName) -> None:
-        """Note that no connection could be made."""
-        self.records.setdefault(name, Record()).lost += 1
+    def lost(self, name: BackendName, now: Seconds) -> None:
+        """Note that no connection could be made.
+
+        The server is left out for a while only: one that nobody polls could
+        otherwise come back and never be tried again.
+        """
+        record = self.records.setdefault(name, Record())
+        record.lost += 1
+        rounds = max(0, record.lost - self.policy.lost)
+        wait = min(self.policy.most_lost, self.policy.first * 2.0 ** min(rounds, 16))
+        record.lost_until = now + wait
 
     def reached(self, name: BackendName) -> None:
         """Note that the server answered something, such as a load report."""
@@ -94,7 +105,7 @@
         without such a bound per domain, since a dead domain can answer nothing;
         but when most of the fleet is unreachable the fault is here.
         """
-        unreachable = self.unreachable(servers)
+        unreachable = self.unreachable(servers, now)
         allowed = int(len(servers) * self.policy.fleet_share)
         room = domain_room(servers, self.policy.domain_share)
         out = set(unreachable)
@@ -112,17 +123,23 @@
             out.add(name)
         return frozenset(out)
 
-    def unreachable(self, servers: Mapping[BackendName, str]) -> frozenset[BackendName]:
+    def unreachable(
+        self, servers: Mapping[BackendName, str], now: Seconds
+    ) -> frozenset[BackendName]:
         """Return the servers that cannot be reached, unless most cannot."""
         lost = frozenset(
             name
             for name in servers
-            if name in self.records and self.records[name].lost >= self.policy.lost
+            if name in self.records and self.is_lost(self.records[name], now)
         )
         if len(lost) > len(servers) * self.policy.panic_share:
             return frozenset()
         return lost
 
+    def is_lost(self, record: Record, now: Seconds) -> bool:
+        """Return whether a server cannot be reached."""
+        return record.lost >= self.policy.lost and now < record.lost_until
+
     def is_out(self, name: BackendName, now: Seconds) -> bool:
         """Return whether errors have ejected a server."""
         record = self.records.get(name)
--- a/tests/callers/test_services.py
+++ b/tests/callers/test_services.py
@@ -276,3 +276,21 @@
             tasks.start_soon(book)
     assert statuses == [201] * 40
     assert most == 16
+
+
+async def test_a_service_that_comes_back_is_used_again() -> None:
+    """One server of a service is gone for a while and comes back; nobody polls it.
+
+    Later the other one goes.  Callers are served by the first one again.
+    """
+    bench = make_bench()
+    gone = fails(httpx.ConnectError("refused"))
+    bench.servers["s0"].scripts, bench.servers["s1"].scripts = [gone], [BOOKED]
+    path = "/services/booking/bookings"
+    for _ in range(6):
+        assert (await bench.ask("POST", path, BOOKING)).status == 201
+    bench.servers["s0"].scripts, bench.servers["s1"].scripts = [BOOKED], [gone]
+    await anyio.sleep(10.0)
+    for _ in range(6):
+        assert (await bench.ask("POST", path, BOOKING)).status == 201
+    assert calls(bench) > 6
--- a/tests/coordination/test_request_decisions.py
+++ b/tests/coordination/test_request_decisions.py
@@ -73,8 +73,8 @@
     ejector = Ejector()
     dead = {name for name, domain in NINE.items() if domain == "d1"}
     for name in dead:
-        ejector.lost(name)
-        ejector.lost(name)
+        ejector.lost(name, 0.0)
+        ejector.lost(name, 0.0)
     assert ejector.ejected(NINE, 0.0) == dead
     ejector.reached("e1")
     assert ejector.ejected(NINE, 0.0) == dead - {"e1"}
@@ -84,11 +84,27 @@
     """This router's own network is cut: to it, every engine looks dead."""
     ejector = Ejector()
     for name in NINE:
-        ejector.lost(name)
-        ejector.lost(name)
+        ejector.lost(name, 0.0)
+        ejector.lost(name, 0.0)
     assert ejector.ejected(NINE, 0.0) == frozenset()
 
 
+def test_an_unreachable_server_is_tried_again() -> None:
+    """A plain service restarts; nobody polls it, so only a try can tell.
+
+    It is left out for a while that grows with each failed try, within a bound.
+    """
+    ejector = Ejector(EjectionPolicy(lost=2, first=1.0, most_lost=3.0))
+    spans = []
+    for now in (0.0, 10.0, 20.0, 30.0):
+        assert "e0" not in ejector.ejected(NINE, now)
+        ejector.lost("e0", now)
+        spans.append("e0" in ejector.ejected(NINE, now + 0.5))
+    assert spans == [False, True, True, True]
+    assert "e0" in ejector.ejected(NINE, 32.9)
+    assert "e0" not in ejector.ejected(NINE, 33.1)
+
+
 def test_ejection_ends_and_grows() -> None:
     ejector = Ejector(EjectionPolicy(errors=2, first=1.0, most=3.0))
     ejector.failed("e0", 0.0)
