--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -205,10 +205,8 @@
     TransferRow,
     TransferState,
 )
-from ebonyhold.coordination._seen import (
-    Seen,
-    seen,
-)
+from ebonyhold.coordination._seen import Seen, seen
+from ebonyhold.coordination._startup import StartupPolicy
 from ebonyhold.coordination._stops import (
     Holding,
     InProgress,
@@ -330,6 +328,7 @@
     "Seen",
     "Settlement",
     "Share",
+    "StartupPolicy",
     "Table",
     "Ticket",
     "TokenBucket",
