Let engines die and stop in the comparison of policies

Cause: cut requests and late work during planned stops were not measured. Change: registered scenarios; attempts fail and are resumed as in the product.

--- a/ebonyhold/experiments/choice/__init__.py
+++ b/ebonyhold/experiments/choice/__init__.py
@@ -9,5 +9,6 @@
 
 from ebonyhold.experiments.choice._figures import Figures
 from ebonyhold.experiments.choice._run import Deployment, Load, deployments, run_once
+from ebonyhold.experiments.choice._scenarios import scenarios
 
-__all__ = ["Deployment", "Figures", "Load", "deployments", "run_once"]
+__all__ = ["Deployment", "Figures", "Load", "deployments", "run_once", "scenarios"]
--- a/ebonyhold/experiments/choice/__main__.py
+++ b/ebonyhold/experiments/choice/__main__.py
@@ -16,6 +16,9 @@
 )
 
 
+SCENARIO_HEAD = " Resumed | Cut | Late work | Empty after s |"
+
+
 def mean(runs: Sequence[Figures], get: Callable[[Figures], float]) -> float:
     """Return the mean of one figure over the seeds."""
     return statistics.fmean(get(run) for run in runs)
@@ -53,25 +56,47 @@
     return "| " + " | ".join(cells) + " |"
 
 
+def scenario_cells(runs: Sequence[Figures]) -> str:
+    """Return what a scenario adds to a line."""
+    cells = (
+        f"{sum(run.resumed for run in runs)}",
+        f"{sum(run.cut for run in runs)}",
+        f"{sum(run.late_work for run in runs)}",
+        f"{max(run.emptied for run in runs):.1f}",
+    )
+    return " " + " | ".join(cells) + " |"
+
+
 def main() -> None:
     """Run all combinations that were asked for."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--policies", nargs="*", default=list(choice_policies))
     parser.add_argument("--deployments", nargs="*", default=list(deployments))
     parser.add_argument("--loads", nargs="*", type=float, default=[0.7, 0.9])
+    parser.add_argument("--scenarios", nargs="*", default=["normal"])
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--length", type=float, default=40.0)
     options = parser.parse_args()
-    print(HEAD)
+    first, second = HEAD.split("\n")
+    if options.scenarios != ["normal"]:
+        first = f"| Scenario {first}{SCENARIO_HEAD}"
+        second += " --- | --- | --- | --- | --- |"
+    print(first, second, sep="\n")
     for name in options.deployments:
         for factor in options.loads:
             load = Load(factor, options.length)
             for policy in options.policies:
-                runs = [
-                    run_once(deployments[name], policy, load, seed)
-                    for seed in range(1, options.seeds + 1)
-                ]
-                print(line(name, load, policy, runs), flush=True)
+                for scenario in options.scenarios:
+                    runs = [
+                        run_once(
+                            deployments[name], policy, load, seed, scenario=scenario
+                        )
+                        for seed in range(1, options.seeds + 1)
+                    ]
+                    text = line(name, load, policy, runs)
+                    if options.scenarios != ["normal"]:
+                        text = f"| {scenario} {text}{scenario_cells(runs)}"
+                    print(text, flush=True)
 
 
 if __name__ == "__main__":
--- a/ebonyhold/experiments/choice/_engine.py
+++ b/ebonyhold/experiments/choice/_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict, deque
 
@@ -13,6 +14,9 @@
 
 BLOCK = 16
 
+LATE: Seconds = 3.0
+"""New work for a leaving engine that comes later than this breaks the promise."""
+
 
 @frozen
 class EngineShape:
@@ -55,6 +59,7 @@
     made: Tokens = 0
     first: Seconds = 0.0
     last: Seconds = 0.0
+    failed: bool = False
     done: anyio.Event = field(factory=anyio.Event)
 
 
@@ -74,6 +79,10 @@
 
     Attributes:
         gaps: Where the times between tokens go, in seconds.
+        dead: Whether it refuses connections.
+        leaving_since: Since when it wants no new work.
+        late_work: Requests that came long after that.
+        emptied: How long it took to become empty, at each planned stop.
     """
 
     name: BackendName
@@ -89,9 +98,42 @@
     token_rate: float = 0.0
     tokens: Tokens = 0
     work: anyio.Event = field(factory=anyio.Event)
+    ended: anyio.Event = field(factory=anyio.Event)
+    dead: bool = False
+    boots: int = 1
+    leaving_since: Seconds = math.inf
+    late_work: int = 0
+    emptied: list[Seconds] = field(factory=list)
+
+    async def wait_empty(self) -> None:
+        """Return when nothing runs or waits here."""
+        while self.running or self.waiting:
+            self.ended = anyio.Event()
+            await self.ended.wait()
+
+    def kill(self) -> None:
+        """Die: every request in it fails, and the cache is gone."""
+        self.dead = True
+        for job in [*self.running, *self.waiting]:
+            job.failed = True
+            job.done.set()
+        self.running.clear()
+        self.waiting.clear()
+        self.cache.clear()
+        self.events.clear()
+        self.moments.clear()
+        self.sequence = 0
+
+    def revive(self) -> None:
+        """Come back empty, as another boot."""
+        self.dead = False
+        self.boots += 1
+        self.leaving_since = math.inf
 
     def submit(self, job: Job) -> None:
         """Queue a request."""
+        if anyio.current_time() > self.leaving_since + LATE:
+            self.late_work += 1
         self.waiting.append(job)
         self.waiting.sort(key=lambda item: -item.priority)
         self.note()
@@ -148,7 +190,7 @@
         now = anyio.current_time()
         made = 0
         ended = False
-        for job in self.running:
+        for job in tuple(self.running):
             if job.unread:
                 continue
             made += 1
@@ -164,6 +206,7 @@
         self.tokens += made
         self.token_rate += 0.1 * (made / length - self.token_rate)
         if ended:
+            self.ended.set()
             self.running = [job for job in self.running if job.made < job.answer]
             self.note()
 
@@ -207,7 +250,12 @@
                 break
             seen = moment
         return LoadReport(
-            "boot", sequence, seen.running, seen.queued, token_rate=seen.token_rate
+            f"boot-{self.boots}",
+            sequence,
+            seen.running,
+            seen.queued,
+            token_rate=seen.token_rate,
+            leaving=self.leaving_since < late,
         )
 
     def news(self, after: int) -> list[CacheEvent]:
--- a/ebonyhold/experiments/choice/_figures.py
+++ b/ebonyhold/experiments/choice/_figures.py
@@ -34,6 +34,10 @@
     refused: int = 0
     asked: int = 0
     imbalance: list[float] = field(factory=list)
+    resumed: int = 0
+    cut: int = 0
+    late_work: int = 0
+    emptied: list[Seconds] = field(factory=list)
 
 
 @frozen
@@ -48,6 +52,10 @@
         refused: The part that was refused.
         reuse: The part of the prompt tokens that a cache held.
         imbalance: The busiest engine's load over the mean, on average.
+        resumed: Streams that went on at another engine.
+        cut: Streams that did not reach their end.
+        late_work: Requests that a leaving engine got after a few seconds.
+        emptied: The longest time that a leaving engine took to be empty, seconds.
     """
 
     first: tuple[float, float, float]
@@ -57,6 +65,10 @@
     refused: float
     reuse: float
     imbalance: float
+    resumed: int = 0
+    cut: int = 0
+    late_work: int = 0
+    emptied: Seconds = 0.0
 
 
 def percentiles(values: Sequence[float]) -> tuple[float, float, float]:
@@ -87,4 +99,8 @@
         tally.refused / max(1, tally.asked),
         sum(item.reused for item in tally.served) / prompts,
         statistics.fmean(tally.imbalance) if tally.imbalance else 1.0,
+        tally.resumed,
+        tally.cut,
+        tally.late_work,
+        max(tally.emptied, default=0.0),
     )
--- a/ebonyhold/experiments/choice/_run.py
+++ b/ebonyhold/experiments/choice/_run.py
@@ -26,11 +26,13 @@
 )
 from ebonyhold.experiments.choice._engine import EngineShape, FakeEngine, Job
 from ebonyhold.experiments.choice._figures import Figures, Served, Tally, figures
+from ebonyhold.experiments.choice._scenarios import scenarios
 from ebonyhold.experiments.choice._workload import Ask, asks
 from ebonyhold.fleet import FleetView
 from ebonyhold.types import BackendName, Seconds
 
 MODEL = "assistant"
+MOST_ATTEMPTS = 4
 SAMPLE: Seconds = 0.25
 
 
@@ -100,6 +102,10 @@
             self.sequence += 1
             for name, engine in self.engines.items():
                 state = self.backends.states[name]
+                if engine.dead:
+                    self.backends.ejector.lost(name, anyio.current_time())
+                    continue
+                self.backends.ejector.reached(name)
                 state.heard(engine.report(self.sequence), anyio.current_time())
                 if self.sequence % CACHE_EVERY == 0:
                     state.learn(engine.news(state.prefixes.sequence))
@@ -123,26 +129,68 @@
         except Refusal:
             self.tally.refused += 1
             return
-        state = self.choose(ask)
-        self.gate.arrived()
-        name = str(id(waiter))
-        state.started(name, name, arrived)
+        await self.answer(ask, urgency.priority, arrived)
+        self.gate.left(waiter.ticket)
+
+    async def answer(self, ask: Ask, priority: int, arrived: Seconds) -> None:
+        """Make attempts until the answer is whole, as the product does."""
+        total = Job(ask.hashes, ask.prompt, ask.answer, priority, arrived)
+        tried: set[BackendName] = set()
+        for attempt in range(MOST_ATTEMPTS):
+            state = self.choose(ask, tried)
+            if attempt == 0:
+                self.gate.arrived()
+            if state is None:
+                break
+            tried.add(state.backend.name)
+            job = await self.attempt(state, ask, total)
+            if job is not None and not job.failed:
+                self.tally.served.append(served(total, arrived, state.distance))
+                return
+        self.tally.cut += total.made > 0
+        self.tally.refused += total.made == 0
+
+    async def attempt(self, state: BackendState, ask: Ask, total: Job) -> Job | None:
+        """Make one attempt; None when the engine cannot be reached."""
+        name = state.backend.name
+        engine = self.engines[name]
+        if engine.dead:
+            self.backends.ejector.lost(name, anyio.current_time())
+            return None
+        key = str(id(total))
+        state.started(key, key, total.arrived)
         state.prefixes.sent(ask.hashes)
         await anyio.sleep(state.distance)
-        job = Job(ask.hashes, ask.prompt, ask.answer, urgency.priority, arrived)
-        self.engines[state.backend.name].submit(job)
+        job = Job(
+            ask.hashes,
+            ask.prompt + total.made,
+            ask.answer - total.made,
+            total.priority,
+            anyio.current_time(),
+        )
+        self.tally.resumed += total.made > 0
+        engine.submit(job)
         await job.done.wait()
         await anyio.sleep(state.distance)
-        state.ended(name)
-        self.gate.left(waiter.ticket)
-        self.tally.served.append(served(job, arrived, state.distance))
+        state.ended(key)
+        if job.failed:
+            self.backends.ejector.failed(name, anyio.current_time())
+        add_up(total, job)
+        return job
 
-    def choose(self, ask: Ask) -> BackendState:
+    def choose(self, ask: Ask, tried: set[BackendName]) -> BackendState | None:
         """Let the product choose."""
         need = Need(ask.prompt, ask.answer)
-        state = self.backends.choose(MODEL, need, ask.hashes)
-        assert state is not None
-        return state
+        return self.backends.choose(MODEL, need, ask.hashes, tried)
+
+
+def add_up(total: Job, job: Job) -> None:
+    """Add what one attempt made to the whole answer."""
+    if job.made and not total.made:
+        total.first = job.first
+        total.reused = job.reused
+    total.made += job.made
+    total.last = job.last if job.made else total.last
 
 
 def served(job: Job, arrived: Seconds, distance: Seconds) -> Served:
@@ -153,6 +201,29 @@
     )
 
 
+@frozen
+class Stage:
+    """What a scenario acts on."""
+
+    length: Seconds
+    all_engines: dict[BackendName, FakeEngine]
+    routers: Sequence[Router]
+
+    @property
+    def engines(self) -> Sequence[FakeEngine]:
+        """All engines."""
+        return list(self.all_engines.values())
+
+    @property
+    def fleets(self) -> Sequence[FleetView]:
+        """What each router knows of the fleet."""
+        return [router.backends.fleet for router in self.routers]
+
+    def domain(self, name: BackendName) -> str:
+        """Return an engine's failure domain."""
+        return self.routers[0].backends.states[name].backend.domain
+
+
 def document(deployment: Deployment, policy: str, slots: int) -> Document:
     """Return the deployment's document."""
     backends = tuple(
@@ -185,7 +256,12 @@
 
 
 async def play(
-    deployment: Deployment, policy: str, load: Load, seed: int, shape: EngineShape
+    deployment: Deployment,
+    policy: str,
+    load: Load,
+    seed: int,
+    shape: EngineShape,
+    scenario: str,
 ) -> Figures:
     """Play one run on the virtual clock."""
     tally = Tally(load.length)
@@ -209,11 +285,15 @@
         for router in routers:
             group.start_soon(router.poll)
         group.start_soon(sample, list(engines.values()), tally)
+        group.start_soon(scenarios[scenario], Stage(load.length, engines, routers))
         async with anyio.create_task_group() as requests:
             for ask in plan:
                 await anyio.sleep_until(start + ask.at)
                 requests.start_soon(chance.choice(routers).serve, ask)
         group.cancel_scope.cancel()
+    for engine in engines.values():
+        tally.late_work += engine.late_work
+        tally.emptied += engine.emptied
     return figures(tally)
 
 
@@ -245,6 +325,7 @@
     load: Load,
     seed: int,
     shape: EngineShape | None = None,
+    scenario: str = "normal",
 ) -> Figures:
     """Run one combination and return its figures."""
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -255,6 +336,7 @@
         load,
         seed,
         shape or EngineShape(),
+        scenario,
         clock=clock,
         strict_exception_groups=True,
     )
