--- a/ebonyhold/experiments/_beat_fleet.py
+++ b/ebonyhold/experiments/_beat_fleet.py
@@ -132,6 +132,7 @@
             if self.rng.random() < self.network.loss:
                 continue
             wait = self.network.delay + self.network.jitter * self.rng.random()
+            wait += self.lag()
             self.at(self.now + wait, self.delivery(address, sender, out))
 
     def delivery(
