--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import time
-from collections import deque
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from functools import partial
 
 import anyio
@@ -15,44 +12,28 @@
     Bill,
     BudgetRow,
     GrantLedger,
-    GrantRow,
     GrantSize,
     GrantView,
     LedgerChange,
-    RequestRow,
-    RouterRow,
-    Seen,
     Settlement,
     Table,
-    TransferRow,
-    TransferState,
-    announce_transfer,
-    budget_key,
     find_grant_policy,
-    grant_key,
-    grant_keys,
-    plan_settlement,
-    revoke_transfer,
-    router_key,
-    seen,
-    settle_transfer,
-    transfer_ends,
-    transfer_key,
 )
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import (
     BudgetError,
     BudgetExhaustedError,
     BudgetUnreachableError,
-    ConflictError,
     PlatformError,
     SealedError,
     UnavailableError,
-    UnknownOutcomeError,
 )
 from ebonyhold.money._demand import DemandEstimate
+from ebonyhold.money._grant_writer import GrantRows, GrantWriter
 from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
+from ebonyhold.money._transfer_book import TransferBook
+from ebonyhold.money._waiters import Waiter, WaitingRequests
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
 SETTLE_ROUNDS = 50
@@ -62,28 +43,6 @@
 """Tries of one settlement against other writers, before the next round."""
 
 
-@define(eq=False)
-class Waiter:
-    """A request that waits for a hold.
-
-    Attributes:
-        need: Tokens it wants to hold.
-        since: When it came.
-        joined: How often the budget had been read when it came: only a read
-            after that is fresh enough to refuse it.
-        done: Set when it is granted or refused.
-        granted: Whether it has its hold.
-        error: Why it was refused.
-    """
-
-    need: Tokens
-    since: float
-    joined: int
-    done: anyio.Event = field(factory=anyio.Event)
-    granted: bool = False
-    error: BudgetError | SealedError | None = None
-
-
 @frozen
 class Unfiled:
     """A bill that is not in the table yet, and the append of its outcome."""
@@ -92,23 +51,6 @@
     append: Append
 
 
-@frozen
-class Arrival:
-    """A received transfer that is not settled in the table yet."""
-
-    transfer: str
-    amount: Tokens
-
-
-@frozen
-class Given:
-    """A transfer to another router that is not settled in the table yet."""
-
-    transfer: str
-    amount: Tokens
-    append: Append
-
-
 @define(eq=False)
 class Account:
     """One workspace's grant, as long as it is in use here.
@@ -120,11 +62,10 @@
     Attributes:
         workspace: Whose grant.
         ledger: The tokens of the grant.
-        budget: The budget as last read or written.
         unfiled: Bills on their way, by run.
-        arrivals: Received transfers on their way.
-        given: Transfers to others on their way, by name.
-        doubt: A settlement that may or may not have taken effect.
+        transfers: Tokens on their way to and from other routers.
+        waiters: Requests that wait for a hold.
+        writer: Reads and writes the budget and the grant.
         reachable: Whether the last call to the table succeeded.
     """
 
@@ -137,12 +78,10 @@
     ask_peers: Callable[[Account, Tokens], Awaitable[None]]
     ledger: GrantLedger = field(factory=GrantLedger)
     demand: DemandEstimate = field(factory=DemandEstimate)
-    budget: BudgetRow | None = None
     unfiled: dict[str, Unfiled] = field(factory=dict)
-    arrivals: dict[str, Arrival] = field(factory=dict)
-    given: dict[str, Given] = field(factory=dict)
-    waiters: deque[Waiter] = field(factory=deque)
-    doubt: Settlement | None = None
+    transfers: TransferBook = field(init=False)
+    waiters: WaitingRequests = field(factory=WaitingRequests)
+    writer: GrantWriter = field(init=False)
     reachable: bool = True
     urgent: bool = False
     closing: bool = False
@@ -150,10 +89,20 @@
     used_at: float = field(factory=anyio.current_time)
     pause: float = 0.0
     drawn: Tokens = 0
-    reads: int = 0
-    settlements: int = 0
-    gifts_checked_at: float = 0.0
-    gifts_announced: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Make the parts that share the ledger."""
+        self.writer = GrantWriter(
+            self.workspace, self.journal, self.table, self._take_effect, self._drop
+        )
+        self.transfers = TransferBook(
+            self.workspace, self.ledger, self.journal, self.table, self.options
+        )
+
+    @property
+    def budget(self) -> BudgetRow | None:
+        """Return the budget as last read or written."""
+        return self.writer.budget
 
     @property
     def me(self) -> RouterId:
@@ -175,8 +124,8 @@
             if self._wants_resize():
                 self.poke()
             return
-        waiter = Waiter(need, now, self.reads)
-        self.waiters.append(waiter)
+        waiter = Waiter(need, now, self.writer.reads_begun)
+        self.waiters.join(waiter)
         self.poke(urgent=True)
         try:
             with anyio.move_on_after(self.options.acquire_within):
@@ -186,8 +135,7 @@
                 self.release(need, 0)
             raise
         finally:
-            if waiter in self.waiters:
-                self.waiters.remove(waiter)
+            self.waiters.leave(waiter)
         if waiter.granted:
             return
         if waiter.error is not None:
@@ -207,17 +155,9 @@
         if append.done.is_set():
             append.then()
 
-    def give(self, transfer: str, amount: Tokens, append: Append) -> Given:
-        """Take tokens out for another router."""
-        self.ledger.give(amount)
-        given = Given(transfer, amount, append)
-        self.given[transfer] = given
-        return given
-
     def arrive(self, transfer: str, amount: Tokens) -> None:
-        """Add tokens whose receipt is durable."""
-        self.ledger.receive(amount)
-        self.arrivals[transfer] = Arrival(transfer, amount)
+        """Add tokens from another router, whose receipt is durable."""
+        self.transfers.arrive(transfer, amount)
         self._serve()
         self.poke()
 
@@ -230,9 +170,8 @@
         """Return what a policy may look at."""
         now = anyio.current_time()
         policy = self.policy()
-        need = sum(waiter.need for waiter in self.waiters)
         return GrantView(
-            need=max(need - self.ledger.available, 0),
+            need=max(self.waiters.need - self.ledger.available, 0),
             available=self.ledger.available,
             rate=self.demand.rate(now),
             typical=self.demand.typical,
@@ -284,11 +223,13 @@
         idle = anyio.current_time() - self.used_at
         if idle < self.options.evict_after and not self.closing:
             return False
-        if self.unfiled or self.arrivals or self.waiters or self.doubt is not None:
+        if self.unfiled or self.waiters or self.writer.doubt is not None:
+            return False
+        if self.transfers.arrivals:
             return False
         if self.closing:
-            return self.gifts_announced and not self.ledger.mine
-        return not self.given and self.ledger.empty
+            return self.transfers.announced and not self.ledger.mine
+        return not self.transfers.given and self.ledger.empty
 
     async def settle(self) -> None:
         """File, draw, return: until nothing is wanted of the table now.
@@ -297,11 +238,9 @@
             PlatformError: The table could not be reached.
             SealedError: This incarnation is over.
         """
-        for arrival in list(self.arrivals.values()):
-            await self._settle_arrival(arrival)
-        await self._settle_gifts()
+        await self.transfers.settle()
         if self.closing:
-            await self._announce_gifts()
+            await self.transfers.announce()
         for _ in range(SETTLE_ROUNDS):
             if not await self._settle_once():
                 break
@@ -312,20 +251,21 @@
         """Make one settlement; False when the table is not wanted now."""
         for _ in range(SETTLE_TRIES):
             bills = self._ready_bills()
-            if not (bills or self.waiters or self.doubt or self._wants_resize()):
+            doubt = self.writer.doubt
+            if not (bills or self.waiters or doubt or self._wants_resize()):
                 return False
-            rows = await self._read(bills)
-            if self._resolve_doubt(rows):
+            rows = await self.writer.read(bills)
+            if self.writer.resolve(rows):
                 return True
-            plan = self.doubt or self._plan(rows, bills)
+            plan = self.writer.doubt or self._plan(rows, bills)
             if plan is None:
                 return False
-            if await self._commit(plan):
+            if await self.writer.commit(plan):
                 return True
             await anyio.sleep(
                 self.journal.random.random() * self.options.conflict_pause
             )
-        reason = "did not answer" if self.doubt else "met other writers"
+        reason = "did not answer" if self.writer.doubt else "met other writers"
         raise UnavailableError(f"the budget of {self.workspace} {reason}")
 
     def _ready_bills(self) -> tuple[Bill, ...]:
@@ -337,57 +277,15 @@
                 chosen.setdefault(unfiled.bill.key, unfiled.bill)
         return tuple(chosen.values())
 
-    async def _read(self, bills: tuple[Bill, ...]) -> _Rows:
-        keys = (
-            router_key(self.me),
-            budget_key(self.workspace),
-            grant_key(self.me, self.workspace),
-            *(bill.key for bill in bills),
-        )
-        router, budget, grant, *requests = await self.table.read(keys)
-        if router is None or router.version != self.journal.router.version:
-            raise SealedError(f"{self.me} was sealed")
-        rows = _Rows(
-            seen(keys[1], budget, BudgetRow),
-            seen(keys[2], grant, GrantRow),
-            {
-                key: seen(key, row, RequestRow)
-                for key, row in zip(keys[3:], requests, strict=True)
-            },
-        )
-        self.budget = rows.budget.value
-        self.reads += 1
-        return rows
-
-    def _resolve_doubt(self, rows: _Rows) -> bool:
-        """Learn from the grant's sequence number whether a lost commit took effect."""
-        if self.doubt is None:
-            return False
-        doubt = self.doubt
-        grant = rows.grant.value or GrantRow()
-        if grant.sequence >= doubt.sequence:
-            self._took_effect(doubt)
-            return True
-        return False
-
-    def _plan(self, rows: _Rows, bills: tuple[Bill, ...]) -> Settlement | None:
+    def _plan(self, rows: GrantRows, bills: tuple[Bill, ...]) -> Settlement | None:
         size = self._size()
         left = self.budget.remaining if self.budget else 0
         draw = min(size.draw, max(left, 0))
         give_back = min(size.give_back, self.ledger.spare)
         if not (bills or draw or give_back):
             return None
-        plan = plan_settlement(
-            self.me,
-            self.journal.router,
-            rows.budget,
-            rows.grant,
-            rows.requests,
-            LedgerChange(bills, draw, give_back),
-            time.time(),
-        )
+        plan = self.writer.plan(rows, LedgerChange(bills, draw, give_back))
         self.ledger.available -= plan.returned
-        self.doubt = plan
         return plan
 
     def _size(self) -> GrantSize:
@@ -397,46 +295,15 @@
             return GrantSize(give_back=self.ledger.spare)
         return find_grant_policy(self.policy().grants).size(view)
 
-    async def _commit(self, plan: Settlement) -> bool:
-        """Commit a plan, perhaps for the second time; False when it did not count.
-
-        A call whose answer was lost may still arrive.  It carries the versions
-        of the rows that it read, so sending it again takes effect once at most;
-        a conflict then says, by the grant's sequence number, which it was.
-        """
-        if plan.returned:
-            # What goes back may have been set free by outcomes that only this
-            # router knows; recovery must not charge a hold that has left.
-            await self.journal.flush()
-        try:
-            await self.table.commit(plan.transaction)
-        except ConflictError:
-            return await self._after_conflict(plan)
-        except UnknownOutcomeError:
-            return False
-        self._took_effect(plan)
-        return True
-
-    async def _after_conflict(self, plan: Settlement) -> bool:
-        rows = await self._read(())
-        grant = rows.grant.value or GrantRow()
-        if grant.sequence >= plan.sequence:
-            self._took_effect(plan)
-            return True
-        # A check failed, and a version never comes back: this plan is dead.
-        self.doubt = None
-        self.ledger.available += plan.returned
-        return False
-
-    def _took_effect(self, plan: Settlement) -> None:
-        self.doubt = None
-        self.settlements += 1
-        self.budget = plan.budget
+    def _take_effect(self, plan: Settlement) -> None:
         self.ledger.available += plan.drawn
         self.drawn += plan.drawn - plan.returned
         for filed in plan.filed:
             self._filed(filed.bill, filed.paid)
 
+    def _drop(self, plan: Settlement) -> None:
+        self.ledger.available += plan.returned
+
     def _filed(self, bill: Bill, paid: Tokens) -> None:
         for run, unfiled in list(self.unfiled.items()):
             if unfiled.bill is bill:
@@ -444,99 +311,8 @@
                 self.ledger.filed(bill.charge, paid)
                 self.journal.settle(run)
 
-    async def _settle_arrival(self, arrival: Arrival) -> None:
-        source_key, own_key = grant_keys(arrival.transfer, self.workspace)
-        keys = (
-            transfer_key(arrival.transfer),
-            router_key(self.me),
-            source_key,
-            own_key,
-        )
-        for _ in range(SETTLE_TRIES):
-            transfer, router, source, own = await self.table.read(keys)
-            if router is None or router.version != self.journal.router.version:
-                raise SealedError(f"{self.me} was sealed")
-            wish = settle_transfer(
-                seen(keys[0], transfer, TransferRow),
-                seen(keys[1], router, RouterRow),
-                seen(keys[2], source, GrantRow),
-                seen(keys[3], own, GrantRow),
-                self.workspace,
-                arrival.amount,
-            )
-            if wish is None:
-                del self.arrivals[arrival.transfer]
-                self.ledger.received -= arrival.amount
-                self.journal.settle(arrival.transfer)
-                return
-            try:
-                await self.table.commit(wish)
-            except (ConflictError, UnknownOutcomeError):
-                continue
-        raise UnavailableError(f"transfer {arrival.transfer} met other writers")
-
-    async def _settle_gifts(self) -> None:
-        """Find out which transfers to others are settled, or can never be."""
-        now = anyio.current_time()
-        if now < self.gifts_checked_at + self.options.resize_interval:
-            return
-        self.gifts_checked_at = now
-        for given in list(self.given.values()):
-            await self._settle_gift(given)
-
-    async def _announce_gifts(self) -> None:
-        """Leave transfers that nobody settled yet to whoever sweeps later."""
-        for given in self.given.values():
-            key = transfer_key(given.transfer)
-            for _ in range(SETTLE_TRIES):
-                (row,) = await self.table.read((key,))
-                wish = announce_transfer(
-                    seen(key, row, TransferRow), self.workspace, given.amount
-                )
-                if wish is None:
-                    break
-                with suppress(ConflictError, UnknownOutcomeError):
-                    await self.table.commit(wish)
-            else:
-                raise UnavailableError(f"{given.transfer} could not be announced")
-        self.gifts_announced = True
-
-    async def _settle_gift(self, given: Given) -> None:
-        _, to = transfer_ends(given.transfer)
-        keys = (transfer_key(given.transfer), router_key(to))
-        row, receiver = await self.table.read(keys)
-        transfer = seen(keys[0], row, TransferRow)
-        if transfer.value is not None:
-            self._gift_ended(given, transfer.value.state)
-            return
-        router = seen(keys[1], receiver, RouterRow)
-        wish = revoke_transfer(
-            self.journal.router, transfer, router, self.workspace, given.amount
-        )
-        if wish is None:
-            return
-        try:
-            await self.table.commit(wish)
-        except (ConflictError, UnknownOutcomeError):
-            return
-        self._gift_ended(given, TransferState.LAPSED)
-
-    def _gift_ended(self, given: Given, state: TransferState) -> None:
-        if state is TransferState.PENDING:
-            return
-        if self.given.pop(given.transfer, None) is None:
-            return
-        self.ledger.given -= given.amount
-        if state is TransferState.LAPSED:
-            self.ledger.available += given.amount
-        self.journal.settle(given.transfer)
-
     def _serve(self) -> None:
-        for waiter in list(self.waiters):
-            if self.ledger.hold(waiter.need):
-                self.waiters.remove(waiter)
-                waiter.granted = True
-                waiter.done.set()
+        self.waiters.serve(self.ledger)
 
     def _wants_resize(self) -> bool:
         size = self._size()
@@ -545,10 +321,10 @@
     async def _refuse_the_rest(self) -> None:
         """Refuse whom the budget, read just now, cannot serve."""
         self._serve()
-        for waiter in self._judged():
+        for waiter in self.waiters.judged_by(self.writer.last_read):
             if self._exhausted(waiter.need):
-                self._refuse(waiter, self._refusal(waiter.need))
-        judged = self._judged()
+                self.waiters.refuse(waiter, self._refusal(waiter.need))
+        judged = self.waiters.judged_by(self.writer.last_read)
         if not judged:
             return
         await self._beg()
@@ -556,7 +332,7 @@
         patience = find_grant_policy(self.policy().grants).patience
         for waiter in judged:
             if not waiter.granted and now >= waiter.since + patience:
-                self._refuse(waiter, self._refusal(waiter.need))
+                self.waiters.refuse(waiter, self._refusal(waiter.need))
         if self.waiters:
             await self._wait_for_returns()
 
@@ -566,15 +342,6 @@
             await self.wake.wait()
         self.poke(urgent=True)
 
-    def _judged(self) -> list[Waiter]:
-        return [waiter for waiter in self.waiters if waiter.joined < self.reads]
-
-    def _refuse(self, waiter: Waiter, error: BudgetError | SealedError) -> None:
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
-        waiter.error = error
-        waiter.done.set()
-
     def _exhausted(self, need: Tokens) -> bool:
         row = self.budget or BudgetRow()
         return row.prepaid - row.spent < need
@@ -596,26 +363,19 @@
         if self.waiters:
             await self._beg()
         reason = f"the budget of {self.workspace} cannot be reached: {error}"
-        for waiter in list(self.waiters):
-            self._refuse(waiter, BudgetUnreachableError(reason))
+        for waiter in self.waiters:
+            self.waiters.refuse(waiter, BudgetUnreachableError(reason))
         longer = max(self.options.retry_pause, self.pause * 2)
         self.pause = min(longer, self.options.most_pause)
         await self._pause(self.pause)
 
     async def _beg(self) -> None:
-        need = sum(waiter.need for waiter in self.waiters) - self.ledger.available
-        if need > 0:
-            await self.ask_peers(self, need)
+        lack = self.waiters.need - self.ledger.available
+        if lack > 0:
+            await self.ask_peers(self, lack)
         self._serve()
 
     def fail(self, error: SealedError) -> None:
         """Fail everybody: this incarnation is over."""
-        for waiter in list(self.waiters):
-            self._refuse(waiter, error)
-
-
-@frozen
-class _Rows:
-    budget: Seen[BudgetRow]
-    grant: Seen[GrantRow]
-    requests: dict[str, Seen[RequestRow]]
+        for waiter in self.waiters:
+            self.waiters.refuse(waiter, error)
