Add ebonyhold experiment: list, run, compare, report

Change: twenty scenarios as YAML (ten for money, six for choice, four live ones), read by the document's own reader, so that a file's findings come together with their places. `run` writes one JSON line for each scenario, policy and seed, and a tagged HDR histogram log; `compare` marks what differs by more than the seeds' standard deviation; `report` writes one page with its plots inside.

Conclusion: the benches have one command; the plots are still to be looked at.

--- /dev/null
+++ b/ebonyhold/experiments/_plots.py
@@ -0,0 +1,369 @@
+"""Plots of results, as PNG files."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import matplotlib as mpl
+from attrs import define, field, frozen
+from hdrh.histogram import HdrHistogram
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from ebonyhold.experiments._catalogue import Kind
+from ebonyhold.experiments._compare import spread_of
+from ebonyhold.experiments._measures import MEASURES
+from ebonyhold.experiments._results import MICROSECONDS, Result, group_results
+
+COLOURS = ("#0072B2", "#D55E00", "#009E73", "#CC79A7", "#E69F00", "#56B4E9", "#444444")
+"""Colours that people with colour blindness can tell apart (Okabe and Ito)."""
+
+MARKERS = ("o", "s", "^", "D", "v", "P", "X")
+
+STYLE: dict[Any, Any] = {
+    "font.size": 10,
+    "axes.spines.top": False,
+    "axes.spines.right": False,
+    "axes.grid": True,
+    "grid.color": "#dddddd",
+    "grid.linewidth": 0.6,
+    "axes.axisbelow": True,
+    "axes.titlesize": 11,
+    "axes.titleweight": "bold",
+    "axes.titlelocation": "left",
+    "figure.constrained_layout.use": True,
+    "savefig.dpi": 130,
+}
+
+WIDTH = 9.0
+"""Inches."""
+
+PANEL_COLUMNS = 2
+PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.9)
+TICKS = (1, 10, 50, 90, 99, 99.9)
+MINUTE = 60.0
+
+
+@define
+class PlotData:
+    """What plots are made of.
+
+    Attributes:
+        results: All results.
+        histograms: Latencies by the tag of their run.
+    """
+
+    results: Sequence[Result]
+    histograms: Mapping[str, HdrHistogram] = field(factory=dict)
+
+    def of_kind(self, kind: Kind) -> PlotData:
+        """Return the part of one kind of scenario."""
+        chosen = [each for each in self.results if each.kind is kind]
+        return PlotData(chosen, self.histograms)
+
+    @property
+    def scenarios(self) -> list[str]:
+        """The scenarios, in the order of the results."""
+        return list(dict.fromkeys(each.key.scenario for each in self.results))
+
+    @property
+    def policies(self) -> list[str]:
+        """The policies, in the order of the results."""
+        return list(dict.fromkeys(each.key.policy for each in self.results))
+
+
+@frozen
+class Plot:
+    """A plot that a report may hold.
+
+    Attributes:
+        name: The file's name without its suffix.
+        kind: The kind of scenario it is of.
+        title: The heading above it.
+        note: How to read it.
+        draw: Draws it; returns None when there is nothing to show.
+    """
+
+    name: str
+    kind: Kind
+    title: str
+    note: str
+    draw: Callable[[PlotData], Figure | None]
+
+
+PLOTS: list[Plot] = []
+"""The registered plots, in the order of the report."""
+
+
+def plot(
+    name: str, kind: Kind, title: str, note: str
+) -> Callable[
+    [Callable[[PlotData], Figure | None]], Callable[[PlotData], Figure | None]
+]:
+    """Register how a plot is drawn."""
+
+    def register(
+        draw: Callable[[PlotData], Figure | None],
+    ) -> Callable[[PlotData], Figure | None]:
+        PLOTS.append(Plot(name, kind, title, note, draw))
+        return draw
+
+    return register
+
+
+def draw_all(data: PlotData, folder: Path) -> list[tuple[Plot, Path]]:
+    """Draw all plots that have something to show."""
+    drawn: list[tuple[Plot, Path]] = []
+    with mpl.rc_context(STYLE):
+        for each in PLOTS:
+            part = data.of_kind(each.kind)
+            figure = each.draw(part) if part.results else None
+            if figure is not None:
+                path = folder / f"{each.name}.png"
+                figure.savefig(path, metadata={"Software": None})
+                drawn.append((each, path))
+    return drawn
+
+
+def dots(data: PlotData, names: Sequence[str]) -> Figure:
+    """Draw figures as dots: a row for each scenario, a colour for each policy."""
+    rows = len(data.scenarios)
+    height = 1.3 + 0.17 * rows * max(len(data.policies), 2)
+    figure = Figure(figsize=(WIDTH, height))
+    axes = figure.subplots(1, len(names), sharey=True, squeeze=False)[0]
+    for ax, name in zip(axes, names, strict=True):
+        dots_of(ax, data, name)
+    axes[0].set_yticks(range(rows), data.scenarios)
+    axes[0].set_ylim(rows - 0.5, -0.5)
+    add_legend(figure, axes[0])
+    return figure
+
+
+def dots_of(ax: Axes, data: PlotData, name: str) -> None:
+    """Draw one figure's dots, with the deviation over the seeds as a bar."""
+    measure = MEASURES[name]
+    groups = group_results(data.results)
+    step = 0.75 / max(len(data.policies), 1)
+    highest = 0.0
+    for index, policy in enumerate(data.policies):
+        shift = (index - (len(data.policies) - 1) / 2) * step
+        for row, scenario in enumerate(data.scenarios):
+            spread = spread_of(groups.get((scenario, policy), []), name)
+            if spread is None:
+                continue
+            mean = spread.mean * measure.scale
+            highest = max(highest, mean)
+            ax.errorbar(
+                mean,
+                row + shift,
+                xerr=[[min(spread.deviation * measure.scale, mean)],
+                      [spread.deviation * measure.scale]],
+                color=COLOURS[index % len(COLOURS)],
+                marker=MARKERS[index % len(MARKERS)],
+                markersize=5,
+                linewidth=1.2,
+                label=policy if row == 0 else None,
+            )  # fmt: skip
+    for row in range(1, len(data.scenarios)):
+        ax.axhline(row - 0.5, color="#bbbbbb", linewidth=0.6)
+    ax.grid(axis="y", visible=False)
+    ax.set_title(measure.label)
+    ax.set_xlabel(measure.unit)
+    ax.xaxis.set_major_formatter(lambda value, _: f"{value:,.6g}")
+    ax.locator_params(axis="x", nbins=5)
+    if highest:
+        ax.set_xlim(left=-0.02 * ax.get_xlim()[1])
+    else:
+        ax.set_xlim(-0.05, 1)
+        ax.set_xticks([0])
+        ax.text(
+            0.5, 0.5, "0 in every run", transform=ax.transAxes, ha="center",
+            color="#666666", bbox={"facecolor": "white", "edgecolor": "none"},
+        )  # fmt: skip
+
+
+def add_legend(figure: Figure, ax: Axes) -> None:
+    """Put one legend for all panels below the figure."""
+    handles, labels = ax.get_legend_handles_labels()
+    figure.legend(handles, labels, loc="outside lower center", ncols=5, frameon=False)
+
+
+def panels(
+    scenarios: Sequence[str],
+    fill: Callable[[Axes, str], None],
+    *,
+    sharey: bool = False,
+) -> Figure:
+    """Draw a panel for each scenario."""
+    columns = min(PANEL_COLUMNS, len(scenarios))
+    rows = -(-len(scenarios) // columns)
+    figure = Figure(figsize=(WIDTH, 0.8 + 2.3 * rows))
+    grid = figure.subplots(rows, columns, squeeze=False, sharey=sharey)
+    places = list(grid.flat)
+    for ax, scenario in zip(places, scenarios, strict=False):
+        fill(ax, scenario)
+        ax.set_title(scenario)
+    for ax in places[len(scenarios) :]:
+        ax.set_visible(False)
+    add_legend(figure, places[0])
+    return figure
+
+
+@plot(
+    "refusals", Kind.MONEY, "False refusals and overspend",
+    "False refusals: requests refused although the budget as a whole would have"
+    " carried them. Dots are means over the seeds, bars their standard deviation.",
+)  # fmt: skip
+def draw_refusals(data: PlotData) -> Figure | None:
+    """Draw false refusals and overspend by policy."""
+    return dots(data, ("false_refusals", "overspend"))
+
+
+@plot(
+    "costs", Kind.MONEY, "What it costs",
+    "Tokens in grants of dead or cut-off routers at the worst moment, and how much"
+    " the policy writes to the table.",
+)  # fmt: skip
+def draw_costs(data: PlotData) -> Figure | None:
+    """Draw stranded tokens and table writes by policy."""
+    return dots(data, ("stranded", "writes"))
+
+
+@plot(
+    "stranded", Kind.MONEY, "Stranded tokens over time",
+    "Mean over the seeds; only scenarios in which tokens strand at all.",
+)  # fmt: skip
+def draw_stranded(data: PlotData) -> Figure | None:
+    """Draw stranded tokens over time."""
+    groups = group_results(data.results)
+    stranded = {
+        each.key.scenario
+        for each in data.results
+        if any(sample.stranded for sample in each.samples)
+    }
+    scenarios = [name for name in data.scenarios if name in stranded]
+    if not scenarios:
+        return None
+
+    def fill(ax: Axes, scenario: str) -> None:
+        for index, policy in enumerate(data.policies):
+            at, mean = mean_stranded(groups.get((scenario, policy), []))
+            colour = COLOURS[index % len(COLOURS)]
+            ax.plot(at, mean, color=colour, label=policy, linewidth=1.6)
+        ax.set_xlabel("minutes")
+        ax.set_ylabel("tokens")
+        ax.set_ylim(bottom=0)
+        ax.yaxis.set_major_formatter(lambda value, _: f"{value:,.0f}")
+
+    return panels(scenarios, fill)
+
+
+def mean_stranded(results: Sequence[Result]) -> tuple[list[float], list[float]]:
+    """Return minutes, and the mean of stranded tokens over the seeds."""
+    columns = list(zip(*(each.samples for each in results), strict=False))
+    at = [column[0].at / MINUTE for column in columns]
+    mean = [statistics.fmean(one.stranded for one in column) for column in columns]
+    return at, mean
+
+
+@plot(
+    "latency", Kind.MONEY, "Latency that the money adds",
+    "From a request's arrival to the word that its hold is granted, all seeds"
+    " together. Further right is rarer: at 99, one request in a hundred waits longer.",
+)  # fmt: skip
+def draw_latency(data: PlotData) -> Figure | None:
+    """Draw the percentiles of the latency."""
+    groups = group_results(data.results)
+
+    def fill(ax: Axes, scenario: str) -> None:
+        for index, policy in enumerate(data.policies):
+            merged = merge(data, groups.get((scenario, policy), []))
+            if merged is None:
+                continue
+            values = [merged.get_value_at_percentile(each) for each in PERCENTILES]
+            ax.plot(
+                [nines(each) for each in PERCENTILES],
+                [max(value / (MICROSECONDS / 1000), 0.001) for value in values],
+                color=COLOURS[index % len(COLOURS)],
+                marker=MARKERS[index % len(MARKERS)],
+                markersize=3.5,
+                label=policy,
+                linewidth=1.4,
+            )
+        ax.set_yscale("log")
+        ax.yaxis.set_major_formatter(lambda value, _: f"{value:,g}")
+        ax.set_ylabel("ms")
+        ax.set_xticks([nines(each) for each in TICKS], [f"{each:g}" for each in TICKS])
+        ax.set_xlabel("percentile")
+
+    if not data.histograms:
+        return None
+    return panels(data.scenarios, fill, sharey=True)
+
+
+def nines(percentile: float) -> float:
+    """Spread percentiles so that the rare ones can be told apart.
+
+    >>> [round(nines(each), 2) for each in (50, 90, 99)]
+    [0.0, 0.95, 2.0]
+    """
+    part = percentile / 100
+    odds = part / (1 - part)
+    return math.log10(odds)
+
+
+def merge(data: PlotData, results: Sequence[Result]) -> HdrHistogram | None:
+    """Add up the histograms of the seeds."""
+    found = [
+        data.histograms[str(each.key)]
+        for each in results
+        if str(each.key) in data.histograms
+    ]
+    if not found:
+        return None
+    merged = HdrHistogram(1, found[0].highest_trackable_value, 3)
+    for each in found:
+        merged.add(each)
+    return merged
+
+
+@plot(
+    "goodput", Kind.CHOICE, "Goodput and refusals",
+    "Goodput: requests a second whose first token and whose gaps met their targets;"
+    " the dashed line is what was offered.",
+)  # fmt: skip
+def draw_goodput(data: PlotData) -> Figure | None:
+    """Draw goodput and refusals by policy, with what was offered."""
+    figure = dots(data, ("goodput", "refused"))
+    ax = figure.axes[0]
+    for row, scenario in enumerate(data.scenarios):
+        of_it = [each for each in data.results if each.key.scenario == scenario]
+        offered = spread_of(of_it, "offered")
+        if offered is not None:
+            ax.vlines(
+                offered.mean, row - 0.45, row + 0.45, color="black", linestyle="--"
+            )
+    ax.set_xlim(0, ax.get_xlim()[1] * 1.05)
+    return figure
+
+
+@plot(
+    "first_token", Kind.CHOICE, "Time to the first token",
+    "Live requests; each panel is a percentile.",
+)  # fmt: skip
+def draw_first_token(data: PlotData) -> Figure | None:
+    """Draw the percentiles of the time to the first token."""
+    return dots(data, ("first_p50", "first_p95", "first_p99"))
+
+
+@plot(
+    "gaps", Kind.CHOICE, "Time between tokens",
+    "All requests; each panel is a percentile.",
+)  # fmt: skip
+def draw_gaps(data: PlotData) -> Figure | None:
+    """Draw the percentiles of the time between tokens."""
+    return dots(data, ("gap_p50", "gap_p95", "gap_p99"))
