Move the registration out of the treasury

Change: register and unregister an incarnation in a module of their own. Conclusion: same behaviour.

--- a/ebonyhold/money/_treasury.py
+++ b/ebonyhold/money/_treasury.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
-from contextlib import suppress
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -12,33 +10,21 @@
 
 from ebonyhold.coordination import (
     ClaimAnswer,
-    Delete,
-    GrantRow,
     Intent,
     Objects,
     Outcome,
     RequestKind,
     RequestState,
-    RouterRow,
-    RouterState,
-    Seen,
     Table,
-    Transaction,
-    close_transaction,
     first_attempt,
-    grant_prefix,
     make_bill,
     next_attempt,
-    open_row,
     run_of,
-    seen,
 )
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import (
-    ConflictError,
     SealedError,
     UnavailableError,
-    UnknownOutcomeError,
 )
 from ebonyhold.money._account import Account
 from ebonyhold.money._claims import Claims, Look, needs_claim, unavailable
@@ -46,15 +32,11 @@
 from ebonyhold.money._interface import BackendTruth, Order, Permit, Replay
 from ebonyhold.money._journal import Append, Journal
 from ebonyhold.money._options import MoneyOptions
+from ebonyhold.money._registration import register, unregister
 from ebonyhold.money._status import MoneyStatus, grant_status
 from ebonyhold.routers import PeerLink
 from ebonyhold.types import BackendName, RouterId, Tokens, WorkspaceName
 
-OPEN_TRIES = 5
-
-DROPPED_AT_ONCE = 100
-"""Rows of grants that one transaction deletes."""
-
 
 @frozen
 class _Run:
@@ -118,10 +100,7 @@
         Raises:
             PlatformError: The table could not be written.
         """
-        key, row = open_row(self.me, self.domain, self.address, time.time())
-        absent: Seen[RouterRow] = Seen(key)
-        wish = Transaction((absent.check,), (absent.put(row),))
-        router = await self._register(key, wish)
+        router = await register(self.table, self.me, self.domain, self.address)
         self.journal = Journal(self.me, self.table, self.objects, self.options, router)
         self.claims = Claims(router, self.table)
         self.exchange = TokenExchange(
@@ -135,19 +114,6 @@
             lambda: self.sealed or self.draining,
         )
 
-    async def _register(self, key: str, wish: Transaction) -> Seen[RouterRow]:
-        for _ in range(OPEN_TRIES):
-            with suppress(ConflictError, UnknownOutcomeError):
-                await self.table.commit(wish)
-            (row,) = await self.table.read((key,))
-            router = seen(key, row, RouterRow)
-            if router.value is None:
-                continue
-            if router.value.state is not RouterState.OPEN:
-                raise SealedError(f"{self.me} was sealed")
-            return router
-        raise UnavailableError(f"{self.me} could not be registered")
-
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
@@ -362,44 +328,7 @@
             if self.sealed:
                 raise SealedError(f"{self.me} was sealed")
             await anyio.sleep(self.options.retry_pause)
-        await self._drop_empty_grants(journal)
-        await self._close(journal)
-
-    async def _drop_empty_grants(self, journal: Journal) -> None:
-        """Delete the rows of grants that hold nothing any more.
-
-        One that still holds tokens has given them to a router that did not
-        settle them yet; its row stays until that is decided.
-        """
-        prefix = grant_prefix(self.me)
-        after = ""
-        while True:
-            page = await self.table.scan(prefix, after, DROPPED_AT_ONCE)
-            grants = [seen(row.key, row, GrantRow) for row in page]
-            empty = [one for one in grants if one.value and one.value.held == 0]
-            checks = tuple(one.check for one in empty)
-            drops = tuple(Delete(one.key) for one in empty)
-            if drops:
-                with suppress(ConflictError, UnknownOutcomeError):
-                    await self.table.commit(
-                        Transaction((journal.router.check, *checks), drops)
-                    )
-            if len(page) < DROPPED_AT_ONCE:
-                return
-            after = page[-1].key
-
-    async def _close(self, journal: Journal) -> None:
-        wish = close_transaction(journal.router, time.time())
-        assert wish is not None
-        drops = tuple(Delete(key) for key in journal.table_keys())
-        for _ in range(OPEN_TRIES):
-            with suppress(ConflictError, UnknownOutcomeError):
-                await self.table.commit(evolve(wish, writes=(*wish.writes, *drops)))
-            (row,) = await self.table.read((journal.router.key,))
-            if row is not None and row.version != journal.router.version:
-                journal.sealed.set()
-                return
-        raise UnavailableError(f"{self.me} could not be closed")
+        await unregister(self.table, journal)
 
     def status(self) -> MoneyStatus:
         """Return what operators see."""
