--- a/ebonyhold/experiments/_catalogue.py
+++ b/ebonyhold/experiments/_catalogue.py
@@ -99,7 +99,8 @@
 
     Attributes:
         what: Its name, as the kind of scenario knows it.
-        at: When, in seconds; troubles of a live trial strike all the time.
+        at: When, in seconds (money); troubles of a live trial strike again and
+            again, and the choice bench has times of its own.
         router: Which router, where it is one.
         part: A top-up of all workspaces, as a part of what they prepaid.
     """
@@ -125,6 +126,9 @@
 MONEY_FAULTS = (
     "table_down", "table_up", "split", "heal", "top_up", "kill", "replace",
 )  # fmt: skip
+UNDISTURBED = "normal"
+"""The choice bench's word for no fault."""
+
 MONEY_ROUTERS = 6
 """The money bench has as many routers as the smaller deployment."""
 
@@ -190,6 +194,13 @@
         if spec.kind is Kind.MONEY and fault.router >= MONEY_ROUTERS:
             message = f"routers are numbered from 0 to {MONEY_ROUTERS - 1}"
             yield finding(f"faults.{index}.router", message)
+    if spec.kind is Kind.CHOICE and len(spec.faults) > 1:
+        yield finding("faults", "the choice bench plays one fault in a run")
+    if spec.kind is not Kind.MONEY:
+        for index, fault in enumerate(spec.faults):
+            if fault.at:
+                message = f"a {spec.kind.value} scenario chooses its own times"
+                yield finding(f"faults.{index}.at", message)
     if spec.kind is Kind.MONEY:
         yield from find_money_contradictions(spec)
 
@@ -223,7 +234,9 @@
     if kind is Kind.MONEY:
         return MONEY_FAULTS
     if kind is Kind.CHOICE:
-        return ()
+        from ebonyhold.experiments.choice import scenarios
+
+        return tuple(name for name in scenarios if name != UNDISTURBED)
     from ebonyhold.experiments._troubles import TROUBLES
 
     return tuple(TROUBLES)
--- a/ebonyhold/experiments/_measures.py
+++ b/ebonyhold/experiments/_measures.py
@@ -71,11 +71,14 @@
     "gap_p99": _time("Gap p99"),
     "reuse": _part("Prompt reuse", less_is_better=False),
     "imbalance": Measure("Imbalance", digits=2),
+    "resumed": _count("Streams resumed elsewhere", less_is_better=None),
+    "late_work": _count("Late work at leaving engines"),
+    "emptied": Measure("Longest until empty", "s"),
     "tries": _count("Tries", less_is_better=None),
     "whole": _count("Whole answers", less_is_better=None),
     "not_run": _count("Refused as not run", less_is_better=None),
     "other_refusals": _count("Other refusals", less_is_better=None),
-    "cut": _count("Streams cut", less_is_better=None),
+    "cut": _count("Streams cut"),
     "promises_broken": _count("Promises broken"),
 }
 """All figures by their names in the results."""
--- a/ebonyhold/experiments/_report.py
+++ b/ebonyhold/experiments/_report.py
@@ -33,7 +33,7 @@
     ),
     Kind.CHOICE: (
         "offered", "goodput", "refused", "first_p50", "first_p95", "first_p99",
-        "gap_p95", "reuse", "imbalance",
+        "gap_p95", "reuse", "imbalance", "resumed", "cut", "late_work", "emptied",
     ),
     Kind.LIVE: ("tries", "whole", "not_run", "other_refusals", "cut",
                 "promises_broken"),
