Say what to install when a report lacks matplotlib

Cause: matplotlib is in requirements/dev.in only, so `experiment report` in a daemon's installation ended with a traceback.

Change: it names the missing library and exits with 1.

--- a/ebonyhold/command/_experiment.py
+++ b/ebonyhold/command/_experiment.py
@@ -128,7 +128,15 @@
 @reports_errors
 def report(folder: Folder, output: Output = OutputForm.TABLE) -> None:
     """Write a page of HTML and its plots into the directory of the results."""
-    from ebonyhold.experiments._report import write_report
+    try:
+        from ebonyhold.experiments._report import write_report
+    except ModuleNotFoundError as error:
+        if (error.name or "").partition(".")[0] != "matplotlib":
+            raise
+        # A daemon's installation goes without plots: requirements/run.in has no
+        # matplotlib.
+        errors.print("error: plots need matplotlib: pip install matplotlib")
+        raise typer.Exit(ExitCode.FAILED) from error
 
     written = [str(path) for path in write_report(folder)]
     if output is OutputForm.JSON:
--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -121,6 +121,17 @@
     assert "No workspace overspent" in page
 
 
+def test_report_without_matplotlib_says_what_to_install(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(sys.modules, "matplotlib", None)
+    for name in ("_report", "_plots"):
+        monkeypatch.delitem(sys.modules, f"ebonyhold.experiments.{name}", False)
+    result = CliRunner().invoke(app, ["experiment", "report", str(tmp_path)])
+    assert result.exit_code == ExitCode.FAILED
+    assert "pip install matplotlib" in result.output
+
+
 @pytest.mark.parametrize(
     ("text", "findings"),
     [
