Measure real routers; take test ports below the ephemeral range

A port that was found free could be taken by another process before it was used: one of five measuring runs on the busy machine failed with 'address in use'.

--- a/ebonyhold/experiments/membership.py
+++ b/ebonyhold/experiments/membership.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
+import resource
 import socket
 import statistics
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import anyio
 from attrs import evolve, field, frozen
@@ -36,6 +39,9 @@
 VERDICT_LIMIT: Seconds = 180.0
 DEATHS = 3
 MESSAGES = 3000
+REAL_SIZES = (9, 30)
+REAL_SETTLE: Seconds = 10.0
+REAL_TIME: Seconds = 20.0
 
 console = Console(width=110)
 
@@ -227,10 +233,16 @@
 
 
 def free_address() -> str:
-    """Return a free port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a free port on loopback.
+
+    It is below the range from which systems choose ports by themselves, where
+    another process may take it before it is used.
+    """
+    while True:
+        address = f"127.0.0.1:{random.randrange(20_000, 30_000)}"
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", int(address.rpartition(":")[2])))
+            return address
 
 
 async def measure_processor() -> tuple[float, float]:
@@ -277,6 +289,41 @@
     return notices * 1e6, questions * 1e6
 
 
+async def measure_real_fleet(size: int) -> tuple[float, float]:
+    """Run routers on real sockets in this process.
+
+    Returns:
+        The part of a core that one takes, and its memory in MB.
+    """
+    ring = KeyRing((PeerKey("k1", b"1" * 32),))
+    before = resident()
+    first = PeerNetwork("0.1", "d", free_address(), ring, None)
+    seeds = (first.membership.me.address,)
+    rest = [
+        PeerNetwork(f"{number}.1", "d", free_address(), ring, None, seeds)
+        for number in range(1, size)
+    ]
+    networks = [first, *rest]
+    async with anyio.create_task_group() as tasks:
+        for network in networks:
+            await tasks.start(network.run)
+        while any(len(one.alive()) < size - 1 for one in networks):  # noqa: ASYNC110
+            await anyio.sleep(0.1)
+        await anyio.sleep(REAL_SETTLE)
+        start = time.process_time()
+        await anyio.sleep(REAL_TIME)
+        share = (time.process_time() - start) / REAL_TIME / size
+        memory = (resident() - before) / size
+        tasks.cancel_scope.cancel()
+    return share, memory
+
+
+def resident() -> float:
+    """Return this process's resident memory, in MB."""
+    pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
 def measure_state(size: int) -> tuple[float, float]:
     """Return processor microseconds of one router for a tick and a received beat."""
     fleet = start_fleet(size, Network(), MembershipOptions(), SEED)
@@ -298,13 +345,17 @@
 def show_processor() -> None:
     """Measure processor time."""
     notice, question = anyio.run(measure_processor)
-    table = Table("what", "processor µs", title="Processor time, both ends together")
+    table = Table("what", "µs, or as said", title="Processor time, both ends together")
     table.add_row("notice, from send to handler", f"{notice:.0f}")
     table.add_row("question and answer", f"{question:.0f}")
     for size in (9, 330):
         tick, beat = measure_state(size)
         table.add_row(f"protocol: tick, {size} routers", f"{tick:.0f}")
         table.add_row(f"protocol: heartbeat received, {size} routers", f"{beat:.0f}")
+    for size in REAL_SIZES:
+        share, memory = anyio.run(measure_real_fleet, size)
+        table.add_row(f"{size} real routers: part of a core each", f"{share:.2%}")
+        table.add_row(f"{size} real routers: memory each", f"{memory:.2f} MB")
     console.print(table)
 
 
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import socket
 import types
 from collections.abc import AsyncIterator, Callable
@@ -40,9 +42,16 @@
 
 
 def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a free port on loopback.
+
+    It is below the range from which systems choose ports by themselves, where
+    another process may take it before it is used.
+    """
+    while True:
+        address = f"127.0.0.1:{random.randrange(20_000, 30_000)}"
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", int(address.rpartition(":")[2])))
+            return address
 
 
 def network(
