Give the choice bench's runs histograms, and compare shared seeds

Cause: choice runs kept three percentiles only; comparing results of other seeds showed differences of the load as if the policy had changed.

Change: the bench's figures carry the time to the first token of each live request, which goes into the histogram log and a plot of its tail; `compare` takes the seeds that both directories have, and all only where they share none.

--- a/ebonyhold/experiments/_compare.py
+++ b/ebonyhold/experiments/_compare.py
@@ -66,17 +66,36 @@
 def compare_results(
     first: Iterable[Result], second: Iterable[Result]
 ) -> list[Difference]:
-    """Return the figures that differ, of all scenarios and policies in both."""
+    """Return the figures that differ, of all scenarios and policies in both.
+
+    Seeds that both have are compared; where they share none, all of them.
+    """
     before = group_results(first)
     after = group_results(second)
     return [
         difference
         for key in before
         if key in after
-        for difference in compare_groups(key, before[key], after[key])
+        for difference in compare_groups(key, *same_seeds(before[key], after[key]))
     ]
 
 
+def same_seeds(
+    before: list[Result], after: list[Result]
+) -> tuple[list[Result], list[Result]]:
+    """Return the runs of the seeds that both have, or all where they share none.
+
+    Another seed is another load: its difference says nothing about a policy.
+    """
+    shared = {each.key.seed for each in before} & {each.key.seed for each in after}
+    if not shared:
+        return before, after
+    return (
+        [each for each in before if each.key.seed in shared],
+        [each for each in after if each.key.seed in shared],
+    )
+
+
 def compare_groups(
     key: tuple[str, str], before: list[Result], after: list[Result]
 ) -> Iterator[Difference]:
--- a/ebonyhold/experiments/_plots.py
+++ b/ebonyhold/experiments/_plots.py
@@ -294,7 +294,12 @@
     " longer. Lines that are covered by others show as a wider band.",
 )  # fmt: skip
 def draw_latency(data: PlotData) -> Figure | None:
-    """Draw the percentiles of the latency."""
+    """Draw the percentiles of the latency that the money adds."""
+    return latency_panels(data)
+
+
+def latency_panels(data: PlotData) -> Figure | None:
+    """Draw the percentiles of the latency, a panel for each scenario."""
     groups = group_results(data.results)
 
     def fill(ax: Axes, scenario: str) -> None:
@@ -316,7 +321,7 @@
         ax.set_xticks([nines(each) for each in TICKS], [f"{each:g}" for each in TICKS])
         ax.set_xlabel("percentile")
 
-    if not data.histograms:
+    if not any(str(each.key) in data.histograms for each in data.results):
         return None
     return panels(data.scenarios, fill, sharey=True)
 
@@ -378,6 +383,15 @@
     return dots(data, ("first_p50", "first_p95", "first_p99"))
 
 
+@plot(
+    "first_token_percentiles", Kind.CHOICE, "Time to the first token, to the tail",
+    "Live requests of all seeds together.",
+)  # fmt: skip
+def draw_first_token_percentiles(data: PlotData) -> Figure | None:
+    """Draw the percentiles of the time to the first token."""
+    return latency_panels(data)
+
+
 @plot(
     "gaps", Kind.CHOICE, "Time between tokens",
     "All requests; each panel is a percentile.",
--- a/ebonyhold/experiments/_runs.py
+++ b/ebonyhold/experiments/_runs.py
@@ -226,7 +226,8 @@
         late_work=got.late_work,
         emptied=got.emptied,
     )
-    return Finished(Result(wish.key, Kind.CHOICE, wish.spec.deployment.value, figures))
+    result = Result(wish.key, Kind.CHOICE, wish.spec.deployment.value, figures)
+    return Finished(result, got.firsts)
 
 
 @runs(Kind.LIVE)
--- a/ebonyhold/experiments/choice/_figures.py
+++ b/ebonyhold/experiments/choice/_figures.py
@@ -56,6 +56,7 @@
         cut: Streams that did not reach their end.
         late_work: Requests that a leaving engine got after a few seconds.
         emptied: The longest time that a leaving engine took to be empty, seconds.
+        firsts: Time to the first token of each live request, in seconds.
     """
 
     first: tuple[float, float, float]
@@ -69,6 +70,7 @@
     cut: int = 0
     late_work: int = 0
     emptied: Seconds = 0.0
+    firsts: tuple[Seconds, ...] = field(default=(), repr=False)
 
 
 def percentiles(values: Sequence[float]) -> tuple[float, float, float]:
@@ -90,9 +92,10 @@
         for item in tally.served
         if item.gap <= GAP_TARGET and (item.first <= FIRST_TARGET or not item.live)
     )
+    firsts = [item.first for item in tally.served if item.live]
     prompts = sum(item.prompt for item in tally.served) or 1
     return Figures(
-        percentiles([item.first for item in tally.served if item.live]),
+        percentiles(firsts),
         percentiles(tally.gaps),
         good / tally.length,
         tally.asked / tally.length,
@@ -103,4 +106,5 @@
         tally.cut,
         tally.late_work,
         max(tally.emptied, default=0.0),
+        tuple(firsts),
     )
--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -114,8 +114,8 @@
     invoke("run", *files, *policies, "--seed", "1", "--out", out)
     invoke("report", out)
     page = (out / "report.html").read_text()
-    plots = {path.name for path in out.glob("*.png")}
-    assert {"refusals.png", "latency.png", "goodput.png"} <= plots
+    plots = {path.stem for path in out.glob("*.png")}
+    assert {"refusals", "latency", "goodput", "first_token_percentiles"} <= plots
     assert page.count("data:image/png;base64,") == len(plots)
     assert re.search(r"https?://|(src|href)=\"(?!data:)", page) is None
     assert "No workspace overspent" in page
@@ -219,6 +219,13 @@
     assert [row["mark"] for row in rows] == ([] if mark is None else [mark])
 
 
+def test_compare_takes_the_seeds_that_both_have() -> None:
+    first = [result_of(seed, overspend=seed) for seed in (1, 2)]
+    second = [result_of(seed, overspend=seed) for seed in (2, 3)]
+    assert compare_results(first, second) == []
+    assert len(compare_results(first, second[1:])) == 1
+
+
 def test_results_come_back_as_they_were_written(tmp_path: Path) -> None:
     result = evolve(result_of(1, refused=0.25), broken=("a <promise>",))
     write_results(tmp_path, [Finished(result, (0.004, 0.1))])
