Keep serving the old certificate while a pair is half replaced

Cause: the watch loaded the new files into the context in use. OpenSSL drops the old key as soon as a certificate that does not fit it is loaded, so a look between the two writes of a replacement left the listener with a certificate and no key: every handshake failed (SSLEOFError at the caller) until the next look.

Change: each pair is loaded into a context of its own, and handshakes move to the newest whole one. The files' times are read before the listener starts.

--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -35,17 +35,42 @@
 
 
 class ReloadingConfig(Config):
-    """A hypercorn configuration that remembers the TLS context it made."""
+    """A hypercorn configuration whose handshakes use the newest TLS context.
+
+    A pair that does not match would leave the context it is loaded into with a
+    certificate and no key: every handshake would fail until the next look.  So
+    each pair gets a context of its own, and takes over only when it is whole.
+
+    Attributes:
+        context: The context that new handshakes use.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.context: ssl.SSLContext | None = None
 
     def create_ssl_context(self) -> ssl.SSLContext | None:
-        """Make the context once; handshakes read it anew each time."""
+        """Make the context that hypercorn starts each handshake with."""
         self.context = super().create_ssl_context()
+        if self.context is not None:
+            self.context.sni_callback = self.use_newest
         return self.context
 
+    def use_newest(
+        self, connection: ssl.SSLObject, name: str | None, first: ssl.SSLContext
+    ) -> None:
+        """Let a handshake go on with the newest context, with a name or without."""
+        connection.context = self.context or first
+
+    def reload(self) -> None:
+        """Load the files into a new context, and use that if they are whole.
+
+        Raises:
+            OSError: A file cannot be read, or the pair does not match
+                (``ssl.SSLError`` is an ``OSError``).
+        """
+        self.context = super().create_ssl_context()
+
 
 def listener_config(listener: Listener) -> ReloadingConfig:
     """Translate a listener's settings for hypercorn."""
@@ -82,15 +107,15 @@
         """Reload if a file changed; return whether it did.
 
         The two files are replaced one after the other, so a look in between
-        sees a pair that does not match: loading fails, the old pair stays in
-        use, and the next look tries again.
+        sees a pair that does not match: loading fails, the old context stays
+        in use, and the next look tries again.
         """
         stamps = self.read_stamps()
         if stamps == self.stamps or self.config.context is None:
             return False
         try:
-            self.config.context.load_cert_chain(self.tls.certificate, self.tls.key)
-        except (OSError, ssl.SSLError) as error:
+            self.config.reload()
+        except OSError as error:
             logger.warning("certificate not loaded", extra={"error": str(error)})
             return False
         self.stamps = stamps
@@ -108,7 +133,6 @@
 
     async def run(self) -> None:
         """Look now and then until cancelled."""
-        self.stamps = self.read_stamps()
         while True:
             await anyio.sleep(CERTIFICATE_POLL)
             if self.look():
@@ -133,7 +157,9 @@
     config = listener_config(listener)
     async with anyio.create_task_group() as tasks:
         if listener.tls is not None:
-            tasks.start_soon(CertificateWatch(config, listener.tls).run)
+            watch = CertificateWatch(config, listener.tls)
+            watch.stamps = watch.read_stamps()
+            tasks.start_soon(watch.run)
         task_status.started()
         await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/daemon/test_servers.py
@@ -0,0 +1,162 @@
+"""Listeners: TLS, and certificates that are replaced while they serve."""
+
+from __future__ import annotations
+
+import logging
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+
+from ebonyhold.daemon._servers import CertificateWatch, listener_config, serve_listener
+from ebonyhold.misc import free_port
+from ebonyhold.settings import Listener
+from tests.daemon.kit import LOOPBACK, Files, Pair, certificate_at, make_pair
+
+pytestmark = pytest.mark.anyio
+
+OLD, NEW = make_pair("old"), make_pair("new")
+PATIENCE = 30.0
+POLL = 0.05
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def look_often(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the listeners look at their files often, so that nobody waits."""
+    monkeypatch.setattr("ebonyhold.daemon._servers.CERTIFICATE_POLL", POLL)
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> Files:
+    files = Files(tmp_path)
+    files.put(OLD)
+    return files
+
+
+async def hello(scope: Any, receive: Any, send: Any) -> None:
+    """Answer every request with 200, and the lifespan as it wants."""
+    if scope["type"] == "lifespan":
+        while True:
+            message = await receive()
+            await send({"type": f"{message['type']}.complete"})
+            if message["type"] == "lifespan.shutdown":
+                return
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"hello"})
+
+
+@asynccontextmanager
+async def serving(listener: Listener) -> AsyncIterator[None]:
+    """Serve until the block ends."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(serve_listener, hello, listener, stop)
+        yield
+        stop.set()
+
+
+async def shown(address: str) -> str:
+    """Return the name in the certificate, once somebody listens."""
+    with anyio.fail_after(PATIENCE):
+        while True:
+            with suppress(ConnectionRefusedError):
+                return await anyio.to_thread.run_sync(certificate_at, address)
+            await anyio.sleep(POLL)
+
+
+async def wait_shown(address: str, name: str) -> None:
+    with anyio.fail_after(PATIENCE):
+        while True:
+            if await shown(address) == name:
+                return
+            await anyio.sleep(POLL)
+
+
+async def wait_logged(caplog: pytest.LogCaptureFixture, text: str) -> None:
+    with anyio.fail_after(PATIENCE):
+        while True:
+            if text in caplog.text:
+                return
+            await anyio.sleep(POLL)
+
+
+async def test_tls_listener_serves(files: Files) -> None:
+    address = f"{LOOPBACK}:{free_port()}"
+    trusted = ssl.create_default_context(cafile=str(files.certificate))
+    async with serving(Listener(address, files.tls)):
+        assert await shown(address) == "old"
+        async with httpx.AsyncClient(verify=trusted) as client:
+            response = await client.get(f"https://{address}/")
+    assert response.text == "hello"
+
+
+async def test_replaced_certificate_is_used_without_a_restart(files: Files) -> None:
+    """The operator's tool replaces the certificate shortly before it ends.
+
+    Open connections go on, and the next handshake shows the new one.
+    """
+    address = f"{LOOPBACK}:{free_port()}"
+    trusted = ssl.create_default_context(cafile=str(files.certificate))
+    async with (
+        serving(Listener(address, files.tls)),
+        httpx.AsyncClient(verify=trusted) as client,
+    ):
+        await wait_shown(address, "old")
+        assert (await client.get(f"https://{address}/")).text == "hello"
+        files.put(NEW)
+        await wait_shown(address, "new")
+        assert (await client.get(f"https://{address}/")).text == "hello"
+
+
+@pytest.mark.parametrize(
+    ("pair", "word"),
+    [
+        (Pair(NEW.certificate, OLD.key), "the certificate is new, the key is not"),
+        (Pair(OLD.certificate, NEW.key), "the key is new, the certificate is not"),
+        (Pair(b"", b""), "both are empty"),
+        (Pair(NEW.certificate[:200], NEW.key), "half a certificate"),
+        (Pair(NEW.certificate, NEW.key[:80]), "half a key"),
+    ],
+    ids=lambda value: value.replace(" ", "-") if isinstance(value, str) else "",
+)
+async def test_half_replaced_pair(
+    files: Files, caplog: pytest.LogCaptureFixture, pair: Pair, word: str
+) -> None:
+    """Callers cannot connect while a certificate is being replaced.
+
+    The two files are written one after the other, and the daemon looks in
+    between.  The pair does not match; loading it into the context in use would
+    leave that with a certificate and no key, so that every handshake fails.
+    """
+    address = f"{LOOPBACK}:{free_port()}"
+    async with serving(Listener(address, files.tls)):
+        await wait_shown(address, "old")
+        with caplog.at_level(logging.WARNING):
+            files.put(pair)
+            await wait_logged(caplog, "certificate not loaded")
+        assert await shown(address) == "old", word
+        files.put(NEW)
+        await wait_shown(address, "new")
+
+
+async def test_missing_file_is_looked_for_again(files: Files) -> None:
+    config = listener_config(Listener(f"{LOOPBACK}:0", files.tls))
+    config.create_ssl_context()
+    watch = CertificateWatch(config, files.tls)
+    watch.stamps = watch.read_stamps()
+    assert not watch.look()
+    files.key.unlink()
+    assert not watch.look()
+    files.put(NEW)
+    assert watch.look()
+    assert not watch.look()
