Follow signals from the start; recover each router on its own; hand over last bytes

Causes and changes, in the daemon: - A signal was only acted on once the router served. While the table was away at the start, SIGTERM was swallowed and the process had to be killed.

--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -7,6 +7,7 @@
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.backends import Backends, PlacementHolder
@@ -219,14 +220,40 @@
             SettingsError: A key file cannot be used.
         """
         operators = self.operators_app()
-        stop = self.lifecycle.ended
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.lifecycle.follow_signals)
+            # The listeners get their own group: their connections may still hold
+            # the last bytes of answers when the bills are filed, and leaving the
+            # process then would cut those answers.
+            async with anyio.create_task_group() as listeners:
+                starting = anyio.CancelScope()
+                listeners.start_soon(self.start, operators, tasks, listeners, starting)
+                await self.lifecycle.run()
+                starting.cancel()
+            tasks.cancel_scope.cancel()
+        await self.close()
+
+    async def start(
+        self,
+        operators: OperatorsApp,
+        tasks: TaskGroup,
+        listeners: TaskGroup,
+        scope: anyio.CancelScope,
+    ) -> None:
+        """Start the parts in order; a signal may come before the last.
+
+        While the table is away the start waits for it without a bound, and a
+        signal that is only followed once the router serves would be lost.
+        """
+        stop = self.lifecycle.ended
+        with scope:
             tasks.start_soon(self.table_guard.run)
             tasks.start_soon(self.objects_guard.run)
-            tasks.start_soon(self.lifecycle.follow_signals)
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
-            await tasks.start(serve_listener, operators, self.settings.operators, stop)
+            await listeners.start(
+                serve_listener, operators, self.settings.operators, stop
+            )
             await self.network.wait_for_start()
             tasks.start_soon(self.start_keeper)
             tasks.start_soon(self.follow_versions)
@@ -236,11 +263,11 @@
             tasks.start_soon(self.recoveries.run)
             tasks.start_soon(self.upkeep.run)
             tasks.start_soon(self.placement.run)
-            await tasks.start(serve_listener, self.callers, self.settings.callers, stop)
+            self.lifecycle.opened = True
+            await listeners.start(
+                serve_listener, self.callers, self.settings.callers, stop
+            )
             logger.info("serving", extra={"callers": self.settings.callers.bind})
-            await self.lifecycle.run()
-            tasks.cancel_scope.cancel()
-        await self.close()
 
     async def open_money(self) -> None:
         """Register the first incarnation, however long the table is away."""
--- a/ebonyhold/daemon/_lifecycle.py
+++ b/ebonyhold/daemon/_lifecycle.py
@@ -37,14 +37,17 @@
 class Lifecycle:
     """Leads the router from serving to its end.
 
-    A stop takes at most `UNREADY_GRACE` + the document's ``drain`` +
-    `FILE_WITHIN` seconds.
+    A stop takes at most `UNREADY_GRACE` + the document's ``drain`` + three seconds
+    for the streams that it ends + `FILE_WITHIN` seconds; the listeners then take up to
+    their own grace to hand over the last bytes.  Before the router has registered
+    there is nothing to wait for, and it ends at once.
 
     Attributes:
         callers: The requests in flight.
         money: The grants and bills.
         network: The other routers.
         drain: Returns the longest wait for streams, in seconds.
+        opened: Whether the router is registered, so that it may hold something.
         leaving: Whether the readiness check says no.
         hurried: Set by the second signal.
         ended: Set when the listeners may close.
@@ -54,6 +57,7 @@
     money: Incarnations
     network: PeerNetwork
     drain: Callable[[], Seconds]
+    opened: bool = False
     leaving: bool = False
     asked: anyio.Event = field(factory=anyio.Event)
     hurried: anyio.Event = field(factory=anyio.Event)
@@ -72,12 +76,17 @@
         """Wait for the first signal, then stop in order."""
         await self.asked.wait()
         self.leaving = True
+        if self.opened:
+            await self.leave()
+        self.ended.set()
+
+    async def leave(self) -> None:
+        """Tell everybody, let the streams end, and settle."""
         self.network.leave()
         await self.wait_unless_hurried(UNREADY_GRACE)
         self.callers.stopping = True
         await self.wait_for_streams()
         await self.settle()
-        self.ended.set()
 
     async def wait_unless_hurried(self, seconds: Seconds) -> None:
         """Wait, but no longer than to the second signal."""
--- a/ebonyhold/daemon/_recoveries.py
+++ b/ebonyhold/daemon/_recoveries.py
@@ -83,7 +83,7 @@
         """Recover every router that is gone and falls to this one.
 
         Raises:
-            EbonyholdError: The platform could not be reached; look again later.
+            EbonyholdError: The table could not be scanned; look again later.
         """
         candidates = set(self.gone())
         if anyio.current_time() >= self.next_scan:
@@ -94,7 +94,20 @@
         survivors = (self.me(), *self.alive())
         for router in sorted(candidates - self.closed - {self.me()}):
             if responsible(router, survivors) == self.me():
-                await self.recover(router)
+                await self.try_recover(router)
+
+    async def try_recover(self, router: RouterId) -> None:
+        """Recover one router, or leave it to a later look.
+
+        One whose recovery fails at each look would otherwise hold up all that
+        come after it, and their tokens would stay stranded.
+        """
+        try:
+            await self.recover(router)
+        except EbonyholdError as error:
+            logger.warning(
+                "not recovered yet", extra={"recovered": router, "cause": str(error)}
+            )
 
     async def scan(self) -> set[RouterId]:
         """Return routers with an unsettled row that are not alive here, and may go.
