Name the engine's boot in each dispatch

Cause: an engine that restarts forgets which attempts were closed, so a router that was paused between its intent and its dispatch could run a request that a survivor had settled as not run. Change: the dispatch names the boot of its intent, the stand-in engine refuses another; the boot is taken once, before the intent. Figures: the new table fails without the check (200 instead of 409), passes with.

--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -13,6 +13,7 @@
     ATTEMPT_HEADER,
     BOOT_HEADER,
     ELSEWHERE,
+    EXPECT_BOOT_HEADER,
     PRIORITY_HEADER,
     RESUME_HEADER,
     RefusedError,
@@ -155,6 +156,8 @@
         headers[RESUME_HEADER] = str(call.resume)
     if call.traceparent:
         headers["traceparent"] = call.traceparent
+    if call.boot:
+        headers[EXPECT_BOOT_HEADER] = call.boot
     return headers
 
 
--- a/ebonyhold/backends/_http.py
+++ b/ebonyhold/backends/_http.py
@@ -18,6 +18,7 @@
 BOOT_HEADER = "X-Boot-Id"
 RESUME_HEADER = "X-Resume-Tokens"
 PRIORITY_HEADER = "X-Priority"
+EXPECT_BOOT_HEADER = "X-Expect-Boot-Id"
 
 ELSEWHERE = (404, 409, 429, 503)
 """Statuses by which an engine says that it did not begin and another one may.
--- a/ebonyhold/backends/_messages.py
+++ b/ebonyhold/backends/_messages.py
@@ -96,6 +96,10 @@
         priority: Larger is served first.
         resume: The tokens of the answer that the caller has already.
         traceparent: The W3C trace context, or empty.
+        boot: The life of the engine that the intent names, or empty.  An engine
+            that was restarted refuses the attempt: it has forgotten which ones
+            were closed, so a router that was paused between its intent and its
+            dispatch could run one that another router has settled as not run.
     """
 
     attempt: AttemptId
@@ -104,6 +108,7 @@
     priority: int = 0
     resume: Tokens = 0
     traceparent: str = ""
+    boot: str = ""
 
 
 @frozen
--- a/ebonyhold/callers/_run.py
+++ b/ebonyhold/callers/_run.py
@@ -101,6 +101,7 @@
     backoff: Backoff = field(factory=Backoff)
     check: StreamCheck = field(init=False)
     usage: Usage | None = None
+    boot: str = ""
     permit: Permit | None = None
     dangling: list[Dangling] = field(factory=list)
     tried: set[BackendName] = field(factory=set)
@@ -128,12 +129,15 @@
         while True:
             state = self.choose()
             self.attempts += 1
-            permit = await self.reserve(state)
+            # The engine may be restarted while the intent becomes durable; the
+            # dispatch must name the life that the intent names.
+            boot = self.boot = state.boot
+            permit = await self.reserve(state, boot)
             state.started(permit.attempt, self.request, anyio.current_time())
             state.prefixes.sent(self.ask.hashes)
             try:
                 with hop("engine"):
-                    await dispatch(state, self.call(permit))
+                    await dispatch(state, self.call(permit, boot))
             except BackendError as error:
                 self.count(state, error.code)
                 await self.failed(state, permit, error)
@@ -181,7 +185,7 @@
             return Refusal(BACKEND_FAILED, retry_after=SOON)
         return Refusal(NO_BACKEND, retry_after=SOON)
 
-    async def reserve(self, state: BackendState) -> Permit:
+    async def reserve(self, state: BackendState, boot: str) -> Permit:
         """Make the next attempt durable.
 
         It is shielded: a caller that goes away while the money is at work would
@@ -200,23 +204,23 @@
                 hop("money"),
                 self.metrics.permit.time(),
             ):
-                permit = await self.next_permit(state)
+                permit = await self.next_permit(state, boot)
                 self.permit = permit
         finally:
             state.reserved -= 1
         return permit
 
-    async def next_permit(self, state: BackendState) -> Permit:
+    async def next_permit(self, state: BackendState, boot: str) -> Permit:
         """Return leave for an attempt at an engine."""
         if self.permit is not None:
-            return await self.money.again(self.permit, state.backend.name, state.boot)
+            return await self.money.again(self.permit, state.backend.name, boot)
         self.retries.first_attempt()
-        answer = await self.money.begin(self.order(state))
+        answer = await self.money.begin(self.order(state, boot))
         if isinstance(answer, Replay):
             raise ReplayedError(answer)
         return answer
 
-    def order(self, state: BackendState) -> Order:
+    def order(self, state: BackendState, boot: str) -> Order:
         """Return what is asked of the money."""
         return Order(
             self.workspace,
@@ -226,10 +230,10 @@
             self.identity.keyed,
             self.ask.hold,
             state.backend.name,
-            state.boot,
+            boot,
         )
 
-    def call(self, permit: Permit) -> EngineCall:
+    def call(self, permit: Permit, boot: str) -> EngineCall:
         """Return the attempt as the engine gets it."""
         return EngineCall(
             permit.attempt,
@@ -238,6 +242,7 @@
             self.priority,
             self.check.expected,
             context_headers().get("traceparent", ""),
+            boot,
         )
 
     async def failed(
@@ -289,7 +294,7 @@
 
     def dangle(self, state: BackendState, permit: Permit) -> None:
         """Remember an attempt whose engine must still be asked."""
-        self.dangling.append(Dangling(state.backend.name, permit.attempt, state.boot))
+        self.dangling.append(Dangling(state.backend.name, permit.attempt, self.boot))
 
     async def settle(self) -> Ran:
         """Close what was left open, file the outcome, and say whether it ran.
--- a/ebonyhold/experiments/capacity.py
+++ b/ebonyhold/experiments/capacity.py
@@ -22,6 +22,7 @@
 from ebonyhold.env import processor_seconds
 from ebonyhold.experiments import bench
 from ebonyhold.experiments._beat_fleet import Network, start_fleet
+from ebonyhold.experiments._callers import KEY_PREFIX
 from ebonyhold.experiments._memory_fleet import MemoryFleet, order
 from ebonyhold.experiments.configuration_size import run_one
 from ebonyhold.experiments.membership import bytes_sent, measure_processor
@@ -115,7 +116,7 @@
     ):
         (router,) = fleet.routers
         workspace = fleet.document.workspaces[0].name
-        key = {"Authorization": f"Bearer {bench.KEY_PREFIX}{workspace}"}
+        key = {"Authorization": f"Bearer {KEY_PREFIX}{workspace}"}
         target = bench.Target("router", (router.url,), key)
         calls = bench.Calls(client, target, fleet.document.models[0].model)
         await calls.stream(tokens)
--- a/ebonyhold/standins/_engine_app.py
+++ b/ebonyhold/standins/_engine_app.py
@@ -69,8 +69,15 @@
         return self.trouble
 
     async def complete(self, request: Request) -> Reply | StreamReply:
-        """Answer a chat completion."""
+        """Answer a chat completion.
+
+        Raises:
+            HttpError: The engine refuses it.
+        """
         body = request.json()
+        expected = request.headers.get("x-expect-boot-id", "")
+        if expected and expected != self.engine.boot:
+            raise HttpError(409, "the engine was restarted", ran=False)
         attempt = self.submit(self.job(request, body))
         trouble = self.next_trouble()
         if body.get("stream"):
--- a/tests/standins/test_http.py
+++ b/tests/standins/test_http.py
@@ -317,3 +317,25 @@
             assert listed == [{"booking": 1, "order": {"logs": 3}}]
 
     run(test)
+
+
+@pytest.mark.parametrize(("expected", "status"), [("", 200), ("own", 200), ("x", 409)])
+def test_an_attempt_for_another_boot_is_refused(expected: str, status: int) -> None:
+    """A restarted engine does not run what was settled as not run.
+
+    A caller was told "not run" and the engine ran it all the same.  A router is
+    paused between its intent and its dispatch; a survivor closes the attempt, which
+    the engine has never seen; the engine restarts and forgets that; the router
+    wakes and dispatches.  The dispatch names the engine's old life.
+    """
+
+    async def story() -> None:
+        engine = Engine(EngineProfile())
+        boot = engine.boot if expected == "own" else expected
+        async with serving(engine_app(engine)) as client:
+            headers = {"X-Attempt-Id": "a~1~1", "X-Expect-Boot-Id": boot}
+            answer = await client.post(PATH, json=body(stream=False), headers=headers)
+            assert answer.status_code == status
+            assert len(engine.records().attempts) == (status == 200)
+
+    run(story)
