--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -7,6 +7,7 @@
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.backends import Backends, PlacementHolder
@@ -24,7 +25,7 @@
 from ebonyhold.fleet import FleetView
 from ebonyhold.metrics import Metrics
 from ebonyhold.misc import new_incarnation
-from ebonyhold.money import Incarnations, Recovery, Treasury
+from ebonyhold.money import Incarnations, Recovery, Treasury, Upkeep
 from ebonyhold.operators import (
     OperatorKeys,
     OperatorsApp,
@@ -95,6 +96,7 @@
     money: Incarnations = field(init=False)
     callers: CallersApp = field(init=False)
     recoveries: Recoveries = field(init=False)
+    upkeep: Upkeep = field(init=False)
     placement: PlacementHolder = field(init=False)
     lifecycle: Lifecycle = field(init=False)
 
@@ -138,6 +140,14 @@
             self.network.gone,
             self.network.may_recover,
         )
+        self.upkeep = Upkeep(
+            self.table,
+            self.objects,
+            self.make_recovery,
+            lambda: self.policy().keep_bills,
+            lambda: self.money.current.me,
+            self.network.alive,
+        )
         self.lifecycle = Lifecycle(
             self.callers,
             self.money,
@@ -210,14 +220,40 @@
             SettingsError: A key file cannot be used.
         """
         operators = self.operators_app()
-        stop = self.lifecycle.ended
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.lifecycle.follow_signals)
+            # The listeners get their own group: their connections may still hold
+            # the last bytes of answers when the bills are filed, and leaving the
+            # process then would cut those answers.
+            async with anyio.create_task_group() as listeners:
+                starting = anyio.CancelScope()
+                listeners.start_soon(self.start, operators, tasks, listeners, starting)
+                await self.lifecycle.run()
+                starting.cancel()
+            tasks.cancel_scope.cancel()
+        await self.close()
+
+    async def start(
+        self,
+        operators: OperatorsApp,
+        tasks: TaskGroup,
+        listeners: TaskGroup,
+        scope: anyio.CancelScope,
+    ) -> None:
+        """Start the parts in order; a signal may come before the last.
+
+        While the table is away the start waits for it without a bound, and a
+        signal that is only followed once the router serves would be lost.
+        """
+        stop = self.lifecycle.ended
+        with scope:
             tasks.start_soon(self.table_guard.run)
             tasks.start_soon(self.objects_guard.run)
-            tasks.start_soon(self.lifecycle.follow_signals)
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
-            await tasks.start(serve_listener, operators, self.settings.operators, stop)
+            await listeners.start(
+                serve_listener, operators, self.settings.operators, stop
+            )
             await self.network.wait_for_start()
             tasks.start_soon(self.start_keeper)
             tasks.start_soon(self.follow_versions)
@@ -225,12 +261,13 @@
             await self.open_money()
             tasks.start_soon(self.money.run)
             tasks.start_soon(self.recoveries.run)
+            tasks.start_soon(self.upkeep.run)
             tasks.start_soon(self.placement.run)
-            await tasks.start(serve_listener, self.callers, self.settings.callers, stop)
+            self.lifecycle.opened = True
+            await listeners.start(
+                serve_listener, self.callers, self.settings.callers, stop
+            )
             logger.info("serving", extra={"callers": self.settings.callers.bind})
-            await self.lifecycle.run()
-            tasks.cancel_scope.cancel()
-        await self.close()
 
     async def open_money(self) -> None:
         """Register the first incarnation, however long the table is away."""
--- a/ebonyhold/experiments/choice/_figures.py
+++ b/ebonyhold/experiments/choice/_figures.py
@@ -34,6 +34,10 @@
     refused: int = 0
     asked: int = 0
     imbalance: list[float] = field(factory=list)
+    resumed: int = 0
+    cut: int = 0
+    late_work: int = 0
+    emptied: list[Seconds] = field(factory=list)
 
 
 @frozen
@@ -48,6 +52,11 @@
         refused: The part that was refused.
         reuse: The part of the prompt tokens that a cache held.
         imbalance: The busiest engine's load over the mean, on average.
+        resumed: Streams that went on at another engine.
+        cut: Streams that did not reach their end.
+        late_work: Requests that a leaving engine got after a few seconds.
+        emptied: The longest time that a leaving engine took to be empty, seconds.
+        firsts: Time to the first token of each live request, in seconds.
     """
 
     first: tuple[float, float, float]
@@ -57,6 +66,11 @@
     refused: float
     reuse: float
     imbalance: float
+    resumed: int = 0
+    cut: int = 0
+    late_work: int = 0
+    emptied: Seconds = 0.0
+    firsts: tuple[Seconds, ...] = field(default=(), repr=False)
 
 
 def percentiles(values: Sequence[float]) -> tuple[float, float, float]:
@@ -78,13 +92,19 @@
         for item in tally.served
         if item.gap <= GAP_TARGET and (item.first <= FIRST_TARGET or not item.live)
     )
+    firsts = [item.first for item in tally.served if item.live]
     prompts = sum(item.prompt for item in tally.served) or 1
     return Figures(
-        percentiles([item.first for item in tally.served if item.live]),
+        percentiles(firsts),
         percentiles(tally.gaps),
         good / tally.length,
         tally.asked / tally.length,
         tally.refused / max(1, tally.asked),
         sum(item.reused for item in tally.served) / prompts,
         statistics.fmean(tally.imbalance) if tally.imbalance else 1.0,
+        tally.resumed,
+        tally.cut,
+        tally.late_work,
+        max(tally.emptied, default=0.0),
+        tuple(firsts),
     )
