Split the plots' common forms off, and test a live run that fails

Change: _panels.py has the rows of dots and the panels; a test gives a verdict with a broken promise, and the command fails and names it; units stand in the table's head.

--- a/ebonyhold/experiments/_compare.py
+++ b/ebonyhold/experiments/_compare.py
@@ -128,7 +128,7 @@
 def show_spread(figure: str, spread: Spread) -> str:
     """Write a mean and its deviation, and how many seeds they are over."""
     measure = MEASURES[figure]
-    deviation = f"{spread.deviation * measure.scale:,.{measure.digits}f}"
+    deviation = measure.number(spread.deviation)
     return f"{measure.show(spread.mean)} ±{deviation} ({spread.seeds})"
 
 
--- a/ebonyhold/experiments/_measures.py
+++ b/ebonyhold/experiments/_measures.py
@@ -23,14 +23,22 @@
     digits: int = 1
     less_is_better: bool | None = True
 
+    @property
+    def heading(self) -> str:
+        """The label with the unit."""
+        return f"{self.label}, {self.unit}" if self.unit else self.label
+
+    def number(self, value: float) -> str:
+        """Write a stored value without its unit."""
+        return f"{value * self.scale:,.{self.digits}f}"
+
     def show(self, value: float) -> str:
-        """Write a stored value.
+        """Write a stored value with its unit.
 
         >>> Measure("Refused", "%", 100).show(0.125)
         '12.5 %'
         """
-        text = f"{value * self.scale:,.{self.digits}f}"
-        return f"{text} {self.unit}".rstrip()
+        return f"{self.number(value)} {self.unit}".rstrip()
 
 
 MILLISECONDS = 1000.0
--- a/ebonyhold/experiments/_report.py
+++ b/ebonyhold/experiments/_report.py
@@ -10,7 +10,8 @@
 from ebonyhold.experiments._catalogue import Kind
 from ebonyhold.experiments._compare import Spread, spread_of
 from ebonyhold.experiments._measures import MEASURES
-from ebonyhold.experiments._plots import Plot, PlotData, draw_all
+from ebonyhold.experiments._panels import PlotData
+from ebonyhold.experiments._plots import Plot, draw_all
 from ebonyhold.experiments._results import (
     Result,
     group_results,
@@ -142,7 +143,7 @@
     """Give the lines of the table of all figures."""
     columns = COLUMNS[kind]
     groups = group_results(data.results)
-    heads = "".join(f"<th>{escape(MEASURES[name].label)}</th>" for name in columns)
+    heads = "".join(f"<th>{escape(MEASURES[name].heading)}</th>" for name in columns)
     yield '<div class="wide"><table><tr><th>Scenario</th><th class="name">Policy</th>'
     yield f"{heads}</tr>"
     for scenario in data.scenarios:
@@ -173,9 +174,9 @@
     best = ' class="best"' if is_best(name, spread, column) else ""
     deviation = ""
     if spread.deviation:
-        amount = f"{spread.deviation * measure.scale:,.{measure.digits}f}"
+        amount = measure.number(spread.deviation)
         deviation = f' <span class="dev">±{amount}</span>'
-    return f"<td{best}>{measure.show(spread.mean)}{deviation}</td>"
+    return f"<td{best}>{measure.number(spread.mean)}{deviation}</td>"
 
 
 def is_best(name: str, spread: Spread, column: list[Spread | None]) -> bool:
--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -15,6 +15,7 @@
 
 from ebonyhold.command import ExitCode, app
 from ebonyhold.document import FindingsError
+from ebonyhold.experiments import _runs
 from ebonyhold.experiments._catalogue import Kind, catalogue, read_scenario
 from ebonyhold.experiments._compare import compare_results, describe_difference
 from ebonyhold.experiments._money_scenarios import scenarios
@@ -28,6 +29,8 @@
     write_results,
 )
 from ebonyhold.experiments._runs import Wish, money_scenario, run_wish
+from ebonyhold.experiments.checker import Broken, Evidence, Promise
+from ebonyhold.experiments.trial import Verdict
 
 SMALL = """
 kind: money
@@ -121,11 +124,32 @@
     assert "No workspace overspent" in page
 
 
+def test_a_live_run_that_breaks_a_promise_fails(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked = []
+
+    async def run_trial(requests: int, troubles: list[str], seed: int) -> Verdict:
+        asked.append((requests, troubles, seed))
+        broken = Broken(Promise.BILL, "two bills", "oak", "r1")
+        return Verdict(Evidence(), (), (broken,))
+
+    monkeypatch.setattr(_runs, "run_trial", run_trial)
+    arguments = ["run", "live_kill", "--live", "--seed", "7", "--out", str(tmp_path)]
+    result = CliRunner().invoke(app, ["experiment", *arguments])
+    assert asked == [(300, ["objects", "table", "kill"], 7)]
+    assert result.exit_code == ExitCode.FAILED
+    assert "broken promise:" in result.output
+    assert "two bills" in result.output
+    invoke("report", tmp_path)
+    assert "two bills" in (tmp_path / "report.html").read_text()
+
+
 def test_report_without_matplotlib_says_what_to_install(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setitem(sys.modules, "matplotlib", None)
-    for name in ("_report", "_plots"):
+    for name in ("_report", "_plots", "_panels"):
         monkeypatch.delitem(sys.modules, f"ebonyhold.experiments.{name}", False)
     result = CliRunner().invoke(app, ["experiment", "report", str(tmp_path)])
     assert result.exit_code == ExitCode.FAILED
