Describe experiments on a page, whose example a test reads

Cause: nothing said how to write a scenario of one's own, or what repeats.

Change: docs/EXPERIMENTS.md; the document package exports the field rules that scenario files share with it, in place of an import of its private module.

--- a/ebonyhold/document/__init__.py
+++ b/ebonyhold/document/__init__.py
@@ -10,7 +10,13 @@
     load_document,
     render_findings,
 )
-from ebonyhold.document._fields import parse_duration, render_duration
+from ebonyhold.document._fields import (
+    NAME,
+    bounded,
+    duration,
+    parse_duration,
+    render_duration,
+)
 from ebonyhold.document._findings import (
     CheckResult,
     Finding,
@@ -42,6 +48,7 @@
 from ebonyhold.document._schema import schema
 
 __all__ = [
+    "NAME",
     "ApiKey",
     "Backend",
     "BackendKind",
@@ -60,10 +67,12 @@
     "Stop",
     "UnknownOutcome",
     "Workspace",
+    "bounded",
     "check_bytes",
     "check_document",
     "check_part",
     "check_text",
+    "duration",
     "is_stopped",
     "load_document",
     "parse_duration",
--- a/ebonyhold/experiments/_catalogue.py
+++ b/ebonyhold/experiments/_catalogue.py
@@ -10,8 +10,16 @@
 
 from attrs import field, frozen
 
-from ebonyhold.document import Finding, FindingCode, FindingsError, Severity, check_part
-from ebonyhold.document._fields import NAME, bounded, duration
+from ebonyhold.document import (
+    NAME,
+    Finding,
+    FindingCode,
+    FindingsError,
+    Severity,
+    bounded,
+    check_part,
+    duration,
+)
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.types import Seconds, WorkspaceName
 
--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from textwrap import dedent
 
 import pytest
 from attrs import evolve
@@ -65,6 +66,14 @@
     return tmp_path
 
 
+def test_page_shows_a_usable_file() -> None:
+    page = (Path(__file__).parents[2] / "docs" / "EXPERIMENTS.md").read_text()
+    found = re.search(r"(?m)(^    kind: (.*\n)+?)\n", page)
+    assert found
+    spec = read_scenario("page", dedent(found.group(1)))
+    assert [fault.what for fault in spec.faults] == ["split", "top_up", "heal"]
+
+
 def test_list_names_each_scenario_and_its_policies() -> None:
     shown = invoke("list", "--output", "json")
     for spec in catalogue():
