--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: test demo lint format types check bench soak model capacity
+.PHONY: test demo play lint format types check bench soak model capacity
 
 $(READY): requirements/dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -24,6 +24,9 @@
 demo: $(READY)
 	$(BIN)/python -m ebonyhold.experiments.demo
 
+play: $(READY)
+	$(BIN)/python -m ebonyhold.experiments.playground
+
 bench: $(READY)
 	$(BIN)/python -m ebonyhold.experiments.bench
 
--- a/ebonyhold/experiments/__init__.py
+++ b/ebonyhold/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder docstring of the experiments package."""
+"""Demos, benches and experiments; nothing here runs in a daemon."""
