Keep what a long run finished when it is interrupted

Change: the directory is made before the first run, and the finished runs are written whatever ends the command.

--- a/ebonyhold/command/_experiment.py
+++ b/ebonyhold/command/_experiment.py
@@ -101,8 +101,14 @@
         errors.print(f"error: {', '.join(lively)}: add --live", markup=False)
         raise typer.Exit(ExitCode.USAGE)
     seeds = list(dict.fromkeys(seed or DEFAULT_SEEDS))
-    done = run_with_progress(make_wishes(specs, policy or [], seeds))
-    write_results(out, done)
+    wishes = make_wishes(specs, policy or [], seeds)
+    make_folder(out)
+    done: list[Finished] = []
+    try:
+        run_with_progress(wishes, done)
+    finally:
+        # A long run that is interrupted, or fails, keeps what it has finished.
+        write_results(out, done)
     console().print(f"{len(done)} runs are in {out}", markup=False)
     broken = [line for each in done for line in each.result.broken]
     for line in broken:
@@ -146,8 +152,22 @@
         console().print(path, markup=False)
 
 
-def run_with_progress(wishes: list[Wish]) -> list[Finished]:
-    """Run everything, with a progress bar on standard error."""
+def make_folder(out: Path) -> None:
+    """Make the directory before a long run, or leave with a usage error."""
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        errors.print(f"error: {out}: {error.strerror}", markup=False)
+        raise typer.Exit(ExitCode.USAGE) from error
+
+
+def run_with_progress(wishes: list[Wish], done: list[Finished]) -> None:
+    """Run everything, with a progress bar on standard error.
+
+    Args:
+        wishes: The runs that are wanted.
+        done: Takes the finished ones.
+    """
     from ebonyhold.experiments._runs import run_wish
 
     columns = (
@@ -156,11 +176,9 @@
         MofNCompleteColumn(),
         TimeElapsedColumn(),
     )
-    done: list[Finished] = []
     with Progress(*columns, console=errors) as progress:
         task = progress.add_task("", total=len(wishes))
         for wish in wishes:
             progress.update(task, description=str(wish.key))
             done.append(run_wish(wish))
             progress.advance(task)
-    return done
--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -133,6 +133,25 @@
     assert "No workspace overspent" in page
 
 
+def test_an_interrupted_run_keeps_what_it_finished(
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    run = _runs.run_wish
+
+    def run_first(wish: Wish) -> Finished:
+        if wish.seed == 2:
+            raise KeyboardInterrupt
+        return run(wish)
+
+    monkeypatch.setattr(_runs, "run_wish", run_first)
+    small = str(folder / "small.yaml")
+    wanted = ["--policy", "adaptive", "--seed", "1", "--seed", "2"]
+    arguments = ["run", small, *wanted, "--out", str(folder / "out")]
+    result = CliRunner().invoke(app, ["experiment", *arguments])
+    assert result.exit_code != 0
+    assert [each.key.seed for each in read_results(folder / "out")] == [1]
+
+
 def test_a_live_run_that_breaks_a_promise_fails(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -211,6 +230,7 @@
             "dawn compares static_split",
         ),
         (["run", "dawn", "live_calm"], ExitCode.USAGE, "live_calm: add --live"),
+        (["run", "dawn", "--out", "/dev/null"], ExitCode.USAGE, "File exists"),
         (["report", "nowhere"], ExitCode.FAILED, "results_unusable"),
         (["compare", "nowhere", "nowhere"], ExitCode.FAILED, "results_unusable"),
     ],
