--- a/ebonyhold/daemon/_status.py
+++ b/ebonyhold/daemon/_status.py
@@ -69,22 +69,15 @@
     lifecycle: Lifecycle
 
     def own(self) -> StatusReply:
-        """Describe this router."""
-        status = self.money.current.status()
-        grants = sorted(
-            status.grants, key=lambda one: one.available + one.held, reverse=True
-        )
+        """Describe this router, also while it is not registered yet."""
         return StatusReply(
-            router=status.router,
+            router=self.money.current.me,
             domain=self.domain,
             version=self.keeper.version,
             stopping=self.lifecycle.leaving,
             in_flight=self.callers.active,
             confirmed_age=self.keeper.own_evidence().confirmed_age,
-            grants=tuple(
-                HeldGrant(one.workspace, one.available, one.held)
-                for one in grants[:MOST_GRANTS]
-            ),
+            grants=self.own_grants(),
             uses=tuple(
                 BackendUse(name, len(state.running))
                 for name, state in sorted(self.backends.states.items())
@@ -92,6 +85,25 @@
             ),
         )
 
+    def own_grants(self) -> tuple[HeldGrant, ...]:
+        """Return the largest grants held here.
+
+        While the table is away at the start, the incarnation is not registered
+        and has no status of its money.  Operators ask just then how the fleet is;
+        without this they would be refused.
+        """
+        if self.money.current.journal is None:
+            return ()
+        grants = sorted(
+            self.money.current.status().grants,
+            key=lambda one: one.available + one.held,
+            reverse=True,
+        )
+        return tuple(
+            HeldGrant(one.workspace, one.available, one.held)
+            for one in grants[:MOST_GRANTS]
+        )
+
     async def answer(self, peer: RouterId, message: PeerMessage) -> PeerMessage | None:
         """Answer another router's question."""
         return self.own()
--- a/tests/daemon/test_live.py
+++ b/tests/daemon/test_live.py
@@ -302,6 +302,9 @@
         router = await fleet.start_router("entry-early", fleet.document.domains[0])
         ready = await client.get(f"{router.operators_url}/readyz")
         assert ready.status_code == HTTPStatus.SERVICE_UNAVAILABLE
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        status = await client.get(f"{router.operators_url}/v1/status", headers=headers)
+        assert status.status_code == HTTPStatus.OK
         router.terminate()
         assert await wait_exit(router, PATIENCE) == 0
         await unlist(fleet, client, router)
--- /dev/null
+++ b/tests/daemon/test_members.py
@@ -0,0 +1,95 @@
+"""The platform's list: kept while it is away, and read for two purposes."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, cast
+
+import anyio
+import pytest
+from attrs import define
+
+from ebonyhold.daemon._members import MemberFeed
+from ebonyhold.document import Document
+from ebonyhold.exceptions import UnavailableError
+from ebonyhold.fleet import FleetView
+from ebonyhold.platform import Member, MemberRole, MemberState
+from tests.virtual import anyio_backend
+
+__all__ = ["anyio_backend"]
+
+pytestmark = pytest.mark.anyio
+
+
+def member(name: str, role: MemberRole, state: MemberState) -> Member:
+    return Member(name, "10.0.0.1:1", "domain", role, state)
+
+
+ROUTER = member("entry-1", MemberRole.ENTRY, MemberState.LIVE)
+LEAVING_ROUTER = member("entry-2", MemberRole.ENTRY, MemberState.LEAVING)
+ENGINE = member("engine-1", MemberRole.BACKEND, MemberState.LIVE)
+LEAVING_ENGINE = member("engine-1", MemberRole.BACKEND, MemberState.LEAVING)
+
+
+@define
+class FakeList:
+    """A list that a test sets; None while it is away."""
+
+    found: tuple[Member, ...] | None = None
+
+    async def members(self) -> tuple[Member, ...]:
+        if self.found is None:
+            raise UnavailableError("the list is away")
+        return self.found
+
+
+def feed_of(found: FakeList | None) -> MemberFeed:
+    fleet = FleetView(Document("fleet", ()), domain="domain")
+    return MemberFeed(cast(Any, found), fleet, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("found", "leaving"),
+    [
+        ((), set()),
+        ((ROUTER, ENGINE), set()),
+        ((ROUTER, LEAVING_ENGINE), {"engine-1"}),
+        ((LEAVING_ROUTER, ENGINE), set()),
+    ],
+)
+def test_leaving_backend_servers(found: tuple[Member, ...], leaving: set[str]) -> None:
+    feed = feed_of(None)
+    feed.take(found)
+    assert feed.fleet.leaving == leaving
+
+
+async def test_list_is_away_for_a_while() -> None:
+    """The list is away, and a leaving backend server gets work again.
+
+    What was read last stays in force, and the feed goes on asking.
+    """
+    source = FakeList()
+    feed = feed_of(source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(feed.run)
+        await anyio.sleep(10.0)
+        with pytest.raises(UnavailableError):
+            await feed.entries()
+        source.found = (ROUTER, LEAVING_ENGINE)
+        await anyio.sleep(10.0)
+        source.found = None
+        await anyio.sleep(600.0)
+        assert await feed.entries() == (ROUTER, LEAVING_ENGINE)
+        assert feed.fleet.leaving == {"engine-1"}
+        source.found = (ROUTER, ENGINE)
+        await anyio.sleep(10.0)
+        assert not feed.fleet.leaving
+        tasks.cancel_scope.cancel()
+
+
+async def test_fleet_without_a_list() -> None:
+    feed = feed_of(None)
+    with anyio.fail_after(1.0):
+        await feed.run()
+    with pytest.raises(UnavailableError):
+        await feed.entries()
