--- a/tests/experiments/test_command.py
+++ b/tests/experiments/test_command.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from textwrap import dedent
 
 import pytest
 from attrs import evolve
@@ -15,6 +16,7 @@
 
 from ebonyhold.command import ExitCode, app
 from ebonyhold.document import FindingsError
+from ebonyhold.experiments import _runs
 from ebonyhold.experiments._catalogue import Kind, catalogue, read_scenario
 from ebonyhold.experiments._compare import compare_results, describe_difference
 from ebonyhold.experiments._money_scenarios import scenarios
@@ -28,6 +30,8 @@
     write_results,
 )
 from ebonyhold.experiments._runs import Wish, money_scenario, run_wish
+from ebonyhold.experiments.checker import Broken, Evidence, Promise
+from ebonyhold.experiments.trial import Verdict
 
 SMALL = """
 kind: money
@@ -62,6 +66,14 @@
     return tmp_path
 
 
+def test_page_shows_a_usable_file() -> None:
+    page = (Path(__file__).parents[2] / "docs" / "EXPERIMENTS.md").read_text()
+    found = re.search(r"(?m)(^    kind: (.*\n)+?)\n", page)
+    assert found
+    spec = read_scenario("page", dedent(found.group(1)))
+    assert [fault.what for fault in spec.faults] == ["split", "top_up", "heal"]
+
+
 def test_list_names_each_scenario_and_its_policies() -> None:
     shown = invoke("list", "--output", "json")
     for spec in catalogue():
@@ -114,18 +126,39 @@
     invoke("run", *files, *policies, "--seed", "1", "--out", out)
     invoke("report", out)
     page = (out / "report.html").read_text()
-    plots = {path.name for path in out.glob("*.png")}
-    assert {"refusals.png", "latency.png", "goodput.png"} <= plots
+    plots = {path.stem for path in out.glob("*.png")}
+    assert {"refusals", "latency", "goodput", "first_token_percentiles"} <= plots
     assert page.count("data:image/png;base64,") == len(plots)
     assert re.search(r"https?://|(src|href)=\"(?!data:)", page) is None
     assert "No workspace overspent" in page
 
 
+def test_a_live_run_that_breaks_a_promise_fails(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked = []
+
+    async def run_trial(requests: int, troubles: list[str], seed: int) -> Verdict:
+        asked.append((requests, troubles, seed))
+        broken = Broken(Promise.BILL, "two bills", "oak", "r1")
+        return Verdict(Evidence(), (), (broken,))
+
+    monkeypatch.setattr(_runs, "run_trial", run_trial)
+    arguments = ["run", "live_kill", "--live", "--seed", "7", "--out", str(tmp_path)]
+    result = CliRunner().invoke(app, ["experiment", *arguments])
+    assert asked == [(300, ["objects", "table", "kill"], 7)]
+    assert result.exit_code == ExitCode.FAILED
+    assert "broken promise:" in result.output
+    assert "two bills" in result.output
+    invoke("report", tmp_path)
+    assert "two bills" in (tmp_path / "report.html").read_text()
+
+
 def test_report_without_matplotlib_says_what_to_install(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setitem(sys.modules, "matplotlib", None)
-    for name in ("_report", "_plots"):
+    for name in ("_report", "_plots", "_panels"):
         monkeypatch.delitem(sys.modules, f"ebonyhold.experiments.{name}", False)
     result = CliRunner().invoke(app, ["experiment", "report", str(tmp_path)])
     assert result.exit_code == ExitCode.FAILED
@@ -219,6 +252,13 @@
     assert [row["mark"] for row in rows] == ([] if mark is None else [mark])
 
 
+def test_compare_takes_the_seeds_that_both_have() -> None:
+    first = [result_of(seed, overspend=seed) for seed in (1, 2)]
+    second = [result_of(seed, overspend=seed) for seed in (2, 3)]
+    assert compare_results(first, second) == []
+    assert len(compare_results(first, second[1:])) == 1
+
+
 def test_results_come_back_as_they_were_written(tmp_path: Path) -> None:
     result = evolve(result_of(1, refused=0.25), broken=("a <promise>",))
     write_results(tmp_path, [Finished(result, (0.004, 0.1))])
