--- a/ebonyhold/experiments/capacity.py
+++ b/ebonyhold/experiments/capacity.py
@@ -53,7 +53,8 @@
 WORKSPACES_IN_USE = (100, 400, 1000)
 WRITE_RATES = (1.0, 5.0, 20.0)
 DOCUMENT_SIZES = (1000, WORKSPACES, 10_000)
-DOCUMENT_CHANGES = 30
+DOCUMENT_CHANGES = 200
+"""Enough that the manifest has its usual length; a fresh one is shorter."""
 FLEETS = (9, 30, 100)
 OPEN_RUNS = (10, 100, 400)
 STEADY: Seconds = 30.0
