Ask for a client's certificate when a listener has an authority

Cause: the setting `authority` was loaded into the TLS context, but the handshake asked nobody for a certificate, so strangers connected all the same. Change: with an authority a certificate of it is required, and its file is watched.

--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -85,7 +85,11 @@
     if listener.tls is not None:
         config.certfile = listener.tls.certificate
         config.keyfile = listener.tls.key
-        config.ca_certs = listener.tls.authority or None
+        if listener.tls.authority:
+            config.ca_certs = listener.tls.authority
+            # An authority without this is loaded and then asks nobody for
+            # anything: whoever has set it believes that strangers cannot connect.
+            config.verify_mode = ssl.VerifyMode.CERT_REQUIRED
     return config
 
 
@@ -123,11 +127,9 @@
 
     def read_stamps(self) -> tuple[int, ...]:
         """Return the modification times; empty while a file is missing."""
+        names = (self.tls.certificate, self.tls.key, self.tls.authority)
         try:
-            return tuple(
-                Path(name).stat().st_mtime_ns
-                for name in (self.tls.certificate, self.tls.key)
-            )
+            return tuple(Path(name).stat().st_mtime_ns for name in names if name)
         except OSError:
             return ()
 
--- a/ebonyhold/settings.py
+++ b/ebonyhold/settings.py
@@ -14,7 +14,14 @@
 
 @frozen
 class TlsSettings:
-    """Files of a listener's certificate; they are read again when they change."""
+    """Files of a listener's certificate; they are read again when they change.
+
+    Attributes:
+        certificate: The certificate and its chain.
+        key: The certificate's key.
+        authority: Whose certificates those who connect must show; empty if they
+            need none.
+    """
 
     certificate: str
     key: str
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -15,12 +15,12 @@
 
 from ebonyhold.daemon._servers import CertificateWatch, listener_config, serve_listener
 from ebonyhold.misc import free_port
-from ebonyhold.settings import Listener
+from ebonyhold.settings import Listener, TlsSettings
 from tests.daemon.kit import LOOPBACK, Files, Pair, certificate_at, make_pair
 
 pytestmark = pytest.mark.anyio
 
-OLD, NEW = make_pair("old"), make_pair("new")
+OLD, NEW, FRIEND = make_pair("old"), make_pair("new"), make_pair("friend")
 PATIENCE = 30.0
 POLL = 0.05
 
@@ -160,3 +160,51 @@
     files.put(NEW)
     assert watch.look()
     assert not watch.look()
+
+
+@pytest.mark.parametrize(
+    ("shows", "welcome"), [(None, False), (NEW, False), (FRIEND, True)]
+)
+async def test_authority_is_asked_for(
+    files: Files, tmp_path: Path, shows: Pair | None, welcome: bool
+) -> None:
+    """An operator names an authority, and strangers connect all the same.
+
+    Loading it is not enough: the handshake must also ask for a certificate.  It
+    must still do so after the listener's own certificate was replaced.
+    """
+    authority = tmp_path / "friends.crt"
+    authority.write_bytes(FRIEND.certificate)
+    tls = TlsSettings(str(files.certificate), str(files.key), str(authority))
+    address = f"{LOOPBACK}:{free_port()}"
+    context = ssl.create_default_context(cadata=OLD.certificate.decode())
+    context.load_verify_locations(cadata=NEW.certificate.decode())
+    if shows is not None:
+        own = Files(tmp_path / "own")
+        own.folder.mkdir()
+        own.put(shows)
+        context.load_cert_chain(own.certificate, own.key)
+    async with serving(Listener(address, tls)):
+        await wait_listening(address)
+        assert await is_served(address, context) is welcome
+        files.put(NEW)
+        await anyio.sleep(10 * POLL)
+        assert await is_served(address, context) is welcome
+
+
+async def wait_listening(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    with anyio.fail_after(PATIENCE):
+        while True:
+            with suppress(OSError):
+                await (await anyio.connect_tcp(host, int(port))).aclose()
+                return
+            await anyio.sleep(POLL)
+
+
+async def is_served(address: str, context: ssl.SSLContext) -> bool:
+    async with httpx.AsyncClient(verify=context, trust_env=False) as client:
+        try:
+            return (await client.get(f"https://{address}/")).text == "hello"
+        except httpx.TransportError:
+            return False
