Bound a listener's end: a caller that reads nothing cannot hold up the stop

After its grace hypercorn still waits for a caller that takes none of its answer, without a bound, and when cancelled there it raises InvalidStateError. Change: a listener is cancelled a second after its grace, and that error is logged.

--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import ssl
 from collections.abc import Awaitable, Callable
@@ -31,6 +32,9 @@
 GRACE: Seconds = 5.0
 """How long hypercorn waits for open connections after its trigger."""
 
+GRACE_SLACK: Seconds = 1.0
+"""How much longer the whole listener may take to end."""
+
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -141,6 +145,18 @@
                 logger.info("certificate reloaded")
 
 
+async def cancel_later(stop: anyio.Event, scope: anyio.CancelScope) -> None:
+    """Cancel a listener that outlasts its grace.
+
+    The router's stop waits for its listeners.  A caller that neither reads nor
+    hangs up would hold it up for ever: after its grace, hypercorn still waits
+    until what it has written to that caller is taken.
+    """
+    await stop.wait()
+    await anyio.sleep(GRACE + GRACE_SLACK)
+    scope.cancel()
+
+
 async def serve_listener(
     app: AsgiApp,
     listener: Listener,
@@ -162,6 +178,15 @@
             watch = CertificateWatch(config, listener.tls)
             watch.stamps = watch.read_stamps()
             tasks.start_soon(watch.run)
+        tasks.start_soon(cancel_later, stop, tasks.cancel_scope)
         task_status.started()
-        await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+        try:
+            await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+        except asyncio.InvalidStateError:
+            # hypercorn, cancelled in its grace, asks for the result of
+            # connections that have none yet.  Raised further, this would end the
+            # process with an error after an orderly stop.
+            if not stop.is_set():
+                raise
+            logger.warning("connections cut", extra={"bind": listener.bind})
         tasks.cancel_scope.cancel()
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -12,6 +12,8 @@
 import anyio
 import httpx
 import pytest
+from anyio.abc import TaskStatus
+from attrs import define, field
 
 from ebonyhold.daemon._servers import CertificateWatch, listener_config, serve_listener
 from ebonyhold.misc import free_port
@@ -55,14 +57,27 @@
     await send({"type": "http.response.body", "body": b"hello"})
 
 
+@define
+class Served:
+    """A listener in a test: set `stop`, wait for `ended`."""
+
+    stop: anyio.Event = field(factory=anyio.Event)
+    ended: anyio.Event = field(factory=anyio.Event)
+
+
 @asynccontextmanager
-async def serving(listener: Listener) -> AsyncIterator[None]:
+async def serving(listener: Listener, app: Any = hello) -> AsyncIterator[Served]:
     """Serve until the block ends."""
-    stop = anyio.Event()
+    served = Served()
+
+    async def run(*, task_status: TaskStatus[None]) -> None:
+        await serve_listener(app, listener, served.stop, task_status=task_status)
+        served.ended.set()
+
     async with anyio.create_task_group() as tasks:
-        await tasks.start(serve_listener, hello, listener, stop)
-        yield
-        stop.set()
+        await tasks.start(run)
+        yield served
+        served.stop.set()
 
 
 async def shown(address: str) -> str:
@@ -208,3 +223,44 @@
             return (await client.get(f"https://{address}/")).text == "hello"
         except httpx.TransportError:
             return False
+
+
+LARGE = b"x" * 4_000_000
+
+
+async def large(scope: Any, receive: Any, send: Any) -> None:
+    """Answer with more than the buffers between the two ends hold."""
+    if scope["type"] == "lifespan":
+        await hello(scope, receive, send)
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": LARGE})
+
+
+@pytest.mark.parametrize("reads", [True, False], ids=["slow", "never"])
+async def test_listener_ends_while_an_answer_is_on_its_way(
+    monkeypatch: pytest.MonkeyPatch, reads: bool
+) -> None:
+    """A stop cuts an answer that its caller is still reading, or never ends.
+
+    A slow caller gets the whole answer within the grace; one that reads nothing
+    holds up the stop no longer than that.
+    """
+    if not reads:
+        monkeypatch.setattr("ebonyhold.daemon._servers.GRACE", 0.2)
+    port = free_port()
+    address = f"{LOOPBACK}:{port}"
+    async with serving(Listener(address), large) as served:
+        await wait_listening(address)
+        async with await anyio.connect_tcp(LOOPBACK, port) as caller:
+            await caller.send(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            got = len(await caller.receive())
+            served.stop.set()
+            await anyio.sleep(2 * POLL)
+            if reads:
+                with anyio.fail_after(PATIENCE), suppress(anyio.EndOfStream):
+                    while True:
+                        got += len(await caller.receive())
+                assert got >= len(LARGE)
+            else:
+                with anyio.fail_after(PATIENCE):
+                    await served.ended.wait()
