--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import ssl
 from collections.abc import Awaitable, Callable
@@ -31,6 +32,9 @@
 GRACE: Seconds = 5.0
 """How long hypercorn waits for open connections after its trigger."""
 
+GRACE_SLACK: Seconds = 1.0
+"""How much longer the whole listener may take to end."""
+
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -85,7 +89,11 @@
     if listener.tls is not None:
         config.certfile = listener.tls.certificate
         config.keyfile = listener.tls.key
-        config.ca_certs = listener.tls.authority or None
+        if listener.tls.authority:
+            config.ca_certs = listener.tls.authority
+            # An authority without this is loaded and then asks nobody for
+            # anything: whoever has set it believes that strangers cannot connect.
+            config.verify_mode = ssl.VerifyMode.CERT_REQUIRED
     return config
 
 
@@ -123,11 +131,9 @@
 
     def read_stamps(self) -> tuple[int, ...]:
         """Return the modification times; empty while a file is missing."""
+        names = (self.tls.certificate, self.tls.key, self.tls.authority)
         try:
-            return tuple(
-                Path(name).stat().st_mtime_ns
-                for name in (self.tls.certificate, self.tls.key)
-            )
+            return tuple(Path(name).stat().st_mtime_ns for name in names if name)
         except OSError:
             return ()
 
@@ -139,6 +145,18 @@
                 logger.info("certificate reloaded")
 
 
+async def cancel_later(stop: anyio.Event, scope: anyio.CancelScope) -> None:
+    """Cancel a listener that outlasts its grace.
+
+    The router's stop waits for its listeners.  A caller that neither reads nor
+    hangs up would hold it up for ever: after its grace, hypercorn still waits
+    until what it has written to that caller is taken.
+    """
+    await stop.wait()
+    await anyio.sleep(GRACE + GRACE_SLACK)
+    scope.cancel()
+
+
 async def serve_listener(
     app: AsgiApp,
     listener: Listener,
@@ -160,6 +178,15 @@
             watch = CertificateWatch(config, listener.tls)
             watch.stamps = watch.read_stamps()
             tasks.start_soon(watch.run)
+        tasks.start_soon(cancel_later, stop, tasks.cancel_scope)
         task_status.started()
-        await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+        try:
+            await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+        except asyncio.InvalidStateError:
+            # hypercorn, cancelled in its grace, asks for the result of
+            # connections that have none yet.  Raised further, this would end the
+            # process with an error after an orderly stop.
+            if not stop.is_set():
+                raise
+            logger.warning("connections cut", extra={"bind": listener.bind})
         tasks.cancel_scope.cancel()
