--- a/ebonyhold/coordination/_heartbeats.py
+++ b/ebonyhold/coordination/_heartbeats.py
@@ -42,7 +42,7 @@
     relays: int = 3
     suspicion: float = 2.0
     unlisted_factor: float = 0.3
-    recover_factor: float = 5.0
+    recover_factor: float = 2.0
     shared_part: float = 0.1
     shared_patience: Seconds = 300.0
     grace: Seconds = 20.0
