--- a/ebonyhold/coordination/_recoverable.py
+++ b/ebonyhold/coordination/_recoverable.py
@@ -59,13 +59,17 @@
         When two regions lose each other, each sees many routers fall silent that
         go on serving.  Sealing them is safe, but cuts their streams.  Deaths come
         one by one or are soon followed by the platform's list or by a new
-        incarnation, so silence that many share is given more time.
+        incarnation, so silence that many share is given more time.  Routers that
+        left the list do not count: after a fleet was made smaller, one death would
+        else look like a partition and strand its tokens for minutes.
         """
         listed = self.view.listed or {}
         silent = sum(
             1
             for other in self.view.members.values()
-            if other.gone_at is not None and not self.is_superseded(other)
+            if other.gone_at is not None
+            and not self.is_superseded(other)
+            and self.is_listed(other)
         )
         if silent > max(1.0, self.options.shared_part * len(listed)):
             return self.options.shared_patience
--- /dev/null
+++ b/tests/coordination/test_recoverable.py
@@ -0,0 +1,37 @@
+"""Whom one router may recover, as far as it can guess."""
+
+from __future__ import annotations
+
+import pytest
+
+from ebonyhold.coordination import (
+    Listed,
+    MembershipOptions,
+    MemberStatus,
+    MemberUpdate,
+    MemberView,
+)
+from ebonyhold.coordination._recoverable import RecoveryJudge
+
+
+def update(name: str, status: MemberStatus) -> MemberUpdate:
+    return MemberUpdate(f"{name}.1", f"10.0.0.{name[1:]}:1", "d", status, 1, 1)
+
+
+@pytest.mark.parametrize("left", [0, 1, 2, 5])
+def test_routers_that_were_taken_out_do_not_delay_a_recovery(left: int) -> None:
+    """After a fleet was made smaller, a dead router's tokens stay stranded for minutes.
+
+    Routers that ended as planned and left the platform's list still counted as
+    silent, so one death looked like a partition.
+    """
+    view = MemberView()
+    names = [f"r{n}" for n in range(2, 9)]
+    for name in names:
+        view.merge(update(name, MemberStatus.ALIVE), 0.0)
+    for n in range(left):
+        view.merge(update(f"x{n + 20}", MemberStatus.GONE), 0.0)
+    view.merge(update("r2", MemberStatus.GONE), 100.0)
+    view.listed = {name: Listed(name, "10.0.0.1:1") for name in ["r1", *names]}
+    judge = RecoveryJudge(update("r1", MemberStatus.ALIVE), view, MembershipOptions())
+    assert judge.patience(view.members["r2.1"]) < MembershipOptions().shared_patience
