Let operators see and settle what recovery could not; judge trials later

Cause: under unknown_outcome: wait a run that nobody can tell about kept its tokens out of reach, and only a function could settle it. Change: recovery list, recovery settle and bill rule, with their endpoints; the trial asks the routers whether bills are still unfiled before it judges, never how it went.

--- a/ebonyhold/command/__init__.py
+++ b/ebonyhold/command/__init__.py
@@ -8,6 +8,7 @@
 from ebonyhold.command import _fleet as _fleet
 from ebonyhold.command import _money as _money
 from ebonyhold.command import _parts as _parts
+from ebonyhold.command import _recovery as _recovery
 from ebonyhold.command._app import add_group, app
 from ebonyhold.command._exits import ExitCode
 
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -19,6 +19,7 @@
 from ebonyhold.daemon._messages import StatusRequest
 from ebonyhold.daemon._recoveries import Recoveries
 from ebonyhold.daemon._servers import serve_listener
+from ebonyhold.daemon._settlements import Settlements
 from ebonyhold.daemon._status import FleetStatusSource
 from ebonyhold.document import Document, Policy
 from ebonyhold.exceptions import EbonyholdError
@@ -209,7 +210,13 @@
         books = TableAccounts(self.table)
         return OperatorsApp(
             OperatorsContext(
-                keys, self.keeper, status, books, books, self.render_metrics
+                keys,
+                self.keeper,
+                status,
+                books,
+                books,
+                self.render_metrics,
+                Settlements(self.table, self.make_recovery),
             )
         )
 
--- a/ebonyhold/experiments/trial.py
+++ b/ebonyhold/experiments/trial.py
@@ -8,8 +8,10 @@
 import argparse
 import collections
 import random
+import re
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 
 import anyio
 import httpx
@@ -26,7 +28,7 @@
 )
 from ebonyhold.document import Document, load_document
 from ebonyhold.experiments._callers import make_jobs
-from ebonyhold.experiments._local_fleet import LocalFleet, local_fleet
+from ebonyhold.experiments._local_fleet import OPERATOR_KEY, LocalFleet, local_fleet
 from ebonyhold.experiments._troubles import (
     TROUBLES,
     Strikes,
@@ -50,6 +52,9 @@
 ROUTERS = 3
 STRIKE_EVERY: Seconds = 0.1
 SETTLE_WITHIN: Seconds = 60.0
+POLL: Seconds = 0.5
+QUIET: Seconds = 2.0
+UNFILED = re.compile(r"^ebonyhold_unfiled_bills (\S+)$", re.MULTILINE)
 ENGINES = slice(0, 4)
 SERVICES = slice(6, 8)
 CONTROL_TIMEOUT: Seconds = 10.0
@@ -117,20 +122,35 @@
 async def settle(fleet: LocalFleet) -> None:
     """Wait a bounded time until each request has its end.
 
-    What has none by then is the checker's to find.
+    What has none by then is the checker's to find.  Bills of chats have no row
+    before they are filed, and after an outage a filing may come again only some
+    seconds later; so the routers are asked whether they still have any.  They
+    are asked only how long to wait, never how it went.
     """
     url = fleet.platform["table"].url
     with anyio.move_on_after(SETTLE_WITHIN):
         while True:
             rows = await anyio.to_thread.run_sync(fetch_rows, url)
             bills = Evidence(rows=rows).rows_under(REQUEST_PREFIX, RequestRow)
-            if all(bill.state is not RequestState.RUNNING for _, bill in bills):
-                # Bills of chats have no row before they are filed: one more
-                # round lets the last ones come.
-                await anyio.sleep(2.0)
+            ended = all(bill.state is not RequestState.RUNNING for _, bill in bills)
+            if ended and not await unfiled_bills(fleet):
+                await anyio.sleep(QUIET)
                 if len(await anyio.to_thread.run_sync(fetch_rows, url)) == len(rows):
                     return
-            await anyio.sleep(0.5)
+            await anyio.sleep(POLL)
+
+
+async def unfiled_bills(fleet: LocalFleet) -> float:
+    """Return how many bills the routers that answer have still to file."""
+    total = 0.0
+    headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        for router in fleet.routers:
+            with suppress(httpx.TransportError):
+                url = f"{router.operators_url}/metrics"
+                text = (await client.get(url, headers=headers)).text
+                total += sum(map(float, UNFILED.findall(text)))
+    return total
 
 
 def collect(fleet: LocalFleet, witnesses: Witnesses, strikes: Strikes) -> Evidence:
--- a/ebonyhold/operators/_accounts.py
+++ b/ebonyhold/operators/_accounts.py
@@ -15,7 +15,7 @@
     request_key,
 )
 from ebonyhold.exceptions import BudgetError
-from ebonyhold.money import refund, top_up, verify_bills
+from ebonyhold.money import refund, rule, top_up, verify_bills
 from ebonyhold.operators._interface import (
     Bill,
     BillPage,
@@ -95,6 +95,19 @@
         )
         return BillPage(bills, bills[-1].request if len(rows) == limit else "")
 
+    async def rule(
+        self, workspace: WorkspaceName, request: RequestId, *, ran: bool
+    ) -> None:
+        """Settle a bill whose outcome is unknown, on an operator's word.
+
+        Raises:
+            BudgetError: There is no such bill, or its outcome is known.
+        """
+        try:
+            await rule(self.table, workspace, request, ran=ran)
+        except ValueError as error:
+            raise BudgetError(str(error)) from error
+
     async def verify(self, workspaces: tuple[WorkspaceName, ...]) -> Verification:
         """Check that the rows of these workspaces add up."""
         wanted = set(workspaces)
--- a/ebonyhold/operators/_app.py
+++ b/ebonyhold/operators/_app.py
@@ -19,6 +19,7 @@
 from ebonyhold.exceptions import EbonyholdError, SettingsError
 from ebonyhold.operators import _money_endpoints as _money_endpoints
 from ebonyhold.operators import _part_endpoints as _part_endpoints
+from ebonyhold.operators import _recovery_endpoints as _recovery_endpoints
 from ebonyhold.operators import _status_endpoints as _status_endpoints
 from ebonyhold.operators._context import OperatorsContext, endpoints
 from ebonyhold.operators._document_endpoints import OPERATOR
--- a/ebonyhold/operators/_context.py
+++ b/ebonyhold/operators/_context.py
@@ -11,7 +11,12 @@
 from ebonyhold.configuration import ConfigurationKeeper
 from ebonyhold.document import Document
 from ebonyhold.operators._errors import BadRequestError, NotFoundError
-from ebonyhold.operators._interface import BillSource, BudgetSource, StatusSource
+from ebonyhold.operators._interface import (
+    BillSource,
+    BudgetSource,
+    RecoverySource,
+    StatusSource,
+)
 from ebonyhold.operators._keys import OperatorKeys
 from ebonyhold.types import Json
 
@@ -34,6 +39,7 @@
         status: How the fleet is.
         budgets: The budgets in the table.
         bills: The bills in the table.
+        recoveries: What recovery could not settle, or None.
         metrics: Renders metrics in the Prometheus text format.
     """
 
@@ -43,6 +49,7 @@
     budgets: BudgetSource
     bills: BillSource
     metrics: Callable[[], bytes] = field(default=no_metrics)
+    recoveries: RecoverySource | None = None
 
     def document(self) -> Document:
         """Return the document in force.
--- a/ebonyhold/operators/_interface.py
+++ b/ebonyhold/operators/_interface.py
@@ -8,6 +8,7 @@
 
 from ebonyhold.coordination import RequestRow
 from ebonyhold.types import (
+    AttemptId,
     BackendName,
     RequestId,
     RouterId,
@@ -213,8 +214,68 @@
         ...
 
 
+@frozen
+class OpenRun:
+    """A run of a sealed router whose outcome nobody can tell.
+
+    Attributes:
+        router: The sealed incarnation.
+        workspace: Who pays.
+        request: The request.
+        attempt: Its last attempt.
+        backend: The backend server of that attempt.
+        hold: Tokens that stay out of reach until an operator settles it.
+    """
+
+    router: RouterId
+    workspace: WorkspaceName
+    request: RequestId
+    attempt: AttemptId
+    backend: BackendName
+    hold: Tokens
+
+
+class RecoverySource(Protocol):
+    """Knows what recovery could not settle by itself."""
+
+    async def open_runs(self) -> tuple[OpenRun, ...]:
+        """Try all sealed routers again and return what still waits.
+
+        Raises:
+            UnavailableError: The platform cannot be reached.
+        """
+        ...
+
+    async def settle(
+        self, router: RouterId, attempt: AttemptId, charge: Tokens | None
+    ) -> None:
+        """Settle a run on an operator's word.
+
+        Args:
+            router: The sealed incarnation.
+            attempt: The run's attempt.
+            charge: What it cost in tokens, or None when it did not run.
+
+        Raises:
+            BudgetError: The router is not sealed, or has no such run open.
+            UnavailableError: The platform cannot be reached.
+        """
+        ...
+
+
 class BillSource(Protocol):
-    """Reads bills from the table."""
+    """Reads bills from the table, and settles unknown ones."""
+
+    async def rule(
+        self, workspace: WorkspaceName, request: RequestId, *, ran: bool
+    ) -> None:
+        """Settle a bill whose outcome is unknown, on an operator's word.
+
+        Raises:
+            BudgetError: There is no such bill, or its outcome is known.
+            UnavailableError: The table cannot be reached.
+        """
+        ...
 
     async def bills(self, workspace: WorkspaceName, after: str, limit: int) -> BillPage:
         """Return a page of a workspace's bills and claims, ordered by request.
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -10,13 +10,14 @@
 
 from ebonyhold.configuration import ConfigurationKeeper, VersionStore
 from ebonyhold.coordination import RequestKind, RequestRow, RequestState
-from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.exceptions import BudgetError, EbonyholdError
 from ebonyhold.operators import (
     Bill,
     BillPage,
     Budget,
     Discrepancy,
     FleetStatus,
+    OpenRun,
     OperatorKeys,
     OperatorsContext,
     Readiness,
@@ -77,10 +78,31 @@
         )
         return BillPage((Bill(workspace, "q1", row),))
 
+    async def rule(self, workspace: str, request: str, *, ran: bool) -> None:
+        self.budget(workspace)
+        self.keys.add(f"{request} {'ran' if ran else 'did not run'}")
+
     async def verify(self, workspaces: tuple[str, ...]) -> Verification:
         return Verification(len(workspaces), self.discrepancies)
 
 
+@define
+class FakeRecoveries:
+    """One run that waits, until it is settled."""
+
+    runs: tuple[OpenRun, ...] = (OpenRun("a.1", "w", "q", "a.1~1~1", "e1", 100),)
+    charges: list[int | None] = field(factory=list)
+
+    async def open_runs(self) -> tuple[OpenRun, ...]:
+        return self.runs
+
+    async def settle(self, router: str, attempt: str, charge: int | None) -> None:
+        if (router, attempt) != ("a.1", "a.1~1~1"):
+            raise BudgetError(f"{attempt} is not open in the journal of {router}")
+        self.charges.append(charge)
+        self.runs = ()
+
+
 @define
 class Bench:
     """All of it, wired."""
@@ -100,6 +122,12 @@
     keeper = ConfigurationKeeper(table, VersionStore(objects), random=Random(1))
     status, accounts = FakeStatus(), FakeAccounts()
     context = OperatorsContext(
-        OperatorKeys(keys), keeper, status, accounts, accounts, lambda: b"metric 1\n"
+        OperatorKeys(keys),
+        keeper,
+        status,
+        accounts,
+        accounts,
+        lambda: b"metric 1\n",
+        FakeRecoveries(),
     )
     return Bench(context, table, objects, status, accounts)
