--- a/ebonyhold/money/_operators.py
+++ b/ebonyhold/money/_operators.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
+from typing import TypeAlias
 
 from ebonyhold.coordination import (
     BudgetRow,
     RefundRow,
     RequestRow,
+    Row,
     Table,
     TopUpRow,
+    Transaction,
     budget_key,
     plan_refund,
     plan_ruling,
@@ -30,27 +34,37 @@
 """Tries against routers that draw from the same budget."""
 
 
-async def top_up(
-    table: Table, workspace: WorkspaceName, key: str, amount: Tokens, operator: str = ""
+Rows: TypeAlias = tuple[Row | None, ...]
+"""Rows as read, in the order of their keys."""
+
+
+async def commit_once(
+    table: Table,
+    keys: tuple[str, ...],
+    plan: Callable[[Rows], Transaction | None],
+    what: str,
 ) -> bool:
-    """Add prepaid tokens to a workspace's budget, once for each key.
+    """Commit what is planned on the rows of some keys, against other writers.
+
+    A lost answer is not taken for either outcome: the rows are read again, and
+    the plan, which finds its own row there, says whether anything is left to do.
+
+    Args:
+        table: The table.
+        keys: The rows that the plan needs.
+        plan: Returns the transaction, or None when it has been done.
+        what: Names the change in an error.
 
     Returns:
-        Whether this call made the top-up; False when the key was used before.
+        Whether this call made the change; False when it had been made before.
 
     Raises:
-        ValueError: The amount is not above zero, or the key was used for another.
-        PlatformError: The table could not be written; try again with the key.
+        ValueError: The plan refuses.
+        PlatformError: The table could not be written; try again.
     """
-    keys = (topup_key(workspace, key), budget_key(workspace))
     unclear = False
     for _ in range(TRIES):
-        topup, budget = await table.read(keys)
-        wish = plan_topup(
-            seen(keys[0], topup, TopUpRow),
-            seen(keys[1], budget, BudgetRow),
-            TopUpRow(amount, operator, time.time()),
-        )
+        wish = plan(await table.read(keys))
         if wish is None:
             return unclear
         try:
@@ -61,7 +75,31 @@
             unclear = True
             continue
         return True
-    raise UnavailableError(f"the top-up {key} met other writers")
+    raise UnavailableError(f"{what} met other writers")
+
+
+async def top_up(
+    table: Table, workspace: WorkspaceName, key: str, amount: Tokens, operator: str = ""
+) -> bool:
+    """Add prepaid tokens to a workspace's budget, once for each key.
+
+    Returns:
+        Whether this call made the top-up; False when the key was used before.
+
+    Raises:
+        ValueError: The amount is not above zero, or the key was used for another.
+        PlatformError: The table could not be written; try again with the key.
+    """
+    keys = (topup_key(workspace, key), budget_key(workspace))
+
+    def plan(rows: Rows) -> Transaction | None:
+        return plan_topup(
+            seen(keys[0], rows[0], TopUpRow),
+            seen(keys[1], rows[1], BudgetRow),
+            TopUpRow(amount, operator, time.time()),
+        )
+
+    return await commit_once(table, keys, plan, f"the top-up {key}")
 
 
 async def refund(
@@ -87,26 +125,16 @@
         budget_key(workspace),
         request_key(workspace, request),
     )
-    unclear = False
-    for _ in range(TRIES):
-        rows = await table.read(keys)
-        wish = plan_refund(
+
+    def plan(rows: Rows) -> Transaction | None:
+        return plan_refund(
             seen(keys[0], rows[0], RefundRow),
             seen(keys[1], rows[1], BudgetRow),
             seen(keys[2], rows[2], RequestRow),
             RefundRow(request, amount, operator, time.time()),
         )
-        if wish is None:
-            return unclear
-        try:
-            await table.commit(wish)
-        except ConflictError:
-            continue
-        except UnknownOutcomeError:
-            unclear = True
-            continue
-        return True
-    raise UnavailableError(f"the refund {key} met other writers")
+
+    return await commit_once(table, keys, plan, f"the refund {key}")
 
 
 async def rule(
@@ -122,22 +150,12 @@
         PlatformError: The table could not be written; try again.
     """
     keys = (request_key(workspace, request), budget_key(workspace))
-    unclear = False
-    for _ in range(TRIES):
-        rows = await table.read(keys)
-        wish = plan_ruling(
+
+    def plan(rows: Rows) -> Transaction | None:
+        return plan_ruling(
             seen(keys[0], rows[0], RequestRow),
             seen(keys[1], rows[1], BudgetRow),
             ran=ran,
         )
-        if wish is None:
-            return unclear
-        try:
-            await table.commit(wish)
-        except ConflictError:
-            continue
-        except UnknownOutcomeError:
-            unclear = True
-            continue
-        return True
-    raise UnavailableError(f"{request} met other writers")
+
+    return await commit_once(table, keys, plan, request)
