Remove the question of a request's fate, which nobody asked

Cause: the claim's row answers it; the message was used by tests only. Change: the tests ask for a transfer instead, with the same assertions.

--- a/ebonyhold/routers/__init__.py
+++ b/ebonyhold/routers/__init__.py
@@ -5,8 +5,6 @@
 from ebonyhold.routers._interface import (
     ConfigurationReply,
     ConfigurationRequest,
-    FateReply,
-    FateRequest,
     Handler,
     Leaving,
     PeerLink,
@@ -25,8 +23,6 @@
     "Envelopes",
     "FakeLink",
     "FakeNetwork",
-    "FateReply",
-    "FateRequest",
     "Handler",
     "KeyRing",
     "Leaving",
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from ebonyhold.routers._registry import PeerMessage, peer_message
-from ebonyhold.types import RequestId, RouterId, Seconds, Tokens, WorkspaceName
+from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
 Reply = TypeVar("Reply", bound=PeerMessage)
 
@@ -45,29 +45,6 @@
     amount: Tokens
 
 
-@peer_message("fate_request")
-@frozen
-class FateRequest(PeerMessage):
-    """Are you running this request, or did you finish it?"""
-
-    workspace: WorkspaceName
-    request: RequestId
-
-
-@peer_message("fate_reply")
-@frozen
-class FateReply(PeerMessage):
-    """What the asked router knows of a request.
-
-    Attributes:
-        running: Whether it runs there now.
-        known: Whether the router has heard of it at all.
-    """
-
-    running: bool
-    known: bool
-
-
 @peer_message("version_notice")
 @frozen
 class VersionNotice(PeerMessage):
--- a/tests/routers/test_fake.py
+++ b/tests/routers/test_fake.py
@@ -12,18 +12,18 @@
 from ebonyhold.routers import (
     FakeLink,
     FakeNetwork,
-    FateReply,
-    FateRequest,
     PeerMessage,
+    TransferGiven,
+    TransferRequest,
     VersionNotice,
 )
 from ebonyhold.types import RouterId
 
-QUESTION = FateRequest("acme", "r1")
+QUESTION = TransferRequest("acme", 5)
 
 
 async def answer(sender: RouterId, message: PeerMessage) -> PeerMessage:
-    return FateReply(running=True, known=True)
+    return TransferGiven("acme", "t1", 5)
 
 
 async def fail(sender: RouterId, message: PeerMessage) -> NoReturn:
@@ -36,13 +36,13 @@
     return anyio.run(function, *args, backend="trio", backend_options=options)  # type: ignore[arg-type]
 
 
-async def ask_once(change: str, replies: list[FateReply]) -> None:
+async def ask_once(change: str, replies: list[TransferGiven]) -> None:
     async with anyio.create_task_group() as tasks:
         network = FakeNetwork(tasks)
         asker, asked = network.join("a.1"), network.join("b.1")
-        asked.handle(FateRequest, fail if change == "failing" else answer)
+        asked.handle(TransferRequest, fail if change == "failing" else answer)
         disturb(network, asker, change)
-        replies.append(await asker.ask("b.1", QUESTION, FateReply, 1.0))
+        replies.append(await asker.ask("b.1", QUESTION, TransferGiven, 1.0))
 
 
 def disturb(network: FakeNetwork, asker: FakeLink, change: str) -> None:
@@ -55,14 +55,14 @@
     if change == "slow":
         network.delay = 2.0
     if change == "lost answer":
-        network.lose = lambda sender, to, message: isinstance(message, FateReply)
+        network.lose = lambda sender, to, message: isinstance(message, TransferGiven)
 
 
 @pytest.mark.parametrize("change", ["nothing", "doubled"])
 def test_a_question_is_answered(change: str) -> None:
-    replies: list[FateReply] = []
+    replies: list[TransferGiven] = []
     virtual(ask_once, change, replies)
-    assert replies == [FateReply(running=True, known=True)]
+    assert replies == [TransferGiven("acme", "t1", 5)]
 
 
 @pytest.mark.parametrize("change", ["cut", "dead", "slow", "lost answer", "failing"])
@@ -77,7 +77,7 @@
         async with anyio.create_task_group() as tasks:
             network = FakeNetwork(tasks)
             asker, asked = network.join("a.1"), network.join("b.1")
-            asked.handle(FateRequest, answer)
+            asked.handle(TransferRequest, answer)
             with pytest.raises(PeerError):
                 await asker.ask("b.1", QUESTION, VersionNotice, 1.0)
 
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -22,12 +22,12 @@
     MemberUpdate,
 )
 from ebonyhold.routers import (
-    FateReply,
-    FateRequest,
     KeyRing,
     PeerKey,
     PeerMessage,
     PeerNetwork,
+    TransferGiven,
+    TransferRequest,
     VersionNotice,
     _network,
 )
@@ -90,7 +90,7 @@
 
 
 async def answer(sender: RouterId, message: PeerMessage) -> PeerMessage:
-    return FateReply(running=True, known=sender == "a.1")
+    return TransferGiven("acme", "t1", 5 if sender == "a.1" else 0)
 
 
 @pytest.mark.parametrize("backend", BACKENDS)
@@ -99,12 +99,14 @@
         one = network("a.1")
         two = network("b.1", (one.membership.me.address,))
         three = network("c.1", (one.membership.me.address,))
-        two.handle(FateRequest, answer)
+        two.handle(TransferRequest, answer)
         async with running(one, two, three):
             await until(lambda: set(one.alive()) == {"b.1", "c.1"})
             await until(lambda: set(three.alive()) == {"a.1", "b.1"})
-            reply = await one.ask("b.1", FateRequest("acme", "r"), FateReply, GUARD)
-            assert reply == FateReply(running=True, known=True)
+            reply = await one.ask(
+                "b.1", TransferRequest("acme", 5), TransferGiven, GUARD
+            )
+            assert reply == TransferGiven("acme", "t1", 5)
 
     anyio.run(run, backend=backend)
 
@@ -156,7 +158,7 @@
 
     async def run() -> None:
         one, two = pair()
-        two.handle(FateRequest, answer)
+        two.handle(TransferRequest, answer)
         async with running(one, two):
             noise = [b"", b"x" * 50, b"\x00" * 3000, b"\x93" * 70_000]
             address = two.membership.me.address
@@ -164,7 +166,7 @@
             await until(lambda: two.refused["malformed"] >= 3)
             await until(lambda: two.refused["oversized"] == 1)
             await until(lambda: one.alive() == ("b.1",))
-            await one.ask("b.1", FateRequest("acme", "r"), FateReply, GUARD)
+            await one.ask("b.1", TransferRequest("acme", 5), TransferGiven, GUARD)
 
     anyio.run(run)
 
