Record spans of calls to the platform and to other routers

Cause: a trace showed caller, money and engine, but no hop to the platform or a peer. Change: inner hops, recorded only inside of a request's trace, with the context carried on in the headers to the platform.

--- a/ebonyhold/platform/_http.py
+++ b/ebonyhold/platform/_http.py
@@ -17,6 +17,7 @@
     UnavailableError,
     UnknownOutcomeError,
 )
+from ebonyhold.tracing import context_headers, inner_hop
 from ebonyhold.types import Seconds
 
 DEFAULT_TIMEOUT = 2.0
@@ -76,6 +77,12 @@
     headers: Mapping[str, str] = field(factory=dict)
     expected: tuple[int, ...] = (200,)
 
+    @property
+    def name(self) -> str:
+        """Name the call without the keys in its path, for spans."""
+        first = self.path.removeprefix("/").partition("/")[0]
+        return f"{self.method} {first}"
+
 
 @define
 class HttpPeer:
@@ -122,7 +129,7 @@
             UnknownOutcomeError: It was a write and may have taken effect.
         """
         try:
-            with anyio.fail_after(self.timeout):
+            with inner_hop(f"platform {call.name}"), anyio.fail_after(self.timeout):
                 answer = await self.exchange(call)
         except NOT_SENT as error:
             raise UnavailableError(f"no connection: {error!r}") from error
@@ -144,7 +151,7 @@
             call.path,
             content=call.body,
             params=call.params or None,
-            headers=dict(call.headers),
+            headers={**call.headers, **context_headers()},
         ) as response:
             body = bytearray()
             async for chunk in response.aiter_bytes():
--- a/ebonyhold/routers/_exchange.py
+++ b/ebonyhold/routers/_exchange.py
@@ -13,6 +13,7 @@
 from ebonyhold.exceptions import PeerError
 from ebonyhold.routers._interface import Handler, Reply
 from ebonyhold.routers._registry import PeerMessage
+from ebonyhold.tracing import inner_hop
 from ebonyhold.types import RouterId, Seconds
 
 logger = logging.getLogger(__name__)
@@ -99,7 +100,8 @@
         question = Question(to)
         self.pending[number] = question
         try:
-            with anyio.move_on_after(timeout):
+            name = f"peer {type(message).__name__}"
+            with inner_hop(name), anyio.move_on_after(timeout):
                 await self.transmit(to, Frame(Purpose.QUESTION, number, message))
                 await question.answered.wait()
         finally:
--- a/ebonyhold/tracing.py
+++ b/ebonyhold/tracing.py
@@ -94,6 +94,20 @@
     return headers
 
 
+@contextmanager
+def inner_hop(name: str) -> Iterator[None]:
+    """Record a span for a hop, but only inside of a trace.
+
+    Background polls call the same services many times a second; a trace of its
+    own for each would bury those of requests.
+    """
+    if not trace.get_current_span().get_span_context().is_valid:
+        yield
+        return
+    with hop(name):
+        yield
+
+
 @contextmanager
 def hop(
     name: str, parent: Context | None = None, kind: SpanKind = SpanKind.CLIENT
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -5,15 +5,24 @@
 import io
 import json
 import logging
+from unittest.mock import patch
 
 import pytest
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
 from ebonyhold.exceptions import SettingsError
 from ebonyhold.logs import configure_logs, current_request
 from ebonyhold.settings import TracingSettings
-from ebonyhold.tracing import LogSpanExporter, configure_tracing, context_from
+from ebonyhold.tracing import (
+    LogSpanExporter,
+    configure_tracing,
+    context_from,
+    context_headers,
+    hop,
+    inner_hop,
+)
 
 TRACE = "0af7651916cd43dd8448eb211c80319c"
 
@@ -45,3 +54,20 @@
 def test_an_unknown_exporter_is_refused() -> None:
     with pytest.raises(SettingsError, match=r"tracing\.exporter"):
         configure_tracing(TracingSettings(exporter="pigeon"), "r.1")
+
+
+@pytest.mark.parametrize("inside", [True, False])
+def test_inner_hops_are_recorded_inside_of_a_trace_only(inside: bool) -> None:
+    exporter = InMemorySpanExporter()
+    provider = TracerProvider()
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+    tracer = provider.get_tracer("t")
+    with patch("ebonyhold.tracing.trace.get_tracer", return_value=tracer):
+        if inside:
+            with hop("caller"), inner_hop("platform POST commit"):
+                assert "traceparent" in context_headers()
+        else:
+            with inner_hop("platform POST commit"):
+                assert context_headers() == {}
+    names = [span.name for span in exporter.get_finished_spans()]
+    assert names == (["platform POST commit", "caller"] if inside else [])
