--- a/ebonyhold/experiments/money_costs.py
+++ b/ebonyhold/experiments/money_costs.py
@@ -17,13 +17,9 @@
 
 from ebonyhold.coordination import BudgetRow, budget_key, to_json
 from ebonyhold.document import Policy
+from ebonyhold.experiments._counting import CountingTable, Writes
 from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
-from ebonyhold.experiments.money_policies import (
-    TABLE_DELAY,
-    CountingTable,
-    Writes,
-    percentile,
-)
+from ebonyhold.experiments.money_policies import TABLE_DELAY, percentile
 from ebonyhold.money import Permit, Treasury
 from ebonyhold.standins import Faults
 
--- a/ebonyhold/experiments/money_policies.py
+++ b/ebonyhold/experiments/money_policies.py
@@ -18,9 +18,9 @@
 import trio.testing
 from attrs import define, evolve, field, frozen
 
-from ebonyhold.coordination import Transaction
 from ebonyhold.document import Policy
 from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.experiments._counting import CountingTable, Writes
 from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
 from ebonyhold.experiments._money_scenarios import (
     ROUTERS,
@@ -30,7 +30,7 @@
     scenarios,
 )
 from ebonyhold.money import MoneyOptions, Permit, Treasury, top_up, verify_bills
-from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
+from ebonyhold.standins import Faults, MemoryObjects
 from ebonyhold.types import Seconds, Tokens, WorkspaceName
 
 POLICIES = (
@@ -100,25 +100,6 @@
     discrepancies: int
 
 
-@define
-class Writes:
-    """Counts the row writes of all views of one table."""
-
-    rows: int = 0
-
-
-@define
-class CountingTable(MemoryTable):
-    """A router's view of the table, whose writes are counted."""
-
-    counter: Writes = field(factory=Writes)
-
-    def apply(self, transaction: Transaction) -> None:
-        """Apply a transaction and count its rows."""
-        super().apply(transaction)
-        self.counter.rows += len(transaction.writes)
-
-
 @define
 class Truth:
     """What an all-knowing router would know of one budget."""
--- a/ebonyhold/routers/_interface.py
+++ b/ebonyhold/routers/_interface.py
@@ -70,12 +70,6 @@
     confirmed_age: Seconds
 
 
-@peer_message("leaving")
-@frozen
-class Leaving(PeerMessage):
-    """I am stopping: send me no transfers and do not suspect me."""
-
-
 Handler = Callable[[RouterId, PeerMessage], Awaitable[PeerMessage | None]]
 
 
