Verify all rows, name an unusable certificate, spread the tries to register

Cause: bill verify passed over workspaces taken out of the document; a missing certificate ended the daemon with a traceback; after a power cut routers tried to register in step. Change: no name means every row; certificates are checked before the start; jitter on the tries.

--- a/ebonyhold/daemon/__init__.py
+++ b/ebonyhold/daemon/__init__.py
@@ -10,6 +10,7 @@
 import typer
 
 from ebonyhold.daemon._daemon import Daemon
+from ebonyhold.daemon._servers import check_listener
 from ebonyhold.exceptions import SettingsError
 from ebonyhold.logs import configure_logs
 from ebonyhold.settings import load_settings
@@ -27,6 +28,8 @@
     """Run one ebonyhold router until a signal stops it."""
     try:
         settings = load_settings(config)
+        check_listener("callers", settings.callers)
+        check_listener("operators", settings.operators)
         daemon = Daemon(settings)
         router = daemon.network.membership.me.router
         configure_logs(settings.log_level, router)
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from pathlib import Path
 
 import anyio
@@ -51,7 +52,8 @@
 logger = logging.getLogger(__name__)
 
 OPEN_PAUSE: Seconds = 1.0
-"""Between tries to register the first incarnation while the table is away."""
+"""Mean time between tries to register while the table is away; it is spread, since
+after a power cut all routers would else try in step."""
 
 NO_DOCUMENT = Document(fleet="", domains=())
 """Stands in until the first version is adopted; it serves nobody."""
@@ -283,7 +285,7 @@
                 await self.money.open()
             except EbonyholdError as error:
                 logger.warning("not registered yet", extra={"cause": str(error)})
-                await anyio.sleep(OPEN_PAUSE)
+                await anyio.sleep(OPEN_PAUSE * random.uniform(0.5, 1.5))
             else:
                 return
 
--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -15,6 +15,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from ebonyhold.exceptions import SettingsError
 from ebonyhold.settings import Listener, TlsSettings
 from ebonyhold.types import Seconds
 
@@ -97,6 +98,18 @@
     return config
 
 
+def check_listener(name: str, listener: Listener) -> None:
+    """Find out before the start whether a listener's certificate can be used.
+
+    Raises:
+        SettingsError: A file is missing, or the pair does not match.
+    """
+    try:
+        listener_config(listener).create_ssl_context()
+    except OSError as error:
+        raise SettingsError(f"{name}.tls: {error}") from error
+
+
 @define
 class CertificateWatch:
     """Loads a listener's certificate again when its files change.
--- a/ebonyhold/operators/_accounts.py
+++ b/ebonyhold/operators/_accounts.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from ebonyhold.coordination import (
+    BUDGET_PREFIX,
     GRANT_PREFIX,
     BudgetRow,
     RequestRow,
@@ -23,6 +24,7 @@
     Discrepancy,
     Verification,
 )
+from ebonyhold.scans import scan_rows
 from ebonyhold.types import RequestId, Tokens, WorkspaceName
 
 BUDGETS_AT_ONCE = 200
@@ -109,14 +111,19 @@
             raise BudgetError(str(error)) from error
 
     async def verify(self, workspaces: tuple[WorkspaceName, ...]) -> Verification:
-        """Check that the rows of these workspaces add up."""
+        """Check that the rows of these workspaces, or all rows, add up."""
         wanted = set(workspaces)
         found = [
             Discrepancy(workspace_of(each.key), each.finding, each.expected, each.found)
             for each in await verify_bills(self.table)
-            if workspace_of(each.key) in wanted
+            if not wanted or workspace_of(each.key) in wanted
         ]
-        return Verification(len(workspaces), tuple(found))
+        count = len(wanted) or await self.count_budgets()
+        return Verification(count, tuple(found))
+
+    async def count_budgets(self) -> int:
+        """Return how many budgets the table has."""
+        return len([row async for row in scan_rows(self.table, BUDGET_PREFIX)])
 
 
 def budget_of(workspace: WorkspaceName, row: Row | None) -> Budget:
--- a/ebonyhold/operators/_interface.py
+++ b/ebonyhold/operators/_interface.py
@@ -286,7 +286,7 @@
         ...
 
     async def verify(self, workspaces: tuple[WorkspaceName, ...]) -> Verification:
-        """Check that the bills of these workspaces add up to their budgets.
+        """Check that the bills of these workspaces, or of all, add up.
 
         Raises:
             UnavailableError: The table cannot be reached.
--- a/ebonyhold/operators/_money_endpoints.py
+++ b/ebonyhold/operators/_money_endpoints.py
@@ -114,8 +114,10 @@
 @endpoints.add("GET", "/v1/bills/verify")
 async def verify_bills(context: OperatorsContext, request: Request, send: Send) -> None:
     """Check that bills add up to budgets."""
-    workspaces = context.workspaces(request.query("workspace"))
-    found = await context.bills.verify(workspaces)
+    # Without a name every row counts: a workspace that was taken out of the
+    # document keeps its rows, and a fault in them must not go unseen.
+    named = request.query("workspace")
+    found = await context.bills.verify(context.workspaces(named) if named else ())
     discrepancies = [to_json(each) for each in found.discrepancies]
     answer: Json = {"workspaces": found.workspaces, "discrepancies": discrepancies}
     await send_json(send, 200, answer)
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -15,7 +15,13 @@
 from anyio.abc import TaskStatus
 from attrs import define, field
 
-from ebonyhold.daemon._servers import CertificateWatch, listener_config, serve_listener
+from ebonyhold.daemon._servers import (
+    CertificateWatch,
+    check_listener,
+    listener_config,
+    serve_listener,
+)
+from ebonyhold.exceptions import SettingsError
 from ebonyhold.misc import free_port
 from ebonyhold.settings import Listener, TlsSettings
 from tests.daemon.kit import LOOPBACK, Files, Pair, certificate_at, make_pair
@@ -264,3 +270,22 @@
             else:
                 with anyio.fail_after(PATIENCE):
                     await served.ended.wait()
+
+
+@pytest.mark.parametrize("missing", ["certificate", "key", "both match"])
+def test_an_unusable_certificate_is_a_finding(tmp_path: Path, missing: str) -> None:
+    """The daemon ends at its start with a traceback that names no setting.
+
+    A certificate's file was not there yet when the VM came up.
+    """
+    files = {"certificate": tmp_path / "c.pem", "key": tmp_path / "k.pem"}
+    for name, path in files.items():
+        if name != missing:
+            path.write_bytes(b"no certificate")
+    tls = TlsSettings(str(files["certificate"]), str(files["key"]))
+    with pytest.raises(SettingsError, match=r"operators\.tls"):
+        check_listener("operators", Listener("127.0.0.1:0", tls))
+
+
+def test_a_listener_without_a_certificate_is_fine() -> None:
+    check_listener("callers", Listener("127.0.0.1:0"))
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -83,7 +83,8 @@
         self.keys.add(f"{request} {'ran' if ran else 'did not run'}")
 
     async def verify(self, workspaces: tuple[str, ...]) -> Verification:
-        return Verification(len(workspaces), self.discrepancies)
+        # No name stands for all rows: here those of one budget.
+        return Verification(len(workspaces) or 1, self.discrepancies)
 
 
 @define
--- a/tests/operators/test_accounts.py
+++ b/tests/operators/test_accounts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 
+import anyio
 import pytest
 
 from ebonyhold.coordination import (
@@ -87,3 +88,20 @@
 ) -> None:
     with pytest.raises(BudgetError):
         await change(accounts)
+
+
+def test_all_rows_are_verified_without_a_name() -> None:
+    """A fault in the books of a workspace that was taken out goes unseen.
+
+    ``bill verify`` looked only at workspaces of the document in force.
+    """
+
+    async def story() -> tuple[int, list[str]]:
+        table = MemoryTable()
+        table.put(budget_key("taken-out"), to_json(BudgetRow(0, 0, 7)))
+        found = await TableAccounts(table).verify(())
+        return found.workspaces, [each.workspace for each in found.discrepancies]
+
+    count, workspaces = anyio.run(story, backend="trio")
+    assert count == 1
+    assert set(workspaces) == {"taken-out"}
