--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -22,7 +22,7 @@
 from ebonyhold.daemon._servers import serve_listener
 from ebonyhold.daemon._settlements import Settlements
 from ebonyhold.daemon._status import FleetStatusSource
-from ebonyhold.document import Document, Policy
+from ebonyhold.document import Document, Limits, Policy
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.fleet import FleetView
 from ebonyhold.metrics import Metrics
@@ -41,6 +41,7 @@
     Guard,
     GuardedObjects,
     GuardedTable,
+    GuardPolicy,
     MembersClient,
     ObjectClient,
     TableClient,
@@ -55,6 +56,9 @@
 """Mean time between tries to register while the table is away; it is spread, since
 after a power cut all routers would else try in step."""
 
+AT_START = GuardPolicy(writes=Limits().table_writes, reads=Limits().table_reads)
+"""The ceilings until the first document, and those of the object store."""
+
 NO_DOCUMENT = Document(fleet="", domains=())
 """Stands in until the first version is adopted; it serves nobody."""
 
@@ -108,8 +112,8 @@
         platform = self.settings.platform
         self.table_client = TableClient(platform.table, platform.timeout)
         self.objects_client = ObjectClient(platform.objects, platform.timeout)
-        self.table_guard = GuardedTable(self.table_client)
-        self.objects_guard = GuardedObjects(self.objects_client)
+        self.table_guard = GuardedTable(self.table_client, Guard(AT_START))
+        self.objects_guard = GuardedObjects(self.objects_client, Guard(AT_START))
         self.table = ClassifiedTable(self.table_guard)
         self.objects = ClassifiedObjects(self.objects_guard)
         self.fleet = FleetView(NO_DOCUMENT, domain=self.settings.domain)
--- a/ebonyhold/experiments/capacity.py
+++ b/ebonyhold/experiments/capacity.py
@@ -15,16 +15,17 @@
 import anyio
 import httpx
 import numpy as np
-from attrs import frozen
+from attrs import evolve, frozen
 from rich.console import Console
 
 from ebonyhold.coordination import MembershipOptions
-from ebonyhold.env import processor_seconds
+from ebonyhold.env import processor_seconds, resident_bytes
 from ebonyhold.experiments import bench
 from ebonyhold.experiments._beat_fleet import Network, start_fleet
 from ebonyhold.experiments._callers import KEY_PREFIX
+from ebonyhold.experiments._local_fleet import local_fleet
 from ebonyhold.experiments._memory_fleet import MemoryFleet, order
-from ebonyhold.experiments.configuration_size import run_one
+from ebonyhold.experiments.configuration_size import make_document, run_one
 from ebonyhold.experiments.membership import bytes_sent, measure_processor
 from ebonyhold.experiments.money_costs import measure_memory, measure_writes, play
 from ebonyhold.types import Seconds
@@ -62,7 +63,8 @@
 """Requests a second, and tokens of each answer."""
 
 LOAD_SECONDS: Seconds = 6.0
-LEADS: Seconds = 0.2
+PROCESS_SIZES = (10, 300, 1000)
+SETTLED: Seconds = 3.0
 
 
 @frozen
@@ -350,7 +352,39 @@
     return Section("recovery", (*table(headers, rows), *result))
 
 
+async def measure_process(workspaces: int) -> int:
+    """Return the memory of an idle daemon whose document has so many workspaces."""
+    document = evolve(
+        bench.bench_document(), workspaces=make_document(workspaces).workspaces
+    )
+    async with local_fleet(document, 1) as fleet:
+        await anyio.sleep(SETTLED)
+        return resident_bytes(fleet.routers[0].process.pid)
+
+
+def memory_section() -> Section:
+    """Measure the memory of a daemon's process by the document's size."""
+    found = [anyio.run(measure_process, size) for size in PROCESS_SIZES]
+    rows = [
+        (f"{size:,}", f"{held / 1e6:.1f}")
+        for size, held in zip(PROCESS_SIZES, found, strict=True)
+    ]
+    line = fit([float(size) for size in PROCESS_SIZES], [float(one) for one in found])
+    result = (
+        "",
+        f"Fitted: {line.base / 1e6:.0f} MB for an idle process, of which the"
+        f" interpreter and the libraries are nearly all, and"
+        f" {line.slope / 1e3:.2f} KB for each workspace of the document:"
+        f" {line.at(WORKSPACES) / 1e6:.0f} MB at {WORKSPACES:,} workspaces and"
+        f" {line.at(BUDGETS) / 1e6:.0f} MB if each of {BUDGETS:,} budgets were one"
+        " (extrapolated). Budgets that stand in the table only take nothing.",
+    )
+    headers = ("workspaces, each with a budget", "the process's own MB")
+    return Section("memory", (*table(headers, rows), *result))
+
+
 SECTIONS = {
+    "memory": memory_section,
     "requests": requests_section,
     "budgets": budgets_section,
     "bills": bills_section,
