--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -25,10 +25,7 @@
 """How often a listener looks whether its certificate files changed."""
 
 KEEP_ALIVE: Seconds = 75.0
-"""How long an idle connection is kept."""
-
-HEADER_TIMEOUT: Seconds = 10.0
-"""A caller that trickles its headers for longer is cut off."""
+"""How long a connection without a whole request is kept, trickled headers included."""
 
 GRACE: Seconds = 5.0
 """How long hypercorn waits for open connections after its trigger."""
--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskStatus
 from attrs import define, field
 
+from ebonyhold.daemon import _servers
 from ebonyhold.daemon._servers import (
     CertificateWatch,
     check_listener,
@@ -263,7 +264,10 @@
             served.stop.set()
             await anyio.sleep(2 * POLL)
             if reads:
-                with anyio.fail_after(PATIENCE), suppress(anyio.EndOfStream):
+                with (
+                    anyio.fail_after(PATIENCE),
+                    suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+                ):
                     while True:
                         got += len(await caller.receive())
                 assert got >= len(LARGE)
@@ -289,3 +293,29 @@
 
 def test_a_listener_without_a_certificate_is_fine() -> None:
     check_listener("callers", Listener("127.0.0.1:0"))
+
+
+@pytest.mark.anyio
+async def test_trickled_headers_end_with_their_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Callers are refused because connections that never ask hold all places.
+
+    Somebody sends the headers of a request byte by byte and never ends them.
+    """
+    monkeypatch.setattr(_servers, "KEEP_ALIVE", 0.3)
+    port = free_port()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(serve_listener, hello, Listener(f"{LOOPBACK}:{port}"), stop)
+        await anyio.sleep(0.5)
+        async with await anyio.connect_tcp(LOOPBACK, port) as stream:
+            with (
+                anyio.fail_after(20),
+                suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+            ):
+                while True:
+                    await stream.send(b"G")
+                    with anyio.move_on_after(0.05):
+                        await stream.receive()
+        stop.set()
