Move the clients of our own stand-ins from platform/ to stores/

Cause: ebonyhold/platform/ is to hold only the adapter to the users' platform, and it held the guard, the turnstile and the classes of calls, which decide. Change: the package is stores/, with its tests; only names changed.

--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -34,7 +34,9 @@
     OperatorsContext,
     TableAccounts,
 )
-from ebonyhold.platform import (
+from ebonyhold.routers import KeyRing, PeerNetwork
+from ebonyhold.settings import Settings
+from ebonyhold.stores import (
     ClassifiedObjects,
     ClassifiedTable,
     Counters,
@@ -46,8 +48,6 @@
     ObjectClient,
     TableClient,
 )
-from ebonyhold.routers import KeyRing, PeerNetwork
-from ebonyhold.settings import Settings
 from ebonyhold.types import RouterId, Seconds
 
 logger = logging.getLogger(__name__)
--- a/ebonyhold/daemon/_members.py
+++ b/ebonyhold/daemon/_members.py
@@ -10,7 +10,7 @@
 
 from ebonyhold.exceptions import EbonyholdError, UnavailableError
 from ebonyhold.fleet import FleetView
-from ebonyhold.platform import Member, MemberRole, MembersClient, MemberState
+from ebonyhold.stores import Member, MemberRole, MembersClient, MemberState
 from ebonyhold.types import Seconds
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/ebonyhold/stores/__init__.py
@@ -0,0 +1,34 @@
+"""Guarded clients of the table, the object store, the members and the weights."""
+
+from ebonyhold.stores._classified import ClassifiedObjects, ClassifiedTable
+from ebonyhold.stores._guard import Counters, Guard, GuardPolicy
+from ebonyhold.stores._guarded import GuardedObjects, GuardedTable
+from ebonyhold.stores._members import (
+    Member,
+    MemberRole,
+    MembersClient,
+    MemberState,
+    WeightsClient,
+)
+from ebonyhold.stores._objects import ObjectClient
+from ebonyhold.stores._table import TableClient
+from ebonyhold.stores._turnstile import Priority, RefusedHereError
+
+__all__ = [
+    "ClassifiedObjects",
+    "ClassifiedTable",
+    "Counters",
+    "Guard",
+    "GuardPolicy",
+    "GuardedObjects",
+    "GuardedTable",
+    "Member",
+    "MemberRole",
+    "MemberState",
+    "MembersClient",
+    "ObjectClient",
+    "Priority",
+    "RefusedHereError",
+    "TableClient",
+    "WeightsClient",
+]
--- a/ebonyhold/platform/_guard.py
+++ b/ebonyhold/stores/_guard.py
@@ -27,7 +27,7 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.platform._turnstile import Priority, RefusedHereError, Turnstile
+from ebonyhold.stores._turnstile import Priority, RefusedHereError, Turnstile
 from ebonyhold.types import Seconds
 
 T = TypeVar("T")
--- a/ebonyhold/platform/_guarded.py
+++ b/ebonyhold/stores/_guarded.py
@@ -8,8 +8,8 @@
 from attrs import define, field, frozen
 
 from ebonyhold.coordination import Objects, Row, Table, Transaction
-from ebonyhold.platform._guard import Guard
-from ebonyhold.platform._turnstile import Priority
+from ebonyhold.stores._guard import Guard
+from ebonyhold.stores._turnstile import Priority
 
 
 @define
--- a/ebonyhold/platform/_members.py
+++ b/ebonyhold/stores/_members.py
@@ -9,7 +9,7 @@
 from attrs import define, frozen
 
 from ebonyhold.exceptions import UnavailableError
-from ebonyhold.platform._http import Call, HttpClient
+from ebonyhold.stores._http import Call, HttpClient
 
 
 class MemberRole(Enum):
--- a/ebonyhold/platform/_objects.py
+++ b/ebonyhold/stores/_objects.py
@@ -7,8 +7,8 @@
 from attrs import define
 
 from ebonyhold.exceptions import ConflictError, UnavailableError
-from ebonyhold.platform._http import Call, HttpClient
-from ebonyhold.platform._table import check_acknowledged
+from ebonyhold.stores._http import Call, HttpClient
+from ebonyhold.stores._table import check_acknowledged
 
 NOT_FOUND = 404
 EXISTS = 412
--- a/ebonyhold/platform/_table.py
+++ b/ebonyhold/stores/_table.py
@@ -9,7 +9,7 @@
 
 from ebonyhold.coordination import Absent, Check, Put, Row, Transaction, Write
 from ebonyhold.exceptions import ConflictError, UnavailableError
-from ebonyhold.platform._http import Answer, Call, HttpClient, lost
+from ebonyhold.stores._http import Answer, Call, HttpClient, lost
 from ebonyhold.types import Json
 
 CONFLICT = 409
--- a/tests/daemon/test_members.py
+++ b/tests/daemon/test_members.py
@@ -13,7 +13,7 @@
 from ebonyhold.document import Document
 from ebonyhold.exceptions import UnavailableError
 from ebonyhold.fleet import FleetView
-from ebonyhold.platform import Member, MemberRole, MemberState
+from ebonyhold.stores import Member, MemberRole, MemberState
 from tests.virtual import anyio_backend
 
 __all__ = ["anyio_backend"]
--- a/tests/platform/_contract.py
+++ b/tests/stores/_contract.py
@@ -9,7 +9,6 @@
 import httpx
 from attrs import define
 
-from ebonyhold.platform import MembersClient, ObjectClient, TableClient, WeightsClient
 from ebonyhold.standins import MemoryObjects, MemoryTable
 from ebonyhold.standins.http import (
     App,
@@ -21,6 +20,7 @@
     running,
     table_app,
 )
+from ebonyhold.stores import MembersClient, ObjectClient, TableClient, WeightsClient
 
 TIMEOUT = 0.3
 """Short, since the cases wait for it; only ever waited out against a stalled peer."""
--- a/tests/platform/test_classified.py
+++ b/tests/stores/test_classified.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ebonyhold.coordination import Delete, Put, Transaction, Write
-from ebonyhold.platform import Priority
-from ebonyhold.platform._classified import class_of_transaction
+from ebonyhold.stores import Priority
+from ebonyhold.stores._classified import class_of_transaction
 
 CLAIM = Put("request/w/q1", 1)
 SEGMENT = Put("journal/r.1/0000000001", 1)
--- a/tests/platform/test_contracts.py
+++ b/tests/stores/test_contracts.py
@@ -23,7 +23,8 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.platform import (
+from ebonyhold.standins.http import MemberRow
+from ebonyhold.stores import (
     Member,
     MemberRole,
     MembersClient,
@@ -31,8 +32,7 @@
     ObjectClient,
     TableClient,
 )
-from ebonyhold.standins.http import MemberRow
-from tests.platform._contract import TIMEOUT, bench, control, run
+from tests.stores._contract import TIMEOUT, bench, control, run
 
 PUT = Transaction((Absent("a/b c"),), (Put("a/b c", {"n": [1, "é"]}),))
 SLOW = TIMEOUT * 3
--- a/tests/platform/test_guard.py
+++ b/tests/stores/test_guard.py
@@ -26,7 +26,8 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.platform import (
+from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
+from ebonyhold.stores import (
     Guard,
     GuardedObjects,
     GuardedTable,
@@ -34,7 +35,6 @@
     Priority,
     RefusedHereError,
 )
-from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 
 PUT = Transaction((Absent("a"),), (Put("a", 1),))
 POLICY = GuardPolicy(writes=40.0, reads=100.0, most_wait=5.0)
