Hold an outage's demand in each grant, and return what a killed router left

Cause: at a cut of all VMs from the store (7.8 s, twice) grants of 9 s of demand capped at half an even share ran out: requests are few and large (some 9,000 tokens, two of a workspace a router in an outage), so a mean covers half of them. Ruled out: the store's rate (no 429 of it), late rounds (rounds failed only in cuts). Change: a grant covers mean and two deviations, shrunk evenly by the budget's own level; what is above a ceiling in the store is released over the time since the last renewal of presence, so that a successor proves what a killed router left. A request that lacks tokens while the store is away is told so at once.

--- a/ebonyhold/coordination/_cover.py
+++ b/ebonyhold/coordination/_cover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ebonyhold.coordination._policies import (
     AloneMixin,
     GrantSize,
@@ -13,34 +15,38 @@
 
 @grant_policy("outage_cover")
 class OutageCover(AloneMixin):
-    """A grant covers the demand of one outage, and at most half an even share.
+    """A grant covers the demand of one outage, and less when the budget runs dry.
 
-    A router that dies strands what it holds, and a router that is cut off from
-    the table refuses what it does not hold.  Covering one outage bounds the
-    first by the demand of those seconds; halving the even share as the budget
-    empties moves what is left to where the requests are.
+    A router that is cut off from the table refuses what it does not hold, so each
+    holds what its own callers will ask for meanwhile.  What lies idle at one
+    router is missing at another; the level of the budget itself tells all of them
+    when that begins to matter, and then each gives back in proportion.
     """
 
     patience: Seconds = 0.25
 
-    first_requests = 4
-    """Requests of the first one's size that a first grant covers.
+    deviations = 2.0
+    """Standard deviations of the demand that a grant covers beside its mean.
 
-    Nothing is known of the demand then, and each of the next requests would
-    have to wait for the table.
+    Requests are few and large: a router sees some two of one workspace in an
+    outage, and often four.
     """
 
-    share = 0.5
-    """The part of an even share that is kept ahead of need."""
+    ample = 0.3
+    """The part of the unspent tokens that the budget itself holds while ample.
+
+    Below it all grants shrink evenly.  What the budget holds serves requests at
+    routers whose grants are empty, while the table can be reached.
+    """
 
-    keep_below = 0.7
+    keep_below = 0.8
     """A new draw comes before this part of the wanted grant is used up.
 
     Higher means more calls to the table, lower less cover in an outage.
     """
 
-    return_above = 2.0
-    """What exceeds this many wanted grants goes back."""
+    return_above = 1.4
+    """What exceeds this many wanted grants, and one request, goes back."""
 
     def size(self, view: GrantView) -> GrantSize:
         """Draw up to the wanted grant, or return what exceeds it."""
@@ -50,15 +56,23 @@
             return GrantSize(draw=min(view.need + wanted, left))
         if view.available < self.keep_below * wanted:
             return GrantSize(draw=min(wanted - view.available, left))
-        if view.available > self.return_above * max(wanted, view.typical):
+        if view.available > self.return_above * wanted + view.typical:
             return GrantSize(give_back=view.available - wanted)
         return GrantSize()
 
     def wanted(self, view: GrantView) -> Tokens:
         """Return the tokens that should be available after this."""
-        demand = max(view.rate * view.horizon, self.first_requests * view.typical)
+        mean = view.rate * view.horizon
+        spread = math.sqrt(mean * view.typical)
+        cover = mean + self.deviations * spread + view.typical
+        return int(cover * self.abundance(view))
+
+    def abundance(self, view: GrantView) -> float:
+        """Return the part of its cover that each router may hold."""
         if view.budget is None:
-            return int(demand)
-        left = max(view.budget.remaining, 0) + view.available
-        even = left / max(view.routers, 1)
-        return int(min(demand, self.share * even))
+            return 1.0
+        unspent = view.budget.prepaid - view.budget.spent
+        if unspent <= 0:
+            return 0.0
+        level = max(view.budget.remaining, 0) / unspent
+        return min(1.0, level / self.ample)
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -51,8 +51,8 @@
     # The time in which a few slots become free.
     Refusal.SERVERS_FULL: 0.2,
     Refusal.NOT_STARTED: 0.2,
-    # Two looks of other routers at what they could return.
-    Refusal.BUDGET_UNREACHABLE: 1.0,
+    # Tokens lie with other routers, and the next try reaches another one.
+    Refusal.BUDGET_UNREACHABLE: 0.05,
     Refusal.SLOW_REQUEST: 0.1,
 }
 """When a caller should come back, in seconds."""
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -74,9 +74,19 @@
         store = peers.store
         self.incarnation = new_incarnation(peers.settings.name)
         self.knowledge = Knowledge(peers)
-        self.presence = Presence(store, peers.settings.name, self.incarnation)
+        self.presence = Presence(
+            store,
+            peers.settings.name,
+            peers.settings.host,
+            self.incarnation,
+            lambda: self.treasury.covered,
+        )
         self.treasury = Treasury(
-            self.incarnation, store, self.knowledge.prepaid, self.presence.count
+            self.incarnation,
+            store,
+            self.knowledge.prepaid,
+            self.presence.count,
+            self.presence.elapsed,
         )
         self.rules_watcher = Watcher(
             store,
@@ -102,6 +112,7 @@
             tasks.start_soon(self.presence.run)
             tasks.start_soon(self.treasury.run)
             tasks.start_soon(self.expire_servers)
+            tasks.start_soon(self.reclaim)
             self.start_listeners(tasks)
         log.info("stopped", extra={"vm": settings.name})
 
@@ -173,6 +184,14 @@
         if self.pool is not None:
             self.meters.connections.set(self.pool.opened)
 
+    async def reclaim(self) -> None:
+        """Return what the life before this one left of its grants."""
+        await self.presence.started.wait()
+        await self.rules_watcher.first.wait()
+        if self.presence.predecessor is not None and self.knowledge.rules is not None:
+            workspaces = list(self.knowledge.rules.workspaces)
+            await self.treasury.reclaim(self.presence.predecessor, workspaces)
+
     async def expire_servers(self) -> None:
         """Drop servers that did not come back after an outage, for ever."""
         while True:
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -1,23 +1,42 @@
-"""How many routers there are, by the rows that each of them writes."""
+"""This router's row among all routers: renewed often, and counted by the others."""
 
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 import anyio
-from attrs import define, field
-
-from ebonyhold.coordination import Delete, Put, Row, Transaction
-from ebonyhold.exceptions import PlatformError
+from attrs import define, field, frozen
+
+from ebonyhold.coordination import (
+    Absent,
+    AtVersion,
+    Check,
+    Delete,
+    Put,
+    Row,
+    Transaction,
+    from_json,
+    to_json,
+)
+from ebonyhold.exceptions import ConflictError, PlatformError, UnavailableError
 from ebonyhold.gateway._types import GatewayStore
-from ebonyhold.types import Seconds
+from ebonyhold.prepaid import Predecessor
+from ebonyhold.types import RouterId, Seconds
 
 log = logging.getLogger(__name__)
 
 TABLE = "routers"
 
-BEAT: Seconds = 4.0
-"""Between two writes of the own row: at 330 routers some 80 writes a second."""
+BEAT: Seconds = 0.5
+"""Between two renewals; the reserve of grants is released soon after one is missed.
+
+At 330 routers it makes 660 writes a second, so a fleet of that size has to renew
+less often and release later.
+"""
+
+COUNT: Seconds = 4.0
+"""Between two counts of the routers."""
 
 MISSING: Seconds = 14.0
 """A router whose row has not changed for this long is not counted any more."""
@@ -36,6 +55,21 @@
 """
 
 
+@frozen
+class PresenceRow:
+    """A router's row, at ``routers//{vm}``.
+
+    Attributes:
+        router: Which life of the VM's router.
+        address: Where the VM is; another VM may one day have its name.
+        renewed_at: The store's clock when it was sent, or earlier; 0 if unknown.
+    """
+
+    router: RouterId
+    address: str
+    renewed_at: Seconds = 0.0
+
+
 @define
 class Sighting:
     """A router's row as last seen to change."""
@@ -44,23 +78,71 @@
     at: Seconds
 
 
+@define
+class StoreClock:
+    """The store's steady clock as of now, or earlier, never later.
+
+    A VM that freezes does not count the time, so the estimate stays behind.
+    """
+
+    reading: Seconds = 0.0
+    at: Seconds = 0.0
+
+    def heard(self, reading: Seconds) -> None:
+        """Note the clock in an answer that has just arrived."""
+        self.reading = reading
+        self.at = anyio.current_time()
+
+    def now(self) -> Seconds:
+        """Return the estimate; 0 before the first answer."""
+        if not self.reading:
+            return 0.0
+        return self.reading + anyio.current_time() - self.at
+
+
 @define(eq=False)
 class Presence:
-    """Writes the own row and counts those of the others.
+    """Renews the own row and counts those of the others.
 
     Attributes:
         store: The store.
         name: This VM's name.
+        address: Where it is.
         incarnation: This life of it.
+        covered: Returns whether the rows of all grants allow what is used here.
+            Renewing before that would tell a successor that nothing of the reserve
+            can have been used, though some was.
+        predecessor: The life before this one, once that is known.
+        version: The version of the own row.
+        in_doubt: Whether a renewal was sent whose effect is unknown.
+        renewed_at: When the last renewal was sent that may have taken effect.
         seen: The rows of all routers.
         most: The most routers that were counted.
     """
 
     store: GatewayStore
     name: str
+    address: str
     incarnation: str
+    covered: Callable[[], bool]
+    predecessor: Predecessor | None = None
+    started: anyio.Event = field(factory=anyio.Event)
+    version: int = 0
+    in_doubt: bool = False
+    renewed_at: Seconds = -1e9
+    clock: StoreClock = field(factory=StoreClock)
     seen: dict[str, Sighting] = field(factory=dict)
     most: int = 0
+    counted_at: Seconds = -1e9
+
+    @property
+    def key(self) -> str:
+        """Return the key of the own row."""
+        return f"{TABLE}//{self.name}"
+
+    def elapsed(self) -> Seconds:
+        """Return the time since the last renewal that may have taken effect."""
+        return anyio.current_time() - self.renewed_at
 
     def count(self) -> int:
         """Return how many routers there are, this one among them."""
@@ -72,29 +154,93 @@
         return max(1, alive, int(self.most * FLOOR_SHARE))
 
     async def run(self) -> None:
-        """Write and read, for ever."""
+        """Renew and count, for ever."""
         while True:
             try:
-                await self.beat()
-                self.note(await self.store.scan(f"{TABLE}//"))
+                await self.step()
             except PlatformError as error:
                 log.debug("presence not renewed", extra={"error": error.code})
             await anyio.sleep(BEAT)
 
-    async def beat(self) -> None:
-        """Write the own row."""
-        await self.store.commit(
-            Transaction((), (Put(self.key, {"incarnation": self.incarnation}),))
+    async def step(self) -> None:
+        """Renew the own row; count the routers now and then."""
+        if not self.started.is_set():
+            await self.start()
+        elif self.in_doubt:
+            # Another renewal would put off the release of the reserve although
+            # it may never arrive; only reading shows that the store is back.
+            await self.look()
+        elif self.covered():
+            await self.renew()
+        if anyio.current_time() - self.counted_at > COUNT:
+            self.note(await self.store.scan(f"{TABLE}//"))
+
+    async def start(self) -> None:
+        """Take over the VM's row from the life before, and remember that one."""
+        rows = await self.store.scan(f"{TABLE}//")
+        self.note(rows)
+        before = next((row for row in rows if row.key == self.key), None)
+        check: Check = Absent(self.key)
+        if before is not None:
+            check = AtVersion(self.key, before.version)
+        await self.write(check)
+        if before is not None:
+            self.predecessor = self.judge(from_json(before.value, PresenceRow))
+        self.started.set()
+
+    def judge(self, before: PresenceRow) -> Predecessor | None:
+        """Return the life before this one, unless it was another VM's."""
+        if before.address != self.address or not before.renewed_at:
+            return None
+        if before.router == self.incarnation:
+            return None
+        elapsed = self.clock.reading - before.renewed_at
+        log.info(
+            "predecessor found",
+            extra={"predecessor": before.router, "elapsed": round(elapsed, 2)},
         )
+        return Predecessor(before.router, elapsed)
 
-    @property
-    def key(self) -> str:
-        """Return the key of the own row."""
-        return f"{TABLE}//{self.name}"
+    async def renew(self) -> None:
+        """Renew the own row."""
+        await self.write(AtVersion(self.key, self.version))
+
+    async def write(self, check: Check) -> None:
+        """Write the own row, and note whether that may have had an effect.
+
+        Raises:
+            PlatformError: The store did not do what was asked.
+        """
+        row = PresenceRow(self.incarnation, self.address, self.clock.now())
+        before = self.renewed_at
+        self.renewed_at = anyio.current_time()
+        try:
+            committed = await self.store.commit(
+                Transaction((check,), (Put(self.key, to_json(row)),))
+            )
+        except UnavailableError:
+            self.renewed_at = before
+            raise
+        except PlatformError:
+            self.in_doubt = True
+            raise
+        self.version = committed.version
+        self.clock.heard(committed.now)
+
+    async def look(self) -> None:
+        """Read the own row after a renewal that was left in doubt."""
+        for row in await self.store.scan(self.key):
+            if row.key != self.key:
+                continue
+            if from_json(row.value, PresenceRow).router != self.incarnation:
+                raise ConflictError("another router has this VM's row", (self.key,))
+            self.version = row.version
+            self.in_doubt = False
 
     def note(self, rows: list[Row]) -> None:
         """Note which rows have changed."""
         now = anyio.current_time()
+        self.counted_at = now
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.version != row.version:
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -18,6 +18,7 @@
     UnknownOutcomeError,
 )
 from ebonyhold.gateway import Changes, RawRow, Snapshot
+from ebonyhold.prepaid import Committed
 from ebonyhold.types import Seconds
 
 TRANSACT = "/ebonyhold/rows-tx"
@@ -28,6 +29,7 @@
 # It holds no revision alone but whole rows that are checked.
 CHECKS = "expected-revision"
 VERSION = "version-number"
+NOW = "now-ms"
 
 CALL_TIMEOUT: Seconds = 0.6
 """The longest wait for one call; an answer usually takes some 12 ms."""
@@ -172,8 +174,8 @@
         body = await self.ask(READ, query)
         return [decode_row(raw) for raw in body["rows"][:limit]]
 
-    async def commit(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version it gave its rows.
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Commit a transaction.
 
         Raises:
             ConflictError: A check failed; nothing was written.
@@ -193,7 +195,8 @@
             raise UnknownOutcomeError(f"{TRANSACT}: status {answer.status_code}")
         check_status(TRANSACT, answer)
         try:
-            return int(answer.json()[VERSION])
+            raw = answer.json()
+            return Committed(int(raw[VERSION]), raw[NOW] / 1000)
         except (ValueError, KeyError, TypeError) as error:
             raise UnknownOutcomeError(f"{TRANSACT}: {error!r}") from error
 
--- a/ebonyhold/prepaid/__init__.py
+++ b/ebonyhold/prepaid/__init__.py
@@ -2,9 +2,13 @@
 
 from ebonyhold.prepaid._account import Account
 from ebonyhold.prepaid._demand import Demand
+from ebonyhold.prepaid._reclaim import Predecessor, reclaim_grant
+from ebonyhold.prepaid._release import ReleaseSchedule
 from ebonyhold.prepaid._treasury import Treasury
 from ebonyhold.prepaid._types import (
     Change,
+    Committed,
+    GrantNote,
     Known,
     PrepaidOptions,
     PrepaidRow,
@@ -17,13 +21,18 @@
 __all__ = [
     "Account",
     "Change",
+    "Committed",
     "Demand",
+    "GrantNote",
     "Known",
+    "Predecessor",
     "PrepaidOptions",
     "PrepaidRow",
     "PrepaidStore",
+    "ReleaseSchedule",
     "Treasury",
     "budget_row_key",
     "grant_row_key",
     "grant_rows_prefix",
+    "reclaim_grant",
 ]
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -15,7 +15,6 @@
     Check,
     GrantLedger,
     GrantPolicy,
-    GrantRow,
     GrantSize,
     GrantView,
     Put,
@@ -35,15 +34,17 @@
     UnknownOutcomeError,
 )
 from ebonyhold.prepaid._demand import Demand
+from ebonyhold.prepaid._release import ReleaseSchedule
 from ebonyhold.prepaid._types import (
     Change,
+    Committed,
+    GrantNote,
     Known,
     PrepaidOptions,
     PrepaidRow,
     PrepaidStore,
     budget_row_key,
     grant_row_key,
-    grant_rows_prefix,
 )
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
@@ -83,7 +84,10 @@
         prepaid: Returns the prepaid tokens and the version of the configuration
             that says so; None where there is no bound.
         routers: Returns how many routers share the budget.
+        elapsed: Returns the time since this router last renewed its presence.
         ledger: The tokens of the grant here.
+        ceiling: The most tokens that may be used in all while in touch; it is
+            never above what the store says, or may soon say.
         known: Both rows; None before the first reading and after a conflict.
         doubtful: A change whose effect is unknown.
         checked_at: When `known` was last confirmed by the store.
@@ -95,15 +99,19 @@
     store: PrepaidStore
     prepaid: Callable[[], tuple[int, Tokens]]
     routers: Callable[[], int]
+    elapsed: Callable[[], Seconds]
+    schedule: ReleaseSchedule = field(factory=ReleaseSchedule)
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
     ledger: GrantLedger = field(factory=GrantLedger)
+    ceiling: Tokens = 0
     demand: Demand = field(init=False)
     known: Known | None = None
     doubtful: Change | None = None
     checked_at: Seconds = -1e9
     filed_at: Seconds = -1e9
-    need: Tokens = 0
+    asked: Tokens = 0
+    reachable: bool = True
     charged: Tokens = 0
     requests: int = 0
     lock: anyio.Lock = field(factory=anyio.Lock)
@@ -111,6 +119,30 @@
     def __attrs_post_init__(self) -> None:
         self.demand = Demand(self.options.demand_memory)
 
+    @property
+    def used(self) -> Tokens:
+        """Tokens charged since the start, and those held now."""
+        return self.charged + self.ledger.held
+
+    @property
+    def covered(self) -> bool:
+        """Whether the store's row allows all that is used here.
+
+        It does not after an outage that took from the reserve, until the row is
+        written again.
+        """
+        return self.used <= self.ceiling
+
+    @property
+    def limit(self) -> Tokens:
+        """The most tokens that may be used in all now."""
+        granted = self.used + self.ledger.available
+        return self.schedule.limit(granted, self.ceiling, self.elapsed())
+
+    def take(self, amount: Tokens) -> bool:
+        """Set tokens aside if they are here, and tell whether they were."""
+        return self.used + amount <= self.limit and self.ledger.hold(amount)
+
     async def hold(self, amount: Tokens) -> None:
         """Set tokens aside for a request, drawing them if they are not here.
 
@@ -119,12 +151,13 @@
             BudgetUnreachableError: Tokens may exist, but not here and now.
         """
         self.demand.asked(amount, anyio.current_time())
-        if self.ledger.hold(amount):
-            return
-        with anyio.move_on_after(self.options.patience):
-            await self.draw_for(amount)
-        if self.ledger.hold(amount):
+        if self.take(amount):
             return
+        if self.reachable:
+            with anyio.move_on_after(self.options.patience):
+                await self.draw_for(amount)
+            if self.take(amount):
+                return
         if await self.surely_spent(amount):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
@@ -132,19 +165,19 @@
     async def draw_for(self, amount: Tokens) -> None:
         """Draw what a request lacks; other requests may take it first."""
         async with self.lock:
-            lacking = amount - self.ledger.available
-            if lacking <= 0:
+            if self.used + amount <= self.limit:
                 return
-            self.need = lacking
+            self.asked = amount
             try:
                 await self.round()
             except PlatformError as error:
+                self.reachable = False
                 log.warning(
                     "draw failed",
                     extra={"workspace": self.workspace, "error": error.code},
                 )
             finally:
-                self.need = 0
+                self.asked = 0
 
     def settle(self, hold: Tokens, charge: Tokens) -> None:
         """End a request's hold with what it cost."""
@@ -192,12 +225,15 @@
             try:
                 await self.confirm()
                 change = self.plan(closing)
-                if change is None:
-                    return
-                await self.send(change)
+                if change is not None:
+                    await self.send(change)
+                self.reachable = True
                 return
             except ConflictError:
                 self.known = None
+            except PlatformError:
+                self.reachable = False
+                raise
 
     async def confirm(self) -> None:
         """Make sure that both rows are known, and nothing is in doubt."""
@@ -206,6 +242,11 @@
         if self.known is None or self.is_outdated(self.known):
             self.known = await self.read()
 
+    @property
+    def need(self) -> Tokens:
+        """Tokens that the request waiting for a draw lacks."""
+        return max(0, self.asked - self.ledger.available)
+
     def is_outdated(self, known: Known) -> bool:
         """Tell whether others may have returned what a request here lacks."""
         if self.need <= known.budget.budget.remaining:
@@ -223,8 +264,8 @@
                 known = evolve(known, budget=budget, budget_version=row.version)
         for row in await self.store.scan(grant_key):
             if row.key == grant_key:
-                grant = from_json(row.value, GrantRow)
-                known = evolve(known, grant=grant, grant_version=row.version)
+                note = from_json(row.value, GrantNote)
+                known = evolve(known, note=note, note_version=row.version)
         self.checked_at = anyio.current_time()
         return known
 
@@ -241,10 +282,27 @@
         overdue = now - self.filed_at > self.options.file_after
         unfiled = self.ledger.unfiled
         due = unfiled and (overdue or closing)
-        if not (size.draw or size.give_back or due or base != known.budget):
+        low = self.ceiling_is_low()
+        if not (size.draw or size.give_back or due or low or base != known.budget):
             return None
         return self.make_change(known, base, size, unfiled)
 
+    def ceiling_is_low(self) -> bool:
+        """Tell whether the ceiling should rise before requests meet it."""
+        room = self.ceiling - self.used
+        free = self.ledger.available
+        if self.asked and room < self.asked <= free:
+            return True
+        return room < min(free, self.open_wanted() // 2)
+
+    def open_wanted(self) -> Tokens:
+        """Return the room that the ceiling should leave above what is used."""
+        if self.demand.started_at is None:
+            return 0
+        rate = self.demand.rate(anyio.current_time())
+        few = self.options.open_requests * self.demand.typical
+        return int(max(rate * self.options.open_time, few, self.asked))
+
     def size(self, budget: BudgetRow, closing: bool) -> GrantSize:
         """Say how much to draw or to return."""
         available = self.ledger.available
@@ -274,21 +332,28 @@
         drawn = min(size.draw, max(base.budget.remaining, 0))
         returned = min(size.give_back, self.ledger.available)
         budget = change_budget(base.budget, drawn=drawn, returned=returned, paid=billed)
-        grant = change_grant(known.grant, drawn=drawn, returned=returned, billed=billed)
-        after = Known(PrepaidRow(base.rules_version, budget), 0, grant, 0)
+        grant = change_grant(
+            known.note.grant, drawn=drawn, returned=returned, billed=billed
+        )
+        free = self.ledger.available - returned
+        room = min(free + drawn, self.open_wanted())
+        note = GrantNote(grant, self.used + room)
+        after = Known(PrepaidRow(base.rules_version, budget), 0, note, 0)
         budget_key = budget_row_key(self.workspace)
         grant_key = grant_row_key(self.workspace, self.router)
         checks: tuple[Check, ...] = (
             check(budget_key, known.budget_version),
-            check(grant_key, known.grant_version),
+            check(grant_key, known.note_version),
         )
         writes = (
             Put(budget_key, to_json(after.budget)),
-            Put(grant_key, to_json(grant)),
+            Put(grant_key, to_json(note)),
         )
         # Returned tokens leave the ledger before the store hears of it: an answer
         # that is lost must not leave them spendable here and in the budget.
+        # A lower ceiling holds at once for the same reason.
         self.ledger.available -= returned
+        self.ceiling = min(self.ceiling, note.ceiling)
         return Change(Transaction(checks, writes), after, drawn, returned, billed)
 
     async def send(self, change: Change) -> None:
@@ -300,14 +365,14 @@
             UnknownOutcomeError: It may take effect; it is now `doubtful`.
         """
         try:
-            version = await self.store.commit(change.transaction)
+            committed = await self.store.commit(change.transaction)
         except (ConflictError, UnavailableError):
             self.ledger.available += change.returned
             raise
         except (UnknownOutcomeError, anyio.get_cancelled_exc_class()):
             self.doubtful = change
             raise
-        self.took_effect(change, version)
+        self.took_effect(change, committed)
 
     async def send_again(self, change: Change) -> None:
         """Find out what became of a change whose answer was lost.
@@ -318,29 +383,31 @@
         them can take effect any more, since versions only grow.
         """
         try:
-            version = await self.store.commit(change.transaction)
+            committed = await self.store.commit(change.transaction)
         except ConflictError:
             known = await self.read()
             self.doubtful = None
             self.known = known
-            if known.grant.sequence == change.after.grant.sequence:
+            if known.note.grant.sequence == change.after.note.grant.sequence:
                 self.apply(change)
             else:
                 self.ledger.available += change.returned
             return
         self.doubtful = None
-        self.took_effect(change, version)
+        self.took_effect(change, committed)
 
-    def took_effect(self, change: Change, version: int) -> None:
+    def took_effect(self, change: Change, committed: Committed) -> None:
         """Carry a change to the ledger whose versions are known."""
         after = change.after
-        self.known = evolve(after, budget_version=version, grant_version=version)
+        version = committed.version
+        self.known = evolve(after, budget_version=version, note_version=version)
         self.checked_at = anyio.current_time()
         self.apply(change)
 
     def apply(self, change: Change) -> None:
         """Carry a change to the ledger."""
         self.ledger.available += change.drawn
+        self.ceiling = change.after.note.ceiling
         self.ledger.filed(change.billed, change.billed)
         self.filed_at = anyio.current_time()
         budget = change.after.budget.budget
@@ -355,15 +422,11 @@
                 "held": self.ledger.held,
                 "remaining": budget.remaining,
                 "spent": budget.spent,
-                "sequence": change.after.grant.sequence,
+                "ceiling": self.ceiling - self.used,
+                "sequence": change.after.note.grant.sequence,
             },
         )
 
-    async def others_unspent(self) -> Tokens:
-        """Return the tokens in grants of all routers, by the table's word."""
-        rows = await self.store.scan(grant_rows_prefix(self.workspace))
-        return sum(from_json(row.value, GrantRow).held for row in rows)
-
 
 def check(key: str, version: int) -> Check:
     """Return the check that a row is still at a version; 0 means absent."""
--- /dev/null
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -0,0 +1,139 @@
+"""Returns what a killed router provably left of its grants."""
+
+from __future__ import annotations
+
+import logging
+
+from attrs import evolve, frozen
+
+from ebonyhold.coordination import (
+    AtVersion,
+    Put,
+    Row,
+    Transaction,
+    change_budget,
+    change_grant,
+    from_json,
+    to_json,
+)
+from ebonyhold.exceptions import ConflictError
+from ebonyhold.prepaid._release import ReleaseSchedule
+from ebonyhold.prepaid._types import (
+    GrantNote,
+    PrepaidRow,
+    PrepaidStore,
+    budget_row_key,
+    grant_row_key,
+)
+from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
+
+log = logging.getLogger(__name__)
+
+TRIES = 8
+"""Tries against other routers that write the same budget."""
+
+CLOCK_MARGIN: Seconds = 0.2
+"""By how much the clocks of two lives and the store may run apart meanwhile."""
+
+
+@frozen
+class Predecessor:
+    """The life of this VM's router before this one.
+
+    That this one runs proves that the other has ended: a VM runs one process.
+
+    Attributes:
+        router: Which life.
+        elapsed: The longest time that it can have gone on without renewing its
+            presence.
+    """
+
+    router: RouterId
+    elapsed: Seconds
+
+
+def provably_left(
+    note: GrantNote, elapsed: Seconds, schedule: ReleaseSchedule
+) -> Tokens:
+    """Return the tokens of a grant that its router cannot have used.
+
+    >>> from ebonyhold.coordination import GrantRow
+    >>> note = GrantNote(GrantRow(drawn=1000), ceiling=200)
+    >>> provably_left(note, 0.0, ReleaseSchedule(after=1.0, over=8.0))
+    800
+    >>> provably_left(note, 60.0, ReleaseSchedule(after=1.0, over=8.0))
+    0
+    """
+    limit = schedule.limit(note.granted, note.ceiling, elapsed + CLOCK_MARGIN)
+    return max(0, note.granted - limit)
+
+
+async def reclaim_grant(
+    store: PrepaidStore,
+    workspace: WorkspaceName,
+    predecessor: Predecessor,
+    schedule: ReleaseSchedule,
+) -> Tokens:
+    """Return to the budget what a predecessor provably left of its grant.
+
+    The rest stays out for ever and so counts as spent.  Writing the row also makes
+    a late write of the predecessor fail its check.
+
+    Returns:
+        The tokens returned.
+
+    Raises:
+        PlatformError: The store did not do what was asked.
+    """
+    budget_key = budget_row_key(workspace)
+    grant_key = grant_row_key(workspace, predecessor.router)
+    for _ in range(TRIES):
+        budget_row = find(await store.scan(budget_key), budget_key)
+        grant_row = find(await store.scan(grant_key), grant_key)
+        if budget_row is None or grant_row is None:
+            return 0
+        note = from_json(grant_row.value, GrantNote)
+        left = provably_left(note, predecessor.elapsed, schedule)
+        if not left:
+            return 0
+        try:
+            await store.commit(give_back(budget_row, grant_row, note, left))
+        except ConflictError:
+            continue
+        fields = {
+            "workspace": workspace,
+            "predecessor": predecessor.router,
+            "returned": left,
+            "granted": note.granted,
+            "elapsed": round(predecessor.elapsed, 2),
+        }
+        log.info("grant reclaimed", extra=fields)
+        return left
+    return 0
+
+
+def give_back(
+    budget_row: Row, grant_row: Row, note: GrantNote, left: Tokens
+) -> Transaction:
+    """Return the transaction that moves tokens from a grant to its budget."""
+    prepaid = from_json(budget_row.value, PrepaidRow)
+    budget = change_budget(prepaid.budget, returned=left)
+    grant = change_grant(note.grant, returned=left)
+    # Nothing is left to prove after this, so the ceiling covers all that remains
+    # and a second reclaim finds nothing.
+    after = GrantNote(grant, grant.drawn - grant.returned)
+    return Transaction(
+        (
+            AtVersion(budget_row.key, budget_row.version),
+            AtVersion(grant_row.key, grant_row.version),
+        ),
+        (
+            Put(budget_row.key, to_json(evolve(prepaid, budget=budget))),
+            Put(grant_row.key, to_json(after)),
+        ),
+    )
+
+
+def find(rows: list[Row], key: str) -> Row | None:
+    """Return the row with a key."""
+    return next((row for row in rows if row.key == key), None)
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -11,6 +11,8 @@
 
 from ebonyhold.exceptions import PlatformError
 from ebonyhold.prepaid._account import Account
+from ebonyhold.prepaid._reclaim import Predecessor, reclaim_grant
+from ebonyhold.prepaid._release import ReleaseSchedule
 from ebonyhold.prepaid._types import PrepaidOptions, PrepaidStore
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
@@ -19,6 +21,13 @@
 CLOSE_TIMEOUT: Seconds = 0.6
 """How long a router that stops tries to return its grants."""
 
+RECLAIM_TRIES = 40
+"""Tries of one reclaim, half a second apart: longer than an outage takes.
+
+An unknown outcome is tried again safely, since a grant that was reclaimed has
+nothing provable left.
+"""
+
 
 @define(eq=False)
 class Treasury:
@@ -30,6 +39,7 @@
         prepaid: Returns the configuration's version and a workspace's prepaid
             tokens; None where there is no bound.
         routers: Returns how many routers there are.
+        elapsed: Returns the time since this router last renewed its presence.
         accounts: The accounts in use.
     """
 
@@ -37,6 +47,7 @@
     store: PrepaidStore
     prepaid: Callable[[WorkspaceName], tuple[int, Tokens | None]]
     routers: Callable[[], int]
+    elapsed: Callable[[], Seconds]
     options: PrepaidOptions = field(factory=PrepaidOptions)
     accounts: dict[WorkspaceName, Account] = field(factory=dict)
 
@@ -52,7 +63,8 @@
                 self.store,
                 partial(self.bound, workspace),
                 self.routers,
-                self.options,
+                self.elapsed,
+                options=self.options,
             )
             self.accounts[workspace] = known
         return known
@@ -65,6 +77,11 @@
         version, prepaid = self.prepaid(workspace)
         return (version, prepaid) if prepaid is not None else (0, 0)
 
+    @property
+    def covered(self) -> bool:
+        """Whether the store's rows allow all that is used here."""
+        return all(account.covered for account in self.accounts.values())
+
     async def run(self) -> None:
         """Look after all accounts, for ever."""
         while True:
@@ -81,6 +98,21 @@
             fields = {"workspace": account.workspace, "error": error.code}
             log.warning("budget round failed", extra=fields)
 
+    async def reclaim(
+        self, predecessor: Predecessor, workspaces: list[WorkspaceName]
+    ) -> None:
+        """Return what a predecessor provably left of all its grants."""
+        schedule = ReleaseSchedule()
+        for workspace in workspaces:
+            for _ in range(RECLAIM_TRIES):
+                try:
+                    await reclaim_grant(self.store, workspace, predecessor, schedule)
+                    break
+                except PlatformError as error:
+                    fields = {"workspace": workspace, "error": error.code}
+                    log.warning("reclaim failed", extra=fields)
+                    await anyio.sleep(self.options.tick)
+
     async def close(self) -> None:
         """Return what is free, as far as the time allows."""
         with anyio.move_on_after(CLOSE_TIMEOUT):
--- a/ebonyhold/prepaid/_types.py
+++ b/ebonyhold/prepaid/_types.py
@@ -24,8 +24,8 @@
         """
         ...
 
-    async def commit(self, transaction: Transaction) -> int:
-        """Commit a transaction and return the version of the rows it wrote.
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Commit a transaction.
 
         Raises:
             ConflictError: A check failed; nothing was written.
@@ -49,6 +49,38 @@
     budget: BudgetRow = field(factory=BudgetRow)
 
 
+@frozen
+class GrantNote:
+    """A router's grant, at ``prepaid/{workspace}/grant/{router}``.
+
+    Attributes:
+        grant: What was drawn, returned and filed.
+        ceiling: The most tokens that the router may have used in all, unless it
+            could not renew its presence.
+    """
+
+    grant: GrantRow = field(factory=GrantRow)
+    ceiling: Tokens = 0
+
+    @property
+    def granted(self) -> Tokens:
+        """All tokens that the router got and kept."""
+        return self.grant.drawn - self.grant.returned
+
+
+@frozen
+class Committed:
+    """A transaction that took effect.
+
+    Attributes:
+        version: The version of the rows it wrote.
+        now: The store's steady clock.
+    """
+
+    version: int
+    now: Seconds
+
+
 @frozen
 class Known:
     """The two rows that one router changes, as last read or written.
@@ -56,14 +88,14 @@
     Attributes:
         budget: The workspace's budget.
         budget_version: The version of its row; 0 while there is none.
-        grant: This router's grant.
-        grant_version: The version of its row; 0 while there is none.
+        note: This router's grant.
+        note_version: The version of its row; 0 while there is none.
     """
 
     budget: PrepaidRow = field(factory=PrepaidRow)
     budget_version: int = 0
-    grant: GrantRow = field(factory=GrantRow)
-    grant_version: int = 0
+    note: GrantNote = field(factory=GrantNote)
+    note_version: int = 0
 
 
 @frozen
@@ -94,6 +126,8 @@
             that the operators told of take 9 s.
         tick: How often an account looks at its grant without being asked.
         patience: How long a request waits for tokens from the store.
+        open_time: The demand that a grant's ceiling leaves room for.
+        open_requests: The same in requests of the usual size.
         file_after: Charges are filed at the latest after this time, so that
             operators see what was spent.
         demand_memory: How far back the expected demand looks.
@@ -102,6 +136,8 @@
     horizon: Seconds = 9.0
     tick: Seconds = 0.5
     patience: Seconds = 0.25
+    open_time: Seconds = 3.0
+    open_requests: int = 2
     file_after: Seconds = 3.0
     demand_memory: Seconds = 5.0
 
