Play random histories of prepaid budgets, with four weakened protocols caught

A stand-in of the store with versions and a feed, with faults for each client. 40 seeds of kills, cuts, lost and late writes: no life uses more than its grant. Each variant that leaves out one guard (proof of what was left, renewal only when covered, the ceiling, doubt about lost answers) is caught within 60 seeds.

--- a/ebonyhold/standins/__init__.py
+++ b/ebonyhold/standins/__init__.py
@@ -17,6 +17,7 @@
     ServiceRecord,
     ServiceRecords,
 )
+from ebonyhold.standins._rows import MemoryRows, RowHistory
 from ebonyhold.standins._table import MemoryTable
 
 __all__ = [
@@ -32,8 +33,10 @@
     "Faults",
     "Job",
     "MemoryObjects",
+    "MemoryRows",
     "MemoryTable",
     "OrderRecord",
+    "RowHistory",
     "ServiceRecord",
     "ServiceRecords",
     "expected_text",
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the forwarding of opaque requests."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/prepaid/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the prepaid budgets."""
--- /dev/null
+++ b/tests/prepaid/kit.py
@@ -0,0 +1,63 @@
+"""Routers that share a workspace's budget, on a virtual clock."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from ebonyhold.coordination import from_json
+from ebonyhold.gateway import Presence
+from ebonyhold.prepaid import (
+    Account,
+    GrantNote,
+    PrepaidRow,
+    budget_row_key,
+    grant_rows_prefix,
+)
+from ebonyhold.standins import MemoryRows, RowHistory
+from ebonyhold.types import Tokens
+
+WORKSPACE = "acme"
+
+
+@define(eq=False)
+class Router:
+    """One life of one router's account, with its own path to the store."""
+
+    history: RowHistory
+    vm: str
+    router: str
+    prepaid: list[Tokens]
+    fleet: int = 3
+    store: MemoryRows = field(init=False)
+    account: Account = field(init=False)
+    presence: Presence = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.store = MemoryRows(self.history)
+        self.presence = Presence(
+            self.store, self.vm, self.vm, self.router, lambda: self.account.covered
+        )
+        self.account = Account(
+            WORKSPACE,
+            self.router,
+            self.store,
+            lambda: (len(self.prepaid), self.prepaid[-1]),
+            lambda: self.fleet,
+            self.presence.elapsed,
+        )
+
+
+def budget(history: RowHistory) -> PrepaidRow:
+    """Return the budget as the store has it."""
+    row = history.rows.get(budget_row_key(WORKSPACE))
+    return from_json(row.value, PrepaidRow) if row else PrepaidRow()
+
+
+def notes(history: RowHistory) -> dict[str, GrantNote]:
+    """Return all grants as the store has them."""
+    prefix = grant_rows_prefix(WORKSPACE)
+    return {
+        key[len(prefix) :]: from_json(row.value, GrantNote)
+        for key, row in history.rows.items()
+        if key.startswith(prefix)
+    }
--- /dev/null
+++ b/tests/prepaid/test_account.py
@@ -0,0 +1,199 @@
+"""An account spends only what the store has given it, whatever fails."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import pytest
+
+from ebonyhold.exceptions import (
+    BudgetExhaustedError,
+    BudgetUnreachableError,
+    PlatformError,
+    UnknownOutcomeError,
+)
+from ebonyhold.standins import RowHistory
+from tests.prepaid.kit import Router, budget, notes
+from tests.virtual import anyio_backend
+
+pytestmark = pytest.mark.anyio
+__all__ = ["anyio_backend"]
+
+
+def router(history: RowHistory, prepaid: int = 100_000) -> Router:
+    return Router(history, "vm-1", "vm-1.a", [prepaid])
+
+
+async def test_a_first_request_draws_and_settles() -> None:
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(1000)
+    one.account.settle(1000, 400)
+    await one.account.close()
+    after = budget(history).budget
+    assert (after.spent, after.outstanding, after.remaining) == (400, 0, 99_600)
+
+
+async def test_a_request_beyond_all_is_refused_for_good() -> None:
+    history = RowHistory()
+    one = router(history, 5_000)
+    await one.presence.step()
+    with pytest.raises(BudgetExhaustedError):
+        await one.account.hold(5_001)
+
+
+async def test_tokens_with_another_router_are_no_final_refusal() -> None:
+    """The budget is empty, but another router holds what it has not used.
+
+    A final refusal would be untrue: the other one may return it.
+    """
+    history = RowHistory()
+    one = router(history, 10_000)
+    two = Router(history, "vm-2", "vm-2.a", [10_000])
+    await one.presence.step()
+    await two.presence.step()
+    await one.account.hold(9_000)
+    with pytest.raises(BudgetUnreachableError):
+        await two.account.hold(4_000)
+
+
+async def test_a_cut_router_refuses_at_once() -> None:
+    """Waiting for a store that is known to be away costs the caller time only."""
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(100)
+    one.store.faults.down = True
+    with pytest.raises(PlatformError):
+        one.account.known = None
+        await one.account.tick()
+    before = anyio.current_time()
+    with pytest.raises(BudgetUnreachableError):
+        await one.account.hold(90_000)
+    assert anyio.current_time() == before
+
+
+async def test_the_reserve_is_released_over_an_outage() -> None:
+    """A router is cut off from the store and keeps serving from its grant.
+
+    At first only what lies below the ceiling may be used; the rest follows with
+    the time, since a successor must be able to bound what was used.
+    """
+    history = RowHistory()
+    one = router(history, 1_000_000)
+    await one.presence.step()
+    for _ in range(12):
+        await one.account.hold(1000)
+        one.account.settle(1000, 1000)
+        await anyio.sleep(0.3)
+        await one.account.tick()
+        await one.presence.step()
+    one.store.faults.down = True
+    one.account.reachable = False
+    room = one.account.limit - one.account.used
+    assert room < one.account.ledger.available
+    await anyio.sleep(6.0)
+    assert one.account.limit - one.account.used == one.account.ledger.available
+
+
+Loss = Callable[[Router], None]
+
+
+def lose_answer(one: Router) -> None:
+    one.store.faults.lose_answers = 1
+
+
+def lose_request(one: Router) -> None:
+    one.store.faults.lose_requests = 1
+
+
+def delay_effect(one: Router) -> None:
+    one.store.faults.late = 1
+
+
+@pytest.mark.parametrize("lose", [lose_answer, lose_request, delay_effect])
+async def test_a_draw_in_doubt_counts_once(lose: Loss) -> None:
+    """The answer to a draw is lost; the write took effect, or not, or does so late.
+
+    Counting the draw twice here would overspend, counting it never would strand it.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    lose(one)
+    one.account.demand.asked(1000, anyio.current_time())
+    with pytest.raises(UnknownOutcomeError):
+        await one.account.tick()
+    assert one.account.ledger.available == 0
+    await one.account.tick()
+    await one.store.faults.flush()
+    await one.account.tick()
+    row = budget(history).budget
+    assert one.account.ledger.total == row.outstanding > 0
+
+
+@pytest.mark.parametrize("lose", [lose_answer, lose_request, delay_effect])
+async def test_a_return_in_doubt_is_not_spent_meanwhile(lose: Loss) -> None:
+    """A router returns tokens and does not hear whether that took effect.
+
+    Spending them meanwhile would spend them twice if it did.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(1000)
+    one.account.settle(1000, 0)
+    lose(one)
+    with pytest.raises(UnknownOutcomeError):
+        await one.account.close()
+    assert one.account.ledger.available == 0
+    await one.account.close()
+    await one.store.faults.flush()
+    assert budget(history).budget.outstanding == 0
+
+
+async def test_a_lowered_budget_calls_grants_back() -> None:
+    """The operator lowers a budget below what routers hold.
+
+    What is not in use goes back before anything more is drawn.
+    """
+    history = RowHistory()
+    one = router(history, 100_000)
+    await one.presence.step()
+    await one.account.hold(10_000)
+    one.account.settle(10_000, 5_000)
+    await one.account.tick()
+    one.prepaid.append(6_000)
+    await one.account.tick()
+    await one.account.tick()
+    row = budget(history).budget
+    assert row.prepaid == 6_000
+    assert row.spent + row.outstanding <= 6_000
+
+
+async def test_an_older_configuration_does_not_raise_a_budget_again() -> None:
+    """One router has the newer configuration already, the other not yet.
+
+    The one that lags must not put its larger figure back.
+    """
+    history = RowHistory()
+    one = router(history, 100_000)
+    one.prepaid.append(50_000)
+    two = Router(history, "vm-2", "vm-2.a", [100_000])
+    await one.presence.step()
+    await one.account.hold(100)
+    await two.account.tick()
+    assert budget(history).budget.prepaid == 50_000
+
+
+async def test_charges_are_filed_without_further_requests() -> None:
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(1000)
+    one.account.settle(1000, 700)
+    await anyio.sleep(one.account.options.file_after + 0.1)
+    await one.account.tick()
+    assert notes(history)["vm-1.a"].grant.billed == 700
--- /dev/null
+++ b/tests/prepaid/test_histories.py
@@ -0,0 +1,215 @@
+"""Random histories of routers, kills, cuts and lost answers never overspend.
+
+Each seed plays the same every time.  Variants of the protocol that leave out one
+of its guards are played too: a check that never fails would prove nothing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+import pytest
+from attrs import define, evolve, field
+
+from ebonyhold.exceptions import BudgetError, PlatformError
+from ebonyhold.prepaid import Account, Predecessor, ReleaseSchedule, reclaim_grant
+from ebonyhold.standins import RowHistory
+from tests.prepaid.kit import WORKSPACE, Router, notes
+from tests.virtual import anyio_backend
+
+pytestmark = pytest.mark.anyio
+__all__ = ["anyio_backend"]
+
+VMS = 3
+PREPAID = 60_000
+STEPS = 260
+SCHEDULE = ReleaseSchedule()
+
+
+@define(eq=False)
+class Play:
+    """One random history.
+
+    Attributes:
+        seed: Decides all of it.
+        weaken: Takes a guard out of each new life of a router.
+        forgive: Changes what a successor believes of its predecessor.
+        truth: Tokens that requests of each life really cost.
+    """
+
+    seed: int
+    weaken: Callable[[Router], None] = lambda router: None
+    forgive: Callable[[Predecessor], Predecessor] = lambda before: before
+    random: random.Random = field(init=False)
+    history: RowHistory = field(factory=RowHistory)
+    routers: dict[str, Router] = field(factory=dict)
+    prepaid: list[int] = field(factory=lambda: [PREPAID])
+    held: list[tuple[Router, int]] = field(factory=list)
+    late: list[Router] = field(factory=list)
+    truth: dict[str, int] = field(factory=dict)
+    lives: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+
+    async def run(self) -> None:
+        """Play; the books are checked after each step."""
+        for number in range(VMS):
+            await self.start(f"vm-{number}")
+        for _ in range(STEPS):
+            step = self.random.choices(
+                [self.ask, self.settle, self.tend, self.cut, self.lose, self.kill],
+                [10, 6, 9, 1, 2, 0.6],
+            )[0]
+            await step()
+            await anyio.sleep(self.random.choice([0.01, 0.1, 0.4]))
+            self.check()
+
+    def check(self) -> None:
+        """No life has used more than its grant, nor all of them the budget."""
+        used = dict(self.truth)
+        for router, amount in self.held:
+            used[router.router] = used.get(router.router, 0) + amount
+        granted = notes(self.history)
+        for life, amount in used.items():
+            if amount:
+                assert amount <= granted[life].granted, f"{life} overspent"
+        assert sum(used.values()) <= PREPAID, "overspent"
+
+    def cost(self, router: Router, amount: int) -> None:
+        """Note what a request really cost."""
+        self.truth[router.router] = self.truth.get(router.router, 0) + amount
+
+    async def start(self, vm: str) -> None:
+        """Start a life of a VM's router, and reclaim what the last one left."""
+        self.lives += 1
+        router = Router(self.history, vm, f"{vm}.{self.lives}", self.prepaid, VMS)
+        self.weaken(router)
+        self.routers[vm] = router
+        await router.presence.step()
+        before = router.presence.predecessor
+        if before is not None:
+            await reclaim_grant(router.store, WORKSPACE, self.forgive(before), SCHEDULE)
+
+    def pick(self) -> Router:
+        """Return a random router."""
+        return self.random.choice(list(self.routers.values()))
+
+    async def ask(self) -> None:
+        """Have a request hold tokens."""
+        router = self.pick()
+        amount = self.random.choice([200, 900, 2500])
+        try:
+            await router.account.hold(amount)
+        except BudgetError:
+            return
+        self.held.append((router, amount))
+
+    async def settle(self) -> None:
+        """End a request."""
+        if not self.held:
+            return
+        router, amount = self.held.pop(self.random.randrange(len(self.held)))
+        charge = self.random.choice([0, amount // 2, amount])
+        self.cost(router, charge)
+        router.account.settle(amount, charge)
+
+    async def tend(self) -> None:
+        """Let every router look after its grant and presence."""
+        for router in self.routers.values():
+            for step in (router.account.tick, router.presence.step):
+                try:
+                    await step()
+                except PlatformError:
+                    continue
+
+    async def cut(self) -> None:
+        """Cut a router off from the store, or heal it."""
+        faults = self.pick().store.faults
+        faults.down = not faults.down
+
+    async def lose(self) -> None:
+        """Lose an answer or a request, delay a write, or let one arrive late."""
+        faults = self.pick().store.faults
+        if self.random.random() < 0.3:
+            await faults.flush()
+            return
+        switch = self.random.choice(["lose_answers", "lose_requests", "late"])
+        setattr(faults, switch, 1)
+
+    async def kill(self) -> None:
+        """Kill a router; what its requests got until then was spent."""
+        router = self.pick()
+        for holder, amount in [item for item in self.held if item[0] is router]:
+            self.held.remove((holder, amount))
+            self.cost(holder, amount)
+        late = router.store.faults
+        await anyio.sleep(self.random.choice([0.2, 1.0, 3.0]))
+        await self.start(router.vm)
+        await late.flush()
+
+
+@pytest.mark.parametrize("seed", range(40))
+async def test_no_history_overspends(seed: int) -> None:
+    await Play(seed).run()
+
+
+def believe_all_is_left(before: Predecessor) -> Predecessor:
+    """A successor that takes its predecessor to have renewed just now."""
+    return evolve(before, elapsed=-10.0)
+
+
+def renew_before_covered(router: Router) -> None:
+    """A router that renews its presence though it has used of its reserve."""
+    router.presence.covered = lambda: True
+
+
+def spend_above_ceiling(router: Router) -> None:
+    """A router that spends its whole grant at any time."""
+    router.account.elapsed = lambda: 1e9
+
+
+class ForgetfulAccount(Account):
+    """An account that takes an unanswered change for one without effect."""
+
+    __slots__ = ()
+
+    async def round(self, closing: bool = False) -> None:
+        """Forget the doubt first."""
+        if self.doubtful is not None:
+            self.ledger.available += self.doubtful.returned
+            self.doubtful = None
+            self.known = None
+        await super().round(closing)
+
+
+def forget_doubt(router: Router) -> None:
+    """Make a router's account a forgetful one."""
+    router.account.__class__ = ForgetfulAccount
+
+
+def nothing(router: Router) -> None:
+    """The protocol as it is."""
+
+
+VARIANTS = [
+    (nothing, believe_all_is_left),
+    (renew_before_covered, lambda before: before),
+    (spend_above_ceiling, lambda before: before),
+    (forget_doubt, lambda before: before),
+]
+
+
+@pytest.mark.parametrize(("weaken", "forgive"), VARIANTS)
+async def test_a_weakened_protocol_is_caught(
+    weaken: Callable[[Router], None],
+    forgive: Callable[[Predecessor], Predecessor],
+) -> None:
+    for seed in range(60):
+        try:
+            await Play(seed, weaken, forgive).run()
+        except AssertionError:
+            return
+    pytest.fail("no history shows the missing guard")
