--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -210,9 +210,15 @@
         service = exchange.match.service
         entries = self.backends.usable(service, now, exchange.tried)
         if not entries:
-            return Refusal.SERVER_LOST if exchange.may_have_run else Refusal.NO_SERVER
+            return self.nobody_left(exchange)
         return choose(exchange.caller, entries, self.domain)
 
+    def nobody_left(self, exchange: Exchange) -> Refusal:
+        """Return why no server is left to ask."""
+        if exchange.may_have_run:
+            return Refusal.SERVER_LOST
+        return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
+
     def note_failure(
         self, exchange: Exchange, backend: str, result: AttemptResult
     ) -> None:
@@ -230,8 +236,7 @@
             # Nothing reached a server, so this costs no part of any budget.
             if exchange.connects < MOST_CONNECTS:
                 return None
-            lost = exchange.may_have_run
-            return Refusal.SERVER_LOST if lost else Refusal.NO_SERVER
+            return self.nobody_left(exchange)
         lost = result.end in (AttemptEnd.LOST, AttemptEnd.FAILED)
         refusal = Refusal.SERVER_LOST if exchange.may_have_run else Refusal.SERVERS_FULL
         if lost and not exchange.match.route.idempotent:
--- /dev/null
+++ b/tests/forwarding/kit.py
@@ -0,0 +1,269 @@
+"""A router before scripted backend servers, over loopback sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import SocketStream
+from attrs import define, field
+
+from ebonyhold.forwarding import (
+    Backend,
+    BackendState,
+    BackendTable,
+    CallerLimits,
+    CallerListener,
+    ChannelPool,
+    FleetRetries,
+    Forwarder,
+    RetryRules,
+    Route,
+    RouteKind,
+    Ruleset,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from ebonyhold.misc import free_port
+from ebonyhold.platform import PlatformDialect
+
+LOOPBACK = "127.0.0.1"
+GONE = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+Script = Callable[["Server", SocketStream, str], Awaitable[None]]
+
+
+def route(name: str, kind: RouteKind, **more: object) -> Route:
+    """Return a route of the test's rules."""
+    known: dict[str, object] = {"timeout": 2.0, "target": 0.1, "most_attempts": 2}
+    return Route(
+        name,
+        "h.example",
+        f"/{name}/",
+        (ServiceShare("svc", 1.0),),
+        kind,
+        **{**known, **more},  # type: ignore[arg-type]
+    )
+
+
+ROUTES = (
+    route("safe", RouteKind.SAFE),
+    route("unsafe", RouteKind.UNSAFE),
+    route("stream", RouteKind.STREAM, resumable=True),
+    route("once", RouteKind.STREAM),
+    route("short", RouteKind.UNSAFE, timeout=0.3),
+    route("open", RouteKind.SAFE, anonymous=True),
+)
+ACME = Workspace("acme", ("k1", "k2"), priority=3, prepaid=10_000)
+
+
+def rules(version: int = 1) -> Ruleset:
+    """Return the test's rules."""
+    return Ruleset(
+        version,
+        {"h.example": {item.prefix: item for item in ROUTES}},
+        {"svc": Service("svc", 100, event_tokens=5)},
+        {"acme": ACME},
+        dict.fromkeys(ACME.keys, ACME),
+        CallerLimits(head_bytes=2000, body_bytes=100_000, head_timeout=0.3),
+    )
+
+
+@define(eq=False)
+class Server:
+    """A backend server that follows a script for each request.
+
+    Attributes:
+        name: Its name in the list.
+        script: What it does with a request.
+        requests: The heads it got.
+        bodies: The bodies it got.
+        closed: Requests whose connection the router closed early.
+        port: Where it listens.
+    """
+
+    name: str
+    script: Script
+    requests: list[str] = field(factory=list)
+    bodies: list[bytes] = field(factory=list)
+    connections: int = 0
+    closed: int = 0
+    port: int = field(factory=free_port)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        rest = b""
+        try:
+            async with stream:
+                while True:
+                    while b"\r\n\r\n" not in rest:
+                        rest += await stream.receive()
+                    head, _, rest = rest.partition(b"\r\n\r\n")
+                    text = head.decode()
+                    length = int(value(text, "content-length") or 0)
+                    while len(rest) < length:
+                        rest += await stream.receive()
+                    self.requests.append(text)
+                    self.bodies.append(rest[:length])
+                    rest = rest[length:]
+                    await self.script(self, stream, text)
+        except GONE:
+            self.closed += 1
+
+    def backend(self) -> Backend:
+        """Return its entry in the list."""
+        address = (LOOPBACK, self.port)
+        return Backend(self.name, "svc", address, "a", 4, BackendState.READY, 1)
+
+
+def value(head: str, name: str) -> str:
+    """Return a field of a head."""
+    for line in head.split("\r\n"):
+        key, _, text = line.partition(":")
+        if key.lower() == name:
+            return text.strip()
+    return ""
+
+
+def answer(
+    head: str, body: bytes = b"ok", status: str = "200 OK", extra: str = ""
+) -> bytes:
+    """Return a whole answer to a request."""
+    request = value(head, "x-ebonyhold-request-id")
+    return (
+        f"HTTP/1.1 {status}\r\nX-Ebonyhold-Request-Id: {request}\r\n"
+        f"X-Ebonyhold-Response-Stamp: proof\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def stream_head(head: str) -> bytes:
+    """Return the head of a streamed answer."""
+    request = value(head, "x-ebonyhold-request-id")
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Ebonyhold-Request-Id: {request}\r\n"
+        "X-Ebonyhold-Response-Stamp: proof\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body; an empty one ends it."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: t\n\n" % number
+
+
+@define(eq=False)
+class Rig:
+    """A router with its servers.
+
+    Attributes:
+        port: Where callers connect.
+        forwarder: The router's decisions.
+        listener: Its callers' side.
+        ended: How each request ended.
+    """
+
+    port: int
+    forwarder: Forwarder
+    listener: CallerListener
+    ended: list[tuple[str, str]]
+
+    async def ask(self, request: bytes) -> bytes:
+        """Send a request on a new connection and return all that comes back."""
+        async with await anyio.connect_tcp(LOOPBACK, self.port) as stream:
+            await stream.send(request)
+            return await read_all(stream)
+
+
+async def read_all(stream: SocketStream) -> bytes:
+    """Return what comes until the connection ends or stays silent."""
+    data = b""
+    with anyio.move_on_after(3.0):
+        while True:
+            try:
+                data += await stream.receive()
+            except GONE:
+                break
+    return data
+
+
+def request(
+    path: str,
+    method: str = "GET",
+    body: bytes = b"",
+    extra: str = "",
+    close: bool = True,
+) -> bytes:
+    """Return a caller's request."""
+    length = f"Content-Length: {len(body)}\r\n" if body or method == "POST" else ""
+    end = "Connection: close\r\n" if close else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Ebonyhold-Request-Id: r1\r\nX-Ebonyhold-Key: k1\r\n{extra}{length}{end}\r\n"
+    ).encode() + body
+
+
+class FreePurse:
+    """Tokens without end that remembers the charges."""
+
+    def __init__(self) -> None:
+        self.charges: list[tuple[int, int]] = []
+
+    async def hold(self, amount: int) -> None:
+        """Set nothing aside."""
+
+    def settle(self, hold: int, charge: int) -> None:
+        """Note what a request cost."""
+        self.charges.append((hold, charge))
+
+
+@asynccontextmanager
+async def rig(
+    *servers: Server, purse: FreePurse | None = None, extra_retries: float = 50.0
+) -> AsyncIterator[Rig]:
+    """Run a router before servers."""
+    table = BackendTable()
+    for server in servers:
+        table.update(server.backend())
+    ended: list[tuple[str, str]] = []
+    async with anyio.create_task_group() as tasks:
+        for server in servers:
+            listener = await anyio.create_tcp_listener(
+                local_host=LOOPBACK, local_port=server.port
+            )
+            tasks.start_soon(listener.serve, server.serve)
+        forwarder = Forwarder(
+            domain="a",
+            dialect=PlatformDialect(),
+            backends=table,
+            pool=ChannelPool(tasks),
+            retries=FleetRetries(RetryRules(0.2, extra_retries, 10.0), lambda: 1),
+            rules=rules,
+            purse=lambda workspace: purse,
+            ended=lambda name, outcome, length: ended.append((name, outcome)),
+        )
+        port = free_port()
+        callers = CallerListener(forwarder.serve, lambda: rules().limits)
+        tasks.start_soon(callers.run, (LOOPBACK, port), tasks)
+        await until_open(port)
+        yield Rig(port, forwarder, callers, ended)
+        tasks.cancel_scope.cancel()
+
+
+async def until_open(port: int) -> None:
+    """Wait until something listens at a port."""
+    while True:
+        try:
+            stream = await anyio.connect_tcp(LOOPBACK, port)
+        except OSError:
+            await anyio.sleep(0.005)
+            continue
+        await stream.aclose()
+        return
--- /dev/null
+++ b/tests/forwarding/test_callers.py
@@ -0,0 +1,113 @@
+"""What callers are told whose requests cannot be served, over real sockets."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from ebonyhold.exceptions import BudgetExhaustedError, BudgetUnreachableError
+from tests.forwarding.kit import FreePurse, Server, request, rig
+from tests.forwarding.test_attempts import good, silent
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+TWO_LENGTHS = request("/safe/x", extra="Transfer-Encoding: chunked\r\n", body=b"x")
+LONG_HEAD = request("/safe/x", extra=f"A: {'a' * 3000}\r\n")
+
+REFUSALS = [
+    (request("/none/x"), 404),
+    (request("/safe/x").replace(b"h.example", b"other.example"), 404),
+    (request("/safe/x").replace(b": k1", b": nobody"), 401),
+    (request("/open/x").replace(b": k1", b": nobody"), 200),
+    (TWO_LENGTHS, 400),
+    (b"what is this\r\n\r\n", 400),
+    (LONG_HEAD, 431),
+    (request("/unsafe/x", "POST", b"b" * 100_001), 413),
+    (request("/safe/x", extra="X-Ebonyhold-Deadline-Milliseconds: x\r\n"), 400),
+    (b"GET /safe/x HTTP/1.1\r\nHost: h.exa", 408),
+]
+
+
+@pytest.mark.parametrize(("sent", "status"), REFUSALS)
+async def test_refusals(sent: bytes, status: int) -> None:
+    async with rig(Server("one", good)) as router:
+        got = await router.ask(sent)
+    assert got.startswith(f"HTTP/1.1 {status} ".encode()), got
+
+
+class EmptyPurse(FreePurse):
+    """Tokens that are not there."""
+
+    def __init__(self, error: Exception) -> None:
+        super().__init__()
+        self.error = error
+
+    async def hold(self, amount: int) -> None:
+        """Refuse."""
+        raise self.error
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [(BudgetExhaustedError("x"), 402), (BudgetUnreachableError("x"), 429)],
+)
+async def test_no_tokens(error: Exception, status: int) -> None:
+    server = Server("one", good)
+    async with rig(server, purse=EmptyPurse(error)) as router:
+        counts = "X-Ebonyhold-Token-Counts: 100,40\r\n"
+        got = await router.ask(request("/safe/x", extra=counts))
+    assert got.startswith(f"HTTP/1.1 {status} ".encode())
+    assert (b"retry-after" in got.lower()) == (status == 429)
+    assert not server.requests
+
+
+async def test_an_answer_comes_at_the_route_s_timeout() -> None:
+    async with rig(Server("one", silent)) as router:
+        before = anyio.current_time()
+        got = await router.ask(request("/short/x"))
+        assert anyio.current_time() - before < 1.0
+    assert got.startswith(b"HTTP/1.1 504 ")
+
+
+async def test_two_requests_on_one_connection() -> None:
+    async with rig(Server("one", good)) as router:
+        first = request("/safe/x", close=False)
+        got = await router.ask(first + request("/safe/y"))
+    assert got.count(b"HTTP/1.1 200 ") == 2
+
+
+async def test_draining_ends_connections_with_their_next_answer() -> None:
+    """A process is told to stop while a caller keeps its connection.
+
+    Its next request is answered and the connection then closed, so no request
+    meets a connection that closes.
+    """
+    async with rig(Server("one", good)) as router:
+        stream = await anyio.connect_tcp("127.0.0.1", router.port)
+        await stream.send(request("/safe/x", close=False))
+        assert b"200" in await stream.receive()
+        router.listener.start_draining()
+        await stream.send(request("/safe/x", close=False))
+        got = b""
+        with pytest.raises(anyio.EndOfStream):
+            while True:
+                got += await stream.receive()
+        assert b"connection: close" in got.lower()
+
+
+async def test_idle_connections_close_when_told() -> None:
+    async with rig(Server("one", good)) as router:
+        stream = await anyio.connect_tcp("127.0.0.1", router.port)
+        await stream.send(request("/safe/x", close=False))
+        await stream.receive()
+        await anyio.sleep(0.05)
+        router.listener.close_idle()
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
