--- a/ebonyhold/gateway/_knowledge.py
+++ b/ebonyhold/gateway/_knowledge.py
@@ -56,16 +56,19 @@
         self.backends.replace(listed, anyio.current_time(), after_outage)
 
     def change_servers(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
-        """Take changes of the list of servers."""
+        """Take changes of the list of servers.
+
+        An entry that cannot be read names no server, so it counts as removed; it
+        was written just now and has not lapsed.
+        """
+        now = anyio.current_time()
         for row in rows:
             backend = None if row.deleted else self.read(row)
             if backend is not None:
                 self.backends.update(backend)
-            elif row.deleted:
-                now = anyio.current_time()
-                self.backends.remove(row.key, now, after_outage)
             else:
-                self.backends.remove(row.key, anyio.current_time(), False)
+                lapsed = row.deleted and after_outage
+                self.backends.remove(row.key, now, lapsed)
 
     def read(self, row: RawRow) -> Backend | None:
         """Decode a server's entry; None if it names no server to use."""
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,124 @@
+"""The operator's configuration and the servers' entries, well formed and not."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from ebonyhold.exceptions import (
+    ConfigurationError,
+    MalformedEntryError,
+    MalformedRequestError,
+)
+from ebonyhold.forwarding import BackendState, RouteKind
+from ebonyhold.platform import PlatformDialect, read_backend, read_configuration
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "H.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout-ms": 5000,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "traffic-split": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "max-attempts": 2,
+            "resume-streams": True,
+        }
+    ],
+    "services": [{"name": "s", "connection-limit": 630, "engine": {"stride": 5}}],
+    "limits": {"header-bytes": 100, "idle-timeout-ms": 15000},
+    "tenants": [{"name": "w", "api-keys": ["k"], "priority": 1, "prepaid": 5}],
+}
+
+ENTRY: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 128,
+    "state": "ready",
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def test_a_configuration() -> None:
+    rules = read_configuration(encode(CONFIGURATION))
+    route = rules.routes["h.example"]["/a/"]
+    assert route.kind is RouteKind.STREAM and route.idempotent
+    assert (route.timeout, route.target, route.most_attempts) == (5.0, 0.5, 2)
+    assert [share.weight for share in route.shares] == [90, 10]
+    assert rules.owners["k"].prepaid == 5
+    assert rules.services["s"].event_tokens == 5
+    assert (rules.limits.head_bytes, rules.limits.idle_timeout) == (100, 15.0)
+
+
+BROKEN = [
+    b"{",
+    b"[]",
+    encode({**CONFIGURATION, "version": None}),
+    encode({**CONFIGURATION, "routes": [{"name": "r"}]}),
+    encode({**CONFIGURATION, "services": ["s"]}),
+]
+
+
+@pytest.mark.parametrize("value", BROKEN)
+def test_a_broken_configuration(value: bytes) -> None:
+    with pytest.raises(ConfigurationError):
+        read_configuration(value)
+
+
+def test_an_entry() -> None:
+    backend = read_backend("i-1", encode(ENTRY))
+    assert backend.address == ("10.0.0.9", 8080)
+    assert backend.state is BackendState.READY
+    assert backend.started_at == 1700000000000
+
+
+FORGED = [
+    b"\xff\xfe",
+    b"[]",
+    b"null",
+    encode({k: v for k, v in ENTRY.items() if k != "service"}),
+    encode({**ENTRY, "service": 3}),
+    encode({**ENTRY, "slots": "many"}),
+    encode({**ENTRY, "slots": True}),
+    encode({**ENTRY, "state": "asleep"}),
+    encode({**ENTRY, "address": "nowhere"}),
+    encode({**ENTRY, "address": None}),
+    encode({**ENTRY, "born": "today"}),
+    encode({**ENTRY, "sequence": None}),
+]
+
+
+@pytest.mark.parametrize("value", FORGED)
+def test_a_forged_entry(value: bytes) -> None:
+    with pytest.raises(MalformedEntryError):
+        read_backend("i-1", value)
+
+
+MALFORMED = [
+    (b"x-ebonyhold-deadline-milliseconds", b"soon"),
+    (b"x-ebonyhold-deadline-milliseconds", b"-5"),
+    (b"x-ebonyhold-token-counts", b"12"),
+    (b"x-ebonyhold-prompt-prefix", b"a:b"),
+    (b"last-event-id", b"x"),
+]
+
+
+@pytest.mark.parametrize("field", MALFORMED)
+def test_a_malformed_request(field: tuple[bytes, bytes]) -> None:
+    with pytest.raises(MalformedRequestError):
+        PlatformDialect().read_request([field])
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,63 @@
+"""The settings file of a process, decoded."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ebonyhold.exceptions import SettingsError
+from ebonyhold.platform import load_platform_settings
+
+FILE = """
+node-name = "vm-1"
+zone = "a"
+ip-address = "10.1.0.40"
+[listen-addresses]
+frontend = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+[bounds]
+grace-s = 8
+retry-budget-ratio = 0.2
+budget-extra-retries = 58
+budget-window-s = 10
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def write(tmp_path: Path, text: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    monkeypatch.setenv("EBONYHOLD_NODE_FILE", str(path))
+
+
+def test_settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    write(tmp_path, FILE, monkeypatch)
+    settings = load_platform_settings()
+    assert settings.callers == ("10.1.0.40", 8227)
+    assert settings.store == "http://10.200.1.7:8223"
+    assert settings.retry_rules.extra == 58
+
+
+BROKEN = [
+    "node-name = ",
+    "",
+    FILE.replace("grace-s = 8", ""),
+    FILE.replace(":8227", ""),
+]
+
+
+@pytest.mark.parametrize("text", BROKEN)
+def test_broken_settings(
+    text: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    write(tmp_path, text, monkeypatch)
+    with pytest.raises(SettingsError):
+        load_platform_settings()
+
+
+def test_no_settings(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("EBONYHOLD_NODE_FILE", raising=False)
+    with pytest.raises(SettingsError):
+        load_platform_settings()
