--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -132,7 +132,7 @@
     assert not known.backends.entries
 
 
-def test_another_life_under_the_same_name_starts_anew() -> None:
+async def test_another_life_under_the_same_name_starts_anew() -> None:
     """An engine restarts under its old name after it was found at fault."""
     known = knowledge(MemoryRows())
     known.change_servers(row(ENTRY, key="i-1"), False)
