--- a/ebonyhold/coordination/_cover.py
+++ b/ebonyhold/coordination/_cover.py
@@ -25,7 +25,7 @@
 
     patience: Seconds = 0.25
 
-    deviations = 2.0
+    deviations = 3.0
     """Standard deviations of the demand that a grant covers beside its mean.
 
     Requests are few and large: a router sees some two of one workspace in an
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -162,10 +162,30 @@
                 await self.draw_for(amount)
             if self.take(amount):
                 return
-        if await self.surely_spent(amount):
+        self.log_refusal(amount)
+        if self.surely_spent(amount):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
 
+    def log_refusal(self, amount: Tokens) -> None:
+        """Write the line that says what a refusal rests on, and how old that is."""
+        budget = self.known.budget.budget if self.known else BudgetRow()
+        log.info(
+            "tokens refused",
+            extra={
+                "workspace": self.workspace,
+                "amount": amount,
+                "available": self.ledger.available,
+                "room": self.limit - self.used,
+                "prepaid": budget.prepaid,
+                "spent": budget.spent,
+                "remaining": budget.remaining,
+                "budget_age": round(anyio.current_time() - self.checked_at, 2),
+                "presence_age": round(self.elapsed(), 2),
+                "store_reachable": self.reachable,
+            },
+        )
+
     async def draw_for(self, amount: Tokens) -> None:
         """Draw what a request lacks; other requests may take it first."""
         async with self.lock:
@@ -189,7 +209,7 @@
         self.charged += min(charge, hold)
         self.requests += 1
 
-    async def surely_spent(self, amount: Tokens) -> bool:
+    def surely_spent(self, amount: Tokens) -> bool:
         """Tell whether the budget cannot cover a request, whoever holds what.
 
         Grants of other routers may come back, so only what is filed as spent
--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -68,9 +68,9 @@
 
     >>> from ebonyhold.coordination import GrantRow
     >>> note = GrantNote(GrantRow(drawn=1000), ceiling=200)
-    >>> provably_left(note, 0.0, ReleaseSchedule(after=1.0, over=8.0))
+    >>> provably_left(note, 0.0, ReleaseSchedule())
     800
-    >>> provably_left(note, 60.0, ReleaseSchedule(after=1.0, over=8.0))
+    >>> provably_left(note, 60.0, ReleaseSchedule())
     0
     """
     limit = schedule.limit(note.granted, note.ceiling, elapsed + CLOCK_MARGIN)
--- a/ebonyhold/prepaid/_release.py
+++ b/ebonyhold/prepaid/_release.py
@@ -2,10 +2,10 @@
 
 A grant has two parts.  The first lies below its *ceiling*, which stands in the
 router's row in the store, and may be spent at any time.  The rest is a reserve for
-outages.  It is released evenly over the time since the router last renewed its
-presence.  So when a router is killed, its successor on the same VM can prove what
-was left: the ceiling, and the reserve that the time up to its own start released,
-are the most that can have been spent.
+outages, released some time after the router last renewed its presence.  So when a
+router is killed, its successor on the same VM can prove what was left: the ceiling,
+and the reserve that the time up to its own start released, are the most that can
+have been spent.
 """
 
 from __future__ import annotations
@@ -20,21 +20,29 @@
     """When the reserve is released.
 
     Attributes:
-        after: The time without renewal before any of it is released.  Renewals
-            come more often, so in touch with the store nothing is.
-        over: The time after that in which all of it is released.
+        after: The time without renewal before any of it is released.  A VM that
+            lost its power is back within two seconds, and renewals come four times
+            a second; up to here a successor proves the whole reserve unspent.
+        first: The part that is released then.  Requests are large against a
+            reserve, so an even release would refuse most of them for long.
+        over: The time after that in which the rest is released.
     """
 
-    after: Seconds = 0.5
-    over: Seconds = 6.5
+    after: Seconds = 0.9
+    first: float = 0.25
+    over: Seconds = 5.0
 
     def part(self, elapsed: Seconds) -> float:
         """Return the part that is released.
 
-        >>> ReleaseSchedule(after=1.0, over=8.0).part(5.0)
-        0.5
+        >>> schedule = ReleaseSchedule(after=2.0, first=0.5, over=4.0)
+        >>> [schedule.part(elapsed) for elapsed in (1.9, 2.0, 4.0, 9.0)]
+        [0.0, 0.5, 0.75, 1.0]
         """
-        return min(1.0, max(0.0, (elapsed - self.after) / self.over))
+        if elapsed < self.after:
+            return 0.0
+        later = (elapsed - self.after) / self.over
+        return min(1.0, self.first + (1.0 - self.first) * later)
 
     def limit(self, granted: Tokens, ceiling: Tokens, elapsed: Seconds) -> Tokens:
         """Return the most that may have been used of a grant in all.
