Size grants by the budget's level after the change, so that they do not swing

Ruled out: a wrong estimate of the demand (52,000 tokens a second, as sent). Change: the level is solved for after the change; first release at 1.9 s, so that a power cut of some 1.3 s strands no reserve; 1.5 deviations, ample 0.4.

--- a/ebonyhold/coordination/_cover.py
+++ b/ebonyhold/coordination/_cover.py
@@ -25,14 +25,14 @@
 
     patience: Seconds = 0.25
 
-    deviations = 3.0
+    deviations = 1.5
     """Standard deviations of the demand that a grant covers beside its mean.
 
     Requests are few and large: a router sees some two of one workspace in an
     outage, and often four.
     """
 
-    ample = 0.3
+    ample = 0.4
     """The part of the unspent tokens that the budget itself holds while ample.
 
     Below it all grants shrink evenly.  What the budget holds serves requests at
@@ -65,14 +65,20 @@
         mean = view.rate * view.horizon
         spread = math.sqrt(mean * view.typical)
         cover = mean + self.deviations * spread + view.typical
-        return int(cover * self.abundance(view))
+        return int(min(cover, self.affordable(cover, view)))
 
-    def abundance(self, view: GrantView) -> float:
-        """Return the part of its cover that each router may hold."""
+    def affordable(self, cover: float, view: GrantView) -> float:
+        """Return the part of its cover that the budget's level allows.
+
+        The level is taken as it will be after this change: cover times level.  With
+        the level before it, a router that holds most of a budget would find it empty
+        and return all, find it full and draw all, and so on, and an outage would
+        meet it with an empty grant half of the time.
+        """
         if view.budget is None:
-            return 1.0
+            return cover
         unspent = view.budget.prepaid - view.budget.spent
         if unspent <= 0:
             return 0.0
-        level = max(view.budget.remaining, 0) / unspent
-        return min(1.0, level / self.ample)
+        free = max(view.budget.remaining, 0) + view.available
+        return cover * free / (unspent * self.ample + cover)
--- a/ebonyhold/prepaid/_release.py
+++ b/ebonyhold/prepaid/_release.py
@@ -28,9 +28,9 @@
         over: The time after that in which the rest is released.
     """
 
-    after: Seconds = 0.9
-    first: float = 0.25
-    over: Seconds = 5.0
+    after: Seconds = 1.9
+    first: float = 0.4
+    over: Seconds = 4.0
 
     def part(self, elapsed: Seconds) -> float:
         """Return the part that is released.
