Let renewals of presence name what they cannot vouch for

Change: a renewal names the workspaces that are not covered, whose grants are not reclaimed; rounds come five times as often while rows lag.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -81,7 +81,7 @@
             peers.settings.name,
             peers.settings.host,
             self.incarnation,
-            lambda: self.treasury.covered,
+            lambda: self.treasury.uncovered(),
             self.began_at,
         )
         self.treasury = Treasury(
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -22,7 +22,7 @@
 from ebonyhold.exceptions import ConflictError, PlatformError, UnavailableError
 from ebonyhold.gateway._types import GatewayStore
 from ebonyhold.prepaid import Predecessor
-from ebonyhold.types import RouterId, Seconds
+from ebonyhold.types import RouterId, Seconds, WorkspaceName
 
 log = logging.getLogger(__name__)
 
@@ -63,11 +63,14 @@
         router: Which life of the VM's router.
         address: Where the VM is; another VM may one day have its name.
         renewed_at: The store's clock when it was sent, or earlier; 0 if unknown.
+        uncovered: The workspaces of whose grants more was used than their rows in
+            the store allow.
     """
 
     router: RouterId
     address: str
     renewed_at: Seconds = 0.0
+    uncovered: tuple[WorkspaceName, ...] = ()
 
 
 @define
@@ -110,9 +113,9 @@
         address: Where it is.
         incarnation: This life of it.
         began_at: When this process began, as near as it can tell.
-        covered: Returns whether the rows of all grants allow what is used here.
-            Renewing before that would tell a successor that nothing of the reserve
-            can have been used, though some was.
+        uncovered: Returns the workspaces of whose grants more is used than their
+            rows allow.  A renewal names them; else it would tell a successor that
+            nothing of their reserve can have been used.
         predecessor: The life before this one, once that is known.
         version: The version of the own row.
         in_doubt: Whether a renewal was sent whose effect is unknown.
@@ -125,7 +128,7 @@
     name: str
     address: str
     incarnation: str
-    covered: Callable[[], bool]
+    uncovered: Callable[[], tuple[WorkspaceName, ...]]
     began_at: Seconds = field(factory=anyio.current_time)
     predecessor: Predecessor | None = None
     started: anyio.Event = field(factory=anyio.Event)
@@ -172,7 +175,7 @@
             # Another renewal would put off the release of the reserve although
             # it may never arrive; only reading shows that the store is back.
             await self.look()
-        elif self.covered():
+        else:
             await self.renew()
         if anyio.current_time() - self.counted_at > COUNT:
             self.note(await self.store.scan(f"{TABLE}//"))
@@ -204,7 +207,7 @@
             "predecessor found",
             extra={"predecessor": before.router, "elapsed": round(elapsed, 2)},
         )
-        return Predecessor(before.router, elapsed)
+        return Predecessor(before.router, elapsed, before.uncovered)
 
     async def renew(self) -> None:
         """Renew the own row."""
@@ -216,7 +219,9 @@
         Raises:
             PlatformError: The store did not do what was asked.
         """
-        row = PresenceRow(self.incarnation, self.address, self.clock.now())
+        row = PresenceRow(
+            self.incarnation, self.address, self.clock.now(), self.uncovered()
+        )
         before = self.renewed_at
         self.renewed_at = anyio.current_time()
         try:
--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -55,10 +55,12 @@
         router: Which life.
         elapsed: The longest time that it can have gone on without renewing its
             presence.
+        uncovered: The workspaces of whose grants it may have used more than that.
     """
 
     router: RouterId
     elapsed: Seconds
+    uncovered: tuple[WorkspaceName, ...] = ()
 
 
 def provably_left(
@@ -94,6 +96,8 @@
     Raises:
         PlatformError: The store did not do what was asked.
     """
+    if workspace in predecessor.uncovered:
+        return 0
     budget_key = budget_row_key(workspace)
     grant_key = grant_row_key(workspace, predecessor.router)
     for _ in range(TRIES):
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -21,6 +21,12 @@
 CLOSE_TIMEOUT: Seconds = 0.6
 """How long a router that stops tries to return its grants."""
 
+URGENT = 0.2
+"""The part of the usual pause that is left while rows lag behind what is used.
+
+Until a row is written again, a router that is killed strands the whole grant.
+"""
+
 RECLAIM_TRIES = 40
 """Tries of one reclaim, half a second apart: longer than an outage takes.
 
@@ -77,19 +83,28 @@
         version, prepaid = self.prepaid(workspace)
         return (version, prepaid) if prepaid is not None else (0, 0)
 
-    @property
-    def covered(self) -> bool:
-        """Whether the store's rows allow all that is used here."""
-        return all(account.covered for account in self.accounts.values())
+    def uncovered(self) -> tuple[WorkspaceName, ...]:
+        """Return the workspaces of which more is used than their rows allow."""
+        return tuple(
+            name for name, account in self.accounts.items() if not account.covered
+        )
 
     async def run(self) -> None:
         """Look after all accounts, for ever."""
         while True:
-            await anyio.sleep(self.options.tick)
+            await anyio.sleep(self.pause())
             async with anyio.create_task_group() as tasks:
                 for account in list(self.accounts.values()):
                     tasks.start_soon(self.tend, account)
 
+    def pause(self) -> Seconds:
+        """Return the time to the next round: short while rows lag behind."""
+        lagging = any(
+            account.doubtful or not account.covered
+            for account in self.accounts.values()
+        )
+        return self.options.tick * (URGENT if lagging else 1.0)
+
     async def tend(self, account: Account) -> None:
         """Look after one account; the next round tries again what failed."""
         try:
