Explain a request from the logs: ebonyhold explain REQUEST FILE...

Each attempt, refusal of tokens and end of a request has its line, with the inputs and their age. Tests reproduce the three stories from lines that are really written: tokens refused in a cut, a stream cut by its engine, a refusal under overload.

--- a/ebonyhold/command/__init__.py
+++ b/ebonyhold/command/__init__.py
@@ -5,6 +5,7 @@
 
 from ebonyhold.command import _document as _document
 from ebonyhold.command import _experiment as _experiment
+from ebonyhold.command import _explain as _explain
 from ebonyhold.command import _fleet as _fleet
 from ebonyhold.command import _money as _money
 from ebonyhold.command import _parts as _parts
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -30,7 +30,7 @@
     match_request,
 )
 from ebonyhold.forwarding._types import CallerRequest, Ruleset
-from ebonyhold.types import Seconds, Tokens, WorkspaceName
+from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
 
 log = logging.getLogger(__name__)
 
@@ -50,8 +50,8 @@
 class Purse(Protocol):
     """One workspace's prepaid tokens, as a request needs them."""
 
-    async def hold(self, amount: Tokens) -> None:
-        """Set tokens aside.
+    async def hold(self, amount: Tokens, request: RequestId) -> None:
+        """Set tokens aside for a request.
 
         Raises:
             BudgetExhaustedError: The budget surely cannot cover it.
@@ -84,6 +84,7 @@
         rules: Returns the rules in force; None before the first ones.
         purse: Returns a workspace's tokens; None if it has no bound.
         ended: Is told how each request ended, for metrics.
+        ages: Returns how old what is believed is, in seconds, for logs.
     """
 
     domain: str
@@ -94,6 +95,7 @@
     rules: Callable[[], Ruleset | None]
     purse: Callable[[WorkspaceName], Purse | None]
     ended: Callable[[str, str, Seconds], None]
+    ages: Callable[[], dict[str, Seconds]] = dict
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -160,7 +162,7 @@
         if purse is None:
             return await self.forward_in_time(exchange)
         try:
-            await purse.hold(most)
+            await purse.hold(most, exchange.caller.request_id)
         except BudgetExhaustedError as error:
             raise Refused(Refusal.BUDGET_EXHAUSTED) from error
         except BudgetUnreachableError as error:
@@ -193,6 +195,7 @@
             attempt = Attempt(exchange, entry, self.pool, self.backends, self.dialect)
             if exchange.sends == 0:
                 self.retries.request(exchange.match.service, anyio.current_time())
+            self.log_dispatch(exchange, entry)
             result = await attempt.run()
             if result.end is AttemptEnd.DELIVERED:
                 return "delivered"
@@ -201,6 +204,21 @@
             if refusal is not None:
                 return await self.give_up(exchange, refusal)
 
+    def log_dispatch(self, exchange: Exchange, entry: Entry) -> None:
+        """Write the line that says where a request goes, and on what grounds."""
+        now = anyio.current_time()
+        log.info(
+            "dispatched",
+            extra={
+                "request": exchange.caller.request_id,
+                "backend": entry.backend.name,
+                "attempt": exchange.sends + 1,
+                "in_flight": entry.in_flight,
+                "ms_left": round((exchange.deadline - now) * 1000),
+                **self.ages(),
+            },
+        )
+
     def next_entry(self, exchange: Exchange) -> Entry | Refusal:
         """Return the next server to ask, or why there is none."""
         now = anyio.current_time()
--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -1,5 +1,6 @@
 """A gateway: the daemon that forwards opaque requests on the users' platform."""
 
+from ebonyhold.gateway._explain import explain
 from ebonyhold.gateway._gateway import Gateway
 from ebonyhold.gateway._knowledge import Knowledge
 from ebonyhold.gateway._output import (
@@ -34,4 +35,5 @@
     "Snapshot",
     "Watcher",
     "configure_output",
+    "explain",
 ]
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -132,6 +132,7 @@
             rules=self.current_rules,
             purse=self.treasury.account,
             ended=self.meters.ended,
+            ages=self.ages,
         )
         self.listener = CallerListener(forwarder.serve, self.knowledge.limits)
         readiness = CallerListener(self.tell_readiness, CallerLimits)
@@ -141,6 +142,14 @@
         tasks.start_soon(readiness.run, settings.readiness, tasks)
         tasks.start_soon(metrics.run, (settings.host, METRICS_PORT), tasks)
 
+    def ages(self) -> dict[str, Seconds]:
+        """Return how old what is believed of the rules and the servers is."""
+        now = anyio.current_time()
+        return {
+            "rules_age": round(self.rules_watcher.age(now), 2),
+            "servers_age": round(self.servers_watcher.age(now), 2),
+        }
+
     def current_rules(self) -> Ruleset | None:
         """Return the rules in force, once the servers are known too."""
         return self.knowledge.rules if self.servers_watcher.first.is_set() else None
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -47,7 +47,7 @@
     budget_row_key,
     grant_row_key,
 )
-from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
+from ebonyhold.types import RequestId, RouterId, Seconds, Tokens, WorkspaceName
 
 log = logging.getLogger(__name__)
 
@@ -147,9 +147,13 @@
         """Set tokens aside if they are here, and tell whether they were."""
         return self.used + amount <= self.limit and self.ledger.hold(amount)
 
-    async def hold(self, amount: Tokens) -> None:
+    async def hold(self, amount: Tokens, request: RequestId) -> None:
         """Set tokens aside for a request, drawing them if they are not here.
 
+        Args:
+            amount: The most that it can cost.
+            request: Its identifier, for logs.
+
         Raises:
             BudgetExhaustedError: The budget surely cannot cover it.
             BudgetUnreachableError: Tokens may exist, but not here and now.
@@ -162,17 +166,18 @@
                 await self.draw_for(amount)
             if self.take(amount):
                 return
-        self.log_refusal(amount)
+        self.log_refusal(amount, request)
         if self.surely_spent(amount):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
 
-    def log_refusal(self, amount: Tokens) -> None:
+    def log_refusal(self, amount: Tokens, request: RequestId) -> None:
         """Write the line that says what a refusal rests on, and how old that is."""
         budget = self.known.budget.budget if self.known else BudgetRow()
         log.info(
             "tokens refused",
             extra={
+                "request": request,
                 "workspace": self.workspace,
                 "amount": amount,
                 "available": self.ledger.available,
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -216,7 +216,7 @@
     def __init__(self) -> None:
         self.charges: list[tuple[int, int]] = []
 
-    async def hold(self, amount: int) -> None:
+    async def hold(self, amount: int, request: str) -> None:
         """Set nothing aside."""
 
     def settle(self, hold: int, charge: int) -> None:
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -49,7 +49,7 @@
         super().__init__()
         self.error = error
 
-    async def hold(self, amount: int) -> None:
+    async def hold(self, amount: int, request: str) -> None:
         """Refuse."""
         raise self.error
 
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,93 @@
+"""The story of a request, from the lines that routers really write."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from ebonyhold.command import app
+from ebonyhold.exceptions import BudgetUnreachableError
+from ebonyhold.gateway import configure_output, explain
+from ebonyhold.standins import RowHistory
+from tests.forwarding.kit import Server, request, rig
+from tests.forwarding.test_attempts import broken_stream, declines
+from tests.prepaid.kit import Router
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+@pytest.fixture
+def lines() -> Iterator[list[str]]:
+    """Collect the log as it is written, once the test asks for it."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    root = logging.getLogger()
+    before = (root.handlers[:], root.level)
+    configure_output("INFO", "vm-1", writer)
+    found: list[str] = []
+
+    class Reader(list[str]):
+        def __iter__(self) -> Iterator[str]:
+            found.extend(os.read(reader, 1_000_000).decode().splitlines())
+            return iter(found)
+
+    yield Reader()
+    root.handlers[:], level = before
+    root.setLevel(level)
+    os.close(reader)
+    os.close(writer)
+
+
+async def test_cut_in_mid_stream_by_an_engine(lines: list[str]) -> None:
+    async with rig(Server("engine-1", broken_stream)) as router:
+        await router.ask(request("/once/x"))
+    story = "\n".join(explain("r1", lines))
+    assert "dispatched: backend=engine-1 attempt=1" in story
+    assert "outcome=cut: server_lost" in story
+    assert "engine-1: the answer ended early" in story or "engine-1: no answer" in story
+
+
+async def test_refused_under_overload(lines: list[str]) -> None:
+    async with rig(Server("engine-1", declines)) as router:
+        await router.ask(request("/unsafe/x"))
+    story = "\n".join(explain("r1", lines))
+    assert "refused: code=servers_full" in story
+    assert "engine-1: declined with 503" in story
+
+
+async def test_refused_for_tokens_in_a_cut(lines: list[str]) -> None:
+    history = RowHistory()
+    one = Router(history, "vm-1", "vm-1.a", [100_000])
+    await one.presence.step()
+    await one.account.hold(100, "r0")
+    one.account.reachable = False
+    with pytest.raises(BudgetUnreachableError):
+        await one.account.hold(90_000, "r1")
+    story = explain("r1", lines)
+    assert "grant changed" in story[0]
+    assert "tokens refused: workspace=acme amount=90000" in story[-1]
+    assert "store_reachable=False" in story[-1]
+
+
+def test_the_command(tmp_path: Path) -> None:
+    log = tmp_path / "log"
+    log.write_text(
+        'noise\n7.1 vm-1 {"time": "t1", "router": "vm-1", "message": "refused",'
+        ' "request": "r9", "code": "no_route"}\n{"broken\n'
+    )
+    told = CliRunner().invoke(app, ["explain", "r9", str(log)])
+    assert told.exit_code == 0
+    assert told.stdout == "t1 vm-1 refused: code=no_route\n"
+    unknown = CliRunner().invoke(app, ["explain", "r8", str(log)])
+    assert unknown.exit_code == 1
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -29,7 +29,7 @@
     history = RowHistory()
     one = router(history)
     await one.presence.step()
-    await one.account.hold(1000)
+    await one.account.hold(1000, "r")
     one.account.settle(1000, 400)
     await one.account.close()
     after = budget(history).budget
@@ -41,7 +41,7 @@
     one = router(history, 5_000)
     await one.presence.step()
     with pytest.raises(BudgetExhaustedError):
-        await one.account.hold(5_001)
+        await one.account.hold(5_001, "r")
 
 
 async def test_tokens_with_another_router_are_no_final_refusal() -> None:
@@ -54,9 +54,9 @@
     two = Router(history, "vm-2", "vm-2.a", [10_000])
     await one.presence.step()
     await two.presence.step()
-    await one.account.hold(9_000)
+    await one.account.hold(9_000, "r")
     with pytest.raises(BudgetUnreachableError):
-        await two.account.hold(4_000)
+        await two.account.hold(4_000, "r")
 
 
 async def test_a_cut_router_refuses_at_once() -> None:
@@ -64,14 +64,14 @@
     history = RowHistory()
     one = router(history)
     await one.presence.step()
-    await one.account.hold(100)
+    await one.account.hold(100, "r")
     one.store.faults.down = True
     with pytest.raises(PlatformError):
         one.account.known = None
         await one.account.tick()
     before = anyio.current_time()
     with pytest.raises(BudgetUnreachableError):
-        await one.account.hold(90_000)
+        await one.account.hold(90_000, "r")
     assert anyio.current_time() == before
 
 
@@ -85,7 +85,7 @@
     one = router(history, 1_000_000)
     await one.presence.step()
     for _ in range(12):
-        await one.account.hold(1000)
+        await one.account.hold(1000, "r")
         one.account.settle(1000, 1000)
         await anyio.sleep(0.3)
         await one.account.tick()
@@ -143,7 +143,7 @@
     history = RowHistory()
     one = router(history)
     await one.presence.step()
-    await one.account.hold(1000)
+    await one.account.hold(1000, "r")
     one.account.settle(1000, 0)
     lose(one)
     with pytest.raises(UnknownOutcomeError):
@@ -162,7 +162,7 @@
     history = RowHistory()
     one = router(history, 100_000)
     await one.presence.step()
-    await one.account.hold(10_000)
+    await one.account.hold(10_000, "r")
     one.account.settle(10_000, 5_000)
     await one.account.tick()
     one.prepaid.append(6_000)
@@ -183,7 +183,7 @@
     one.prepaid.append(50_000)
     two = Router(history, "vm-2", "vm-2.a", [100_000])
     await one.presence.step()
-    await one.account.hold(100)
+    await one.account.hold(100, "r")
     await two.account.tick()
     assert budget(history).budget.prepaid == 50_000
 
@@ -192,7 +192,7 @@
     history = RowHistory()
     one = router(history)
     await one.presence.step()
-    await one.account.hold(1000)
+    await one.account.hold(1000, "r")
     one.account.settle(1000, 700)
     await anyio.sleep(one.account.options.file_after + 0.1)
     await one.account.tick()
--- a/tests/prepaid/test_histories.py
+++ b/tests/prepaid/test_histories.py
@@ -102,7 +102,7 @@
         router = self.pick()
         amount = self.random.choice([200, 900, 2500])
         try:
-            await router.account.hold(amount)
+            await router.account.hold(amount, "r")
         except BudgetError:
             return
         self.held.append((router, amount))
