--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -4,28 +4,18 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import anyio
 from attrs import define, evolve, field
 
 from ebonyhold.coordination import (
-    Absent,
-    AtVersion,
     BudgetRow,
-    Check,
     GrantLedger,
     GrantPolicy,
     GrantSize,
     GrantView,
-    Put,
-    Row,
-    Transaction,
-    change_budget,
-    change_grant,
     find_grant_policy,
-    from_json,
-    to_json,
 )
 from ebonyhold.exceptions import (
     BudgetExhaustedError,
@@ -35,18 +25,17 @@
     UnavailableError,
     UnknownOutcomeError,
 )
+from ebonyhold.prepaid._books import Books
+from ebonyhold.prepaid._changes import Moves, make_change
 from ebonyhold.prepaid._demand import Demand
 from ebonyhold.prepaid._release import ReleaseSchedule
 from ebonyhold.prepaid._types import (
     Change,
     Committed,
-    GrantNote,
     Known,
     PrepaidOptions,
     PrepaidRow,
     PrepaidStore,
-    budget_row_key,
-    grant_row_key,
 )
 from ebonyhold.types import RequestId, RouterId, Seconds, Tokens, WorkspaceName
 
@@ -65,26 +54,6 @@
 RACE_PAUSE: Seconds = 0.02
 """The longest pause after a lost race; a transaction takes some 12 ms."""
 
-REREAD_AFTER: Seconds = 0.2
-"""How old the budget may be when a request needs more than it showed.
-
-Every refused request would else cost two calls; five readings a second for each
-workspace follow what other routers return closely enough.
-"""
-
-STALE_AFTER: Seconds = 3.0
-"""How old the budget may be by whose level a grant is kept.
-
-Others that need tokens show there only; older, a grant that is not needed stays.
-"""
-
-TRUST: Seconds = 2.0
-"""How old the budget may be that a final refusal rests on.
-
-Tokens come back to a budget when others return grants or it is topped up; an
-older reading could refuse for good what would be granted now.
-"""
-
 
 @define(eq=False)
 class Account:
@@ -106,9 +75,8 @@
         ledger: The tokens of the grant here.
         ceiling: The most tokens that may be used in all while in touch; it is
             never above what the store says, or may soon say.
-        known: Both rows; None before the first reading and after a conflict.
+        books: Both rows in the store.
         doubtful: A change whose effect is unknown.
-        checked_at: When `known` was last confirmed by the store.
         filed_at: When charges were last filed.
     """
 
@@ -124,9 +92,8 @@
     ledger: GrantLedger = field(factory=GrantLedger)
     ceiling: Tokens = 0
     demand: Demand = field(init=False)
-    known: Known | None = None
+    books: Books = field(init=False)
     doubtful: Change | None = None
-    checked_at: Seconds = -1e9
     filed_at: Seconds = -1e9
     asked: Tokens = 0
     reachable: bool = True
@@ -136,6 +103,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.demand = Demand(self.options.demand_memory)
+        self.books = Books(self.workspace, self.router, self.store)
 
     @property
     def used(self) -> Tokens:
@@ -181,13 +149,13 @@
             if self.take(amount):
                 return
         self.log_refusal(amount, request)
-        if self.surely_spent(amount):
+        if self.books.surely_spent(amount, self.ledger):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
 
     def log_refusal(self, amount: Tokens, request: RequestId) -> None:
         """Write the line that says what a refusal rests on, and how old that is."""
-        budget = self.known.budget.budget if self.known else BudgetRow()
+        budget = self.books.known.budget.budget if self.books.known else BudgetRow()
         log.info(
             "tokens refused",
             extra={
@@ -199,7 +167,7 @@
                 "prepaid": budget.prepaid,
                 "spent": budget.spent,
                 "remaining": budget.remaining,
-                "budget_age": round(anyio.current_time() - self.checked_at, 2),
+                "budget_age": round(self.books.age(), 2),
                 "presence_age": round(self.elapsed(), 2),
                 "store_reachable": self.reachable,
             },
@@ -228,22 +196,6 @@
         self.charged += min(charge, hold)
         self.requests += 1
 
-    def surely_spent(self, amount: Tokens) -> bool:
-        """Tell whether the budget cannot cover a request, whoever holds what.
-
-        Grants of other routers may come back, so only what is filed as spent
-        counts against the budget here.  Charges that are not filed yet make the
-        budget look fuller than it is, which costs the caller one more try.
-        """
-        if anyio.current_time() - self.checked_at > TRUST or self.known is None:
-            return False
-        budget = self.known.budget.budget
-        if amount > budget.prepaid - budget.spent:
-            return True
-        if budget.remaining + self.ledger.available >= amount:
-            return False
-        return budget.prepaid - budget.spent - self.ledger.unfiled < amount
-
     async def tick(self) -> None:
         """Look after the grant: draw ahead, return, file charges.
 
@@ -273,7 +225,7 @@
                 self.reachable = True
                 return
             except ConflictError as error:
-                self.known = self.known_from(error)
+                self.books.lost_race(error)
                 await anyio.sleep(random.random() * RACE_PAUSE)
             except PlatformError:
                 self.reachable = False
@@ -283,71 +235,16 @@
         """Make sure that both rows are known, and nothing is in doubt."""
         if self.doubtful is not None:
             await self.send_again(self.doubtful)
-        if self.known is None:
-            self.known = await self.read()
-        elif self.is_outdated(self.known):
-            self.known = await self.refresh(self.known)
-
-    def is_outdated(self, known: Known) -> bool:
-        """Tell whether the budget must be read again before it is decided on."""
-        age = anyio.current_time() - self.checked_at
-        if self.need > known.budget.budget.remaining:
-            return age > REREAD_AFTER
-        return age > STALE_AFTER and self.ledger.available > 0
-
-    async def refresh(self, known: Known) -> Known:
-        """Read the budget again; only this router writes the other row."""
-        rows = await self.store.scan(budget_row_key(self.workspace))
-        self.checked_at = anyio.current_time()
-        now = self.decode(rows)
-        return evolve(known, budget=now.budget, budget_version=now.budget_version)
+        await self.books.confirm(self.need, holding=self.ledger.available > 0)
 
     @property
     def need(self) -> Tokens:
         """Tokens that the request waiting for a draw lacks."""
         return max(0, self.asked - self.ledger.available)
 
-    async def read(self) -> Known:
-        """Read both rows."""
-        budget_rows = await self.store.scan(budget_row_key(self.workspace))
-        note_rows = await self.store.scan(self.note_key)
-        self.checked_at = anyio.current_time()
-        return self.decode([*budget_rows, *note_rows])
-
-    @property
-    def note_key(self) -> str:
-        """Return the key of this router's grant."""
-        return grant_row_key(self.workspace, self.router)
-
-    def decode(self, rows: Iterable[object]) -> Known:
-        """Read both rows from those that the store sent."""
-        known = Known()
-        for row in rows:
-            if not isinstance(row, Row):
-                continue
-            if row.key == budget_row_key(self.workspace):
-                budget = from_json(row.value, PrepaidRow)
-                known = evolve(known, budget=budget, budget_version=row.version)
-            elif row.key == self.note_key:
-                note = from_json(row.value, GrantNote)
-                known = evolve(known, note=note, note_version=row.version)
-        return known
-
-    def known_from(self, conflict: ConflictError) -> Known | None:
-        """Return both rows if a conflict's answer holds them; else read them again.
-
-        Many routers write one budget, and two more calls for each lost race would
-        make the next one more likely.
-        """
-        known = self.decode(conflict.rows)
-        if not (known.budget_version and known.note_version):
-            return None
-        self.checked_at = anyio.current_time()
-        return known
-
     def plan(self, closing: bool) -> Change | None:
         """Decide how both rows should change, if at all."""
-        known = self.known or Known()
+        known = self.books.known or Known()
         version, prepaid = self.prepaid()
         base = known.budget
         if version > base.rules_version and prepaid != base.budget.prepaid:
@@ -408,31 +305,15 @@
         """Return the change, with what is returned already out of the ledger."""
         drawn = min(size.draw, max(base.budget.remaining, 0))
         returned = min(size.give_back, self.ledger.available)
-        budget = change_budget(base.budget, drawn=drawn, returned=returned, paid=billed)
-        grant = change_grant(
-            known.note.grant, drawn=drawn, returned=returned, billed=billed
-        )
-        free = self.ledger.available - returned
-        room = min(free + drawn, self.open_wanted())
-        note = GrantNote(grant, self.used + room)
-        after = Known(
-            PrepaidRow(base.rules_version, budget), known.budget_version, note, 0
-        )
-        checks: list[Check] = [check(self.note_key, known.note_version)]
-        writes = [Put(self.note_key, to_json(note))]
-        if after.budget != known.budget:
-            # A change of the ceiling alone leaves the budget's row out: routers
-            # that share a budget would else lose races over nothing.
-            budget_key = budget_row_key(self.workspace)
-            checks.append(check(budget_key, known.budget_version))
-            writes.append(Put(budget_key, to_json(after.budget)))
+        free = self.ledger.available - returned + drawn
+        ceiling = self.used + min(free, self.open_wanted())
         # Returned tokens leave the ledger before the store hears of it: an answer
         # that is lost must not leave them spendable here and in the budget.
         # A lower ceiling holds at once for the same reason.
         self.ledger.available -= returned
-        self.ceiling = min(self.ceiling, note.ceiling)
-        transaction = Transaction(tuple(checks), tuple(writes))
-        return Change(transaction, after, drawn, returned, billed)
+        self.ceiling = min(self.ceiling, ceiling)
+        moves = Moves(drawn, returned, billed, ceiling)
+        return make_change(self.workspace, self.router, known, base, moves)
 
     async def send(self, change: Change) -> None:
         """Commit a change and carry its effect to the ledger.
@@ -463,9 +344,8 @@
         try:
             committed = await self.store.commit(change.transaction)
         except ConflictError:
-            known = await self.read()
+            known = await self.books.read()
             self.doubtful = None
-            self.known = known
             if known.note.grant.sequence == change.after.note.grant.sequence:
                 self.apply(change)
             else:
@@ -476,16 +356,7 @@
 
     def took_effect(self, change: Change, committed: Committed) -> None:
         """Carry a change to the ledger whose versions are known."""
-        after = change.after
-        version = committed.version
-        wrote_budget = len(change.transaction.writes) > 1
-        self.known = evolve(
-            after,
-            budget_version=version if wrote_budget else after.budget_version,
-            note_version=version,
-        )
-        if wrote_budget:
-            self.checked_at = anyio.current_time()
+        self.books.written(change, committed)
         self.apply(change)
 
     def apply(self, change: Change) -> None:
@@ -511,8 +382,3 @@
                 "sequence": change.after.note.grant.sequence,
             },
         )
-
-
-def check(key: str, version: int) -> Check:
-    """Return the check that a row is still at a version; 0 means absent."""
-    return AtVersion(key, version) if version else Absent(key)
--- /dev/null
+++ b/ebonyhold/prepaid/_changes.py
@@ -0,0 +1,88 @@
+"""The transaction by which a router changes its grant and the budget."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from ebonyhold.coordination import (
+    Absent,
+    AtVersion,
+    Check,
+    Put,
+    Transaction,
+    change_budget,
+    change_grant,
+    to_json,
+)
+from ebonyhold.prepaid._types import (
+    Change,
+    GrantNote,
+    Known,
+    PrepaidRow,
+    budget_row_key,
+    grant_row_key,
+)
+from ebonyhold.types import RouterId, Tokens, WorkspaceName
+
+
+@frozen
+class Moves:
+    """What a change moves.
+
+    Attributes:
+        drawn: Tokens from the budget to the grant.
+        returned: Tokens back.
+        billed: Charges that are filed.
+        ceiling: The grant's ceiling after it.
+    """
+
+    drawn: Tokens
+    returned: Tokens
+    billed: Tokens
+    ceiling: Tokens
+
+
+def make_change(
+    workspace: WorkspaceName,
+    router: RouterId,
+    known: Known,
+    base: PrepaidRow,
+    moves: Moves,
+) -> Change:
+    """Return the change of both rows, or of the router's own alone.
+
+    A change of the ceiling alone leaves the budget's row out: routers that share a
+    budget would else lose races over nothing.
+
+    Args:
+        workspace: Whose budget.
+        router: Whose grant.
+        known: Both rows as they are.
+        base: The budget with what the operator prepaid by now.
+        moves: What changes.
+    """
+    budget = change_budget(
+        base.budget, drawn=moves.drawn, returned=moves.returned, paid=moves.billed
+    )
+    grant = change_grant(
+        known.note.grant,
+        drawn=moves.drawn,
+        returned=moves.returned,
+        billed=moves.billed,
+    )
+    note = GrantNote(grant, moves.ceiling)
+    after = Known(PrepaidRow(base.rules_version, budget), known.budget_version, note, 0)
+    note_key = grant_row_key(workspace, router)
+    checks: list[Check] = [check(note_key, known.note_version)]
+    writes = [Put(note_key, to_json(note))]
+    if after.budget != known.budget:
+        budget_key = budget_row_key(workspace)
+        checks.append(check(budget_key, known.budget_version))
+        writes.append(Put(budget_key, to_json(after.budget)))
+    transaction = Transaction(tuple(checks), tuple(writes))
+    return Change(transaction, after, moves.drawn, moves.returned, moves.billed)
+
+
+def check(key: str, version: int) -> Check:
+    """Return the check that a row is still at a version; 0 means absent."""
+    return AtVersion(key, version) if version else Absent(key)
--- a/ebonyhold/prepaid/_types.py
+++ b/ebonyhold/prepaid/_types.py
@@ -116,6 +116,11 @@
     returned: Tokens = 0
     billed: Tokens = 0
 
+    @property
+    def writes_budget(self) -> bool:
+        """Whether the budget's row is written beside the router's own."""
+        return len(self.transaction.writes) > 1
+
 
 @frozen
 class PrepaidOptions:
--- /dev/null
+++ b/tests/forwarding/test_decisions.py
@@ -0,0 +1,170 @@
+"""Routes, choice of a server and shares of the retry budget, without a network."""
+
+from __future__ import annotations
+
+import pytest
+
+from ebonyhold.forwarding import (
+    Backend,
+    BackendState,
+    BackendTable,
+    CallerRequest,
+    Entry,
+    FleetRetries,
+    NoRouteError,
+    RetryRules,
+    ServiceShare,
+    choose,
+    choose_service,
+    find_route,
+)
+from ebonyhold.platform import read_configuration
+from tests.forwarding.kit import route, rules
+from tests.platform.test_documents import CONFIGURATION, encode
+
+
+def backend(name: str, domain: str = "a", **more: object) -> Backend:
+    """Return a server's entry."""
+    known: dict[str, object] = {"state": BackendState.READY, "started_at": 1}
+    return Backend(
+        name,
+        "svc",
+        ("127.0.0.1", 1),
+        domain,
+        4,
+        **{**known, **more},  # type: ignore[arg-type]
+    )
+
+
+def entries(*loads: int) -> list[Entry]:
+    """Return servers with these requests in flight."""
+    return [
+        Entry(backend(f"s{number}", "ab"[number % 2]), in_flight=load)
+        for number, load in enumerate(loads)
+    ]
+
+
+PATHS = [
+    ("h.example", "/safe/x", "safe"),
+    ("h.example", "/safe/", "safe"),
+    ("h.example", "/safe/x/y?q=/unsafe/", "safe"),
+    ("h.example", "/safe", None),
+    ("h.example", "/safely/x", None),
+    ("h.example", "", None),
+    ("other", "/safe/x", None),
+]
+
+
+@pytest.mark.parametrize(("host", "path", "name"), PATHS)
+def test_routes(host: str, path: str, name: str | None) -> None:
+    if name is None:
+        with pytest.raises(NoRouteError):
+            find_route(rules(), host, path)
+    else:
+        assert find_route(rules(), host, path).name == name
+
+
+def test_the_longest_prefix_wins() -> None:
+    base = CONFIGURATION["routes"][0]
+    longer = {**base, "name": "long", "prefix": "/a/b/"}
+    found = read_configuration(encode({**CONFIGURATION, "routes": [base, longer]}))
+    assert find_route(found, "h.example", "/a/b/c").name == "long"
+    assert find_route(found, "h.example", "/a/c").name == "r"
+
+
+@pytest.mark.parametrize(("chance", "name"), [(0.0, "s"), (0.89, "s"), (0.91, "t")])
+def test_a_split_route(chance: float, name: str) -> None:
+    split = route("x", rules().routes["h.example"]["/safe/"].kind)
+    shares = (ServiceShare("s", 90), ServiceShare("t", 10))
+    object.__setattr__(split, "shares", shares)
+    assert choose_service(split, chance) == name
+
+
+def shared(own: str) -> CallerRequest:
+    """Return a request that shares all but its last part with others."""
+    parts = (("system", 800), ("book", 400), (own, 90))
+    return CallerRequest(own, prompt_parts=parts)
+
+
+def test_requests_that_share_a_prompt_go_to_one_server() -> None:
+    """Each router chooses alone, and all choose the same server.
+
+    Else every server reads the same long prompt again.
+    """
+    chosen = {
+        choose(shared(f"r{n}"), entries(0, 0, 0, 0), "ab"[n % 2]).backend.name
+        for n in range(20)
+    }
+    assert len(chosen) == 1
+
+
+def test_a_popular_prompt_does_not_overload_its_server() -> None:
+    servers = entries(0, 0, 0, 0)
+    for number in range(40):
+        choose(shared(f"r{number}"), servers, "a").in_flight += 1
+    loads = sorted(server.in_flight for server in servers)
+    assert loads[-1] - loads[0] <= 4
+
+
+def test_plain_requests_stay_near_until_that_is_busier() -> None:
+    servers = entries(0, 0, 0, 0)
+    plain = CallerRequest("r")
+    assert choose(plain, servers, "a").backend.domain == "a"
+    for server in servers:
+        server.in_flight = 3 if server.backend.domain == "a" else 0
+    assert choose(plain, servers, "a").backend.domain == "b"
+
+
+def test_servers_that_drain_or_moved_get_nothing() -> None:
+    table = BackendTable()
+    table.update(backend("s0", state=BackendState.DRAINING))
+    table.update(backend("s1"))
+    table.update(backend("s2"))
+    table.entries["s1"].moved = True
+    names = [entry.backend.name for entry in table.usable("svc", 0.0)]
+    assert names == ["s2"]
+    assert table.usable("svc", 0.0, ["s2"]) == []
+
+
+def test_a_full_server_is_left_alone_for_a_moment() -> None:
+    table = BackendTable()
+    table.update(backend("s1"))
+    table.update(backend("s2"))
+    table.entries["s1"].full_until = 1.0
+    assert [e.backend.name for e in table.usable("svc", 0.5)] == ["s2"]
+    assert len(table.usable("svc", 1.0)) == 2
+    table.entries["s2"].full_until = 1.0
+    assert len(table.usable("svc", 0.5)) == 2
+
+
+def test_an_unreachable_server_is_tried_again_soon() -> None:
+    table = BackendTable()
+    for name in ("s1", "s2", "s3"):
+        table.update(backend(name))
+    table.ejector.lost("s1", 0.0)
+    assert len(table.usable("svc", 0.1)) == 2
+    assert len(table.usable("svc", 3.0)) == 3
+
+
+@pytest.mark.parametrize("routers", [1, 9, 80])
+def test_the_fleet_keeps_the_retry_budget(routers: int) -> None:
+    """Everything fails at once, and each router would repeat each request.
+
+    Without talking, they stay within the budget that they share.
+    """
+    budget = RetryRules(ratio=0.2, extra=58.0, window=10.0)
+    fleet = [FleetRetries(budget, lambda: routers) for _ in range(routers)]
+    requests = retries = 0
+    for tick in range(100):
+        for router in fleet:
+            router.request("svc", tick / 10)
+            requests += 1
+            retries += router.take("svc", tick / 10)
+    assert 0 < retries <= requests * budget.ratio + budget.extra
+
+
+def test_retries_come_back_with_the_window() -> None:
+    retries = FleetRetries(RetryRules(0.0, 10.0, 10.0), lambda: 1)
+    assert sum(retries.take("svc", 0.0) for _ in range(20)) == 7
+    assert not retries.take("svc", 9.9)
+    assert retries.take("svc", 10.1)
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -67,7 +67,7 @@
     await one.account.hold(100, "r")
     one.store.faults.down = True
     with pytest.raises(PlatformError):
-        one.account.known = None
+        one.account.books.known = None
         await one.account.tick()
     before = anyio.current_time()
     with pytest.raises(BudgetUnreachableError):
--- a/tests/prepaid/test_histories.py
+++ b/tests/prepaid/test_histories.py
@@ -182,7 +182,7 @@
         if self.doubtful is not None:
             self.ledger.available += self.doubtful.returned
             self.doubtful = None
-            self.known = None
+            self.books.known = None
         await super().round(closing)
 
 
