Return grants in all the time that a stop leaves; leave the row if some stay

Ruled out: the servers (206 answers of 500 in 4,600 requests), the store's rate. Change: returns are tried until just before the kill; the row stays if some failed; the reserve is released from 2.3 s.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -43,6 +43,9 @@
 END_MARGIN: Seconds = 1.2
 """How long before the kill the last requests are given up, to return grants."""
 
+EXIT_TIME: Seconds = 0.2
+"""What the interpreter takes to end, before the kill."""
+
 LEAVE_TIMEOUT: Seconds = 0.2
 """How long a stopping process tries to remove its row."""
 
@@ -236,7 +239,9 @@
             await self.listener.until_quiet()
         log.info("requests ended", extra={"cut": self.listener.working})
         with anyio.CancelScope(shield=True):
-            await self.treasury.close()
-            with anyio.move_on_after(LEAVE_TIMEOUT):
-                await self.presence.leave()
+            left = kill_at - anyio.current_time() - LEAVE_TIMEOUT - EXIT_TIME
+            if await self.treasury.close(left):
+                # While the row stands, a successor knows whose grants to reclaim.
+                with anyio.move_on_after(LEAVE_TIMEOUT):
+                    await self.presence.leave()
         tasks.cancel_scope.cancel()
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -31,7 +31,7 @@
 BEAT: Seconds = 0.4
 """Between two renewals.
 
-With a VM that is back 1.3 s after it lost its power it stays below the 1.9 s before
+With a VM that is back 1.3 s after it lost its power it stays below the 2.3 s before
 which nothing of a reserve is released.  At 330 routers it makes 825 writes a second,
 so a fleet of that size has to renew less often and release later.
 """
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -48,7 +48,7 @@
 """The part of the wanted room below which the ceiling is raised ahead of need.
 
 A cut may come at any moment, and nothing above the ceiling is spent in its first
-1.9 s; a larger part costs more calls.
+2.3 s; a larger part costs more calls.
 """
 
 RACE_PAUSE: Seconds = 0.02
--- a/ebonyhold/prepaid/_release.py
+++ b/ebonyhold/prepaid/_release.py
@@ -21,14 +21,15 @@
 
     Attributes:
         after: The time without renewal before any of it is released.  A VM that
-            lost its power is back within two seconds, and renewals come four times
-            a second; up to here a successor proves the whole reserve unspent.
+            lost its power is back after 1.3 s, and the last renewal may be 0.4 s
+            older; with the margin of the proof a successor proves the whole reserve
+            of such a VM unspent.
         first: The part that is released then.  Requests are large against a
             reserve, so an even release would refuse most of them for long.
         over: The time after that in which the rest is released.
     """
 
-    after: Seconds = 1.9
+    after: Seconds = 2.3
     first: float = 0.4
     over: Seconds = 4.0
 
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -18,9 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-CLOSE_TIMEOUT: Seconds = 0.6
-"""How long a router that stops tries to return its grants."""
-
 URGENT = 0.2
 """The part of the usual pause that is left while rows lag behind what is used.
 
@@ -128,18 +125,33 @@
                     log.warning("reclaim failed", extra=fields)
                     await anyio.sleep(self.options.tick)
 
-    async def close(self) -> None:
-        """Return what is free, as far as the time allows."""
-        with anyio.move_on_after(CLOSE_TIMEOUT):
-            async with anyio.create_task_group() as tasks:
-                for account in list(self.accounts.values()):
-                    tasks.start_soon(self.give_up, account)
+    async def close(self, timeout: Seconds) -> bool:
+        """Return what is free, as far as the time allows.
 
-    async def give_up(self, account: Account) -> None:
+        Args:
+            timeout: How long it may take, in seconds.
+
+        Returns:
+            Whether all grants were returned.  What was not stays out until a
+            successor proves it unspent.
+        """
+        kept = set(self.accounts)
+        with anyio.move_on_after(timeout):
+            while kept:
+                async with anyio.create_task_group() as tasks:
+                    for name in list(kept):
+                        tasks.start_soon(self.give_up, self.accounts[name], kept)
+                if kept:
+                    await anyio.sleep(self.options.tick * URGENT)
+        if kept:
+            log.warning("grants not returned", extra={"workspaces": sorted(kept)})
+        return not kept
+
+    async def give_up(self, account: Account, kept: set[WorkspaceName]) -> None:
         """Return one account's tokens."""
         try:
             await account.close()
+            kept.discard(account.workspace)
         except PlatformError as error:
-            # What stays in the grant counts as spent, which is safe.
             fields = {"workspace": account.workspace, "error": error.code}
-            log.warning("grant not returned", extra=fields)
+            log.info("grant not returned yet", extra=fields)
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -13,8 +13,9 @@
     PlatformError,
     UnknownOutcomeError,
 )
+from ebonyhold.prepaid import Treasury
 from ebonyhold.standins import RowHistory
-from tests.prepaid.kit import Router, budget, notes
+from tests.prepaid.kit import WORKSPACE, Router, budget, notes
 from tests.virtual import anyio_backend
 
 pytestmark = pytest.mark.anyio
@@ -94,7 +95,8 @@
     one.account.reachable = False
     room = one.account.limit - one.account.used
     assert room < one.account.ledger.available
-    await anyio.sleep(6.0)
+    schedule = one.account.schedule
+    await anyio.sleep(schedule.after + schedule.over + 0.1)
     assert one.account.limit - one.account.used == one.account.ledger.available
 
 
@@ -197,3 +199,36 @@
     await anyio.sleep(one.account.options.file_after + 0.1)
     await one.account.tick()
     assert notes(history)["vm-1.a"].grant.billed == 700
+
+
+async def test_a_stopping_router_returns_all_it_can_in_its_time() -> None:
+    """A router is told to stop while others write the same budgets, and is slow.
+
+    It gave up after 0.6 s of its 8 s; 494,000 tokens of four budgets stayed out, and
+    since its presence was removed, its successor did not look for them.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(1000, "r")
+    one.account.settle(1000, 400)
+    treasury = Treasury(
+        "vm-1.a", one.store, lambda name: (1, 100_000), lambda: 3, lambda: 0.0
+    )
+    treasury.accounts[WORKSPACE] = one.account
+    one.store.faults.throttled = 6
+    assert await treasury.close(5.0)
+    assert budget(history).budget.outstanding == 0
+
+
+async def test_a_stopping_router_says_what_it_could_not_return() -> None:
+    history = RowHistory()
+    one = router(history)
+    await one.presence.step()
+    await one.account.hold(1000, "r")
+    treasury = Treasury(
+        "vm-1.a", one.store, lambda name: (1, 100_000), lambda: 3, lambda: 0.0
+    )
+    treasury.accounts[WORKSPACE] = one.account
+    one.store.faults.down = True
+    assert not await treasury.close(2.0)
