--- a/ebonyhold/callers/_endpoints.py
+++ b/ebonyhold/callers/_endpoints.py
@@ -4,7 +4,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
 
 import anyio
 from attrs import define
@@ -30,14 +29,12 @@
 from ebonyhold.callers._refusals import Refusal
 from ebonyhold.callers._run import ChatRun
 from ebonyhold.callers._services import ServiceRun, read_service
+from ebonyhold.callers._serving import Serving
 from ebonyhold.callers._watched import REQUEST_HEADER
 from ebonyhold.coordination import Share
 from ebonyhold.document import BackendKind, Workspace
 from ebonyhold.types import Json, Seconds
 
-if TYPE_CHECKING:
-    from ebonyhold.callers._app import CallersApp
-
 BODY_WITHIN: Seconds = 30.0
 """How long a caller may take to send its body."""
 
@@ -46,7 +43,7 @@
 class Call:
     """One authenticated request on its way to a handler."""
 
-    app: CallersApp
+    app: Serving
     request: Request
     identity: Identity
     caller: Caller
@@ -102,7 +99,7 @@
 
 
 async def answer_stream(
-    app: CallersApp, run: ChatRun, request: Request, send: Send
+    app: Serving, run: ChatRun, request: Request, send: Send
 ) -> None:
     """Answer a chat request with a stream that a stop can end."""
     stream = StreamedChat(run, Pipe(app.fleet.document.limits.stream_buffer))
--- a/ebonyhold/configuration/_publisher.py
+++ b/ebonyhold/configuration/_publisher.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 from itertools import pairwise
-from typing import TYPE_CHECKING, TypeVar
+from typing import Protocol, TypeVar
 from uuid import uuid4
 
 import anyio
@@ -18,6 +18,7 @@
     find_change,
     find_changed_paths,
 )
+from ebonyhold.configuration._store import VersionStore
 from ebonyhold.coordination import (
     CONFIG_HEAD,
     CONFIG_VERSION_PREFIX,
@@ -25,6 +26,7 @@
     Fate,
     HeadRow,
     Row,
+    Table,
     TopUp,
     budget_key,
     config_version_key,
@@ -46,9 +48,6 @@
 )
 from ebonyhold.types import Seconds, Tokens
 
-if TYPE_CHECKING:
-    from ebonyhold.configuration._keeper import ConfigurationKeeper
-
 MOST_ATTEMPTS = 8
 """Commits of one version before its publisher gives up."""
 
@@ -78,6 +77,38 @@
 logger = logging.getLogger(__name__)
 
 
+class Adopting(Protocol):
+    """What a publication needs of the keeper that it belongs to.
+
+    Attributes:
+        table: Where versions are accepted.
+        store: Where their parts are.
+        clock: Tells the time, in seconds since the epoch.
+        version: The version in force here.
+        head: Its head row; None before the first.
+        state: Its parts.
+    """
+
+    table: Table
+    store: VersionStore
+    clock: Callable[[], float]
+    version: int
+    head: HeadRow | None
+    state: DocumentState
+
+    async def refresh_locked(self) -> Row | None:
+        """Refresh while the lock is held, and return the head row as read."""
+        ...
+
+    async def read_version(self, version: int) -> DocumentState:
+        """Read the parts of any version that is kept."""
+        ...
+
+    def install(self, head: HeadRow, state: DocumentState) -> None:
+        """Put a version into force."""
+        ...
+
+
 @define
 class Publisher:
     """Publishes one document.
@@ -94,7 +125,7 @@
         amounts: The first top-up of each workspace, in tokens.
     """
 
-    keeper: ConfigurationKeeper
+    keeper: Adopting
     document: Document
     based_on: int
     author: str
