Drop code that nothing uses; say what an account's attributes hold

Found in the last reading: CallerConnection.left, BackendTable.knows, two counters and a sum that nobody read.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -70,7 +70,6 @@
             self.backends.ejector.lost(backend.name, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.entry.in_flight += 1
-        self.entry.prompt_tokens += self.exchange.caller.prompt_tokens
         kept = False
         try:
             result, kept = await self.converse(channel)
@@ -79,7 +78,6 @@
             result = AttemptResult(AttemptEnd.LOST, reason=str(error))
         finally:
             self.entry.in_flight -= 1
-            self.entry.prompt_tokens -= self.exchange.caller.prompt_tokens
             # An engine drops a request whose connection closes, so one that was
             # given up on is not worked on while another server answers it.
             if not kept:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -35,7 +35,6 @@
     Attributes:
         backend: Its entry in the list.
         in_flight: Requests of this router that it works on.
-        prompt_tokens: The prompts of those.
         full_until: Until when it is left alone, since it had no room.
         moved: Whether another server answers at its address.
         gone_at: When to drop it, if its entry went while the store was away.
@@ -43,7 +42,6 @@
 
     backend: Backend
     in_flight: int = 0
-    prompt_tokens: int = 0
     full_until: Seconds = 0.0
     moved: bool = False
     gone_at: Seconds | None = None
@@ -127,10 +125,6 @@
         roomy = [entry for entry in sound if now >= entry.full_until]
         return roomy or sound or open_ones
 
-    def knows(self, service: ServiceName) -> bool:
-        """Tell whether any server of a service is listed."""
-        return any(e.backend.service == service for e in self.entries.values())
-
 
 def fields_of(backend: Backend) -> dict[str, object]:
     """Return what a log line says of a server."""
--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -230,11 +230,6 @@
             invitation = h11.InformationalResponse(status_code=100, headers=[])
             await self.stream.send(self.parser.send(invitation) or b"")
 
-    async def left(self) -> None:
-        """Return when the caller has closed its connection."""
-        while not self.inbox.ended:
-            await self.inbox.changed.wait()
-
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer at once."""
         length = (b"content-length", b"%d" % len(body))
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -95,7 +95,6 @@
         request: The request under way.
         writing: Whether a large request is still being written.
         usable_until: When it is too old to be used again.
-        served: How many requests it has carried.
     """
 
     stream: SocketStream
@@ -106,7 +105,6 @@
     writing: bool = False
     closed: bool = False
     usable_until: Seconds = 0.0
-    served: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.inbox = Inbox(self.stream)
@@ -119,7 +117,6 @@
             BackendLostError: The connection is broken.
         """
         self.request = request
-        self.served += 1
         data = self.encode(request)
         if len(data) > LARGE_BODY:
             self.writing = True
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -68,16 +68,23 @@
         workspace: Whose tokens.
         router: Whose grant.
         store: Where budgets and grants are kept.
-        prepaid: Returns the prepaid tokens and the version of the configuration
-            that says so; None where there is no bound.
+        prepaid: Returns the version of the configuration and the prepaid tokens
+            that it names.
         routers: Returns how many routers share the budget.
         elapsed: Returns the time since this router last renewed its presence.
+        schedule: When the reserve above the ceiling is released.
+        policy: Sizes the grant.
         ledger: The tokens of the grant here.
         ceiling: The most tokens that may be used in all while in touch; it is
             never above what the store says, or may soon say.
+        demand: What this router expects to be asked for.
         books: Both rows in the store.
         doubtful: A change whose effect is unknown.
         filed_at: When charges were last filed.
+        asked: The size of the request that waits for a draw; 0 if none does.
+        reachable: Whether the last round reached the store.
+        charged: Tokens that requests have cost since the start.
+        lock: Held by the one round that may be under way.
     """
 
     workspace: WorkspaceName
@@ -98,7 +105,6 @@
     asked: Tokens = 0
     reachable: bool = True
     charged: Tokens = 0
-    requests: int = 0
     lock: anyio.Lock = field(factory=anyio.Lock)
 
     def __attrs_post_init__(self) -> None:
@@ -194,7 +200,6 @@
         """End a request's hold with what it cost."""
         self.ledger.settle(hold, min(charge, hold))
         self.charged += min(charge, hold)
-        self.requests += 1
 
     async def tick(self) -> None:
         """Look after the grant: draw ahead, return, file charges.
