--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -121,6 +121,7 @@
         version: The version of the own row.
         in_doubt: Whether a renewal was sent whose effect is unknown.
         renewed_at: When the last renewal was sent that may have taken effect.
+        missing: Whether the last renewal failed.
         seen: The rows of all routers.
         most: The most routers that were counted.
     """
@@ -136,6 +137,7 @@
     version: int = 0
     in_doubt: bool = False
     renewed_at: Seconds = -1e9
+    missing: bool = False
     clock: StoreClock = field(factory=StoreClock)
     seen: dict[str, Sighting] = field(factory=dict)
     most: int = 0
@@ -164,10 +166,24 @@
         while True:
             try:
                 await self.step()
+                self.note_renewed()
             except PlatformError as error:
-                log.debug("presence not renewed", extra={"error": error.code})
+                self.note_missed(error)
             await anyio.sleep(BEAT)
 
+    def note_renewed(self) -> None:
+        """Log that renewals work again, if they did not."""
+        if self.missing:
+            log.info("presence renewed again", extra={"life": self.incarnation})
+        self.missing = False
+
+    def note_missed(self, error: PlatformError) -> None:
+        """Log the first of several renewals that failed."""
+        if not self.missing:
+            fields = {"error": error.code, "detail": str(error)}
+            log.warning("presence not renewed", extra=fields)
+        self.missing = True
+
     async def step(self) -> None:
         """Renew the own row; count the routers now and then."""
         if not self.started.is_set():
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -200,3 +200,25 @@
     store.faults.down = False
     await first.step()
     assert not first.in_doubt and store.faults.late == 1
+
+
+async def test_the_first_missed_renewal_is_logged_and_its_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The store is away for a while, and on-call has only the logs.
+
+    A line for each try would hide the others; none would hide why grants opened
+    their reserve.
+    """
+    caplog.set_level("INFO")
+    store = MemoryRows()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(presence(store, "vm-1.a").run)
+        await anyio.sleep(2)
+        store.faults.down = True
+        await anyio.sleep(3)
+        store.faults.down = False
+        await anyio.sleep(1)
+        tasks.cancel_scope.cancel()
+    said = [record.message for record in caplog.records]
+    assert said == ["presence not renewed", "presence renewed again"]
