--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -2,10 +2,12 @@
 
 from ebonyhold.forwarding._backends import BackendTable, Entry
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
-from ebonyhold.forwarding._channel import Channel, Outbound
+from ebonyhold.forwarding._calls import CallNotSentError, HttpCalls
+from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._choice import choose
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
+from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._forwarder import Forwarder, Purse
 from ebonyhold.forwarding._listener import CallerListener
 from ebonyhold.forwarding._pool import ChannelPool
@@ -39,9 +41,11 @@
 
 __all__ = [
     "AnswerFacts",
+    "AnswerHead",
     "Backend",
     "BackendState",
     "BackendTable",
+    "CallNotSentError",
     "CallerConnection",
     "CallerLimits",
     "CallerListener",
@@ -55,6 +59,7 @@
     "FleetRetries",
     "Forwarder",
     "Headers",
+    "HttpCalls",
     "Match",
     "NoRouteError",
     "Outbound",
@@ -71,6 +76,7 @@
     "ServiceShare",
     "StreamEvent",
     "UnknownKeyError",
+    "WholeAnswer",
     "Workspace",
     "choose",
     "choose_service",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -65,7 +65,7 @@
         """Make the attempt."""
         backend = self.entry.backend
         try:
-            channel = await self.pool.get(backend)
+            channel = await self.pool.get(backend.name, backend.address)
         except BackendLostError as error:
             self.backends.ejector.lost(backend.name, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -7,7 +7,6 @@
 from attrs import define, field
 
 from ebonyhold.forwarding._channel import Channel, open_channel
-from ebonyhold.forwarding._types import Backend
 from ebonyhold.types import BackendName, Seconds
 
 SWEEP: Seconds = 1.0
@@ -31,17 +30,17 @@
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
 
-    async def get(self, backend: Backend) -> Channel:
+    async def get(self, name: BackendName, address: tuple[str, int]) -> Channel:
         """Return a connection to a server, kept or new.
 
         Raises:
             BackendLostError: It cannot be reached.
         """
-        kept = self.take(backend.name)
+        kept = self.take(name)
         if kept is not None:
             return kept
         self.opened += 1
-        return await open_channel(backend.address, self.tasks)
+        return await open_channel(address, self.tasks)
 
     def take(self, name: BackendName) -> Channel | None:
         """Return a kept connection that can still be used."""
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -112,6 +112,7 @@
         settings = self.peers.settings
         log.info("starting", extra={"vm": settings.name, "domain": settings.domain})
         async with anyio.create_task_group() as tasks:
+            self.peers.store.start(tasks)
             tasks.start_soon(self.await_signals, tasks)
             tasks.start_soon(self.rules_watcher.run)
             tasks.start_soon(self.servers_watcher.run)
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from anyio.abc import TaskGroup
 from attrs import frozen
 
 from ebonyhold.forwarding import Backend, Dialect, RetryRules, Ruleset
@@ -22,7 +23,7 @@
         callers: Where callers connect.
         readiness: Where it is asked whether it takes callers.
         host: The address of its other listeners.
-        store: The base URL of the store.
+        store: Where the store is called.
         grace: From the signal to stop to the kill.
         retry_ratio: Retries that all routers together may make for each request.
         retry_extra: Retries that they may make beside those.
@@ -35,7 +36,7 @@
     callers: tuple[str, int]
     readiness: tuple[str, int]
     host: str
-    store: str
+    store: tuple[str, int]
     grace: Seconds = 8.0
     retry_ratio: float = 0.1
     retry_extra: float = 10.0
@@ -84,6 +85,10 @@
 class GatewayStore(PrepaidStore, Protocol):
     """The store, as a gateway needs it."""
 
+    def start(self, tasks: TaskGroup) -> None:
+        """Take the task group in which connections are read."""
+        ...
+
     async def snapshot(self, table: str, part: str = "") -> Snapshot:
         """Read all rows of one part of a table.
 
--- a/ebonyhold/platform/_settings.py
+++ b/ebonyhold/platform/_settings.py
@@ -38,7 +38,7 @@
             # The address whose answers decide whether callers are sent here.
             readiness=read_address(listen[READINESS]),
             host=str(raw["ip-address"]),
-            store=f"http://{raw['platform']['address']}",
+            store=read_address(raw["platform"]["address"]),
             # From the signal to the kill that follows it.
             grace=float(bounds["grace-s"]),
             retry_ratio=float(bounds["retry-budget-ratio"]),
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -5,19 +5,23 @@
 import base64
 import json
 import logging
+from http import HTTPStatus
 from typing import Any
+from urllib.parse import urlencode
 
-import httpx
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.coordination import Absent, Check, Put, Row, Transaction
 from ebonyhold.exceptions import (
+    BackendLostError,
     ConflictError,
     HistoryLostError,
     ThrottledError,
     UnavailableError,
     UnknownOutcomeError,
 )
+from ebonyhold.forwarding import CallNotSentError, HttpCalls, Outbound, WholeAnswer
 from ebonyhold.gateway import Changes, RawRow, Snapshot
 from ebonyhold.prepaid import Committed
 from ebonyhold.types import Seconds
@@ -37,18 +41,17 @@
 CALL_TIMEOUT: Seconds = 0.6
 """The longest wait for one call; an answer usually takes some 12 ms."""
 
-CONNECT_TIMEOUT: Seconds = 0.3
-"""The longest wait for a connection; the way there and back takes some ms."""
-
 FEED_MARGIN: Seconds = 0.5
 """How much longer than asked a call for changes may take."""
 
-UNDONE = (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.SERVICE_UNAVAILABLE)
+UNDONE = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 """Statuses by which the store says that it did nothing."""
 
 PAGE = 500
 """Rows of one answer."""
 
+JSON = [(b"content-type", b"application/json")]
+
 
 def split_key(key: str) -> dict[str, str]:
     """Split a key, written ``table/part/rest``, as the platform addresses rows.
@@ -103,16 +106,15 @@
 class StoreClient:
     """The platform's store; it keeps nothing between calls but connections."""
 
-    address: str
-    http: httpx.AsyncClient = field(init=False)
+    address: tuple[str, int]
+    calls: HttpCalls = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        timeout = httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT)
-        self.http = httpx.AsyncClient(base_url=self.address, timeout=timeout)
+        self.calls = HttpCalls(self.address)
 
-    async def close(self) -> None:
-        """Close the connections."""
-        await self.http.aclose()
+    def start(self, tasks: TaskGroup) -> None:
+        """Take the task group in which connections are read."""
+        self.calls.start(tasks)
 
     async def ask(self, path: str, query: dict[str, str], wait: Seconds = 0) -> Any:
         """Make a reading call.
@@ -122,12 +124,14 @@
             UnavailableError: The store did not answer as it should.
         """
         limit = wait + FEED_MARGIN if wait else CALL_TIMEOUT
-        timeout = httpx.Timeout(limit, connect=CONNECT_TIMEOUT)
+        target = f"{path}?{urlencode(query)}".encode()
         try:
-            answer = await self.http.get(path, params=query, timeout=timeout)
-        except httpx.HTTPError as error:
-            raise UnavailableError(f"{path}: {error!r}") from error
-        if answer.status_code == httpx.codes.GONE:
+            answer = await self.calls.call(
+                Outbound(b"GET", target, [], b"", False), limit
+            )
+        except BackendLostError as error:
+            raise UnavailableError(f"{path}: {error}") from error
+        if answer.head.status == HTTPStatus.GONE:
             raise HistoryLostError(path)
         check_status(path, answer)
         return decode_body(path, answer)
@@ -186,58 +190,62 @@
             UnknownOutcomeError: It may have taken effect, or may yet.
         """
         body = encode_transaction(transaction)
+        content = json.dumps(body, separators=(",", ":")).encode()
+        request = Outbound(b"POST", TRANSACT.encode(), JSON, content, True)
         try:
-            answer = await self.http.post(TRANSACT, json=body)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise UnavailableError(f"{TRANSACT}: {error!r}") from error
-        except httpx.HTTPError as error:
-            raise UnknownOutcomeError(f"{TRANSACT}: {error!r}") from error
-        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
+            answer = await self.calls.call(request, CALL_TIMEOUT)
+        except CallNotSentError as error:
+            raise UnavailableError(f"{TRANSACT}: {error}") from error
+        except BackendLostError as error:
+            raise UnknownOutcomeError(f"{TRANSACT}: {error}") from error
+        status = answer.head.status
+        if status == HTTPStatus.PRECONDITION_FAILED:
             rows = conflicting_rows(answer)
             keys = tuple(row.key for row in rows)
             raise ConflictError("a check failed", keys, rows)
-        if answer.status_code not in UNDONE and answer.status_code != httpx.codes.OK:
-            raise UnknownOutcomeError(f"{TRANSACT}: status {answer.status_code}")
+        if status not in UNDONE and status != HTTPStatus.OK:
+            raise UnknownOutcomeError(f"{TRANSACT}: status {status}")
         check_status(TRANSACT, answer)
         try:
-            raw = answer.json()
+            raw = json.loads(answer.body)
             return Committed(int(raw[VERSION]), raw[NOW] / 1000)
         except (ValueError, KeyError, TypeError) as error:
             raise UnknownOutcomeError(f"{TRANSACT}: {error!r}") from error
 
 
-def conflicting_rows(answer: httpx.Response) -> tuple[Row, ...]:
+def conflicting_rows(answer: WholeAnswer) -> tuple[Row, ...]:
     """Return the rows that a failed transaction checked, as they are now.
 
     A body that cannot be read tells nothing of them; the failure itself is certain.
     """
     try:
-        return tuple(decode_row(raw) for raw in answer.json().get("rows", ()))
+        return tuple(decode_row(raw) for raw in json.loads(answer.body).get("rows", ()))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         log.warning("conflict without rows", extra={"detail": repr(error)})
         return ()
 
 
-def check_status(path: str, answer: httpx.Response) -> None:
+def check_status(path: str, answer: WholeAnswer) -> None:
     """Make sure that the store did what was asked.
 
     Raises:
         ThrottledError: It refused for its rate ceiling; nothing was done.
         UnavailableError: It did nothing.
     """
-    if answer.status_code == httpx.codes.TOO_MANY_REQUESTS:
+    status = answer.head.status
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
         raise ThrottledError(f"{path}: over the rate ceiling")
-    if answer.status_code != httpx.codes.OK:
-        raise UnavailableError(f"{path}: status {answer.status_code}")
+    if status != HTTPStatus.OK:
+        raise UnavailableError(f"{path}: status {status}")
 
 
-def decode_body(path: str, answer: httpx.Response) -> Any:
+def decode_body(path: str, answer: WholeAnswer) -> Any:
     """Read the JSON body of an answer.
 
     Raises:
         UnavailableError: It is none.
     """
     try:
-        return answer.json()
+        return json.loads(answer.body)
     except ValueError as error:
         raise UnavailableError(f"{path}: malformed answer: {error}") from error
--- a/ebonyhold/standins/_rows.py
+++ b/ebonyhold/standins/_rows.py
@@ -5,6 +5,7 @@
 import json
 
 import anyio
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.coordination import Absent, Check, Put, Row, Transaction
@@ -87,6 +88,10 @@
     history: RowHistory = field(factory=RowHistory)
     faults: Faults = field(factory=Faults)
 
+    def start(self, tasks: TaskGroup) -> None:
+        """Take a task group; there are no connections to read here."""
+        del tasks
+
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Read rows whose key starts with a prefix, in the order of their keys."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,7 +36,7 @@
     write(tmp_path, FILE, monkeypatch)
     settings = load_platform_settings()
     assert settings.callers == ("10.1.0.40", 8227)
-    assert settings.store == "http://10.200.1.7:8223"
+    assert settings.store == ("10.200.1.7", 8223)
     assert settings.retry_rules.extra == 58
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,23 +6,32 @@
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
-import httpx
 import pytest
+from attrs import define, field
 
 from ebonyhold.coordination import Absent, AtVersion, Delete, Put, Transaction
 from ebonyhold.exceptions import (
+    BackendLostError,
     ConflictError,
     HistoryLostError,
     ThrottledError,
     UnavailableError,
     UnknownOutcomeError,
 )
+from ebonyhold.forwarding import (
+    AnswerHead,
+    CallNotSentError,
+    HttpCalls,
+    Outbound,
+    WholeAnswer,
+)
 from ebonyhold.platform import StoreClient
 from ebonyhold.prepaid import Committed
 
 pytestmark = pytest.mark.anyio
-Handler = Callable[[httpx.Request], httpx.Response]
+Handler = Callable[[Outbound], WholeAnswer]
 Call = Callable[[StoreClient], Awaitable[Any]]
 
 CHANGE = Transaction(
@@ -33,29 +42,43 @@
 
 @pytest.fixture
 def anyio_backend() -> str:
-    """The client's scripted transport needs no clock."""
+    """The scripted calls need no clock."""
     return "asyncio"
 
 
+@define(eq=False)
+class ScriptedCalls(HttpCalls):
+    """Calls that a function answers, in place of a connection."""
+
+    handler: Handler = field(kw_only=True)
+
+    async def call(self, request: Outbound, timeout: float) -> WholeAnswer:
+        assert 0 < timeout < 2
+        return self.handler(request)
+
+
 def client(handler: Handler) -> StoreClient:
     """Return a client whose calls are answered by a function."""
-    store = StoreClient("http://store")
-    transport = httpx.MockTransport(handler)
-    store.http = httpx.AsyncClient(base_url="http://store", transport=transport)
+    store = StoreClient(("127.0.0.1", 1))
+    store.calls = ScriptedCalls(store.address, handler=handler)
     return store
 
 
+def answer(status: int, body: Any = None) -> WholeAnswer:
+    """Return an answer with a JSON body, or with bytes as they are."""
+    content = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return WholeAnswer(AnswerHead(status, []), content)
+
+
 def reply(status: int, body: Any = None) -> Handler:
     """Return a handler that always answers the same."""
-    if isinstance(body, bytes):
-        return lambda request: httpx.Response(status, content=body)
-    return lambda request: httpx.Response(status, json=body)
+    return lambda request: answer(status, body)
 
 
-def fail(error: type[httpx.TransportError]) -> Handler:
+def fail(error: type[BackendLostError]) -> Handler:
     """Return a handler that never answers."""
 
-    def handler(request: httpx.Request) -> httpx.Response:
+    def handler(request: Outbound) -> WholeAnswer:
         raise error("lost")
 
     return handler
@@ -88,18 +111,15 @@
     (transact, reply(500), UnknownOutcomeError),
     (transact, reply(200, b"not json"), UnknownOutcomeError),
     (transact, reply(200, {}), UnknownOutcomeError),
-    (transact, fail(httpx.ConnectError), UnavailableError),
-    (transact, fail(httpx.ConnectTimeout), UnavailableError),
-    (transact, fail(httpx.ReadTimeout), UnknownOutcomeError),
-    (transact, fail(httpx.ReadError), UnknownOutcomeError),
-    (transact, fail(httpx.RemoteProtocolError), UnknownOutcomeError),
+    (transact, fail(CallNotSentError), UnavailableError),
+    (transact, fail(BackendLostError), UnknownOutcomeError),
     (read, reply(429), ThrottledError),
     (read, reply(503), UnavailableError),
     (read, reply(200, b"not json"), UnavailableError),
-    (read, fail(httpx.ReadTimeout), UnavailableError),
+    (read, fail(BackendLostError), UnavailableError),
     (follow, reply(410), HistoryLostError),
     (follow, reply(503), UnavailableError),
-    (follow, fail(httpx.ReadTimeout), UnavailableError),
+    (follow, fail(CallNotSentError), UnavailableError),
 ]
 
 
@@ -113,9 +133,9 @@
 async def test_a_transaction() -> None:
     seen: list[Any] = []
 
-    def handler(request: httpx.Request) -> httpx.Response:
-        seen.append((request.url.path, json.loads(request.content)))
-        return httpx.Response(200, json={"version-number": 12, "now-ms": 5230})
+    def handler(request: Outbound) -> WholeAnswer:
+        seen.append((request.target.decode(), json.loads(request.body)))
+        return answer(200, {"version-number": 12, "now-ms": 5230})
 
     assert await client(handler).commit(CHANGE) == Committed(12, 5.23)
     path, body = seen[0]
@@ -134,15 +154,16 @@
         {"rows": [row("a", 1, 1)], "truncated": True, "version-number": 8},
         {"rows": [row("b", 2, 2)], "truncated": False, "version-number": 9},
     ]
-    starts: list[str | None] = []
+    starts: list[list[str]] = []
 
-    def handler(request: httpx.Request) -> httpx.Response:
-        starts.append(request.url.params.get("from"))
-        return httpx.Response(200, json=pages[len(starts) - 1])
+    def handler(request: Outbound) -> WholeAnswer:
+        query = parse_qs(urlsplit(request.target.decode()).query)
+        starts.append(query.get("from", []))
+        return answer(200, pages[len(starts) - 1])
 
     found = await client(handler).snapshot("t", "p")
     assert [item.key for item in found.rows] == ["a", "b"]
-    assert starts == [None, "a\0"]
+    assert starts == [[], ["a\0"]]
 
 
 async def test_changes_tell_of_deletions() -> None:
