--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -94,21 +94,25 @@
             return 0
         grant = from_json(grant_row.value, GrantRow)
         granted = grant.drawn - grant.returned
-        left = granted - predecessor.limit(workspace)
-        if left <= 0:
-            return 0
-        try:
-            await store.commit(give_back(budget_row, grant_row, grant, left))
-        except ConflictError:
-            await anyio.sleep(random.random() * PAUSE)
-            continue
+        limit = predecessor.limit(workspace)
+        left = max(0, granted - limit)
         fields = {
             "workspace": workspace,
             "predecessor": predecessor.router,
             "returned": left,
             "granted": granted,
+            "limit": limit,
+            "filed": grant.billed,
             "elapsed": round(predecessor.elapsed, 2),
         }
+        if not left:
+            log.info("grant not reclaimed", extra=fields)
+            return 0
+        try:
+            await store.commit(give_back(budget_row, grant_row, grant, left))
+        except ConflictError:
+            await anyio.sleep(random.random() * PAUSE)
+            continue
         log.info("grant reclaimed", extra=fields)
         return left
     raise UnavailableError(f"{workspace}: lost {TRIES} races for the budget")
