Read budgets for their level as seldom as the fleet is large

Change: the age grows with the routers beyond ten, so that all together read a budget some three times a second at any size.

--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -117,7 +117,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.demand = Demand(self.options.demand_memory)
-        self.books = Books(self.workspace, self.router, self.store)
+        self.books = Books(self.workspace, self.router, self.store, self.routers)
 
     @property
     def used(self) -> Tokens:
--- a/ebonyhold/prepaid/_books.py
+++ b/ebonyhold/prepaid/_books.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import anyio
 from attrs import define, evolve
@@ -27,12 +27,17 @@
 workspace follow what other routers return closely enough.
 """
 
-STALE_AFTER: Seconds = 3.0
-"""How old the budget may be by whose level a grant is kept.
+STALE_AFTER: Seconds = 0.3
+"""How old the budget may be, for each router, by whose level a grant is kept.
 
-Others that need tokens show there only; older, a grant that is not needed stays.
+Others that need tokens show there only; older, a grant that is not needed stays.  All
+routers together read each budget some three times a second at any size of the fleet:
+with 3 s for each, 84 routers made 670 of their 1,800 calls a second for it.
 """
 
+LEAST_SHARERS = 10
+"""The routers that are counted at least; fewer need not read more often than in 3 s."""
+
 TRUST: Seconds = 2.0
 """How old the budget may be that a final refusal rests on.
 
@@ -49,6 +54,7 @@
         workspace: Whose budget.
         router: Whose grant; nobody else writes its row while it lives.
         store: Where both are kept.
+        routers: Returns how many routers share the budget.
         known: Both rows; None before the first reading and after a lost race whose
             answer did not hold them.
         checked_at: When the budget was last confirmed by the store.
@@ -57,6 +63,7 @@
     workspace: WorkspaceName
     router: RouterId
     store: PrepaidStore
+    routers: Callable[[], int]
     known: Known | None = None
     checked_at: Seconds = -1e9
 
@@ -118,7 +125,7 @@
         """Tell whether the budget must be read again before it is decided on."""
         if need > known.budget.budget.remaining:
             return self.age() > REREAD_AFTER
-        return holding and self.age() > STALE_AFTER
+        return holding and self.age() > STALE_AFTER * max(LEAST_SHARERS, self.routers())
 
     async def read(self) -> Known:
         """Read both rows.
