Split the account: what is decided, and the grant that carries changes

Grant keeps the tokens here and the rows that say so: it sends a change, finds out what became of one in doubt, and takes an inheritance; Account decides and answers requests. A refusal's line has the age of the limit that it rests on. Demand counts only requests that got their tokens, and an empty budget calls small rests back.

--- a/ebonyhold/coordination/_cover.py
+++ b/ebonyhold/coordination/_cover.py
@@ -80,7 +80,7 @@
             return GrantSize(draw=min(view.need + wanted, left))
         if view.available < self.low(wanted, view.typical):
             return GrantSize(draw=min(wanted - view.available, left))
-        if view.available > self.return_above * wanted + view.typical:
+        if view.available > self.high(wanted, left, view.typical):
             return GrantSize(give_back=view.available - wanted)
         return GrantSize()
 
@@ -88,6 +88,16 @@
         """Return the level of a grant below which more is drawn."""
         return min(self.keep_below * wanted, wanted - self.least_draw * typical)
 
+    def high(self, wanted: Tokens, left: Tokens, typical: Tokens) -> float:
+        """Return the level of a grant above which some goes back.
+
+        Once the budget itself cannot serve a usual request, what one router keeps
+        another refuses: 12 routers kept 5% of a spent budget, each less than a draw.
+        """
+        if left < typical:
+            return wanted + typical / 2
+        return self.return_above * wanted + typical
+
     def wanted(self, view: GrantView) -> Tokens:
         """Return the tokens that should be available after this."""
         cover = outage_cover(view)
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -195,12 +195,12 @@
             backend = entry.backend
             self.meters.servers.labels(backend.service, backend.state.value).inc()
         for account in self.treasury.accounts.values():
-            ledger = account.ledger
+            ledger = account.grant.ledger
             name = account.workspace
             self.meters.tokens.labels(name, "available").set(ledger.available)
             self.meters.tokens.labels(name, "held").set(ledger.held)
             self.meters.tokens.labels(name, "unfiled").set(ledger.unfiled)
-            self.meters.tokens.labels(name, "charged").set(account.charged)
+            self.meters.tokens.labels(name, "charged").set(account.grant.charged)
         if self.pool is not None:
             self.meters.connections.set(self.pool.opened)
 
--- a/ebonyhold/prepaid/__init__.py
+++ b/ebonyhold/prepaid/__init__.py
@@ -2,6 +2,7 @@
 
 from ebonyhold.prepaid._account import Account
 from ebonyhold.prepaid._demand import Demand
+from ebonyhold.prepaid._grant import Grant
 from ebonyhold.prepaid._limits import LimitBook, Limits, Renewal, SpendingLimit
 from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._treasury import Treasury
@@ -22,6 +23,7 @@
     "Change",
     "Committed",
     "Demand",
+    "Grant",
     "Known",
     "LimitBook",
     "Limits",
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -11,7 +11,6 @@
 
 from ebonyhold.coordination import (
     BudgetRow,
-    GrantLedger,
     GrantPolicy,
     GrantSize,
     GrantView,
@@ -23,23 +22,15 @@
     BudgetUnreachableError,
     ConflictError,
     PlatformError,
-    UnavailableError,
-    UnknownOutcomeError,
 )
 from ebonyhold.prepaid._allowance import Outlook, allowance
-from ebonyhold.prepaid._books import Books
 from ebonyhold.prepaid._changes import Moves, make_change
 from ebonyhold.prepaid._demand import Demand
-from ebonyhold.prepaid._limits import SpendingLimit
-from ebonyhold.prepaid._reclaim import (
-    Inheritance,
-    Predecessor,
-    find_inheritance,
-    inherit_change,
-)
+from ebonyhold.prepaid._grant import Grant
+from ebonyhold.prepaid._limits import LimitBook, SpendingLimit
+from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._types import (
     Change,
-    Committed,
     Known,
     PrepaidOptions,
     PrepaidRow,
@@ -76,19 +67,14 @@
         prepaid: Returns the version of the configuration and the prepaid tokens
             that it names.
         routers: Returns how many routers share the budget.
-        limit: Returns the most tokens that may be used in all now, by what this
-            router last wrote to the store.
+        limits: How much may be used, by what this router last wrote to the store.
         renew: Writes what may be used anew, at once.
         in_touch: Returns whether such writes arrive.
         policy: Sizes the grant.
-        ledger: The tokens of the grant here.
         demand: What this router expects to be asked for.
-        books: Both rows in the store.
-        doubtful: A change whose effect is unknown.
-        filed_at: When charges were last filed.
+        grant: The tokens here, and the rows in the store.
         asked: The size of the requests that wait for tokens, in all.
         reachable: Whether the last round reached the store.
-        charged: Tokens that requests have cost since the start.
         closing: Whether the process is about to end: nothing is drawn any more, since
             nobody would return it.
         lock: Held by the one round that may be under way.
@@ -99,34 +85,38 @@
     store: PrepaidStore
     prepaid: Callable[[], tuple[int, Tokens]]
     routers: Callable[[], int]
-    limit: Callable[[], Tokens]
+    limits: LimitBook
     renew: Callable[[], Coroutine[None, None, None]]
     in_touch: Callable[[], bool]
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
-    ledger: GrantLedger = field(factory=GrantLedger)
     demand: Demand = field(init=False)
-    books: Books = field(init=False)
-    doubtful: Change | None = None
-    filed_at: Seconds = -1e9
+    grant: Grant = field(init=False)
     asked: Tokens = 0
     reachable: bool = True
-    charged: Tokens = 0
     closing: bool = False
     lock: anyio.Lock = field(factory=anyio.Lock)
 
     def __attrs_post_init__(self) -> None:
         self.demand = Demand(self.options.demand_memory)
-        self.books = Books(self.workspace, self.router, self.store, self.routers)
+        self.grant = Grant(self.workspace, self.router, self.store, self.routers)
 
-    @property
-    def used(self) -> Tokens:
-        """Tokens charged since the start, and those held now."""
-        return self.charged + self.ledger.held
+    def limit(self) -> Tokens:
+        """Return the most tokens that may be used in all now."""
+        return self.limits.limit(self.workspace, anyio.current_time())
 
     def take(self, amount: Tokens) -> bool:
-        """Set tokens aside if they may be used here now, and tell whether they were."""
-        return self.used + amount <= self.limit() and self.ledger.hold(amount)
+        """Set tokens aside if they may be used here now, and tell whether they were.
+
+        Only these count as demand.  Callers that are refused ask again elsewhere, and
+        a budget that is nearly spent would be drawn on, and held, for each of them.
+        """
+        taken = self.grant.used + amount <= self.limit() and self.grant.ledger.hold(
+            amount
+        )
+        if taken:
+            self.demand.served(amount, anyio.current_time())
+        return taken
 
     async def hold(self, amount: Tokens, request: RequestId) -> None:
         """Set tokens aside for a request, drawing them if they are not here.
@@ -139,7 +129,6 @@
             BudgetExhaustedError: The budget surely cannot cover it.
             BudgetUnreachableError: Tokens may exist, but not here and now.
         """
-        self.demand.asked(amount, anyio.current_time())
         if self.take(amount):
             return
         if self.reachable and self.in_touch():
@@ -151,7 +140,7 @@
             if self.take(amount):
                 return
         self.log_refusal(amount, request)
-        if self.books.surely_spent(amount, self.ledger):
+        if self.grant.books.surely_spent(amount, self.grant.ledger):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
 
@@ -164,12 +153,13 @@
                 "request": request,
                 "workspace": self.workspace,
                 "amount": amount,
-                "available": self.ledger.available,
-                "room": self.limit() - self.used,
+                "available": self.grant.ledger.available,
+                "room": self.limit() - self.grant.used,
                 "prepaid": budget.prepaid,
                 "spent": budget.spent,
                 "remaining": budget.remaining,
-                "budget_age": round(self.books.age(), 2),
+                "budget_age": round(self.grant.books.age(), 2),
+                "limit_age": round(self.limits.age(anyio.current_time()), 2),
                 "store_reachable": self.reachable and self.in_touch(),
             },
         )
@@ -181,7 +171,7 @@
             async with anyio.create_task_group() as tasks:
                 if self.need:
                     tasks.start_soon(self.draw)
-                if self.used + amount > self.limit():
+                if self.grant.used + amount > self.limit():
                     tasks.start_soon(self.renew)
         finally:
             self.asked -= amount
@@ -199,11 +189,6 @@
                     extra={"workspace": self.workspace, "error": error.code},
                 )
 
-    def settle(self, hold: Tokens, charge: Tokens) -> None:
-        """End a request's hold with what it cost."""
-        self.ledger.settle(hold, min(charge, hold))
-        self.charged += min(charge, hold)
-
     async def tick(self) -> None:
         """Look after the grant: draw ahead, return, file charges.
 
@@ -213,6 +198,10 @@
         async with self.lock:
             await self.round()
 
+    def settle(self, hold: Tokens, charge: Tokens) -> None:
+        """End a request's hold with what it cost."""
+        self.grant.settle(hold, charge)
+
     async def close(self) -> None:
         """File all charges and return what is free, before the process ends.
 
@@ -231,34 +220,7 @@
         """
         async with self.lock:
             await self.confirm()
-            found = await find_inheritance(self.store, self.workspace, predecessor)
-            if found is None:
-                return
-            if found.left:
-                change = inherit_change(
-                    self.workspace, self.router, self.books.known or Known(), found
-                )
-                try:
-                    await self.send(change)
-                except ConflictError as error:
-                    self.books.lost_race(error)
-                    raise
-            self.log_inheritance(predecessor, found)
-
-    def log_inheritance(self, predecessor: Predecessor, found: Inheritance) -> None:
-        """Write the line that says what was taken of a grant, and on what grounds."""
-        log.info(
-            "grant reclaimed" if found.left else "grant not reclaimed",
-            extra={
-                "workspace": self.workspace,
-                "predecessor": predecessor.router,
-                "returned": found.left,
-                "granted": found.granted,
-                "limit": found.limit,
-                "filed": found.grant.billed,
-                "elapsed": round(predecessor.elapsed, 2),
-            },
-        )
+            await self.grant.inherit(predecessor)
 
     async def round(self) -> None:
         """Bring both rows and the ledger to where they should be."""
@@ -267,11 +229,11 @@
                 await self.confirm()
                 change = self.plan()
                 if change is not None:
-                    await self.send(change)
+                    await self.grant.send(change)
                 self.reachable = True
                 return
             except ConflictError as error:
-                self.books.lost_race(error)
+                self.grant.books.lost_race(error)
                 await anyio.sleep(random.random() * RACE_PAUSE * 2 ** min(lost, 4))
             except PlatformError:
                 self.reachable = False
@@ -279,18 +241,18 @@
 
     async def confirm(self) -> None:
         """Make sure that both rows are known, and nothing is in doubt."""
-        if self.doubtful is not None:
-            await self.send_again(self.doubtful)
-        await self.books.confirm(self.need, holding=self.ledger.available > 0)
+        await self.grant.resolve()
+        holding = self.grant.ledger.available > 0
+        await self.grant.books.confirm(self.need, holding=holding)
 
     @property
     def need(self) -> Tokens:
         """Tokens that the requests waiting for them lack."""
-        return max(0, self.asked - self.ledger.available)
+        return max(0, self.asked - self.grant.ledger.available)
 
     def plan(self) -> Change | None:
         """Decide how both rows should change, if at all."""
-        known = self.books.known or Known()
+        known = self.grant.books.known or Known()
         version, prepaid = self.prepaid()
         base = known.budget
         if version > base.rules_version and prepaid != base.budget.prepaid:
@@ -298,8 +260,8 @@
             base = PrepaidRow(version, budget)
         size = self.size(base.budget)
         now = anyio.current_time()
-        overdue = now - self.filed_at > self.options.file_after
-        unfiled = self.ledger.unfiled
+        overdue = now - self.grant.filed_at > self.options.file_after
+        unfiled = self.grant.ledger.unfiled
         due = unfiled and (overdue or self.closing)
         moves = bool(size.draw or size.give_back or base != known.budget)
         if not (moves or due):
@@ -311,7 +273,7 @@
         budget = self.budget
         unspent = max(0, budget.prepaid - budget.spent)
         outlook = Outlook(
-            used=self.used,
+            used=self.grant.used,
             asked=self.asked,
             rate=self.demand.rate(anyio.current_time()),
             typical=self.demand.typical,
@@ -324,11 +286,15 @@
     @property
     def budget(self) -> BudgetRow:
         """Return the budget as it was last seen."""
-        return self.books.known.budget.budget if self.books.known else BudgetRow()
+        return (
+            self.grant.books.known.budget.budget
+            if self.grant.books.known
+            else BudgetRow()
+        )
 
     def size(self, budget: BudgetRow) -> GrantSize:
         """Say how much to draw or to return."""
-        available = self.ledger.available
+        available = self.grant.ledger.available
         if self.closing:
             return GrantSize(give_back=available)
         if budget.remaining < 0:
@@ -341,7 +307,7 @@
         """Return what the policy decides on."""
         return GrantView(
             need=min(self.need, max(budget.remaining, 0)),
-            available=self.ledger.available,
+            available=self.grant.ledger.available,
             rate=self.demand.rate(anyio.current_time()),
             typical=int(self.demand.typical),
             routers=self.routers(),
@@ -352,76 +318,9 @@
     def make_change(self, known: Known, base: PrepaidRow, size: GrantSize) -> Change:
         """Return the change, with what is returned already out of the ledger."""
         drawn = min(size.draw, max(base.budget.remaining, 0))
-        returned = min(size.give_back, self.ledger.available)
+        returned = min(size.give_back, self.grant.ledger.available)
         # Returned tokens leave the ledger before the store hears of it: an answer
         # that is lost must not leave them spendable here and in the budget.
-        self.ledger.available -= returned
-        moves = Moves(drawn, returned, self.ledger.unfiled)
+        self.grant.ledger.available -= returned
+        moves = Moves(drawn, returned, self.grant.ledger.unfiled)
         return make_change(self.workspace, self.router, known, base, moves)
-
-    async def send(self, change: Change) -> None:
-        """Commit a change and carry its effect to the ledger.
-
-        Raises:
-            ConflictError: Another router was first; nothing was changed.
-            UnavailableError: The store certainly did nothing.
-            UnknownOutcomeError: It may take effect; it is now `doubtful`.
-        """
-        try:
-            committed = await self.store.commit(change.transaction)
-        except (ConflictError, UnavailableError):
-            self.ledger.available += change.returned
-            raise
-        except (UnknownOutcomeError, anyio.get_cancelled_exc_class()):
-            self.doubtful = change
-            raise
-        self.took_effect(change, committed)
-
-    async def send_again(self, change: Change) -> None:
-        """Find out what became of a change whose answer was lost.
-
-        The same change is sent again under the same checks, so it takes effect
-        at most once.  When the checks fail, the sequence of the own row says
-        whether the first sending was what made them fail; if not, neither of
-        them can take effect any more, since versions only grow.
-        """
-        try:
-            committed = await self.store.commit(change.transaction)
-        except ConflictError:
-            known = await self.books.read()
-            self.doubtful = None
-            if known.grant.sequence == change.after.grant.sequence:
-                self.apply(change)
-            else:
-                self.ledger.available += change.returned
-            return
-        self.doubtful = None
-        self.took_effect(change, committed)
-
-    def took_effect(self, change: Change, committed: Committed) -> None:
-        """Carry a change to the ledger whose versions are known."""
-        self.books.written(change, committed)
-        self.apply(change)
-
-    def apply(self, change: Change) -> None:
-        """Carry a change to the ledger."""
-        self.ledger.available += change.drawn
-        if change.billed:
-            self.ledger.filed(change.billed, change.billed)
-            self.filed_at = anyio.current_time()
-        budget = change.after.budget.budget
-        log.info(
-            "grant changed",
-            extra={
-                "workspace": self.workspace,
-                "drawn": change.drawn,
-                "returned": change.returned,
-                "filed": change.billed,
-                "available": self.ledger.available,
-                "held": self.ledger.held,
-                "remaining": budget.remaining,
-                "spent": budget.spent,
-                "room": self.limit() - self.used,
-                "sequence": change.after.grant.sequence,
-            },
-        )
--- a/ebonyhold/prepaid/_demand.py
+++ b/ebonyhold/prepaid/_demand.py
@@ -27,8 +27,8 @@
     updated_at: Seconds = 0.0
     typical: float = 0.0
 
-    def asked(self, amount: Tokens, now: Seconds) -> None:
-        """Note a request."""
+    def served(self, amount: Tokens, now: Seconds) -> None:
+        """Note a request that got its tokens."""
         if self.started_at is None:
             self.started_at = now
             self.typical = float(amount)
--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -106,6 +106,10 @@
             return 0
         return min(renewal.limit(workspace, now) for renewal in self.standing)
 
+    def age(self, now: Seconds) -> Seconds:
+        """Return the time since the last renewal that is known to have arrived."""
+        return now - self.confirmed.sent_at if self.confirmed else float("inf")
+
     def propose(self, wanted: Limits, now: Seconds) -> Renewal:
         """Return the next renewal, and count it as one that may take effect.
 
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -86,7 +86,7 @@
                 self.store,
                 partial(self.bound, workspace),
                 self.routers,
-                partial(self.limit, workspace),
+                self.limits,
                 self.renew,
                 self.in_touch,
                 options=self.options,
@@ -102,10 +102,6 @@
         version, prepaid = self.prepaid(workspace)
         return (version, prepaid) if prepaid is not None else (0, 0)
 
-    def limit(self, workspace: WorkspaceName) -> Tokens:
-        """Return the most that may be used of a workspace's grant in all now."""
-        return self.limits.limit(workspace, anyio.current_time())
-
     def wanted_limits(self) -> dict[WorkspaceName, SpendingLimit]:
         """Return what the next renewal should say of each grant."""
         return {name: a.wanted_limit() for name, a in self.accounts.items()}
@@ -132,7 +128,7 @@
 
     def pause(self) -> Seconds:
         """Return the time to the next round: short while a change is in doubt."""
-        doubt = any(account.doubtful for account in self.accounts.values())
+        doubt = any(account.grant.doubtful for account in self.accounts.values())
         return self.options.tick * (URGENT if doubt else 1.0)
 
     async def tend(self, account: Account) -> None:
--- a/tests/prepaid/kit.py
+++ b/tests/prepaid/kit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import anyio
 from attrs import define, field
 
 from ebonyhold.coordination import GrantRow, from_json
@@ -48,15 +47,11 @@
             self.store,
             lambda: (len(self.prepaid), self.prepaid[-1]),
             lambda: self.fleet,
-            self.limit,
+            self.presence.limits,
             self.renew,
             self.presence.in_touch,
         )
 
-    def limit(self) -> Tokens:
-        """Return the most that may be used in all now."""
-        return self.presence.limits.limit(WORKSPACE, anyio.current_time())
-
     async def renew(self) -> None:
         """Renew the presence at once, as its task would when it is asked to."""
         try:
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -48,7 +48,7 @@
     one = router(history)
     await one.presence.step()
     await one.account.hold(1000, "r")
-    one.account.settle(1000, 400)
+    one.account.grant.settle(1000, 400)
     await one.account.close()
     after = budget(history).budget
     assert (after.spent, after.outstanding, after.remaining) == (400, 0, 99_600)
@@ -85,7 +85,7 @@
     await one.account.hold(100, "r")
     one.store.faults.down = True
     with pytest.raises(PlatformError):
-        one.account.books.known = None
+        one.account.grant.books.known = None
         await one.account.tick()
     before = anyio.current_time()
     with pytest.raises(BudgetUnreachableError):
@@ -104,7 +104,7 @@
     await one.renew()
     for _ in range(40):
         await one.account.hold(1000, "r")
-        one.account.settle(1000, 1000)
+        one.account.grant.settle(1000, 1000)
         await anyio.sleep(0.3)
         await one.account.tick()
         await one.renew()
@@ -112,7 +112,7 @@
     await one.renew()
     rooms = []
     for _ in range(4):
-        rooms.append(one.limit() - one.account.used)
+        rooms.append(one.account.limit() - one.account.grant.used)
         await anyio.sleep(2.0)
     # A request of 1,000 tokens each 0.3 s is 6,667 in 2 s.
     grown = [after - before for before, after in pairwise(rooms)]
@@ -127,9 +127,9 @@
     await one.renew()
     for _ in range(6):
         await one.account.hold(1000, "r")
-        one.account.settle(1000, 1000)
+        one.account.grant.settle(1000, 1000)
         await one.renew()
-    assert one.limit() - one.account.used < 20_000
+    assert one.account.limit() - one.account.grant.used < 20_000
     await one.account.hold(20_000, "r")
 
 
@@ -158,15 +158,15 @@
     one = router(history)
     await one.presence.step()
     lose(one)
-    one.account.demand.asked(1000, anyio.current_time())
+    one.account.demand.served(1000, anyio.current_time())
     with pytest.raises(UnknownOutcomeError):
         await one.account.tick()
-    assert one.account.ledger.available == 0
+    assert one.account.grant.ledger.available == 0
     await one.account.tick()
     await one.store.faults.flush()
     await one.account.tick()
     row = budget(history).budget
-    assert one.account.ledger.total == row.outstanding > 0
+    assert one.account.grant.ledger.total == row.outstanding > 0
 
 
 @pytest.mark.parametrize("lose", [lose_answer, lose_request, delay_effect])
@@ -179,11 +179,11 @@
     one = router(history)
     await one.presence.step()
     await one.account.hold(1000, "r")
-    one.account.settle(1000, 0)
+    one.account.grant.settle(1000, 0)
     lose(one)
     with pytest.raises(UnknownOutcomeError):
         await one.account.close()
-    assert one.account.ledger.available == 0
+    assert one.account.grant.ledger.available == 0
     await one.account.close()
     await one.store.faults.flush()
     assert budget(history).budget.outstanding == 0
@@ -198,7 +198,7 @@
     one = router(history, 100_000)
     await one.presence.step()
     await one.account.hold(10_000, "r")
-    one.account.settle(10_000, 5_000)
+    one.account.grant.settle(10_000, 5_000)
     await one.account.tick()
     one.prepaid.append(6_000)
     await one.account.tick()
@@ -228,7 +228,7 @@
     one = router(history)
     await one.presence.step()
     await one.account.hold(1000, "r")
-    one.account.settle(1000, 700)
+    one.account.grant.settle(1000, 700)
     await anyio.sleep(one.account.options.file_after + 0.1)
     await one.account.tick()
     assert grants(history)["vm-1.a"].billed == 700
@@ -244,7 +244,7 @@
     one = router(history)
     await one.presence.step()
     await one.account.hold(1000, "r")
-    one.account.settle(1000, 400)
+    one.account.grant.settle(1000, 400)
     treasury = treasury_of(one)
     one.store.faults.throttled = 6
     assert await treasury.close(5.0)
@@ -271,7 +271,7 @@
     one = router(history)
     await one.renew()
     await one.account.hold(1000, "r")
-    one.account.settle(1000, 400)
+    one.account.grant.settle(1000, 400)
     treasury = treasury_of(one)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(treasury.run)
@@ -308,7 +308,7 @@
     await two.account.inherit(before)
     assert history.rows[budget_row_key(WORKSPACE)].version == version
     one, other = grants(history)["vm-1.a"], grants(history)["vm-1.b"]
-    assert one.returned == other.drawn == two.account.ledger.available > 0
+    assert one.returned == other.drawn == two.account.grant.ledger.available > 0
     assert one.drawn - one.returned >= 1000
 
 
@@ -324,4 +324,4 @@
     await two.account.inherit(before)
     await two.store.faults.flush()
     one, other = grants(history)["vm-1.a"], grants(history)["vm-1.b"]
-    assert one.returned == other.drawn == two.account.ledger.available > 0
+    assert one.returned == other.drawn == two.account.grant.ledger.available > 0
--- a/tests/prepaid/test_histories.py
+++ b/tests/prepaid/test_histories.py
@@ -119,7 +119,7 @@
         router, amount = self.held.pop(self.random.randrange(len(self.held)))
         charge = self.random.choice([0, amount // 2, amount])
         self.cost(router, charge)
-        router.account.settle(amount, charge)
+        router.account.grant.settle(amount, charge)
 
     async def tend(self) -> None:
         """Let every router look after its grant, its presence or both."""
@@ -186,9 +186,19 @@
         return renewal
 
 
+class FreeBook(LimitBook):
+    """Limits that allow everything."""
+
+    __slots__ = ()
+
+    def limit(self, workspace: str, now: float) -> int:
+        """Allow everything."""
+        return 1 << 60
+
+
 def spend_above_limit(router: Router) -> None:
     """A router that spends its whole grant at any time."""
-    router.account.limit = lambda: 1 << 60
+    router.account.limits = FreeBook()
 
 
 class ForgetfulAccount(Account):
@@ -198,10 +208,11 @@
 
     async def round(self) -> None:
         """Forget the doubt first."""
-        if self.doubtful is not None:
-            self.ledger.available += self.doubtful.returned
-            self.doubtful = None
-            self.books.known = None
+        grant = self.grant
+        if grant.doubtful is not None:
+            grant.ledger.available += grant.doubtful.returned
+            grant.doubtful = None
+            grant.books.known = None
         await super().round()
 
 
