Take a link on which most servers time out for full, and leave the rotation

Change: new connections to servers are counted; when more than half of eight or more within 2 s time out, with three servers or more, the router leaves the rotation as for a late loop. One dark server, few tries or a refusal do not count.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -47,6 +47,12 @@
 """Answers to earlier requests that are skipped before a connection is given up."""
 
 
+class ConnectTimeoutError(BackendLostError):
+    """A connection was neither made nor refused in time."""
+
+    code = "connect_timeout"
+
+
 @frozen
 class AnswerHead:
     """The head of a backend server's answer."""
@@ -240,6 +246,7 @@
     """Connect to a backend server.
 
     Raises:
+        ConnectTimeoutError: It did not answer in time; nothing was sent.
         BackendLostError: It cannot be reached; nothing was sent.
     """
     stream: SocketStream | None = None
@@ -249,7 +256,7 @@
     except OSError as error:
         raise BackendLostError(f"no connection: {error}") from error
     if stream is None:
-        raise BackendLostError("no connection in time")
+        raise ConnectTimeoutError("no connection in time")
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     channel = Channel(stream, tasks)
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from ebonyhold.forwarding._channel import Channel, open_channel
+from ebonyhold.forwarding._channel import (
+    Channel,
+    ConnectTimeoutError,
+    open_channel,
+)
 from ebonyhold.types import BackendName, Seconds
 
 SWEEP: Seconds = 1.0
@@ -22,11 +28,14 @@
 
     Attributes:
         tasks: Where the reading tasks of connections run.
+        connected: Is told of each new connection to a server whether it was made in
+            time.
         unused: The connections of each server, the last used one at the end.
         opened: Connections opened so far.
     """
 
     tasks: TaskGroup
+    connected: Callable[[BackendName, bool], None] = lambda name, made: None
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
 
@@ -40,7 +49,13 @@
         if kept is not None:
             return kept
         self.opened += 1
-        return await open_channel(address, self.tasks)
+        try:
+            channel = await open_channel(address, self.tasks)
+        except ConnectTimeoutError:
+            self.connected(name, False)
+            raise
+        self.connected(name, True)
+        return channel
 
     def take(self, name: BackendName) -> Channel | None:
         """Return a kept connection that can still be used."""
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -146,6 +146,7 @@
         )
         self.listener = CallerListener(forwarder.serve, self.knowledge.limits)
         self.pressure = Pressure(self.listener.shed)
+        self.pool.connected = self.pressure.connected
         tasks.start_soon(self.pressure.run)
         readiness = CallerListener(self.tell_readiness, CallerLimits)
         metrics = CallerListener(self.tell_metrics, CallerLimits)
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from ebonyhold.gateway._pressure import HIGH, LEAST, LEAVE, TICK, Pressure
+from ebonyhold.gateway._pressure import (
+    HIGH,
+    LEAST,
+    LEAVE,
+    TICK,
+    WINDOW,
+    LinkGauge,
+    Pressure,
+)
 
 DELAYS = [
     # what happens, delays in ticks, whether it leaves the rotation
@@ -32,6 +40,32 @@
     assert pressure.high is leaves, story
 
 
+LINKS = [
+    # what happens, the servers of connections made, of those not made, the verdict
+    ("calm", "abcdefgh", "", False),
+    ("one server is dark", "abc", "dddddddd", False),
+    ("a few tries only", "", "abcdefg", False),
+    ("most servers answer", "abcdefghij", "klmno", False),
+    ("the link is full", "abc", "defgh", True),
+]
+
+
+@pytest.mark.parametrize(("story", "made", "failed", "blocked"), LINKS)
+def test_many_servers_out_of_reach_are_the_link(
+    story: str, made: str, failed: str, blocked: bool
+) -> None:
+    """A small VM with twenty times the usual callers fills its link.
+
+    Its connections time out to servers that all others reach, and so do its calls to
+    the store: it refused for tokens what its neighbours would have served.
+    """
+    gauge = LinkGauge()
+    for number, server in enumerate(made + failed):
+        gauge.note(server, server in made, number * 0.01)
+    assert gauge.blocked(0.5) is blocked, story
+    assert not gauge.blocked(0.5 + WINDOW)
+
+
 def test_an_overloaded_router_sheds_its_callers_and_comes_back() -> None:
     """A hash sends one of 82 routers twenty times the callers of the others.
 
