--- a/tests/platform/soak/_play.py
+++ b/tests/platform/soak/_play.py
@@ -26,6 +26,7 @@
     WORKSPACES,
     Gateway,
     Proxy,
+    address_of,
     configuration,
     free_ports,
     settings,
@@ -101,9 +102,10 @@
         self.proxies.append(proxy)
         tasks.start_soon(proxy.run)
         port = self.base + 30
-        text = settings(number, port, proxy.port)
+        address = address_of(number, self.base)
+        text = settings(number, address, port, proxy.port)
         (self.folder / f"vm-{number}.toml").write_text(text)
-        gateway = Gateway(number, port, self.folder, self.program)
+        gateway = Gateway(number, address, port, self.folder, self.program)
         gateway.start()
         self.gateways.append(gateway)
 
--- a/tests/platform/soak/_world.py
+++ b/tests/platform/soak/_world.py
@@ -90,9 +90,16 @@
         tasks.cancel_scope.cancel()
 
 
-def settings(number: int, port: int, store: int) -> str:
-    """Return a gateway's settings file; each has a loopback address of its own."""
-    address = f"127.0.0.{number + 2}"
+def address_of(number: int, first_port: int) -> str:
+    """Return a gateway's loopback address.
+
+    The port of its metrics is fixed, so soaks beside each other need other addresses.
+    """
+    return f"127.{1 + first_port % 250}.{1 + first_port // 250}.{number + 2}"
+
+
+def settings(number: int, address: str, port: int, store: int) -> str:
+    """Return a gateway's settings file."""
     return f"""
 node-name = "vm-{number}"
 ip-address = "{address}"
@@ -144,16 +151,12 @@
     """
 
     number: int
+    address: str
     port: int
     folder: Path
     program: str
     process: subprocess.Popen[bytes] | None = None
 
-    @property
-    def address(self) -> str:
-        """Return the VM's address."""
-        return f"127.0.0.{self.number + 2}"
-
     def start(self) -> None:
         """Start the program; what it logs goes to a file of the seed."""
         path = self.folder / f"vm-{self.number}.toml"
