--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -37,7 +37,7 @@
     Attributes:
         router: Which life.
         elapsed: The longest time that it can have gone on since it last renewed its
-            presence.
+            limits.
         limits: What that renewal said.
     """
 
