--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -1,9 +1,9 @@
 """How much of its grants a router may have used, by what it last said in the store.
 
 A router writes with each renewal how much of each grant it may have used by then, its
-*ceiling*, and by how much that may grow with the time since.  It keeps to that.  So when
-it is killed, its successor on the same VM can prove what was left: it knows the last
-renewal and the time up to its own start.
+*ceiling*, and by how much that may grow with the time since.  It keeps to that.  So
+when it is killed, its successor on the same VM can prove what was left: it knows the
+last renewal and the time up to its own start.
 
 The growth covers an outage of the store, in which no renewal arrives.  A limit that
 grows evenly loses little when a router is killed in touch, and when it is killed
