--- a/tests/platform/soak/_play.py
+++ b/tests/platform/soak/_play.py
@@ -49,7 +49,6 @@
     gateways: list[Gateway] = field(factory=list)
     proxies: list[Proxy] = field(factory=list)
     outcomes: list[Outcome] = field(factory=list)
-    done: bool = False
 
     def chances(self, name: str) -> random.Random:
         """Return the chances of one task."""
@@ -80,12 +79,12 @@
             await anyio.sleep(2.5)
             for number in range(CALLERS):
                 tasks.start_soon(self.call, number)
-            for number in range(2):
-                tasks.start_soon(self.hurt, number)
-            await anyio.sleep(self.seconds)
-            self.done = True
+            with anyio.move_on_after(self.seconds):
+                async with anyio.create_task_group() as troubles:
+                    for number in range(2):
+                        troubles.start_soon(self.hurt, number)
             healed_at = time.monotonic()
-            await self.heal()
+            self.heal()
             await anyio.sleep(SETTLED + 3.0)
             tasks.cancel_scope.cancel()
         return judge(self.outcomes, await self.runs(), healed_at)
@@ -127,7 +126,7 @@
     async def hurt(self, number: int) -> None:
         """Hurt gateways and paths, in series; two such tasks overlap."""
         chances = self.chances(f"hurt {number}")
-        while not self.done:
+        while True:
             await anyio.sleep(chances.uniform(0.1, 1.5))
             victim = chances.randrange(GATEWAYS)
             kind = chances.choice(
@@ -167,12 +166,14 @@
                 gateway.process.wait()
             gateway.start()
 
-    async def heal(self) -> None:
-        """End all troubles."""
+    def heal(self) -> None:
+        """End all troubles, and start again whoever was about to be started."""
         for proxy in self.proxies:
             proxy.mode = "open"
         for gateway in self.gateways:
             gateway.send(signal.SIGCONT)
+            if gateway.process is not None and gateway.process.poll() is not None:
+                gateway.start()
 
     async def call(self, number: int) -> None:
         """Ask one request after the other until the soak is over."""
