Keep the early rate of limits after a renewal in doubt

Cause: a renewal that follows one in doubt got the later rate from its first moment, lest vain renewals of a long outage start the early time anew.

Ruled out: the level (0.22 unspent gives 0.3 of the rate); holds under way.

Change: the later rate from the start only if the renewal that arrived last is older than the early time.

--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -129,11 +129,15 @@
     def raised(
         self, workspace: WorkspaceName, limit: SpendingLimit, now: Seconds
     ) -> SpendingLimit:
-        """Return a limit that is never below what stands."""
+        """Return a limit that is not below what stands, but for the early time."""
         standing = [r.limits.get(workspace, NOTHING) for r in self.standing]
-        fastest = max(max(s.early_rate, s.later_rate) for s in [limit, *standing])
+        later = max(limit.later_rate, *(s.later_rate for s in standing))
+        early = max(limit.early_rate, *(s.early_rate for s in standing))
+        # In a long outage what stands grows by the later rate already.  Sooner, the
+        # later rate would let a router that is killed next lose a tenth of a budget.
+        long = self.age(now) > EARLY
         ceiling = max(limit.ceiling, self.limit(workspace, now))
-        return SpendingLimit(ceiling, fastest, fastest)
+        return SpendingLimit(ceiling, later if long else early, later)
 
     def took_effect(self, number: int) -> None:
         """Note that the store has a renewal.
