Accept nothing more before a stopping process returns its grants

Cause: a request that came on a new connection while grants were returned was read, passed on to a server, and cut 60 ms later when the process ended: the process had looked once whether requests were under way, just before.

Change: the listener stops accepting before idle connections are closed, and the process waits until every connection has ended, not only requests under way. A test plays the story over sockets.

--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -44,7 +44,8 @@
         draining: Whether the process is about to end.
         shedding: Whether callers should connect elsewhere for a while.
         working: How many requests are being answered.
-        quiet: Set when the last of them has ended.
+        empty: Set when the last connection has ended.
+        accepting: Ends the accepting of connections.
     """
 
     serve: Serve
@@ -53,7 +54,8 @@
     draining: bool = False
     shedding: bool = False
     working: int = 0
-    quiet: anyio.Event = field(factory=anyio.Event)
+    empty: anyio.Event = field(factory=anyio.Event)
+    accepting: anyio.CancelScope = field(factory=anyio.CancelScope)
 
     async def run(self, address: tuple[str, int], tasks: TaskGroup) -> None:
         """Accept connections, for ever."""
@@ -62,8 +64,9 @@
             local_host=host, local_port=port, backlog=BACKLOG
         )
         log.info("listening", extra={"host": host, "port": port})
-        async with listener:
-            await listener.serve(self.handle, tasks)
+        with self.accepting:
+            async with listener:
+                await listener.serve(self.handle, tasks)
 
     async def handle(self, stream: ByteStream) -> None:
         """Serve one connection until it ends."""
@@ -82,6 +85,9 @@
         finally:
             self.connections.discard(connection)
             await connection.close()
+            if not self.connections:
+                self.empty.set()
+                self.empty = anyio.Event()
 
     async def converse(self, connection: CallerConnection) -> None:
         """Answer requests one after the other."""
@@ -111,14 +117,15 @@
         finally:
             connection.inbox.on_end = None
             self.working -= 1
-            if not self.working:
-                self.quiet.set()
-                self.quiet = anyio.Event()
-
-    async def until_quiet(self) -> None:
-        """Return when no request is being answered."""
-        while self.working:
-            await self.quiet.wait()
+
+    def stop_accepting(self) -> None:
+        """Refuse further connections; callers then connect elsewhere."""
+        self.accepting.cancel()
+
+    async def until_empty(self) -> None:
+        """Return when every connection has ended, also those being read from."""
+        while self.connections:
+            await self.empty.wait()
 
     async def read_fault(self, connection: CallerConnection, fault: ReadFault) -> None:
         """Answer what could not be read, if there is anything to answer."""
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -249,9 +249,12 @@
         kill_at = anyio.current_time() + self.peers.settings.grace
         self.listener.start_draining()
         await anyio.sleep(LEAVE_ROTATION)
+        # A request that came on a new connection while grants are returned would be
+        # cut when the process ends, so none is accepted from here on.
+        self.listener.stop_accepting()
         self.listener.close_idle()
         with anyio.CancelScope(deadline=kill_at - END_MARGIN):
-            await self.listener.until_quiet()
+            await self.listener.until_empty()
         log.info("requests ended", extra={"cut": self.listener.working})
         with anyio.CancelScope(shield=True):
             left = kill_at - anyio.current_time() - LEAVE_TIMEOUT - EXIT_TIME
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 import pytest
 
 from ebonyhold.exceptions import BudgetExhaustedError, BudgetUnreachableError
+from ebonyhold.forwarding import (
+    CallerConnection,
+    CallerLimits,
+    CallerListener,
+    RequestHead,
+)
 from tests.forwarding.kit import FreePurse, Server, request, rig
 from tests.forwarding.test_attempts import good, silent
 
@@ -111,3 +119,47 @@
         router.listener.close_idle()
         with pytest.raises(anyio.EndOfStream):
             await stream.receive()
+
+
+async def test_a_stopping_process_cuts_no_request_that_came_last() -> None:
+    """A request comes on a new connection while a stopping process returns its grants.
+
+    It was read, passed on, and cut 60 ms later when the process ended: the process had
+    looked for requests under way once, just before.
+    """
+    served = []
+
+    async def serve(
+        connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        served.append(head.target)
+        await anyio.sleep(0.1)
+        await connection.answer(200, [], b"whole")
+
+    listener = CallerListener(serve, CallerLimits)
+    async with anyio.create_task_group() as tasks:
+        port = free_port()
+        tasks.start_soon(listener.run, ("127.0.0.1", port), tasks)
+        await anyio.sleep(0.05)
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+        await anyio.sleep(0.05)
+        listener.start_draining()
+        await stream.send(request("/safe/x", close=False))
+        await anyio.sleep(0.02)
+        listener.stop_accepting()
+        listener.close_idle()
+        await anyio.sleep(0.02)
+        with pytest.raises(OSError):
+            await anyio.connect_tcp("127.0.0.1", port)
+        with anyio.fail_after(2.0):
+            await listener.until_empty()
+        assert b"whole" in await stream.receive()
+        tasks.cancel_scope.cancel()
+    assert served == [b"/safe/x"]
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port: int = taken.getsockname()[1]
+    return port
