--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -116,13 +116,13 @@
         """Look after all accounts, for ever."""
         while True:
             await anyio.sleep(self.pause())
-            self.stock_one()
+            self.stock_unmet()
             async with anyio.create_task_group() as tasks:
                 for account in list(self.accounts.values()):
                     tasks.start_soon(self.tend, account)
 
-    def stock_one(self) -> None:
-        """Open an account that no request has asked for yet, if its turn has come.
+    def stock_unmet(self) -> None:
+        """Open accounts that no request has asked for yet, as their turns come.
 
         The first request of a workspace would find no tokens in an outage.  Routers
         start together and share each budget, so they take turns drawn by chance.
