--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -8,13 +8,14 @@
 import anyio
 import pytest
 
+from ebonyhold.coordination import from_json
 from ebonyhold.exceptions import (
     BudgetExhaustedError,
     BudgetUnreachableError,
     PlatformError,
     UnknownOutcomeError,
 )
-from ebonyhold.prepaid import Treasury, budget_row_key
+from ebonyhold.prepaid import PrepaidRow, Treasury, budget_row_key
 from ebonyhold.standins import RowHistory
 from tests.prepaid.kit import WORKSPACE, Router, budget, grants
 from tests.virtual import anyio_backend
@@ -283,6 +284,36 @@
     assert budget(history).budget.outstanding == 0
 
 
+@pytest.mark.parametrize("late", ["stock", "request"])
+async def test_a_stopping_router_opens_no_further_grants(late: str) -> None:
+    """A workspace misses the tokens of one whole grant after each planned stop.
+
+    While a stopping router returns its grants, the task that opens accounts ahead of
+    their first request opens another one, or a request does, and it draws; the return
+    knew only the accounts that there were when it began.  Seen while reading what may
+    change during the return's awaits.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.renew()
+    await one.account.hold(1000, "r")
+    treasury = treasury_of(one)
+    treasury.workspaces = lambda: [WORKSPACE, "blue"]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(treasury.run)
+        one.store.faults.down = True
+        tasks.start_soon(treasury.close, 30.0)
+        await anyio.sleep(10.0)
+        if late == "request":
+            assert treasury.account("blue") is not None
+        one.store.faults.down = False
+        await one.renew()
+        await anyio.sleep(10.0)
+        tasks.cancel_scope.cancel()
+    row = history.rows.get(budget_row_key("blue"))
+    assert row is None or from_json(row.value, PrepaidRow).budget.outstanding == 0
+
+
 async def killed_after_use(history: RowHistory) -> Router:
     """Return a successor of a router that was killed with 1,000 tokens in use."""
     one = router(history, 1_000_000)
