Test planned stops over sockets, from the callers' and the engines' side

Users saw a stopping VM refuse connections for seconds while it still served streams: where fewer than half of a domain's VMs are in rotation the platform uses all of them.

The stand-in's engines read from a request's target how many events they send, how long they pause and whether they stay sound; the witness tells when a run began, when it ended and what was sent. Rows of ports lie below those of outgoing connections and are given out once, since cases are played beside each other.

--- a/tests/platform/soak/_world.py
+++ b/tests/platform/soak/_world.py
@@ -24,15 +24,25 @@
 ROOT = Path(__file__).resolve().parents[3]
 
 
+PORTS = range(20_000, 32_000)
+"""Below those that the kernel gives to outgoing connections."""
+
+given: list[int] = []
+"""The first port of each row that this process was given."""
+
+
 def free_ports(count: int) -> int:
-    """Return the first of some ports in a row that are free now."""
+    """Return the first of some ports in a row that are free, and given to nobody."""
     while True:
-        first = random.SystemRandom().randrange(20_000, 50_000)
+        first = random.SystemRandom().choice(PORTS)
+        if any(abs(first - other) < count for other in given):
+            continue
         try:
             for port in range(first, first + count):
                 socket.create_server((HOST, port)).close()
         except OSError:
             continue
+        given.append(first)
         return first
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -49,6 +49,32 @@
 JSON = [(b"content-type", b"application/json")]
 
 
+@frozen
+class Script:
+    """What a request's target asks of its engine, as in ``/chat/a?events=9&sound=1``.
+
+    Attributes:
+        events: Events of the answer; None for as many as the most tokens allow.
+        pause: Seconds before each event, and before an answer that is whole.
+        sound: Whether no fate befalls the request.
+    """
+
+    events: int | None = None
+    pause: float = EVENT_PAUSE
+    sound: bool = False
+
+    @classmethod
+    def of(cls, target: str) -> Script:
+        """Read the script in a target; without a query it is the usual one."""
+        query = {name: v[0] for name, v in parse_qs(urlsplit(target).query).items()}
+        events = query.get("events")
+        return cls(
+            None if events is None else int(events),
+            float(query.get("pause", EVENT_PAUSE)),
+            "sound" in query,
+        )
+
+
 def place(raw: dict[str, Any]) -> str:
     """Return our key of a row that a call names."""
     return f"{raw['table']}/{raw['part']}/{raw['key']}"
@@ -149,14 +175,29 @@
         ]
 
 
-@frozen
+@define(eq=False)
 class Run:
-    """A request that an engine ran."""
+    """A request that an engine ran.
+
+    Attributes:
+        began_at: When, by the machine's monotonic clock.
+        ended_at: When the engine was done with it or saw that nobody waits; 0 while
+            it runs.
+        sent: Events of the answer that were sent.
+    """
 
     request: str
     target: str
     workspace: str
     prompt: int
+    began_at: float = field(factory=time.monotonic)
+    ended_at: float = 0.0
+    sent: int = 0
+
+    def shown(self) -> list[Any]:
+        """Return what the witness tells of it."""
+        seen = [self.request, self.target, self.workspace, self.prompt]
+        return [*seen, self.began_at, self.ended_at, self.sent]
 
 
 @define(eq=False)
@@ -180,27 +221,42 @@
         prompt, _, most = fields.get("x-ebonyhold-token-counts", "0,0").partition(",")
         workspace = fields.get("x-ebonyhold-tenant", "")
         target = head.target.decode()
-        self.runs.append(Run(request, target, workspace, int(prompt)))
-        fate = zlib.crc32(request.encode()) % FATES
-        if fate == SAYS_NOTHING and "last-event-id" not in fields:
-            await connection.close()
-            return
-        proof = [*identity, (b"x-ebonyhold-response-stamp", self.name.encode())]
-        if "/book/" in target:
-            await anyio.sleep(EVENT_PAUSE)
-            await connection.answer(200, proof, body)
-            return
-        events = int(most) // EVENT_TOKENS
+        run = Run(request, target, workspace, int(prompt))
+        self.runs.append(run)
+        resumes = "last-event-id" in fields
         first = int(fields.get("last-event-id", "0")) + 1
-        kind = (b"content-type", b"text/event-stream")
-        await connection.stream.send(connection.head(200, [*proof, kind]))
-        for number in range(first, events + 1):
-            await anyio.sleep(EVENT_PAUSE)
-            if fate == BREAKS_OFF and number == 3 > first:
+        script = Script.of(target)
+        fate = zlib.crc32(request.encode()) % FATES
+        try:
+            if fate == SAYS_NOTHING and not resumes and not script.sound:
+                await connection.close()
+                return
+            proof = [*identity, (b"x-ebonyhold-response-stamp", self.name.encode())]
+            if "/book/" in target:
+                await anyio.sleep(script.pause)
+                await connection.answer(200, proof, body)
+                return
+            kind = (b"content-type", b"text/event-stream")
+            await connection.stream.send(connection.head(200, [*proof, kind]))
+            events = script.events
+            last = int(most) // EVENT_TOKENS if events is None else events
+            await self.stream(connection, run, range(first, last + 1), fate)
+        finally:
+            run.ended_at = time.monotonic()
+
+    async def stream(
+        self, connection: CallerConnection, run: Run, numbers: range, fate: int
+    ) -> None:
+        """Send the events of an answer, and its end unless its fate is to break off."""
+        script = Script.of(run.target)
+        for number in numbers:
+            await anyio.sleep(script.pause)
+            if fate == BREAKS_OFF and number == 3 > numbers.start and not script.sound:
                 await connection.close()
                 return
-            end = b"end" if number == events else b"more"
+            end = b"end" if number == numbers.stop - 1 else b"more"
             await connection.send(b"id: %d\ndata: %s\n\n" % (number, end))
+            run.sent += 1
         await connection.end()
 
     def entry(self, port: int, sequence: int) -> dict[str, Any]:
@@ -235,7 +291,7 @@
         connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         rows = {key: row.value for key, row in store.history.rows.items()}
-        seen = [[r.request, r.target, r.workspace, r.prompt] for r in runs]
+        seen = [run.shown() for run in runs]
         answer = json.dumps({"runs": seen, "rows": rows}).encode()
         await connection.answer(200, JSON, answer)
 
--- /dev/null
+++ b/tests/platform/stops/__main__.py
@@ -0,0 +1,26 @@
+"""Plays cases of the table by hand: ``FIRST_SEED SEEDS [CASE]``."""
+
+from __future__ import annotations
+
+import sys
+
+import anyio
+
+from tests.platform.stops import LONG_CASES, play_cases
+
+
+def main() -> int:
+    """Play cases, and print what was broken."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    names = sys.argv[3:] or [case.name for case in LONG_CASES]
+    cases = [case for case in LONG_CASES if case.name in names]
+    found = anyio.run(play_cases, cases, range(first, first + count))
+    for name, broken in found.items():
+        print(f"{name}: {len(broken)} broken")
+        for line in broken:
+            print(f"  {line}")
+    return 1 if any(found.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
