Check the judge of planned stops, row by row

On code that keeps every promise the family says nothing, so each fault that it looks for, and each excuse that it grants, is shown to it once with made-up evidence.

--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -38,11 +38,13 @@
     it still served streams for seconds.  It showed as tries without a connection, up to
     1,312 on a day of planned work alone.
     """
-    assert found[case.name] == []
+    broken = found[case.name]
+    assert not broken, "\n".join(broken)
 
 
 @pytest.mark.soak
 @pytest.mark.parametrize("case", LONG_CASES, ids=lambda case: case.name)
 def test_many_moments_of_a_stop_cost_callers_nothing(case: Case) -> None:
     """The same at many moments, with every overlap and every trouble."""
-    assert anyio.run(play_cases, [case], LONG_SEEDS)[case.name] == []
+    broken = anyio.run(play_cases, [case], LONG_SEEDS)[case.name]
+    assert not broken, "\n".join(broken)
--- /dev/null
+++ b/tests/platform/test_stops_judge.py
@@ -0,0 +1,176 @@
+"""The judge of planned stops finds each broken promise, and excuses what it should."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from attrs import evolve
+
+from tests.platform.stops._callers import Fault, Try
+from tests.platform.stops._cases import LONG, MIDDLE, PLAIN, SHORT, Case, Style, Trouble
+from tests.platform.stops._domain import Life
+from tests.platform.stops._judge import Evidence, Seen, judge, judge_end, judge_try
+
+CASE = Case("case")
+LIFE = Life(0, 1.0, listening_at=2.0, asked_at=100.0, exited_at=107.0, code=0)
+
+
+def run(ended_at: float, sent: int = 2) -> Seen:
+    """Return a run that an engine saw."""
+    return Seen(100.5, ended_at, sent)
+
+
+def told(**more: Any) -> Try:
+    """Return a request that was answered as it should be, but for what is named."""
+    usual: dict[str, Any] = {
+        "style": Style.NEW,
+        "length": PLAIN,
+        "connected_at": 100.9,
+        "sent_at": 101.0,
+        "head_at": 101.1,
+        "ended_at": 101.2,
+        "status": 200,
+        "close": True,
+        "whole": True,
+    }
+    return Try(request="r", vm=0, workspace="acme", prompt=20, **{**usual, **more})
+
+
+def lost(**more: Any) -> Try:
+    """Return a request without an answer."""
+    usual = {"status": 0, "close": False, "whole": False, "head_at": 0.0}
+    return told(**{**usual, "fault": Fault.ENDED, **more})
+
+
+REFUSED: dict[str, Any] = {
+    "fault": Fault.REFUSED,
+    "connected_at": 0.0,
+    "sent_at": 0.0,
+}
+
+KEPT = [
+    ("served", told(), [run(101.1)]),
+    ("refused truthfully", told(status=503, retry_after="0.5"), []),
+    ("no tokens", told(status=429, retry_after="0.5"), []),
+    ("too slow", told(status=408, retry_after="0.1", sent_at=0.0), []),
+    ("head before the signal", told(head_at=99.0, close=False), [run(101.1)]),
+    ("door closed at the end", lost(**REFUSED, ended_at=106.7), []),
+    ("door not open yet", lost(**REFUSED, ended_at=1.5), []),
+    ("reset at the end", lost(fault=Fault.RESET, ended_at=106.7), []),
+    ("not whole at the end", lost(sent_at=0.0, ended_at=106.7), []),
+    ("crossed the last", lost(closing_at=101.1, ended_at=101.15), []),
+    ("never asked", lost(fault=Fault.NONE, sent_at=0.0), []),
+    ("endless", lost(sent_at=102.9, ended_at=106.8), [run(106.8)]),
+    (
+        "endless in part",
+        told(length=LONG, events=[1], whole=False, fault=Fault.ENDED),
+        [run(106.8)],
+    ),
+]
+
+BROKEN = [
+    ("ran and was refused", told(status=503, retry_after="1"), [run(101.1)], "and ran"),
+    ("no time to come back", told(status=503), [], "without Retry-After"),
+    ("no promise", told(status=502), [run(101.1)], "got 502"),
+    ("another's answer", told(right=False), [run(101.1)], "another request"),
+    ("not told to close", told(close=False), [run(101.1)], "not told"),
+    ("ran twice", told(), [run(101.1), run(101.2)], "ran 2 times"),
+    ("too few events", told(length=MIDDLE, events=[1]), [run(101.1)], "early"),
+    ("closed door", lost(**REFUSED, ended_at=106.5), [], "closed door: refused"),
+    ("no connection", lost(**REFUSED | {"fault": Fault.SILENT}), [], "not connected"),
+    ("hung", lost(fault=Fault.HUNG), [], "closed door: hung"),
+    ("reset", lost(fault=Fault.RESET), [], "closed door: reset"),
+    ("ended", lost(), [], "closed door: ended"),
+    ("half a head", lost(sent_at=0.0), [], "closed door: ended"),
+    ("read, then the end", lost(sent_at=106.0, ended_at=106.9), [], "was read"),
+    ("ran to no end", lost(), [run(101.1)], "ran and was not answered"),
+    ("cut too soon", lost(ended_at=106.0), [run(106.0)], "ran and was not answered"),
+    ("sent late", lost(sent_at=103.1), [run(106.9)], "ran and was not answered"),
+    (
+        "sent with the one before",
+        lost(style=Style.PIPELINED, closing_at=101.0, ended_at=104.0),
+        [],
+        "closed door",
+    ),
+    (
+        "read before the last answer began",
+        lost(style=Style.CROSSING, closing_at=102.0, ended_at=102.1),
+        [],
+        "closed door",
+    ),
+    (
+        "cut with time left",
+        told(length=LONG, events=[1], whole=False, fault=Fault.ENDED),
+        [run(103.0)],
+        "was cut",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("one", "runs"), [row[1:] for row in KEPT], ids=[row[0] for row in KEPT]
+)
+def test_what_costs_callers_nothing_passes(one: Try, runs: list[Seen]) -> None:
+    """Callers are answered, told the truth, or came when there was no process."""
+    assert judge_try(one, LIFE, runs) == []
+
+
+@pytest.mark.parametrize(
+    ("one", "runs", "fault"),
+    [row[1:] for row in BROKEN],
+    ids=[row[0] for row in BROKEN],
+)
+def test_a_broken_promise_is_found(one: Try, runs: list[Seen], fault: str) -> None:
+    """Each way in which a stop can cost a caller something is named."""
+    assert fault in " ".join(judge_try(one, LIFE, runs))
+
+
+@pytest.mark.parametrize(
+    ("change", "fault"),
+    [
+        ({}, ""),
+        ({"idle": True}, "nothing open"),
+        ({"code": 1}, "code 1"),
+        ({"code": -15}, "code -15"),
+        ({"code": -15, "logged": False}, ""),
+        ({"exited_at": 108.1, "code": -9}, "lived 8.10 s"),
+        ({"asked_at": 0.0, "code": 1}, "unasked"),
+    ],
+)
+def test_the_end_of_a_process_is_judged(change: dict[str, Any], fault: str) -> None:
+    """It ends by itself, in time, and says that all went well."""
+    found = " ".join(judge_end(evolve(LIFE, **change), CASE))
+    assert fault in found
+    assert bool(fault) is bool(found)
+
+
+@pytest.mark.parametrize(
+    ("spent", "out", "held", "trouble", "faults"),
+    [
+        (30, 0, 0, Trouble.NONE, 0),
+        (20, 0, 0, Trouble.NONE, 1),
+        (35, 0, 0, Trouble.NONE, 1),
+        (30, 10, 10, Trouble.NONE, 2),
+        (20, 10, 10, Trouble.SILENT, 0),
+        (35, 0, 0, Trouble.SILENT, 1),
+    ],
+)
+def test_money_is_whole(
+    spent: int, out: int, held: int, trouble: Trouble, faults: int
+) -> None:
+    """What was spent is what was served, and nothing is left out."""
+    one = told(length=SHORT, events=[1, 2])
+    rows = {
+        "prepaid/acme/budget": {"budget": {"spent": spent, "outstanding": out}},
+        "prepaid/acme/grant/vm-0": {"drawn": 50, "returned": 50 - held},
+        "limits/vm-0/row": {},
+    }
+    evidence = Evidence([one], [LIFE], {"r": [run(101.1)]}, rows)
+    assert len(judge(Case("case", trouble=trouble), evidence)) == faults
+
+
+def test_a_process_that_refuses_all_is_found() -> None:
+    """A request that would end in a moment is taken while there is time."""
+    one = told(status=503, retry_after="1")
+    assert "time left" in judge(CASE, Evidence([one], [LIFE], {}, {}))[0]
