--- a/tests/platform/stops/_callers.py
+++ b/tests/platform/stops/_callers.py
@@ -265,7 +265,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(line.read, one)
         await anyio.sleep(chances.uniform(0.0, CROSSING_TIME))
-        if one.close or one.fault or line.over:
+        if one.close or line.over:
             return
         second = more()
         await line.ask(second)
