--- a/tests/platform/stops/_callers.py
+++ b/tests/platform/kit/_callers.py
@@ -4,15 +4,15 @@
 
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from enum import Enum
 from random import Random
 
 import anyio
 import h11
 from anyio.abc import SocketStream
-from attrs import define, field
+from attrs import define, field, frozen
 
-from tests.platform.soak._world import EVENT_TOKENS, Gateway
-from tests.platform.stops._cases import Length, Style
+from tests.platform.kit._world import EVENT_TOKENS, Gateway
 
 CONNECT_TIME = 1.0
 """Seconds in which callers want a connection, as the platform's do."""
@@ -34,6 +34,28 @@
 SLOW_BODY = 3000
 
 
+class Style(Enum):
+    """How a caller uses its connections."""
+
+    NEW = "a connection for each request"
+    KEPT = "one connection until it is told to close"
+    PIPELINED = "several requests at once on a kept connection"
+    CROSSING = "the next request while the answer to the last is on its way"
+    SLOW_HEAD = "a head in pieces, on new and on kept connections"
+    SLOW_BODY = "a body in pieces, on new and on kept connections"
+
+
+@frozen
+class Length:
+    """How long an answer takes: so many events, with a pause before each.
+
+    No events make an answer that is whole, after one pause.
+    """
+
+    events: int
+    pause: float
+
+
 class Fault:
     """How a connection failed a request."""
 
@@ -59,6 +81,8 @@
         events: The numbers of the whole events that came, in order.
         whole: Whether the answer ended as it should.
         fault: How the connection failed.
+        sound: Whether its engine keeps to its length and no fate befalls it.
+        patience: How long the gateway has for it; 0 for as long as the route allows.
     """
 
     request: str
@@ -80,6 +104,15 @@
     whole: bool = False
     fault: str = Fault.NONE
     ended_at: float = 0.0
+    sound: bool = True
+    patience: float = 0.0
+
+    @property
+    def target(self) -> str:
+        """The target, with what its engine is asked to do."""
+        place = "/chat/a" if self.length.events else "/book/a"
+        script = f"?events={self.length.events}&pause={self.length.pause}&sound=1"
+        return place + script if self.sound else place
 
     @property
     def most(self) -> int:
@@ -89,14 +122,16 @@
     def head(self, body: bytes) -> bytes:
         """Return the bytes of the request's head."""
         plain = not self.length.events
-        script = f"events={self.length.events}&pause={self.length.pause}&sound=1"
         lines = [
-            f"POST /{'book' if plain else 'chat'}/a?{script} HTTP/1.1",
+            f"POST {self.target} HTTP/1.1",
             f"host: {'book' if plain else 'chat'}.example",
             f"x-ebonyhold-request-id: {self.request}",
             f"x-ebonyhold-key: key-{self.workspace}",
             f"content-length: {len(body)}",
         ]
+        if self.patience:
+            milliseconds = int(self.patience * 1000)
+            lines.append(f"x-ebonyhold-deadline-milliseconds: {milliseconds}")
         if self.prompt and not plain:
             lines.append(f"x-ebonyhold-token-counts: {self.prompt},{self.most}")
         return "\r\n".join([*lines, "", ""]).encode()
--- /dev/null
+++ b/tests/platform/kit/_lives.py
@@ -0,0 +1,81 @@
+"""The lives of VMs' processes: when each began to listen, and how it ended."""
+
+from __future__ import annotations
+
+import subprocess
+import time
+from collections.abc import Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from tests.platform.kit._world import Gateway
+
+LOOK_EVERY = 0.02
+
+
+@define(eq=False)
+class Life:
+    """One process of a VM.  Moments are of the monotonic clock.
+
+    Attributes:
+        listening_at: When it first took a connection; 0 before.
+        asked_at: When it got its first SIGTERM; 0 before.
+        exited_at: When it was seen to have ended; 0 before.
+        code: How it ended.
+        idle: Whether nothing was open when it was asked to stop.
+        logged: Whether it wrote anything before it was asked to stop.
+        killed: Whether it was killed.
+    """
+
+    vm: int
+    started_at: float = field(factory=time.monotonic)
+    listening_at: float = 0.0
+    asked_at: float = 0.0
+    exited_at: float = 0.0
+    code: int | None = None
+    idle: bool = False
+    logged: bool = True
+    killed: bool = False
+    log_size: int = 0
+    ended: anyio.Event = field(factory=anyio.Event)
+
+    def covers(self, moment: float) -> bool:
+        """Tell whether the process lived at a moment."""
+        return self.started_at <= moment and not 0 < self.exited_at < moment
+
+    def note_asked(self, gateway: Gateway) -> None:
+        """Note that the process is about to get a SIGTERM."""
+        if not self.asked_at and not self.exited_at:
+            self.logged = gateway.log_size() > self.log_size
+            self.asked_at = time.monotonic()
+
+    async def watch_end(self, process: subprocess.Popen[bytes]) -> None:
+        """Note when and how the process ends."""
+        self.code = await anyio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
+        self.exited_at = time.monotonic()
+        self.ended.set()
+
+    async def watch_start(self, gateway: Gateway) -> None:
+        """Note when the process first takes connections."""
+        while not self.exited_at:
+            try:
+                async with await anyio.connect_tcp(gateway.address, gateway.port):
+                    self.listening_at = time.monotonic()
+                    return
+            except OSError:
+                await anyio.sleep(LOOK_EVERY)
+
+
+def begin(gateway: Gateway, tasks: TaskGroup) -> Life:
+    """Start a VM's process and watch it."""
+    life = Life(gateway.number, log_size=gateway.log_size())
+    tasks.start_soon(life.watch_end, gateway.start())
+    tasks.start_soon(life.watch_start, gateway)
+    return life
+
+
+def find_life(lives: Sequence[Life], vm: int, moment: float) -> Life | None:
+    """Return the process of a VM that lived at a moment."""
+    return next((life for life in lives if life.vm == vm and life.covers(moment)), None)
--- a/tests/platform/soak/_world.py
+++ b/tests/platform/kit/_world.py
@@ -1,4 +1,4 @@
-"""What a soak starts and hurts: gateways, their settings, their paths to the store."""
+"""What tests start and hurt: gateways, their settings, their paths to the store."""
 
 from __future__ import annotations
 
@@ -167,10 +167,19 @@
     program: str
     process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
+    @property
+    def log(self) -> Path:
+        """The file of what all processes of the VM wrote."""
+        return self.folder / f"vm-{self.number}.log"
+
+    def log_size(self) -> int:
+        """Return how much they wrote."""
+        return self.log.stat().st_size if self.log.exists() else 0
+
+    def start(self) -> subprocess.Popen[bytes]:
         """Start the program; what it logs goes to a file of the seed."""
         path = self.folder / f"vm-{self.number}.toml"
-        with (self.folder / f"vm-{self.number}.log").open("ab") as output:
+        with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.program.split()],
                 cwd=ROOT,
@@ -178,6 +187,7 @@
                 stdout=output,
                 stderr=output,
             )
+        return self.process
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -8,8 +8,8 @@
 
 import anyio
 
+from tests.platform.kit import ROOT
 from tests.platform.soak import play_seed
-from tests.platform.soak._world import ROOT
 
 SECONDS = 15.0
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -75,6 +75,11 @@
         )
 
 
+def has_fate(request: str) -> bool:
+    """Tell whether an engine gives a request no answer, or a broken one."""
+    return zlib.crc32(request.encode()) % FATES in (SAYS_NOTHING, BREAKS_OFF)
+
+
 def place(raw: dict[str, Any]) -> str:
     """Return our key of a row that a call names."""
     return f"{raw['table']}/{raw['part']}/{raw['key']}"
--- a/tests/platform/stops/__init__.py
+++ b/tests/platform/stops/__init__.py
@@ -6,7 +6,7 @@
 of the processes and of the money.
 """
 
-from tests.platform.stops._cases import CASES, LONG_CASES, Case, Overlap, Style, Trouble
+from tests.platform.stops._cases import CASES, LONG_CASES, Case, Overlap, Trouble
 from tests.platform.stops._play import play_case, play_cases
 
 __all__ = [
@@ -14,7 +14,6 @@
     "LONG_CASES",
     "Case",
     "Overlap",
-    "Style",
     "Trouble",
     "play_case",
     "play_cases",
--- a/tests/platform/stops/_cases.py
+++ b/tests/platform/stops/_cases.py
@@ -6,16 +6,7 @@
 
 from attrs import frozen
 
-
-class Style(Enum):
-    """How a caller uses its connections."""
-
-    NEW = "a connection for each request"
-    KEPT = "one connection until it is told to close"
-    PIPELINED = "several requests at once on a kept connection"
-    CROSSING = "the next request while the answer to the last is on its way"
-    SLOW_HEAD = "a head in pieces, on new and on kept connections"
-    SLOW_BODY = "a body in pieces, on new and on kept connections"
+from tests.platform.kit import Length, Style
 
 
 class Overlap(Enum):
@@ -37,17 +28,6 @@
     SILENT = "nothing passes on the way to the store, from before the signal on"
 
 
-@frozen
-class Length:
-    """How long an answer takes: so many events, with a pause before each.
-
-    No events make an answer that is whole, after one pause.
-    """
-
-    events: int
-    pause: float
-
-
 PLAIN = Length(0, 0.02)
 LATE = Length(0, 1.5)
 SHORT = Length(2, 0.02)
--- a/tests/platform/stops/_domain.py
+++ b/tests/platform/stops/_domain.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import signal
-import time
 from random import Random
 
 import anyio
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from tests.platform.soak._world import GRACE, Gateway
+from tests.platform.kit import GRACE, Gateway, Life, begin
 
 QUESTION_EVERY = 1.0
 """Seconds between the platform's questions whether a VM is ready."""
@@ -22,34 +21,6 @@
 START_LIMIT = 20.0
 
 
-@define(eq=False)
-class Life:
-    """One process of a VM.  Moments are of the monotonic clock.
-
-    Attributes:
-        listening_at: When it first took a connection; 0 before.
-        asked_at: When it got its first SIGTERM; 0 before.
-        exited_at: When it was seen to have ended; 0 before.
-        code: How it ended.
-        idle: Whether nothing was open when it was asked to stop.
-        logged: Whether it wrote anything before it was asked to stop.
-    """
-
-    vm: int
-    started_at: float = field(factory=time.monotonic)
-    listening_at: float = 0.0
-    asked_at: float = 0.0
-    exited_at: float = 0.0
-    code: int | None = None
-    idle: bool = False
-    logged: bool = True
-    ended: anyio.Event = field(factory=anyio.Event)
-
-    def covers(self, moment: float) -> bool:
-        """Tell whether the process lived at a moment."""
-        return self.started_at <= moment and not 0 < self.exited_at < moment
-
-
 @define(eq=False)
 class Domain:
     """The VMs, their processes so far, and the platform's view of them.
@@ -71,38 +42,14 @@
 
     def start(self, vm: int) -> Life:
         """Start a VM's process and watch it."""
-        gateway = self.gateways[vm]
-        gateway.start()
-        life = Life(vm)
+        life = begin(self.gateways[vm], self.tasks)
         self.lives.append(life)
-        self.tasks.start_soon(self.watch_end, gateway, life)
-        self.tasks.start_soon(self.watch_start, gateway, life)
         return life
 
-    async def watch_end(self, gateway: Gateway, life: Life) -> None:
-        """Note when and how a process ends."""
-        process = gateway.process
-        assert process is not None
-        life.code = await anyio.to_thread.run_sync(process.wait, abandon_on_cancel=True)
-        life.exited_at = time.monotonic()
-        life.ended.set()
-
-    async def watch_start(self, gateway: Gateway, life: Life) -> None:
-        """Note when a process first takes connections."""
-        while not life.exited_at:
-            try:
-                async with await anyio.connect_tcp(gateway.address, gateway.port):
-                    life.listening_at = time.monotonic()
-                    return
-            except OSError:
-                await anyio.sleep(LOOK_EVERY)
-
     async def stop(self, vm: int) -> Life:
         """Ask a VM's process to end, kill it after the grace; return once it ended."""
         gateway, life = self.gateways[vm], self.life(vm)
-        log = gateway.folder / f"vm-{vm}.log"
-        life.logged = log.exists() and log.stat().st_size > 0
-        life.asked_at = time.monotonic()
+        life.note_asked(gateway)
         gateway.send(signal.SIGTERM)
         with anyio.move_on_after(GRACE):
             await life.ended.wait()
--- a/tests/platform/stops/_judge.py
+++ b/tests/platform/stops/_judge.py
@@ -8,33 +8,29 @@
 
 from attrs import field, frozen
 
-from tests.platform.soak._world import EVENT_TOKENS, GRACE
-from tests.platform.stops._callers import Fault, Try
-from tests.platform.stops._cases import Case, Style, Trouble
-from tests.platform.stops._domain import Life
-
-DOOR_MARGIN = 0.4
-"""Seconds before a process's end from which its door may be closed."""
-
-LOSS_SLACK = 0.2
-"""Seconds in which a request and the end of its connection may cross, by the rules."""
+from tests.platform.kit import (
+    EVENT_TOKENS,
+    GRACE,
+    LATE_AFTER,
+    LOSS_SLACK,
+    Fault,
+    Life,
+    Seen,
+    Try,
+    at_the_end,
+    find_life,
+    read_runs,
+    was_crossing,
+    was_endless,
+)
+from tests.platform.stops._cases import Case, Trouble
 
 TOLD_AFTER = 0.2
 """Seconds after the signal from which each answer says that it is the last."""
 
-CROSSING_TIME = 0.01
-"""Seconds that a request and an answer on their way may miss each other by."""
-
 QUICK = 0.1
 """Seconds that an engine takes for a request that ends in a moment."""
 
-LATE_AFTER = 3.0
-"""A request that is sent later than so many seconds after the signal is never cut,
-and one that is sent sooner and ends in a moment is served."""
-
-LAST_PART = 1 / 6
-"""The part of the grace in which what still runs may be cut."""
-
 IDLE_END = 4.0
 """Seconds after the signal in which a process with nothing open ends."""
 
@@ -42,15 +38,6 @@
 PROMISES = (429, 503)
 
 
-@frozen
-class Seen:
-    """A run, as its engine saw it."""
-
-    began_at: float
-    ended_at: float
-    sent: int
-
-
 @frozen
 class Evidence:
     """What callers, processes, engines and the store have to say of a case."""
@@ -65,10 +52,7 @@
         cls, tries: Sequence[Try], lives: Sequence[Life], witness: Mapping[str, Any]
     ) -> Evidence:
         """Read what the witness tells."""
-        runs: dict[str, list[Seen]] = {}
-        for request, _, _, _, began, ended, sent in witness["runs"]:
-            runs.setdefault(request, []).append(Seen(began, ended, sent))
-        return cls(tries, lives, runs, witness["rows"])
+        return cls(tries, lives, read_runs(witness), witness["rows"])
 
 
 def judge(case: Case, evidence: Evidence) -> list[str]:
@@ -89,11 +73,6 @@
     return broken + judge_money(evidence, case)
 
 
-def find_life(lives: Sequence[Life], vm: int, moment: float) -> Life | None:
-    """Return the process of a VM that lived at a moment."""
-    return next((life for life in lives if life.vm == vm and life.covers(moment)), None)
-
-
 def story(one: Try, life: Life) -> str:
     """Tell the order of what happened to a request, in seconds after the signal."""
     zero = life.asked_at or life.started_at
@@ -174,16 +153,6 @@
     return []
 
 
-def was_endless(one: Try, life: Life, runs: Sequence[Seen]) -> bool:
-    """Tell whether a request could not end in the grace, and may be cut at its end."""
-    if not life.asked_at or not one.sent_at:
-        return False
-    if one.sent_at > life.asked_at + LATE_AFTER:
-        return False
-    last = life.asked_at + GRACE * (1 - LAST_PART)
-    return any(not run.ended_at or run.ended_at >= last for run in runs)
-
-
 def judge_unanswered(one: Try, life: Life, runs: Sequence[Seen]) -> list[str]:
     """Return what was broken of a request without an answer."""
     if not one.fault:
@@ -202,26 +171,6 @@
     return [f"met a closed door: {one.fault}"]
 
 
-def was_crossing(one: Try) -> bool:
-    """Tell whether a request met an answer on its way that said that it is the last.
-
-    What was sent at once with the request before it was there when that answer began.
-    """
-    if not one.closing_at or not one.sent_at:
-        return False
-    if one.ended_at - one.sent_at <= LOSS_SLACK:
-        return True
-    crossed = one.sent_at > one.closing_at - CROSSING_TIME
-    return one.style is not Style.PIPELINED and crossed
-
-
-def at_the_end(one: Try, life: Life) -> bool:
-    """Tell whether a connection failed where no process can be asked to answer."""
-    if not life.listening_at or one.ended_at < life.listening_at:
-        return True
-    return bool(life.exited_at) and one.ended_at > life.exited_at - DOOR_MARGIN
-
-
 def judge_money(evidence: Evidence, case: Case) -> list[str]:
     """Return what budgets and grants have wrong after all processes ended."""
     least: Counter[str] = Counter()
--- a/tests/platform/stops/_play.py
+++ b/tests/platform/stops/_play.py
@@ -16,20 +16,22 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from tests.platform.soak._logs import log_faults
-from tests.platform.soak._world import (
+from tests.platform.kit import (
     HOST,
     ROOT,
     Gateway,
+    Life,
     Proxy,
+    Try,
     address_of,
     configuration,
+    converse,
     free_ports,
+    log_faults,
     settings,
 )
-from tests.platform.stops._callers import Try, converse
 from tests.platform.stops._cases import Case, Overlap, Trouble
-from tests.platform.stops._domain import Domain, Life
+from tests.platform.stops._domain import Domain
 from tests.platform.stops._judge import Evidence, judge
 
 PROGRAM = "ebonyhold.gateway"
@@ -109,7 +111,7 @@
             tasks.cancel_scope.cancel()
         broken = judge(self.case, evidence)
         for gateway in self.domain.gateways:
-            broken += log_faults(self.folder / f"vm-{gateway.number}.log")
+            broken += log_faults(gateway.log)
         return broken
 
     async def configure(self) -> None:
--- a/tests/platform/test_stops_judge.py
+++ b/tests/platform/test_stops_judge.py
@@ -7,10 +7,9 @@
 import pytest
 from attrs import evolve
 
-from tests.platform.stops._callers import Fault, Try
-from tests.platform.stops._cases import LONG, MIDDLE, PLAIN, SHORT, Case, Style, Trouble
-from tests.platform.stops._domain import Life
-from tests.platform.stops._judge import Evidence, Seen, judge, judge_end, judge_try
+from tests.platform.kit import Fault, Life, Seen, Style, Try
+from tests.platform.stops._cases import LONG, MIDDLE, PLAIN, SHORT, Case, Trouble
+from tests.platform.stops._judge import Evidence, judge, judge_end, judge_try
 
 CASE = Case("case")
 LIFE = Life(0, 1.0, listening_at=2.0, asked_at=100.0, exited_at=107.0, code=0)
