--- a/tests/platform/kit/_callers.py
+++ b/tests/platform/kit/_callers.py
@@ -76,6 +76,8 @@
         connected_at: When its connection was there; 0 if there was none.
         sent_at: When its last byte was handed over; 0 if it never was.
         closing_at: When an earlier answer on the connection said that it is the last.
+        behind_cut: Whether an earlier answer on the connection was cut, so that none
+            could follow.
         head_at: When the head of the answer came.
         close: Whether the answer said that it is the last.
         events: The numbers of the whole events that came, in order.
@@ -95,6 +97,7 @@
     connected_at: float = 0.0
     sent_at: float = 0.0
     closing_at: float = 0.0
+    behind_cut: bool = False
     head_at: float = 0.0
     status: int = 0
     close: bool = False
@@ -145,6 +148,7 @@
         connected_at: When it was there.
         rest: Bytes that belong to the next answer.
         closing_at: When an answer said that it is the last; 0 before.
+        cut: Whether an answer was cut.
         over: Whether nothing can be asked here any more.
     """
 
@@ -152,6 +156,7 @@
     connected_at: float = field(factory=time.monotonic)
     rest: bytes = b""
     closing_at: float = 0.0
+    cut: bool = False
     over: bool = False
 
     async def send(self, data: bytes) -> None:
@@ -203,6 +208,7 @@
     async def read(self, one: Try) -> None:
         """Read the answer to a request."""
         one.closing_at = self.closing_at
+        one.behind_cut = self.cut
         one.fault = Fault.HUNG
         with anyio.move_on_after(PATIENCE):
             try:
@@ -213,6 +219,7 @@
                 one.fault = Fault.ENDED
         one.ended_at = time.monotonic()
         self.over = self.over or bool(one.fault) or one.close
+        self.cut = self.cut or bool(one.fault and one.status)
         if one.close and not self.closing_at:
             self.closing_at = one.head_at
 
--- a/tests/platform/test_stops_judge.py
+++ b/tests/platform/test_stops_judge.py
@@ -59,6 +59,7 @@
     ("reset at the end", lost(fault=Fault.RESET, ended_at=106.7), []),
     ("not whole at the end", lost(sent_at=0.0, ended_at=106.7), []),
     ("crossed the last", lost(closing_at=101.1, ended_at=101.15), []),
+    ("behind a cut", lost(behind_cut=True, ended_at=104.0), []),
     ("never asked", lost(fault=Fault.NONE, sent_at=0.0), []),
     ("endless", lost(sent_at=102.9, ended_at=106.8), [run(106.8)]),
     (
@@ -69,6 +70,7 @@
 ]
 
 BROKEN = [
+    ("ran behind a cut", lost(behind_cut=True), [run(101.1)], "ran and was not"),
     ("ran and was refused", told(status=503, retry_after="1"), [run(101.1)], "and ran"),
     ("no time to come back", told(status=503), [], "without Retry-After"),
     ("no promise", told(status=502), [run(101.1)], "got 502"),
