Refuse whatever a router's stop ends, and settle it before the bills are filed

When a stop's patience ended (the document's bound, or a second signal) only streams were told. A whole answer, a call to a service, a request in the queue and one whose body was still coming ran on while the bills were filed and the grants returned. About five seconds later the listener's end cut them: callers read a bare 500 that says nothing of whether the request ran. A booking under way was still unsettled when the settlement began.

Cause: `interrupt` knew the set of streams, and nothing knew the other requests in flight.

Now each admitted request is a flight that the stop can end. Before it is dispatched it is cancelled and refused as not run; afterwards what runs it ends it, asks the backend server, files the outcome and tells the caller. A call that may not be repeated gets one more second, since cutting it leaves an outcome that somebody has to look up. An answer that has begun and has no end of its own is left alone.

Ruled out: a request that is admitted after the last look. The flag that refuses is set before the look, in the same step of the loop as the check.

--- a/ebonyhold/callers/_app.py
+++ b/ebonyhold/callers/_app.py
@@ -24,16 +24,16 @@
     Identity,
     read_identity,
 )
-from ebonyhold.callers._chat import StreamedChat
 from ebonyhold.callers._codes import (
     BODY_TOO_LARGE,
     INTERNAL,
     METHOD_NOT_ALLOWED,
     NOT_FOUND,
     NOT_READY,
-    ROUTER_STOPPING,
+    Ran,
 )
 from ebonyhold.callers._endpoints import Call, endpoints
+from ebonyhold.callers._flight import Flight, stopped
 from ebonyhold.callers._gate import Gate
 from ebonyhold.callers._keys import KeyRing
 from ebonyhold.callers._refusals import SOON, Refusal, refusal_for
@@ -50,7 +50,7 @@
 logger = logging.getLogger(__name__)
 
 INTERRUPT_WITHIN: Seconds = 3.0
-"""How long streams have to say that they end, when a stop cannot wait longer."""
+"""How long requests have to say that they end, when a stop cannot wait longer."""
 
 
 @define
@@ -64,8 +64,7 @@
         may_serve: Whether the configuration may be served.
         stopping: Whether new requests are refused because the router stops.
         metrics: Counts requests, attempts and times.
-        active: Requests that are being answered.
-        streams: Streams that are being sent.
+        flights: Requests that were admitted and are being answered.
     """
 
     money: Money
@@ -74,8 +73,7 @@
     may_serve: Callable[[], bool] = field(default=lambda: True)
     metrics: Metrics = field(factory=Metrics)
     stopping: bool = False
-    active: int = 0
-    streams: set[StreamedChat] = field(factory=set)
+    flights: set[Flight] = field(factory=set)
     keys: KeyRing = field(init=False)
     gates: dict[tuple[BackendKind, str], Gate] = field(factory=dict)
     retries: RetryBudget = field(factory=RetryBudget)
@@ -85,6 +83,11 @@
         self.keys = KeyRing(self.fleet)
         self.backends.changed = self.pump
 
+    @property
+    def active(self) -> int:
+        """How many admitted requests are being answered."""
+        return len(self.flights)
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI scope."""
         if scope["type"] == "lifespan":
@@ -96,7 +99,6 @@
         """Answer one request, if only with a refusal."""
         watched = Watched(send)
         ended = "complete"
-        self.active += 1
         try:
             await self.answer_or_raise(request, watched)
         except CallerGoneError:
@@ -114,7 +116,6 @@
                 raise
             await refuse(Refusal(INTERNAL), watched)
         finally:
-            self.active -= 1
             self.count(request, watched, ended)
 
     async def answer_or_raise(self, request: Request, send: Watched) -> None:
@@ -130,7 +131,7 @@
                 send.request = identity.request
                 span.set_attribute("request", identity.request)
                 self.check_open()
-                await self.handle(request, identity, send)
+                await self.fly(request, identity, send)
         except BodyTooLargeError as error:
             raise Refusal(BODY_TOO_LARGE, str(error)) from error
         except CallerGoneError:
@@ -145,18 +146,37 @@
         if send.first is not None and ended == "complete":
             self.metrics.first_token.observe(send.first - send.arrived)
 
+    async def fly(self, request: Request, identity: Identity, send: Watched) -> None:
+        """Handle an admitted request in a way that a stop can end.
+
+        Raises:
+            EbonyholdError: The request is refused.
+        """
+        flight = Flight(send)
+        self.flights.add(flight)
+        try:
+            with flight.scope:
+                await self.handle(request, identity, send, flight)
+            if flight.scope.cancelled_caught:
+                raise stopped(Ran.NO)
+        finally:
+            self.flights.discard(flight)
+            flight.ended.set()
+
     async def interrupt(self) -> None:
-        """End all streams with an explicit error event, and settle them.
+        """End all requests under way with an explicit refusal or error event.
 
-        It is for the end of a stop's patience: without it the listener would
-        cut the streams, which a caller might take for their end.
+        It is for the end of a stop's patience.  A request that is left out would
+        run on while the bills are filed and the grants returned, until the
+        listener's end cuts it: its caller sees a bare 500 or no answer, hears
+        nothing of whether it ran, and its bill is left to be recovered.
         """
-        streams = tuple(self.streams)
-        for stream in streams:
-            stream.interrupt()
+        flights = tuple(self.flights)
+        for flight in flights:
+            flight.interrupt()
         with anyio.move_on_after(INTERRUPT_WITHIN):
-            for stream in streams:
-                await stream.ended.wait()
+            for flight in flights:
+                await flight.ended.wait()
 
     def check_open(self) -> None:
         """Refuse work while there is no configuration, or at the end.
@@ -165,11 +185,13 @@
             Refusal: The router takes no requests now.
         """
         if self.stopping:
-            raise Refusal(ROUTER_STOPPING, retry_after=SOON)
+            raise stopped(Ran.NO)
         if self.fleet.version == 0 or not self.may_serve():
             raise Refusal(NOT_READY, retry_after=SOON)
 
-    async def handle(self, request: Request, identity: Identity, send: Send) -> None:
+    async def handle(
+        self, request: Request, identity: Identity, send: Send, flight: Flight
+    ) -> None:
         """Find the endpoint and let it answer.
 
         Raises:
@@ -180,7 +202,8 @@
             if found.methods:
                 raise Refusal(METHOD_NOT_ALLOWED, "use " + ", ".join(found.methods))
             raise Refusal(NOT_FOUND)
-        call = Call(self, request, identity, self.keys.caller(request.bearer()))
+        caller = self.keys.caller(request.bearer())
+        call = Call(self, request, identity, caller, flight)
         request.parameters = found.parameters
         await found.endpoint.handler(call, request, send)
 
--- a/ebonyhold/callers/_chat.py
+++ b/ebonyhold/callers/_chat.py
@@ -16,6 +16,7 @@
     CALLER_TOO_SLOW,
     Ran,
 )
+from ebonyhold.callers._flight import stopped
 from ebonyhold.callers._pipe import Pipe
 from ebonyhold.callers._refusals import Refusal, refusal_for
 from ebonyhold.callers._run import ChatRun, ReplayedError, read_whole
@@ -33,10 +34,22 @@
 
 @define
 class WholeChat:
-    """Answers a chat request whole."""
+    """Answers a chat request whole.
+
+    Attributes:
+        run: The request.
+        answer: The engine's answer, once it is there.
+        producing: Cancels the engine's side.
+    """
 
     run: ChatRun
     answer: Answer | None = None
+    producing: anyio.CancelScope = field(factory=anyio.CancelScope)
+
+    def interrupt(self) -> None:
+        """End the request now, unless its answer is there."""
+        if self.answer is None:
+            self.producing.cancel()
 
     async def respond(self, request: Request, send: Send) -> None:
         """Run the request and send its answer.
@@ -55,6 +68,8 @@
             ran = await self.run.settle()
         if gone:
             return
+        if self.producing.cancelled_caught:
+            raise stopped(ran)
         if failure is not None:
             await answer_failure(failure, ran, self.run.request, send)
         elif self.answer is not None:
@@ -68,7 +83,11 @@
 
     async def produce(self) -> None:
         """Get the answer from an engine."""
-        await self.run.run(self.dispatch)
+        with self.producing:
+            await self.run.run(self.dispatch)
+        if self.producing.cancelled_caught:
+            # The caller has got nothing, and it was not the caller who gave up.
+            self.run.given_up = False
 
     async def dispatch(self, state: BackendState, call: EngineCall) -> None:
         """Make one attempt."""
@@ -94,7 +113,6 @@
     settled: Ran | None = None
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
     producing: anyio.CancelScope = field(factory=anyio.CancelScope)
-    ended: anyio.Event = field(factory=anyio.Event)
 
     async def respond(self, request: Request, send: Send) -> None:
         """Run the request and send its answer.
@@ -113,6 +131,8 @@
         error = self.pipe.error
         if error is not None and not response.started:
             assert self.settled is not None
+            if self.producing.cancel_called:
+                raise stopped(self.settled)
             await answer_failure(error, self.settled, self.run.request, send)
 
     def interrupt(self) -> None:
--- a/ebonyhold/callers/_endpoints.py
+++ b/ebonyhold/callers/_endpoints.py
@@ -23,6 +23,7 @@
     BODY_TIMEOUT,
     SERVICE_UNKNOWN,
 )
+from ebonyhold.callers._flight import Flight
 from ebonyhold.callers._gate import Gate, Waiter
 from ebonyhold.callers._keys import Caller
 from ebonyhold.callers._pipe import Pipe
@@ -47,6 +48,7 @@
     request: Request
     identity: Identity
     caller: Caller
+    flight: Flight
 
     @property
     def workspace(self) -> Workspace:
@@ -92,23 +94,11 @@
             app.metrics,
             at.server_chosen,
         )
+        chat: StreamedChat | WholeChat = WholeChat(run)
         if ask.stream:
-            await answer_stream(app, run, request, send)
-        else:
-            await WholeChat(run).respond(request, send)
-
-
-async def answer_stream(
-    app: Serving, run: ChatRun, request: Request, send: Send
-) -> None:
-    """Answer a chat request with a stream that a stop can end."""
-    stream = StreamedChat(run, Pipe(app.fleet.document.limits.stream_buffer))
-    app.streams.add(stream)
-    try:
-        await stream.respond(request, send)
-    finally:
-        app.streams.discard(stream)
-        stream.ended.set()
+            chat = StreamedChat(run, Pipe(app.fleet.document.limits.stream_buffer))
+        call.flight.begin(chat)
+        await chat.respond(request, send)
 
 
 @asynccontextmanager
@@ -180,6 +170,7 @@
             ask,
             at.server_chosen,
         )
+        call.flight.begin(run)
         await run.respond(send)
 
 
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -25,7 +25,9 @@
     NO_BACKEND,
     OUTCOME_UNKNOWN,
     PARAMETER_INVALID,
+    Ran,
 )
+from ebonyhold.callers._flight import stopped
 from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
     Outcome,
@@ -44,6 +46,13 @@
 DURABLE_WITHIN: Seconds = 2.0
 """How long an answer waits for its outcome to be durable."""
 
+LAST_PATIENCE: Seconds = 1.0
+"""How long a call that may not be repeated goes on when a stop ends everything.
+
+Cut, it leaves an outcome that somebody has to look up; most calls are shorter.  It
+leaves the rest of the stop's last wait for recording the outcome.
+"""
+
 CHARGED_BELOW = 400
 """Statuses below this mean that the call did what it was for."""
 
@@ -142,6 +151,12 @@
     tried: set[BackendName] = field(factory=set)
     attempts: int = 0
     may_have_run: bool = False
+    running: anyio.CancelScope = field(factory=anyio.CancelScope)
+
+    def interrupt(self) -> None:
+        """End the call now, or soon if it may not be repeated."""
+        wait = 0.0 if self.ask.rule.repeatable else LAST_PATIENCE
+        self.running.deadline = anyio.current_time() + wait
 
     async def respond(self, send: Send) -> None:
         """Run the call and send its answer.
@@ -170,9 +185,17 @@
         )
 
     async def complete(self) -> Replay | None:
-        """Make attempts and record the outcome before anything is answered."""
+        """Make attempts and record the outcome before anything is answered.
+
+        Raises:
+            Refusal: There is no answer.
+        """
+        replay: Replay | None = None
         try:
-            replay = await self.run()
+            with self.running:
+                replay = await self.run()
+            if self.running.cancelled_caught:
+                raise self.refusal_of_stop()
         finally:
             with anyio.CancelScope(shield=True):
                 await self.settle()
@@ -199,6 +222,14 @@
             await self.attempt(state)
         return None
 
+    def refusal_of_stop(self) -> Refusal:
+        """Return what the caller hears when the router's stop has ended the call."""
+        if not self.may_have_run:
+            return stopped(Ran.NO)
+        if not self.ask.rule.repeatable:
+            return Refusal(OUTCOME_UNKNOWN, "this router stopped before the answer")
+        return stopped(Ran.UNKNOWN)
+
     def choose(self) -> BackendState:
         """Choose the next server.
 
--- a/ebonyhold/callers/_serving.py
+++ b/ebonyhold/callers/_serving.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from ebonyhold.backends import Backends
-from ebonyhold.callers._chat import StreamedChat
 from ebonyhold.callers._gate import Gate
 from ebonyhold.coordination import RetryBudget
 from ebonyhold.document import BackendKind
@@ -22,7 +21,6 @@
         fleet: The document in force and who is leaving.
         backends: The backend servers.
         metrics: Counts requests, attempts and times.
-        streams: Streams that are being sent.
         retries: The budget of further attempts.
     """
 
@@ -30,7 +28,6 @@
     fleet: FleetView
     backends: Backends
     metrics: Metrics
-    streams: set[StreamedChat]
     retries: RetryBudget
 
     def gate(self, kind: BackendKind, name: str) -> Gate:
--- a/ebonyhold/daemon/_lifecycle.py
+++ b/ebonyhold/daemon/_lifecycle.py
@@ -38,7 +38,7 @@
     """Leads the router from serving to its end.
 
     A stop takes at most `UNREADY_GRACE` + the document's ``drain`` + three seconds
-    for the streams that it ends + `FILE_WITHIN` seconds; the listeners then take up to
+    for the requests that it ends + `FILE_WITHIN` seconds; the listeners then take up to
     their own grace to hand over the last bytes.  Before the router has registered
     there is nothing to wait for, and it ends at once.
 
@@ -99,7 +99,7 @@
         while self.callers.active and not self.hurried.is_set():
             if anyio.current_time() >= deadline:
                 logger.warning(
-                    "streams ended by the stop", extra={"count": self.callers.active}
+                    "requests ended by the stop", extra={"count": self.callers.active}
                 )
                 break
             await anyio.sleep(LOOK)
