Change the lists of kept connections before any of them is closed

Callers lost every request and stream of a router at once: its process ended with code 1, now and then, just after a server, its replacement or the links came back.

Ruled out: a connection put twice (whoever holds one owns it, and puts it once), and the deletion of a server's list under a request (no wait lies between the check for an empty list and its deletion, nor between the reading of a list and the adding to it).

--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -80,12 +80,23 @@
         """Close connections that are too old or ended, for ever."""
         while True:
             await anyio.sleep(SWEEP)
-            now = anyio.current_time()
-            for name in list(self.unused):
-                channels = self.unused[name]
-                for channel in list(channels):
-                    if not channel.is_quiet() or now >= channel.usable_until:
-                        channels.remove(channel)
-                        await channel.close()
-                if not channels:
-                    del self.unused[name]
+            # Requests take and put connections while one is being closed, so the
+            # lists are changed first, without a wait between.  A connection still
+            # listed would be taken meanwhile, and its removal would fail and end
+            # whatever runs the sweep.
+            for channel in self.remove_unusable(anyio.current_time()):
+                await channel.close()
+
+    def remove_unusable(self, now: Seconds) -> list[Channel]:
+        """Remove and return the connections that are too old or ended."""
+        removed: list[Channel] = []
+        for name, channels in list(self.unused.items()):
+            kept: list[Channel] = []
+            for channel in channels:
+                usable = channel.is_quiet() and now < channel.usable_until
+                (kept if usable else removed).append(channel)
+            if kept:
+                self.unused[name] = kept
+            else:
+                del self.unused[name]
+        return removed
--- /dev/null
+++ b/tests/forwarding/test_pool.py
@@ -0,0 +1,133 @@
+"""Connections to servers that are kept, while many of them end at once."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+from attrs import define, field
+
+from ebonyhold.forwarding import ChannelPool, _pool
+from ebonyhold.forwarding._channel import Channel
+from tests.forwarding.kit import GONE, LOOPBACK
+
+pytestmark = pytest.mark.anyio
+
+USERS = 6
+"""Requests that take and put connections at a time."""
+
+ENDS = 12
+"""How often a server ends all its connections in one play."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+@define(eq=False)
+class Endings:
+    """A server that ends all its connections at the same moment.
+
+    Attributes:
+        streams: The connections that are open.
+    """
+
+    streams: set[SocketStream] = field(factory=set)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Keep a connection until either side ends it."""
+        self.streams.add(stream)
+        try:
+            async with stream:
+                await stream.receive()
+        except GONE:
+            self.streams.discard(stream)
+
+    async def end_all(self) -> None:
+        """End every connection."""
+        async with anyio.create_task_group() as tasks:
+            for stream in list(self.streams):
+                tasks.start_soon(stream.aclose)
+
+
+async def use(pool: ChannelPool, port: int, luck: random.Random) -> None:
+    """Take and put connections as requests do, for ever."""
+    while True:
+        channel = await pool.get("i-1", (LOOPBACK, port))
+        await anyio.sleep(luck.choice((0, 0, 0.001, 0.003)))
+        if channel.is_quiet():
+            channel.usable_until = anyio.current_time() + luck.choice((0.002, 9.0))
+            await pool.put("i-1", channel)
+        else:
+            await channel.close()
+        await anyio.sleep(luck.choice((0, 0.001, 0.004)))
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_connections_that_end_together_end_no_sweep(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Several kept connections of a server end at once, under traffic.
+
+    Users saw a router's process end, with every request and stream in it, just
+    after a server or the links to it came back.  The sweep had a list of the unused
+    connections, and closed one after the other; while it waited for a close, a
+    request took a later one of them, and the sweep then removed what was not there
+    any more.  Evidence: "list.remove(x): x not in list" from the sweep, as here.
+    """
+    monkeypatch.setattr(_pool, "SWEEP", 0.001)
+    luck = random.Random(seed)
+    server = Endings()
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        port = listener.extra(SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, server.serve)
+        pool = ChannelPool(tasks)
+        tasks.start_soon(pool.sweep)
+        async with anyio.create_task_group() as users:
+            for _ in range(USERS):
+                users.start_soon(use, pool, port, random.Random(luck.random()))
+            for _ in range(ENDS):
+                await anyio.sleep(luck.uniform(0.005, 0.03))
+                await server.end_all()
+            users.cancel_scope.cancel()
+        # asyncio trips over a connection that arrives as its listener is cancelled.
+        await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert pool.opened > ENDS
+
+
+async def test_no_connection_is_both_taken_and_swept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the sweep closes is not in the list while it closes it."""
+    monkeypatch.setattr(_pool, "SWEEP", 0.001)
+    server = Endings()
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        port = listener.extra(SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, server.serve)
+        pool = ChannelPool(tasks)
+        channels = [await pool.get("i-1", (LOOPBACK, port)) for _ in range(4)]
+        seen: list[int] = []
+        done = anyio.Event()
+        close = Channel.close
+
+        async def watched(channel: Channel) -> None:
+            seen.append(len(pool.unused.get("i-1", ())))
+            await close(channel)
+            if len(seen) == len(channels):
+                done.set()
+
+        monkeypatch.setattr(Channel, "close", watched)
+        for channel in channels:
+            await pool.put("i-1", channel)
+        tasks.start_soon(pool.sweep)
+        with anyio.fail_after(1.0):
+            await done.wait()
+        tasks.cancel_scope.cancel()
+    assert seen == [0] * len(channels)
