Keep one task's failure from ending the process, and tell of it

Callers lost every request, stream and hold of a router whenever any of its tasks met an error that nobody expected: all tasks shared one task group, which such an error ends, and on-call saw a bare traceback among lines of JSON.

Each task now has a rule (gateway/_supervision.py): what its failure means, whether it runs again at once or after a bounded pause, ends alone, or leads to the orderly stop, and why. A failure is one line, `task failed`, with its trace in a field, and counts in ebonyhold_gateway_task_failures_total. Tasks of the books (treasury, renewals) stop the process in order, since an error that is not the store's may have come in the middle of a change. A caller's connection fails alone: its caller gets 500, which does not say that the request has not run, or a cut if an answer had begun. A server's connection whose reading fails looks broken, so its request does not wait in vain.

A port that is taken is `address_unusable`: for callers and readiness the process stops in order with status 3, for metrics it is tried again each 30 s and nothing ends.

Ruled out: restarting tasks of the books (a ledger that may not agree with the rows would spend on), and 503 for a connection's fault (it promises that nothing ran).

Every error is caught in one place, `caught`, where it is logged and counted.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -21,6 +21,7 @@
     find_route,
     match_request,
 )
+from ebonyhold.forwarding._tasks import Guard, TaskStarter
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Backend,
@@ -58,6 +59,7 @@
     "EventSplitter",
     "FleetRetries",
     "Forwarder",
+    "Guard",
     "Headers",
     "HttpCalls",
     "Match",
@@ -75,6 +77,7 @@
     "ServiceName",
     "ServiceShare",
     "StreamEvent",
+    "TaskStarter",
     "UnknownKeyError",
     "WholeAnswer",
     "Workspace",
--- a/ebonyhold/forwarding/_calls.py
+++ b/ebonyhold/forwarding/_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import anyio
-from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError
@@ -11,6 +10,7 @@
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._tasks import TaskStarter
 from ebonyhold.types import Seconds
 
 MOST_ANSWER = 33_554_432
@@ -43,8 +43,8 @@
     address: tuple[str, int]
     pool: ChannelPool | None = field(default=None)
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Take the task group in which connections are read."""
+    def start(self, tasks: TaskStarter) -> None:
+        """Take what starts the tasks in which connections are read."""
         self.pool = ChannelPool(tasks)
 
     @property
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -7,11 +7,12 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._inbox import Inbox, hang_up
+from ebonyhold.forwarding._tasks import TaskStarter
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.types import Seconds
 
@@ -104,7 +105,7 @@
     """
 
     stream: SocketStream
-    tasks: TaskGroup
+    tasks: TaskStarter
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
@@ -242,7 +243,7 @@
             await hang_up(self.stream)
 
 
-async def open_channel(address: tuple[str, int], tasks: TaskGroup) -> Channel:
+async def open_channel(address: tuple[str, int], tasks: TaskStarter) -> Channel:
     """Connect to a backend server.
 
     Raises:
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -43,6 +43,18 @@
     on_end: Callable[[], None] | None = None
 
     async def fill(self) -> None:
+        """Read until the other side ends."""
+        try:
+            await self.read_on()
+        finally:
+            # Whoever waits for bytes would wait for ever if this task ended by an
+            # error that is none of the connection's.
+            if not self.ended:
+                self.ended = True
+                self.broken = True
+                self.notify()
+
+    async def read_on(self) -> None:
         """Read until the other side ends."""
         while not self.ended:
             try:
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -4,8 +4,10 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
+import h11
 from anyio.abc import ByteStream, TaskGroup
 from attrs import define, field
 
@@ -16,6 +18,7 @@
     RequestHead,
 )
 from ebonyhold.forwarding._refusals import Refusal, own_answer
+from ebonyhold.forwarding._tasks import Guard, unguarded
 from ebonyhold.forwarding._types import CallerLimits
 
 log = logging.getLogger(__name__)
@@ -40,6 +43,7 @@
     Attributes:
         serve: Answers one request.
         limits: Returns what callers are held to now.
+        guard: Keeps what fails on one connection from all others.
         connections: Those that are open.
         draining: Whether the process is about to end.
         shedding: Whether callers should connect elsewhere for a while.
@@ -50,6 +54,7 @@
 
     serve: Serve
     limits: Callable[[], CallerLimits]
+    guard: Guard = unguarded
     connections: set[CallerConnection] = field(factory=set)
     draining: bool = False
     shedding: bool = False
@@ -73,6 +78,20 @@
         connection = CallerConnection(stream, self.limits())
         connection.last = self.draining or self.shedding
         self.connections.add(connection)
+        try:
+            # An error that nobody expected would else end the task group of the
+            # whole process, with all other callers' requests.
+            if not await self.guard(partial(self.talk, connection)):
+                await self.guard(partial(self.tell_fault, connection))
+        finally:
+            self.connections.discard(connection)
+            await connection.close()
+            if not self.connections:
+                self.empty.set()
+                self.empty = anyio.Event()
+
+    async def talk(self, connection: CallerConnection) -> None:
+        """Read from a connection and answer its requests until it ends."""
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(connection.inbox.fill)
@@ -82,12 +101,21 @@
             # The caller closed while an answer was being written; whoever wrote
             # it has logged what became of the request.
             log.debug("caller's connection broke")
-        finally:
-            self.connections.discard(connection)
-            await connection.close()
-            if not self.connections:
-                self.empty.set()
-                self.empty = anyio.Event()
+
+    async def tell_fault(self, connection: CallerConnection) -> None:
+        """Answer a request that an error of ours has ended, if that can be done.
+
+        The request may have run, so the answer is none that denies it.  One that had
+        begun is cut: a caller must not take a part for the whole.
+        """
+        if connection.started or connection.parser.our_state is not h11.SEND_RESPONSE:
+            return
+        connection.last = True
+        answer = own_answer(Refusal.FAULT, [])
+        try:
+            await connection.answer(answer.status, answer.headers, answer.body)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            log.debug("caller left before it was told of a fault")
 
     async def converse(self, connection: CallerConnection) -> None:
         """Answer requests one after the other."""
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.forwarding._channel import (
@@ -13,6 +12,7 @@
     ConnectTimeoutError,
     open_channel,
 )
+from ebonyhold.forwarding._tasks import TaskStarter
 from ebonyhold.types import BackendName, Seconds
 
 SWEEP: Seconds = 1.0
@@ -34,7 +34,7 @@
         opened: Connections opened so far.
     """
 
-    tasks: TaskGroup
+    tasks: TaskStarter
     connected: Callable[[BackendName, bool], None] = lambda name, made: None
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -25,6 +25,7 @@
     BODY_TOO_LARGE = (413, "body_too_large")
     BUDGET_UNREACHABLE = (429, "budget_unreachable")
     HEAD_TOO_LARGE = (431, "head_too_large")
+    FAULT = (500, "internal_fault")
     SERVER_LOST = (502, "server_lost")
     NO_RULES = (503, "no_configuration")
     NO_SERVER = (503, "no_server")
--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -3,6 +3,7 @@
 from ebonyhold.gateway._explain import explain
 from ebonyhold.gateway._gateway import Gateway
 from ebonyhold.gateway._knowledge import Knowledge
+from ebonyhold.gateway._listening import ListenError, listen
 from ebonyhold.gateway._output import (
     STANDARD_OUTPUT,
     BoundedOutput,
@@ -11,6 +12,17 @@
 )
 from ebonyhold.gateway._presence import Presence
 from ebonyhold.gateway._renewals import Renewals
+from ebonyhold.gateway._supervision import (
+    EXIT_FAULT,
+    EXIT_PORT,
+    EXIT_SOUND,
+    RULES,
+    Act,
+    GuardedTasks,
+    Policy,
+    Rule,
+    Supervisor,
+)
 from ebonyhold.gateway._types import (
     Changes,
     GatewaySettings,
@@ -22,20 +34,31 @@
 from ebonyhold.gateway._watcher import Watcher
 
 __all__ = [
+    "EXIT_FAULT",
+    "EXIT_PORT",
+    "EXIT_SOUND",
+    "RULES",
     "STANDARD_OUTPUT",
+    "Act",
     "BoundedOutput",
     "Changes",
     "Gateway",
     "GatewaySettings",
     "GatewayStore",
+    "GuardedTasks",
     "Knowledge",
+    "ListenError",
     "Peers",
+    "Policy",
     "Presence",
     "RateLimit",
     "RawRow",
     "Renewals",
+    "Rule",
     "Snapshot",
+    "Supervisor",
     "Watcher",
     "configure_output",
     "explain",
+    "listen",
 ]
--- a/ebonyhold/gateway/__main__.py
+++ b/ebonyhold/gateway/__main__.py
@@ -33,9 +33,10 @@
     settings = peers.settings
     handler = configure_output(settings.log_level, settings.name, STANDARD_OUTPUT)
     gateway = Gateway(peers, BEGAN_AT)
-    anyio.run(gateway.run)
+    status = anyio.run(gateway.run)
     handler.flush()
     logging.shutdown()
+    sys.exit(status)
 
 
 if __name__ == "__main__":
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import logging
 import signal
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -20,10 +21,12 @@
     Ruleset,
 )
 from ebonyhold.gateway._knowledge import Knowledge
+from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._meters import GatewayMeters
 from ebonyhold.gateway._presence import Presence
 from ebonyhold.gateway._pressure import Pressure
 from ebonyhold.gateway._renewals import Renewals
+from ebonyhold.gateway._supervision import GuardedTasks, Supervisor
 from ebonyhold.gateway._types import Peers
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
@@ -116,27 +119,42 @@
             self.knowledge.change_servers,
         )
 
-    async def run(self) -> None:
-        """Serve until a signal stops the process."""
+    async def run(self) -> int:
+        """Serve until a signal or a fault stops the process.
+
+        Returns:
+            The exit status.
+        """
         settings = self.peers.settings
         log.info("starting", extra={"vm": settings.name, "domain": settings.domain})
         async with anyio.create_task_group() as tasks:
-            self.peers.store.start(tasks)
-            tasks.start_soon(self.await_signals, tasks)
-            tasks.start_soon(self.rules_watcher.run)
-            tasks.start_soon(self.servers_watcher.run)
-            tasks.start_soon(self.renewals.run)
-            tasks.start_soon(self.presence.run)
-            tasks.start_soon(self.treasury.run)
-            tasks.start_soon(self.expire_servers)
-            tasks.start_soon(self.reclaim)
-            self.start_listeners(tasks)
-        log.info("stopped", extra={"vm": settings.name})
-
-    def start_listeners(self, tasks: TaskGroup) -> None:
+            keep = self.supervise(tasks)
+            self.peers.store.start(GuardedTasks(keep, "server connection"))
+            keep.start("signals", self.await_signals, tasks)
+            keep.start("rules", self.rules_watcher.run)
+            keep.start("servers", self.servers_watcher.run)
+            keep.start("renewals", self.renewals.run)
+            keep.start("presence", self.presence.run)
+            keep.start("treasury", self.treasury.run)
+            keep.start("expiry", self.expire_servers)
+            keep.start("reclaim", self.reclaim)
+            self.start_listeners(tasks, keep)
+        log.info("stopped", extra={"vm": settings.name, "status": keep.status})
+        return keep.status
+
+    def supervise(self, tasks: TaskGroup) -> Supervisor:
+        """Return what runs this process's tasks, and stops it if it must."""
+
+        def stop() -> None:
+            keep.start("stop", self.stop, tasks)
+
+        keep = Supervisor(tasks, self.meters.task_failed, stop)
+        return keep
+
+    def start_listeners(self, tasks: TaskGroup, keep: Supervisor) -> None:
         """Listen for callers, and for questions of the platform."""
         settings = self.peers.settings
-        self.pool = ChannelPool(tasks)
+        self.pool = ChannelPool(GuardedTasks(keep, "server connection"))
         forwarder = Forwarder(
             domain=settings.domain,
             dialect=self.peers.dialect,
@@ -148,16 +166,18 @@
             ended=self.meters.ended,
             ages=self.ages,
         )
-        self.listener = CallerListener(forwarder.serve, self.knowledge.limits)
+        guard = partial(keep.guard, "caller connection")
+        self.listener = CallerListener(forwarder.serve, self.knowledge.limits, guard)
         self.pressure = Pressure(self.listener.shed)
         self.pool.connected = self.pressure.connected
-        tasks.start_soon(self.pressure.run)
-        readiness = CallerListener(self.tell_readiness, CallerLimits)
-        metrics = CallerListener(self.tell_metrics, CallerLimits)
-        tasks.start_soon(self.pool.sweep)
-        tasks.start_soon(self.listener.run, settings.callers, tasks)
-        tasks.start_soon(readiness.run, settings.readiness, tasks)
-        tasks.start_soon(metrics.run, (settings.host, METRICS_PORT), tasks)
+        keep.start("pressure", self.pressure.run)
+        readiness = CallerListener(self.tell_readiness, CallerLimits, guard)
+        metrics = CallerListener(self.tell_metrics, CallerLimits, guard)
+        metrics_address = (settings.host, METRICS_PORT)
+        keep.start("sweep", self.pool.sweep)
+        keep.start("callers", listen, self.listener, settings.callers, tasks)
+        keep.start("readiness", listen, readiness, settings.readiness, tasks)
+        keep.start("metrics", listen, metrics, metrics_address, tasks)
 
     def ages(self) -> dict[str, Seconds]:
         """Return how old what is believed of the rules and the servers is."""
--- a/ebonyhold/gateway/_meters.py
+++ b/ebonyhold/gateway/_meters.py
@@ -66,13 +66,22 @@
             "Connections opened to servers since the start.",
             registry=self.registry,
         )
-
+        self.failures = Counter(
+            "ebonyhold_gateway_task_failures_total",
+            "Failures of the gateway's own tasks, and what was done.",
+            ("task", "then"),
+            registry=self.registry,
+        )
         self.loop_delay = Gauge(
             "ebonyhold_gateway_loop_delay_seconds",
             "The smoothed delay of the event loop; callers are sent away from 0.1.",
             registry=self.registry,
         )
 
+    def task_failed(self, task: str, then: str) -> None:
+        """Count a failure of one of the gateway's own tasks."""
+        self.failures.labels(task, then).inc()
+
     def ended(self, route: str, outcome: str, length: Seconds) -> None:
         """Count a request that has ended."""
         if route not in self.routes and len(self.routes) >= MOST_ROUTES:
--- a/ebonyhold/gateway/_output.py
+++ b/ebonyhold/gateway/_output.py
@@ -4,12 +4,16 @@
 
 import logging
 import os
+import sys
 import time
 from collections.abc import Callable
+from types import TracebackType
 
 from attrs import define, field
 from pythonjsonlogger.json import JsonFormatter
 
+log = logging.getLogger(__name__)
+
 MOST_WAITING = 262_144
 """Bytes that wait for a reader that has fallen behind; beyond them lines drop."""
 
@@ -108,6 +112,16 @@
         return True
 
 
+def log_uncaught(
+    kind: type[BaseException], error: BaseException, trace: TracebackType | None
+) -> None:
+    """Log an error that ends the process, as a line like all others.
+
+    A bare traceback would be some thirty lines that no reader of the log can parse.
+    """
+    log.critical("process failed", exc_info=(kind, error, trace))
+
+
 def configure_output(level: str, router: str, descriptor: int) -> logging.Handler:
     """Send all logs to a descriptor as JSON lines.
 
@@ -129,6 +143,7 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    sys.excepthook = log_uncaught
     for noisy in ("httpx", "httpcore"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
     return handler
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from anyio.abc import TaskGroup
 from attrs import frozen
 
-from ebonyhold.forwarding import Backend, Dialect, RetryRules, Ruleset
+from ebonyhold.forwarding import Backend, Dialect, RetryRules, Ruleset, TaskStarter
 from ebonyhold.prepaid import PrepaidStore
 from ebonyhold.types import BackendName, Seconds
 
@@ -85,8 +84,8 @@
 class GatewayStore(PrepaidStore, Protocol):
     """The store, as a gateway needs it."""
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Take the task group in which connections are read."""
+    def start(self, tasks: TaskStarter) -> None:
+        """Take what starts the tasks in which connections are read."""
         ...
 
     async def snapshot(self, table: str, part: str = "") -> Snapshot:
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -9,7 +9,6 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.coordination import Absent, Check, Put, Row, Transaction
@@ -21,7 +20,13 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from ebonyhold.forwarding import CallNotSentError, HttpCalls, Outbound, WholeAnswer
+from ebonyhold.forwarding import (
+    CallNotSentError,
+    HttpCalls,
+    Outbound,
+    TaskStarter,
+    WholeAnswer,
+)
 from ebonyhold.gateway import Changes, RawRow, Snapshot
 from ebonyhold.prepaid import Committed
 from ebonyhold.types import Seconds
@@ -112,8 +117,8 @@
     def __attrs_post_init__(self) -> None:
         self.calls = HttpCalls(self.address)
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Take the task group in which connections are read."""
+    def start(self, tasks: TaskStarter) -> None:
+        """Take what starts the tasks in which connections are read."""
         self.calls.start(tasks)
 
     async def ask(self, path: str, query: dict[str, str], wait: Seconds = 0) -> Any:
--- a/ebonyhold/standins/_rows.py
+++ b/ebonyhold/standins/_rows.py
@@ -5,11 +5,11 @@
 import json
 
 import anyio
-from anyio.abc import TaskGroup
 from attrs import define, field
 
 from ebonyhold.coordination import Absent, Check, Put, Row, Transaction
 from ebonyhold.exceptions import ConflictError, HistoryLostError
+from ebonyhold.forwarding import TaskStarter
 from ebonyhold.gateway import Changes, RawRow, Snapshot
 from ebonyhold.prepaid import Committed
 from ebonyhold.standins._faults import Faults
@@ -88,8 +88,8 @@
     history: RowHistory = field(factory=RowHistory)
     faults: Faults = field(factory=Faults)
 
-    def start(self, tasks: TaskGroup) -> None:
-        """Take a task group; there are no connections to read here."""
+    def start(self, tasks: TaskStarter) -> None:
+        """Take what starts tasks; there are no connections to read here."""
         del tasks
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
--- /dev/null
+++ b/tests/forwarding/test_faults.py
@@ -0,0 +1,118 @@
+"""An error of our own on one caller's connection, beside the connections of others."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from attrs import define, field
+
+from ebonyhold.forwarding import (
+    CallerConnection,
+    CallerLimits,
+    CallerListener,
+    Guard,
+    RequestHead,
+)
+from ebonyhold.forwarding._inbox import Inbox
+from ebonyhold.forwarding._tasks import Run
+from ebonyhold.misc import free_port
+from tests.forwarding.kit import LOOPBACK, read_all, request, until_open
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+@define(eq=False)
+class Faults:
+    """Answers some requests, and fails at others as no code is meant to.
+
+    Attributes:
+        seen: The errors that the guard kept from other connections.
+        go: Set when the requests that wait may be answered.
+    """
+
+    seen: list[Exception] = field(factory=list)
+    go: anyio.Event = field(factory=anyio.Event)
+
+    async def serve(
+        self, connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        """Do what the target says."""
+        del body
+        if head.target == b"/wait":
+            await self.go.wait()
+        if head.target == b"/fail":
+            raise ValueError("list.remove(x): x not in list")
+        if head.target == b"/part":
+            part = connection.head(200, [(b"content-length", b"9")])
+            await connection.stream.send(part)
+            raise KeyError("gone")
+        await connection.answer(200, [], b"ok")
+
+    async def guard(self, run: Run) -> bool:
+        """Keep an error, as a supervisor does."""
+        before = len(self.seen)
+        try:
+            await run()
+        except* (ValueError, KeyError) as group:
+            self.seen += [e for e in group.exceptions if isinstance(e, Exception)]
+        return len(self.seen) == before
+
+
+@pytest.mark.parametrize(
+    ("target", "answers"),
+    [
+        ("/fail", [b"HTTP/1.1 500 ", b"internal_fault", b"connection: close"]),
+        ("/part", [b"HTTP/1.1 200 "]),
+    ],
+)
+async def test_a_fault_ends_its_own_connection_only(
+    target: str, answers: list[bytes]
+) -> None:
+    """One request meets an error of ours, and another one is being answered.
+
+    Users saw all connections of a router end together: the error went up through the
+    connection's task to the group of the whole process.  The request that met it may
+    have run, so the answer must not be one that says that it has not.
+    """
+    faults = Faults()
+    guard: Guard = faults.guard
+    port = free_port()
+    async with anyio.create_task_group() as tasks:
+        listener = CallerListener(faults.serve, CallerLimits, guard)
+        tasks.start_soon(listener.run, (LOOPBACK, port), tasks)
+        await until_open(port)
+        async with (
+            await anyio.connect_tcp(LOOPBACK, port) as other,
+            await anyio.connect_tcp(LOOPBACK, port) as hurt,
+        ):
+            await other.send(request("/wait", close=True))
+            await hurt.send(request(target, close=False))
+            got = await read_all(hurt)
+            faults.go.set()
+            assert (await read_all(other)).startswith(b"HTTP/1.1 200 ")
+        tasks.cancel_scope.cancel()
+    assert all(part in got for part in answers), got
+    assert len(faults.seen) == 1
+
+
+class OddStream:
+    """A connection that fails as none is known to."""
+
+    async def receive(self, most: int) -> bytes:
+        raise RuntimeError(f"odd after {most}")
+
+
+async def test_a_reader_does_not_wait_for_a_reading_task_that_failed() -> None:
+    """Its request would hang until its deadline, on a connection that looks sound."""
+    inbox = Inbox(OddStream())  # type: ignore[arg-type]
+    with pytest.raises(RuntimeError, match="odd"):
+        await inbox.fill()
+    with anyio.fail_after(1.0):
+        assert await inbox.take() == b""
+    assert inbox.ended and inbox.broken
--- /dev/null
+++ b/tests/gateway/test_process.py
@@ -0,0 +1,128 @@
+"""A whole gateway: what ends it, and what does not."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import anyio
+import pytest
+
+from ebonyhold.gateway import (
+    EXIT_FAULT,
+    EXIT_PORT,
+    EXIT_SOUND,
+    Gateway,
+    GatewaySettings,
+    Peers,
+    _gateway,
+)
+from ebonyhold.misc import free_port
+from ebonyhold.platform import PlatformDialect, read_backend, read_configuration
+from ebonyhold.prepaid import Treasury
+from ebonyhold.standins import MemoryRows
+
+pytestmark = pytest.mark.anyio
+
+HOST = "127.0.0.1"
+GRACE = 4.0
+"""From the signal to the kill; the stop takes some 3 s of it."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets have no virtual clock."""
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def metrics_port(monkeypatch: pytest.MonkeyPatch) -> int:
+    """Listen for metrics at a free port, since the usual one may be taken here."""
+    port = free_port()
+    monkeypatch.setattr(_gateway, "METRICS_PORT", port)
+    return port
+
+
+def gateway() -> Gateway:
+    """Return a gateway before a store in memory."""
+    settings = GatewaySettings(
+        "vm-1", "a", (HOST, free_port()), (HOST, free_port()), HOST, (HOST, 1), GRACE
+    )
+    peers = Peers(
+        settings=settings,
+        dialect=PlatformDialect(),
+        store=MemoryRows(),
+        rules_table="op",
+        rules_key="config",
+        servers_table="servers",
+        read_rules=read_configuration,
+        read_backend=read_backend,
+    )
+    return Gateway(peers, anyio.current_time())
+
+
+@contextmanager
+def taken(address: tuple[str, int]) -> Iterator[None]:
+    """Listen at an address, so that nobody else can."""
+    with socket.create_server(address):
+        yield
+
+
+def failures(caplog: pytest.LogCaptureFixture) -> list[tuple[Any, Any]]:
+    """Return the tasks that failed, and with what."""
+    lines = [r.__dict__ for r in caplog.records if r.message == "task failed"]
+    return [(line["task"], line["error"]) for line in lines]
+
+
+@pytest.mark.parametrize("which", ["callers", "readiness"])
+async def test_a_taken_port_is_an_error_with_a_code(
+    which: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Another process has the port, and on-call saw thirty lines of a traceback."""
+    one = gateway()
+    with taken(getattr(one.peers.settings, which)):
+        assert await one.run() == EXIT_PORT
+    assert failures(caplog) == [(which, "address_unusable")]
+
+
+async def test_a_taken_port_of_metrics_ends_nothing(
+    caplog: pytest.LogCaptureFixture, metrics_port: int
+) -> None:
+    """Two processes of one host share the port of the metrics, and one ended."""
+    one = gateway()
+    ended: list[int] = []
+
+    async def run() -> None:
+        ended.append(await one.run())
+
+    with taken((HOST, metrics_port)):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run)
+            await anyio.sleep(0.5)
+            assert ended == []
+            async with await anyio.connect_tcp(*one.peers.settings.readiness) as asking:
+                await asking.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert (await asking.receive()).startswith(b"HTTP/1.1 503 ")
+            os.kill(os.getpid(), signal.SIGTERM)
+    assert ended == [EXIT_SOUND]
+    assert failures(caplog) == [("metrics", "address_unusable")]
+
+
+async def test_books_in_doubt_stop_the_process_in_order(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A round over the budgets meets an error of ours, not of the store's."""
+
+    def broken(self: Treasury) -> None:
+        raise KeyError("acme")
+
+    monkeypatch.setattr(Treasury, "stock_unmet", broken)
+    caplog.set_level("INFO")
+    one = gateway()
+    assert await one.run() == EXIT_FAULT
+    assert failures(caplog) == [("treasury", "KeyError")]
+    assert [r for r in caplog.records if r.message == "requests ended"]
