Hold every change in doubt of which the store said nothing certain

Nobody outside saw it: a change of a grant that ended in an error which is neither a conflict, nor the store's refusal, nor a lost answer was forgotten. Tokens that it returned had left the ledger already; if the write had not arrived, they were in neither from then on, and stayed out for good.

Cause: only two kinds of errors made a change doubtful, and what an answer raises that cannot be read is neither.

Ruled out: a cancelled request, which was held in doubt before, too; and a write that had arrived, which the next conflict showed.

The test lets a return meet such an error, arrived or not. It holds since a change is in doubt unless one of the two certain outcomes was seen.

--- a/ebonyhold/prepaid/_grant.py
+++ b/ebonyhold/prepaid/_grant.py
@@ -12,7 +12,6 @@
 from ebonyhold.exceptions import (
     ConflictError,
     UnavailableError,
-    UnknownOutcomeError,
 )
 from ebonyhold.prepaid._books import Books
 from ebonyhold.prepaid._reclaim import (
@@ -118,14 +117,19 @@
             UnavailableError: The store certainly did nothing.
             UnknownOutcomeError: It may take effect; it is now `doubtful`.
         """
+        known = False
         try:
             committed = await self.store.commit(change.transaction)
+            known = True
         except (ConflictError, UnavailableError):
+            known = True
             self.ledger.available += change.returned
             raise
-        except (UnknownOutcomeError, anyio.get_cancelled_exc_class()):
-            self.doubtful = change
-            raise
+        finally:
+            # Whatever else ends the wait, a cancellation or a fault of ours as well as
+            # a lost answer: only what the store said for certain ends a doubt.
+            if not known:
+                self.doubtful = change
         self.took_effect(change, committed)
 
     async def send_again(self, change: Change) -> None:
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -8,14 +8,15 @@
 import anyio
 import pytest
 
+from ebonyhold.coordination import Transaction
 from ebonyhold.exceptions import (
     BudgetExhaustedError,
     BudgetUnreachableError,
     PlatformError,
     UnknownOutcomeError,
 )
-from ebonyhold.prepaid import Treasury, budget_row_key
-from ebonyhold.standins import RowHistory
+from ebonyhold.prepaid import Committed, Treasury, budget_row_key
+from ebonyhold.standins import MemoryRows, RowHistory
 from tests.prepaid.kit import WORKSPACE, Router, budget, grants
 from tests.virtual import anyio_backend
 
@@ -345,3 +346,34 @@
     await one.account.hold(4_500, "r")
     with pytest.raises(BudgetUnreachableError):
         await one.account.hold(4_500, "r")
+
+
+@pytest.mark.parametrize("arrived", [True, False])
+async def test_a_change_that_met_a_fault_of_ours_is_in_doubt(
+    arrived: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The answer to a return of tokens is one that our client trips over.
+
+    Nobody saw it but in the books: what was returned had left the ledger, and neither
+    the store's word nor a doubt of ours ever brought it back or counted it.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.renewals.step()
+    await one.account.hold(1000, "r")
+    one.account.grant.settle(1000, 0)
+    commit = type(one.store).commit
+
+    async def broken(store: MemoryRows, transaction: Transaction) -> Committed:
+        if arrived:
+            await commit(store, transaction)
+        raise KeyError("version-number")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(type(one.store), "commit", broken)
+        with pytest.raises(KeyError):
+            await one.account.close()
+    assert one.account.grant.ledger.available == 0
+    await one.account.close()
+    assert one.account.grant.ledger.available == 0
+    assert budget(history).budget.outstanding == 0
