Leave a VM's row of limits while it tells of an earlier life

Operators saw budgets whose `outstanding` no living router held, after a VM that had been killed was stopped in order soon after its return.

Cause: as it ends, a router that owes nothing removes the VM's row of limits. The row is its predecessor's until the store has acknowledged the first renewal, and it also names the lives whose grants are not taken over yet. Neither was asked before the removal, so nobody ever looked for those tokens again.

Ruled out: the other order, a renewal that writes the row again after the removal: it names the version it knew, so it conflicts.

Two tests failed before (the successor found no life at all, in both) and pass now. It holds since the removal is decided on what this life knows of the row, and a row that stays costs nothing: the next life finds in it what is left to take over.

--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -321,7 +321,16 @@
             self.limits.took_effect(found.number)
 
     async def leave(self) -> None:
-        """Remove the own row, as the process ends."""
+        """Remove the own row, as the process ends, if it tells of nobody else.
+
+        Until this life has taken the VM's row over, that is its predecessor's; and as
+        long as a life's grants were not returned, only this row tells of them.  Without
+        it nobody would ever look for those tokens.
+        """
+        if not self.started.is_set() or self.unreclaimed:
+            lives = [life.router for life in self.unreclaimed]
+            log.info("limits kept for a successor", extra={"lives": lives})
+            return
         try:
             await self.store.commit(Transaction((), (Delete(self.key),)))
         except PlatformError as error:
--- a/tests/gateway/test_renewals.py
+++ b/tests/gateway/test_renewals.py
@@ -205,3 +205,35 @@
         tasks.cancel_scope.cancel()
     said = [record.message for record in caplog.records]
     assert said == ["limits not renewed", "limits renewed again"]
+
+
+async def test_a_router_that_never_started_leaves_its_predecessor_the_row() -> None:
+    """A VM's router is killed, and its successor is stopped before the store answers.
+
+    It removed the row on its way out, the only place that told of the life before, and
+    the grants of that one stayed out for good.
+    """
+    store = MemoryRows()
+    first = renewals(store, "vm-1.a", {"acme": LIMIT})
+    await first.step()
+    await renewals(store, "vm-1.b").leave()
+    third = renewals(store, "vm-1.c")
+    await third.step()
+    assert [life.router for life in third.unreclaimed] == ["vm-1.a"]
+
+
+async def test_a_row_that_tells_of_unreturned_grants_stays() -> None:
+    """A router is stopped before it has taken over what its predecessor left."""
+    store = MemoryRows()
+    first = renewals(store, "vm-1.a", {"acme": LIMIT})
+    await first.step()
+    second = renewals(store, "vm-1.b")
+    await second.step()
+    await second.leave()
+    third = renewals(store, "vm-1.c")
+    await third.step()
+    assert "vm-1.a" in [life.router for life in third.unreclaimed]
+    third.reclaimed("vm-1.a")
+    third.reclaimed("vm-1.b")
+    await third.leave()
+    assert third.key not in store.history.rows
