Open no account and take nothing over once grants are being returned

Operators saw tokens stay `outstanding` after planned stops, now and then, though the router had said that it returned all.

Cause: the stop read the list of accounts, and then waited for the store, account by account. Meanwhile the rounds over the budgets opened accounts for workspaces that had not been asked for yet, and drew for them; and the reclaim took a predecessor's tokens into grants that were returned already. The row of limits then went, so no successor looked for either.

It holds since the treasury is closed before the list is read, accounts that requests open later begin closed, and an inheritance asks under the lock that the return takes, too.

--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -214,15 +214,22 @@
         async with self.lock:
             await self.round()
 
-    async def inherit(self, predecessor: Predecessor) -> None:
+    async def inherit(self, predecessor: Predecessor) -> bool:
         """Take what a predecessor provably left of its grant.
 
+        Returns:
+            Whether that is done; a process that is about to end leaves it to the next,
+            since it may have returned its own grant already.
+
         Raises:
             PlatformError: The store did not do what was asked.
         """
         async with self.lock:
+            if self.closing:
+                return False
             await self.confirm()
             await self.grant.inherit(predecessor)
+            return True
 
     async def round(self) -> None:
         """Bring both rows and the ledger to where they should be."""
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -60,6 +60,8 @@
         in_touch: Returns whether such writes arrive.
         accounts: The accounts in use.
         rest_until: When each account has its turn after an outage.
+        closing: Whether the process is about to end: nothing is opened or taken over
+            any more, since nobody would return it.
     """
 
     router: RouterId
@@ -73,6 +75,7 @@
     options: PrepaidOptions = field(factory=PrepaidOptions)
     accounts: dict[WorkspaceName, Account] = field(factory=dict)
     rest_until: dict[WorkspaceName, Seconds] = field(factory=dict)
+    closing: bool = False
 
     def account(self, workspace: WorkspaceName) -> Account | None:
         """Return a workspace's account; None if it has no bound."""
@@ -91,6 +94,7 @@
                 self.renew,
                 self.in_touch,
                 options=self.options,
+                closing=self.closing,
             )
             self.accounts[workspace] = known
         return known
@@ -127,6 +131,8 @@
         The first request of a workspace would find no tokens in an outage.  Routers
         start together and share each budget, so they take turns drawn by chance.
         """
+        if self.closing:
+            return
         chance = self.options.tick / (STOCK_SPREAD * max(1, self.routers()))
         for workspace in self.workspaces():
             if workspace not in self.accounts and random.random() < chance:
@@ -183,8 +189,7 @@
             return True
         for _ in range(RECLAIM_TRIES):
             try:
-                await account.inherit(predecessor)
-                return True
+                return await account.inherit(predecessor)
             except PlatformError as error:
                 fields = {"workspace": workspace, "error": error.code}
                 log.warning("reclaim failed", extra=fields)
@@ -201,6 +206,9 @@
             Whether all grants were returned.  What was not stays out until a
             successor proves it unspent.
         """
+        # The rounds go on beside the waits below, and a request may still ask.  An
+        # account that they opened later would not be among those that are returned.
+        self.closing = True
         kept = set(self.accounts)
         with anyio.move_on_after(timeout):
             while kept:
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -377,3 +377,59 @@
     await one.account.close()
     assert one.account.grant.ledger.available == 0
     assert budget(history).budget.outstanding == 0
+
+
+async def test_a_stopping_router_opens_no_further_accounts() -> None:
+    """A router returns its grants as it stops, and stocks a workspace meanwhile.
+
+    The grant of the new account was drawn after the list of those to return was read.
+    Its row of limits then went, so that no successor looked for the tokens either.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.renew()
+    treasury = treasury_of(one)
+    del treasury.accounts[WORKSPACE]
+    async with anyio.create_task_group() as tasks:
+        assert await treasury.close(5.0)
+        tasks.start_soon(treasury.run)
+        await anyio.sleep(30.0)
+        late = treasury.account(WORKSPACE)
+        assert late is not None
+        with pytest.raises(BudgetUnreachableError):
+            await late.hold(1000, "r")
+        tasks.cancel_scope.cancel()
+    assert budget(history).budget.outstanding == 0
+
+
+async def test_a_stopping_router_inherits_nothing_any_more() -> None:
+    """A router is told to stop while it takes over what its predecessor left.
+
+    What it took after its own return stayed in its grant, and nobody returned it.
+    """
+    history = RowHistory()
+    two = await killed_after_use(history)
+    [before] = two.renewals.unreclaimed
+    left = budget(history).budget.outstanding
+    treasury = treasury_of(two)
+    assert await treasury.close(5.0)
+    assert not await treasury.reclaim(before)
+    one, other = grants(history)["vm-1.a"], grants(history).get("vm-1.b")
+    assert one.returned == 0
+    assert other is None or other.drawn == other.returned
+    assert budget(history).budget.outstanding == left
+
+
+async def test_a_stop_waits_for_an_inheritance_under_way() -> None:
+    """What is taken over just before the return is returned with the rest."""
+    history = RowHistory()
+    two = await killed_after_use(history)
+    [before] = two.renewals.unreclaimed
+    treasury = treasury_of(two)
+    two.store.faults.answer_delay = 0.05
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(treasury.reclaim, before)
+        await anyio.sleep(0.01)
+        assert await treasury.close(5.0)
+    other = grants(history)["vm-1.b"]
+    assert other.drawn == other.returned > 0
