Take a number out of range for what it is: of no use

One request with a deadline of 400 digits, or one answer of a server whose keep-alive time or event number has 5,000, ended a router's process, with all its requests.

Cause: Python converts no text of more than 4,300 digits, and no integer beyond the range of a float; both raise errors that the decoding of headers and events did not expect, and that went up through the connection's task to the whole process.

Ruled out: lengths of bodies and of chunks, which the parser bounds itself (tried with 4,400 digits and with 25).

Seven tests failed before, three of them over sockets, and pass now: a caller gets 400, a server's answer is passed on. It holds since a number has at most 18 digits where it is read, which fit into 64 bits and into a float.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -37,6 +37,13 @@
 A request that crosses the server's close may or may not have run.
 """
 
+KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})")
+"""A server's time-out in seconds.
+
+Of a longer number the first digits do: they are beyond any use, and Python refuses to
+convert some thousands of them.
+"""
+
 LARGE_BODY = 32_768
 """Bytes beyond which a request is written beside the reading of its answer.
 
@@ -84,7 +91,7 @@
     """Return how long a connection may be kept unused, by the server's word."""
     for name, value in headers:
         if name == b"keep-alive":
-            found = re.search(rb"timeout=(\d+)", value)
+            found = KEEP_ALIVE.search(value)
             if found:
                 return max(0.0, int(found[1]) - IDLE_MARGIN)
     return IDLE_UNKNOWN
--- a/ebonyhold/forwarding/_events.py
+++ b/ebonyhold/forwarding/_events.py
@@ -7,7 +7,12 @@
 from attrs import define, field, frozen
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
+"""An event's number.
+
+One beyond 64 bits is none: nobody could ask to go on after it, and Python refuses to
+convert some thousands of digits.
+"""
 
 
 @frozen
--- a/ebonyhold/platform/_headers.py
+++ b/ebonyhold/platform/_headers.py
@@ -34,6 +34,9 @@
 LEAST_URGENT = 9
 """The last rank that engines know."""
 
+MOST_DIGITS = 18
+"""Digits of a number; any such number fits into 64 bits, and into a float."""
+
 OURS_TO_SET = frozenset(
     {
         KEY,
@@ -66,9 +69,12 @@
     Raises:
         MalformedRequestError: It is none.
     """
-    if not value.strip().isdigit():
+    digits = value.strip()
+    # Python refuses to convert some numbers of more digits than this, with an error
+    # that nobody expects of what a caller wrote.
+    if not digits.isdigit() or len(digits) > MOST_DIGITS:
         raise MalformedRequestError(f"{name.decode()}: {value[:40]!r} is no number")
-    return int(value)
+    return int(digits)
 
 
 def read_tokens(value: bytes) -> tuple[int, int]:
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -266,3 +266,31 @@
     assert value(head, "a") == "b"
     for name in ("x-ebonyhold-key", "x-ebonyhold-hold", "kv-from"):
         assert not value(head, name)
+
+
+HUGE = "9" * 5000
+"""A number of more digits than Python converts."""
+
+
+async def boasts(server: Server, stream: SocketStream, head: str) -> None:
+    """Promise to keep the connection for longer than any number can say."""
+    await stream.send(answer(head, extra=f"Keep-Alive: timeout={HUGE}\r\n"))
+
+
+async def counts_far(server: Server, stream: SocketStream, head: str) -> None:
+    """Number an event beyond what any number can say."""
+    await stream.send(stream_head(head))
+    await stream.send(chunk(f"id: {HUGE}\ndata: t\n\n".encode()) + chunk(b""))
+
+
+@pytest.mark.parametrize(("script", "path"), [(boasts, "safe"), (counts_far, "stream")])
+async def test_a_number_out_of_range_ends_nothing(script: Script, path: str) -> None:
+    """One answer of a server ended the router's process.
+
+    Python refuses to convert such a number, and the error went up to the task group of
+    the process.  What it says is of no use to us; the answer is whole all the same.
+    """
+    async with rig(Server("odd", script)) as router:
+        for _ in range(2):
+            got = await router.ask(request(f"/{path}/x"))
+            assert got.startswith(b"HTTP/1.1 200 "), got
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -29,6 +29,9 @@
 TWO_LENGTHS = request("/safe/x", extra="Transfer-Encoding: chunked\r\n", body=b"x")
 LONG_HEAD = request("/safe/x", extra=f"A: {'a' * 3000}\r\n")
 
+HUGE = "9" * 400
+"""A number beyond the range of a float; its head is within all bounds."""
+
 REFUSALS = [
     (request("/none/x"), 404),
     (request("/safe/x").replace(b"h.example", b"other.example"), 404),
@@ -40,6 +43,7 @@
     (request("/unsafe/x", "POST", b"b" * 100_001), 413),
     (request("/safe/x", extra="X-Ebonyhold-Deadline-Milliseconds: x\r\n"), 400),
     (b"GET /safe/x HTTP/1.1\r\nHost: h.exa", 408),
+    (request("/safe/x", extra=f"X-Ebonyhold-Deadline-Milliseconds: {HUGE}\r\n"), 400),
 ]
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -115,6 +115,10 @@
     (b"x-ebonyhold-token-counts", b"12"),
     (b"x-ebonyhold-prompt-prefix", b"a:b"),
     (b"last-event-id", b"x"),
+    (b"x-ebonyhold-deadline-milliseconds", b"9" * 400),
+    (b"x-ebonyhold-token-counts", b"9" * 5000 + b",1"),
+    (b"x-ebonyhold-prompt-prefix", b"a:" + b"9" * 5000),
+    (b"last-event-id", b"9" * 5000),
 ]
 
 
