Use no server's entry and no configuration that only looks well formed

One row ended every router that read it, or each request that was sent to its server: an address with port 70000 or a digit that is none of ours, a time that is no number, a name that no header can carry, a value nested 200,000 deep, a version without end.

Cause: such values raise other errors than those that decoding was expected to, some only later, when a connection is made or a header is written.

Ruled out: rows of the wrong type or with missing members, which were refused before.

It holds since every error that decoding has is named in one place, and what goes into a header or a connection is checked as it is read.

--- a/ebonyhold/platform/_documents.py
+++ b/ebonyhold/platform/_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -25,6 +26,30 @@
     "streaming": RouteKind.STREAM,
 }
 
+UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What decoding raises of a value that does not hold what it must: of another type or
+form, of a number without end, or nested deeper than the decoder goes."""
+
+NAME = re.compile(r"[!-~]+")
+"""A server's name, which goes into a header of each of its requests."""
+
+ADDRESS = re.compile(
+    r"(?P<host>[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*):(?P<port>[0-9]{1,5})"
+)
+"""A host, whose labels have at most 63 characters, and a port.
+
+What the system cannot connect to raises errors beside those of a lost connection.
+"""
+
+MOST_PORT = 65_535
+
 NO_PRIORITY = 5
 """The rank that engines give a request without one."""
 
@@ -120,7 +145,7 @@
             owners={key: item for item in workspaces for key in item.keys},
             limits=read_limits(raw.get("limits") or {}),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except UNREADABLE as error:
         raise ConfigurationError(f"unreadable configuration: {error!r}") from error
 
 
@@ -142,10 +167,10 @@
     Raises:
         MalformedEntryError: It is neither.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise MalformedEntryError(f"address: {text!r} is no host and port")
-    return host, int(port)
+    found = ADDRESS.fullmatch(text)
+    if found is None or not 0 < int(found["port"]) <= MOST_PORT:
+        raise MalformedEntryError(f"address: {text[:80]!r} is no host and port")
+    return found["host"], int(found["port"])
 
 
 def read_backend(name: str, value: bytes) -> Backend:
@@ -157,10 +182,13 @@
     Raises:
         MalformedEntryError: It cannot be read.
     """
+    if not NAME.fullmatch(name):
+        raise MalformedEntryError(f"name: {name[:80]!r} fits into no header")
     try:
         raw = json.loads(value)
         state = BackendState(raw["state"])
-    except (ValueError, KeyError, TypeError) as error:
+        cold_for = seconds(raw.get("cold-remaining-ms") or 0)
+    except UNREADABLE as error:
         raise MalformedEntryError(f"unreadable entry: {error!r}") from error
     slots = member(raw, "slots", int)
     member(raw, "sequence", int)
@@ -173,5 +201,5 @@
         state=state,
         # The moment of its start, which alone tells two lives under one name apart.
         started_at=member(raw, "born", int) if "born" in raw else 0,
-        cold_for=seconds(raw.get("cold-remaining-ms") or 0),
+        cold_for=cold_for,
     )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -65,12 +65,18 @@
     assert (rules.limits.head_bytes, rules.limits.idle_timeout) == (100, 15.0)
 
 
+DEEP = b"[" * 200_000
+"""A value that is nested deeper than the decoder goes."""
+
 BROKEN = [
     b"{",
     b"[]",
     encode({**CONFIGURATION, "version": None}),
     encode({**CONFIGURATION, "routes": [{"name": "r"}]}),
     encode({**CONFIGURATION, "services": ["s"]}),
+    encode({**CONFIGURATION, "version": 1e999}),
+    encode({**CONFIGURATION, "tenants": [{"name": "w", "prepaid": 1e999}]}),
+    DEEP,
 ]
 
 
@@ -100,9 +106,25 @@
     encode({**ENTRY, "address": None}),
     encode({**ENTRY, "born": "today"}),
     encode({**ENTRY, "sequence": None}),
+    encode({**ENTRY, "address": "10.0.0.9:70000"}),
+    encode({**ENTRY, "address": "10.0.0.9:0"}),
+    encode({**ENTRY, "address": "10.0.0.9:\u00b2"}),
+    encode({**ENTRY, "address": "10.0.0.9:" + "9" * 5000}),
+    encode({**ENTRY, "address": "a" * 70 + ".example:80"}),
+    encode({**ENTRY, "cold-remaining-ms": "soon"}),
+    encode({**ENTRY, "cold-remaining-ms": [1]}),
+    DEEP,
 ]
 
 
+def test_a_name_that_no_header_can_carry() -> None:
+    """Each request for the server ended with an error as its name was written."""
+    with pytest.raises(MalformedEntryError):
+        read_backend("i-\u0142", encode(ENTRY))
+    with pytest.raises(MalformedEntryError):
+        read_backend("i-1\r\nx: y", encode(ENTRY))
+
+
 @pytest.mark.parametrize("value", FORGED)
 def test_a_forged_entry(value: bytes) -> None:
     with pytest.raises(MalformedEntryError):
