Count an answer of the store that lacks what it must as no answer

An answer of the store with status 200 and another body than the protocol's ended every router that got it: a list for an object, a row without its value, a page that says that more follows and has no row, a version that is no number.

Cause: only a body that is no JSON was expected to be wrong, not what it holds.

Ruled out: the answer to a transaction without its version, which was in doubt before.

Twelve cases failed before and pass now: a reading call is tried again as after a lost answer, a transaction is in doubt. It holds since every error of decoding is caught where an answer is taken, in one place for all reading calls.

--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -5,6 +5,8 @@
 import base64
 import json
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -52,6 +54,16 @@
 UNDONE = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 """Statuses by which the store says that it did nothing."""
 
+UNREADABLE = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What decoding raises of an answer that does not hold what it must."""
+
 PAGE = 500
 """Rows of one answer."""
 
@@ -151,11 +163,13 @@
         query = {"table": table, "part": part, "limit": str(PAGE)}
         while True:
             body = await self.ask(READ, query)
-            rows.extend(decode_raw(raw) for raw in body["rows"])
-            if not body.get("truncated"):
-                return Snapshot(tuple(rows), int(body[VERSION]))
-            # Keys are read from this one on, so the least larger key is named.
-            query["from"] = rows[-1].key + "\0"
+            with readable(READ):
+                page = [decode_raw(raw) for raw in body["rows"]]
+                rows += page
+                if not body.get("truncated"):
+                    return Snapshot(tuple(rows), int(body[VERSION]))
+                # Keys are read from this one on, so the least larger key is named.
+                query["from"] = page[-1].key + "\0"
 
     async def changes(self, table: str, after: int, wait: Seconds) -> Changes:
         """Wait for the changes of a table after a version.
@@ -167,8 +181,9 @@
         milliseconds = str(int(wait * 1000))
         query = {"table": table, AFTER: str(after), "wait-ms": milliseconds}
         body = await self.ask(FEED, query, wait)
-        rows = tuple(decode_raw(raw) for raw in body["rows"])
-        return Changes(rows, int(body[VERSION]))
+        with readable(FEED):
+            rows = tuple(decode_raw(raw) for raw in body["rows"])
+            return Changes(rows, int(body[VERSION]))
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Read rows whose key starts with a prefix, in the order of their keys.
@@ -184,7 +199,8 @@
         if after:
             query["from"] = split_key(after)["key"] + "\0"
         body = await self.ask(READ, query)
-        return [decode_row(raw) for raw in body["rows"][:limit]]
+        with readable(READ):
+            return [decode_row(raw) for raw in body["rows"][:limit]]
 
     async def commit(self, transaction: Transaction) -> Committed:
         """Commit a transaction.
@@ -214,7 +230,7 @@
         try:
             raw = json.loads(answer.body)
             return Committed(int(raw[VERSION]), raw[NOW] / 1000)
-        except (ValueError, KeyError, TypeError) as error:
+        except UNREADABLE as error:
             raise UnknownOutcomeError(f"{TRANSACT}: {error!r}") from error
 
 
@@ -225,7 +241,7 @@
     """
     try:
         return tuple(decode_row(raw) for raw in json.loads(answer.body).get("rows", ()))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except UNREADABLE as error:
         log.warning("conflict without rows", extra={"detail": repr(error)})
         return ()
 
@@ -250,7 +266,18 @@
     Raises:
         UnavailableError: It is none.
     """
-    try:
+    with readable(path):
         return json.loads(answer.body)
-    except ValueError as error:
-        raise UnavailableError(f"{path}: malformed answer: {error}") from error
+
+
+@contextmanager
+def readable(path: str) -> Iterator[None]:
+    """Take what an answer to a reading call holds.
+
+    Raises:
+        UnavailableError: It does not hold what it must.
+    """
+    try:
+        yield
+    except UNREADABLE as error:
+        raise UnavailableError(f"{path}: malformed answer: {error!r}") from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -103,6 +103,13 @@
     return await store.changes("t", 5, 0.5)
 
 
+async def look(store: StoreClient) -> Any:
+    return await store.scan("t/p/a")
+
+
+NOT_JSON = {**row("a", 1, 1), "value": base64.b64encode(b"{").decode()}
+"""A row of ours whose value somebody else wrote."""
+
 FAULTS = [
     # call, what happens, what it means
     (transact, reply(412, {"rows": [row("old", 9, 1)]}), ConflictError),
@@ -117,6 +124,18 @@
     (read, reply(503), UnavailableError),
     (read, reply(200, b"not json"), UnavailableError),
     (read, fail(BackendLostError), UnavailableError),
+    (read, reply(200, {}), UnavailableError),
+    (read, reply(200, []), UnavailableError),
+    (read, reply(200, {"rows": [], "version-number": "x"}), UnavailableError),
+    (read, reply(200, {"rows": [{"key": "a"}], "version-number": 1}), UnavailableError),
+    (read, reply(200, {"rows": [], "truncated": True}), UnavailableError),
+    (read, reply(200, b"[" * 200_000), UnavailableError),
+    (look, reply(200, {}), UnavailableError),
+    (look, reply(200, {"rows": [NOT_JSON], "version-number": 1}), UnavailableError),
+    (follow, reply(200, {"rows": None, "version-number": 7}), UnavailableError),
+    (follow, reply(200, {"rows": []}), UnavailableError),
+    (transact, reply(200, b"[" * 200_000), UnknownOutcomeError),
+    (transact, reply(412, b"[" * 200_000), ConflictError),
     (follow, reply(410), HistoryLostError),
     (follow, reply(503), UnavailableError),
     (follow, fail(CallNotSentError), UnavailableError),
