Let a damaged row of ours harm its own workspace or VM only

One row that somebody else wrote over stopped every router that read it, and again after each start: a budget that is no object, or one whose members are of other types.

Cause: decoding raises errors of its library, of which the rounds over all budgets and the renewals know nothing. An empty list even passed for a budget of which nothing was spent.

Ruled out: treating a damaged budget as absent; the prepaid tokens would be handed out a second time. A VM's row of limits is another matter: what it proved is lost, so nothing is taken over, and the new life writes it anew.

It holds since a row of ours is decoded in one place, which raises an error of the platform's kind.

--- a/ebonyhold/coordination/__init__.py
+++ b/ebonyhold/coordination/__init__.py
@@ -58,6 +58,7 @@
 from ebonyhold.coordination._codec import (
     from_bytes,
     from_json,
+    read_row,
     to_bytes,
     to_json,
 )
@@ -401,6 +402,7 @@
     "plan_topup",
     "prefix_hashes",
     "proves_not_run",
+    "read_row",
     "refund_key",
     "request_key",
     "resolve_lease",
--- a/ebonyhold/exceptions.py
+++ b/ebonyhold/exceptions.py
@@ -186,6 +186,12 @@
         self.ran = ran
 
 
+class DamagedRowError(PlatformError):
+    """A row of our own does not hold what it must; somebody else wrote it."""
+
+    code = "row_damaged"
+
+
 class HistoryLostError(PlatformError):
     """The store no longer keeps the changes that were asked for."""
 
--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -14,12 +14,14 @@
     Check,
     Delete,
     Put,
+    Row,
     Transaction,
-    from_json,
+    read_row,
     to_json,
 )
 from ebonyhold.exceptions import (
     ConflictError,
+    DamagedRowError,
     PlatformError,
     UnavailableError,
     UnknownOutcomeError,
@@ -227,11 +229,22 @@
         check: Check = Absent(self.key)
         if found is not None:
             check = AtVersion(self.key, found.version)
-            self.take_over(from_json(found.value, LimitsRow))
+            self.take_over_from(found)
         await self.write(check)
         self.judge()
         self.started.set()
 
+    def take_over_from(self, row: Row) -> None:
+        """Take over from the life that wrote the VM's row.
+
+        Of a row that somebody else wrote nothing can be proved.  It is written anew;
+        else this VM would never start.
+        """
+        try:
+            self.take_over(read_row(row, LimitsRow))
+        except DamagedRowError as error:
+            log.error("limits damaged", extra={"detail": str(error)})
+
     def take_over(self, before: LimitsRow) -> None:
         """Note the lives before this one whose grants have to be returned."""
         if before.router == self.incarnation:
@@ -314,7 +327,10 @@
         for row in await self.store.scan(self.key):
             if row.key != self.key:
                 continue
-            found = from_json(row.value, LimitsRow)
+            try:
+                found = read_row(row, LimitsRow)
+            except DamagedRowError as error:
+                raise ConflictError("somebody wrote this VM's row") from error
             if found.router != self.incarnation:
                 raise ConflictError("another router has this VM's row", (self.key,))
             self.version = row.version
--- a/ebonyhold/prepaid/_books.py
+++ b/ebonyhold/prepaid/_books.py
@@ -7,7 +7,7 @@
 import anyio
 from attrs import define, evolve
 
-from ebonyhold.coordination import GrantLedger, GrantRow, Row, from_json
+from ebonyhold.coordination import GrantLedger, GrantRow, Row, read_row
 from ebonyhold.exceptions import ConflictError
 from ebonyhold.prepaid._types import (
     Change,
@@ -150,10 +150,10 @@
             if not isinstance(row, Row):
                 continue
             if row.key == self.budget_key:
-                budget = from_json(row.value, PrepaidRow)
+                budget = read_row(row, PrepaidRow)
                 known = evolve(known, budget=budget, budget_version=row.version)
             elif row.key == self.grant_key:
-                grant = from_json(row.value, GrantRow)
+                grant = read_row(row, GrantRow)
                 known = evolve(known, grant=grant, grant_version=row.version)
         return known
 
--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -11,7 +11,7 @@
     Row,
     Transaction,
     change_grant,
-    from_json,
+    read_row,
     to_json,
 )
 from ebonyhold.prepaid._changes import check
@@ -82,12 +82,12 @@
     """Return what a predecessor left; None if it had no grant.
 
     Raises:
-        UnavailableError: The store cannot be reached.
+        PlatformError: The store cannot be reached, or the row is damaged.
     """
     key = grant_row_key(workspace, predecessor.router)
     for row in await store.scan(key):
         if row.key == key:
-            grant = from_json(row.value, GrantRow)
+            grant = read_row(row, GrantRow)
             return Inheritance(row, grant, predecessor.limit(workspace))
     return None
 
--- a/tests/gateway/test_renewals.py
+++ b/tests/gateway/test_renewals.py
@@ -5,10 +5,12 @@
 import anyio
 import pytest
 
-from ebonyhold.exceptions import UnknownOutcomeError
+from ebonyhold.coordination import Put, Transaction
+from ebonyhold.exceptions import ConflictError, UnknownOutcomeError
 from ebonyhold.gateway import Renewals
 from ebonyhold.prepaid import Limits, SpendingLimit
 from ebonyhold.standins import MemoryRows
+from ebonyhold.types import Json
 from tests.virtual import anyio_backend
 
 pytestmark = pytest.mark.anyio
@@ -237,3 +239,21 @@
     third.reclaimed("vm-1.b")
     await third.leave()
     assert third.key not in store.history.rows
+
+
+@pytest.mark.parametrize("value", [None, [], {"router": {}}, {"limits": 7}])
+async def test_a_damaged_row_proves_nothing_and_stops_nobody(value: Json) -> None:
+    """Somebody else wrote into a VM's row of limits what is none.
+
+    Its router could never start: it met an error that is not the store's.
+    """
+    store = MemoryRows()
+    first = renewals(store, "vm-1.a", {"acme": LIMIT})
+    store.history.apply(Transaction((), (Put(first.key, value),)))
+    await first.step()
+    assert first.started.is_set() and first.unreclaimed == ()
+    store.history.apply(Transaction((), (Put(first.key, value),)))
+    for _ in range(2):
+        with pytest.raises(ConflictError):
+            await first.step()
+        first.misses += 1
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from ebonyhold.coordination import Transaction
+from ebonyhold.coordination import Delete, Put, Transaction
 from ebonyhold.exceptions import (
     BudgetExhaustedError,
     BudgetUnreachableError,
@@ -17,6 +17,7 @@
 )
 from ebonyhold.prepaid import Committed, Treasury, budget_row_key
 from ebonyhold.standins import MemoryRows, RowHistory
+from ebonyhold.types import Json
 from tests.prepaid.kit import WORKSPACE, Router, budget, grants
 from tests.virtual import anyio_backend
 
@@ -433,3 +434,29 @@
         assert await treasury.close(5.0)
     other = grants(history)["vm-1.b"]
     assert other.drawn == other.returned > 0
+
+
+DAMAGED: list[Json] = [None, [], "x", {"budget": 7}, {"budget": {"prepaid": "many"}}]
+
+
+@pytest.mark.parametrize("value", DAMAGED)
+async def test_a_damaged_budget_harms_its_workspace_only(value: Json) -> None:
+    """Somebody else wrote into a budget's row what is none.
+
+    Each router that read it met an error that is not the store's, in the middle of its
+    rounds over all budgets.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.renewals.step()
+    history.apply(Transaction((), (Put(budget_row_key(WORKSPACE), value),)))
+    treasury = treasury_of(one)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(treasury.run)
+        await anyio.sleep(2.0)
+        with pytest.raises(BudgetUnreachableError):
+            await one.account.hold(1000, "r")
+        history.apply(Transaction((), (Delete(budget_row_key(WORKSPACE)),)))
+        await anyio.sleep(2.0)
+        await one.account.hold(1000, "r")
+        tasks.cancel_scope.cancel()
