End the reading of a connection that is closed with much unread

Nobody outside saw it at once: a router's memory grew by a quarter of a megabyte and a task with each request that was given up while its server sent faster than the caller read.

Cause: the task that reads a connection stops at 256 KB that nobody took, and waits until somebody takes them. A close wakes it, but it looked only at the bytes again, and nobody takes any of a closed connection.

Ruled out: callers' connections, whose reading tasks are cancelled with them.

The test, over sockets, waited in vain for the task before, and passes now. It holds since the wait has the end of the connection as its other condition, and the close sets that before it wakes the task.

--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -65,7 +65,9 @@
                 self.ended = True
                 self.broken = True
             self.notify()
-            while len(self.waiting) > MOST_WAITING:
+            # Whoever closes the connection takes nothing any more, so that ends the
+            # wait too; this task and its bytes would else stay for ever.
+            while len(self.waiting) > MOST_WAITING and not self.ended:
                 self.taken = anyio.Event()
                 await self.taken.wait()
 
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from contextlib import suppress
 
 import anyio
 import pytest
@@ -11,6 +12,7 @@
 
 from ebonyhold.forwarding import ChannelPool, _pool
 from ebonyhold.forwarding._channel import Channel
+from ebonyhold.forwarding._inbox import MOST_WAITING
 from tests.forwarding.kit import GONE, LOOPBACK
 
 pytestmark = pytest.mark.anyio
@@ -131,3 +133,28 @@
             await done.wait()
         tasks.cancel_scope.cancel()
     assert seen == [0] * len(channels)
+
+
+async def test_a_connection_with_much_unread_ends_when_it_is_closed() -> None:
+    """A server sends more than is kept for a slow reader, and its request is given up.
+
+    The task that reads the connection waited for a reader that never came, for ever,
+    with all that it had read: each such request cost a quarter of a megabyte.
+    """
+
+    async def pour(stream: SocketStream) -> None:
+        with suppress(*GONE):
+            while True:
+                await stream.send(bytes(65_536))
+
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        tasks.start_soon(listener.serve, pour)
+        port = listener.extra(SocketAttribute.local_port)
+        with anyio.fail_after(2.0):
+            async with anyio.create_task_group() as reading:
+                channel = await ChannelPool(reading).get("i-1", (LOOPBACK, port))
+                await anyio.sleep(0.1)
+                assert len(channel.inbox.waiting) > MOST_WAITING
+                await channel.close()
+        tasks.cancel_scope.cancel()
