Use a kept connection only for the address that it was made to

A request could go to whoever has a server's old address. An engine that is not the one named answers 421, so callers saw time lost; one that cannot tell answers itself.

Cause: the address is read before the wait for an answer, and the connection is kept under the server's name after it. Meanwhile the server's entry may name another address, and the next request for it took the connection as one to the server.

Ruled out: the attempt itself, which goes to the address that it read, as it must.

The test, over sockets, got the connection to the old address before, and one to the new address now. It holds since each connection remembers its address and the one who takes it names the one that it needs; those of an old address are closed as they turn up, and at the latest by their time-out.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -104,6 +104,7 @@
     Attributes:
         stream: The connection.
         tasks: Where its reading task runs.
+        address: The host and port that it was made to.
         inbox: What the server has sent.
         parser: The state of the protocol for the request under way.
         request: The request under way.
@@ -113,6 +114,7 @@
 
     stream: SocketStream
     tasks: TaskStarter
+    address: tuple[str, int]
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
@@ -267,6 +269,6 @@
         raise ConnectTimeoutError("no connection in time")
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-    channel = Channel(stream, tasks)
+    channel = Channel(stream, tasks, address)
     tasks.start_soon(channel.inbox.fill)
     return channel
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -45,7 +45,7 @@
         Raises:
             BackendLostError: It cannot be reached.
         """
-        kept = self.take(name)
+        kept = self.take(name, address)
         if kept is not None:
             return kept
         self.opened += 1
@@ -57,13 +57,18 @@
         self.connected(name, True)
         return channel
 
-    def take(self, name: BackendName) -> Channel | None:
-        """Return a kept connection that can still be used."""
+    def take(self, name: BackendName, address: tuple[str, int]) -> Channel | None:
+        """Return a kept connection to an address that can still be used.
+
+        The server's entry may have named another address while a request held the
+        connection; whoever has the old one now is not the server.
+        """
         now = anyio.current_time()
         channels = self.unused.get(name, [])
         while channels:
             channel = channels.pop()
-            if channel.is_quiet() and now < channel.usable_until:
+            sound = channel.is_quiet() and now < channel.usable_until
+            if sound and channel.address == address:
                 return channel
             self.tasks.start_soon(channel.close)
         return None
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -135,6 +135,30 @@
     assert seen == [0] * len(channels)
 
 
+async def test_a_server_that_moved_is_reached_where_it_is_now() -> None:
+    """A server's entry names another address while a request to it is under way.
+
+    The connection was kept under the server's name, and the next request for it went
+    to whoever has the old address, which may be an engine of another service.
+    """
+    async with anyio.create_task_group() as tasks:
+        pool = ChannelPool(tasks)
+        ports: list[int] = []
+        for _ in range(2):
+            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+            tasks.start_soon(listener.serve, Endings().serve)
+            ports.append(listener.extra(SocketAttribute.local_port))
+        old, new = ports
+        channel = await pool.get("i-1", (LOOPBACK, old))
+        channel.usable_until = anyio.current_time() + 9.0
+        await pool.put("i-1", channel)
+        moved = await pool.get("i-1", (LOOPBACK, new))
+        assert moved.stream.extra(SocketAttribute.remote_port) == new
+        await anyio.sleep(0.01)
+        assert channel.closed
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_connection_with_much_unread_ends_when_it_is_closed() -> None:
     """A server sends more than is kept for a slow reader, and its request is given up.
 
