Hold a failure against the life of a server that failed

Requests avoided a server for half a second and more that had just started again under its name, and a router remembered for ever each server that had failed before it left.

Cause: an attempt reads the server's entry, waits for a connection or an answer, and then counts a failure under the server's name. Meanwhile the entry may be gone, or be that of another life, of which nothing known holds.

Ruled out: the load in flight, which is counted on the entry itself.

It holds since a failure counts only while the attempt's entry is still the server's, and goes with the entry.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -67,14 +67,14 @@
         try:
             channel = await self.pool.get(backend.name, backend.address)
         except BackendLostError as error:
-            self.backends.ejector.lost(backend.name, anyio.current_time())
+            self.backends.lost(self.entry, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.entry.in_flight += 1
         kept = False
         try:
             result, kept = await self.converse(channel)
         except BackendLostError as error:
-            self.backends.ejector.failed(backend.name, anyio.current_time())
+            self.backends.failed(self.entry, anyio.current_time())
             result = AttemptResult(AttemptEnd.LOST, reason=str(error))
         finally:
             self.entry.in_flight -= 1
@@ -106,7 +106,7 @@
             raise BackendLostError("a success without the server's mark")
         if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
             await self.relay_stream(channel, head)
-            self.backends.ejector.succeeded(self.entry.backend.name)
+            self.backends.succeeded(self.entry)
             return AttemptResult(AttemptEnd.DELIVERED), self.finish(channel, head)
         return await self.whole(channel, head)
 
@@ -183,10 +183,10 @@
         kept = self.finish(channel, head)
         exchange = self.exchange
         if head.status >= 500:
-            self.backends.ejector.failed(self.entry.backend.name, anyio.current_time())
+            self.backends.failed(self.entry, anyio.current_time())
             reason = f"answered {head.status}"
             return AttemptResult(AttemptEnd.FAILED, answer, reason), kept
-        self.backends.ejector.succeeded(self.entry.backend.name)
+        self.backends.succeeded(self.entry)
         if exchange.connection.started:
             raise BackendLostError(f"status {head.status} to a resumed stream")
         await exchange.deliver(answer)
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -93,15 +93,43 @@
                 entry.gone_at = now + LAPSE_GRACE
                 log.info("server lapsed", extra=fields_of(entry.backend))
             return
-        del self.entries[name]
-        log.info("server gone", extra=fields_of(entry.backend))
+        self.drop(entry)
 
     def expire(self, now: Seconds) -> None:
         """Drop the servers whose time of grace is over."""
-        for name, entry in list(self.entries.items()):
+        for entry in list(self.entries.values()):
             if entry.gone_at is not None and now >= entry.gone_at:
-                del self.entries[name]
-                log.info("server gone", extra=fields_of(entry.backend))
+                self.drop(entry)
+
+    def drop(self, entry: Entry) -> None:
+        """Drop a server, and what is known of its failures."""
+        del self.entries[entry.backend.name]
+        self.ejector.succeeded(entry.backend.name)
+        log.info("server gone", extra=fields_of(entry.backend))
+
+    def stands(self, entry: Entry) -> bool:
+        """Tell whether an entry is still that of its server.
+
+        An attempt holds its entry over a wait in which the server may go, or live
+        again under the same name: what befalls the attempt says nothing of that life,
+        and a record of a server that has gone would stay for ever.
+        """
+        return self.entries.get(entry.backend.name) is entry
+
+    def lost(self, entry: Entry, now: Seconds) -> None:
+        """Note that no connection to a server could be made."""
+        if self.stands(entry):
+            self.ejector.lost(entry.backend.name, now)
+
+    def failed(self, entry: Entry, now: Seconds) -> None:
+        """Note an error of a server, or an answer that did not come."""
+        if self.stands(entry):
+            self.ejector.failed(entry.backend.name, now)
+
+    def succeeded(self, entry: Entry) -> None:
+        """Note a whole answer of a server."""
+        if self.stands(entry):
+            self.ejector.succeeded(entry.backend.name)
 
     def usable(
         self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
+import anyio.lowlevel
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
-from attrs import define, field
+from attrs import define, evolve, field
 
-from ebonyhold.forwarding import ChannelPool, _pool
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding import BackendTable, ChannelPool, _pool
+from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._channel import Channel
+from ebonyhold.forwarding._exchange import AttemptEnd
 from ebonyhold.forwarding._inbox import MOST_WAITING
-from tests.forwarding.kit import GONE, LOOPBACK
+from ebonyhold.platform import PlatformDialect
+from tests.forwarding.kit import GONE, LOOPBACK, Server
+from tests.forwarding.test_attempts import good
 
 pytestmark = pytest.mark.anyio
 
@@ -182,3 +189,50 @@
                 assert len(channel.inbox.waiting) > MOST_WAITING
                 await channel.close()
         tasks.cancel_scope.cancel()
+
+
+@define(eq=False)
+class UnreachablePool:
+    """Connections to a server that ends, and lives again, while one is made.
+
+    Attributes:
+        meanwhile: What happens before the connection fails.
+    """
+
+    meanwhile: Callable[[], None]
+
+    async def get(self, name: str, address: tuple[str, int]) -> Channel:
+        await anyio.lowlevel.checkpoint()
+        self.meanwhile()
+        raise BackendLostError(f"no connection to {name} at {address}")
+
+
+@pytest.mark.parametrize("after", ["another life", "gone", "the same life"])
+async def test_a_failure_counts_against_the_life_that_failed(after: str) -> None:
+    """A server ends and starts again while a request still tries to reach it.
+
+    The failed connection to its old life kept requests from the new one, which was
+    sound, or was remembered for ever of a server that was gone.
+    """
+    table = BackendTable()
+    old = Server("i-1", good).backend()
+    table.update(old)
+
+    def meanwhile() -> None:
+        if after == "another life":
+            table.update(evolve(old, started_at=2))
+        if after == "gone":
+            table.remove("i-1", 0.0, False)
+
+    attempt = Attempt(
+        None,  # type: ignore[arg-type]
+        table.entries["i-1"],
+        UnreachablePool(meanwhile),  # type: ignore[arg-type]
+        table,
+        PlatformDialect(),
+    )
+    result = await attempt.run()
+    assert result.end is AttemptEnd.NOT_SENT
+    assert bool(table.ejector.records) is (after == "the same life")
+    table.remove("i-1", 0.0, False)
+    assert not table.ejector.records
