Answer pipelined requests of a stop, and let the last answer arrive

What callers saw: of 106 requests that were pipelined around a stop 26 got no answer, though the process served for seconds more; some lost the answer that was written, too.

Cause: the first answer said that the connection ends, and what had been read behind it was dropped; and closing a connection with unread bytes resets it, which takes the answer away that is still on its way.

Change: an answer ends the connection only if nothing further has arrived on it; a stream whose head was out before the stop leaves its connection to the next request, which is then told. After the last answer our side is ended first, and the caller has 0.1 s to end its own. What is refused by name names its request where its head was read.

Why it holds: whether more has come is looked at in the step that writes the head.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -31,6 +31,11 @@
 """Fields that concern one connection only and are not passed on."""
 
 
+LINGER: Seconds = 0.1
+"""The longest wait for a caller to close its side after the last answer: ten times the
+way from the farthest ones and back."""
+
+
 class ReadFault(Enum):
     """Why no request could be read, with the status that says so."""
 
@@ -48,13 +53,15 @@
 
     Attributes:
         fault: Why.
+        head: The head of the request, if that could be read.
     """
 
     code = "request_unreadable"
 
-    def __init__(self, fault: ReadFault) -> None:
+    def __init__(self, fault: ReadFault, head: RequestHead | None = None) -> None:
         super().__init__(fault.name)
         self.fault = fault
+        self.head = head
 
 
 @frozen
@@ -132,7 +139,10 @@
         limits: What the caller is held to.
         inbox: What the caller has sent.
         parser: The state of the protocol.
-        last: Whether the answer being written is the last one here.
+        last: Whether the connection ends with the next answer, unless a further
+            request is here already.
+        final: Whether nothing more is read here, whatever has come.
+        told: Whether the caller was told that the connection ends.
         started: Whether the head of the answer is written.
         idle_scope: Bounds the wait for the first byte of a request.
         reading_scope: Bounds the reading of a request that has begun.
@@ -143,6 +153,8 @@
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     last: bool = False
+    final: bool = False
+    told: bool = False
     started: bool = False
     idle_scope: anyio.CancelScope | None = None
     reading_scope: anyio.CancelScope | None = None
@@ -175,6 +187,7 @@
         Raises:
             ReadFaultError: It cannot be used, or the router ends before it is whole.
         """
+        head: RequestHead | None = None
         try:
             with anyio.CancelScope() as self.reading_scope:
                 head = await self.read_request()
@@ -182,9 +195,11 @@
                     return head, await self.read_body(head)
                 await self.next_event()
                 return head, b""
+        except ReadFaultError as error:
+            raise ReadFaultError(error.fault, head) from error
         finally:
             self.reading_scope = None
-        raise ReadFaultError(ReadFault.STOPPING)
+        raise ReadFaultError(ReadFault.STOPPING, head)
 
     def stop_reading(self) -> None:
         """Give up a request of which only a part has been read."""
@@ -269,11 +284,21 @@
     def head(self, status: int, headers: Headers) -> bytes:
         """Return the bytes of an answer's head."""
         self.started = True
-        if self.last:
+        self.told = self.final or (self.last and not self.more_waits)
+        if self.told:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers)
         return self.parser.send(response) or b""
 
+    @property
+    def more_waits(self) -> bool:
+        """Whether a further request has begun to arrive.
+
+        Its caller sent it before it could know of the end; it would find its
+        connection closed although this process still serves.
+        """
+        return bool(self.inbox.waiting or self.parser.trailing_data[0])
+
     async def send(self, data: bytes) -> None:
         """Write a part of the answer's body."""
         await self.stream.send(self.parser.send(h11.Data(data=data)) or b"")
@@ -287,7 +312,7 @@
     def next_cycle(self) -> bool:
         """Make ready for another request; tell whether there can be one."""
         self.started = False
-        if self.last or self.inbox.ended:
+        if self.told or self.inbox.ended:
             return False
         if self.parser.our_state is not h11.DONE:
             return False
@@ -296,6 +321,21 @@
         self.parser.start_next_cycle()
         return True
 
+    async def linger(self) -> None:
+        """Let the caller read the last answer before the connection is closed.
+
+        Closing a connection with unread bytes resets it, and a reset takes the answer
+        away that is still on its way: a caller who had sent further requests got
+        nothing at all.
+        """
+        if not self.told or self.inbox.ended:
+            return
+        await self.stream.send_eof()
+        with anyio.move_on_after(LINGER):
+            while not self.inbox.ended:
+                self.inbox.discard()
+                await self.inbox.changed.wait()
+
     async def close(self) -> None:
         """Close the connection."""
         await hang_up(self.stream)
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -31,7 +31,7 @@
     UnknownKeyError,
     match_request,
 )
-from ebonyhold.forwarding._types import CallerRequest, Ruleset
+from ebonyhold.forwarding._types import CallerRequest, Headers, Ruleset
 from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
 
 log = logging.getLogger(__name__)
@@ -303,6 +303,14 @@
         await self.refuse(exchange.connection, exchange.caller, refusal)
         return refusal.code
 
+    def identify(self, head: RequestHead) -> Headers:
+        """Return the fields by which our own answer names its request."""
+        try:
+            caller = self.dialect.read_request(head.headers)
+        except MalformedRequestError:
+            return []
+        return self.dialect.refusal_headers(caller.request_id)
+
     async def refuse(
         self, connection: CallerConnection, caller: CallerRequest, refusal: Refusal
     ) -> None:
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -87,6 +87,11 @@
         self.taken.set()
         return data
 
+    def discard(self) -> None:
+        """Drop what has arrived, so that reading goes on."""
+        self.waiting.clear()
+        self.taken.set()
+
 
 async def hang_up(stream: ByteStream) -> None:
     """Close a connection even if the task that does so is being cancelled."""
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -20,7 +20,7 @@
 )
 from ebonyhold.forwarding._refusals import Refusal, own_answer
 from ebonyhold.forwarding._tasks import Guard, unguarded
-from ebonyhold.forwarding._types import CallerLimits
+from ebonyhold.forwarding._types import CallerLimits, Headers
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +38,16 @@
 Serve = Callable[[CallerConnection, RequestHead, bytes], Awaitable[None]]
 
 
+Identify = Callable[[RequestHead], Headers]
+"""Returns the fields by which an answer names its request."""
+
+
+def nameless(head: RequestHead) -> Headers:
+    """Name no request: these callers wait for one answer at a time."""
+    del head
+    return []
+
+
 @define(eq=False)
 class CallerListener:
     """Accepts connections and hands their requests on.
@@ -46,6 +56,7 @@
         serve: Answers one request.
         limits: Returns what callers are held to now.
         guard: Keeps what fails on one connection from all others.
+        identify: Returns the fields by which an answer names its request.
         connections: Those that are open.
         draining: Whether the process is about to end.
         shedding: Whether callers should connect elsewhere for a while.
@@ -59,6 +70,7 @@
     serve: Serve
     limits: Callable[[], CallerLimits]
     guard: Guard = unguarded
+    identify: Identify = nameless
     connections: set[CallerConnection] = field(factory=set)
     draining: bool = False
     shedding: bool = False
@@ -102,6 +114,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(connection.inbox.fill)
                 await self.converse(connection)
+                await connection.linger()
                 tasks.cancel_scope.cancel()
         except* (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The caller closed while an answer was being written; whoever wrote
@@ -116,7 +129,7 @@
         """
         if connection.started or connection.parser.our_state is not h11.SEND_RESPONSE:
             return
-        connection.last = True
+        connection.final = True
         answer = own_answer(Refusal.FAULT, [])
         try:
             await connection.answer(answer.status, answer.headers, answer.body)
@@ -152,7 +165,7 @@
         try:
             head, body = await connection.read_whole()
         except ReadFaultError as error:
-            await self.read_fault(connection, error.fault)
+            await self.read_fault(connection, error)
             return False
         await self.work(connection, head, body)
         return connection.next_cycle()
@@ -184,14 +197,17 @@
         while self.connections:
             await self.empty.wait()
 
-    async def read_fault(self, connection: CallerConnection, fault: ReadFault) -> None:
+    async def read_fault(
+        self, connection: CallerConnection, error: ReadFaultError
+    ) -> None:
         """Answer what could not be read, if there is anything to answer."""
-        refusal = FAULT_REFUSALS.get(fault)
+        refusal = FAULT_REFUSALS.get(error.fault)
         if refusal is None or connection.inbox.ended:
             return
         log.info("unreadable request", extra={"code": refusal.code})
-        connection.last = True
-        answer = own_answer(refusal, [])
+        connection.final = True
+        identity = self.identify(error.head) if error.head is not None else []
+        answer = own_answer(refusal, identity)
         await connection.answer(answer.status, answer.headers, answer.body)
 
     def start_draining(self) -> None:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -161,7 +161,9 @@
             departure=self.departure,
         )
         guard = partial(keep.guard, "caller connection")
-        self.listener = CallerListener(forwarder.serve, self.knowledge.limits, guard)
+        self.listener = CallerListener(
+            forwarder.serve, self.knowledge.limits, guard, forwarder.identify
+        )
         self.pressure = Pressure(self.listener.shed)
         self.pool.connected = self.pressure.connected
         keep.start("pressure", self.pressure.run)
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -250,7 +250,9 @@
             ended=lambda name, outcome, length: ended.append((name, outcome)),
         )
         port = free_port()
-        callers = CallerListener(forwarder.serve, lambda: rules().limits)
+        callers = CallerListener(
+            forwarder.serve, lambda: rules().limits, identify=forwarder.identify
+        )
         tasks.start_soon(callers.run, (LOOPBACK, port), tasks)
         await until_open(port)
         yield Rig(port, forwarder, callers, ended)
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -114,6 +114,47 @@
         assert b"connection: close" in got.lower()
 
 
+async def test_requests_that_are_here_already_are_answered_while_draining() -> None:
+    """A caller sends three requests at once, and then the process is told to stop.
+
+    The answer to the first said that the connection ends, and the two others were
+    dropped, though the process served for seconds more: of 106 pipelined requests in
+    one stop 26 got no answer.  When the last bytes were still unread at the close, the
+    connection was reset, and the first answer was lost too.
+    """
+    async with rig(Server("one", good)) as router:
+        router.listener.start_draining()
+        one = request("/safe/x", close=False)
+        got = await router.ask(one + one + one)
+    assert got.count(b"HTTP/1.1 200 ") == 3
+    assert got.lower().count(b"connection: close") == 1
+
+
+async def test_the_last_answer_outlives_what_its_caller_sends_on() -> None:
+    """A caller goes on sending after the request whose answer ends the connection.
+
+    Closing with unread bytes resets a connection, and the answer is lost.
+    """
+    async with rig(Server("one", good)) as router:
+        router.listener.start_draining()
+        async with await anyio.connect_tcp("127.0.0.1", router.port) as stream:
+            await stream.send(request("/safe/x", close=False))
+            got = await stream.receive()
+            with anyio.move_on_after(0.05):
+                while True:
+                    await stream.send(b"x" * 1000)
+            with pytest.raises(anyio.EndOfStream):
+                got += await stream.receive()
+    assert got.endswith(b"ok")
+
+
+async def test_a_slow_body_is_refused_by_its_request_s_name() -> None:
+    async with rig(Server("one", good)) as router:
+        whole = request("/safe/x", "POST", b"b" * 100_001)
+        got = await router.ask(whole)
+    assert b" 413 " in got and b"x-ebonyhold-request-id: r1" in got.lower()
+
+
 async def test_idle_connections_close_when_told() -> None:
     async with rig(Server("one", good)) as router:
         stream = await anyio.connect_tcp("127.0.0.1", router.port)
