Tell apart which promise of a stop is broken, each with its story

An orderly end later than 0.2 s after a whole request counts as an answer that is missing, no longer as a closed door.

--- a/tests/platform/stops/__init__.py
+++ b/tests/platform/stops/__init__.py
@@ -7,13 +7,16 @@
 """
 
 from tests.platform.stops._cases import CASES, LONG_CASES, Case, Overlap, Trouble
+from tests.platform.stops._findings import Broken, Promise
 from tests.platform.stops._play import play_case, play_cases
 
 __all__ = [
     "CASES",
     "LONG_CASES",
+    "Broken",
     "Case",
     "Overlap",
+    "Promise",
     "Trouble",
     "play_case",
     "play_cases",
--- a/tests/platform/stops/__main__.py
+++ b/tests/platform/stops/__main__.py
@@ -17,8 +17,8 @@
     found = anyio.run(play_cases, cases, range(first, first + count))
     for name, broken in found.items():
         print(f"{name}: {len(broken)} broken")
-        for line in broken:
-            print(f"  {line}")
+        for item in broken:
+            print(f"  {item.promise.name} {item.text}")
     return 1 if any(found.values()) else 0
 
 
--- a/tests/platform/stops/_play.py
+++ b/tests/platform/stops/_play.py
@@ -32,7 +32,8 @@
 )
 from tests.platform.stops._cases import Case, Overlap, Trouble
 from tests.platform.stops._domain import Domain
-from tests.platform.stops._judge import Evidence, judge
+from tests.platform.stops._findings import Broken, Evidence, Promise
+from tests.platform.stops._judge import judge
 
 PROGRAM = "ebonyhold.gateway"
 WORKSPACES = {"acme": 40_000_000, "blue": 40_000_000}
@@ -77,7 +78,7 @@
         """Return the chances of one task."""
         return Random(f"{self.case.name} {self.seed} {name}")
 
-    async def run(self) -> list[str]:
+    async def run(self) -> list[Broken]:
         """Play the case, and return what was broken."""
         platform = self.start_platform()
         try:
@@ -96,7 +97,7 @@
             [sys.executable, "-m", "tests.platform.standin", str(self.base)], cwd=ROOT
         )
 
-    async def play(self) -> list[str]:
+    async def play(self) -> list[Broken]:
         """Start everything, stop it under its callers, and look at what is left."""
         async with anyio.create_task_group() as tasks:
             self.domain = Domain([], tasks)
@@ -111,7 +112,7 @@
             tasks.cancel_scope.cancel()
         broken = judge(self.case, evidence)
         for gateway in self.domain.gateways:
-            broken += log_faults(gateway.log)
+            broken += [Broken(Promise.END, fault) for fault in log_faults(gateway.log)]
         return broken
 
     async def configure(self) -> None:
@@ -278,7 +279,7 @@
 
 async def play_case(
     case: Case, seed: int, folder: Path, program: str = PROGRAM
-) -> list[str]:
+) -> list[Broken]:
     """Play a case with a seed, print a line on it, and return what was broken."""
     play = Play(case, seed, folder, program)
     broken = await play.run()
@@ -292,16 +293,18 @@
 
 async def play_cases(
     cases: Sequence[Case], seeds: Sequence[int], program: str = PROGRAM
-) -> dict[str, list[str]]:
+) -> dict[str, list[Broken]]:
     """Play cases beside each other; return what was broken in each."""
     limiter = anyio.CapacityLimiter(AT_ONCE)
-    found: dict[str, list[str]] = {case.name: [] for case in cases}
+    found: dict[str, list[Broken]] = {case.name: [] for case in cases}
 
     async def play(case: Case, seed: int) -> None:
         async with limiter:
             with tempfile.TemporaryDirectory() as name:
                 broken = await play_case(case, seed, Path(name), program)
-        found[case.name] += [f"seed {seed}: {line}" for line in broken]
+        found[case.name] += [
+            Broken(item.promise, f"seed {seed}: {item.text}") for item in broken
+        ]
 
     async with anyio.create_task_group() as tasks:
         for case in cases:
--- a/tests/platform/test_stops_judge.py
+++ b/tests/platform/test_stops_judge.py
@@ -9,7 +9,8 @@
 
 from tests.platform.kit import Fault, Life, Seen, Style, Try
 from tests.platform.stops._cases import LONG, MIDDLE, PLAIN, SHORT, Case, Trouble
-from tests.platform.stops._judge import Evidence, judge, judge_end, judge_try
+from tests.platform.stops._findings import Broken, Evidence, Promise
+from tests.platform.stops._judge import judge, judge_end, judge_try
 
 CASE = Case("case")
 LIFE = Life(0, 1.0, listening_at=2.0, asked_at=100.0, exited_at=107.0, code=0)
@@ -20,6 +21,11 @@
     return Seen(100.5, ended_at, sent)
 
 
+def texts(broken: list[Broken]) -> str:
+    """Return what was found, as one text."""
+    return " ".join(item.text for item in broken)
+
+
 def told(**more: Any) -> Try:
     """Return a request that was answered as it should be, but for what is named."""
     usual: dict[str, Any] = {
@@ -82,7 +88,8 @@
     ("no connection", lost(**REFUSED | {"fault": Fault.SILENT}), [], "not connected"),
     ("hung", lost(fault=Fault.HUNG), [], "closed door: hung"),
     ("reset", lost(fault=Fault.RESET), [], "closed door: reset"),
-    ("ended", lost(), [], "closed door: ended"),
+    ("ended at once", lost(ended_at=101.1), [], "closed door: ended"),
+    ("read and left", lost(ended_at=101.5), [], "was read and not answered"),
     ("half a head", lost(sent_at=0.0), [], "closed door: ended"),
     ("read, then the end", lost(sent_at=106.0, ended_at=106.9), [], "was read"),
     ("ran to no end", lost(), [run(101.1)], "ran and was not answered"),
@@ -92,13 +99,13 @@
         "sent with the one before",
         lost(style=Style.PIPELINED, closing_at=101.0, ended_at=104.0),
         [],
-        "closed door",
+        "was read and not answered",
     ),
     (
         "read before the last answer began",
         lost(style=Style.CROSSING, closing_at=102.0, ended_at=102.1),
         [],
-        "closed door",
+        "was read and not answered",
     ),
     (
         "cut with time left",
@@ -124,7 +131,7 @@
 )
 def test_a_broken_promise_is_found(one: Try, runs: list[Seen], fault: str) -> None:
     """Each way in which a stop can cost a caller something is named."""
-    assert fault in " ".join(judge_try(one, LIFE, runs))
+    assert fault in texts(judge_try(one, LIFE, runs))
 
 
 @pytest.mark.parametrize(
@@ -141,7 +148,7 @@
 )
 def test_the_end_of_a_process_is_judged(change: dict[str, Any], fault: str) -> None:
     """It ends by itself, in time, and says that all went well."""
-    found = " ".join(judge_end(evolve(LIFE, **change), CASE))
+    found = texts(judge_end(evolve(LIFE, **change), CASE))
     assert fault in found
     assert bool(fault) is bool(found)
 
@@ -174,4 +181,5 @@
 def test_a_process_that_refuses_all_is_found() -> None:
     """A request that would end in a moment is taken while there is time."""
     one = told(status=503, retry_after="1")
-    assert "time left" in judge(CASE, Evidence([one], [LIFE], {}, {}))[0]
+    found = judge(CASE, Evidence([one], [LIFE], {}, {}))
+    assert [item.promise for item in found] == [Promise.TAKEN]
