Play a whole gateway with a switch of tasks at every wait

Tests of parts play each of them alone, and a soak over sockets meets few orders, and none twice.

Ready tasks run in an order by chance, and each call gives way up to two times before and after it takes effect. Then no task may have failed, each request has ended, none got 500, no connection carried two requests at once, and the rows of the budgets say what was charged, with nothing out.

Ruled out as a find of it: two requests on one connection, which a first form of the check saw where a server looked after the last byte of its answer was sent.

--- /dev/null
+++ b/tests/gateway/interleaving.py
@@ -0,0 +1,495 @@
+"""A whole gateway on a virtual clock, with a switch of tasks at every wait.
+
+The scheduler runs the tasks that are ready in an order of its own chance, and each call
+of a connection or of the store gives way to others a few times, so that what a task
+read before a wait may be changed after it.  All of it follows from one seed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import anyio
+import pytest
+import trio
+import trio.testing
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from ebonyhold.coordination import Delete, Put, Row, Transaction, from_json
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding import CallerListener, TaskStarter, _channel, _pool
+from ebonyhold.gateway import (
+    Changes,
+    Gateway,
+    GatewaySettings,
+    Peers,
+    Snapshot,
+    _gateway,
+)
+from ebonyhold.platform import PlatformDialect, read_backend, read_configuration
+from ebonyhold.prepaid import Committed, PrepaidRow, budget_row_key
+from ebonyhold.standins import MemoryRows, RowHistory
+from tests.forwarding.kit import GONE, answer, chunk, event, request, stream_head, value
+
+LENGTH = 6.0
+"""Seconds of the virtual clock that callers ask for."""
+
+SWEEP = 0.05
+"""Seconds between two sweeps: more of them meet what they can meet."""
+
+CALLERS = 8
+HERD_SHARE = 0.4
+"""The part of the requests that begin together with others."""
+
+SERVERS = ("i-1", "i-2", "i-3")
+PREPAID = {"acme": 400_000, "blue": 30_000}
+COST = "X-Ebonyhold-Token-Counts: 100,40\r\n"
+PATHS = ("safe", "unsafe", "stream")
+MOST_SWITCHES = 3
+
+ENTRY: dict[str, Any] = {
+    "service": "svc",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "sequence": 1,
+    "born": 1,
+}
+KINDS = {"safe": "safe", "unsafe": "unsafe", "stream": "streaming"}
+CONFIGURATION: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        {
+            "name": name,
+            "host": "h.example",
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "service": "svc",
+            "timeout-ms": 2000,
+            "max-attempts": 2,
+        }
+        for name, kind in KINDS.items()
+    ],
+    "services": [{"name": "svc", "engine": {"stride": 5}}],
+    "tenants": [
+        {"name": name, "api-keys": [f"key-{name}"], "prepaid": prepaid}
+        for name, prepaid in PREPAID.items()
+    ],
+}
+
+
+@define(eq=False)
+class Pipe:
+    """One end of a connection in memory.
+
+    Attributes:
+        luck: Decides how often each call gives way.
+        inbound: What the other end sent.
+        other: The other end.
+        closed: Whether this end is closed.
+    """
+
+    luck: random.Random
+    inbound: bytearray = field(factory=bytearray)
+    other: Pipe = field(init=False)
+    closed: bool = False
+    changed: anyio.Event = field(factory=anyio.Event)
+
+    @classmethod
+    def pair(cls, luck: random.Random) -> tuple[Pipe, Pipe]:
+        """Return both ends of a new connection."""
+        one, two = cls(luck), cls(luck)
+        one.other, two.other = two, one
+        return one, two
+
+    async def give_way(self) -> None:
+        """Let other tasks run."""
+        await give_way(self.luck)
+
+    def tell(self) -> None:
+        """Wake whoever reads here."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def receive(self, most: int = 65_536) -> bytes:
+        """Return what has come."""
+        await self.give_way()
+        while not self.inbound:
+            if self.closed:
+                raise anyio.ClosedResourceError
+            if self.other.closed:
+                raise anyio.EndOfStream
+            await self.changed.wait()
+        data = bytes(self.inbound[:most])
+        del self.inbound[:most]
+        return data
+
+    async def send(self, data: bytes) -> None:
+        """Send to the other end."""
+        await self.give_way()
+        if self.closed:
+            raise anyio.ClosedResourceError
+        if self.other.closed:
+            raise anyio.BrokenResourceError
+        self.other.inbound += data
+        self.other.tell()
+        await self.give_way()
+
+    async def aclose(self) -> None:
+        """Close this end."""
+        self.closed = True
+        self.tell()
+        self.other.tell()
+        await self.give_way()
+
+
+async def give_way(luck: random.Random) -> None:
+    """Let other tasks run, a few times or not at all."""
+    for _ in range(luck.randrange(MOST_SWITCHES)):
+        await anyio.lowlevel.checkpoint()
+
+
+@define
+class SwitchingRows(MemoryRows):
+    """A store whose every call gives way, before and after it takes effect."""
+
+    luck: random.Random = field(kw_only=True)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        """Read rows."""
+        await give_way(self.luck)
+        rows = await MemoryRows.scan(self, prefix, after, limit)
+        await give_way(self.luck)
+        return rows
+
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Commit a transaction."""
+        await give_way(self.luck)
+        committed = await MemoryRows.commit(self, transaction)
+        await give_way(self.luck)
+        return committed
+
+    async def snapshot(self, table: str, part: str = "") -> Snapshot:
+        """Read a table."""
+        await give_way(self.luck)
+        return await MemoryRows.snapshot(self, table, part)
+
+    async def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Wait for changes."""
+        await give_way(self.luck)
+        changes = await MemoryRows.changes(self, table, after, wait)
+        await give_way(self.luck)
+        return changes
+
+
+class PlayedGateway(Gateway):
+    """A gateway that is told to stop by an event in place of a signal."""
+
+    async def await_signals(self, tasks: TaskGroup) -> None:
+        """Wait for the word to stop."""
+        await self.peers.store.told.wait()  # type: ignore[attr-defined]
+        tasks.start_soon(self.stop, tasks)
+
+
+@define
+class PlayedRows(SwitchingRows):
+    """The store of one gateway, with the word that stops it."""
+
+    told: anyio.Event = field(factory=anyio.Event)
+
+
+@define(eq=False)
+class World:
+    """One seed: a gateway, its callers, its servers and its store.
+
+    Attributes:
+        luck: All chances of the seed.
+        patch: Puts stand-ins in place of sockets.
+        doors: The listeners, by the port at which they would listen.
+        open: The connections to servers that are open, at the servers' end.
+        ends: How callers' requests ended: a status, or 0 without an answer.
+        runs: Requests that servers ran, and how often.
+        mixed: What came on a connection before the last request on it was answered.
+    """
+
+    luck: random.Random
+    patch: pytest.MonkeyPatch
+    history: RowHistory = field(factory=RowHistory)
+    doors: dict[int, CallerListener] = field(factory=dict)
+    open: set[Pipe] = field(factory=set)
+    ends: list[int] = field(factory=list)
+    runs: dict[str, int] = field(factory=dict)
+    mixed: list[str] = field(factory=list)
+    asked: int = 0
+    gateway: PlayedGateway = field(init=False)
+    store: PlayedRows = field(init=False)
+    status: int | None = None
+    ended: anyio.Event = field(factory=anyio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.store = PlayedRows(self.history, luck=self.luck)
+        settings = GatewaySettings(
+            "vm-1", "a", ("h", 1), ("h", 2), "h", ("h", 3), grace=6.0
+        )
+        peers = Peers(
+            settings=settings,
+            dialect=PlatformDialect(),
+            store=self.store,
+            rules_table="op",
+            rules_key="config",
+            servers_table="servers",
+            read_rules=read_configuration,
+            read_backend=read_backend,
+        )
+        self.gateway = PlayedGateway(peers, anyio.current_time())
+
+    async def listen(
+        self, listener: CallerListener, address: tuple[str, int], tasks: TaskGroup
+    ) -> None:
+        """Stand in for listening at an address."""
+        del tasks
+        with listener.accepting:
+            self.doors[address[1]] = listener
+            await anyio.sleep_forever()
+        del self.doors[address[1]]
+
+    async def connect(
+        self, tasks: TaskGroup, address: tuple[str, int], starter: TaskStarter
+    ) -> _channel.Channel:
+        """Stand in for connecting to a server."""
+        await give_way(self.luck)
+        if self.luck.random() < 0.02:
+            raise BackendLostError("no connection")
+        near, far = Pipe.pair(self.luck)
+        tasks.start_soon(self.serve, far)
+        channel = _channel.Channel(near, starter, address)  # type: ignore[arg-type]
+        starter.start_soon(channel.inbox.fill)
+        return channel
+
+    async def serve(self, stream: Pipe) -> None:
+        """Serve one connection as a server does."""
+        self.open.add(stream)
+        rest = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in rest:
+                    rest += await stream.receive()
+                head, _, rest = rest.partition(b"\r\n\r\n")
+                if rest:
+                    self.mixed.append(head.decode())
+                await self.answer(stream, head.decode())
+        except GONE:
+            await stream.aclose()
+        finally:
+            self.open.discard(stream)
+
+    async def answer(self, stream: Pipe, head: str) -> None:
+        """Answer one request; now and then break off."""
+        name = value(head, "x-ebonyhold-request-id")
+        self.runs[name] = self.runs.get(name, 0) + 1
+        await anyio.sleep(self.luck.choice((0, 0.001, 0.02)))
+        if self.luck.random() < 0.02:
+            await stream.aclose()
+        last = answer(head)
+        if head.startswith("GET /stream/"):
+            await stream.send(stream_head(head))
+            for number in range(1, 4):
+                await stream.send(chunk(event(number)))
+            last = chunk(b"")
+        # From the last byte on the next request may come; before it none may.
+        if stream.inbound:
+            self.mixed.append(head)
+        await stream.send(last)
+
+    async def ask(self, tasks: TaskGroup) -> None:
+        """Ask one request after the other, on one connection while it lasts."""
+        stream: Pipe | None = None
+        while 1 in self.doors:
+            if stream is None:
+                stream, far = Pipe.pair(self.luck)
+                tasks.start_soon(self.doors[1].handle, far)  # type: ignore[arg-type]
+            self.asked += 1
+            kept = await self.ask_once(stream, f"r{self.asked}")
+            if not kept:
+                await stream.aclose()
+                stream = None
+            await self.pause()
+
+    async def pause(self) -> None:
+        """Wait before a caller's next request; often until that of all others.
+
+        Such herds meet the sweep, which runs at the same moments.
+        """
+        now = anyio.current_time() - self.gateway.began_at
+        if self.luck.random() < HERD_SHARE:
+            await anyio.sleep(SWEEP - now % SWEEP)
+        else:
+            await anyio.sleep(self.luck.choice((0.0, 0.001, 0.01)))
+
+    async def ask_once(self, stream: Pipe, name: str) -> bool:
+        """Ask one request; tell whether its connection lasts."""
+        path = self.luck.choice(PATHS)
+        owner = self.luck.choice(list(PREPAID))
+        text = request(f"/{path}/x", extra=COST, close=False)
+        text = text.replace(b": r1\r\n", f": {name}\r\n".encode())
+        got = b""
+        try:
+            await stream.send(text.replace(b": k1\r\n", f": key-{owner}\r\n".encode()))
+            while not whole(got):
+                got += await stream.receive()
+        except GONE:
+            self.ends.append(0)
+            return False
+        self.ends.append(int(got[9:12]))
+        return b"connection: close" not in got.lower()
+
+    async def end_connections(self) -> None:
+        """Have servers end all their connections at once, again and again."""
+        while True:
+            await anyio.sleep(self.luck.uniform(0.02, 0.2))
+            for stream in list(self.open):
+                stream.closed = True
+                stream.tell()
+                stream.other.tell()
+
+    async def change_servers(self) -> None:
+        """Have servers leave, drain, move and come back, again and again."""
+        while True:
+            await anyio.sleep(self.luck.uniform(0.05, 0.8))
+            name = self.luck.choice(SERVERS[1:])
+            if self.luck.random() < 0.3:
+                self.write(Delete(f"servers//{name}"))
+                continue
+            state = self.luck.choice(("ready", "ready", "draining"))
+            born = self.luck.choice((1, 2))
+            self.list_server(name, state=state, born=born)
+
+    async def hurt_store(self) -> None:
+        """Have the store refuse, and lose requests and answers, for short times."""
+        faults = self.store.faults
+        while True:
+            await anyio.sleep(self.luck.uniform(0.2, 1.0))
+            switch = self.luck.choice(("throttled", "lose_answers", "lose_requests"))
+            setattr(faults, switch, self.luck.randrange(1, 4))
+            faults.answer_delay = self.luck.choice((0.0, 0.012, 0.05))
+            if self.luck.random() < 0.1:
+                self.history.compact()
+
+    def write(self, change: Put | Delete) -> None:
+        """Write a row past all faults."""
+        self.history.apply(Transaction((), (change,)))
+
+    def list_server(self, name: str, **more: Any) -> None:
+        """List a server."""
+        port = 100 + SERVERS.index(name) * 10 + more.get("born", 1)
+        row = {**ENTRY, "address": f"10.0.0.1:{port}", **more}
+        self.write(Put(f"servers//{name}", row))
+
+    async def run_gateway(self) -> None:
+        """Run the gateway to its end."""
+        self.status = await self.gateway.run()
+        self.ended.set()
+
+    async def play(self) -> list[str]:
+        """Play the seed, and return what was broken."""
+        self.write(Put("op//config", CONFIGURATION))
+        for name in SERVERS:
+            self.list_server(name)
+        async with anyio.create_task_group() as tasks:
+            self.patch.setattr(_pool, "open_channel", partial(self.connect, tasks))
+            tasks.start_soon(self.run_gateway)
+            await anyio.sleep(0.5)
+            async with anyio.create_task_group() as callers:
+                for _ in range(CALLERS):
+                    callers.start_soon(self.ask, tasks)
+                async with anyio.create_task_group() as troubles:
+                    troubles.start_soon(self.end_connections)
+                    troubles.start_soon(self.change_servers)
+                    troubles.start_soon(self.hurt_store)
+                    await anyio.sleep(LENGTH)
+                    troubles.cancel_scope.cancel()
+                self.store.faults.answer_delay = 0.0
+                self.store.told.set()
+            await self.ended.wait()
+            tasks.cancel_scope.cancel()
+        return self.judge()
+
+    def judge(self) -> list[str]:
+        """Return what was broken."""
+        broken = []
+        for metric in self.gateway.meters.failures.collect():
+            totals = (s for s in metric.samples if s.name.endswith("_total"))
+            broken += [f"{s.labels} {s.value}" for s in totals]
+        if self.status != 0:
+            broken.append(f"it ended with status {self.status}")
+        odd = [end for end in self.ends if end in (0, 500)]
+        # A connection to a server that breaks in mid-stream cuts its caller's too.
+        cut = sum(1 for end in odd if end == 0)
+        broken += [f"{len(odd) - cut} requests got 500"] if len(odd) > cut else []
+        broken += [f"two requests on one connection: {m}" for m in self.mixed]
+        if len(self.ends) != self.asked:
+            broken.append(f"{self.asked - len(self.ends)} requests never ended")
+        for name, prepaid in PREPAID.items():
+            broken += self.judge_budget(name, prepaid)
+        return broken
+
+    def judge_budget(self, name: str, prepaid: int) -> list[str]:
+        """Return what is wrong with a budget after the end."""
+        row = self.history.rows.get(budget_row_key(name))
+        if row is None:
+            return []
+        budget = from_json(row.value, PrepaidRow).budget
+        account = self.gateway.treasury.accounts[name]
+        charged = account.grant.charged
+        broken = []
+        if budget.outstanding:
+            broken.append(f"{name}: {budget.outstanding} were not returned")
+        if budget.spent != charged or charged > prepaid:
+            figures = f"{charged} of {prepaid} charged, {budget.spent} filed"
+            broken.append(f"{name}: {figures}")
+        return broken
+
+
+def whole(got: bytes) -> bool:
+    """Tell whether an answer has come whole."""
+    head, found, body = got.partition(b"\r\n\r\n")
+    if not found:
+        return False
+    if b"chunked" in head.lower():
+        return body.endswith(b"0\r\n\r\n")
+    return len(body) >= int(value(head.decode(), "content-length") or 0)
+
+
+def leave_whole(patch: pytest.MonkeyPatch) -> None:
+    """Leave no guard out."""
+
+
+def play_seed(
+    seed: int, weaken: Callable[[pytest.MonkeyPatch], None] = leave_whole
+) -> list[str]:
+    """Play one seed, and return what was broken.
+
+    Args:
+        seed: Decides everything by chance.
+        weaken: Leaves a guard out.
+    """
+    core = trio._core._run
+    clock = trio.testing.MockClock(autojump_threshold=0)
+
+    async def play(patch: pytest.MonkeyPatch) -> list[str]:
+        world = World(random.Random(seed), patch)
+        patch.setattr(_gateway, "listen", world.listen)
+        return await world.play()
+
+    with pytest.MonkeyPatch.context() as patch:
+        # The scheduler of trio then runs what is ready in an order of its own chance.
+        patch.setattr(core, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+        core._r.seed(seed)
+        random.seed(seed)
+        patch.setattr(_pool, "SWEEP", SWEEP)
+        weaken(patch)
+        return anyio.run(play, patch, backend="trio", backend_options={"clock": clock})
