Fail the soak on an end that nobody asked for, and on a task's failure

A router that ended by itself under the soak was started again with the next trouble, and nothing said so: what callers saw of it passed for a kill.

The soak now remembers the exit status of each life, and fails on any but that of a stop or a kill, and on each line that tells of a fault of our own: a task's failure, an error that ended the process, a traceback.

--- a/tests/platform/soak/_judge.py
+++ b/tests/platform/soak/_judge.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import signal
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from tests.platform.soak._callers import Outcome
-from tests.platform.soak._world import EVENT_TOKENS, WORKSPACES
+from tests.platform.soak._world import EVENT_TOKENS, WORKSPACES, Gateway
 
 SETTLED = 4.0
 """Seconds after the last trouble from which requests must be served again."""
 
 
+ASKED = (0, -signal.SIGKILL, -signal.SIGTERM)
+"""Exit statuses of processes that were told to end, the last one of those that had not
+begun to wait for signals yet."""
+
+FAILURES = ('"task failed"', '"process failed"', "Traceback (most recent")
+"""What a log says only of a fault of our own."""
+
+
 def judge(
     outcomes: Sequence[Outcome], ran: Sequence[str], healed_at: float
 ) -> list[str]:
@@ -33,6 +42,19 @@
     return broken
 
 
+def judge_processes(gateways: Sequence[Gateway]) -> list[str]:
+    """Return the ends that nobody asked for, and the failures of tasks."""
+    broken: list[str] = []
+    for gateway in gateways:
+        name = f"vm-{gateway.number}"
+        odd = [end for end in gateway.ends if end not in ASKED]
+        broken += [f"{name} ended by itself with status {end}" for end in odd]
+        lines = gateway.log.read_text(errors="replace").splitlines()
+        told = [line for line in lines if any(mark in line for mark in FAILURES)]
+        broken += [f"{name} logged {line[:400]}" for line in told]
+    return broken
+
+
 def judge_money(outcomes: Sequence[Outcome], runs: Mapping[str, int]) -> list[str]:
     """Return the workspaces that got more than they had prepaid."""
     spent = dict.fromkeys(WORKSPACES, 0)
--- a/tests/platform/soak/_play.py
+++ b/tests/platform/soak/_play.py
@@ -18,7 +18,7 @@
 from attrs import define, field
 
 from tests.platform.soak._callers import Outcome, ask
-from tests.platform.soak._judge import SETTLED, judge
+from tests.platform.soak._judge import SETTLED, judge, judge_processes
 from tests.platform.soak._world import (
     GRACE,
     HOST,
@@ -87,7 +87,10 @@
             self.heal()
             await anyio.sleep(SETTLED + 3.0)
             tasks.cancel_scope.cancel()
-        return judge(self.outcomes, await self.runs(), healed_at)
+        for gateway in self.gateways:
+            gateway.note_end()
+        broken = judge(self.outcomes, await self.runs(), healed_at)
+        return broken + judge_processes(self.gateways)
 
     async def runs(self) -> list[str]:
         """Return the request of each run that an engine began."""
--- a/tests/platform/soak/_world.py
+++ b/tests/platform/soak/_world.py
@@ -13,7 +13,7 @@
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from attrs import define
+from attrs import define, field
 
 HOST = "127.0.0.1"
 WORKSPACES = {"acme": 30_000, "blue": 6_000, "vast": 10_000_000}
@@ -148,6 +148,7 @@
 
     Attributes:
         program: The module that is run, with its arguments.
+        ends: The exit statuses of its lives so far.
     """
 
     number: int
@@ -156,11 +157,23 @@
     folder: Path
     program: str
     process: subprocess.Popen[bytes] | None = None
+    ends: list[int] = field(factory=list)
+
+    @property
+    def log(self) -> Path:
+        """Return the file of what it logs."""
+        return self.folder / f"vm-{self.number}.log"
+
+    def note_end(self) -> None:
+        """Remember how the last life ended, if it has."""
+        if self.process is not None and self.process.poll() is not None:
+            self.ends.append(self.process.returncode)
 
     def start(self) -> None:
         """Start the program; what it logs goes to a file of the seed."""
+        self.note_end()
         path = self.folder / f"vm-{self.number}.toml"
-        with (self.folder / f"vm-{self.number}.log").open("ab") as output:
+        with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.program.split()],
                 cwd=ROOT,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -16,7 +16,7 @@
 
 
 @pytest.mark.soak
-@pytest.mark.parametrize("guard", ["proof", "not-run"])
+@pytest.mark.parametrize("guard", ["proof", "not-run", "sound-tasks"])
 def test_a_missing_guard_is_found(tmp_path: Path, guard: str) -> None:
     """A check that never fails would prove nothing."""
     program = f"tests.platform.weak_gateway {guard}"
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
+import random
 import sys
 from collections.abc import Callable
 
-from ebonyhold.forwarding import _forwarder
+from ebonyhold.forwarding import BackendTable, _forwarder
 from ebonyhold.gateway.__main__ import main
 from ebonyhold.prepaid import Predecessor
 
@@ -29,9 +30,22 @@
     _forwarder.Forwarder.verdict = weak  # type: ignore[method-assign]
 
 
+def fail_in_a_task() -> None:
+    """A task meets an error that nobody expects, some 30 s after the start at most."""
+    expire = BackendTable.expire
+
+    def weak(self: BackendTable, now: float) -> None:
+        if random.random() < 0.01:
+            raise ValueError("list.remove(x): x not in list")
+        expire(self, now)
+
+    BackendTable.expire = weak  # type: ignore[method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "proof": trust_nothing_was_used,
     "not-run": repeat_everything,
+    "sound-tasks": fail_in_a_task,
 }
 
 
