--- a/tests/platform/kit/_world.py
+++ b/tests/platform/kit/_world.py
@@ -13,7 +13,7 @@
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from attrs import define
+from attrs import define, field
 
 HOST = "127.0.0.1"
 WORKSPACES = {"acme": 30_000, "blue": 6_000, "vast": 10_000_000}
@@ -158,6 +158,7 @@
 
     Attributes:
         program: The module that is run, with its arguments.
+        ends: The exit statuses of its lives so far.
     """
 
     number: int
@@ -166,6 +167,12 @@
     folder: Path
     program: str
     process: subprocess.Popen[bytes] | None = None
+    ends: list[int] = field(factory=list)
+
+    def note_end(self) -> None:
+        """Remember how the last life ended, if it has."""
+        if self.process is not None and self.process.poll() is not None:
+            self.ends.append(self.process.returncode)
 
     @property
     def log(self) -> Path:
@@ -178,6 +185,7 @@
 
     def start(self) -> subprocess.Popen[bytes]:
         """Start the program; what it logs goes to a file of the seed."""
+        self.note_end()
         path = self.folder / f"vm-{self.number}.toml"
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
