--- a/ebonyhold/forwarding/_departure.py
+++ b/ebonyhold/forwarding/_departure.py
@@ -21,9 +21,9 @@
 """Requests of a route whose length is remembered: some 20 s of an ordinary route at one
 router, so that the load of the moment counts."""
 
-ENOUGH = 8
-"""Requests that make a measurement; a router that has just started has fewer, and knows
-short ones first."""
+ENOUGH = 24
+"""Requests that make a measurement: some 8 s of an ordinary route at one router.  One
+that has just started has fewer, and knows short ones first."""
 
 SLACK: Seconds = 0.1
 """What is added to the longest of them: the shortest requests vary by as much."""
@@ -41,11 +41,12 @@
 
 UNMEASURED: dict[RouteKind, Seconds] = {
     RouteKind.STREAM: 3.0,
-    RouteKind.SAFE: 0.4,
-    RouteKind.UNSAFE: 0.4,
+    RouteKind.SAFE: 1.0,
+    RouteKind.UNSAFE: 1.0,
 }
 """The time assumed for a route that was not measured yet: ordinary long streams take
-some 2 s, answers of plain services 0.1 s and under load 0.3 s."""
+some 2 s, answers of plain services 0.1 s and under load 0.3 s, but not all services are
+so quick."""
 
 
 class Stage(Enum):
