Hold back the signals that come when a gateway has all but ended

What operators saw: a stop that had gone in order ended with -1, -2 or -15.

Cause: the event loop takes its handlers with it, and the interpreter ends some 50 ms later; a second SIGTERM, or a SIGHUP for changed settings, meets no handler.

Ruled out: signals before the stop ends, which are answered in order.

Why it holds: the process has one thread, and it blocks them before it lets go of their handlers. Not mended: a SIGHUP in the first 0.4 s of a start, while modules are imported, ends the process; it has accepted nothing by then.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -28,6 +28,7 @@
 from ebonyhold.gateway._presence import Presence
 from ebonyhold.gateway._pressure import Pressure
 from ebonyhold.gateway._renewals import Renewals
+from ebonyhold.gateway._signals import watched_signals
 from ebonyhold.gateway._stop import GatewayStop
 from ebonyhold.gateway._supervision import GuardedTasks, Supervisor
 from ebonyhold.gateway._types import Peers
@@ -246,8 +247,7 @@
 
     async def await_signals(self, stop: Callable[[], None]) -> None:
         """Act on signals, for ever; those that end processes begin the stop."""
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*watched) as signals:
+        with watched_signals() as signals:
             async for number in signals:
                 if number is signal.SIGHUP:
                     # The listeners keep their addresses for the process's life, and
--- /dev/null
+++ b/tests/platform/test_signals.py
@@ -0,0 +1,52 @@
+"""Signals that come when a gateway has all but ended."""
+
+from __future__ import annotations
+
+import signal
+import time
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.platform.test_late_requests import one_gateway, until_served
+
+pytestmark = pytest.mark.anyio
+
+LOOK: float = 0.002
+"""Seconds between two looks at the log: the interpreter ends within some 50 ms."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on asyncio, as the gateways do."""
+    return "asyncio"
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+async def test_a_signal_after_the_stop_changes_nothing(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """An operator sees a stop end with the status of a process that a signal killed.
+
+    Settings change, or the stop is asked for again, while the interpreter of a gateway
+    that has stopped in order is ending.  Cause: the event loop had taken its handlers
+    with it.  Evidence: four of four such signals after the line `stopped` ended the
+    process with their number.
+    """
+    async with one_gateway(tmp_path) as soak:
+        await until_served(soak)
+        gateway = soak.gateways[0]
+        gateway.send(signal.SIGTERM)
+        with anyio.fail_after(10.0):
+            await anyio.to_thread.run_sync(until_stopped, gateway.log)
+        gateway.send(number)
+        assert gateway.process is not None
+        code = await anyio.to_thread.run_sync(gateway.process.wait)
+    assert code == 0
+
+
+def until_stopped(log: Path) -> None:
+    """Wait for the line that says that a gateway has stopped."""
+    while '"stopped"' not in log.read_text():
+        time.sleep(LOOK)
