Ignore late signals instead of blocking them in one thread

What operators saw: beside load, two of three late signals still ended a stopped process.

Cause: looking up the addresses to listen at leaves a thread of the event loop's, which has its own mask; a signal that the main thread blocks goes there.

Why it holds: an ignored signal is ignored for the process; what is left is the moment between the loop's letting go of its handlers and the next line.

--- a/ebonyhold/gateway/_signals.py
+++ b/ebonyhold/gateway/_signals.py
@@ -13,16 +13,20 @@
 
 @contextmanager
 def watched_signals() -> Iterator[AsyncIterator[signal.Signals]]:
-    """Receive signals; those that come after the end of this wait for ever.
+    """Receive signals; those that come after the end of this change nothing.
 
-    Between the end of the event loop and that of the interpreter no handler stands any
-    more, and a signal that comes then, as a second one of an operator, would end an
-    orderly stop with an error's status.  The process has one thread, so blocking them
-    in it keeps them all.
+    Between the end of the event loop and that of the interpreter none of its handlers
+    stands any more, and a signal that comes then, as a second one of an operator, would
+    end an orderly stop with an error's status.
     """
-    with anyio.open_signal_receiver(*WATCHED) as signals:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, WATCHED)
-        try:
+    try:
+        with anyio.open_signal_receiver(*WATCHED) as signals:
             yield signals
-        finally:
-            signal.pthread_sigmask(signal.SIG_BLOCK, WATCHED)
+    finally:
+        ignore_signals()
+
+
+def ignore_signals() -> None:
+    """Let signals pass without effect from here on."""
+    for number in WATCHED:
+        signal.signal(number, signal.SIG_IGN)
