Play the stop by the signals that a gateway waits for, and bound the play

A gateway whose stop fails, or that never takes its signal, kept the play of its tasks going for ever, on a clock that costs nothing: a run of the tests hung, with no word of which test it was.

The play stood in for the method that awaits signals, whose form had changed, and the connections in memory knew no end of one direction. It now stands in for the signals alone, a connection can be ended one way, and callers as well as the play give up at twice the grace after the signal; what has not ended then is reported.

--- a/tests/gateway/interleaving.py
+++ b/tests/gateway/interleaving.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+import signal
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 import pytest
@@ -41,6 +43,12 @@
 SWEEP = 0.05
 """Seconds between two sweeps: more of them meet what they can meet."""
 
+GRACE = 6.0
+"""Seconds from the signal to the kill."""
+
+Signals: TypeAlias = AsyncIterator[signal.Signals]
+LONGEST_STOP = 2 * GRACE
+
 CALLERS = 8
 HERD_SHARE = 0.4
 """The part of the requests that begin together with others."""
@@ -90,12 +98,14 @@
         luck: Decides how often each call gives way.
         inbound: What the other end sent.
         other: The other end.
+        finished: Whether this end sends nothing any more.
         closed: Whether this end is closed.
     """
 
     luck: random.Random
     inbound: bytearray = field(factory=bytearray)
     other: Pipe = field(init=False)
+    finished: bool = False
     closed: bool = False
     changed: anyio.Event = field(factory=anyio.Event)
 
@@ -121,7 +131,7 @@
         while not self.inbound:
             if self.closed:
                 raise anyio.ClosedResourceError
-            if self.other.closed:
+            if self.other.finished or self.other.closed:
                 raise anyio.EndOfStream
             await self.changed.wait()
         data = bytes(self.inbound[:most])
@@ -139,6 +149,12 @@
         self.other.tell()
         await self.give_way()
 
+    async def send_eof(self) -> None:
+        """Send nothing any more."""
+        self.finished = True
+        self.other.tell()
+        await self.give_way()
+
     async def aclose(self) -> None:
         """Close this end."""
         self.closed = True
@@ -186,22 +202,6 @@
         return changes
 
 
-class PlayedGateway(Gateway):
-    """A gateway that is told to stop by an event in place of a signal."""
-
-    async def await_signals(self, stop: Callable[[], None]) -> None:
-        """Wait for the word to stop."""
-        await self.peers.store.told.wait()  # type: ignore[attr-defined]
-        stop()
-
-
-@define
-class PlayedRows(SwitchingRows):
-    """The store of one gateway, with the word that stops it."""
-
-    told: anyio.Event = field(factory=anyio.Event)
-
-
 @define(eq=False)
 class World:
     """One seed: a gateway, its callers, its servers and its store.
@@ -213,6 +213,8 @@
         open: The connections to servers that are open, at the servers' end.
         ends: How callers' requests ended: a status, or 0 without an answer.
         runs: Requests that servers ran, and how often.
+        told: Set when the gateway gets its signal.
+        ended: Set when it has ended.
         mixed: What came on a connection before the last request on it was answered.
     """
 
@@ -225,15 +227,16 @@
     runs: dict[str, int] = field(factory=dict)
     mixed: list[str] = field(factory=list)
     asked: int = 0
-    gateway: PlayedGateway = field(init=False)
-    store: PlayedRows = field(init=False)
+    gateway: Gateway = field(init=False)
+    store: SwitchingRows = field(init=False)
+    told: anyio.Event = field(factory=anyio.Event)
     status: int | None = None
     ended: anyio.Event = field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
-        self.store = PlayedRows(self.history, luck=self.luck)
+        self.store = SwitchingRows(self.history, luck=self.luck)
         settings = GatewaySettings(
-            "vm-1", "a", ("h", 1), ("h", 2), "h", ("h", 3), grace=6.0
+            "vm-1", "a", ("h", 1), ("h", 2), "h", ("h", 3), grace=GRACE
         )
         peers = Peers(
             settings=settings,
@@ -245,7 +248,19 @@
             read_rules=read_configuration,
             read_backend=read_backend,
         )
-        self.gateway = PlayedGateway(peers, anyio.current_time())
+        self.gateway = Gateway(peers, anyio.current_time())
+
+    @contextmanager
+    def signals(self, *watched: signal.Signals) -> Iterator[Signals]:
+        """Stand in for the signals of the process: one that ends it, once."""
+        del watched
+
+        async def come() -> Signals:
+            await self.told.wait()
+            yield signal.SIGTERM
+            await anyio.sleep_forever()
+
+        yield come()
 
     async def listen(
         self, listener: CallerListener, address: tuple[str, int], tasks: TaskGroup
@@ -413,8 +428,11 @@
                     await anyio.sleep(LENGTH)
                     troubles.cancel_scope.cancel()
                 self.store.faults.answer_delay = 0.0
-                self.store.told.set()
-            await self.ended.wait()
+                self.told.set()
+                # A fault that keeps it from its end must not keep the play going.
+                callers.cancel_scope.deadline = anyio.current_time() + LONGEST_STOP
+            with anyio.move_on_after(LONGEST_STOP):
+                await self.ended.wait()
             tasks.cancel_scope.cancel()
         return self.judge()
 
@@ -483,6 +501,7 @@
     async def play(patch: pytest.MonkeyPatch) -> list[str]:
         world = World(random.Random(seed), patch)
         patch.setattr(_gateway, "listen", world.listen)
+        patch.setattr(anyio, "open_signal_receiver", world.signals)
         return await world.play()
 
     with pytest.MonkeyPatch.context() as patch:
