Go on from the first page of a table, not from its last

A router that read a long list of servers could miss for good that one of them drains or has gone: it went on sending requests there until the row changed again.

Cause: a table of more than 500 rows is read page after page, and the feed of changes went on after the version of the last page. A row of an earlier page that changed while later ones were read is older than that, and is not in the pages either.

Ruled out: the configuration, which is one row; and shorter lists, which are one page.

The test failed before (version 11 instead of 8) and passes now. It holds since the first page's version is not newer than any row that was read, so whatever changed since is in the feed; a change that a later page holds already comes twice, in order.

--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -160,14 +160,20 @@
             UnavailableError: The store cannot be reached.
         """
         rows: list[RawRow] = []
+        version: int | None = None
         query = {"table": table, "part": part, "limit": str(PAGE)}
         while True:
             body = await self.ask(READ, query)
             with readable(READ):
                 page = [decode_raw(raw) for raw in body["rows"]]
                 rows += page
+                # A row of an earlier page may change while a later one is read.  From
+                # the first page's version on the feed tells of it; what later pages
+                # hold already comes once more, which does no harm.
+                if version is None:
+                    version = int(body[VERSION])
                 if not body.get("truncated"):
-                    return Snapshot(tuple(rows), int(body[VERSION]))
+                    return Snapshot(tuple(rows), version)
                 # Keys are read from this one on, so the least larger key is named.
                 query["from"] = page[-1].key + "\0"
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -194,3 +194,20 @@
         ("b", True),
     ]
     assert found.version == 7
+
+
+async def test_a_change_between_two_pages_is_in_the_feed() -> None:
+    """A server drains while the list of servers is read, page after page.
+
+    Its row was on the first page already, and the feed went on after the last one, so
+    that no router that read then ever heard of it.
+    """
+    pages = [
+        {"rows": [row("a", 1, 1)], "truncated": True, "version-number": 8},
+        {"rows": [row("b", 2, 2)], "truncated": True, "version-number": 9},
+        {"rows": [row("c", 2, 2)], "truncated": False, "version-number": 11},
+    ]
+    left = iter(pages)
+    found = await client(lambda request: answer(200, next(left))).snapshot("t", "p")
+    assert [item.key for item in found.rows] == ["a", "b", "c"]
+    assert found.version == 8
