Keep a stopping router's listeners open until nobody is being answered

When the bills were filed the listener closed, and the process lived on for as long as a slow caller read its answer, up to six seconds. Whoever was sent here in that time met a closed door instead of a refusal. A connection that came as the listener closed got no answer at all, and the slow caller's own answer was cut: the listener's task ended as cancelled within its grace.

Cause: the HTTP library's server closes its listening socket first, then waits for connections, and gathers their tasks so that one's end can end the wait for all.

Now hypercorn only speaks HTTP on each connection; a door of our own opens, counts and closes. Both listeners share one count of requests and close together, once it is zero or the grace is over.

Ruled out: closing when the application has ended its last request, in the library's server; up to 64 KiB would still be in asyncio's hands, and listeners would close one by one.

--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -14,6 +14,7 @@
 from ebonyhold.backends import Backends, PlacementHolder
 from ebonyhold.callers import CallersApp
 from ebonyhold.configuration import ConfigurationKeeper, make_keeper
+from ebonyhold.daemon._door import Visits
 from ebonyhold.daemon._help import VersionHelp
 from ebonyhold.daemon._lifecycle import Lifecycle
 from ebonyhold.daemon._members import MemberFeed
@@ -85,6 +86,7 @@
         callers: The callers' application.
         recoveries: Recovers routers that are gone.
         lifecycle: The router's own stop.
+        visits: The requests on both listeners, which close together.
     """
 
     settings: Settings
@@ -106,6 +108,7 @@
     upkeep: Upkeep = field(init=False)
     placement: PlacementHolder = field(init=False)
     lifecycle: Lifecycle = field(init=False)
+    visits: Visits = field(factory=Visits)
 
     def __attrs_post_init__(self) -> None:
         """Make the parts; nothing is opened yet."""
@@ -265,7 +268,11 @@
             tasks.start_soon(self.members.run)
             await tasks.start(self.network.run)
             await listeners.start(
-                serve_listener, operators, self.settings.operators, stop
+                serve_listener,
+                operators,
+                self.settings.operators,
+                stop,
+                self.visits,
             )
             await self.network.wait_for_start()
             tasks.start_soon(self.start_keeper)
@@ -278,7 +285,11 @@
             tasks.start_soon(self.placement.run)
             self.lifecycle.opened = True
             await listeners.start(
-                serve_listener, self.callers, self.settings.callers, stop
+                serve_listener,
+                self.callers,
+                self.settings.callers,
+                stop,
+                self.visits,
             )
             logger.info("serving", extra={"callers": self.settings.callers.bind})
 
--- a/ebonyhold/daemon/_servers.py
+++ b/ebonyhold/daemon/_servers.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import ssl
-from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import anyio
 from anyio.abc import TaskStatus
 from attrs import define
-from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from ebonyhold.daemon._door import AsgiApp, Door, Visits
 from ebonyhold.exceptions import SettingsError
 from ebonyhold.settings import Listener, TlsSettings
 from ebonyhold.types import Seconds
@@ -28,12 +25,7 @@
 """How long a connection without a whole request is kept, trickled headers included."""
 
 GRACE: Seconds = 5.0
-"""How long hypercorn waits for open connections after its trigger."""
-
-GRACE_SLACK: Seconds = 1.0
-"""How much longer the whole listener may take to end."""
-
-AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
+"""How long answers under way may take after the stop; the listener is open so long."""
 
 
 class ReloadingConfig(Config):
@@ -78,7 +70,6 @@
     """Translate a listener's settings for hypercorn."""
     config = ReloadingConfig()
     config.bind = [listener.bind]
-    config.graceful_timeout = GRACE
     config.keep_alive_timeout = KEEP_ALIVE
     config.read_timeout = None
     config.accesslog = None
@@ -155,22 +146,11 @@
                 logger.info("certificate reloaded")
 
 
-async def cancel_later(stop: anyio.Event, scope: anyio.CancelScope) -> None:
-    """Cancel a listener that outlasts its grace.
-
-    The router's stop waits for its listeners.  A caller that neither reads nor
-    hangs up would hold it up for ever: after its grace, hypercorn still waits
-    until what it has written to that caller is taken.
-    """
-    await stop.wait()
-    await anyio.sleep(GRACE + GRACE_SLACK)
-    scope.cancel()
-
-
 async def serve_listener(
     app: AsgiApp,
     listener: Listener,
     stop: anyio.Event,
+    visits: Visits | None = None,
     *,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -179,24 +159,27 @@
     Args:
         app: The application.
         listener: Where to bind, and with which certificate.
-        stop: Ends the listener; open connections get `GRACE` seconds.
-        task_status: Started once the server has been handed its sockets.
+        stop: Ends the listener; answers under way get `GRACE` seconds.
+        visits: Counts the requests of all listeners that close together.
+        task_status: Started once the listener takes connections.
+
+    Raises:
+        OSError: The address is taken, or a certificate cannot be used.
     """
     config = listener_config(listener)
+    door = Door(app, config, visits or Visits())
     async with anyio.create_task_group() as tasks:
-        if listener.tls is not None:
-            watch = CertificateWatch(config, listener.tls)
-            watch.stamps = watch.read_stamps()
-            tasks.start_soon(watch.run)
-        tasks.start_soon(cancel_later, stop, tasks.cancel_scope)
-        task_status.started()
         try:
-            await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
-        except asyncio.InvalidStateError:
-            # hypercorn, cancelled in its grace, asks for the result of
-            # connections that have none yet.  Raised further, this would end the
-            # process with an error after an orderly stop.
-            if not stop.is_set():
-                raise
-            logger.warning("connections cut", extra={"bind": listener.bind})
+            await door.open()
+            if listener.tls is not None:
+                watch = CertificateWatch(config, listener.tls)
+                watch.stamps = watch.read_stamps()
+                tasks.start_soon(watch.run)
+            task_status.started()
+            await stop.wait()
+            await door.close(GRACE)
+        finally:
+            door.shut()
+            with anyio.CancelScope(shield=True):
+                await door.cut()
         tasks.cancel_scope.cancel()
--- a/tests/daemon/stopkit.py
+++ b/tests/daemon/stopkit.py
@@ -257,6 +257,8 @@
         lifecycle.asked.set()
         with anyio.fail_after(PATIENCE):
             await router.gone.wait()
+    # A listener that ends as cancelled cancels this group without an error.
+    assert router.gone.is_set()
 
 
 async def wait_until(wanted: Callable[[], bool]) -> None:
--- a/tests/daemon/test_stop_sockets.py
+++ b/tests/daemon/test_stop_sockets.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from http import HTTPStatus
 
 import anyio
+import httpx
 import pytest
 from attrs import frozen
 
-from ebonyhold.daemon import _lifecycle
-from tests.backends.kit import good
+from ebonyhold.daemon import _lifecycle, _servers
+from ebonyhold.types import Seconds
+from tests.backends.kit import Engine, good, whole_body
 from tests.daemon.stopkit import (
     CHAT,
+    LOOK,
+    PATIENCE,
     STREAM,
+    Answer,
     Held,
     Router,
     head,
@@ -65,8 +71,7 @@
 async def come_to(router: Router, step: str) -> None:
     """Ask for the stop, and wait until it has come to its step."""
     router.lifecycle.asked.set()
-    await anyio.wait_all_tasks_blocked()
-    assert router.lifecycle.leaving
+    await wait_until(lambda: router.lifecycle.leaving)
     if step != "grace":
         await wait_until(lambda: router.app.stopping)
     if step == "interrupt":
@@ -156,11 +161,11 @@
 
 STOCK = "/services/booking/stock"
 BOOKINGS = "/services/booking/bookings"
-PATIENT = request().replace(b"host: router", b"host: router\r\nx-deadline-ms: 15000")
+URGENT = request().replace(b"host: router", b"host: router\r\nx-deadline-ms: 15000")
 UNDERWAY = {
     "whole chat at its engine": Underway(request(), 502),
     "stream before its first byte": Underway(request(STREAM), 502),
-    "chat in the queue": Underway(PATIENT, 503, not_run=True, queued=True),
+    "chat in the queue": Underway(URGENT, 503, not_run=True, queued=True),
     "half a body": Underway(request()[:-10], 503, not_run=True),
     "call that may be repeated": Underway(head(0, STOCK, "GET"), 502),
     "booking": Underway(request(b"{}", BOOKINGS), 502),
@@ -200,3 +205,65 @@
     assert ("outcome" in answer.error) is not case.not_run
     assert router.ran() == (not case.not_run)
     assert router.money.unsettled == 0
+
+
+BIG_TOKENS = 1_200_000
+DOOR_SHUT: Seconds = 0.5
+"""How long before its end a router may turn connections away: a process closes its
+sockets a moment before it is gone, and no longer."""
+
+
+async def big(engine: Engine, request: httpx.Request) -> httpx.Response:
+    """Answer with more than the buffers between the two ends hold."""
+    answer = json.loads(whole_body())
+    answer["choices"][0]["message"]["content"] = "token " * BIG_TOKENS
+    headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"]}
+    return httpx.Response(200, headers=headers, content=json.dumps(answer).encode())
+
+
+async def knock(router: Router, shut: list[Seconds]) -> None:
+    """Ask again and again on new connections, and note when there is no answer."""
+    while not router.gone.is_set():
+        answer = Answer()
+        with suppress(OSError):
+            async with router.caller() as caller:
+                await caller.send(MODELS)
+                answer = await caller.answer()
+        if not answer.whole:
+            shut.append(anyio.current_time())
+        await anyio.sleep(LOOK)
+
+
+@pytest.mark.parametrize("reads", [True, False], ids=["slow", "never"])
+async def test_the_door_is_open_to_the_end(
+    monkeypatch: pytest.MonkeyPatch, reads: bool
+) -> None:
+    """Callers meet a closed door while one other caller takes its last bytes.
+
+    The router has filed its bills and closes its listener; the process lives on for
+    as long as a slow caller reads, five seconds or more.  Whoever is sent here in
+    that time has no connection instead of a refusal.  Worse, a connection that came
+    as the listener closed got no answer, and the slow caller's answer was cut too.
+    Evidence: the new connection hung, and the listener's task ended as cancelled
+    when the slow caller began to read, long before its grace was over.
+    """
+    monkeypatch.setattr(_servers, "GRACE", 1.0)
+    async with routing(SHORT) as router, anyio.create_task_group() as tasks:
+        router.script(big)
+        shut: list[Seconds] = []
+        async with router.caller() as slow:
+            await slow.send(request())
+            await wait_until(lambda: router.app.active == 1)
+            await anyio.sleep(SHORT)
+            router.lifecycle.asked.set()
+            await router.money.draining.wait()
+            tasks.start_soon(knock, router, shut)
+            if reads:
+                await anyio.sleep(2 * DOOR_SHUT)
+                answer = await slow.answer()
+                assert answer.whole
+                assert answer.status == HTTPStatus.OK
+            with anyio.fail_after(PATIENCE):
+                await router.gone.wait()
+        ended = anyio.current_time()
+    assert [ended - at for at in shut if ended - at > DOOR_SHUT] == []
