Take SIGHUP without ending the router

An operator who sends SIGHUP to have files read again, or whose terminal closes, ended the router at once: every request was cut, a stream in the middle of its answer, and the grants stayed held until another router recovered them. So did a SIGHUP in the midst of an orderly stop.

Cause: only SIGTERM and SIGINT were taken; SIGHUP kept its default.

Now it is taken and logged. Certificates, keys and the document are followed without it, so there is nothing else to do.

--- a/ebonyhold/daemon/_lifecycle.py
+++ b/ebonyhold/daemon/_lifecycle.py
@@ -64,10 +64,19 @@
     ended: anyio.Event = field(factory=anyio.Event)
 
     async def follow_signals(self) -> None:
-        """Stop at the first signal, hurry at the second."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        """Stop at the first signal, hurry at the second.
+
+        SIGHUP is taken and does nothing: certificates, keys and the document are
+        followed without it.  Left to its default it would end the process at once,
+        with every request cut and its grants held until another router recovers
+        them; an operator's habit, or a closed terminal, is enough to send it.
+        """
+        taken = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*taken) as signals:
             async for number in signals:
                 logger.info("signal received", extra={"signal": number.name})
+                if number is signal.SIGHUP:
+                    continue
                 if self.asked.is_set():
                     self.hurried.set()
                 self.asked.set()
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -201,3 +201,25 @@
         signal.raise_signal(number)
         await lifecycle.hurried.wait()
         tasks.cancel_scope.cancel()
+
+
+async def test_hangup_asks_for_nothing() -> None:
+    """An operator sends SIGHUP, to have files read again, and cuts every request.
+
+    The router did not take that signal, so that it ended the process at once.
+    Evidence: with a stream under way, its caller's connection closed in the middle
+    of the answer, before and during a stop alike.  Files are followed anyway.
+    """
+    lifecycle = lifecycle_of(Stage())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lifecycle.follow_signals)
+        await anyio.wait_all_tasks_blocked()
+        signal.raise_signal(signal.SIGHUP)
+        await anyio.wait_all_tasks_blocked()
+        assert not lifecycle.asked.is_set()
+        signal.raise_signal(signal.SIGTERM)
+        await lifecycle.asked.wait()
+        signal.raise_signal(signal.SIGHUP)
+        await anyio.wait_all_tasks_blocked()
+        assert not lifecycle.hurried.is_set()
+        tasks.cancel_scope.cancel()
