Stop a router in order when one of its parts fails

When a part beside the requests failed (the upkeep, say), every answer under way was cut in the middle, and the grants stayed held until another router recovered them. A router whose callers' port was taken ended with its row still open.

Cause: the error went to the task group, which cancels all beside it, the listeners included.

Now the first error asks for the stop that a signal asks for: the readiness check says no, answers end, the bills are filed, the incarnation is closed, and the process ends with code 1. The log has the error.

--- a/ebonyhold/daemon/__init__.py
+++ b/ebonyhold/daemon/__init__.py
@@ -20,6 +20,7 @@
 __all__ = ["Daemon", "main", "serve"]
 
 EXIT_SETTINGS = 2
+EXIT_FAILED = 1
 
 
 def serve(
@@ -40,6 +41,10 @@
     anyio.run(daemon.run)
     if provider is not None:
         provider.shutdown()
+    if daemon.parts.failure is not None:
+        # The log has the error.  A traceback here would keep the process for most
+        # of a second longer, with its listeners closed.
+        sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -19,6 +19,7 @@
 from ebonyhold.daemon._lifecycle import Lifecycle
 from ebonyhold.daemon._members import MemberFeed
 from ebonyhold.daemon._messages import StatusRequest
+from ebonyhold.daemon._parts import Parts
 from ebonyhold.daemon._recoveries import Recoveries
 from ebonyhold.daemon._servers import serve_listener
 from ebonyhold.daemon._settlements import Settlements
@@ -86,6 +87,7 @@
         callers: The callers' application.
         recoveries: Recovers routers that are gone.
         lifecycle: The router's own stop.
+        parts: Runs everything beside the requests.
         visits: The requests on both listeners, which close together.
     """
 
@@ -108,6 +110,7 @@
     upkeep: Upkeep = field(init=False)
     placement: PlacementHolder = field(init=False)
     lifecycle: Lifecycle = field(init=False)
+    parts: Parts = field(init=False)
     visits: Visits = field(factory=Visits)
 
     def __attrs_post_init__(self) -> None:
@@ -164,6 +167,7 @@
             self.network,
             lambda: self.fleet.document.limits.drain,
         )
+        self.parts = Parts(self.lifecycle.asked)
 
     def members_client(self) -> MembersClient | None:
         """Return the client of the membership list, if the settings name one."""
@@ -230,7 +234,7 @@
         )
 
     async def run(self) -> None:
-        """Serve until a signal asks for the stop.
+        """Serve until a signal, or a part that fails, asks for the stop.
 
         Raises:
             SettingsError: A key file cannot be used.
@@ -262,11 +266,11 @@
         signal that is only followed once the router serves would be lost.
         """
         stop = self.lifecycle.ended
-        with scope:
-            tasks.start_soon(self.table_guard.run)
-            tasks.start_soon(self.objects_guard.run)
-            tasks.start_soon(self.members.run)
-            await tasks.start(self.network.run)
+        with scope, self.parts.noting():
+            tasks.start_soon(self.parts.run, self.table_guard.run)
+            tasks.start_soon(self.parts.run, self.objects_guard.run)
+            tasks.start_soon(self.parts.run, self.members.run)
+            await tasks.start(self.parts.start, self.network.run)
             await listeners.start(
                 serve_listener,
                 operators,
@@ -275,14 +279,14 @@
                 self.visits,
             )
             await self.network.wait_for_start()
-            tasks.start_soon(self.start_keeper)
-            tasks.start_soon(self.follow_versions)
-            tasks.start_soon(self.backends.run)
+            tasks.start_soon(self.parts.run, self.start_keeper)
+            tasks.start_soon(self.parts.run, self.follow_versions)
+            tasks.start_soon(self.parts.run, self.backends.run)
             await self.open_money()
-            tasks.start_soon(self.money.run)
-            tasks.start_soon(self.recoveries.run)
-            tasks.start_soon(self.upkeep.run)
-            tasks.start_soon(self.placement.run)
+            tasks.start_soon(self.parts.run, self.money.run)
+            tasks.start_soon(self.parts.run, self.recoveries.run)
+            tasks.start_soon(self.parts.run, self.upkeep.run)
+            tasks.start_soon(self.parts.run, self.placement.run)
             self.lifecycle.opened = True
             await listeners.start(
                 serve_listener,
--- a/tests/daemon/test_stop_live.py
+++ b/tests/daemon/test_stop_live.py
@@ -11,9 +11,12 @@
 import pytest
 from attrs import define, evolve, field
 
+from ebonyhold.coordination import RouterState
 from ebonyhold.document import load_document
+from ebonyhold.experiments import _local_fleet
 from ebonyhold.experiments._callers import Wanted
-from ebonyhold.experiments._local_fleet import LocalFleet, Router, local_fleet
+from ebonyhold.experiments._local_fleet import Child, LocalFleet, Router, local_fleet
+from ebonyhold.misc import free_port
 from ebonyhold.types import Seconds
 from tests.daemon.test_live import (
     ENGINE,
@@ -26,6 +29,7 @@
     callers_of,
     client,
     job,
+    read_rows,
     unlist,
     wait_exit,
 )
@@ -62,6 +66,14 @@
         yield running
 
 
+spawn = LocalFleet.spawn
+
+
+def spawn_failing(fleet: LocalFleet, name: str, address: str, *rest: str) -> Child:
+    """Start the daemon that fails on demand, in the place of the real one."""
+    return spawn(fleet, name, address, "tests.daemon.failing_daemon", *rest[1:])
+
+
 @define
 class Heard:
     """What callers heard while a router stopped.
@@ -126,6 +138,7 @@
     "second signal in the grace": ((FIRST, signal.SIGTERM), (0.5, signal.SIGTERM)),
     "second signal later": ((FIRST, signal.SIGTERM), (LATE, signal.SIGINT)),
     "SIGHUP before SIGTERM": ((FIRST, signal.SIGHUP), (FIRST, signal.SIGTERM)),
+    "a part that fails": ((FIRST, signal.SIGUSR1),),
     "SIGHUP in the stop": ((FIRST, signal.SIGTERM), (FIRST, signal.SIGHUP)),
 }
 
@@ -134,6 +147,7 @@
 async def test_callers_while_a_process_ends(
     fleet: LocalFleet,
     client: httpx.AsyncClient,
+    monkeypatch: pytest.MonkeyPatch,
     way: tuple[tuple[Seconds, signal.Signals], ...],
 ) -> None:
     """Every request to a process that ends is answered or refused as not run.
@@ -143,6 +157,9 @@
     stream ends whole, or with an explicit error where a second signal ends it.
     """
     name = f"entry-{len(fleet.routers) + 1}"
+    fails = signal.SIGUSR1 in {number for _, number in way}
+    if fails:
+        monkeypatch.setattr(LocalFleet, "spawn", spawn_failing)
     router = await add_router(fleet, name)
     await call(client, router, job(f"warm-{name}", 8, Wanted.WHOLE))
     heard = Heard()
@@ -166,9 +183,35 @@
         ended = anyio.current_time()
     await unlist(fleet, client, router)
     early = [(ended - at, what) for at, what in heard.shut if ended - at > SHUT]
-    assert code == 0
+    assert code == int(fails)
     assert heard.wrong == []
     assert early == []
     assert heard.counts[HTTPStatus.OK] > 0
     hurried = sum(number is not signal.SIGHUP for _, number in way) > 1
     assert ends[0].startswith("data: {") if hurried else ends == ["data: [DONE]"]
+
+
+async def test_the_callers_port_is_taken(
+    fleet: LocalFleet, client: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A router whose callers' port is taken leaves its row for others to recover.
+
+    It has registered by then.  It ends by itself with an error, and closes its
+    incarnation like any router that stops.
+    """
+    other = fleet.routers[0]
+    ports = iter([other.address.rpartition(":")[2]])
+    monkeypatch.setattr(
+        _local_fleet, "free_port", lambda: int(next(ports, "0")) or free_port()
+    )
+    name = f"entry-{len(fleet.routers) + 1}"
+    router = fleet.spawn_router(name, fleet.document.domains[0])
+    fleet.register(router)
+    code = await wait_exit(router, PATIENCE)
+    await unlist(fleet, client, router)
+    assert code == 1
+    assert "Address already in use" in router.log.read_text()
+    rows = await read_rows(fleet)
+    assert set(rows.incarnations(name).values()) == {RouterState.CLOSED}
+    answer = await client.get(f"{other.operators_url}/readyz")
+    assert answer.status_code == HTTPStatus.OK
