--- a/tests/daemon/test_stop_sockets.py
+++ b/tests/daemon/test_stop_sockets.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from ebonyhold.callers import _app
-from ebonyhold.daemon import _lifecycle, _servers
+from ebonyhold.daemon import _door, _lifecycle, _servers
 from ebonyhold.types import Seconds
 from tests.backends.kit import Engine, good, whole_body
 from tests.callers.kit import KEY
@@ -47,6 +47,7 @@
 @pytest.fixture(autouse=True)
 def short_grace(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_lifecycle, "UNREADY_GRACE", SHORT)
+    monkeypatch.setattr(_door, "CROSSING", SHORT / 10)
 
 
 @asynccontextmanager
@@ -304,3 +305,36 @@
             assert answer.whole
             assert answer.error["not_run"]
             assert answer.status == (401 if step == "serving" else 503)
+
+
+CROSSINGS = {
+    "kept": Kind(request(), MODELS, 1),
+    "half head": Kind(request()[20:], request()[:20]),
+    "pipelined": Kind(request() * 2, MODELS, 1),
+    "large body": Kind(LARGE, MODELS, 1),
+}
+
+
+@pytest.mark.parametrize("kind", CROSSINGS.values(), ids=CROSSINGS)
+async def test_a_request_crosses_the_close(
+    monkeypatch: pytest.MonkeyPatch, kind: Kind
+) -> None:
+    """A request is on its way to a router that closes its listener at that moment.
+
+    The connection is open, so its caller can't know.  It is read and refused as not
+    run, however late, and no backend server hears of it.
+    """
+    monkeypatch.setattr(_door, "CROSSING", SHORT)
+    async with routing(SHORT) as router, router.caller() as caller:
+        await caller.send(kind.before)
+        for _ in range(kind.heard):
+            assert (await caller.answer()).whole
+        router.lifecycle.asked.set()
+        await router.lifecycle.ended.wait()
+        await anyio.sleep(SHORT / 2)
+        await caller.send(kind.after)
+        first = await caller.answer()
+        assert first.told_not_run, first
+        if kind.after == request() * 2:
+            assert (await caller.answer()).told_not_run
+        assert router.ran() == 0
