--- a/tests/daemon/test_servers.py
+++ b/tests/daemon/test_servers.py
@@ -12,7 +12,8 @@
 import anyio
 import httpx
 import pytest
-from anyio.abc import TaskStatus
+from anyio.abc import ByteStream, TaskStatus
+from anyio.streams.tls import TLSStream
 from attrs import define, field
 
 from ebonyhold.daemon import _servers
@@ -243,9 +244,20 @@
     await send({"type": "http.response.body", "body": LARGE})
 
 
+async def connect(port: int, trusted: ssl.SSLContext | None) -> ByteStream:
+    """Connect; under TLS the connection ends without a farewell, as many do."""
+    plain = await anyio.connect_tcp(LOOPBACK, port)
+    if trusted is None:
+        return plain
+    return await TLSStream.wrap(
+        plain, hostname=LOOPBACK, ssl_context=trusted, standard_compatible=False
+    )
+
+
+@pytest.mark.parametrize("tls", [False, True], ids=["plain", "tls"])
 @pytest.mark.parametrize("reads", [True, False], ids=["slow", "never"])
 async def test_listener_ends_while_an_answer_is_on_its_way(
-    monkeypatch: pytest.MonkeyPatch, reads: bool
+    monkeypatch: pytest.MonkeyPatch, files: Files, reads: bool, tls: bool
 ) -> None:
     """A stop cuts an answer that its caller is still reading, or never ends.
 
@@ -256,9 +268,11 @@
         monkeypatch.setattr("ebonyhold.daemon._servers.GRACE", 0.2)
     port = free_port()
     address = f"{LOOPBACK}:{port}"
-    async with serving(Listener(address), large) as served:
+    listener = Listener(address, files.tls if tls else None)
+    trusted = ssl.create_default_context(cafile=str(files.certificate))
+    async with serving(listener, large) as served:
         await wait_listening(address)
-        async with await anyio.connect_tcp(LOOPBACK, port) as caller:
+        async with await connect(port, trusted if tls else None) as caller:
             await caller.send(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
             got = len(await caller.receive())
             served.stop.set()
