--- a/tests/daemon/test_stop_live.py
+++ b/tests/daemon/test_stop_live.py
@@ -215,3 +215,42 @@
     assert set(rows.incarnations(name).values()) == {RouterState.CLOSED}
     answer = await client.get(f"{other.operators_url}/readyz")
     assert answer.status_code == HTTPStatus.OK
+
+
+async def test_a_second_signal_leaves_no_money_behind(
+    fleet: LocalFleet, client: httpx.AsyncClient
+) -> None:
+    """A whole answer is under way when an operator signals twice.
+
+    Its caller hears at once that nobody knows whether it ran, pays nothing for what
+    it didn't get, and the router closes its incarnation with nothing held.
+    """
+    name = f"entry-{len(fleet.routers) + 1}"
+    router = await add_router(fleet, name)
+    await call(client, router, job(f"warm-{name}", 8, Wanted.WHOLE))
+    key = f"whole-{name}"
+    callers = callers_of(router)
+    wanted = job(key, 90, Wanted.WHOLE)
+    heard: list[httpx.Response] = []
+
+    async def ask() -> None:
+        body = callers.chat_body(wanted, stream=False)
+        url = f"{router.url}/v1/chat/completions"
+        heard.append(await client.post(url, json=body, headers=callers.headers(wanted)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        for _ in range(2):
+            await anyio.sleep(FIRST)
+            router.terminate()
+        code = await wait_exit(router, PATIENCE)
+    await unlist(fleet, client, router)
+    assert code == 0
+    assert heard[0].status_code == HTTPStatus.BAD_GATEWAY
+    assert heard[0].json()["error"]["outcome"] == "unknown"
+    rows = await read_rows(fleet)
+    assert rows.held(name) == 0
+    assert set(rows.incarnations(name).values()) == {RouterState.CLOSED}
+    bill = rows.bill(key)
+    assert bill is not None
+    assert bill.charge == 0
