--- a/tests/gateway/interleaving.py
+++ b/tests/gateway/interleaving.py
@@ -31,6 +31,7 @@
     Peers,
     Snapshot,
     _gateway,
+    _signals,
 )
 from ebonyhold.platform import PlatformDialect, read_backend, read_configuration
 from ebonyhold.prepaid import Committed, PrepaidRow, budget_row_key
@@ -502,6 +503,8 @@
         world = World(random.Random(seed), patch)
         patch.setattr(_gateway, "listen", world.listen)
         patch.setattr(anyio, "open_signal_receiver", world.signals)
+        # The signals of the process that plays are its own.
+        patch.setattr(_signals, "ignore_signals", lambda: None)
         return await world.play()
 
     with pytest.MonkeyPatch.context() as patch:
