--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -7,11 +7,12 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._inbox import Inbox, hang_up
+from ebonyhold.forwarding._tasks import TaskStarter
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.types import Seconds
 
@@ -36,6 +37,13 @@
 A request that crosses the server's close may or may not have run.
 """
 
+KEEP_ALIVE = re.compile(rb"timeout=(\d{1,9})")
+"""A server's time-out in seconds.
+
+Of a longer number the first digits do: they are beyond any use, and Python refuses to
+convert some thousands of them.
+"""
+
 LARGE_BODY = 32_768
 """Bytes beyond which a request is written beside the reading of its answer.
 
@@ -83,7 +91,7 @@
     """Return how long a connection may be kept unused, by the server's word."""
     for name, value in headers:
         if name == b"keep-alive":
-            found = re.search(rb"timeout=(\d+)", value)
+            found = KEEP_ALIVE.search(value)
             if found:
                 return max(0.0, int(found[1]) - IDLE_MARGIN)
     return IDLE_UNKNOWN
@@ -96,6 +104,7 @@
     Attributes:
         stream: The connection.
         tasks: Where its reading task runs.
+        address: The host and port that it was made to.
         inbox: What the server has sent.
         parser: The state of the protocol for the request under way.
         request: The request under way.
@@ -104,7 +113,8 @@
     """
 
     stream: SocketStream
-    tasks: TaskGroup
+    tasks: TaskStarter
+    address: tuple[str, int]
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
@@ -242,7 +252,7 @@
             await hang_up(self.stream)
 
 
-async def open_channel(address: tuple[str, int], tasks: TaskGroup) -> Channel:
+async def open_channel(address: tuple[str, int], tasks: TaskStarter) -> Channel:
     """Connect to a backend server.
 
     Raises:
@@ -259,6 +269,6 @@
         raise ConnectTimeoutError("no connection in time")
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-    channel = Channel(stream, tasks)
+    channel = Channel(stream, tasks, address)
     tasks.start_soon(channel.inbox.fill)
     return channel
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -43,6 +43,18 @@
     on_end: Callable[[], None] | None = None
 
     async def fill(self) -> None:
+        """Read until the other side ends."""
+        try:
+            await self.read_on()
+        finally:
+            # Whoever waits for bytes would wait for ever if this task ended by an
+            # error that is none of the connection's.
+            if not self.ended:
+                self.ended = True
+                self.broken = True
+                self.notify()
+
+    async def read_on(self) -> None:
         """Read until the other side ends."""
         while not self.ended:
             try:
@@ -53,7 +65,9 @@
                 self.ended = True
                 self.broken = True
             self.notify()
-            while len(self.waiting) > MOST_WAITING:
+            # Whoever closes the connection takes nothing any more, so that ends the
+            # wait too; this task and its bytes would else stay for ever.
+            while len(self.waiting) > MOST_WAITING and not self.ended:
                 self.taken = anyio.Event()
                 await self.taken.wait()
 
@@ -73,6 +87,11 @@
         self.taken.set()
         return data
 
+    def discard(self) -> None:
+        """Drop what has arrived, so that reading goes on."""
+        self.waiting.clear()
+        self.taken.set()
+
 
 async def hang_up(stream: ByteStream) -> None:
     """Close a connection even if the task that does so is being cancelled."""
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -5,8 +5,10 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import anyio
+import h11
 from anyio.abc import ByteStream, TaskGroup
 from attrs import define, field
 
@@ -17,7 +19,8 @@
     RequestHead,
 )
 from ebonyhold.forwarding._refusals import Refusal, own_answer
-from ebonyhold.forwarding._types import CallerLimits
+from ebonyhold.forwarding._tasks import Guard, unguarded
+from ebonyhold.forwarding._types import CallerLimits, Headers
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +38,16 @@
 Serve = Callable[[CallerConnection, RequestHead, bytes], Awaitable[None]]
 
 
+Identify = Callable[[RequestHead], Headers]
+"""Returns the fields by which an answer names its request."""
+
+
+def nameless(head: RequestHead) -> Headers:
+    """Name no request: these callers wait for one answer at a time."""
+    del head
+    return []
+
+
 @define(eq=False)
 class CallerListener:
     """Accepts connections and hands their requests on.
@@ -42,6 +55,8 @@
     Attributes:
         serve: Answers one request.
         limits: Returns what callers are held to now.
+        guard: Keeps what fails on one connection from all others.
+        identify: Returns the fields by which an answer names its request.
         connections: Those that are open.
         draining: Whether the process is about to end.
         shedding: Whether callers should connect elsewhere for a while.
@@ -54,6 +69,8 @@
 
     serve: Serve
     limits: Callable[[], CallerLimits]
+    guard: Guard = unguarded
+    identify: Identify = nameless
     connections: set[CallerConnection] = field(factory=set)
     draining: bool = False
     shedding: bool = False
@@ -79,21 +96,45 @@
         connection = CallerConnection(stream, self.limits())
         connection.last = self.draining or self.shedding
         self.connections.add(connection)
+        try:
+            # An error that nobody expected would else end the task group of the
+            # whole process, with all other callers' requests.
+            if not await self.guard(partial(self.talk, connection)):
+                await self.guard(partial(self.tell_fault, connection))
+        finally:
+            self.connections.discard(connection)
+            await connection.close()
+            if not self.connections:
+                self.empty.set()
+                self.empty = anyio.Event()
+
+    async def talk(self, connection: CallerConnection) -> None:
+        """Read from a connection and answer its requests until it ends."""
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(connection.inbox.fill)
                 await self.converse(connection)
+                await connection.linger()
                 tasks.cancel_scope.cancel()
         except* (anyio.BrokenResourceError, anyio.ClosedResourceError):
             # The caller closed while an answer was being written; whoever wrote
             # it has logged what became of the request.
             log.debug("caller's connection broke")
-        finally:
-            self.connections.discard(connection)
-            await connection.close()
-            if not self.connections:
-                self.empty.set()
-                self.empty = anyio.Event()
+
+    async def tell_fault(self, connection: CallerConnection) -> None:
+        """Answer a request that an error of ours has ended, if that can be done.
+
+        The request may have run, so the answer is none that denies it.  One that had
+        begun is cut: a caller must not take a part for the whole.
+        """
+        if connection.started or connection.parser.our_state is not h11.SEND_RESPONSE:
+            return
+        connection.final = True
+        answer = own_answer(Refusal.FAULT, [])
+        try:
+            await connection.answer(answer.status, answer.headers, answer.body)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            log.debug("caller left before it was told of a fault")
 
     async def converse(self, connection: CallerConnection) -> None:
         """Answer requests one after the other."""
@@ -124,7 +165,7 @@
         try:
             head, body = await connection.read_whole()
         except ReadFaultError as error:
-            await self.read_fault(connection, error.fault)
+            await self.read_fault(connection, error)
             return False
         await self.work(connection, head, body)
         return connection.next_cycle()
@@ -156,14 +197,17 @@
         while self.connections:
             await self.empty.wait()
 
-    async def read_fault(self, connection: CallerConnection, fault: ReadFault) -> None:
+    async def read_fault(
+        self, connection: CallerConnection, error: ReadFaultError
+    ) -> None:
         """Answer what could not be read, if there is anything to answer."""
-        refusal = FAULT_REFUSALS.get(fault)
+        refusal = FAULT_REFUSALS.get(error.fault)
         if refusal is None or connection.inbox.ended:
             return
         log.info("unreadable request", extra={"code": refusal.code})
-        connection.last = True
-        answer = own_answer(refusal, [])
+        connection.final = True
+        identity = self.identify(error.head) if error.head is not None else []
+        answer = own_answer(refusal, identity)
         await connection.answer(answer.status, answer.headers, answer.body)
 
     def start_draining(self) -> None:
--- a/tests/platform/soak/_world.py
+++ b/tests/platform/kit/_world.py
@@ -1,4 +1,4 @@
-"""What a soak starts and hurts: gateways, their settings, their paths to the store."""
+"""What tests start and hurt: gateways, their settings, their paths to the store."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from attrs import define
+from attrs import define, field
 
 HOST = "127.0.0.1"
 WORKSPACES = {"acme": 30_000, "blue": 6_000, "vast": 10_000_000}
@@ -24,15 +24,25 @@
 ROOT = Path(__file__).resolve().parents[3]
 
 
+PORTS = range(20_000, 32_000)
+"""Below those that the kernel gives to outgoing connections."""
+
+given: list[int] = []
+"""The first port of each row that this process was given."""
+
+
 def free_ports(count: int) -> int:
-    """Return the first of some ports in a row that are free now."""
+    """Return the first of some ports in a row that are free, and given to nobody."""
     while True:
-        first = random.SystemRandom().randrange(20_000, 50_000)
+        first = random.SystemRandom().choice(PORTS)
+        if any(abs(first - other) < count for other in given):
+            continue
         try:
             for port in range(first, first + count):
                 socket.create_server((HOST, port)).close()
         except OSError:
             continue
+        given.append(first)
         return first
 
 
@@ -148,6 +158,7 @@
 
     Attributes:
         program: The module that is run, with its arguments.
+        ends: The exit statuses of its lives so far.
     """
 
     number: int
@@ -156,11 +167,27 @@
     folder: Path
     program: str
     process: subprocess.Popen[bytes] | None = None
+    ends: list[int] = field(factory=list)
+
+    def note_end(self) -> None:
+        """Remember how the last life ended, if it has."""
+        if self.process is not None and self.process.poll() is not None:
+            self.ends.append(self.process.returncode)
+
+    @property
+    def log(self) -> Path:
+        """The file of what all processes of the VM wrote."""
+        return self.folder / f"vm-{self.number}.log"
+
+    def log_size(self) -> int:
+        """Return how much they wrote."""
+        return self.log.stat().st_size if self.log.exists() else 0
 
-    def start(self) -> None:
+    def start(self) -> subprocess.Popen[bytes]:
         """Start the program; what it logs goes to a file of the seed."""
+        self.note_end()
         path = self.folder / f"vm-{self.number}.toml"
-        with (self.folder / f"vm-{self.number}.log").open("ab") as output:
+        with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.program.split()],
                 cwd=ROOT,
@@ -168,6 +195,7 @@
                 stdout=output,
                 stderr=output,
             )
+        return self.process
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
