--- a/ebonyhold/forwarding/_departure.py
+++ b/ebonyhold/forwarding/_departure.py
@@ -21,9 +21,9 @@
 """Requests of a route whose length is remembered: some 20 s of an ordinary route at one
 router, so that the load of the moment counts."""
 
-ENOUGH = 8
-"""Requests that make a measurement; a router that has just started has fewer, and knows
-short ones first."""
+ENOUGH = 24
+"""Requests that make a measurement: some 8 s of an ordinary route at one router.  One
+that has just started has fewer, and knows short ones first."""
 
 SLACK: Seconds = 0.1
 """What is added to the longest of them: the shortest requests vary by as much."""
@@ -37,16 +37,16 @@
 """
 
 SHORT: Seconds = 0.5
-"""Requests that may come in however long the stop takes: they end before the restarted
-process would serve, and hardly prolong the stop."""
+"""Streams that are taken however long the stop has taken: they hardly prolong it."""
 
 UNMEASURED: dict[RouteKind, Seconds] = {
     RouteKind.STREAM: 3.0,
-    RouteKind.SAFE: 0.4,
-    RouteKind.UNSAFE: 0.4,
+    RouteKind.SAFE: 1.0,
+    RouteKind.UNSAFE: 1.0,
 }
 """The time assumed for a route that was not measured yet: ordinary long streams take
-some 2 s, answers of plain services 0.1 s and under load 0.3 s."""
+some 2 s, answers of plain services 0.1 s and under load 0.3 s, but not all services are
+so quick."""
 
 
 class Stage(Enum):
@@ -94,6 +94,7 @@
         request: Its identifier.
         route: Its route.
         priced: Whether it needs tokens of a grant.
+        stream: Whether its answer is a stream, which may hold up the stop.
         left: The time until the last answer, in seconds.
         open_left: The time that the requests under way need, in seconds.
         estimate: The time that it may take itself, in seconds.
@@ -102,6 +103,7 @@
     request: RequestId
     route: str
     priced: bool
+    stream: bool
     left: Seconds
     open_left: Seconds
     estimate: Seconds
@@ -167,6 +169,7 @@
             request=request,
             route=route.name,
             priced=priced,
+            stream=route.kind is RouteKind.STREAM,
             left=self.last_answer_at - now,
             open_left=max(self.open.values(), default=now) - now,
             estimate=self.times.estimate(route),
@@ -207,5 +210,6 @@
     if stage is Stage.RETURNING and late.priced:
         # The grants are on their way back, and nobody would return new ones.
         return False
-    in_time = late.estimate * SAFETY <= late.left
-    return in_time and late.estimate <= max(late.open_left, SHORT)
+    if late.estimate * SAFETY > late.left:
+        return False
+    return not late.stream or late.estimate <= max(late.open_left, SHORT)
