--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -118,8 +118,8 @@
     """A caller sends three requests at once, and then the process is told to stop.
 
     The answer to the first said that the connection ends, and the two others were
-    dropped, though the process served for seconds more: of 106 pipelined requests in
-    one stop 26 got no answer.  When the last bytes were still unread at the close, the
+    dropped, though the process served for seconds more: 26 pipelined requests of one
+    stop got no answer.  When the last bytes were still unread at the close, the
     connection was reset, and the first answer was lost too.
     """
     async with rig(Server("one", good)) as router:
