Return all other grants, and answer all requests, when one account's books fail

A router that stopped in order, since the books of one budget were in doubt, cut the requests that were still open, and left the grants of all other budgets out.

Cause: the stop returns grants before the last requests end, and all in one task group. The account that had failed failed again there, which ended the return, and so the stop.

Ruled out: errors of the store, which were handled for each account before.

It holds since each return has a guard of its own, which logs and counts what fails; such an account is not tried again, and its limits stay for a successor.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -142,6 +142,7 @@
             keep.start("stop", self.stop, tasks)
 
         keep = Supervisor(tasks, self.meters.task_failed, stop)
+        self.treasury.guard = partial(keep.guard, "return")
         return keep
 
     def start_listeners(self, tasks: TaskGroup, keep: Supervisor) -> None:
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -234,6 +234,13 @@
             ALONE,
             "its end shows like that of a connection that broke",
         ),
+        Rule(
+            "return",
+            "one workspace's grant is not returned at the stop",
+            ALONE,
+            "all others are, and what stays counts as spent until a successor proves "
+            "it unspent",
+        ),
         Rule(
             "stop",
             "grants that were not returned yet stay out",
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -4,8 +4,9 @@
 
 import logging
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from functools import partial
+from typing import TypeAlias
 
 import anyio
 from attrs import define, field
@@ -19,6 +20,9 @@
 
 log = logging.getLogger(__name__)
 
+Guard: TypeAlias = Callable[[Callable[[], Awaitable[None]]], Awaitable[bool]]
+"""Runs something, and tells whether it ended without a failure."""
+
 URGENT = 0.2
 """The part of the usual pause that is left while a change is in doubt.
 
@@ -44,6 +48,12 @@
 """
 
 
+async def unguarded(run: Callable[[], Awaitable[None]]) -> bool:
+    """Run something whose failure is for the caller."""
+    await run()
+    return True
+
+
 @define(eq=False)
 class Treasury:
     """Keeps an account for each workspace that has asked for tokens here.
@@ -60,6 +70,7 @@
         in_touch: Returns whether such writes arrive.
         accounts: The accounts in use.
         rest_until: When each account has its turn after an outage.
+        guard: Keeps what fails in the return of one grant from all others.
         closing: Whether the process is about to end: nothing is opened or taken over
             any more, since nobody would return it.
     """
@@ -75,6 +86,7 @@
     options: PrepaidOptions = field(factory=PrepaidOptions)
     accounts: dict[WorkspaceName, Account] = field(factory=dict)
     rest_until: dict[WorkspaceName, Seconds] = field(factory=dict)
+    guard: Guard = unguarded
     closing: bool = False
 
     def account(self, workspace: WorkspaceName) -> Account | None:
@@ -210,19 +222,35 @@
         """
         self.closing = True
         kept = set(self.accounts)
+        failed: set[WorkspaceName] = set()
         with anyio.move_on_after(timeout):
-            while kept:
+            while kept - failed:
                 async with anyio.create_task_group() as tasks:
-                    for name in list(kept):
-                        tasks.start_soon(self.give_up, self.accounts[name], kept)
-                if kept:
+                    for name in kept - failed:
+                        account = self.accounts[name]
+                        tasks.start_soon(self.give_up, account, kept, failed)
+                if kept - failed:
                     await anyio.sleep(self.options.tick * URGENT)
         if kept:
             log.warning("grants not returned", extra={"workspaces": sorted(kept)})
         return not kept
 
-    async def give_up(self, account: Account, kept: set[WorkspaceName]) -> None:
-        """Return one account's tokens."""
+    async def give_up(
+        self,
+        account: Account,
+        kept: set[WorkspaceName],
+        failed: set[WorkspaceName],
+    ) -> None:
+        """Return one account's tokens, or leave them out if its books fail.
+
+        An error of one account would else end the return of all, and the stop with the
+        requests that are still open in it.
+        """
+        if not await self.guard(partial(self.give_back, account, kept)):
+            failed.add(account.workspace)
+
+    async def give_back(self, account: Account, kept: set[WorkspaceName]) -> None:
+        """Return one account's tokens; the next round tries again what failed."""
         try:
             await account.close()
             kept.discard(account.workspace)
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -12,6 +12,7 @@
 import anyio
 import pytest
 
+from ebonyhold.coordination import Put, Transaction
 from ebonyhold.gateway import (
     EXIT_FAULT,
     EXIT_PORT,
@@ -23,8 +24,9 @@
 )
 from ebonyhold.misc import free_port
 from ebonyhold.platform import PlatformDialect, read_backend, read_configuration
-from ebonyhold.prepaid import Treasury
+from ebonyhold.prepaid import Account, Treasury
 from ebonyhold.standins import MemoryRows
+from tests.platform.test_documents import CONFIGURATION
 
 pytestmark = pytest.mark.anyio
 
@@ -126,3 +128,26 @@
     assert await one.run() == EXIT_FAULT
     assert failures(caplog) == [("treasury", "KeyError")]
     assert [r for r in caplog.records if r.message == "requests ended"]
+
+
+async def test_books_that_fail_in_the_stop_too_cut_no_request(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The rounds over one budget fail for good, also as its grant is returned.
+
+    The error of the return ended the stop, and the process with all open requests.
+    """
+
+    async def broken(self: Account) -> None:
+        raise KeyError(self.workspace)
+
+    monkeypatch.setattr(Account, "round", broken)
+    caplog.set_level("INFO")
+    one = gateway()
+    store = one.peers.store
+    assert isinstance(store, MemoryRows)
+    store.history.apply(Transaction((), (Put("op//config", CONFIGURATION),)))
+    assert await one.run() == EXIT_FAULT
+    assert failures(caplog)[0] == ("treasury", "KeyError")
+    assert {task for task, _ in failures(caplog)} == {"treasury", "return"}
+    assert [r for r in caplog.records if r.message == "listener closed"]
--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from itertools import pairwise
 
 import anyio
@@ -15,7 +16,8 @@
     PlatformError,
     UnknownOutcomeError,
 )
-from ebonyhold.prepaid import Committed, PrepaidRow, Treasury, budget_row_key
+from ebonyhold.gateway import Supervisor
+from ebonyhold.prepaid import Account, Committed, PrepaidRow, Treasury, budget_row_key
 from ebonyhold.standins import MemoryRows, RowHistory
 from ebonyhold.types import Json
 from tests.prepaid.kit import WORKSPACE, Router, budget, grants
@@ -490,3 +492,39 @@
         await anyio.sleep(2.0)
         await one.account.hold(1000, "r")
         tasks.cancel_scope.cancel()
+
+
+async def test_one_account_that_fails_keeps_no_other_from_its_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A router stops, since the books of one budget are in doubt, and returns the rest.
+
+    The error of the one account ended the return of all, and with it the stop: the
+    requests that were still open were cut, and the other budgets missed their grants.
+    """
+    history = RowHistory()
+    one = router(history)
+    await one.renew()
+    await one.account.hold(1000, "r")
+    one.account.grant.settle(1000, 400)
+    treasury = treasury_of(one)
+    treasury.workspaces = lambda: [WORKSPACE, "blue"]
+    blue = treasury.account("blue")
+    assert blue is not None
+    close = Account.close
+
+    async def broken(self: Account) -> None:
+        if self is blue:
+            raise KeyError("blue")
+        await close(self)
+
+    monkeypatch.setattr(Account, "close", broken)
+    counted: list[tuple[str, str]] = []
+    before = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        supervisor = Supervisor(tasks, lambda *what: counted.append(what), lambda: None)
+        treasury.guard = partial(supervisor.guard, "return")
+        assert not await treasury.close(5.0)
+    assert anyio.current_time() - before < 1.0
+    assert budget(history).budget.outstanding == 0
+    assert counted == [("return", "ends alone")]
