Give answers that come whole five seconds when a stop ends everything

Since whatever a stop ends is refused, a second signal refused a whole answer at once that had ended well before, in the five seconds in which the listener used to wait after the settlement.

Now chats and calls whose answer comes whole have those five seconds before they are refused, and before the bills are filed instead of after. Requests that nothing ran of are refused at once as they were, and streams end with their error event. A stop's stated bound grows from three to eight seconds for the requests that it ends.

--- a/ebonyhold/callers/_app.py
+++ b/ebonyhold/callers/_app.py
@@ -33,7 +33,7 @@
     Ran,
 )
 from ebonyhold.callers._endpoints import Call, endpoints
-from ebonyhold.callers._flight import Flight, stopped
+from ebonyhold.callers._flight import LAST_PATIENCE, Flight, stopped
 from ebonyhold.callers._gate import Gate
 from ebonyhold.callers._keys import KeyRing
 from ebonyhold.callers._refusals import SOON, Refusal, refusal_for
@@ -49,7 +49,7 @@
 
 logger = logging.getLogger(__name__)
 
-INTERRUPT_WITHIN: Seconds = 3.0
+INTERRUPT_WITHIN: Seconds = LAST_PATIENCE + 3.0
 """How long requests have to say that they end, when a stop cannot wait longer."""
 
 
--- a/ebonyhold/callers/_chat.py
+++ b/ebonyhold/callers/_chat.py
@@ -16,7 +16,7 @@
     CALLER_TOO_SLOW,
     Ran,
 )
-from ebonyhold.callers._flight import stopped
+from ebonyhold.callers._flight import last_moment, stopped
 from ebonyhold.callers._pipe import Pipe
 from ebonyhold.callers._refusals import Refusal, refusal_for
 from ebonyhold.callers._run import ChatRun, ReplayedError, read_whole
@@ -47,9 +47,8 @@
     producing: anyio.CancelScope = field(factory=anyio.CancelScope)
 
     def interrupt(self) -> None:
-        """End the request now, unless its answer is there."""
-        if self.answer is None:
-            self.producing.cancel()
+        """End the request soon, unless its answer is there by then."""
+        self.producing.deadline = last_moment()
 
     async def respond(self, request: Request, send: Send) -> None:
         """Run the request and send its answer.
--- a/ebonyhold/callers/_flight.py
+++ b/ebonyhold/callers/_flight.py
@@ -16,12 +16,19 @@
 from ebonyhold.callers._watched import Watched
 from ebonyhold.types import Seconds
 
+LAST_PATIENCE: Seconds = 5.0
+"""How long a request whose answer comes whole goes on when a stop ends everything.
+
+Most such answers are on their way for less.  Cut, the caller has nothing, and the
+outcome of a call that may not be repeated has to be looked up by somebody.
+"""
+
 
 class Interruptible(Protocol):
     """Work on a request that can end early and still tell the truth about it."""
 
     def interrupt(self) -> None:
-        """End now, with a refusal or an explicit error event."""
+        """End, with a refusal or an explicit error event, within `LAST_PATIENCE`."""
         ...
 
 
@@ -70,6 +77,11 @@
             self.scope.cancel()
 
 
+def last_moment() -> Seconds:
+    """Return when a request whose answer comes whole must have ended."""
+    return anyio.current_time() + LAST_PATIENCE
+
+
 def stopped(ran: Ran, retry_after: Seconds = SOON) -> Refusal:
     """Return what the caller of a request hears that a stop has ended."""
     if ran is Ran.NO:
--- a/ebonyhold/callers/_services.py
+++ b/ebonyhold/callers/_services.py
@@ -27,7 +27,7 @@
     PARAMETER_INVALID,
     Ran,
 )
-from ebonyhold.callers._flight import stopped
+from ebonyhold.callers._flight import last_moment, stopped
 from ebonyhold.callers._refusals import SOON, Refusal
 from ebonyhold.coordination import (
     Outcome,
@@ -46,13 +46,6 @@
 DURABLE_WITHIN: Seconds = 2.0
 """How long an answer waits for its outcome to be durable."""
 
-LAST_PATIENCE: Seconds = 1.0
-"""How long a call that may not be repeated goes on when a stop ends everything.
-
-Cut, it leaves an outcome that somebody has to look up; most calls are shorter.  It
-leaves the rest of the stop's last wait for recording the outcome.
-"""
-
 CHARGED_BELOW = 400
 """Statuses below this mean that the call did what it was for."""
 
@@ -154,9 +147,8 @@
     running: anyio.CancelScope = field(factory=anyio.CancelScope)
 
     def interrupt(self) -> None:
-        """End the call now, or soon if it may not be repeated."""
-        wait = 0.0 if self.ask.rule.repeatable else LAST_PATIENCE
-        self.running.deadline = anyio.current_time() + wait
+        """End the call soon, also one that may not be repeated."""
+        self.running.deadline = last_moment()
 
     async def respond(self, send: Send) -> None:
         """Run the call and send its answer.
--- a/ebonyhold/daemon/_lifecycle.py
+++ b/ebonyhold/daemon/_lifecycle.py
@@ -37,7 +37,7 @@
 class Lifecycle:
     """Leads the router from serving to its end.
 
-    A stop takes at most `UNREADY_GRACE` + the document's ``drain`` + three seconds
+    A stop takes at most `UNREADY_GRACE` + the document's ``drain`` + eight seconds
     for the requests that it ends + `FILE_WITHIN` seconds; the listeners then take up to
     their own grace to hand over the last bytes.  Before the router has registered
     there is nothing to wait for, and it ends at once.
--- a/tests/daemon/test_stop_sockets.py
+++ b/tests/daemon/test_stop_sockets.py
@@ -12,7 +12,7 @@
 import pytest
 from attrs import frozen
 
-from ebonyhold.callers import _app
+from ebonyhold.callers import _app, _flight
 from ebonyhold.daemon import _door, _lifecycle, _servers
 from ebonyhold.types import Seconds
 from tests.backends.kit import Engine, good, whole_body
@@ -48,6 +48,7 @@
 def short_grace(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_lifecycle, "UNREADY_GRACE", SHORT)
     monkeypatch.setattr(_door, "CROSSING", SHORT / 10)
+    monkeypatch.setattr(_flight, "LAST_PATIENCE", SHORT)
 
 
 @asynccontextmanager
