Bound the routes whose lengths a router remembers

A router that lives for long would keep the lengths of each route that a configuration ever named, some 600 bytes each. 1,000 are kept; a test names 3,000.

--- a/ebonyhold/forwarding/_departure.py
+++ b/ebonyhold/forwarding/_departure.py
@@ -21,6 +21,9 @@
 """Requests of a route whose length is remembered: some 20 s of an ordinary route at one
 router, so that the load of the moment counts."""
 
+MOST_ROUTES = 1_000
+"""Routes that are remembered; configurations come and go, and with them names."""
+
 ENOUGH = 24
 """Requests that make a measurement: some 8 s of an ordinary route at one router.  One
 that has just started has fewer, and knows short ones first."""
@@ -77,6 +80,9 @@
 
     def note(self, route: str, length: Seconds) -> None:
         """Take a request that was answered by a server, whole."""
+        if route not in self.lengths and len(self.lengths) >= MOST_ROUTES:
+            oldest = next(iter(self.lengths))
+            del self.lengths[oldest]
         known = self.lengths.setdefault(route, deque(maxlen=SAMPLES))
         known.append(length)
 
--- a/tests/forwarding/test_departure.py
+++ b/tests/forwarding/test_departure.py
@@ -85,6 +85,15 @@
     assert low <= times.estimate(route("a", kind, timeout=timeout)) <= high
 
 
+def test_routes_that_came_and_went_are_forgotten() -> None:
+    """A router lives for months, and each version of the rules may name new routes."""
+    times = RouteTimes()
+    for number in range(3_000):
+        times.note(f"route-{number}", 0.1)
+    assert len(times.lengths) == 1_000
+    assert "route-2999" in times.lengths
+
+
 async def test_a_router_that_serves_takes_everything() -> None:
     judged: list[bool] = []
     departure = Departure(judged=judged.append)
