--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -28,7 +28,6 @@
     find_route,
     match_request,
 )
-from ebonyhold.forwarding._tasks import Guard, TaskStarter
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Backend,
@@ -46,6 +45,7 @@
     ServiceShare,
     Workspace,
 )
+from ebonyhold.tasks import Guard, TaskStarter
 
 __all__ = [
     "AnswerFacts",
--- a/ebonyhold/forwarding/_calls.py
+++ b/ebonyhold/forwarding/_calls.py
@@ -10,7 +10,7 @@
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
-from ebonyhold.forwarding._tasks import TaskStarter
+from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import Seconds
 
 MOST_ANSWER = 33_554_432
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -12,8 +12,8 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._inbox import Inbox, hang_up
-from ebonyhold.forwarding._tasks import TaskStarter
 from ebonyhold.forwarding._types import Headers
+from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import Seconds
 
 CONNECT_TIMEOUT: Seconds = 0.25
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -21,8 +21,8 @@
 )
 from ebonyhold.forwarding._door import arrivals, open_door
 from ebonyhold.forwarding._refusals import Refusal, own_answer
-from ebonyhold.forwarding._tasks import Guard, unguarded
 from ebonyhold.forwarding._types import CallerLimits, Headers
+from ebonyhold.tasks import Guard, unguarded
 
 log = logging.getLogger(__name__)
 
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -12,7 +12,7 @@
     ConnectTimeoutError,
     open_channel,
 )
-from ebonyhold.forwarding._tasks import TaskStarter
+from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import BackendName, Seconds
 
 SWEEP: Seconds = 1.0
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -20,6 +20,7 @@
 
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.gateway._listening import ListenError
+from ebonyhold.tasks import Run
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -55,8 +56,6 @@
 EXIT_FAULT = 4
 """The exit status of a process that stopped in order for a fault of its own."""
 
-Run = Callable[[], Awaitable[None]]
-
 
 class Act(Enum):
     """What is done about a task that failed."""
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -4,9 +4,8 @@
 
 import logging
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
-from typing import TypeAlias
 
 import anyio
 from attrs import define, field
@@ -16,13 +15,11 @@
 from ebonyhold.prepaid._limits import LimitBook, SpendingLimit
 from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._types import PrepaidOptions, PrepaidStore
+from ebonyhold.tasks import Guard, unguarded
 from ebonyhold.types import RouterId, Seconds, Tokens, WorkspaceName
 
 log = logging.getLogger(__name__)
 
-Guard: TypeAlias = Callable[[Callable[[], Awaitable[None]]], Awaitable[bool]]
-"""Runs something, and tells whether it ended without a failure."""
-
 URGENT = 0.2
 """The part of the usual pause that is left while a change is in doubt.
 
@@ -48,12 +45,6 @@
 """
 
 
-async def unguarded(run: Callable[[], Awaitable[None]]) -> bool:
-    """Run something whose failure is for the caller."""
-    await run()
-    return True
-
-
 @define(eq=False)
 class Treasury:
     """Keeps an account for each workspace that has asked for tokens here.
--- a/tests/forwarding/test_faults.py
+++ b/tests/forwarding/test_faults.py
@@ -14,8 +14,8 @@
     RequestHead,
 )
 from ebonyhold.forwarding._inbox import Inbox
-from ebonyhold.forwarding._tasks import Run
 from ebonyhold.misc import free_port
+from ebonyhold.tasks import Run
 from tests.forwarding.kit import LOOPBACK, read_all, request, until_open
 
 pytestmark = pytest.mark.anyio
