--- a/ebonyhold/forwarding/_departure.py
+++ b/ebonyhold/forwarding/_departure.py
@@ -46,6 +46,12 @@
 """
 
 
+UNMEASURED: Seconds = 3.0
+"""The time that is assumed for a route with fewer requests: ordinary long streams take
+some 2 s, and plain services may be as slow.  Taken on a guess of 1 s, a booking that
+takes 1.5 s was given up 1.2 s later, and may have run."""
+
+
 class Stage(Enum):
     """How far a router is on its way from serving to its end.
 
@@ -78,15 +84,11 @@
         known.append(length)
 
     def estimate(self, route: Route) -> Seconds:
-        """Return the time within which a request of this route surely ends, nearly.
-
-        Of a route that was not measured yet only its timeout is known: taken on a
-        guess, a booking that takes 1.5 s was given up 1.2 s later, and may have run.
-        """
+        """Return the time within which a request of this route surely ends, nearly."""
         known = self.lengths.get(route.name, ())
+        longest: Seconds = max(known, default=0.0) + SLACK
         if len(known) < ENOUGH:
-            return route.timeout
-        longest: Seconds = max(known) + SLACK
+            longest = max(longest, UNMEASURED)
         return min(route.timeout, longest * SAFETY[route.kind])
 
 
