Log what a router believes of the others, whenever that changes

Callers had whole answers whose requests stayed `running` without a bill, and the output of the surviving routers held nothing between `configuration adopted` and their own stop: no line said whether they knew the dead router, suspected it or called it gone, so the readings of this fault could not be told apart.

Each change of a member's status is one line now, with the status before, whether the platform lists it, how long it has been silent and how many members are known. An open row in the table whose router is not alive here is one line too, when it is first seen. A line comes with a change only, so their number is bounded by the changes of the fleet.

The test fails on the code before: there is no such line.

--- a/ebonyhold/coordination/_members.py
+++ b/ebonyhold/coordination/_members.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from attrs import define, field, frozen
@@ -98,11 +98,20 @@
         return self.update.status is not MemberStatus.GONE
 
 
+StatusChange = Callable[["Member", MemberStatus | None], None]
+"""Is told of a member and what was believed of it before; None for a new one."""
+
+
+def ignore_change(member: Member, before: MemberStatus | None) -> None:
+    """Take no note of a change."""
+
+
 @define
 class MemberView:
     """All that is known of the other routers.
 
     Attributes:
+        on_change: Is told whenever the status of a member changes.
         members: By incarnation.
         by_name: The incarnations of each name.
         by_address: The newest incarnation at each address.
@@ -110,6 +119,7 @@
         present_count: How many members are not gone.
     """
 
+    on_change: StatusChange = ignore_change
     members: dict[RouterId, Member] = field(factory=dict)
     by_name: dict[str, list[Member]] = field(factory=dict)
     by_address: dict[str, Member] = field(factory=dict)
@@ -135,9 +145,12 @@
         member = self.members.get(update.router)
         if member is not None and update.order <= member.update.order:
             return False
+        before = None if member is None else member.update.status
         if member is None:
             member = self.add(update)
         self.change(member, update, now)
+        if before is not update.status:
+            self.on_change(member, before)
         self.replace_older(update, now)
         return True
 
@@ -173,7 +186,10 @@
         """
         for member in self.by_name[update.name]:
             if self.is_superseded(member):
+                before = member.update.status
                 self.change(member, final(member.update), now)
+                if before is not MemberStatus.GONE:
+                    self.on_change(member, before)
 
     def forget(self, member: Member) -> None:
         """Remove a member."""
--- a/ebonyhold/daemon/_recoveries.py
+++ b/ebonyhold/daemon/_recoveries.py
@@ -129,6 +129,8 @@
                 continue
             if router not in known:
                 found.add(router)
+        for router in sorted(found - self.unknown.keys()):
+            logger.info("open row of a router not alive here", extra={"row": router})
         self.unknown = {router: self.unknown.get(router, now) for router in found}
         return {
             router
--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -81,6 +81,7 @@
             me, address, domain, MemberStatus.ALIVE, started=milliseconds()
         )
         self.membership = Membership(own, self.rng, 0.0, options, seeds)
+        self.membership.view.on_change = self.log_change
         self.exchange = Exchange(self.transmit)
         self.envelopes = Envelopes(me, address, keys)
         self.links: Links | None = None
@@ -146,6 +147,27 @@
             None if heard is None else now - heard,
         )
 
+    def log_change(self, member: Member, before: MemberStatus | None) -> None:
+        """Log that something else is believed of another router, and on what ground.
+
+        Without these lines nobody can tell afterwards why a router's work was, or
+        was not, recovered.
+        """
+        now = anyio.current_time()
+        heard, silent = member.heard_at, member.silent_at
+        logger.info(
+            "router status changed",
+            extra={
+                "member": member.update.router,
+                "status": member.update.status.name.lower(),
+                "before": None if before is None else before.name.lower(),
+                "listed": self.membership.judge.is_listed(member),
+                "heard_ago": None if heard is None else round(now - heard, 3),
+                "silent_for": None if silent is None else round(now - silent, 3),
+                "present": self.membership.view.present_count,
+            },
+        )
+
     @property
     def counters(self) -> LinkCounters:
         """Return what became of the messages that were sent."""
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import random
 import socket
 import types
@@ -13,6 +14,7 @@
 import anyio
 import pynng
 import pytest
+from attrs import evolve
 from trio.testing import MockClock
 
 from ebonyhold.coordination import (
@@ -328,6 +330,35 @@
     anyio.run(run)
 
 
+def test_changes_of_belief_are_logged(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against logs from which nobody can tell why a router was not recovered."""
+    one = network("a.1")
+
+    async def run() -> None:
+        update = MemberUpdate("b.1", "10.0.0.1:1", "d", MemberStatus.ALIVE, started=1)
+        for changed in (
+            update,
+            update,
+            evolve(update, status=MemberStatus.SUSPECT),
+            evolve(update, router="b.2", started=2),
+        ):
+            one.membership.learn(changed, anyio.current_time())
+
+    with caplog.at_level(logging.INFO):
+        anyio.run(run)
+    lines = [one for one in caplog.records if one.msg == "router status changed"]
+    told = [
+        (vars(line)["member"], vars(line)["before"], vars(line)["status"])
+        for line in lines
+    ]
+    assert told == [
+        ("b.1", None, "alive"),
+        ("b.1", "alive", "suspect"),
+        ("b.2", None, "alive"),
+        ("b.1", "suspect", "gone"),
+    ]
+
+
 @pytest.mark.parametrize("backend", BACKENDS)
 def test_a_dead_peer_does_not_end_the_others(backend: str) -> None:
     """One of three routers dies, and the others go on sending to it.
