Read the membership list again soon after a read that failed

A router knew no other for 4 to 6 s after its start, and served callers from the second one on. One that was killed in that time was known to nobody: requests that it had answered kept their holds and had no bill.

Cause: the task that follows the list starts beside the one that fetches it and asks before the first fetch is done. The failed read cost a whole period of 5 s. In each of eleven fleets of three whose logs were read, `no membership list` is the first line of each router, and the first `router status changed` comes 3.5 to 5.2 s later; entry-1, killed meanwhile, never appears among the members of the two others.

A failed read is now followed by another after 0.1 s, and then with doubled pauses up to the period, so an outage of the list is not met with more calls than before for long.

The test was red: the second read came 4.3 s after the first.

--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -36,6 +36,10 @@
 logger = logging.getLogger(__name__)
 
 LIST_PERIOD: Seconds = 5.0
+FIRST_LIST_RETRY: Seconds = 0.1
+"""The pause after the first read of the list if it fails; it doubles with each further
+failure.  A router without a list is known to nobody."""
+
 KEYS_PERIOD: Seconds = 1.0
 LOG_PERIOD: Seconds = 10.0
 LOOKS_A_PERIOD = 20
@@ -305,13 +309,18 @@
             await anyio.sleep_until(self.membership.wake_at)
 
     async def follow_list(self, source: MemberSource) -> None:
-        """Read the platform's list now and then."""
+        """Read the platform's list now and then, and soon again if that fails."""
+        retry = FIRST_LIST_RETRY
         while True:
+            pause = LIST_PERIOD
             try:
                 self.membership.read_list(listed(await source()))
+                retry = FIRST_LIST_RETRY
             except EbonyholdError as error:
                 logger.info("no membership list", extra={"cause": str(error)})
-            await anyio.sleep(LIST_PERIOD * (0.8 + 0.4 * self.rng.random()))
+                pause = retry
+                retry = min(2 * retry, LIST_PERIOD)
+            await anyio.sleep(pause * (0.8 + 0.4 * self.rng.random()))
 
     async def follow_keys(self) -> None:
         """Read the keys again when their file changes."""
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -23,6 +23,7 @@
     MemberStatus,
     MemberUpdate,
 )
+from ebonyhold.exceptions import UnavailableError
 from ebonyhold.routers import (
     KeyRing,
     PeerKey,
@@ -330,6 +331,31 @@
     anyio.run(run)
 
 
+def test_list_is_read_again_soon_after_a_failure() -> None:
+    """Guards against routers that serve for seconds before they know each other."""
+    one = network("a.1")
+    reads: list[float] = []
+
+    async def source() -> list[types.SimpleNamespace]:
+        reads.append(anyio.current_time())
+        if len(reads) < 2:
+            raise UnavailableError("the membership list was not read yet")
+        return []
+
+    async def run() -> None:
+        with anyio.move_on_after(10.0):
+            await one.follow_list(source)
+
+    anyio.run(
+        run,
+        backend="trio",
+        backend_options={"clock": MockClock(autojump_threshold=0)},
+    )
+    first, second, third = reads[:3]
+    assert second - first < 0.2
+    assert third - second > 3.0
+
+
 def test_changes_of_belief_are_logged(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against logs from which nobody can tell why a router was not recovered."""
     one = network("a.1")
