Judge a late request by when it arrived, not by the end of the answer before it

Callers of a stopping router had short requests refused with 503 that were sent 2.9 s after the signal, with seconds of its grace left and 0.02 s of work each. They were pipelined behind a stream of 1.2 s, or sent on a kept connection behind one of 3.6 s.

The reading that the estimate came from the long stream was wrong: that is another route, estimated at 2,832 ms. When the requests arrived, 4.2 s were left, more than the guess; 1.2 s went by before anybody judged them.

The connection now notes when the bytes arrived that its parser was given last. A request that would have been taken then, and has waited for its turn, is refused only if its route has shown itself to take longer than what is left. Streams, routes that have answered nobody, and requests that came late are judged as before. The line carries `ms_waited` and `ms_shown`.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -139,6 +139,8 @@
         limits: What the caller is held to.
         inbox: What the caller has sent.
         parser: The state of the protocol.
+        received_at: When the bytes arrived that the parser was given last.  A request
+            that waits behind an answer arrived no later than this.
         last: Whether the connection ends with the next answer, unless a further
             request is here already.
         final: Whether nothing more is read here, whatever has come.
@@ -152,6 +154,7 @@
     limits: CallerLimits
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
+    received_at: Seconds = 0.0
     last: bool = False
     final: bool = False
     told: bool = False
@@ -179,6 +182,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.inbox.take()
+            self.received_at = self.inbox.arrived_at
             self.parser.receive_data(data)
 
     async def read_whole(self) -> tuple[RequestHead, bytes]:
--- a/ebonyhold/forwarding/_departure.py
+++ b/ebonyhold/forwarding/_departure.py
@@ -91,6 +91,17 @@
             longest = max(longest, UNMEASURED)
         return min(route.timeout, longest * SAFETY[route.kind])
 
+    def shown(self, route: Route) -> Seconds:
+        """Return the longest that a request of this route has taken, however few.
+
+        It says nothing of streams, whose lengths have a long tail, nor of a route that
+        has answered nobody yet.
+        """
+        known = self.lengths.get(route.name)
+        if not known or route.kind is RouteKind.STREAM:
+            return math.inf
+        return max(known) + SLACK
+
 
 @frozen
 class LateRequest:
@@ -102,6 +113,9 @@
         priced: Whether it needs tokens of a grant.
         left: The time until the last answer, in seconds.
         estimate: The time that it may take itself, in seconds.
+        waited: For how long it was here before it was judged, behind other answers on
+            its connection, in seconds.
+        shown: The longest that requests of its route have taken, in seconds.
     """
 
     request: RequestId
@@ -109,6 +123,13 @@
     priced: bool
     left: Seconds
     estimate: Seconds
+    waited: Seconds = 0.0
+    shown: Seconds = math.inf
+
+    @property
+    def came_in_time(self) -> bool:
+        """Say whether it would have been taken when it arrived."""
+        return self.estimate <= self.left + self.waited
 
 
 @define(eq=False)
@@ -160,16 +181,28 @@
             finally:
                 self.open.discard(scope)
 
-    def admits(self, request: RequestId, route: Route, priced: bool) -> bool:
-        """Decide whether a request is taken, and say so if the router is stopping."""
+    def admits(
+        self, request: RequestId, route: Route, priced: bool, received_at: Seconds
+    ) -> bool:
+        """Decide whether a request is taken, and say so if the router is stopping.
+
+        Args:
+            request: Its identifier.
+            route: Its route.
+            priced: Whether it needs tokens of a grant.
+            received_at: When its last byte arrived.
+        """
         if self.stage is Stage.SERVING:
             return True
+        now = anyio.current_time()
         late = LateRequest(
             request=request,
             route=route.name,
             priced=priced,
-            left=self.last_answer_at - anyio.current_time(),
+            left=self.last_answer_at - now,
             estimate=self.times.estimate(route),
+            waited=now - received_at,
+            shown=self.times.shown(route),
         )
         taken = can_end(self.stage, late)
         self.note(late, taken)
@@ -189,6 +222,10 @@
                 "stage": self.stage.value,
                 "ms_left": round(late.left * 1000),
                 "ms_estimated": round(late.estimate * 1000),
+                "ms_waited": round(late.waited * 1000),
+                "ms_shown": None
+                if math.isinf(late.shown)
+                else round(late.shown * 1000),
             },
         )
 
@@ -197,7 +234,9 @@
     """Tell whether a late request is taken.
 
     A router that has only just been told takes all: its whole grace lies ahead, and
-    callers do not know of the stop.
+    callers do not know of the stop.  One that came in time and waited for its turn is
+    not refused on the guess that stands in for a route's measurement: what the route
+    has shown so far is the better one by then.
     """
     if stage is Stage.STOPPING:
         return True
@@ -206,4 +245,6 @@
     if stage is Stage.RETURNING and late.priced:
         # The grants are on their way back, and nobody would return new ones.
         return False
-    return late.estimate <= late.left
+    if late.estimate <= late.left:
+        return True
+    return late.came_in_time and late.shown <= late.left
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -171,8 +171,13 @@
         Raises:
             Refused: It would be cut, and has not run.
         """
-        request = exchange.caller.request_id
-        if not self.departure.admits(request, exchange.match.route, priced):
+        taken = self.departure.admits(
+            exchange.caller.request_id,
+            exchange.match.route,
+            priced,
+            exchange.connection.received_at,
+        )
+        if not taken:
             raise Refused(Refusal.STOPPING)
 
     async def pay_and_forward(self, exchange: Exchange) -> str:
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -8,6 +8,8 @@
 from anyio.abc import ByteStream
 from attrs import define, field
 
+from ebonyhold.types import Seconds
+
 CHUNK = 65_536
 """Bytes taken from a socket at once."""
 
@@ -29,6 +31,7 @@
     Attributes:
         stream: The connection.
         waiting: Bytes that nobody has taken.
+        arrived_at: When the last bytes arrived.
         ended: Whether the other side has ended or broken its direction.
         broken: Whether that was a reset or an error, not an orderly end.
         on_end: Called once the other side has ended.
@@ -36,6 +39,7 @@
 
     stream: ByteStream
     waiting: bytearray = field(factory=bytearray)
+    arrived_at: Seconds = 0.0
     ended: bool = False
     broken: bool = False
     changed: anyio.Event = field(factory=anyio.Event)
@@ -59,6 +63,7 @@
         while not self.ended:
             try:
                 self.waiting += await self.stream.receive(CHUNK)
+                self.arrived_at = anyio.current_time()
             except anyio.EndOfStream:
                 self.ended = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -203,6 +203,36 @@
     assert served == [b"/safe/x"]
 
 
+@pytest.mark.parametrize("at_once", [True, False], ids=["one piece", "two pieces"])
+async def test_waiting_for_a_turn_does_not_make_a_request_late(at_once: bool) -> None:
+    """Guards against judging a request by the end of the answer before it."""
+    waits: list[float] = []
+
+    async def serve(
+        connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        waits.append(anyio.current_time() - connection.received_at)
+        await anyio.sleep(0.3)
+        await connection.answer(200, [], b"whole")
+
+    listener = CallerListener(serve, CallerLimits)
+    one = request("/safe/x", close=False)
+    async with anyio.create_task_group() as tasks:
+        port = free_port()
+        tasks.start_soon(listener.run, ("127.0.0.1", port), tasks)
+        await anyio.sleep(0.05)
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(one + one if at_once else one)
+            await anyio.sleep(0.1)
+            if not at_once:
+                await stream.send(one)
+            await anyio.sleep(0.4)
+        tasks.cancel_scope.cancel()
+    first, second = waits
+    assert first < 0.1
+    assert second > (0.25 if at_once else 0.15)
+
+
 def free_port() -> int:
     """Return a port that is free now."""
     with socket.create_server(("127.0.0.1", 0)) as taken:
