Make routers that nobody has met members, by their rows in the table

Their router had registered, drawn grants, answered, and been killed before any other router had heard of it.

Its open row is seen by their scans within 20 s of the kill, and nothing follows, since the platform goes on listing the name and an incarnation that nobody has met had to be unknown for 300 s.

An open row now makes its incarnation a member, unless another of its name is present. It is probed, suspected and called gone like all, so its silence has the patience of members: short for one death, 300 s where many are silent, none beyond the first for a router that reaches less than half of the list. Nobody turns to it, and it counts for no quorum, until somebody has met it: a newcomer without a network that reads the rows of the whole fleet would else take itself for connected. A living one answers the probe and is met. A router that registers also reads all rows before it holds anything, and probes three of the others, so that it is met within moments; the first scan comes with the first look, and no longer half a minute later.

--- a/ebonyhold/coordination/_members.py
+++ b/ebonyhold/coordination/_members.py
@@ -85,18 +85,30 @@
         heard_at: When it last spoke to this router itself, or None.
         silent_at: Since when it is believed silent, or None.
         gone_at: When it was called gone here, or None.
+        unmet: Whether only its row in the table tells of it.  No router is known to
+            have heard from it, so it is probed but not turned to.
     """
 
     update: MemberUpdate
     heard_at: Seconds | None = None
     silent_at: Seconds | None = None
     gone_at: Seconds | None = None
+    unmet: bool = False
 
     @property
     def present(self) -> bool:
         """Say whether it is believed to run, if perhaps slowly."""
         return self.update.status is not MemberStatus.GONE
 
+    @property
+    def counted(self) -> bool:
+        """Say whether it is one of the present members that somebody has met.
+
+        A router that is cut off reads the rows of the whole fleet; if they counted,
+        it would take itself for connected and recover all the others.
+        """
+        return self.present and not self.unmet
+
 
 StatusChange = Callable[["Member", MemberStatus | None], None]
 """Is told of a member and what was believed of it before; None for a new one."""
@@ -116,7 +128,7 @@
         by_name: The incarnations of each name.
         by_address: The newest incarnation at each address.
         listed: The platform's list by name, as last read; None before.
-        present_count: How many members are not gone.
+        present_count: How many members are not gone, the unmet left out.
     """
 
     on_change: StatusChange = ignore_change
@@ -127,8 +139,8 @@
     present_count: int = 0
 
     def present(self) -> list[Member]:
-        """Return the members that are not gone."""
-        return [member for member in self.members.values() if member.present]
+        """Return the members that are not gone, the unmet left out."""
+        return [member for member in self.members.values() if member.counted]
 
     def is_superseded(self, member: Member) -> bool:
         """Say whether a later incarnation of the same name is known."""
@@ -147,19 +159,40 @@
             return False
         before = None if member is None else member.update.status
         if member is None:
-            member = self.add(update)
+            member = self.add(Member(update))
         self.change(member, update, now)
         if before is not update.status:
             self.on_change(member, before)
         self.replace_older(update, now)
         return True
 
-    def add(self, update: MemberUpdate) -> Member:
+    def add_unmet(self, update: MemberUpdate, now: Seconds) -> None:
+        """Begin to know an incarnation of which only its row in the table tells.
+
+        One of a name that is present is left out: its predecessor may still be the
+        one that answers, and a statement of its own will say which is the later.
+        """
+        same = self.by_name.get(update.name, [])
+        if update.router in self.members or any(other.present for other in same):
+            return
+        member = self.add(Member(update, unmet=True))
+        self.on_change(member, None)
+        self.replace_older(update, now)
+
+    def meet(self, member: Member) -> None:
+        """Note that somebody has met a member."""
+        if not member.unmet:
+            return
+        member.unmet = False
+        self.present_count += member.counted
+        self.on_change(member, member.update.status)
+
+    def add(self, member: Member) -> Member:
         """Begin to know an incarnation."""
-        member = Member(update)
+        update = member.update
         self.members[update.router] = member
         self.by_name.setdefault(update.name, []).append(member)
-        self.present_count += member.present
+        self.present_count += member.counted
         known = self.by_address.get(update.address)
         if known is None or known.update.started <= update.started:
             self.by_address[update.address] = member
@@ -167,9 +200,9 @@
 
     def change(self, member: Member, update: MemberUpdate, now: Seconds) -> None:
         """Set what holds of a member, and its times to fit."""
-        self.present_count -= member.present
+        self.present_count -= member.counted
         member.update = update
-        self.present_count += member.present
+        self.present_count += member.counted
         if update.status is MemberStatus.ALIVE:
             member.silent_at = None
         elif update.status is MemberStatus.SUSPECT and member.silent_at is None:
@@ -195,7 +228,7 @@
         """Remove a member."""
         update = member.update
         del self.members[update.router]
-        self.present_count -= member.present
+        self.present_count -= member.counted
         self.by_name[update.name].remove(member)
         if not self.by_name[update.name]:
             del self.by_name[update.name]
--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -76,11 +76,11 @@
     # What the router asks.
 
     def alive(self) -> tuple[RouterId, ...]:
-        """Return the routers to turn to: neither suspect, leaving nor gone."""
+        """Return the routers to turn to: met, and not suspect, leaving or gone."""
         return tuple(
             member.update.router
             for member in self.view.members.values()
-            if self.status_of(member) is MemberStatus.ALIVE
+            if not member.unmet and self.status_of(member) is MemberStatus.ALIVE
         )
 
     def status_of(self, member: Member) -> MemberStatus:
@@ -119,6 +119,23 @@
         entries.pop(self.me.name, None)
         self.view.listed = entries
 
+    # What the table says.
+
+    def read_row(self, update: MemberUpdate, now: Seconds) -> None:
+        """Take in the open row of an incarnation in the table.
+
+        A router may serve and die before any other has heard of it.  From here on
+        it is probed like all members, so that its silence is noticed as theirs is.
+        """
+        if update.name != self.me.name:
+            self.view.add_unmet(update, now)
+
+    def introduce(self) -> list[Outgoing]:
+        """Return probes that make this router known to a few of those in the table."""
+        rows = [member for member in self.view.members.values() if member.unmet]
+        chosen = self.rng.sample(rows, min(self.options.relays, len(rows)))
+        return [self.send_probe(member.update) for member in chosen]
+
     # What the router itself does.
 
     def become(self, router: RouterId, started: int) -> None:
@@ -288,6 +305,7 @@
         member = self.view.members.get(sender)
         if member is None:
             return []
+        self.view.meet(member)
         if fresh:
             member.heard_at = now
         if beat.kind is BeatKind.PROBE:
@@ -333,6 +351,8 @@
             self.refute(update)
             return
         self.learn(update, now)
+        if update.status is MemberStatus.ALIVE:
+            self.view.meet(self.view.members[update.router])
 
     def refute(self, update: MemberUpdate) -> None:
         """Contradict a statement about this router that is not true."""
--- a/ebonyhold/daemon/_daemon.py
+++ b/ebonyhold/daemon/_daemon.py
@@ -152,6 +152,7 @@
             self.network.alive,
             self.network.gone,
             self.network.may_recover,
+            self.network.read_row,
         )
         self.upkeep = Upkeep(
             self.table,
@@ -283,6 +284,8 @@
             tasks.start_soon(self.parts.run, self.follow_versions)
             tasks.start_soon(self.parts.run, self.backends.run)
             await self.open_money()
+            await self.recoveries.look_around()
+            self.network.introduce()
             tasks.start_soon(self.parts.run, self.money.run)
             tasks.start_soon(self.parts.run, self.recoveries.run)
             tasks.start_soon(self.parts.run, self.upkeep.run)
--- a/ebonyhold/daemon/_recoveries.py
+++ b/ebonyhold/daemon/_recoveries.py
@@ -27,6 +27,9 @@
 LOOK_EVERY: Seconds = 2.0
 """Mean time between looks at who is gone."""
 
+LOOK_AROUND_WITHIN: Seconds = 1.0
+"""How long reading all rows may hold up a start."""
+
 SCAN_EVERY: Seconds = 30.0
 """Mean time between looks at all rows of routers in the table.
 
@@ -51,6 +54,8 @@
         gone: Names the incarnations believed gone.
         may_recover: Says whether an incarnation may be recovered whose row is open,
             given for how long it has been among nobody's living.
+        read_row: Is told of each open row of another incarnation, which may be one
+            that no router has met.
         rng: Spreads the looks of the routers.
         unknown: When a row was first seen whose router nobody here knows.
         closed: Incarnations that are settled; their rows are not looked at again.
@@ -63,15 +68,27 @@
     alive: Callable[[], tuple[RouterId, ...]]
     gone: Callable[[], tuple[RouterId, ...]]
     may_recover: Callable[[RouterId, Seconds], bool]
+    read_row: Callable[[RouterId, RouterRow], None]
     rng: random.Random = field(factory=random.Random)
     unknown: dict[RouterId, Seconds] = field(factory=dict)
     closed: set[RouterId] = field(factory=set)
     stranded: dict[RouterId, Tokens] = field(factory=dict)
     next_scan: Seconds = 0.0
 
+    async def look_around(self) -> None:
+        """Read the rows of the routers that registered before, if that goes quickly.
+
+        A router introduces itself to them before it holds anything of a budget.  One
+        that nobody has met can die with bills that are only found by a later scan.
+        """
+        try:
+            with anyio.move_on_after(LOOK_AROUND_WITHIN):
+                await self.scan()
+        except EbonyholdError as error:
+            logger.warning("other routers' rows not read", extra={"cause": str(error)})
+
     async def run(self) -> None:
         """Look again and again until cancelled."""
-        self.next_scan = anyio.current_time() + SCAN_EVERY * self.rng.random()
         while True:
             await anyio.sleep(LOOK_EVERY * self.rng.uniform(0.5, 1.5))
             try:
@@ -112,6 +129,9 @@
     async def scan(self) -> set[RouterId]:
         """Return routers with an unsettled row that are not alive here, and may go.
 
+        Those that nobody here knew become members, whose silence is noticed from
+        then on: a router that died before any other met it is found here alone.
+
         Not being alive here is not enough: a router that is leaving is still
         finishing its streams, and one whose own network has failed knows nobody.
         Sealing on that ground would cut streams, and in the second case of the
@@ -125,10 +145,10 @@
         found: set[RouterId] = set()
         async for row in scan_rows(self.table, ROUTER_PREFIX):
             router = row.key.removeprefix(ROUTER_PREFIX)
-            if from_json(row.value, RouterRow).state is RouterState.CLOSED:
-                continue
-            if router not in known:
+            value = from_json(row.value, RouterRow)
+            if value.state is not RouterState.CLOSED and router not in known:
                 found.add(router)
+                self.read_row(router, value)
         for router in sorted(found - self.unknown.keys()):
             logger.info("open row of a router not alive here", extra={"row": router})
         self.unknown = {router: self.unknown.get(router, now) for router in found}
--- a/ebonyhold/experiments/_troubles.py
+++ b/ebonyhold/experiments/_troubles.py
@@ -25,6 +25,9 @@
 TABLE_FAULTS = ("lose_answers", "lose_requests", "late", "throttled")
 MOST_TOKENS_BEFORE = 6
 OVERSHOOT = 30
+EARLY = 0.02
+"""The part of the requests after which a router counts as only just started."""
+
 REBOOT_CHANCE = 0.2
 STOP_LENGTH = timedelta(seconds=20)
 STOP_GRACE: Seconds = 5.0
@@ -163,6 +166,14 @@
         strikes.fleet.routers[0].kill()
 
 
+@trouble("early")
+async def kill_early(strikes: Strikes) -> None:
+    """End one router without warning, within its first answers."""
+    if strikes.progress > EARLY and not strikes.killed:
+        strikes.killed = True
+        strikes.fleet.routers[0].kill()
+
+
 @trouble("freeze")
 async def freeze_router(strikes: Strikes) -> None:
     """Pause one router for longer than its peers believe in it, then let it go on.
--- a/ebonyhold/routers/_network.py
+++ b/ebonyhold/routers/_network.py
@@ -20,6 +20,7 @@
     MemberStatus,
     MemberUpdate,
     Outgoing,
+    RouterRow,
     StartupPolicy,
 )
 from ebonyhold.exceptions import EbonyholdError, PeerError, RefusedMessageError
@@ -46,6 +47,9 @@
 LOOKS_AROUND = 30
 """Looks at who is alive before a start is taken for one of many."""
 
+MILLISECONDS = 1000
+"""Milliseconds in a second."""
+
 RECEIVE_QUEUE = 256
 RECEIVE_BATCH = 64
 """Messages taken in without letting other tasks run in between."""
@@ -133,6 +137,18 @@
         now = anyio.current_time()
         return self.membership.may_recover(router, unknown_for, now)
 
+    def read_row(self, router: RouterId, row: RouterRow) -> None:
+        """Take in the open row of an incarnation in the table."""
+        started = int(row.started_at * MILLISECONDS)
+        update = MemberUpdate(
+            router, row.address, row.domain, MemberStatus.ALIVE, started=started
+        )
+        self.membership.read_row(update, anyio.current_time())
+
+    def introduce(self) -> None:
+        """Make this router known to some of those that only the table told of."""
+        self.send_beats(self.membership.introduce())
+
     def status(self) -> tuple[PeerStatus, ...]:
         """Return all that is known of the other routers."""
         now = anyio.current_time()
@@ -165,6 +181,7 @@
                 "member": member.update.router,
                 "status": member.update.status.name.lower(),
                 "before": None if before is None else before.name.lower(),
+                "met": not member.unmet,
                 "listed": self.membership.judge.is_listed(member),
                 "heard_ago": None if heard is None else round(now - heard, 3),
                 "silent_for": None if silent is None else round(now - silent, 3),
--- a/tests/daemon/test_recoveries.py
+++ b/tests/daemon/test_recoveries.py
@@ -13,12 +13,18 @@
     Put,
     RouterRow,
     RouterState,
+    Row,
     Transaction,
     responsible,
     router_key,
     to_json,
 )
-from ebonyhold.daemon._recoveries import SCAN_EVERY, Recoveries
+from ebonyhold.daemon._recoveries import (
+    LOOK_AROUND_WITHIN,
+    LOOK_EVERY,
+    SCAN_EVERY,
+    Recoveries,
+)
 from ebonyhold.exceptions import UnavailableError
 from ebonyhold.money import RecoveryReport
 from ebonyhold.standins import MemoryTable
@@ -45,6 +51,7 @@
         stranded: What each recovery leaves; absent for a settled one.
         down: Whether recoveries fail.
         asked: Whose recovery was asked for, in order.
+        read: Whose rows were read, in order.
     """
 
     table: MemoryTable = field(factory=MemoryTable)
@@ -54,6 +61,7 @@
     stranded: dict[RouterId, Tokens] = field(factory=dict)
     down: bool = False
     asked: list[RouterId] = field(factory=list)
+    read: list[RouterId] = field(factory=list)
 
     async def recover(self, router: RouterId) -> RecoveryReport:
         self.asked.append(router)
@@ -70,6 +78,7 @@
             lambda: self.alive,
             lambda: self.gone,
             lambda router, since: since >= GRACE,
+            lambda router, row: self.read.append(router),
             random.Random(7),
         )
 
@@ -183,6 +192,49 @@
     assert fleet.asked == [OTHER]
 
 
+async def test_open_rows_are_read_at_the_first_look() -> None:
+    """Guards against a router that died unmet and is looked for half a minute later."""
+    fleet = Fleet(alive=(THIRD,))
+    await fleet.register(ME, RouterState.OPEN)
+    await fleet.register(OTHER, RouterState.OPEN)
+    await fleet.register(THIRD, RouterState.OPEN)
+    await fleet.register("d.1", RouterState.CLOSED)
+    await fleet.register("e.1", RouterState.SEALED)
+    await run_for(fleet.recoveries(), 2 * LOOK_EVERY)
+    assert fleet.read == [OTHER, "e.1"]
+
+
+class AwayTable(MemoryTable):
+    """A table whose rows cannot be scanned."""
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        raise UnavailableError("the table is away")
+
+
+class SilentTable(MemoryTable):
+    """A table that does not answer scans."""
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        await anyio.sleep_forever()
+        return []
+
+
+@pytest.mark.parametrize(
+    ("table", "read"),
+    [(MemoryTable(), [OTHER]), (AwayTable(), []), (SilentTable(), [])],
+    ids=["there", "away", "silent"],
+)
+async def test_start_looks_around_without_waiting_for_the_table(
+    table: MemoryTable, read: list[RouterId]
+) -> None:
+    """Guards against a start that hangs, or ends, because rows cannot be read."""
+    fleet = Fleet(table)
+    await fleet.register(OTHER, RouterState.OPEN)
+    with anyio.fail_after(2 * LOOK_AROUND_WITHIN):
+        await fleet.recoveries().look_around()
+    assert fleet.read == read
+
+
 async def test_router_heard_again_within_the_grace() -> None:
     """A router that was unheard of for a while is sealed in the midst of its work.
 
--- a/tests/experiments/test_trial.py
+++ b/tests/experiments/test_trial.py
@@ -25,6 +25,7 @@
     ("overshoot", "reboot"),
     ("services", "table"),
     ("objects", "table", "kill"),
+    ("objects", "table", "early"),
     ("outage",),
     ("stop",),
     ("freeze",),
