Resolve what is nested in a message, and refuse kinds that cannot be read back

Operators did not see what other routers hold: `ebonyhold status` and the accounts of a budget left out each router but the one that was asked, as soon as that router held a grant or had a request at a backend server.

Cause: the annotations of `HeldGrant` and `BackendUse`, which are nested in `StatusReply`, are strings that nobody resolved, so each reply was refused as malformed ("Unsupported type: 'WorkspaceName'"), logged once, and silent from then on. Only the nested types of gossip had been resolved by hand. The test of the status page answers from a stand-in without grants and crosses no wire.

Registering a kind now resolves all that is nested in its fields, and refuses a kind with a field that the codec could not turn back.

--- a/ebonyhold/routers/_registry.py
+++ b/ebonyhold/routers/_registry.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import attrs
 from attrs import frozen
 
+from ebonyhold.routers._readable import resolve_fields
+
 
 @frozen
 class PeerMessage:
@@ -25,12 +26,18 @@
 
     Fields travel by position: a later release may only append fields with
     defaults, so that releases can be mixed while a fleet is replaced.
+
+    Args:
+        name: The name, which no other kind has.
+
+    Returns:
+        A decorator that raises `TypeError` for a kind that cannot be read back.
     """
 
     def register(kind: Kind) -> Kind:
         if name in KINDS:
             raise ValueError(f"two kinds of messages are named {name}")
-        attrs.resolve_types(kind)
+        resolve_fields(kind)
         KINDS[name] = kind
         NAMES[kind] = name
         return kind
--- a/ebonyhold/routers/_wire.py
+++ b/ebonyhold/routers/_wire.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import attrs
 import cattrs
 import msgpack
 from attrs import frozen
 from cattrs import UnstructureStrategy
 
-from ebonyhold.coordination import Beat, MemberUpdate
+from ebonyhold.coordination import Beat
 from ebonyhold.exceptions import RefusedMessageError
 from ebonyhold.routers._exchange import Frame, Purpose
 from ebonyhold.routers._registry import KINDS, NAMES, PeerMessage, peer_message
@@ -27,10 +26,6 @@
     beat: Beat
 
 
-attrs.resolve_types(MemberUpdate)
-attrs.resolve_types(Beat)
-
-
 def encode(frame: Frame) -> bytes:
     """Encode a frame.
 
