Give suspicions a module of their own, and split the tests of the network

What raises, moves and ends suspicions touches the view and the judge only, so it stands apart as `Suspicions`; the verdicts it yields are learned and passed on as before. The tests of how routers get to know each other move, unchanged, from `test_network.py` to `test_listing.py`, and what both need to `kit.py`.

--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -32,6 +32,7 @@
 from ebonyhold.coordination._probes import Probe, RelayedProbe
 from ebonyhold.coordination._recoverable import RecoveryJudge
 from ebonyhold.coordination._rumours import Rumours
+from ebonyhold.coordination._suspicions import Suspicions
 from ebonyhold.types import RouterId, Seconds
 
 
@@ -43,7 +44,7 @@
         view: What it knows of the others.
         options: Times and bounds.
         wake_at: When `tick` wants to be called next.
-        suspicions: Counts the suspicions raised here.
+        suspected: The suspicions that this router holds.
         pauses: Counts the pauses of this process that were noticed.
     """
 
@@ -70,11 +71,16 @@
         self.relayed: dict[int, RelayedProbe] = {}
         hurry_until = now + JOIN_PERIODS * self.options.period
         self.joining = Joining(self.view, self.options.page, me.router, hurry_until)
-        self.suspicions = 0
+        self.suspected = Suspicions(self.view, self.judge, self.options)
         self.pauses = 0
 
     # What the router asks.
 
+    @property
+    def suspicions(self) -> int:
+        """Return how many suspicions were raised here."""
+        return self.suspected.raised
+
     def alive(self) -> tuple[RouterId, ...]:
         """Return the routers to turn to: met, and not suspect, leaving or gone."""
         return tuple(
@@ -192,9 +198,7 @@
             return
         self.pauses += 1
         self.probe = None
-        for member in self.view.members.values():
-            if member.silent_at is not None:
-                member.silent_at += late
+        self.suspected.postpone(late)
 
     def end_probe(self, now: Seconds) -> None:
         """Suspect the target of the last probe, if nobody got an answer."""
@@ -202,44 +206,18 @@
         self.probe = None
         if probe is None:
             return
-        member = self.view.members.get(probe.target)
-        if member is None or not member.present:
-            return
-        if member.silent_at is None:
-            member.silent_at = now
-            self.suspicions += 1
-        if member.update.status is MemberStatus.ALIVE:
-            self.learn(evolve(member.update, status=MemberStatus.SUSPECT), now)
+        statement = self.suspected.raise_against(probe.target, now)
+        if statement is not None:
+            self.learn(statement, now)
 
     def expire(self, now: Seconds) -> None:
-        """Call those gone whose suspicion has run out, and forget the long gone."""
-        for member in list(self.view.members.values()):
-            if member.gone_at is not None:
-                self.forget(member, member.gone_at, now)
-            elif member.silent_at is not None:
-                self.expire_suspicion(member, now)
+        """End the suspicions, and the probes for others, whose time has run out."""
+        for gone in self.suspected.expire(now):
+            self.learn(gone, now)
         for sequence, relayed in list(self.relayed.items()):
             if now > relayed.until:
                 del self.relayed[sequence]
 
-    def forget(self, member: Member, gone_at: Seconds, now: Seconds) -> None:
-        """Drop a member that has been gone for long and will not come back."""
-        listed = self.view.listed
-        finished = listed is not None and member.update.name not in listed
-        old = now > gone_at + self.options.forget_after
-        if old and (finished or self.judge.is_superseded(member)):
-            self.view.forget(member)
-
-    def expire_suspicion(self, member: Member, now: Seconds) -> None:
-        """End one suspicion, if it is time, for or against the member."""
-        assert member.silent_at is not None
-        if now < member.silent_at + self.judge.suspicion_length(member):
-            return
-        if member.heard_at is not None and member.heard_at > member.silent_at:
-            member.silent_at = None
-            return
-        self.learn(evolve(member.update, status=MemberStatus.GONE), now)
-
     def start_probe(self) -> list[Outgoing]:
         """Probe the next router of a shuffled round."""
         address = self.next_address()
--- /dev/null
+++ b/tests/routers/kit.py
@@ -0,0 +1,60 @@
+"""What the tests of routers on real sockets share."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from ebonyhold.coordination import MembershipOptions
+from ebonyhold.routers import KeyRing, PeerKey, PeerNetwork
+
+BACKENDS = ["asyncio", "trio"]
+FAST = MembershipOptions(period=0.05, answer_within=0.02)
+KEY = PeerKey("k1", b"1" * 32)
+GUARD = 20.0
+
+
+def free_address() -> str:
+    """Return a free port on loopback.
+
+    It is below the range from which systems choose ports by themselves, where
+    another process may take it before it is used.
+    """
+    while True:
+        address = f"127.0.0.1:{random.randrange(20_000, 30_000)}"
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", int(address.rpartition(":")[2])))
+            return address
+
+
+def network(
+    name: str, seeds: tuple[str, ...] = (), ring: KeyRing | None = None
+) -> PeerNetwork:
+    keys = ring or KeyRing((KEY,))
+    return PeerNetwork(name, "d1", free_address(), keys, None, seeds, options=FAST)
+
+
+def pair(ring: KeyRing | None = None) -> tuple[PeerNetwork, PeerNetwork]:
+    """Return two routers, of which the second knows the first's address."""
+    one = network("a.1")
+    return one, network("b.1", (one.membership.me.address,), ring)
+
+
+@asynccontextmanager
+async def running(*networks: PeerNetwork) -> AsyncIterator[None]:
+    with anyio.fail_after(GUARD):
+        async with anyio.create_task_group() as tasks:
+            for one in networks:
+                await tasks.start(one.run)
+            yield
+            tasks.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():  # noqa: ASYNC110 - the views offer no event to wait for
+        await anyio.sleep(0.01)
--- /dev/null
+++ b/tests/routers/test_listing.py
@@ -0,0 +1,100 @@
+"""How routers get to know each other, and what they log of it."""
+
+from __future__ import annotations
+
+import logging
+import types
+
+import anyio
+import pytest
+from attrs import evolve
+from trio.testing import MockClock
+
+from ebonyhold.coordination import MemberStatus, MemberUpdate
+from ebonyhold.exceptions import UnavailableError
+from tests.routers.kit import network, running, until
+
+
+def test_the_list_brings_routers_together() -> None:
+    """Routers know each other only by the platform's list, which has engines too."""
+
+    def entry(name: str, address: str, role: str) -> types.SimpleNamespace:
+        return types.SimpleNamespace(
+            name=name, address=address, domain="d", state="live", role=role
+        )
+
+    async def run() -> None:
+        one, two = network("a.1"), network("b.1")
+        entries = [
+            entry("a", one.membership.me.address, "entry"),
+            entry("b", two.membership.me.address, "entry"),
+            entry("e", "127.0.0.1:9", "backend"),
+        ]
+
+        async def source() -> list[types.SimpleNamespace]:
+            return entries
+
+        one.source = source
+        async with running(one, two):
+            await until(lambda: one.alive() == ("b.1",) and two.alive() == ("a.1",))
+            (status,) = one.status()
+            assert status.listed
+            assert status.heard_ago is not None
+            two.leave()
+            await until(lambda: one.status()[0].status is MemberStatus.LEAVING)
+
+    anyio.run(run)
+
+
+def test_list_is_read_again_soon_after_a_failure() -> None:
+    """Guards against routers that serve for seconds before they know each other."""
+    one = network("a.1")
+    reads: list[float] = []
+
+    async def source() -> list[types.SimpleNamespace]:
+        reads.append(anyio.current_time())
+        if len(reads) < 2:
+            raise UnavailableError("the membership list was not read yet")
+        return []
+
+    async def run() -> None:
+        with anyio.move_on_after(10.0):
+            await one.follow_list(source)
+
+    anyio.run(
+        run,
+        backend="trio",
+        backend_options={"clock": MockClock(autojump_threshold=0)},
+    )
+    first, second, third = reads[:3]
+    assert second - first < 0.2
+    assert third - second > 3.0
+
+
+def test_changes_of_belief_are_logged(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against logs from which nobody can tell why a router was not recovered."""
+    one = network("a.1")
+
+    async def run() -> None:
+        update = MemberUpdate("b.1", "10.0.0.1:1", "d", MemberStatus.ALIVE, started=1)
+        for changed in (
+            update,
+            update,
+            evolve(update, status=MemberStatus.SUSPECT),
+            evolve(update, router="b.2", started=2),
+        ):
+            one.membership.learn(changed, anyio.current_time())
+
+    with caplog.at_level(logging.INFO):
+        anyio.run(run)
+    lines = [one for one in caplog.records if one.msg == "router status changed"]
+    told = [
+        (vars(line)["member"], vars(line)["before"], vars(line)["status"])
+        for line in lines
+    ]
+    assert told == [
+        ("b.1", None, "alive"),
+        ("b.1", "alive", "suspect"),
+        ("b.2", None, "alive"),
+        ("b.1", "suspect", "gone"),
+    ]
--- a/tests/routers/test_network.py
+++ b/tests/routers/test_network.py
@@ -2,28 +2,18 @@
 
 from __future__ import annotations
 
-import contextlib
-import logging
-import random
-import socket
-import types
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
 import pynng
 import pytest
-from attrs import evolve
 from trio.testing import MockClock
 
 from ebonyhold.coordination import (
     Listed,
-    MembershipOptions,
     MemberStatus,
     MemberUpdate,
 )
-from ebonyhold.exceptions import UnavailableError
 from ebonyhold.routers import (
     KeyRing,
     PeerKey,
@@ -37,52 +27,15 @@
 from ebonyhold.routers._exchange import Frame, Purpose
 from ebonyhold.routers._wire import encode
 from ebonyhold.types import RouterId
-
-BACKENDS = ["asyncio", "trio"]
-FAST = MembershipOptions(period=0.05, answer_within=0.02)
-KEY = PeerKey("k1", b"1" * 32)
-GUARD = 20.0
-
-
-def free_address() -> str:
-    """Return a free port on loopback.
-
-    It is below the range from which systems choose ports by themselves, where
-    another process may take it before it is used.
-    """
-    while True:
-        address = f"127.0.0.1:{random.randrange(20_000, 30_000)}"
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind(("127.0.0.1", int(address.rpartition(":")[2])))
-            return address
-
-
-def network(
-    name: str, seeds: tuple[str, ...] = (), ring: KeyRing | None = None
-) -> PeerNetwork:
-    keys = ring or KeyRing((KEY,))
-    return PeerNetwork(name, "d1", free_address(), keys, None, seeds, options=FAST)
-
-
-def pair(ring: KeyRing | None = None) -> tuple[PeerNetwork, PeerNetwork]:
-    """Return two routers, of which the second knows the first's address."""
-    one = network("a.1")
-    return one, network("b.1", (one.membership.me.address,), ring)
-
-
-@asynccontextmanager
-async def running(*networks: PeerNetwork) -> AsyncIterator[None]:
-    with anyio.fail_after(GUARD):
-        async with anyio.create_task_group() as tasks:
-            for one in networks:
-                await tasks.start(one.run)
-            yield
-            tasks.cancel_scope.cancel()
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    while not condition():  # noqa: ASYNC110 - the views offer no event to wait for
-        await anyio.sleep(0.01)
+from tests.routers.kit import (
+    BACKENDS,
+    GUARD,
+    KEY,
+    network,
+    pair,
+    running,
+    until,
+)
 
 
 def push(address: str, *messages: bytes) -> None:
@@ -300,91 +253,6 @@
     anyio.run(run)
 
 
-def test_the_list_brings_routers_together() -> None:
-    """Routers know each other only by the platform's list, which has engines too."""
-
-    def entry(name: str, address: str, role: str) -> types.SimpleNamespace:
-        return types.SimpleNamespace(
-            name=name, address=address, domain="d", state="live", role=role
-        )
-
-    async def run() -> None:
-        one, two = network("a.1"), network("b.1")
-        entries = [
-            entry("a", one.membership.me.address, "entry"),
-            entry("b", two.membership.me.address, "entry"),
-            entry("e", "127.0.0.1:9", "backend"),
-        ]
-
-        async def source() -> list[types.SimpleNamespace]:
-            return entries
-
-        one.source = source
-        async with running(one, two):
-            await until(lambda: one.alive() == ("b.1",) and two.alive() == ("a.1",))
-            (status,) = one.status()
-            assert status.listed
-            assert status.heard_ago is not None
-            two.leave()
-            await until(lambda: one.status()[0].status is MemberStatus.LEAVING)
-
-    anyio.run(run)
-
-
-def test_list_is_read_again_soon_after_a_failure() -> None:
-    """Guards against routers that serve for seconds before they know each other."""
-    one = network("a.1")
-    reads: list[float] = []
-
-    async def source() -> list[types.SimpleNamespace]:
-        reads.append(anyio.current_time())
-        if len(reads) < 2:
-            raise UnavailableError("the membership list was not read yet")
-        return []
-
-    async def run() -> None:
-        with anyio.move_on_after(10.0):
-            await one.follow_list(source)
-
-    anyio.run(
-        run,
-        backend="trio",
-        backend_options={"clock": MockClock(autojump_threshold=0)},
-    )
-    first, second, third = reads[:3]
-    assert second - first < 0.2
-    assert third - second > 3.0
-
-
-def test_changes_of_belief_are_logged(caplog: pytest.LogCaptureFixture) -> None:
-    """Guards against logs from which nobody can tell why a router was not recovered."""
-    one = network("a.1")
-
-    async def run() -> None:
-        update = MemberUpdate("b.1", "10.0.0.1:1", "d", MemberStatus.ALIVE, started=1)
-        for changed in (
-            update,
-            update,
-            evolve(update, status=MemberStatus.SUSPECT),
-            evolve(update, router="b.2", started=2),
-        ):
-            one.membership.learn(changed, anyio.current_time())
-
-    with caplog.at_level(logging.INFO):
-        anyio.run(run)
-    lines = [one for one in caplog.records if one.msg == "router status changed"]
-    told = [
-        (vars(line)["member"], vars(line)["before"], vars(line)["status"])
-        for line in lines
-    ]
-    assert told == [
-        ("b.1", None, "alive"),
-        ("b.1", "alive", "suspect"),
-        ("b.2", None, "alive"),
-        ("b.1", "suspect", "gone"),
-    ]
-
-
 @pytest.mark.parametrize("backend", BACKENDS)
 def test_a_dead_peer_does_not_end_the_others(backend: str) -> None:
     """One of three routers dies, and the others go on sending to it.
