--- a/tests/coordination/test_unmet_routers.py
+++ b/tests/coordination/test_unmet_routers.py
@@ -64,6 +64,18 @@
     assert all(node.membership.gone(fleet.now) == () for node in others)
 
 
+def test_leaving_router_that_nobody_has_met_is_not_recovered() -> None:
+    """Guards against cutting the last streams of a router that is on its way out."""
+    fleet = settled()
+    leaving = fleet.add("9", 1, [])
+    leaving.membership.leave()
+    reader = fleet.running()[0].membership
+    reader.read_row(row(UNMET), fleet.now)
+    fleet.run(fleet.now + SOON)
+    assert reader.view.members[UNMET].update.status is MemberStatus.LEAVING
+    assert reader.gone(fleet.now) == ()
+
+
 def test_introduction_is_heard_at_once() -> None:
     """Guards against a start after which nobody knows the router for seconds."""
     fleet = settled()
