--- a/tests/money/stories.py
+++ b/tests/money/stories.py
@@ -15,8 +15,10 @@
     from_json,
 )
 from ebonyhold.document import Policy
-from ebonyhold.experiments._memory_fleet import MemoryFleet
+from ebonyhold.experiments._memory_fleet import MemoryFleet, ended, order
 from ebonyhold.money import Order, Permit, Treasury, verify_bills
+from ebonyhold.money._exchange import TokenExchange
+from ebonyhold.standins import Faults, MemoryObjects, MemoryTable
 
 Story = Callable[[MemoryFleet], Awaitable[None]]
 
@@ -57,3 +59,28 @@
     await check_books(fleet)
     assert fleet.budget(workspace).outstanding == 0
     assert fleet.table.matching(GRANT_PREFIX, "", 10) == []
+
+
+def own_view(fleet: MemoryFleet) -> tuple[MemoryTable, MemoryObjects]:
+    """Give a router faults of its own towards the same table and store."""
+    table = MemoryTable(
+        Faults(),
+        fleet.table.writes,
+        fleet.table.reads,
+        fleet.table.rows,
+        fleet.table.order,
+    )
+    objects = MemoryObjects(Faults(), objects=fleet.objects.objects)
+    return table, objects
+
+
+def exchange(treasury: Treasury) -> TokenExchange:
+    """Return what a router gives and takes tokens through."""
+    assert treasury.exchange is not None
+    return treasury.exchange
+
+
+async def spend(treasury: Treasury, name: str, hold: int, charge: int) -> None:
+    """Run one request to its end."""
+    permit = await begin(treasury, order("w", name, hold))
+    await treasury.finish(permit, ended(permit, charge))
