Probe unmet members by their address alone

After a total restart each router reads the rows of all incarnations before, whose addresses are those of their successors.

Whoever answers at the address of an unmet member is met now, as with the addresses of the list: a successor supersedes the old incarnation at once, and the probe that nobody answers raises the suspicion as before. The test is red before.

--- a/ebonyhold/coordination/_membership.py
+++ b/ebonyhold/coordination/_membership.py
@@ -138,9 +138,14 @@
 
     def introduce(self) -> list[Outgoing]:
         """Return probes that make this router known to a few of those in the table."""
-        rows = [member for member in self.view.members.values() if member.unmet]
-        chosen = self.rng.sample(rows, min(self.options.relays, len(rows)))
-        return [self.send_probe(member.update) for member in chosen]
+        addresses = {
+            member.update.address
+            for member in self.view.members.values()
+            if member.unmet
+        }
+        count = min(self.options.relays, len(addresses))
+        chosen = self.rng.sample(sorted(addresses), count)
+        return [self.send_probe("", address) for address in chosen]
 
     # What the router itself does.
 
@@ -162,7 +167,9 @@
         self.me = evolve(self.me, status=MemberStatus.LEAVING, revision=revision)
         self.spread(self.me)
         peers = self.sample(self.options.relays, "")
-        return [self.send_probe(peer.update) for peer in peers]
+        return [
+            self.send_probe(peer.update.router, peer.update.address) for peer in peers
+        ]
 
     # Time.
 
@@ -227,7 +234,9 @@
         router = "" if member is None else member.update.router
         self.sequence += 1
         self.probe = Probe(router, address, self.sequence)
-        return [self.make_probe(router, address, self.sequence)]
+        # The successor of an unmet router may be what answers at its address.
+        receiver = "" if member is None or member.unmet else router
+        return [self.make_probe(receiver, address, self.sequence)]
 
     def next_address(self) -> str | None:
         """Return whom to probe next: each once a round, in random order."""
@@ -357,10 +366,10 @@
         after = self.joining.cursor if wanted else None
         return Outgoing(to, address, evolve(beat, after=after))
 
-    def send_probe(self, to: MemberUpdate) -> Outgoing:
+    def send_probe(self, to: RouterId, address: str) -> Outgoing:
         """Return a probe outside the usual round, whose answer is not awaited."""
         self.sequence += 1
-        return self.make_probe(to.router, to.address, self.sequence)
+        return self.make_probe(to, address, self.sequence)
 
     def make_beat(self, kind: BeatKind, sequence: int, to: RouterId) -> Beat:
         """Return a heartbeat with the statements that are due."""
--- a/tests/coordination/test_unmet_routers.py
+++ b/tests/coordination/test_unmet_routers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from ebonyhold.coordination import (
@@ -147,6 +149,21 @@
         assert set(node.membership.gone(fleet.now)) == {"1.1", "1.2"}
 
 
+def test_routers_meet_soon_although_they_read_rows_of_their_predecessors() -> None:
+    """Guards against a total restart after which routers ask for those before."""
+    fleet = BeatFleet(Network(), MembershipOptions(), random.Random(1))
+    entries = [Listed(f"{n}", f"10.0.0.{n}:7300") for n in range(SIZE)]
+    for entry in entries:
+        started = fleet.add(entry.name, 2, entries).membership
+        for n in range(SIZE):
+            started.read_row(row(f"{n}.1"), 0.0)
+    fleet.run(5.0)
+    for node in fleet.running():
+        assert len(node.membership.alive()) == SIZE - 1
+        others = {f"{n}.1" for n in range(SIZE)} - {f"{node.membership.me.name}.1"}
+        assert set(node.membership.gone(fleet.now)) == others
+
+
 def test_rows_do_not_count_as_members_that_were_met() -> None:
     """Guards against counting rows as contact with the fleet."""
     view = MemberView()
