--- a/tests/prepaid/test_account.py
+++ b/tests/prepaid/test_account.py
@@ -51,6 +51,27 @@
         await one.account.hold(5_001, "r")
 
 
+@pytest.mark.parametrize("before", [[], [5_000]], ids=["first budget", "top-up"])
+async def test_budget_that_is_not_written_yet_is_no_final_refusal(
+    before: list[int],
+) -> None:
+    """Guards against telling callers for good that a full budget is spent."""
+    one = Router(RowHistory(), "vm-1", "vm-1.a", before or [100_000])
+    await one.renewals.step()
+    if before:
+        with pytest.raises(BudgetExhaustedError):
+            await one.account.hold(6_000, "r1")
+        one.prepaid.append(100_000)
+    one.store.faults.lose_requests = 100
+    with pytest.raises(BudgetUnreachableError):
+        await one.account.hold(6_000, "r2")
+    one.store.faults.lose_requests = 0
+    await anyio.sleep(5.0)
+    await one.renew()
+    await one.account.tick()
+    await one.account.hold(6_000, "r3")
+
+
 async def test_tokens_with_another_router_are_no_final_refusal() -> None:
     """The budget is empty, but another router holds what it has not used.
 
