Daemon: a budget without a row is not at hand, instead of spent

Cause: an absent row was judged as a budget of 0 prepaid tokens, as at the gateway. Each workspace of a document gets a row with its first top-up, whatever its amount, so an absent one says that this is not made yet. Such requests are refused as not at hand now, and say why.

The test is red before: the refusal was `BudgetExhaustedError`.

--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -356,14 +356,21 @@
         self.poke(urgent=True)
 
     def _exhausted(self, need: Tokens) -> bool:
-        row = self.budget or BudgetRow()
-        return row.prepaid - row.spent < need
+        if self.budget is None:
+            # A workspace of a document that is already in force gets its row with its
+            # first top-up, which may take a while if there are many.
+            return False
+        return self.budget.prepaid - self.budget.spent < need
 
     def _refusal(self, need: Tokens) -> BudgetError:
+        if self.budget is None:
+            return BudgetUnreachableError(
+                f"the first top-up of {self.workspace} is not made yet"
+            )
         if self._exhausted(need):
-            row = self.budget or BudgetRow()
+            left = self.budget.prepaid - self.budget.spent
             return BudgetExhaustedError(
-                f"{self.workspace} has {row.prepaid - row.spent} tokens left, "
+                f"{self.workspace} has {left} tokens left, "
                 f"and the request may cost {need}"
             )
         return BudgetUnreachableError(
--- a/tests/money/test_platform_faults.py
+++ b/tests/money/test_platform_faults.py
@@ -247,6 +247,19 @@
     run(story)
 
 
+def test_budget_whose_first_top_up_is_not_made_yet() -> None:
+    """Guards against telling callers for good that a new workspace has no tokens."""
+
+    async def story(fleet: MemoryFleet) -> None:
+        treasury = await fleet.start("a.1")
+        with pytest.raises(BudgetUnreachableError):
+            await treasury.begin(order("w", "r1", 10))
+        await fleet.top_up("w", 1000, "t")
+        await begin(treasury, order("w", "r2", 10))
+
+    run(story)
+
+
 @pytest.mark.parametrize(
     ("prepaid", "reachable", "error"),
     [
