--- a/ebonyhold/coordination/_recoverable.py
+++ b/ebonyhold/coordination/_recoverable.py
@@ -79,8 +79,10 @@
         """Say whether an incarnation with an open row in the table may be recovered.
 
         Rows tell of incarnations that nobody alive has known, as after a total
-        restart.  A router that is leaving, suspect, or only silent for the moment
-        also is not among those alive; it must not be sealed for that.
+        restart.  Most are members from when their rows are read; the others have a
+        name that another incarnation has now.  A router that is leaving, suspect, or
+        only silent for the moment also is not among those alive; it must not be sealed
+        for that.
 
         Args:
             router: The incarnation.
--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -139,8 +139,8 @@
         limits: What the caller is held to.
         inbox: What the caller has sent.
         parser: The state of the protocol.
-        received_at: When the bytes arrived that the parser was given last.  A request
-            that waits behind an answer arrived no later than this.
+        received_at: When the bytes arrived that the parser was given last: the latest
+            that the request being answered can have come, however long it waited.
         last: Whether the connection ends with the next answer, unless a further
             request is here already.
         final: Whether nothing more is read here, whatever has come.
--- a/ebonyhold/money/_account.py
+++ b/ebonyhold/money/_account.py
@@ -356,9 +356,8 @@
         self.poke(urgent=True)
 
     def _exhausted(self, need: Tokens) -> bool:
+        # The row of a new workspace comes with its first top-up, maybe seconds later.
         if self.budget is None:
-            # A workspace of a document that is already in force gets its row with its
-            # first top-up, which may take a while if there are many.
             return False
         return self.budget.prepaid - self.budget.spent < need
 
