Tests of forwarding: servers take a free port as they listen

A server looked for a free port when it was made and bound it later; meanwhile another server of the same test, or another worker, could get the same of 3,616 ports.

--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from attrs import define, field
 
 from ebonyhold.forwarding import (
@@ -80,7 +80,7 @@
         requests: The heads it got.
         bodies: The bodies it got.
         closed: Requests whose connection the router closed early.
-        port: Where it listens.
+        port: Where it listens, once it does.
     """
 
     name: str
@@ -89,7 +89,7 @@
     bodies: list[bytes] = field(factory=list)
     connections: int = 0
     closed: int = 0
-    port: int = field(factory=free_port)
+    port: int = 0
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection."""
@@ -230,14 +230,12 @@
 ) -> AsyncIterator[Rig]:
     """Run a router before servers."""
     table = BackendTable()
-    for server in servers:
-        table.update(server.backend())
     ended: list[tuple[str, str]] = []
     async with anyio.create_task_group() as tasks:
         for server in servers:
-            listener = await anyio.create_tcp_listener(
-                local_host=LOOPBACK, local_port=server.port
-            )
+            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+            server.port = listener.extra(SocketAttribute.local_port)
+            table.update(server.backend())
             tasks.start_soon(listener.serve, server.serve)
         forwarder = Forwarder(
             domain="a",
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -6,6 +6,7 @@
 import pytest
 from anyio.abc import SocketStream
 
+from ebonyhold.misc import free_port
 from tests.forwarding.kit import (
     FreePurse,
     Script,
@@ -147,7 +148,7 @@
 
     Nothing was sent, so even a request that may run once goes to another server.
     """
-    gone, fine = Server("gone", good), Server("fine", good)
+    gone, fine = Server("gone", good, port=free_port()), Server("fine", good)
     async with rig(fine) as router:
         router.forwarder.backends.update(gone.backend())
         router.forwarder.backends.entries["fine"].in_flight = 3
