Judge a budget as spent by the configuration in force, not by a row that lags

Callers of a workspace with 40 million prepaid tokens were told 402, which is final, in the first half second of a new domain; after a top-up it was the same until the row had the new amount.

Cause: the row of a budget is written with the first draw, for which a request waits 0.25 s. If the store is slower, the row has been read as absent, or with the old amount, and an absent row counts as 0 prepaid tokens, so that any request exceeds what is left.

What is surely spent is judged by what the configuration prepays wherever that is later than the row, as the draw under way does. A budget that is truly spent is refused for good as before.

--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -147,10 +147,16 @@
         if self.peers is not None and await self.collect(amount, self.peers):
             return
         self.log_refusal(amount, request)
-        if self.grant.books.surely_spent(amount, self.grant.ledger):
+        if self.is_surely_spent(amount):
             raise BudgetExhaustedError(f"{self.workspace}: {amount} exceed the rest")
         raise BudgetUnreachableError(f"{self.workspace}: {amount} not at hand")
 
+    def is_surely_spent(self, amount: Tokens) -> bool:
+        """Tell whether the budget, as the configuration names it, is too small."""
+        known = self.grant.books.known or Known()
+        prepaid = self.under_rules(known.budget).budget.prepaid
+        return self.grant.books.surely_spent(amount, self.grant.ledger, prepaid)
+
     async def collect(self, amount: Tokens, peers: TransferPeers) -> bool:
         """Have other routers pass on what a request lacks; tell whether it has it.
 
@@ -310,11 +316,7 @@
     def plan(self) -> Change | None:
         """Decide how both rows should change, if at all."""
         known = self.grant.books.known or Known()
-        version, prepaid = self.prepaid()
-        base = known.budget
-        if version > base.rules_version and prepaid != base.budget.prepaid:
-            budget = evolve(base.budget, prepaid=prepaid)
-            base = PrepaidRow(version, budget)
+        base = self.under_rules(known.budget)
         size = self.size(base.budget)
         now = anyio.current_time()
         overdue = now - self.grant.filed_at > self.options.file_after
@@ -325,6 +327,13 @@
             return None
         return self.make_change(known, base, size)
 
+    def under_rules(self, row: PrepaidRow) -> PrepaidRow:
+        """Return a budget with what a later configuration than its own prepays."""
+        version, prepaid = self.prepaid()
+        if version <= row.rules_version or prepaid == row.budget.prepaid:
+            return row
+        return PrepaidRow(version, evolve(row.budget, prepaid=prepaid))
+
     def wanted_limit(self) -> SpendingLimit:
         """Return what the next renewal should say of this grant."""
         budget = self.budget
--- a/ebonyhold/prepaid/_books.py
+++ b/ebonyhold/prepaid/_books.py
@@ -80,16 +80,24 @@
         """Return the time since the budget was last confirmed."""
         return anyio.current_time() - self.checked_at
 
-    def surely_spent(self, amount: Tokens, ledger: GrantLedger) -> bool:
+    def surely_spent(
+        self, amount: Tokens, ledger: GrantLedger, prepaid: Tokens
+    ) -> bool:
         """Tell whether the budget cannot cover a request, whoever holds what.
 
         Grants of other routers may come back, so only what is filed as spent
         counts against the budget here.  Charges that are not filed yet make the
         budget look fuller than it is, which costs the caller one more try.
+
+        Args:
+            amount: What the request can cost.
+            ledger: What this router holds.
+            prepaid: What is prepaid in all.  The row may not say so yet, or may not be
+                there yet, where the configuration has just named it.
         """
         if self.known is None or self.age() > TRUST:
             return False
-        budget = self.known.budget.budget
+        budget = evolve(self.known.budget.budget, prepaid=prepaid)
         unspent = budget.prepaid - budget.spent
         if amount > unspent:
             return True
