Let a few routers hold each budget, and all others ask them

Cause: each router drew its own grant of each workspace, 7,800 grants of 40 budgets, each smaller than a request, and asked eight others of 194 for what it lacked. A later or smaller draw does not help: routers that draw on demand empty a budget into as many pieces. The same grants, opened ahead, met the store's ceiling for ten seconds.

Each workspace has some six holders now, the same by every router's reckoning (rendezvous hashing over the routers that show themselves, as many in each failure domain). They alone draw and renew limits. Others ask the nearest one for each request, and tell it afterwards what the request cost; if none answers they draw for themselves what the request needs. A hold counts as used at its holder, within its limit, before the answer leaves, and is charged in full if nobody settles it, so a lost message, a killed router or two views of the fleet cost tokens or a call and give none twice. Fleets of up to 12 go on as before.

--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from ebonyhold.gateway._explain import explain
 from ebonyhold.gateway._gateway import Gateway
+from ebonyhold.gateway._holds import GatewayHolders, PeerDesk
 from ebonyhold.gateway._knowledge import Knowledge
 from ebonyhold.gateway._listening import ListenError, listen
 from ebonyhold.gateway._losses import find_losses
@@ -48,6 +49,7 @@
     "BoundedOutput",
     "Changes",
     "Gateway",
+    "GatewayHolders",
     "GatewayPeers",
     "GatewaySettings",
     "GatewayStop",
@@ -55,6 +57,7 @@
     "GuardedTasks",
     "Knowledge",
     "ListenError",
+    "PeerDesk",
     "Peers",
     "Policy",
     "Presence",
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -22,6 +22,7 @@
     RequestHead,
     Ruleset,
 )
+from ebonyhold.gateway._holds import GatewayHolders, PeerDesk
 from ebonyhold.gateway._knowledge import Knowledge
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._meters import GatewayMeters
@@ -35,7 +36,7 @@
 from ebonyhold.gateway._types import Peers
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
-from ebonyhold.prepaid import Treasury
+from ebonyhold.prepaid import HolderTable, LentHolds, Treasury
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -43,6 +44,9 @@
 METRICS_PORT = 9464
 """The port that exporters of the exposition format commonly use."""
 
+LAST_SETTLEMENTS: Seconds = 0.05
+"""How long a process that ends tells holders what its last requests cost."""
+
 EXPIRY_TICK: Seconds = 0.1
 """How often servers whose grace is over are looked for."""
 
@@ -65,6 +69,7 @@
     knowledge: Knowledge = field(init=False)
     presence: Presence = field(init=False)
     neighbours: GatewayPeers = field(init=False)
+    holders: GatewayHolders = field(init=False)
     renewals: Renewals = field(init=False)
     treasury: Treasury = field(init=False)
     rules_watcher: Watcher = field(init=False)
@@ -85,8 +90,19 @@
         name = peers.settings.name
         port = peers.settings.peers_port
         own_address = f"{peers.settings.host}:{port}" if port else ""
-        self.presence = Presence(store, name, self.incarnation, own_address)
-        self.neighbours = GatewayPeers(self.presence.others)
+        table = HolderTable(name, peers.settings.domain)
+        self.presence = Presence(
+            store,
+            name,
+            self.incarnation,
+            own_address,
+            peers.settings.domain,
+            table.update,
+        )
+        self.neighbours = GatewayPeers(
+            self.presence.others, holders=lambda name: table.holders(name).names
+        )
+        self.holders = GatewayHolders(self.neighbours)
         self.renewals = Renewals(
             store,
             name,
@@ -105,6 +121,9 @@
             self.renewals.renew_now,
             self.renewals.in_touch,
             self.neighbours,
+            self.holders,
+            table,
+            lambda: self.presence.settled,
         )
         self.rules_watcher = Watcher(
             store,
@@ -137,6 +156,7 @@
             keep.start("renewals", self.renewals.run)
             keep.start("presence", self.presence.run)
             keep.start("treasury", self.treasury.run)
+            keep.start("settlements", self.holders.run)
             keep.start("expiry", self.expire_servers)
             keep.start("reclaim", self.reclaim)
             self.start_listeners(tasks, keep)
@@ -164,7 +184,7 @@
             pool=self.pool,
             retries=FleetRetries(settings.retry_rules, self.presence.count),
             rules=self.current_rules,
-            purse=self.treasury.account,
+            purse=self.treasury.purse,
             ended=self.meters.ended,
             ages=self.ages,
             departure=self.departure,
@@ -184,10 +204,12 @@
         keep.start("readiness", listen, readiness, settings.readiness, tasks)
         keep.start("metrics", listen, metrics, metrics_address, tasks)
         if settings.peers_port:
-            desk = TransferDesk(self.treasury.account)
-            transfers = CallerListener(desk.serve, CallerLimits, guard)
+            lent = LentHolds(self.treasury.account, lambda: self.draining)
+            desk = PeerDesk(TransferDesk(self.treasury.account), lent)
+            questions = CallerListener(desk.serve, CallerLimits, guard)
             address = (settings.host, settings.peers_port)
-            keep.start("transfers", listen, transfers, address, tasks)
+            keep.start("transfers", listen, questions, address, tasks)
+            keep.start("lent holds", desk.expire)
 
     def ages(self) -> dict[str, Seconds]:
         """Return how old what is believed of the rules and the servers is."""
@@ -277,6 +299,8 @@
         self.draining = True
         stop = GatewayStop(self.listener, self.departure, self.treasury, self.leave)
         await stop.run(self.peers.settings.grace)
+        with anyio.move_on_after(LAST_SETTLEMENTS):
+            await self.holders.tell_all()
         tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Container
 
 import anyio
 from attrs import define, field, frozen
@@ -17,6 +18,7 @@
 )
 from ebonyhold.exceptions import DamagedRowError, PlatformError
 from ebonyhold.gateway._types import GatewayStore
+from ebonyhold.prepaid import Fleet
 from ebonyhold.types import RouterId, Seconds
 
 log = logging.getLogger(__name__)
@@ -27,6 +29,21 @@
 COUNT: Seconds = 4.0
 """Between two counts of the routers."""
 
+FIRST_COUNT: Seconds = 1.5
+"""Between the first two counts.
+
+Routers that start together see few of the others at first.
+"""
+
+SETTLED = 2
+"""Counts after which the fleet is known well enough to draw tokens ahead."""
+
+GONE_AFTER = 4
+"""Readings in a row without a change of its row after which a router is no holder.
+
+Readings and not seconds: in an outage of the store no row changes and none is read.
+"""
+
 MISSING: Seconds = 14.0
 """A router whose row has not changed for this long is not counted any more."""
 
@@ -50,6 +67,21 @@
 """
 
 
+@frozen
+class PresenceRow:
+    """What a router shows of itself, at ``routers//{vm}``.
+
+    Attributes:
+        router: Which life of the VM's router.
+        address: Where other routers ask it, as "host:port"; empty if they cannot.
+        domain: Its failure domain.
+    """
+
+    router: RouterId = ""
+    address: str = ""
+    domain: str = ""
+
+
 @define
 class Sighting:
     """A router's row as last seen to change.
@@ -57,29 +89,28 @@
     Attributes:
         version: The version of the row.
         at: When that was first seen.
-        address: Where other routers ask it, as "host:port"; empty if they cannot.
+        row: What it says.
+        unchanged: Readings since, of which none showed a change.
     """
 
     version: int
     at: Seconds
-    address: str = ""
+    row: PresenceRow
+    unchanged: int = 0
 
 
-@frozen
-class PresenceRow:
-    """What a router shows of itself, at ``routers//{vm}``."""
-
-    router: RouterId = ""
-    address: str = ""
-
-
-def address_in(row: Row) -> str:
-    """Return where a router is asked; empty if its row does not say so."""
+def read_presence(row: Row) -> PresenceRow:
+    """Return what a router shows of itself; nothing if its row cannot be read."""
     try:
-        return read_row(row, PresenceRow).address
+        return read_row(row, PresenceRow)
     except DamagedRowError as error:
         log.warning("presence damaged", extra={"row": row.key, "detail": str(error)})
-        return ""
+        return PresenceRow()
+
+
+def vm_of(key: str) -> str:
+    """Return the VM whose row has a key."""
+    return key.removeprefix(f"{TABLE}//")
 
 
 @define(eq=False)
@@ -91,8 +122,11 @@
         name: This VM's name.
         incarnation: This life of it.
         address: Where other routers ask this one, as "host:port".
+        domain: Its failure domain.
+        fleet_seen: Is given the failure domains of all routers after each count.
         seen: The rows of all routers.
         most: The most routers that were counted.
+        counts: How often they were counted.
         leaving: Whether the process is about to end.
     """
 
@@ -100,8 +134,11 @@
     name: str
     incarnation: RouterId
     address: str = ""
+    domain: str = ""
+    fleet_seen: Callable[[Fleet], None] = lambda fleet: None
     seen: dict[str, Sighting] = field(factory=dict)
     most: int = 0
+    counts: int = 0
     leaving: bool = False
 
     @property
@@ -126,33 +163,59 @@
             except PlatformError as error:
                 fields = {"error": error.code, "counted": self.count()}
                 log.info("routers not counted", extra=fields)
-            await anyio.sleep(COUNT)
+            await anyio.sleep(COUNT if self.settled else FIRST_COUNT)
 
     async def count_routers(self) -> None:
         """Write the row that others count, and read theirs."""
         if self.leaving:
             # The row was removed; others would count this router for 14 s more.
             return
-        sign = Put(self.key, to_json(PresenceRow(self.incarnation, self.address)))
+        own = PresenceRow(self.incarnation, self.address, self.domain)
+        sign = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (sign,)))
         self.note(await self.store.scan(f"{TABLE}//"))
 
+    @property
+    def settled(self) -> bool:
+        """Whether the fleet is known well enough to draw tokens ahead."""
+        return self.counts >= SETTLED
+
     def note(self, rows: list[Row]) -> None:
         """Note which rows have changed."""
         now = anyio.current_time()
+        self.counts += 1
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.version != row.version:
-                self.seen[row.key] = Sighting(row.version, now, address_in(row))
+                self.seen[row.key] = Sighting(row.version, now, read_presence(row))
+            else:
+                known.unchanged += 1
+        self.fleet_seen(self.fleet({row.key for row in rows}))
+
+    def fleet(self, listed: Container[str]) -> Fleet:
+        """Return the failure domains of the routers that live and can be asked.
+
+        Args:
+            listed: The keys of the rows that there are; a router that stops removes
+                its own.
+        """
+        return {
+            vm_of(key): sighting.row.domain
+            for key, sighting in self.seen.items()
+            if key in listed
+            and sighting.row.address
+            and sighting.unchanged < GONE_AFTER
+        }
 
     def others(self) -> dict[str, str]:
         """Return the addresses of the other routers, by the names of their VMs."""
         now = anyio.current_time()
-        prefix = f"{TABLE}//"
         return {
-            key.removeprefix(prefix): sighting.address
+            vm_of(key): sighting.row.address
             for key, sighting in self.seen.items()
-            if key != self.key and sighting.address and now - sighting.at < FORGOTTEN
+            if key != self.key
+            and sighting.row.address
+            and now - sighting.at < FORGOTTEN
         }
 
     async def leave(self) -> None:
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -176,6 +176,19 @@
             "an error that is not the store's came in the middle of a change; what "
             "is not returned by the stop counts as spent",
         ),
+        Rule(
+            "settlements",
+            "holders do not hear what requests cost",
+            AFTER_PAUSE,
+            "what was not confirmed is sent again; a holder charges in full what it "
+            "never hears of",
+        ),
+        Rule(
+            "lent holds",
+            "holds of routers that were killed stay open",
+            AFTER_PAUSE,
+            "they keep tokens from others and give none twice",
+        ),
         Rule(
             "expiry",
             "servers that did not come back stay listed",
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -10,7 +10,8 @@
 import json
 import logging
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
+from typing import TypeVar
 
 import anyio
 from attrs import define, field, frozen
@@ -31,6 +32,8 @@
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 TARGET = b"/transfers"
 
 JSON = [(b"content-type", b"application/json")]
@@ -50,6 +53,10 @@
 One without power would else hold up each request that lacks tokens.
 """
 
+MOST_AVOIDED: Seconds = 4.0
+"""The longest time that such a gateway is not asked; a VM that restarts is back sooner,
+and each try costs a request the wait for an answer."""
+
 MOST_ASKED = 8
 """Gateways that are asked at once.
 
@@ -90,6 +97,14 @@
     left: Tokens = field(default=0, validator=ge(0))
 
 
+@frozen
+class Avoidance:
+    """A gateway that did not answer: until when it is not asked, and for how long."""
+
+    until: Seconds
+    pause: Seconds
+
+
 @define
 class Heard:
     """The last offers for a workspace, and when they came."""
@@ -105,15 +120,17 @@
     Attributes:
         addresses: Returns where the others are, by the names of their VMs.
         tasks: Starts the tasks in which connections are read; None before the start.
+        holders: Returns which of them have tokens of a workspace; None if all may.
         calls: The connections, by address.
-        avoided: Until when a VM is not asked, since it did not answer.
+        avoided: The VMs that did not answer when they were last asked.
         heard: The last offers for each workspace.
     """
 
     addresses: Callable[[], dict[str, str]]
     tasks: TaskStarter | None = None
+    holders: Callable[[WorkspaceName], Collection[str]] | None = None
     calls: dict[str, HttpCalls] = field(factory=dict)
-    avoided: dict[str, Seconds] = field(factory=dict)
+    avoided: dict[str, Avoidance] = field(factory=dict)
     heard: dict[WorkspaceName, Heard] = field(factory=dict)
 
     async def offers(self, workspace: WorkspaceName) -> Sequence[Offer]:
@@ -124,16 +141,29 @@
             return heard.offers
         found: list[Offer] = []
         async with anyio.create_task_group() as tasks:
-            for peer in self.sample(now):
+            for peer in self.sample(now, self.among(workspace)):
                 tasks.start_soon(self.add_offer, peer, workspace, found)
         self.heard[workspace] = Heard(found, anyio.current_time())
         return found
 
-    def sample(self, now: Seconds) -> list[str]:
+    def among(self, workspace: WorkspaceName) -> Collection[str]:
+        """Return the others that may have tokens of a workspace."""
+        known = self.addresses()
+        if self.holders is None:
+            return known
+        return [peer for peer in self.holders(workspace) if peer in known]
+
+    def sample(self, now: Seconds, among: Collection[str] | None = None) -> list[str]:
         """Return whom to ask, chosen by chance where there are many."""
-        able = [peer for peer in self.addresses() if now >= self.avoided.get(peer, now)]
+        peers = self.addresses() if among is None else among
+        able = [peer for peer in peers if self.is_able(peer, now)]
         return random.sample(able, min(len(able), MOST_ASKED))
 
+    def is_able(self, peer: str, now: Seconds) -> bool:
+        """Tell whether a VM may be asked, as far as its last answers show."""
+        avoidance = self.avoided.get(peer)
+        return avoidance is None or now >= avoidance.until
+
     async def add_offer(
         self, peer: str, workspace: WorkspaceName, found: list[Offer]
     ) -> None:
@@ -157,22 +187,47 @@
         self, peer: str, request: TransferRequest, timeout: Seconds
     ) -> TransferAnswer:
         """Ask one other gateway; one that does not answer has nothing."""
+        answer = await self.post(peer, TARGET, request, TransferAnswer, timeout)
+        return answer or TransferAnswer()
+
+    async def post(
+        self,
+        peer: str,
+        target: bytes,
+        request: object,
+        answer_type: type[T],
+        timeout: Seconds,
+    ) -> T | None:
+        """Send a message to another gateway; return its answer, None without one."""
         address = self.addresses().get(peer)
         if address is None or self.tasks is None:
-            return TransferAnswer()
+            return None
         content = json.dumps(to_json(request)).encode()
-        message = Outbound(b"POST", TARGET, JSON, content, True)
+        message = Outbound(b"POST", target, JSON, content, True)
         try:
             answer = await self.calls_to(address, self.tasks).call(message, timeout)
-            return read_message(answer.body, TransferAnswer)
+            read = read_message(answer.body, answer_type)
         except BackendLostError as error:
-            self.avoided[peer] = anyio.current_time() + AVOIDED_FOR
+            self.avoid(peer, anyio.current_time())
             log.info("peer silent", extra={"peer": peer, "detail": str(error)})
         except MalformedMessageError as error:
             log.warning(
                 "peer misunderstood", extra={"peer": peer, "detail": str(error)}
             )
-        return TransferAnswer()
+        else:
+            self.avoided.pop(peer, None)
+            return read
+        return None
+
+    def avoid(self, peer: str, now: Seconds) -> None:
+        """Ask a VM that did not answer no more for a while, longer each time."""
+        before = self.avoided.get(peer)
+        if before is not None and now < before.until:
+            # Questions that were under way together count once.
+            return
+        pause = AVOIDED_FOR if before is None else before.pause * 2
+        pause = min(pause, MOST_AVOIDED)
+        self.avoided[peer] = Avoidance(now + pause, pause)
 
     def calls_to(self, address: str, tasks: TaskStarter) -> HttpCalls:
         """Return the connections to an address."""
--- a/ebonyhold/prepaid/__init__.py
+++ b/ebonyhold/prepaid/__init__.py
@@ -3,7 +3,15 @@
 from ebonyhold.prepaid._account import Account
 from ebonyhold.prepaid._demand import Demand
 from ebonyhold.prepaid._grant import Grant
+from ebonyhold.prepaid._holders import Fleet, HolderTable, choose_holders
+from ebonyhold.prepaid._lent import LentHolds
 from ebonyhold.prepaid._limits import LimitBook, Limits, Renewal, SpendingLimit
+from ebonyhold.prepaid._purse import (
+    HolderPeers,
+    HoldOutcome,
+    RequestPurse,
+    WantedHold,
+)
 from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._transfers import Offer, TransferPeers, choose_givers
 from ebonyhold.prepaid._treasury import Treasury
@@ -24,8 +32,13 @@
     "Change",
     "Committed",
     "Demand",
+    "Fleet",
     "Grant",
+    "HoldOutcome",
+    "HolderPeers",
+    "HolderTable",
     "Known",
+    "LentHolds",
     "LimitBook",
     "Limits",
     "Offer",
@@ -34,11 +47,14 @@
     "PrepaidRow",
     "PrepaidStore",
     "Renewal",
+    "RequestPurse",
     "SpendingLimit",
     "TransferPeers",
     "Treasury",
+    "WantedHold",
     "budget_row_key",
     "choose_givers",
+    "choose_holders",
     "grant_row_key",
     "grant_rows_prefix",
 ]
--- a/ebonyhold/prepaid/_account.py
+++ b/ebonyhold/prepaid/_account.py
@@ -73,6 +73,7 @@
         renew: Writes what may be used anew, at once.
         in_touch: Returns whether such writes arrive.
         peers: The other routers' grants; None where nobody can be asked.
+        holding: Returns whether this router is a holder of the workspace.
         policy: Sizes the grant.
         demand: What this router expects to be asked for.
         grant: The tokens here, and the rows in the store.
@@ -93,6 +94,7 @@
     renew: Callable[[], Coroutine[None, None, None]]
     in_touch: Callable[[], bool]
     peers: TransferPeers | None = None
+    holding: Callable[[], bool] = lambda: True
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
     demand: Demand = field(init=False)
@@ -374,6 +376,10 @@
             # The operator lowered the budget below what is out: all routers give
             # back what they do not need, and draw again from what is left.
             return GrantSize(give_back=min(available, -budget.remaining))
+        if not self.holding():
+            # Requests here ask a holder; what lies here is missing there.
+            lacking = min(self.need, budget.remaining)
+            return GrantSize(draw=lacking, give_back=0 if self.asked else available)
         return self.policy.size(self.view(budget))
 
     def view(self, budget: BudgetRow) -> GrantView:
--- a/ebonyhold/prepaid/_treasury.py
+++ b/ebonyhold/prepaid/_treasury.py
@@ -12,7 +12,9 @@
 
 from ebonyhold.exceptions import PlatformError
 from ebonyhold.prepaid._account import Account
+from ebonyhold.prepaid._holders import HolderTable
 from ebonyhold.prepaid._limits import LimitBook, SpendingLimit
+from ebonyhold.prepaid._purse import HolderPeers, RequestPurse
 from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._transfers import TransferPeers
 from ebonyhold.prepaid._types import PrepaidOptions, PrepaidStore
@@ -57,15 +59,19 @@
             tokens; None where there is no bound.
         workspaces: Returns all workspaces that there are.
         routers: Returns how many routers there are.
+        table: Which of them hold tokens of a workspace.
+        settled: Returns whether the routers are known well enough to draw ahead.
         limits: How much may be used, by what was last written to the store.
         renew: Writes that anew, at once.
         in_touch: Returns whether such writes arrive.
         peers: The other routers' grants; None where nobody can be asked.
+        holders: The holders among them, the same.
         accounts: The accounts in use.
         rest_until: When each account has its turn after an outage.
         guard: Keeps what fails in the return of one grant from all others.
         closing: Whether the process is about to end: nothing is opened or taken over
             any more, since nobody would return it.
+        purses: Purses made so far.
     """
 
     router: RouterId
@@ -77,11 +83,26 @@
     renew: Callable[[], Coroutine[None, None, None]]
     in_touch: Callable[[], bool]
     peers: TransferPeers | None = None
+    holders: HolderPeers | None = None
+    table: HolderTable = field(factory=HolderTable)
+    settled: Callable[[], bool] = lambda: True
     options: PrepaidOptions = field(factory=PrepaidOptions)
     accounts: dict[WorkspaceName, Account] = field(factory=dict)
     rest_until: dict[WorkspaceName, Seconds] = field(factory=dict)
     guard: Guard = unguarded
     closing: bool = False
+    purses: int = 0
+
+    def purse(self, workspace: WorkspaceName) -> RequestPurse | None:
+        """Return where a request's tokens are held; None if they have no bound."""
+        if self.prepaid(workspace)[1] is None:
+            return None
+        holders = self.table.holders(workspace)
+        asked = () if holders.own or self.holders is None else holders.names
+        self.purses += 1
+        hold_id = f"{self.router}/{self.purses}"
+        account = partial(self.account, workspace)
+        return RequestPurse(workspace, account, asked, self.holders, hold_id)
 
     def account(self, workspace: WorkspaceName) -> Account | None:
         """Return a workspace's account; None if it has no bound."""
@@ -94,12 +115,13 @@
                 self.router,
                 self.store,
                 partial(self.bound, workspace),
-                self.routers,
+                partial(self.sharers, workspace),
                 self.usual,
                 self.limits,
                 self.renew,
                 self.in_touch,
                 self.peers,
+                partial(self.is_holder, workspace),
                 options=self.options,
                 # An account that is opened while grants are returned would draw one
                 # that the return does not know of; it would stay out.
@@ -108,6 +130,15 @@
             self.accounts[workspace] = known
         return known
 
+    def is_holder(self, workspace: WorkspaceName) -> bool:
+        """Tell whether this router holds tokens of a workspace for others too."""
+        return self.table.holders(workspace).own
+
+    def sharers(self, workspace: WorkspaceName) -> int:
+        """Return how many routers share a workspace's budget."""
+        holders = self.table.holders(workspace)
+        return self.routers() if holders.whole_fleet else len(holders.names)
+
     def bound(self, workspace: WorkspaceName) -> tuple[int, Tokens]:
         """Return the configuration's version and a workspace's prepaid tokens.
 
@@ -140,11 +171,13 @@
         The first request of a workspace would find no tokens in an outage.  Routers
         start together and share each budget, so they take turns drawn by chance.
         """
-        if self.closing:
+        if self.closing or not self.settled():
             return
-        chance = self.options.tick / (STOCK_SPREAD * max(1, self.routers()))
         for workspace in self.workspaces():
-            if workspace not in self.accounts and random.random() < chance:
+            if workspace in self.accounts or not self.is_holder(workspace):
+                continue
+            spread = STOCK_SPREAD * max(1, self.sharers(workspace))
+            if random.random() < self.options.tick / spread:
                 self.account(workspace)
 
     def pause(self) -> Seconds:
@@ -161,7 +194,7 @@
         """
         now = anyio.current_time()
         if not self.in_touch():
-            spread = TURN * self.routers()
+            spread = TURN * self.sharers(account.workspace)
             self.rest_until[account.workspace] = now + random.random() * spread
             return
         if now < self.rest_until.get(account.workspace, now):
--- a/ebonyhold/types.py
+++ b/ebonyhold/types.py
@@ -14,6 +14,9 @@
 A router that restarts, or that finds its journal sealed, takes a new one.
 """
 
+HoldId: TypeAlias = str
+"""A hold of tokens for one request; unique among all routers and their lives."""
+
 RequestId: TypeAlias = str
 """One request of a workspace: the caller's idempotency key, or one made here."""
 
--- /dev/null
+++ b/tests/gateway/test_holds.py
@@ -0,0 +1,182 @@
+"""Holds of tokens between gateways, over real connections."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from anyio.abc import ByteStream, SocketAttribute
+from attrs import define, field
+
+from ebonyhold.coordination import GrantLedger
+from ebonyhold.exceptions import BudgetExhaustedError, BudgetUnreachableError
+from ebonyhold.forwarding import CallerLimits, CallerListener
+from ebonyhold.gateway import GatewayHolders, GatewayPeers, PeerDesk, TransferDesk
+from ebonyhold.misc import free_port
+from ebonyhold.prepaid import HoldOutcome, LentHolds, WantedHold
+from tests.gateway.test_transfers import HOST, LOOK, until_listening
+
+pytestmark = pytest.mark.anyio
+
+PATIENCE = 3.0
+
+Conduct = Callable[[ByteStream], Awaitable[None]]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Sockets need a real clock."""
+    return "asyncio"
+
+
+@define(eq=False)
+class Holding:
+    """An account of 500 tokens that refuses as it is told."""
+
+    ledger: GrantLedger = field(factory=lambda: GrantLedger(available=500))
+    error: type[Exception] = BudgetUnreachableError
+
+    async def hold(self, amount: int, request: str) -> None:
+        """Hold tokens."""
+        if not self.ledger.hold(amount):
+            raise self.error(request)
+
+    def settle(self, hold: int, charge: int) -> None:
+        """End a hold."""
+        self.ledger.settle(hold, charge)
+
+
+@asynccontextmanager
+async def holder(account: Holding) -> AsyncIterator[GatewayHolders]:
+    """Yield the way to a gateway that holds 500 tokens of "acme"."""
+    port = free_port()
+
+    def find(name: str) -> Holding | None:
+        return account if name == "acme" else None
+
+    lent = LentHolds(find, lambda: False)  # type: ignore[arg-type]
+    desk = PeerDesk(TransferDesk(find), lent)  # type: ignore[arg-type]
+    listener = CallerListener(desk.serve, CallerLimits)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.run, (HOST, port), tasks)
+        await until_listening(port)
+        holders = GatewayHolders(
+            GatewayPeers(lambda: {"vm-2": f"{HOST}:{port}"}, tasks)
+        )
+        tasks.start_soon(holders.run)
+        yield holders
+        tasks.cancel_scope.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until something holds."""
+    with anyio.fail_after(PATIENCE):
+        while True:
+            if condition():
+                return
+            await anyio.sleep(LOOK)
+
+
+@pytest.mark.parametrize(
+    ("workspace", "amount", "error", "outcome"),
+    [
+        ("acme", 300, BudgetUnreachableError, HoldOutcome.HELD),
+        ("acme", 900, BudgetUnreachableError, HoldOutcome.UNREACHABLE),
+        ("acme", 900, BudgetExhaustedError, HoldOutcome.EXHAUSTED),
+        ("other", 300, BudgetUnreachableError, HoldOutcome.UNAVAILABLE),
+    ],
+)
+async def test_a_holder_answers(
+    workspace: str, amount: int, error: type[Exception], outcome: HoldOutcome
+) -> None:
+    async with holder(Holding(error=error)) as holders:
+        wanted = WantedHold("vm-1.a/1", workspace, amount, "r")
+        assert await holders.hold("vm-2", wanted) is outcome
+
+
+async def test_a_holder_hears_what_requests_cost() -> None:
+    account = Holding()
+    async with holder(account) as holders:
+        for number in range(3):
+            wanted = WantedHold(f"vm-1.a/{number}", "acme", 100, "r")
+            assert await holders.hold("vm-2", wanted) is HoldOutcome.HELD
+            holders.settle("vm-2", wanted.hold, 40)
+        await until(lambda: account.ledger.held == 0)
+        assert account.ledger.available == 500 - 3 * 40
+        await until(lambda: not holders.unsettled)
+
+
+MALFORMED = [
+    (b"/holds", b""),
+    (b"/holds", b"[]"),
+    (b"/holds", b'{"hold": 1}'),
+    (b"/holds", b'{"hold": "h", "workspace": "acme", "amount": -5}'),
+    (b"/settlements", b"{"),
+    (b"/settlements", b'{"charges": 5}'),
+    (b"/settlements", b'{"charges": {"h": "many"}}'),
+]
+
+
+@pytest.mark.parametrize(("target", "body"), MALFORMED)
+async def test_a_message_of_another_form_is_refused(target: bytes, body: bytes) -> None:
+    account = Holding()
+    async with holder(account) as holders:
+        host, _, port = holders.peers.addresses()["vm-2"].rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            head = b"POST %s HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n"
+            await stream.send(head % (target, len(body)) + body)
+            assert b" 400 " in (await stream.receive()).partition(b"\r\n")[0]
+    assert account.ledger.held == 0
+
+
+async def silent(stream: ByteStream) -> None:
+    """Read all and say nothing."""
+    async for _ in stream:
+        pass
+
+
+async def nonsense(stream: ByteStream) -> None:
+    """Answer what is no answer of ours."""
+    async for _ in stream:
+        await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]")
+
+
+async def unknown_outcome(stream: ByteStream) -> None:
+    """Answer an outcome that there is not."""
+    async for _ in stream:
+        await stream.send(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 15\r\n\r\n{"outcome": ""}'
+        )
+
+
+@pytest.mark.parametrize("conduct", [silent, nonsense, unknown_outcome])
+async def test_a_hold_without_an_answer_is_given_up(conduct: Conduct) -> None:
+    """The tokens of a hold whose answer was lost stayed set aside for a minute."""
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, conduct)
+        holders = GatewayHolders(
+            GatewayPeers(lambda: {"vm-2": f"{HOST}:{port}"}, tasks)
+        )
+        wanted = WantedHold("vm-1.a/1", "acme", 30, "r")
+        assert await holders.hold("vm-2", wanted) is HoldOutcome.UNAVAILABLE
+        assert holders.unsettled["vm-2"]["vm-1.a/1"].charge == 0
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_settlement_is_sent_until_the_holder_has_heard_it() -> None:
+    """A holder that was frozen for a second charged the request at its most."""
+    account = Holding()
+    async with holder(account) as holders:
+        wanted = WantedHold("vm-1.a/1", "acme", 300, "r")
+        assert await holders.hold("vm-2", wanted) is HoldOutcome.HELD
+        addresses = holders.peers.addresses
+        holders.peers.addresses = dict
+        holders.settle("vm-2", wanted.hold, 100)
+        await anyio.sleep(0.3)
+        assert account.ledger.held == 300
+        holders.peers.addresses = addresses
+        await until(lambda: account.ledger.available == 400)
