Stretch a router's own calls to the store with the size of its fleet

195 routers made 9.2 calls to the store a second each, before and beside any request, and read 0.08 GB in 19 s: each counts all others every 4 s, which grows with the square of their number, and follows the list of servers three times a second.

Pauses between counts and between calls for changes grow from 60 routers on (4 s to 13 s and 0.35 s to 1.14 s at 195; changes are still in force within two seconds), a router that holds no grant renews its limits every 2 s, and servers that did not come back are looked for four times a second.

A question to a gateway without power waits 0.1 s for a connection, no longer 0.25 s, and settlements that a holder did not confirm wait 0.5 s for the next try.

--- a/ebonyhold/forwarding/_calls.py
+++ b/ebonyhold/forwarding/_calls.py
@@ -7,7 +7,12 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._attempt import read_rest
-from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
+from ebonyhold.forwarding._channel import (
+    CONNECT_TIMEOUT,
+    AnswerHead,
+    Channel,
+    Outbound,
+)
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.tasks import TaskStarter
@@ -36,15 +41,17 @@
 
     Attributes:
         address: The host and port that are called.
+        connect_timeout: The longest wait for a new connection.
         pool: The connections; None before `start`.
     """
 
     address: tuple[str, int]
+    connect_timeout: Seconds = CONNECT_TIMEOUT
     pool: ChannelPool | None = field(default=None)
 
     def start(self, tasks: TaskStarter) -> None:
         """Take what starts the tasks in which connections are read."""
-        self.pool = ChannelPool(tasks)
+        self.pool = ChannelPool(tasks, connect_timeout=self.connect_timeout)
 
     @property
     def name(self) -> str:
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -252,7 +252,9 @@
             await hang_up(self.stream)
 
 
-async def open_channel(address: tuple[str, int], tasks: TaskStarter) -> Channel:
+async def open_channel(
+    address: tuple[str, int], tasks: TaskStarter, timeout: Seconds = CONNECT_TIMEOUT
+) -> Channel:
     """Connect to a backend server.
 
     Raises:
@@ -261,7 +263,7 @@
     """
     stream: SocketStream | None = None
     try:
-        with anyio.move_on_after(CONNECT_TIMEOUT):
+        with anyio.move_on_after(timeout):
             stream = await anyio.connect_tcp(address[0], address[1])
     except OSError as error:
         raise BackendLostError(f"no connection: {error}") from error
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from ebonyhold.forwarding._channel import (
+    CONNECT_TIMEOUT,
     Channel,
     ConnectTimeoutError,
     open_channel,
@@ -30,12 +31,14 @@
         tasks: Where the reading tasks of connections run.
         connected: Is told of each new connection to a server whether it was made in
             time.
+        connect_timeout: The longest wait for a new connection.
         unused: The connections of each server, the last used one at the end.
         opened: Connections opened so far.
     """
 
     tasks: TaskStarter
     connected: Callable[[BackendName, bool], None] = lambda name, made: None
+    connect_timeout: Seconds = CONNECT_TIMEOUT
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
 
@@ -50,7 +53,7 @@
             return kept
         self.opened += 1
         try:
-            channel = await open_channel(address, self.tasks)
+            channel = await open_channel(address, self.tasks, self.connect_timeout)
         except ConnectTimeoutError:
             self.connected(name, False)
             raise
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -47,7 +47,7 @@
 LAST_SETTLEMENTS: Seconds = 0.05
 """How long a process that ends tells holders what its last requests cost."""
 
-EXPIRY_TICK: Seconds = 0.1
+EXPIRY_TICK: Seconds = 0.25
 """How often servers whose grace is over are looked for."""
 
 
@@ -130,12 +130,14 @@
             peers.rules_table,
             self.knowledge.take_rules,
             self.knowledge.take_rules,
+            self.presence.count,
         )
         self.servers_watcher = Watcher(
             store,
             peers.servers_table,
             self.knowledge.replace_servers,
             self.knowledge.change_servers,
+            self.presence.count,
         )
 
     async def run(self) -> int:
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -46,6 +46,9 @@
 them in full.
 """
 
+RETRY: Seconds = 0.5
+"""Before settlements are sent again that a holder did not confirm."""
+
 EXPIRY_TICK: Seconds = 1.0
 """How often holds that nobody settled are looked for."""
 
@@ -122,6 +125,7 @@
             await self.tell_all()
             if self.unsettled:
                 self.due.set()
+                await anyio.sleep(RETRY)
 
     async def tell_all(self) -> None:
         """Tell each holder once what it has not confirmed."""
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -17,6 +17,7 @@
     to_json,
 )
 from ebonyhold.exceptions import DamagedRowError, PlatformError
+from ebonyhold.gateway._pace import stretch
 from ebonyhold.gateway._types import GatewayStore
 from ebonyhold.prepaid import Fleet
 from ebonyhold.types import RouterId, Seconds
@@ -27,7 +28,7 @@
 """The table of the small rows by which routers count each other, in one part."""
 
 COUNT: Seconds = 4.0
-"""Between two counts of the routers."""
+"""Between two counts of the routers, in a fleet that is not large."""
 
 FIRST_COUNT: Seconds = 1.5
 """Between the first two counts.
@@ -44,8 +45,8 @@
 Readings and not seconds: in an outage of the store no row changes and none is read.
 """
 
-MISSING: Seconds = 14.0
-"""A router whose row has not changed for this long is not counted any more."""
+MISSED_COUNTS = 3.5
+"""A router whose row has not changed for so many counts is not counted any more."""
 
 ASSUMED = 8
 """Routers that are assumed before the first reading.
@@ -127,6 +128,7 @@
         seen: The rows of all routers.
         most: The most routers that were counted.
         counts: How often they were counted.
+        pause: Between two counts.
         leaving: Whether the process is about to end.
     """
 
@@ -139,6 +141,7 @@
     seen: dict[str, Sighting] = field(factory=dict)
     most: int = 0
     counts: int = 0
+    pause: Seconds = COUNT
     leaving: bool = False
 
     @property
@@ -151,7 +154,8 @@
         if not self.seen:
             return ASSUMED
         now = anyio.current_time()
-        alive = sum(1 for s in self.seen.values() if now - s.at < MISSING)
+        missing = MISSED_COUNTS * self.pause
+        alive = sum(1 for s in self.seen.values() if now - s.at < missing)
         self.most = max(self.most, alive)
         return max(1, alive, int(self.most * FLOOR_SHARE))
 
@@ -163,12 +167,13 @@
             except PlatformError as error:
                 fields = {"error": error.code, "counted": self.count()}
                 log.info("routers not counted", extra=fields)
-            await anyio.sleep(COUNT if self.settled else FIRST_COUNT)
+            self.pause = stretch(COUNT, self.count())
+            await anyio.sleep(self.pause if self.settled else FIRST_COUNT)
 
     async def count_routers(self) -> None:
         """Write the row that others count, and read theirs."""
         if self.leaving:
-            # The row was removed; others would count this router for 14 s more.
+            # The row was removed; others would go on counting this router.
             return
         own = PresenceRow(self.incarnation, self.address, self.domain)
         sign = Put(self.key, to_json(own))
--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -46,6 +46,10 @@
 fleet.
 """
 
+UNUSED_BEAT: Seconds = 2.0
+"""Between two renewals of a router without a grant: they show only whether the store is
+in touch."""
+
 LEAST_WAIT: Seconds = 0.1
 """The shortest wait for the answer to a renewal; it usually takes 12 ms.
 
@@ -163,6 +167,13 @@
         """Return the key of the own row of limits."""
         return f"{TABLE}/{self.name}/row"
 
+    @property
+    def beat(self) -> Seconds:
+        """Return the time to the next renewal that nobody asks for."""
+        confirmed = self.limits.confirmed
+        unused = confirmed is not None and not confirmed.limits and not self.misses
+        return UNUSED_BEAT if unused else BEAT
+
     def in_touch(self) -> bool:
         """Tell whether renewals arrive, but for one whose answer may be lost."""
         return self.started.is_set() and self.misses < MOST_MISSES
@@ -183,7 +194,7 @@
                 self.note_missed(error)
             finally:
                 renewed.set()
-            with anyio.move_on_after(BEAT):
+            with anyio.move_on_after(self.beat):
                 await self.asked.wait()
 
     async def renew_now(self) -> None:
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -47,6 +47,10 @@
 Tokens whose answer comes later are lost, so it is longer than what the giver waits.
 """
 
+CONNECT_TIMEOUT: Seconds = 0.1
+"""The longest wait for a connection to a gateway; the farthest one answers within some
+5 ms, and one without power never does."""
+
 AVOIDED_FOR: Seconds = 1.0
 """How long a gateway that did not answer is not asked again.
 
@@ -234,7 +238,8 @@
         calls = self.calls.get(address)
         if calls is None:
             host, _, port = address.rpartition(":")
-            calls = self.calls[address] = HttpCalls((host, int(port)))
+            calls = HttpCalls((host, int(port)), CONNECT_TIMEOUT)
+            self.calls[address] = calls
             calls.start(tasks)
         return calls
 
--- a/ebonyhold/gateway/_watcher.py
+++ b/ebonyhold/gateway/_watcher.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from ebonyhold.exceptions import HistoryLostError, PlatformError
+from ebonyhold.gateway._pace import stretch
 from ebonyhold.gateway._types import GatewayStore, RawRow
 from ebonyhold.types import Seconds
 
@@ -24,6 +25,9 @@
 PAUSE: Seconds = 0.35
 """Between two calls for changes, so that many small changes share a call."""
 
+MOST_PAUSE: Seconds = 1.2
+"""The same in a fleet of any size: changes must be in force within two seconds."""
+
 RETRY: Seconds = 0.15
 """Before the next try after a failed one."""
 
@@ -40,6 +44,7 @@
         table: The table to follow.
         replaced: Is given all rows, and whether an outage came before.
         changed: Is given the rows that changed, and the same.
+        routers: Returns how many routers follow it.
         version: The version to go on from; None if all must be read again.
         answered_at: When the store answered last.
         reachable: Whether the last call was answered.
@@ -49,6 +54,7 @@
     table: str
     replaced: Callable[[tuple[RawRow, ...], bool], None]
     changed: Callable[[tuple[RawRow, ...], bool], None]
+    routers: Callable[[], int] = lambda: 1
     version: int | None = None
     answered_at: Seconds | None = None
     reachable: bool = True
@@ -59,7 +65,7 @@
         while True:
             try:
                 await self.step()
-                await anyio.sleep(PAUSE)
+                await anyio.sleep(stretch(PAUSE, self.routers(), MOST_PAUSE))
             except HistoryLostError:
                 log.info("history lost", extra={"table": self.table})
                 self.version = None
--- a/tests/gateway/interleaving.py
+++ b/tests/gateway/interleaving.py
@@ -274,9 +274,14 @@
         del self.doors[address[1]]
 
     async def connect(
-        self, tasks: TaskGroup, address: tuple[str, int], starter: TaskStarter
+        self,
+        tasks: TaskGroup,
+        address: tuple[str, int],
+        starter: TaskStarter,
+        timeout: float = _channel.CONNECT_TIMEOUT,
     ) -> _channel.Channel:
         """Stand in for connecting to a server."""
+        del timeout
         await give_way(self.luck)
         if self.luck.random() < 0.02:
             raise BackendLostError("no connection")
