--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -32,7 +32,11 @@
 from ebonyhold.gateway._signals import watched_signals
 from ebonyhold.gateway._stop import GatewayStop
 from ebonyhold.gateway._supervision import GuardedTasks, Supervisor
-from ebonyhold.gateway._transfers import GatewayPeers, TransferDesk
+from ebonyhold.gateway._transfers import (
+    PEER_LIMITS,
+    GatewayPeers,
+    TransferDesk,
+)
 from ebonyhold.gateway._types import Peers
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
@@ -102,7 +106,7 @@
         self.neighbours = GatewayPeers(
             self.presence.others, holders=lambda name: table.holders(name).names
         )
-        self.holders = GatewayHolders(self.neighbours)
+        self.holders = GatewayHolders(self.neighbours, self.meters.held)
         self.renewals = Renewals(
             store,
             name,
@@ -208,7 +212,7 @@
         if settings.peers_port:
             lent = LentHolds(self.treasury.account, lambda: self.draining)
             desk = PeerDesk(TransferDesk(self.treasury.account), lent)
-            questions = CallerListener(desk.serve, CallerLimits, guard)
+            questions = CallerListener(desk.serve, lambda: PEER_LIMITS, guard)
             address = (settings.host, settings.peers_port)
             keep.start("transfers", listen, questions, address, tasks)
             keep.start("lent holds", desk.expire)
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -9,6 +9,7 @@
 
 import json
 import logging
+from collections.abc import Callable
 
 import anyio
 from attrs import define, field, frozen
@@ -17,7 +18,7 @@
 from ebonyhold.exceptions import MalformedMessageError
 from ebonyhold.forwarding import CallerConnection, RequestHead
 from ebonyhold.gateway._messages import read_message
-from ebonyhold.gateway._transfers import JSON, GatewayPeers, TransferDesk
+from ebonyhold.gateway._transfers import ANSWER, JSON, GatewayPeers, TransferDesk
 from ebonyhold.prepaid import HoldOutcome, LentHolds, WantedHold
 from ebonyhold.types import HoldId, Seconds, Tokens
 
@@ -86,16 +87,24 @@
 
     Attributes:
         peers: The way to the other gateways.
+        count: Is told of each answer.
         unsettled: What each holder has to be told.
         due: Set when there is something to tell.
     """
 
     peers: GatewayPeers
+    count: Callable[[HoldOutcome], None] = lambda outcome: None
     unsettled: dict[str, dict[HoldId, Unsettled]] = field(factory=dict)
     due: anyio.Event = field(factory=anyio.Event)
 
     async def hold(self, peer: str, wanted: WantedHold) -> HoldOutcome:
         """Have a holder set tokens aside; without an answer it is unavailable."""
+        outcome = await self.ask(peer, wanted)
+        self.count(outcome)
+        return outcome
+
+    async def ask(self, peer: str, wanted: WantedHold) -> HoldOutcome:
+        """Ask a holder, unless it was silent just now."""
         if not self.peers.is_able(peer, anyio.current_time()):
             return HoldOutcome.UNAVAILABLE
         answered = False
@@ -199,7 +208,7 @@
             await connection.answer(400, JSON, b"{}")
             return
         content = json.dumps(to_json(answer)).encode()
-        await connection.answer(200, JSON, content)
+        await connection.answer(200, ANSWER, content)
 
     async def hold(self, body: bytes) -> HoldAnswer:
         """Set tokens aside for a request at another gateway."""
--- a/ebonyhold/gateway/_meters.py
+++ b/ebonyhold/gateway/_meters.py
@@ -10,6 +10,7 @@
     generate_latest,
 )
 
+from ebonyhold.prepaid import HoldOutcome
 from ebonyhold.types import Seconds
 
 ANSWER_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0)
@@ -85,6 +86,17 @@
             registry=self.registry,
         )
 
+        self.holds = Counter(
+            "ebonyhold_gateway_holds_total",
+            "Requests whose tokens another router was asked to hold, by its answer.",
+            ("outcome",),
+            registry=self.registry,
+        )
+
+    def held(self, outcome: HoldOutcome) -> None:
+        """Count the answer of a holder at another router."""
+        self.holds.labels(outcome.value).inc()
+
     def late(self, taken: bool) -> None:
         """Count a request that came while the process was stopping."""
         self.late_requests.labels("taken" if taken else "refused").inc()
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -21,6 +21,7 @@
 from ebonyhold.exceptions import BackendLostError, MalformedMessageError
 from ebonyhold.forwarding import (
     CallerConnection,
+    CallerLimits,
     HttpCalls,
     Outbound,
     RequestHead,
@@ -38,6 +39,19 @@
 
 JSON = [(b"content-type", b"application/json")]
 
+KEPT_SECONDS = 40
+"""How long a connection between two gateways is kept without a question on it.
+
+In a large fleet two gateways speak once in many seconds, and a new connection takes as
+much processor time as a question.
+"""
+
+PEER_LIMITS = CallerLimits(idle_timeout=KEPT_SECONDS)
+"""What other gateways may send."""
+
+ANSWER = [*JSON, (b"keep-alive", b"timeout=%d" % KEPT_SECONDS)]
+"""The headers of an answer to another gateway."""
+
 OFFER_TIMEOUT: Seconds = 0.08
 """The longest wait for the offers of all others; one takes some 4 ms."""
 
@@ -266,7 +280,7 @@
             await connection.answer(400, JSON, b"{}")
             return
         answer = await self.answer(request)
-        await connection.answer(200, JSON, json.dumps(to_json(answer)).encode())
+        await connection.answer(200, ANSWER, json.dumps(to_json(answer)).encode())
 
     async def answer(self, request: TransferRequest) -> TransferAnswer:
         """Pass on what is asked for, as far as it is here."""
--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -96,6 +96,19 @@
         assert await holders.hold("vm-2", wanted) is outcome
 
 
+async def test_questions_to_a_holder_share_a_connection() -> None:
+    """Each question of a large fleet opened a connection, which cost as much again."""
+    async with holder(Holding()) as holders:
+        for number in range(3):
+            wanted = WantedHold(f"vm-1.a/{number}", "acme", 10, "r")
+            await holders.hold("vm-2", wanted)
+        [calls] = holders.peers.calls.values()
+        assert calls.pool is not None
+        assert calls.pool.opened == 1
+        [kept] = next(iter(calls.pool.unused.values()))
+        assert kept.usable_until - anyio.current_time() > 30.0
+
+
 async def test_a_holder_hears_what_requests_cost() -> None:
     account = Holding()
     async with holder(account) as holders:
