Tell a holder its last settlements beside those that are under way

A gateway that stops tells holders once more what its last requests cost, while the task that does so all the time may be at it. Each took the list of holders first and then what each of them has to hear; the second found no entry of a holder that the first had just told, and the KeyError counted as a failure of the stop. By reading; the test fails without the change.

--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -162,7 +162,8 @@
 
     def drop_old(self, peer: str, now: Seconds) -> dict[HoldId, Unsettled]:
         """Give up what a holder was told in vain for long; return the rest."""
-        waiting = self.unsettled[peer]
+        # Another task may just have told this holder all there was.
+        waiting = self.unsettled.get(peer, {})
         kept = {
             hold: one
             for hold, one in waiting.items()
@@ -174,7 +175,7 @@
         if kept:
             self.unsettled[peer] = kept
         else:
-            del self.unsettled[peer]
+            self.unsettled.pop(peer, None)
         return dict(kept)
 
 
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -165,9 +165,10 @@
         ),
         Rule(
             "presence",
-            "other routers count one less within 14 s",
+            "other routers count one less after a few counts, and ask others for "
+            "tokens",
             AFTER_PAUSE,
-            "only shares of budgets follow from the count",
+            "only shares of budgets and their holders follow from the count",
         ),
         Rule(
             "treasury",
--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -193,3 +193,19 @@
         assert account.ledger.held == 300
         holders.peers.addresses = addresses
         await until(lambda: account.ledger.available == 400)
+
+
+async def test_the_last_settlements_may_meet_those_under_way() -> None:
+    """A stopping gateway failed by a holder that had just heard all it had to."""
+    account = Holding()
+    async with holder(account) as holders:
+        wanted = WantedHold("vm-1.a/1", "acme", 300, "r")
+        assert await holders.hold("vm-2", wanted) is HoldOutcome.HELD
+        holders.settle("vm-2", wanted.hold, 100)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(holders.tell, "vm-2")
+            tasks.start_soon(holders.tell, "vm-3")
+        await holders.tell("vm-2")
+        assert account.ledger.available == 400
+        assert not holders.unsettled
