--- a/ebonyhold/experiments/budget_holders.py
+++ b/ebonyhold/experiments/budget_holders.py
@@ -70,7 +70,7 @@
         needless: Those of them that the unspent tokens of their budget covered.
         messages: Questions between routers.
         writes: Transactions, renewals of limits left out.
-        stranded: Tokens that one router held at most, when requests had ended.
+        most_held: Tokens that one router held at most, when requests had ended.
     """
 
     requests: int = 0
@@ -78,7 +78,7 @@
     needless: int = 0
     messages: int = 0
     writes: int = 0
-    stranded: Tokens = 0
+    most_held: Tokens = 0
 
 
 @define(eq=False)
@@ -219,11 +219,11 @@
                     requests.start_soon(self.request)
                     await anyio.sleep(self.random.expovariate(REQUESTS_PER_S))
             tasks.cancel_scope.cancel()
-        self.counts.stranded = max(map(self.held_by, self.routers.values()))
+        self.counts.most_held = max(map(self.held_by, self.routers.values()))
         return self.counts
 
     def held_by(self, router: ModelRouter) -> Tokens:
-        """Return the tokens that would be in doubt if a router were killed."""
+        """Return the tokens that are free at one router."""
         accounts = router.treasury.accounts.values()
         return sum(account.grant.ledger.available for account in accounts)
 
@@ -284,7 +284,7 @@
             str(counts.needless),
             f"{counts.messages / counts.requests:.2f}",
             f"{counts.writes / counts.requests:.2f}",
-            str(counts.stranded),
+            str(counts.most_held),
         )
         for play, counts in zip(plays, results, strict=True)
     ]
