Log the content of requests that were at a server when it crashed

Change: after a connection broke, a router connects to the server once more, apart from the request; if that is refused, it logs each request that was lost there with the digest of its workspace and content. The digest is computed only then.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -84,7 +84,8 @@
             result, kept = await self.send_and_read(channel, work)
         except BackendLostError as error:
             self.backends.failed(self.entry, anyio.current_time())
-            result = AttemptResult(AttemptEnd.LOST, reason=str(error))
+            broken = not isinstance(error, SilenceError)
+            result = AttemptResult(AttemptEnd.LOST, reason=str(error), broken=broken)
         finally:
             self.entry.in_flight -= 1
             work.end()
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -62,6 +62,12 @@
     code = "connect_timeout"
 
 
+class ConnectRefusedError(BackendLostError):
+    """A connection was refused: no process listens at the address."""
+
+    code = "connect_refused"
+
+
 @frozen
 class AnswerHead:
     """The head of a backend server's answer."""
@@ -250,6 +256,10 @@
         """Return whether the connection is open and has no unread bytes."""
         return not (self.inbox.waiting or self.inbox.ended or self.closed)
 
+    def keep_unused(self, now: Seconds) -> None:
+        """Allow a new connection to be used later, for the default time."""
+        self.usable_until = now + DEFAULT_IDLE_TIME
+
     async def close(self) -> None:
         """Close the connection, and wake the tasks that wait for its bytes."""
         if not self.closed:
@@ -267,6 +277,7 @@
 
     Raises:
         ConnectTimeoutError: The server did not accept in time; nothing was sent.
+        ConnectRefusedError: No process listens at the address; nothing was sent.
         BackendLostError: The server cannot be reached; nothing was sent.
     """
     stream: SocketStream | None = None
@@ -274,7 +285,9 @@
         with anyio.move_on_after(timeout):
             stream = await anyio.connect_tcp(address[0], address[1])
     except OSError as error:
-        raise BackendLostError(f"no connection: {error}") from error
+        refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+        kind = ConnectRefusedError if refused else BackendLostError
+        raise kind(f"no connection: {error}") from error
     if stream is None:
         raise ConnectTimeoutError("no connection in time")
     raw = stream.extra(SocketAttribute.raw_socket)
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -9,9 +9,10 @@
 
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
 from ebonyhold.forwarding._channel import AnswerHead
-from ebonyhold.forwarding._routes import Match
+from ebonyhold.forwarding._digest import request_digest
+from ebonyhold.forwarding._routes import Match, host_of
 from ebonyhold.forwarding._types import CallerRequest, Headers
-from ebonyhold.types import BackendName, Seconds, Tokens
+from ebonyhold.types import BackendName, RequestDigest, Seconds, Tokens
 
 BODILESS = (204, 304)
 """Statuses whose answers have no body."""
@@ -52,11 +53,13 @@
         answer: The server's error answer if `end` is FAILED. The caller gets it if no
             other attempt succeeds.
         reason: Why it failed, for logs.
+        broken: Whether the connection ended before the answer did.
     """
 
     end: AttemptEnd
     answer: WholeAnswer | None = None
     reason: str = ""
+    broken: bool = False
 
 
 @define(eq=False)
@@ -79,6 +82,7 @@
         events: How many events were passed on.
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
+        known_digest: The digest of its content; empty until `digest` is first read.
     """
 
     connection: CallerConnection
@@ -96,10 +100,25 @@
     events: int = 0
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
+    known_digest: RequestDigest = ""
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
 
+    @property
+    def digest(self) -> RequestDigest:
+        """The digest of its content, computed when it is first needed."""
+        if not self.known_digest:
+            workspace = self.match.workspace
+            self.known_digest = request_digest(
+                workspace.name if workspace else "",
+                self.head.method,
+                host_of(self.head.headers),
+                self.head.target,
+                self.body,
+            )
+        return self.known_digest
+
     @property
     def charge(self) -> Tokens:
         """The tokens to charge; 0 if the request cannot have run.
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 import anyio
-from attrs import define, field
+from attrs import Factory, define, field
 
 from ebonyhold.exceptions import (
     BudgetExhaustedError,
@@ -19,6 +19,7 @@
 from ebonyhold.forwarding._backends import BackendEntry, BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._choice import choose
+from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
 from ebonyhold.forwarding._pool import ChannelPool
@@ -101,6 +102,7 @@
             in seconds, for metrics.
         ages: Returns the age of each cached input in seconds, for logs.
         shutdown: Decides which requests are accepted during a shutdown.
+        crashes: Detects crashes of servers.
     """
 
     domain: str
@@ -113,6 +115,9 @@
     on_end: Callable[[str, str, Seconds], None]
     ages: Callable[[], dict[str, Seconds]] = dict
     shutdown: Shutdown = field(factory=Shutdown)
+    crashes: CrashDetector = Factory(
+        lambda self: CrashDetector(self.pool, self.backends), takes_self=True
+    )
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -256,6 +261,8 @@
             result = await attempt.run()
             if result.end is AttemptEnd.DELIVERED:
                 return DELIVERED
+            if result.broken:
+                self.crashes.lost(exchange, entry)
             self.record_failure(exchange, entry.backend.name, result)
             refusal = self.check_retry(exchange, result)
             if refusal is not None:
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -52,8 +52,14 @@
             BackendLostError: The server cannot be reached.
         """
         kept = self.take(name, address)
-        if kept is not None:
-            return kept
+        return kept if kept is not None else await self.connect(name, address)
+
+    async def connect(self, name: BackendName, address: tuple[str, int]) -> Channel:
+        """Return a new connection to a server.
+
+        Raises:
+            BackendLostError: The server cannot be reached; see `open_channel`.
+        """
         self.opened += 1
         try:
             channel = await open_channel(address, self.tasks, self.connect_timeout)
--- a/ebonyhold/types.py
+++ b/ebonyhold/types.py
@@ -26,6 +26,9 @@
 The caller's idempotency key, or a generated one.
 """
 
+RequestDigest: TypeAlias = str
+"""Identifies the requests of one workspace that have the same content."""
+
 AttemptId: TypeAlias = str
 """The identifier of an attempt: one dispatch of a request to a backend server."""
 
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from typing import cast
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 from attrs import define, field
 
 from ebonyhold.forwarding import (
@@ -82,6 +83,7 @@
         connections: Number of connections accepted.
         closed: Number of connections that ended.
         port: Its port, once it listens.
+        listener: Accepts its connections, once it listens.
     """
 
     name: str
@@ -91,6 +93,19 @@
     connections: int = 0
     closed: int = 0
     port: int = 0
+    listener: SocketListener | None = None
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Accept connections until `crash` is called, and serve each in a task."""
+        assert self.listener is not None
+        with suppress(anyio.ClosedResourceError):
+            while True:
+                tasks.start_soon(self.serve, await self.listener.accept())
+
+    async def crash(self) -> None:
+        """Refuse all further connections; the script ends those that are open."""
+        assert self.listener is not None
+        await self.listener.aclose()
 
     async def serve(self, stream: SocketStream) -> None:
         """Run the script for each request of a connection until it closes."""
@@ -234,10 +249,11 @@
     ended: list[tuple[str, str]] = []
     async with anyio.create_task_group() as tasks:
         for server in servers:
-            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
-            server.port = listener.extra(SocketAttribute.local_port)
+            listeners = await anyio.create_tcp_listener(local_host=LOOPBACK)
+            (server.listener,) = cast("list[SocketListener]", listeners.listeners)
+            server.port = listeners.extra(SocketAttribute.local_port)
             table.update(server.backend())
-            tasks.start_soon(listener.serve, server.serve)
+            tasks.start_soon(server.run, tasks)
         forwarder = Forwarder(
             domain="a",
             dialect=PlatformDialect(),
