--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -53,6 +53,12 @@
 stream.
 """
 
+CRASH_DELAY = 0.05
+"""Seconds from the start of a run that crashes its engine to the crash."""
+
+RESTART_DELAY = 0.8
+"""Seconds after a crash until the engine accepts connections again."""
+
 NO_ANSWER = 0
 BROKEN_STREAM = 1
 JSON = [(b"content-type", b"application/json")]
@@ -67,11 +73,13 @@
             maximum number of tokens allows.
         pause: Seconds before each event, or before an answer that is one body.
         fault_free: Whether the engine must not inject a fault.
+        crashes: Whether the run crashes its engine.
     """
 
     events: int | None = None
     pause: float = EVENT_PAUSE
     fault_free: bool = False
+    crashes: bool = False
 
     @classmethod
     def from_target(cls, target: str) -> Script:
@@ -82,6 +90,7 @@
             None if events is None else int(events),
             float(query.get("pause", EVENT_PAUSE)),
             "sound" in query,
+            "crash" in query,
         )
 
 
@@ -224,11 +233,19 @@
 
 @define(eq=False)
 class EngineApp:
-    """An engine: it answers ``/book/`` targets with one body, others with a stream."""
+    """An engine: it answers ``/book/`` targets with one body, others with a stream.
+
+    Attributes:
+        name: Its name in the list of servers.
+        runs: The records of all engines' runs.
+        started_at: When its process started, in milliseconds since the epoch.
+        crash: Ends its process: all connections and the listener.
+    """
 
     name: str
     runs: list[Run]
     started_at: int = field(factory=lambda: int(time.time() * 1000))
+    crash: Callable[[], None] = lambda: None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -256,6 +273,10 @@
         script = Script.from_target(target)
         fault = zlib.crc32(request_id.encode()) % FAULT_PERIOD
         try:
+            if script.crashes:
+                await anyio.sleep(CRASH_DELAY)
+                self.crash()
+                await anyio.sleep_forever()
             if fault == NO_ANSWER and not resumes and not script.fault_free:
                 await connection.close()
                 return
@@ -319,6 +340,18 @@
         await anyio.sleep(ENTRY_INTERVAL)
 
 
+async def run_engine(store: StoreApp, engine: EngineApp, port: int) -> None:
+    """Run an engine, and restart it after each crash, until cancelled."""
+    while True:
+        async with anyio.create_task_group() as tasks:
+            engine.crash = tasks.cancel_scope.cancel
+            listener = CallerListener(engine.serve, CallerLimits)
+            tasks.start_soon(listener.run, (HOST, port), tasks)
+            tasks.start_soon(renew_entry, store, engine, port)
+        await anyio.sleep(RESTART_DELAY)
+        engine.started_at = int(time.time() * 1000)
+
+
 async def main(port: int, engines: int) -> None:
     """Serve the store, the records and some engines until the process is killed."""
     store = StoreApp()
@@ -340,10 +373,7 @@
         tasks.start_soon(records_listener.run, (HOST, port + 1), tasks)
         for number in range(engines):
             engine = EngineApp(f"i-{number}", runs)
-            engine_port = port + 2 + number
-            engine_listener = CallerListener(engine.serve, limits)
-            tasks.start_soon(engine_listener.run, (HOST, engine_port), tasks)
-            tasks.start_soon(renew_entry, store, engine, engine_port)
+            tasks.start_soon(run_engine, store, engine, port + 2 + number)
 
 
 if __name__ == "__main__":
