Reject requests that crash the servers that run them

Cause: a gateway forgot a request at its answer, and told no other gateway what the request had done to a server, so each repeat was new to all of them. Change: a request that was at a server which crashed is recorded under the digest of its workspace and content, together with the run of the server. A request is rejected from the third crash that followed on the knowledge of the one before, without a complete answer in between (400 crashes_servers, before tokens are held). Copies of a request on a dying rack count once; requests that were lost together are sent to different servers, and are cleared once the cause is known. The retries of one attempt end at three broken connections. The golden file of enums is as it was; the added code stands in a file of its own, and the test wants exactly both.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -76,6 +76,13 @@
     resolve_publication,
 )
 from ._cover import OutageCover, outage_cover
+from ._crashes import (
+    REJECT_AFTER,
+    CrashRecords,
+    CrashReport,
+    RequestLoss,
+    ServerRun,
+)
 from ._ejection import (
     EjectionPolicy,
     Ejector,
@@ -255,6 +262,7 @@
     "INITIAL_TOPUP",
     "MAX_REPEATS",
     "REFUND_PREFIX",
+    "REJECT_AFTER",
     "REQUEST_PREFIX",
     "ROUTER_PREFIX",
     "TOPUP_PREFIX",
@@ -282,6 +290,8 @@
     "CircuitBreaker",
     "ClaimAnswer",
     "ClaimDecision",
+    "CrashRecords",
+    "CrashReport",
     "Delete",
     "DrainingServer",
     "EjectionPolicy",
@@ -332,6 +342,7 @@
     "RefundRow",
     "Refused",
     "RequestKind",
+    "RequestLoss",
     "RequestRow",
     "RequestState",
     "RetryBudget",
@@ -339,6 +350,7 @@
     "RouterState",
     "Row",
     "Seal",
+    "ServerRun",
     "Settlement",
     "StartupPolicy",
     "Table",
--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from ebonyhold.forwarding._calls import CallNotSentError, HttpCalls
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._choice import choose
+from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import WholeAnswer
@@ -62,6 +63,7 @@
     "CallerRequest",
     "Channel",
     "ChannelPool",
+    "CrashDetector",
     "Dialect",
     "Dispatch",
     "EventSplitter",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -57,13 +57,23 @@
 
 @define(eq=False)
 class Attempt:
-    """Sends a request to one backend server and passes its answer on to the caller."""
+    """Sends a request to one backend server and passes its answer on to the caller.
+
+    Attributes:
+        exchange: The request.
+        entry: The server.
+        pool: The connections to servers.
+        backends: Records failures.
+        dialect: Decodes and encodes header fields.
+        suspect: Whether the request may crash the server.
+    """
 
     exchange: Exchange
     entry: BackendEntry
     pool: ChannelPool
     backends: BackendTable
     dialect: Dialect
+    suspect: bool = False
 
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended.
@@ -71,6 +81,14 @@
         A failed connection and a missing or incomplete answer are recorded in
         `backends` and returned in the result; BackendLostError is not raised.
         """
+        self.entry.suspects += self.suspect
+        try:
+            return await self.connect_and_send()
+        finally:
+            self.entry.suspects -= self.suspect
+
+    async def connect_and_send(self) -> AttemptResult:
+        """Send the request on a connection and return how the attempt ended."""
         backend = self.entry.backend
         try:
             channel = await self.pool.get(backend.name, backend.address)
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -43,6 +43,7 @@
         backend: The server's entry in the server list.
         in_flight: Number of this router's requests that it is processing.
         work: Estimated load of those requests.
+        suspects: Number of those requests that may crash the server.
         full_until: Until when it counts as full, after it declined a request.
         moved: Whether an answer stated that another server has its address.
         drop_at: When to remove it, if its list entry is missing after an outage of the
@@ -52,6 +53,7 @@
     backend: Backend
     in_flight: int = 0
     work: ServerWork = field(factory=ServerWork)
+    suspects: int = 0
     full_until: Seconds = 0.0
     moved: bool = False
     drop_at: Seconds | None = None
--- a/ebonyhold/forwarding/_choice.py
+++ b/ebonyhold/forwarding/_choice.py
@@ -63,6 +63,15 @@
     return min(entries, key=load)
 
 
+def with_fewest_suspects(entries: Sequence[BackendEntry]) -> list[BackendEntry]:
+    """Return the servers with the fewest requests that may crash them.
+
+    If such requests are kept apart, a crash shows which one is the cause.
+    """
+    fewest = min(entry.suspects for entry in entries)
+    return [entry for entry in entries if entry.suspects == fewest]
+
+
 def choose(
     request: CallerRequest, entries: Sequence[BackendEntry], domain: str, now: Seconds
 ) -> BackendEntry:
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -1,34 +1,49 @@
-"""Detects that a server crashed while it had requests."""
+"""Detects that a server crashed, and rejects requests that crash servers."""
 
 from __future__ import annotations
 
 import logging
+import time
 
 import anyio
 from attrs import define, field, frozen
 
+from ebonyhold.coordination import (
+    REJECT_AFTER,
+    CrashRecords,
+    RequestLoss,
+    ServerRun,
+)
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendEntry, BackendTable
 from ebonyhold.forwarding._channel import ConnectRefusedError
-from ebonyhold.forwarding._exchange import Exchange
+from ebonyhold.forwarding._exchange import AttemptLoss, Exchange
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._types import BackendState
-from ebonyhold.types import RequestDigest, RequestId
 
 log = logging.getLogger(__name__)
 
 
 @frozen(eq=False)
-class LostRequest:
-    """A request whose connection to a server broke."""
+class UncheckedLoss:
+    """A loss at a server for which it is not known yet whether the server crashed.
 
-    request: RequestId
-    digest: RequestDigest
+    Attributes:
+        exchange: The lost request.
+        loss: The loss.
+        earlier: The earlier losses of this exchange.
+        known_depth: The depth of the request's losses that were known when it was sent.
+    """
+
+    exchange: Exchange
+    loss: AttemptLoss
+    earlier: tuple[AttemptLoss, ...]
+    known_depth: int
 
 
 @define(eq=False)
 class CrashDetector:
-    """Checks servers whose connections broke during requests.
+    """Checks servers whose connections broke, and records requests lost in crashes.
 
     A connection may also break because the server drops it. Only if the server refuses
     a new connection right afterwards has its process ended.
@@ -36,30 +51,53 @@
     Attributes:
         pool: The connections to servers.
         backends: The known servers.
+        records: The losses known to all routers.
         unchecked: The lost requests of each server that is being checked.
     """
 
     pool: ChannelPool
     backends: BackendTable
-    unchecked: dict[BackendEntry, list[LostRequest]] = field(factory=dict)
+    records: CrashRecords = field(factory=CrashRecords)
+    unchecked: dict[BackendEntry, list[UncheckedLoss]] = field(factory=dict)
+
+    def is_rejected(self, exchange: Exchange) -> bool:
+        """Return whether a request is rejected because it crashes servers."""
+        rejected = self.records.rejected
+        return bool(rejected) and exchange.digest in rejected
+
+    def depth(self, exchange: Exchange) -> int:
+        """Return the depth of a request's losses; 0 if it was in no crash."""
+        return self.records.depth(exchange.digest) if self.records.losses else 0
 
-    def lost(self, exchange: Exchange, entry: BackendEntry) -> None:
+    def may_retry(self, exchange: Exchange) -> bool:
+        """Return whether a request may be sent again, also before all is checked."""
+        return len(exchange.losses) < REJECT_AFTER
+
+    def answered(self, exchange: Exchange) -> None:
+        """Record that a server has answered a request completely."""
+        if self.records.losses:
+            self.records.retract(exchange.digest)
+
+    def lost(self, exchange: Exchange, entry: BackendEntry, known_depth: int) -> None:
         """Record that the connection broke during a request, and check the server.
 
         A server that is draining or no longer listed is expected to end.
         """
+        unchecked = UncheckedLoss(
+            exchange, AttemptLoss(), tuple(exchange.losses), known_depth
+        )
+        exchange.losses.append(unchecked.loss)
         ready = entry.backend.state is BackendState.READY
         if not ready or not self.backends.is_current(entry):
             return
-        lost = LostRequest(exchange.caller.request_id, exchange.digest)
         if entry in self.unchecked:
-            self.unchecked[entry].append(lost)
+            self.unchecked[entry].append(unchecked)
             return
-        self.unchecked[entry] = [lost]
+        self.unchecked[entry] = [unchecked]
         self.pool.tasks.start_soon(self.check, entry)
 
     async def check(self, entry: BackendEntry) -> None:
-        """Connect to a server; if it refuses, log its lost requests."""
+        """Connect to a server; if it refuses, record the losses there."""
         backend = entry.backend
         refused = False
         try:
@@ -70,14 +108,26 @@
             channel.keep_unused(anyio.current_time())
             await self.pool.put(backend.name, channel)
         finally:
-            lost = self.unchecked.pop(entry)
+            losses = self.unchecked.pop(entry)
         if refused:
-            for item in lost:
-                self.record_crash(entry, item)
-
-    def record_crash(self, entry: BackendEntry, lost: LostRequest) -> None:
-        """Log a request that was in flight at a server when the server crashed."""
-        fields = {"request": lost.request, "content": lost.digest}
+            for unchecked in losses:
+                self.record_crash(entry, unchecked)
+
+    def record_crash(self, entry: BackendEntry, unchecked: UncheckedLoss) -> None:
+        """Record and log that a request was at a server when the server crashed."""
+        loss = unchecked.loss
+        earlier = (other.depth for other in unchecked.earlier)
+        loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
+        exchange, backend = unchecked.exchange, entry.backend
+        run = ServerRun(backend.name, backend.started_at)
+        self.records.add(RequestLoss(exchange.digest, run, loss.depth, time.time()))
         log.warning(
-            "request lost in a crash", extra={**fields, "backend": entry.backend.name}
+            "request lost in a crash",
+            extra={
+                "request": exchange.caller.request_id,
+                "content": exchange.digest,
+                "backend": backend.name,
+                "depth": loss.depth,
+                "rejected": self.is_rejected(exchange),
+            },
         )
--- a/ebonyhold/forwarding/_digest.py
+++ b/ebonyhold/forwarding/_digest.py
@@ -6,8 +6,9 @@
 
 from ebonyhold.types import RequestDigest, WorkspaceName
 
-DIGEST_BYTES = 16
-"""Length of a digest; the collisions of a shorter one could be found by trial."""
+DIGEST_LENGTH = 32
+"""Length of a digest in hexadecimal digits; the collisions of a much shorter one could
+be found by trial."""
 
 
 def request_digest(
@@ -18,9 +19,9 @@
     Header fields other than the host are left out, since they differ when a caller
     repeats a request: its identifier, the time left, the position in a stream.
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.sha256()
     for part in (workspace.encode(), method, host.encode(), target, body):
         # The lengths keep the parts apart.
         digest.update(b"%d:" % len(part))
         digest.update(part)
-    return digest.hexdigest()
+    return digest.hexdigest()[:DIGEST_LENGTH]
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -62,6 +62,18 @@
     broken: bool = False
 
 
+@define(eq=False)
+class AttemptLoss:
+    """The loss of an attempt whose connection broke.
+
+    Attributes:
+        depth: Depth of the request's loss (see `RequestLoss`); 0 unless it is confirmed
+            that the server has crashed.
+    """
+
+    depth: int = 0
+
+
 @define(eq=False)
 class Exchange:
     """A request and its progress.
@@ -83,6 +95,7 @@
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
         known_digest: The digest of its content; empty until `digest` is first read.
+        losses: Its losses by connections that broke, in order.
     """
 
     connection: CallerConnection
@@ -101,6 +114,7 @@
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
     known_digest: RequestDigest = ""
+    losses: list[AttemptLoss] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -18,7 +18,7 @@
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._backends import BackendEntry, BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
-from ebonyhold.forwarding._choice import choose
+from ebonyhold.forwarding._choice import choose, with_fewest_suspects
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
@@ -102,7 +102,7 @@
             in seconds, for metrics.
         ages: Returns the age of each cached input in seconds, for logs.
         shutdown: Decides which requests are accepted during a shutdown.
-        crashes: Detects crashes of servers.
+        crashes: Detects crashes of servers and rejects requests that cause them.
     """
 
     domain: str
@@ -208,8 +208,11 @@
             The outcome.
 
         Raises:
-            Refused: The router is stopping, or the tokens are not available.
+            Refused: The request crashes servers, the router is stopping, or the tokens
+                are not available.
         """
+        if self.crashes.is_rejected(exchange):
+            raise Refused(Refusal.CRASHES_SERVERS)
         workspace = exchange.match.workspace
         max_charge = exchange.caller.max_charge
         hold = self.open_hold(workspace.name) if workspace and max_charge else None
@@ -251,18 +254,23 @@
         This ends when an answer was passed on or the request is given up.
         """
         while True:
-            entry = self.next_entry(exchange)
+            depth = self.crashes.depth(exchange)
+            suspect = depth > 0 or bool(exchange.losses)
+            entry = self.next_entry(exchange, suspect)
             if isinstance(entry, Refusal):
                 return await self.give_up(exchange, entry)
-            attempt = Attempt(exchange, entry, self.pool, self.backends, self.dialect)
+            attempt = Attempt(
+                exchange, entry, self.pool, self.backends, self.dialect, suspect
+            )
             if exchange.sends == 0:
                 self.retries.request(exchange.match.service, anyio.current_time())
             self.log_dispatch(exchange, entry)
             result = await attempt.run()
             if result.end is AttemptEnd.DELIVERED:
+                self.crashes.answered(exchange)
                 return DELIVERED
             if result.broken:
-                self.crashes.lost(exchange, entry)
+                self.crashes.lost(exchange, entry, depth)
             self.record_failure(exchange, entry.backend.name, result)
             refusal = self.check_retry(exchange, result)
             if refusal is not None:
@@ -284,8 +292,15 @@
             },
         )
 
-    def next_entry(self, exchange: Exchange) -> BackendEntry | Refusal:
-        """Return the next server to try; a refusal if no server or time is left."""
+    def next_entry(self, exchange: Exchange, suspect: bool) -> BackendEntry | Refusal:
+        """Return the next server to try, or a refusal if there is none.
+
+        Args:
+            exchange: The request.
+            suspect: Whether it may crash the server.
+        """
+        if self.crashes.is_rejected(exchange):
+            return Refusal.CRASHES_SERVERS
         now = anyio.current_time()
         if exchange.deadline - now < MIN_TIME_LEFT:
             ran = exchange.may_have_run
@@ -294,6 +309,8 @@
         entries = self.backends.usable(service, now, exchange.tried)
         if not entries:
             return self.no_server_left(exchange)
+        if suspect:
+            entries = with_fewest_suspects(entries)
         return choose(exchange.caller, entries, self.domain, now)
 
     def no_server_left(self, exchange: Exchange) -> Refusal:
@@ -330,7 +347,7 @@
         refusal = Refusal.SERVER_LOST if exchange.may_have_run else Refusal.SERVERS_FULL
         if lost and not exchange.match.route.idempotent:
             return refusal
-        if not exchange.attempts_left:
+        if not (exchange.attempts_left and self.crashes.may_retry(exchange)):
             return refusal
         now = anyio.current_time()
         if not self.retries.take(exchange.match.service, now):
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -33,6 +33,7 @@
     NOT_STARTED = (503, "not_started_in_time")
     STOPPING = (503, "router_stopping")
     NO_ANSWER = (504, "no_answer_in_time")
+    CRASHES_SERVERS = (400, "crashes_servers")
 
     @property
     def status(self) -> int:
--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -1,5 +1,6 @@
 """The gateway process, which forwards callers' requests to backend servers."""
 
+from ebonyhold.gateway._crash_reports import CRASHES_TARGET, CrashReports
 from ebonyhold.gateway._explain import explain
 from ebonyhold.gateway._gateway import Gateway
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
@@ -40,6 +41,7 @@
 from ebonyhold.gateway._watcher import Watcher
 
 __all__ = [
+    "CRASHES_TARGET",
     "EXIT_FAULT",
     "EXIT_OK",
     "EXIT_PORT",
@@ -48,6 +50,7 @@
     "Action",
     "BoundedOutput",
     "Changes",
+    "CrashReports",
     "Gateway",
     "GatewayHolders",
     "GatewayPeers",
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -11,17 +11,21 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
+from ebonyhold.coordination import CrashRecords
 from ebonyhold.forwarding import (
     CallerConnection,
     CallerLimits,
     CallerListener,
     ChannelPool,
+    CrashDetector,
     FleetRetryBudget,
     Forwarder,
     RequestHead,
     Ruleset,
     Shutdown,
 )
+from ebonyhold.gateway._crash_reports import TABLE as CRASHES_TABLE
+from ebonyhold.gateway._crash_reports import WATCH_WAIT, CrashReports
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._metrics import GatewayMetrics
@@ -79,6 +83,8 @@
     grant_manager: GrantManager = field(init=False)
     rules_watcher: Watcher = field(init=False)
     servers_watcher: Watcher = field(init=False)
+    crashes: CrashReports = field(init=False)
+    crashes_watcher: Watcher = field(init=False)
     listener: CallerListener = field(init=False)
     pressure: PressureMonitor = field(init=False)
     shutdown: Shutdown = field(init=False)
@@ -144,6 +150,22 @@
             self.routing.update_servers,
             self.presence.count,
         )
+        self.crashes = CrashReports(
+            store,
+            name,
+            CrashRecords(),
+            self.presence.count,
+            self.renewals.is_store_reachable,
+            self.peers,
+        )
+        self.crashes_watcher = Watcher(
+            store,
+            CRASHES_TABLE,
+            self.crashes.merge_rows,
+            self.crashes.merge_rows,
+            self.presence.count,
+            WATCH_WAIT,
+        )
 
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
@@ -160,6 +182,8 @@
             supervisor.start("signals", self.handle_signals, supervisor.stop)
             supervisor.start("rules", self.rules_watcher.run)
             supervisor.start("servers", self.servers_watcher.run)
+            supervisor.start("crashes", self.crashes_watcher.run)
+            supervisor.start("crash reports", self.crashes.run)
             supervisor.start("renewals", self.renewals.run)
             supervisor.start("presence", self.presence.run)
             supervisor.start("treasury", self.grant_manager.run)
@@ -198,6 +222,9 @@
             on_end=self.metrics.count_request,
             ages=self.ages,
             shutdown=self.shutdown,
+            crashes=CrashDetector(
+                self.pool, self.routing.backends, self.crashes.records
+            ),
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
@@ -215,9 +242,8 @@
         supervisor.start("metrics", listen, metrics, metrics_address, tasks)
         if settings.peers_port:
             remote_holds = RemoteHolds(self.grant_manager.grant, lambda: self.draining)
-            handler = PeerHandler(
-                TransferHandler(self.grant_manager.grant), remote_holds
-            )
+            transfers = TransferHandler(self.grant_manager.grant)
+            handler = PeerHandler(transfers, remote_holds, self.crashes.merge)
             peer_listener = CallerListener(handler.serve, lambda: PEER_LIMITS, guard)
             address = (settings.host, settings.peers_port)
             supervisor.start("transfers", listen, peer_listener, address, tasks)
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -178,6 +178,19 @@
             "requests are served with the last list; failed connections show which "
             "servers are gone",
         ),
+        TaskRule(
+            "crashes",
+            "crashes that other routers saw are not known here",
+            AFTER_PAUSE,
+            "requests that crash servers are rejected for what is known; the next call "
+            "continues from its version",
+        ),
+        TaskRule(
+            "crash reports",
+            "crashes that this router saw are not known to the others",
+            AFTER_PAUSE,
+            "what is not published yet stays recorded and is published later",
+        ),
         TaskRule(
             "renewals",
             "the stored limits may not match how this router uses its grants",
--- a/ebonyhold/gateway/_watcher.py
+++ b/ebonyhold/gateway/_watcher.py
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 LONG_POLL_WAIT: Seconds = 0.6
-"""Time after which the store answers a call for changes even if there are none.
+"""Usual time after which the store answers a call for changes even if there are none.
 
 A broken connection is detected only after this time and a margin, and even then changes
 must be in force within two seconds.
@@ -46,6 +46,8 @@
         on_snapshot: Called with all rows, and whether the store was down before.
         on_changes: Called with the changed rows, and whether the store was down before.
         count_routers: Returns the number of routers that follow the table.
+        wait: Time after which the store answers a call for changes even if there are
+            none.
         version: The version after which changes are read; None if a snapshot is needed.
         answered_at: When the store last answered.
         reachable: Whether the last call was answered.
@@ -57,6 +59,7 @@
     on_snapshot: Callable[[tuple[RawRow, ...], bool], None]
     on_changes: Callable[[tuple[RawRow, ...], bool], None]
     count_routers: Callable[[], int] = lambda: 1
+    wait: Seconds = LONG_POLL_WAIT
     version: int | None = None
     answered_at: Seconds | None = None
     reachable: bool = True
@@ -85,7 +88,7 @@
             self.version = snapshot.version
             self.first_read.set()
             return
-        changes = await self.store.changes(self.table, self.version, LONG_POLL_WAIT)
+        changes = await self.store.changes(self.table, self.version, self.wait)
         after_outage = self.record_answer()
         if changes.rows:
             self.on_changes(changes.rows, after_outage)
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -55,6 +55,7 @@
     route("once", RouteKind.STREAM),
     route("short", RouteKind.UNSAFE, timeout=0.3),
     route("open", RouteKind.SAFE, anonymous=True),
+    route("often", RouteKind.SAFE, max_attempts=9),
 )
 ACME = Workspace("acme", ("k1", "k2"), priority=3, prepaid=10_000)
 
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -8,7 +8,17 @@
 import pytest
 from anyio.abc import SocketStream
 
-from tests.forwarding.kit import Script, Server, request, rig
+from ebonyhold.coordination import RequestLoss, ServerRun
+from ebonyhold.forwarding._digest import request_digest
+from tests.forwarding.kit import (
+    Rig,
+    Script,
+    Server,
+    UnlimitedHold,
+    answer,
+    request,
+    rig,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -65,3 +75,115 @@
         await both.wait()
         await anyio.sleep(0.1)
         assert fleet.forwarder.pool.opened == 3
+
+
+async def serves(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer correctly."""
+    await stream.send(answer(head))
+
+
+DIGEST = request_digest("acme", b"POST", "h.example", b"/unsafe/x", b"body")
+CRASHER = request("/unsafe/x", "POST", b"body")
+
+
+def add_losses(fleet: Rig, count: int) -> None:
+    """Record successive losses of the request that `DIGEST` identifies."""
+    for number in range(count):
+        run = ServerRun(f"gone-{number}", 1)
+        fleet.forwarder.crashes.records.add(RequestLoss(DIGEST, run, number + 1))
+
+
+async def test_own_retries_do_not_reach_a_fourth_server() -> None:
+    """The retries of one attempt must not take a request to server after server."""
+    servers = [Server(f"s{number}", crashes) for number in range(6)]
+    async with rig(*servers) as fleet:
+        got = await fleet.ask(request("/often/x"))
+        await anyio.sleep(0.1)
+        again = await fleet.ask(request("/often/x"))
+    assert sum(len(server.requests) for server in servers) == 3
+    assert got.startswith(b"HTTP/1.1 502 ")
+    assert again.startswith(b"HTTP/1.1 400 ")
+
+
+async def test_rejected_request_holds_nothing_and_is_not_invited_again() -> None:
+    """A request that is known to crash servers must be answered at once, for good."""
+    server, hold = Server("s", serves), UnlimitedHold()
+    counts = "X-Ebonyhold-Token-Counts: 100,40\r\n"
+    async with rig(server, hold=hold) as fleet:
+        add_losses(fleet, 3)
+        got = await fleet.ask(request("/unsafe/x", "POST", b"body", counts))
+        other = await fleet.ask(request("/unsafe/x", "POST", b"other", counts))
+    assert got.startswith(b"HTTP/1.1 400 ")
+    assert b"crashes_servers" in got
+    assert b"retry-after" not in got.lower()
+    assert other.startswith(b"HTTP/1.1 200 ")
+    assert len(server.requests) == len(hold.charges) == 1
+
+
+async def test_an_answer_acquits_a_request() -> None:
+    """A proper request that was in two crashes must not be rejected after a third."""
+    server = Server("s", serves)
+    async with rig(server) as fleet:
+        add_losses(fleet, 2)
+        await fleet.ask(CRASHER)
+        add_losses(fleet, 1)
+        assert fleet.forwarder.crashes.records.rejected == frozenset()
+        got = await fleet.ask(CRASHER)
+    assert got.startswith(b"HTTP/1.1 200 ")
+
+
+async def test_requests_lost_together_go_to_different_servers() -> None:
+    """Requests that were in one crash must not meet at the next server as well."""
+    both = anyio.Event()
+
+    async def crashes_with_two(server: Server, stream: SocketStream, head: str) -> None:
+        if len(server.requests) == 2:
+            both.set()
+        await both.wait()
+        await crashes(server, stream, head)
+
+    async def holds(server: Server, stream: SocketStream, head: str) -> None:
+        await anyio.sleep(0.3)
+        await serves(server, stream, head)
+
+    servers = [Server("a", crashes_with_two), Server("b", holds), Server("c", holds)]
+    parts = "X-Ebonyhold-Prompt-Prefix: 5c1e:800,91bd:10\r\n"
+    async with rig(*servers) as fleet, anyio.create_task_group() as tasks:
+        entries = fleet.forwarder.backends.entries
+        entries["b"].work.unread = entries["c"].work.unread = 10_000_000
+        for path in ("/safe/x", "/safe/y"):
+            tasks.start_soon(fleet.ask, request(path, extra=parts))
+        await both.wait()
+        entries["b"].work.unread = 0
+    assert [len(server.requests) for server in servers] == [2, 1, 1]
+
+
+@pytest.mark.parametrize(
+    ("extra", "same"),
+    [
+        ("X-Ebonyhold-Request-Id: r2\r\nLast-Event-Id: 4\r\n", True),
+        ("X-Ebonyhold-Deadline-Milliseconds: 900\r\n", True),
+        ("", False),
+    ],
+)
+async def test_a_repeat_has_the_digest_of_the_first(extra: str, same: bool) -> None:
+    """A repeat with a new identifier, or that resumes a stream, must be recognised."""
+    server = Server("s", serves)
+    body = b"body" if same else b"other body"
+    async with rig(server) as fleet:
+        add_losses(fleet, 3)
+        got = await fleet.ask(request("/unsafe/x", "POST", body, extra))
+    assert got.startswith(b"HTTP/1.1 400 ") is same
+
+
+def test_digests_of_different_requests_differ() -> None:
+    """A caller must not get the digest of another request by moving the borders."""
+    parts = [
+        ("acme", b"GET", "h", b"/a", b"bc"),
+        ("acme", b"GET", "h", b"/ab", b"c"),
+        ("acme", b"GET", "h/", b"a", b"bc"),
+        ("acm", b"eGET", "h", b"/a", b"bc"),
+        ("", b"GET", "h", b"/a", b"bc"),
+        ("acme", b"GET", "h", b"/a", b""),
+    ]
+    assert len({request_digest(*each) for each in parts}) == len(parts)
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -23,6 +23,7 @@
 from ebonyhold.configuration._store import BaseIndex, Manifest, Pack, PackEntry
 from ebonyhold.coordination._attempts import AttemptState
 from ebonyhold.coordination._configuration import HeadRow
+from ebonyhold.coordination._crashes import CrashReport, RequestLoss, ServerRun
 from ebonyhold.coordination._heartbeats import Beat, BeatKind
 from ebonyhold.coordination._leases import LeaseRow
 from ebonyhold.coordination._members import MemberStatus, MemberUpdate
@@ -79,6 +80,7 @@
 from ebonyhold.forwarding._exchange import AttemptEnd
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._types import RouteKind
+from ebonyhold.gateway._crash_reports import CrashReportAnswer
 from ebonyhold.gateway._holds import HoldAnswer, Settlements, SettlementsAnswer
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._renewals import LimitsRow
@@ -316,6 +318,19 @@
 }
 """What is written as compact JSON, by label."""
 
+CRASH_REPORT = CrashReport(
+    losses=(
+        RequestLoss(
+            request="5a0d6ffc", run=ServerRun("i-1", 1785000000000), depth=2, at=1.5
+        ),
+    ),
+    retracted=(
+        RequestLoss(
+            request="9b1e", run=ServerRun("i-2", 1785000000001), depth=3, at=2.5
+        ),
+    ),
+)
+
 GATEWAYS: Mapping[str, object] = {
     "transfer-request": GatewayTransferRequest(workspace="acme", amount=75),
     "transfer-answer": TransferAnswer(given=75, left=20),
@@ -325,6 +340,8 @@
     "hold-answer": HoldAnswer(outcome=HoldOutcome.EXHAUSTED),
     "settlements": Settlements(charges={"vm-1/5": 33}),
     "settled": SettlementsAnswer(),
+    "crash-report": CRASH_REPORT,
+    "crash-report-answer": CrashReportAnswer(),
 }
 """What gateways tell each other, by label."""
 
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -343,9 +343,10 @@
 
 @pytest.mark.parametrize("label", corpus.ENUMS)
 def test_values_of_enum_are_those_written(label: str) -> None:
-    written = json.loads(read("enums.json"))
+    written = json.loads(read("enums.json"))["values"][label]
+    added = json.loads(read("enums-added.json"))["values"].get(label, [])
     values = json.dumps([each.value for each in corpus.ENUMS[label]])
-    assert json.loads(values) == written["values"][label]
+    assert json.loads(values) == written + added
 
 
 @pytest.mark.parametrize("label", corpus.NAMED_ENUMS)
