Read and log the limit that a server names

Change: the field is decoded with the others of an answer; a change is logged for the server (server limit changed). A malformed value names no limit. Result: no change of what is sent; tests of forwarding and platform pass.

--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -46,6 +46,8 @@
         suspects: Number of those requests that may crash the server.
         full_until: Until when it counts as full, after it declined a request.
         moved: Whether an answer stated that another server has its address.
+        limit: Requests per second that it takes from all routers together, as its last
+            answer stated; None if it stated no limit.
         drop_at: When to remove it, if its list entry is missing after an outage of the
             store; None otherwise.
     """
@@ -56,6 +58,7 @@
     suspects: int = 0
     full_until: Seconds = 0.0
     moved: bool = False
+    limit: float | None = None
     drop_at: Seconds | None = None
 
 
@@ -150,6 +153,13 @@
         if self.is_current(entry):
             self.ejector.succeeded(entry.backend.name)
 
+    def set_limit(self, entry: BackendEntry, limit: float | None) -> None:
+        """Store the limit that a server's answer stated, and log a change."""
+        if limit != entry.limit:
+            fields = {"backend": entry.backend.name, "limit": limit}
+            log.info("server limit changed", extra=fields)
+        entry.limit = limit
+
     def usable(
         self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
     ) -> list[BackendEntry]:
--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -244,9 +244,12 @@
         proof: The server's response stamp, which proves its origin; empty if none.
         not_run: Whether the server states that it did not run the request.
         moved: Whether another server now has the address.
+        request_limit: Requests per second that the server takes from all routers
+            together; None if it states no limit.
     """
 
     request_id: str
     proof: bytes
     not_run: bool
     moved: bool
+    request_limit: float | None = None
--- a/ebonyhold/platform/_headers.py
+++ b/ebonyhold/platform/_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from attrs import frozen
 
 from ebonyhold.exceptions import MalformedRequestError
@@ -28,6 +30,9 @@
 RESPONSE_STAMP = b"x-ebonyhold-response-stamp"
 NOT_RUN = b"x-ebonyhold-not-executed"
 RESUME_AFTER = b"last-event-id"
+# Requests per second from all routers together, as a decimal number.
+REQUEST_LIMIT = b"server-limit"
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 MISDIRECTED = 421
 """Status with which a server refuses a request that names another server in
@@ -83,6 +88,19 @@
     return int(digits)
 
 
+def read_limit(value: bytes) -> float | None:
+    """Decode a limit on requests per second.
+
+    An absent or malformed value states no limit: servers write it, and a request must
+    not fail for it.
+
+    >>> read_limit(b"2.3"), read_limit(b"0"), read_limit(b"-1"), read_limit(b"")
+    (2.3, 0.0, None, None)
+    """
+    text = value.strip()
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
 def read_tokens(value: bytes) -> tuple[int, int]:
     """Decode the prompt's length and the answer's maximum length, in tokens.
 
@@ -174,6 +192,7 @@
             proof=first_value(headers, RESPONSE_STAMP),
             not_run=status == MISDIRECTED or bool(first_value(headers, NOT_RUN)),
             moved=status == MISDIRECTED,
+            request_limit=read_limit(first_value(headers, REQUEST_LIMIT)),
         )
 
     def refusal_headers(self, request_id: str) -> Headers:
