--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,77 @@
+"""Gateway processes that know each other, and bookings that callers send to them."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+
+from tests.platform.kit import Gateway, configuration
+from tests.platform.soak._run import PROGRAM, SoakRun
+from tests.platform.test_late_requests import start_platform
+
+GATEWAYS = 3
+
+CONTACT_TIME = 3.0
+"""Seconds within which the platform expects routers to learn from each other."""
+
+
+@asynccontextmanager
+async def gateways(folder: Path) -> AsyncIterator[SoakRun]:
+    """Run gateways that know each other, with a stand-in of the platform."""
+    soak = SoakRun(0, 0.0, folder, PROGRAM)
+    platform = start_platform(soak.base)
+    try:
+        await soak.write("op//config", configuration())
+        async with anyio.create_task_group() as tasks:
+            soak.tasks = tasks
+            for number in range(GATEWAYS):
+                soak.add_gateway(number)
+            await wait_until_ready(soak)
+            yield soak
+            tasks.cancel_scope.cancel()
+    finally:
+        for gateway in soak.gateways:
+            gateway.send(signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait()
+        platform.kill()
+        platform.wait()
+
+
+async def wait_until_ready(soak: SoakRun) -> None:
+    """Wait until each gateway answers a booking."""
+    with anyio.fail_after(20.0):
+        for gateway in soak.gateways:
+            number = 0
+            while await book(gateway, f"first-{gateway.number}-{number}") != 200:
+                number += 1
+                await anyio.sleep(0.1)
+
+
+async def book(gateway: Gateway, request: str, query: str = "sound=1") -> int:
+    """Send a booking, and return the status of its answer; 0 if there is none."""
+    return (await booking(gateway, request, query))[0]
+
+
+async def booking(
+    gateway: Gateway, request: str, query: str = "sound=1"
+) -> tuple[int, str]:
+    """Send a booking, and return the status and Retry-After of its answer."""
+    headers = {
+        "host": "book.example",
+        "x-ebonyhold-request-id": request,
+        "x-ebonyhold-key": "key-vast",
+        "x-ebonyhold-deadline-milliseconds": "2500",
+    }
+    url = f"http://{gateway.address}:{gateway.port}/book/x?{query}"
+    async with httpx.AsyncClient() as client:
+        try:
+            answer = await client.post(url, headers=headers, content=b"same content")
+        except httpx.TransportError:
+            return 0, ""
+    return answer.status_code, answer.headers.get("retry-after", "")
--- a/tests/platform/kit/_rules.py
+++ b/tests/platform/kit/_rules.py
@@ -44,7 +44,7 @@
 def read_runs(records: Mapping[str, Any]) -> dict[str, list[EngineRun]]:
     """Return the runs of each request, by its id, from the stand-in's records."""
     runs: dict[str, list[EngineRun]] = {}
-    for request_id, _, _, _, began, ended, sent in records["runs"]:
+    for request_id, _, _, _, began, ended, sent, _ in records["runs"]:
         runs.setdefault(request_id, []).append(EngineRun(began, ended, sent))
     return runs
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -14,6 +14,7 @@
 import time
 import zlib
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -53,6 +54,9 @@
 stream.
 """
 
+LIMITS_TABLE = "test-limits"
+"""The table in which tests write the limits that engines name."""
+
 CRASH_DELAY = 0.05
 """Seconds from the start of a run that crashes its engine to the crash."""
 
@@ -211,6 +215,7 @@
         target: The request's target.
         workspace: The workspace that the gateway named; empty if none.
         prompt: The length of the prompt in tokens.
+        engine: The engine's name.
         started_at: When the run started.
         ended_at: When the engine finished or noticed that the connection was closed; 0
             before that.
@@ -221,6 +226,7 @@
     target: str
     workspace: str
     prompt: int
+    engine: str
     started_at: float = field(factory=time.monotonic)
     ended_at: float = 0.0
     sent: int = 0
@@ -228,7 +234,7 @@
     def to_list(self) -> list[Any]:
         """Return the fields in the order of a record of this run."""
         records = [self.request_id, self.target, self.workspace, self.prompt]
-        return [*records, self.started_at, self.ended_at, self.sent]
+        return [*records, self.started_at, self.ended_at, self.sent, self.engine]
 
 
 @define(eq=False)
@@ -240,12 +246,14 @@
         runs: The records of all engines' runs.
         started_at: When its process started, in milliseconds since the epoch.
         crash: Ends its process: all connections and the listener.
+        limit: Returns the limit that its answers name, as text; empty for none.
     """
 
     name: str
     runs: list[Run]
     started_at: int = field(factory=lambda: int(time.time() * 1000))
     crash: Callable[[], None] = lambda: None
+    limit: Callable[[], str] = lambda: ""
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -258,6 +266,8 @@
         fields = {name.decode(): value.decode() for name, value in head.headers}
         request_id = fields["x-ebonyhold-request-id"]
         identity = [(b"x-ebonyhold-request-id", request_id.encode())]
+        if limit := self.limit():
+            identity.append((b"server-limit", limit.encode()))
         if fields["x-ebonyhold-expect-instance"] != self.name:
             await connection.answer(421, identity, b"")
             return
@@ -266,7 +276,7 @@
         )
         workspace = fields.get("x-ebonyhold-tenant", "")
         target = head.target.decode()
-        run = Run(request_id, target, workspace, int(prompt))
+        run = Run(request_id, target, workspace, int(prompt), self.name)
         self.runs.append(run)
         resumes = "last-event-id" in fields
         first = int(fields.get("last-event-id", "0")) + 1
@@ -340,6 +350,12 @@
         await anyio.sleep(ENTRY_INTERVAL)
 
 
+def limit_of(store: StoreApp, engine: str) -> str:
+    """Return the limit that a test has written for an engine; empty for none."""
+    row = store.history.rows.get(f"{LIMITS_TABLE}//{engine}")
+    return str(row.value) if row is not None and row.value is not None else ""
+
+
 async def run_engine(store: StoreApp, engine: EngineApp, port: int) -> None:
     """Run an engine, and restart it after each crash, until cancelled."""
     while True:
@@ -373,6 +389,7 @@
         tasks.start_soon(records_listener.run, (HOST, port + 1), tasks)
         for number in range(engines):
             engine = EngineApp(f"i-{number}", runs)
+            engine.limit = partial(limit_of, store, engine.name)
             tasks.start_soon(run_engine, store, engine, port + 2 + number)
 
 
