Publish what a gateway observed in one row, crashes among it

Cause: losses in crashes are not all that one gateway learns and the others need; a table and a call that waits for its changes for each kind would cost as much again. The golden files of the report are replaced by those of the row. Result: no change of behaviour; tests of the gateway, the golden data and the crashing requests pass.

--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -1,12 +1,16 @@
 """The gateway process, which forwards callers' requests to backend servers."""
 
-from ebonyhold.gateway._crash_reports import CRASHES_TARGET, CrashReports
 from ebonyhold.gateway._explain import explain
 from ebonyhold.gateway._gateway import Gateway
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import ListenError, listen
 from ebonyhold.gateway._losses import find_losses
 from ebonyhold.gateway._losses import report as report_losses
+from ebonyhold.gateway._observations import (
+    OBSERVATIONS_TARGET,
+    Observations,
+    ObservationsRow,
+)
 from ebonyhold.gateway._output import (
     STANDARD_OUTPUT,
     BoundedOutput,
@@ -41,16 +45,15 @@
 from ebonyhold.gateway._watcher import Watcher
 
 __all__ = [
-    "CRASHES_TARGET",
     "EXIT_FAULT",
     "EXIT_OK",
     "EXIT_PORT",
+    "OBSERVATIONS_TARGET",
     "STANDARD_OUTPUT",
     "TASK_RULES",
     "Action",
     "BoundedOutput",
     "Changes",
-    "CrashReports",
     "Gateway",
     "GatewayHolders",
     "GatewayPeers",
@@ -59,6 +62,8 @@
     "GatewayStore",
     "GuardedTasks",
     "ListenError",
+    "Observations",
+    "ObservationsRow",
     "PeerHandler",
     "PlatformAdapter",
     "Policy",
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -24,11 +24,11 @@
     Ruleset,
     Shutdown,
 )
-from ebonyhold.gateway._crash_reports import TABLE as CRASHES_TABLE
-from ebonyhold.gateway._crash_reports import WATCH_WAIT, CrashReports
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._metrics import GatewayMetrics
+from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
+from ebonyhold.gateway._observations import WATCH_WAIT, Observations
 from ebonyhold.gateway._presence import Presence
 from ebonyhold.gateway._pressure import PressureMonitor
 from ebonyhold.gateway._renewals import Renewals
@@ -83,8 +83,8 @@
     grant_manager: GrantManager = field(init=False)
     rules_watcher: Watcher = field(init=False)
     servers_watcher: Watcher = field(init=False)
-    crashes: CrashReports = field(init=False)
-    crashes_watcher: Watcher = field(init=False)
+    observations: Observations = field(init=False)
+    observations_watcher: Watcher = field(init=False)
     listener: CallerListener = field(init=False)
     pressure: PressureMonitor = field(init=False)
     shutdown: Shutdown = field(init=False)
@@ -150,7 +150,7 @@
             self.routing.update_servers,
             self.presence.count,
         )
-        self.crashes = CrashReports(
+        self.observations = Observations(
             store,
             name,
             CrashRecords(),
@@ -158,11 +158,11 @@
             self.renewals.is_store_reachable,
             self.peers,
         )
-        self.crashes_watcher = Watcher(
+        self.observations_watcher = Watcher(
             store,
-            CRASHES_TABLE,
-            self.crashes.merge_rows,
-            self.crashes.merge_rows,
+            OBSERVATIONS_TABLE,
+            self.observations.merge_rows,
+            self.observations.merge_rows,
             self.presence.count,
             WATCH_WAIT,
         )
@@ -182,8 +182,8 @@
             supervisor.start("signals", self.handle_signals, supervisor.stop)
             supervisor.start("rules", self.rules_watcher.run)
             supervisor.start("servers", self.servers_watcher.run)
-            supervisor.start("crashes", self.crashes_watcher.run)
-            supervisor.start("crash reports", self.crashes.run)
+            supervisor.start("others' observations", self.observations_watcher.run)
+            supervisor.start("observations", self.observations.run)
             supervisor.start("renewals", self.renewals.run)
             supervisor.start("presence", self.presence.run)
             supervisor.start("treasury", self.grant_manager.run)
@@ -223,7 +223,7 @@
             ages=self.ages,
             shutdown=self.shutdown,
             crashes=CrashDetector(
-                self.pool, self.routing.backends, self.crashes.records
+                self.pool, self.routing.backends, self.observations.crashes
             ),
         )
         guard = partial(supervisor.guard, "caller connection")
@@ -243,7 +243,7 @@
         if settings.peers_port:
             remote_holds = RemoteHolds(self.grant_manager.grant, lambda: self.draining)
             transfers = TransferHandler(self.grant_manager.grant)
-            handler = PeerHandler(transfers, remote_holds, self.crashes.merge)
+            handler = PeerHandler(transfers, remote_holds, self.observations.merge)
             peer_listener = CallerListener(handler.serve, lambda: PEER_LIMITS, guard)
             address = (settings.host, settings.peers_port)
             supervisor.start("transfers", listen, peer_listener, address, tasks)
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -15,14 +15,15 @@
 import anyio
 from attrs import define, field, frozen
 
-from ebonyhold.coordination import CrashReport, to_json
+from ebonyhold.coordination import to_json
 from ebonyhold.exceptions import MalformedMessageError
 from ebonyhold.forwarding import CallerConnection, RequestHead
-from ebonyhold.gateway._crash_reports import (
-    CRASHES_TARGET,
-    CrashReportAnswer,
-)
 from ebonyhold.gateway._messages import read_message
+from ebonyhold.gateway._observations import (
+    OBSERVATIONS_TARGET,
+    ObservationsAnswer,
+    ObservationsRow,
+)
 from ebonyhold.gateway._transfers import (
     ANSWER_HEADERS,
     JSON_HEADERS,
@@ -214,26 +215,26 @@
     Attributes:
         transfers: Serves transfers of tokens.
         remote_holds: Holds tokens for requests of other gateways.
-        on_crash_report: Called with each report of crashes.
+        on_observations: Called with the observations of other gateways.
     """
 
     transfers: TransferHandler
     remote_holds: RemoteHolds
-    on_crash_report: Callable[[CrashReport], None] = lambda report: None
+    on_observations: Callable[[ObservationsRow], None] = lambda observed: None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         """Answer one message according to its target; a malformed one gets 400."""
-        answer: HoldAnswer | SettlementsAnswer | CrashReportAnswer
+        answer: HoldAnswer | SettlementsAnswer | ObservationsAnswer
         try:
             if head.target == HOLDS_TARGET:
                 answer = await self.hold(body)
             elif head.target == SETTLEMENTS_TARGET:
                 answer = self.settle(body)
-            elif head.target == CRASHES_TARGET:
-                self.on_crash_report(read_message(body, CrashReport))
-                answer = CrashReportAnswer()
+            elif head.target == OBSERVATIONS_TARGET:
+                self.on_observations(read_message(body, ObservationsRow))
+                answer = ObservationsAnswer()
             else:
                 await self.transfers.serve(connection, head, body)
                 return
--- a/ebonyhold/gateway/_crash_reports.py
+++ b/ebonyhold/gateway/_observations.py
@@ -1,7 +1,7 @@
-"""Exchanges reports of crashes with the other gateways.
+"""Exchanges observations of servers and requests with the other gateways.
 
 Each gateway publishes what it has seen in a row of its own, and follows the table of
-all rows. While it cannot reach the store, it sends its report to other gateways.
+all rows. While it cannot reach the store, it sends them to other gateways.
 """
 
 from __future__ import annotations
@@ -30,15 +30,15 @@
 
 log = logging.getLogger(__name__)
 
-TABLE = "crashes"
-"""The table with one report per VM, all in the part with the empty name."""
+TABLE = "observations"
+"""The table with one row per VM, all in the part with the empty name."""
 
-CRASHES_TARGET = b"/crashes"
+OBSERVATIONS_TARGET = b"/observations"
 
 WATCH_WAIT: Seconds = 3.0
-"""Time after which the store answers a call for reports even if there are none.
+"""Time after which the store answers a call for observations even if there are none.
 
-Reports are rare, and each call has its price.
+Observations are rare, and each call has its price.
 """
 
 PUBLISH_INTERVAL: Seconds = 0.4
@@ -53,102 +53,113 @@
 same crash."""
 
 PEER_TIMEOUT: Seconds = 0.2
-"""Timeout of a report to another gateway."""
+"""Timeout of a message with observations to another gateway."""
 
 
 @frozen
-class CrashReportAnswer:
-    """The confirmation of a report by another gateway."""
+class ObservationsRow:
+    """What one gateway has observed, at ``observations//{vm}`` and in messages.
+
+    Attributes:
+        crashes: Requests that were lost in crashes.
+    """
+
+    crashes: CrashReport = field(factory=CrashReport)
+
+
+@frozen
+class ObservationsAnswer:
+    """The confirmation of observations by another gateway."""
 
 
 @define(eq=False)
-class CrashReports:
-    """Publishes this gateway's report of crashes, and merges those of the others.
+class Observations:
+    """Publishes this gateway's observations, and merges those of the others.
 
     Attributes:
         store: The store.
         name: This VM's name.
-        records: What is known of crashes.
+        crashes: What is known of crashes.
         count_routers: Returns the number of gateways.
         is_store_reachable: Returns whether the store seems reachable.
         peers: Sends messages to the other gateways.
-        published: The last report in this VM's row.
-        sent: The last report that was sent to other gateways.
+        published: The last content of this VM's row.
+        sent: The last observations that were sent to other gateways.
     """
 
     store: GatewayStore
     name: str
-    records: CrashRecords
+    crashes: CrashRecords
     count_routers: Callable[[], int]
     is_store_reachable: Callable[[], bool]
     peers: GatewayPeers
-    published: CrashReport = field(factory=CrashReport)
-    sent: CrashReport = field(factory=CrashReport)
+    published: ObservationsRow = field(factory=ObservationsRow)
+    sent: ObservationsRow = field(factory=ObservationsRow)
 
     def merge_rows(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
-        """Merge the reports in rows of the table; a damaged one is logged.
+        """Merge rows of the table; a damaged one is logged.
 
-        The row of this VM is the report of an earlier process, or this one's own.
+        The row of this VM was written by an earlier process or by this one.
         """
         del after_outage
         for row in rows:
             if row.deleted:
                 continue
             try:
-                report = from_bytes(row.value, CrashReport)
+                observed = from_bytes(row.value, ObservationsRow)
             except DECODE_ERRORS as error:
                 fields = {"row": row.key, "detail": repr(error)}
-                log.warning("crash report damaged", extra=fields)
+                log.warning("observations damaged", extra=fields)
                 continue
-            self.merge(report, own=row.key == self.name)
+            self.merge(observed, own=row.key == self.name)
 
-    def merge(self, report: CrashReport, own: bool = False) -> None:
-        """Merge a report, and log which requests are rejected from now on."""
-        before = self.records.rejected
-        self.records.merge(report, time.time(), own)
-        for digest in self.records.rejected - before:
+    def merge(self, observed: ObservationsRow, own: bool = False) -> None:
+        """Merge observations, and log which requests are rejected from now on."""
+        before = self.crashes.rejected
+        self.crashes.merge(observed.crashes, time.time(), own)
+        for digest in self.crashes.rejected - before:
             log.warning("request rejected from now on", extra={"content": digest})
 
     async def run(self) -> None:
-        """Publish the report whenever it has changed, until cancelled."""
+        """Publish the observations whenever they have changed, until cancelled."""
         while True:
             await anyio.sleep(
                 scale_interval(
                     PUBLISH_INTERVAL, self.count_routers(), MAX_PUBLISH_INTERVAL
                 )
             )
-            self.records.expire(time.time())
-            if self.records.changed:
+            self.crashes.expire(time.time())
+            if self.crashes.changed:
                 await self.publish()
 
     async def publish(self) -> None:
         """Write this gateway's row, and tell other gateways if the store is away."""
-        report = self.records.report()
-        if report == self.published:
+        observed = ObservationsRow(self.crashes.report())
+        if observed == self.published:
             return
         if not self.is_store_reachable():
-            await self.send_to_peers(report)
-        put = Put(f"{TABLE}//{self.name}", to_json(report))
+            await self.send_to_peers(observed)
+        put = Put(f"{TABLE}//{self.name}", to_json(observed))
         try:
             await self.store.commit(Transaction((), (put,)))
         except PlatformError as error:
-            self.records.changed = True
-            log.info("crash report not published", extra={"error": error.code})
+            self.crashes.changed = True
+            log.info("observations not published", extra={"error": error.code})
         else:
-            self.published = report
+            self.published = observed
 
-    async def send_to_peers(self, report: CrashReport) -> None:
-        """Send a report to a few other gateways, unless it is the one sent last."""
-        if report == self.sent:
+    async def send_to_peers(self, observed: ObservationsRow) -> None:
+        """Send observations to a few other gateways, unless they were sent last."""
+        if observed == self.sent:
             return
-        self.sent = report
+        self.sent = observed
         async with anyio.create_task_group() as tasks:
             for peer in self.peers.sample(anyio.current_time()):
                 tasks.start_soon(
                     self.peers.post,
                     peer,
-                    CRASHES_TARGET,
-                    report,
-                    CrashReportAnswer,
+                    OBSERVATIONS_TARGET,
+                    observed,
+                    ObservationsAnswer,
                     PEER_TIMEOUT,
                 )
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -179,15 +179,15 @@
             "servers are gone",
         ),
         TaskRule(
-            "crashes",
-            "crashes that other routers saw are not known here",
+            "others' observations",
+            "what other routers observed is not known here",
             AFTER_PAUSE,
             "requests that crash servers are rejected for what is known; the next call "
             "continues from its version",
         ),
         TaskRule(
-            "crash reports",
-            "crashes that this router saw are not known to the others",
+            "observations",
+            "what this router observed is not known to the others",
             AFTER_PAUSE,
             "what is not published yet stays recorded and is published later",
         ),
--- a/tests/gateway/test_crash_reports.py
+++ b/tests/gateway/test_observations.py
@@ -1,4 +1,4 @@
-"""Reports of crashes cross gateways by the store, and without it by messages."""
+"""Observations cross gateways by the store, and without it by messages."""
 
 from __future__ import annotations
 
@@ -9,14 +9,13 @@
 
 from ebonyhold.coordination import (
     CrashRecords,
-    CrashReport,
     Put,
     RequestLoss,
     ServerRun,
     Transaction,
     from_json,
 )
-from ebonyhold.gateway import CrashReports, GatewayPeers, Watcher
+from ebonyhold.gateway import GatewayPeers, Observations, ObservationsRow, Watcher
 from ebonyhold.standins import Faults, MemoryRows, RowHistory
 from tests.virtual import anyio_backend
 
@@ -30,22 +29,22 @@
 
 
 class RecordingPeers(GatewayPeers):
-    """Gateways that merge each report into their records at once."""
+    """Gateways that merge each message at once."""
 
-    def __init__(self, *others: CrashReports) -> None:
+    def __init__(self, *others: Observations) -> None:
         super().__init__(lambda: {other.name: "host:1" for other in others})
         self.others = {other.name: other for other in others}
 
     async def post(self, peer, target, request, answer_type, timeout):  # type: ignore[no-untyped-def]
-        """Deliver a report."""
+        """Deliver a message."""
         self.others[peer].merge(request)
 
 
-def reports(
-    store: MemoryRows, name: str, *others: CrashReports, fleet: int = 3
-) -> CrashReports:
-    """Return the crash reports of one gateway, which knows some others."""
-    return CrashReports(
+def observations(
+    store: MemoryRows, name: str, *others: Observations, fleet: int = 3
+) -> Observations:
+    """Return the observations of one gateway, which knows some others."""
+    return Observations(
         store,
         name,
         CrashRecords(),
@@ -55,11 +54,11 @@
     )
 
 
-def watcher(gateway: CrashReports) -> Watcher:
+def watcher(gateway: Observations) -> Watcher:
     """Return the watcher of a gateway."""
     return Watcher(
         gateway.store,
-        "crashes",
+        "observations",
         gateway.merge_rows,
         gateway.merge_rows,
         gateway.count_routers,
@@ -67,17 +66,19 @@
     )
 
 
-def lose(gateway: CrashReports, server: str, depth: int) -> None:
+def lose(gateway: Observations, server: str, depth: int) -> None:
     """Record at a gateway that a server crashed with the request ``x``."""
     run = ServerRun(server, 1)
-    gateway.records.add(RequestLoss("x", run, depth, time.time()))
+    gateway.crashes.add(RequestLoss("x", run, depth, time.time()))
 
 
 @pytest.mark.parametrize("fleet", [3, LARGE_FLEET])
 async def test_all_gateways_reject_a_request_in_time(fleet: int) -> None:
     """What several gateways saw of a request must be known to all within the bound."""
     history = RowHistory()
-    gateways = [reports(MemoryRows(history), f"vm-{n}", fleet=fleet) for n in range(4)]
+    gateways = [
+        observations(MemoryRows(history), f"vm-{n}", fleet=fleet) for n in range(4)
+    ]
     async with anyio.create_task_group() as tasks:
         for gateway in gateways:
             tasks.start_soon(watcher(gateway).run)
@@ -86,59 +87,61 @@
         for depth, server in enumerate("abc", start=1):
             lose(gateways[depth], server, depth)
         await anyio.sleep(CONTACT_TIME)
-        assert all(gateway.records.rejected == {"x"} for gateway in gateways)
+        assert all(gateway.crashes.rejected == {"x"} for gateway in gateways)
         tasks.cancel_scope.cancel()
 
 
 async def test_gateway_that_starts_later_rejects_too() -> None:
     """A gateway that starts, and the next process of one, must know what was known."""
     history = RowHistory()
-    first = reports(MemoryRows(history), "vm-0")
+    first = observations(MemoryRows(history), "vm-0")
     for depth, server in enumerate("abc", start=1):
         lose(first, server, depth)
     await first.publish()
     for name in ("vm-0", "vm-1"):
-        later = reports(MemoryRows(history), name)
+        later = observations(MemoryRows(history), name)
         await watcher(later).step()
-        assert later.records.rejected == {"x"}
+        assert later.crashes.rejected == {"x"}
         await later.publish()
-    row = from_json(history.rows["crashes//vm-0"].value, CrashReport)
-    assert len(row.losses) == 3
+    row = from_json(history.rows["observations//vm-0"].value, ObservationsRow)
+    assert len(row.crashes.losses) == 3
 
 
-async def test_report_reaches_others_while_the_store_is_away() -> None:
+async def test_observations_reach_others_while_the_store_is_away() -> None:
     """Gateways that are cut off from the store must still learn from each other."""
     store = MemoryRows(faults=Faults(down=True))
-    other = reports(store, "vm-1")
-    gateway = reports(store, "vm-0", other)
+    other = observations(store, "vm-1")
+    gateway = observations(store, "vm-0", other)
     for depth, server in enumerate("abc", start=1):
         lose(gateway, server, depth)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(gateway.run)
         await anyio.sleep(CONTACT_TIME)
-        assert other.records.rejected == {"x"}
+        assert other.crashes.rejected == {"x"}
         store.faults.down = False
         await anyio.sleep(CONTACT_TIME)
         tasks.cancel_scope.cancel()
-    assert "crashes//vm-0" in store.history.rows
+    assert "observations//vm-0" in store.history.rows
 
 
 async def test_nothing_is_written_for_requests_that_a_retry_served() -> None:
     """A crash whose requests were all served elsewhere must not cost a write."""
     store = MemoryRows()
-    gateway = reports(store, "vm-0")
+    gateway = observations(store, "vm-0")
     lose(gateway, "a", 1)
-    gateway.records.retract("x")
+    gateway.crashes.retract("x")
     await gateway.publish()
     assert store.history.rows == {}
 
 
-@pytest.mark.parametrize("value", [[], {"losses": 5}, {"losses": [{"request": 1}]}])
-async def test_damaged_report_is_ignored(value: object) -> None:
+@pytest.mark.parametrize(
+    "value", [[], {"crashes": 5}, {"crashes": {"losses": [{"request": 1}]}}]
+)
+async def test_damaged_row_is_ignored(value: object) -> None:
     """A row that cannot be read must not stop the watcher."""
     store = MemoryRows()
-    put = Put("crashes//vm-9", value)  # type: ignore[arg-type]
+    put = Put("observations//vm-9", value)  # type: ignore[arg-type]
     store.history.apply(Transaction((), (put,)))
-    gateway = reports(store, "vm-0")
+    gateway = observations(store, "vm-0")
     await watcher(gateway).step()
-    assert gateway.records.losses == {}
+    assert gateway.crashes.losses == {}
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -80,8 +80,8 @@
 from ebonyhold.forwarding._exchange import AttemptEnd
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._types import RouteKind
-from ebonyhold.gateway._crash_reports import CrashReportAnswer
 from ebonyhold.gateway._holds import HoldAnswer, Settlements, SettlementsAnswer
+from ebonyhold.gateway._observations import ObservationsAnswer, ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._renewals import LimitsRow
 from ebonyhold.gateway._transfers import TransferAnswer
@@ -318,15 +318,17 @@
 }
 """What is written as compact JSON, by label."""
 
-CRASH_REPORT = CrashReport(
-    losses=(
-        RequestLoss(
-            request="5a0d6ffc", run=ServerRun("i-1", 1785000000000), depth=2, at=1.5
+OBSERVATIONS = ObservationsRow(
+    crashes=CrashReport(
+        losses=(
+            RequestLoss(
+                request="5a0d6ffc", run=ServerRun("i-1", 1785000000000), depth=2, at=1.5
+            ),
         ),
-    ),
-    retracted=(
-        RequestLoss(
-            request="9b1e", run=ServerRun("i-2", 1785000000001), depth=3, at=2.5
+        retracted=(
+            RequestLoss(
+                request="9b1e", run=ServerRun("i-2", 1785000000001), depth=3, at=2.5
+            ),
         ),
     ),
 )
@@ -340,8 +342,8 @@
     "hold-answer": HoldAnswer(outcome=HoldOutcome.EXHAUSTED),
     "settlements": Settlements(charges={"vm-1/5": 33}),
     "settled": SettlementsAnswer(),
-    "crash-report": CRASH_REPORT,
-    "crash-report-answer": CrashReportAnswer(),
+    "observations": OBSERVATIONS,
+    "observations-answer": ObservationsAnswer(),
 }
 """What gateways tell each other, by label."""
 
