Keep to the limit that a server names, all routers together

Cause: no router read the limit, and none knew what the others send. Change: of each limit a few routers, chosen alike by all from the rows of presence, have equal shares; the others send nothing but one request in a time slot of their own. What no share allows goes to another server, or is refused at once with the time to come back (503 servers_limited). The first answer without it ends the limit; the others learn of that from the row of observations.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -219,6 +219,13 @@
     TransferRow,
     TransferState,
 )
+from ._server_limits import (
+    EndedLimit,
+    EndedLimits,
+    LimitShares,
+    SendingLimit,
+    choose_senders,
+)
 from ._startup import (
     StartupPolicy,
 )
@@ -296,6 +303,8 @@
     "DrainingServer",
     "EjectionPolicy",
     "Ejector",
+    "EndedLimit",
+    "EndedLimits",
     "EngineOrder",
     "EngineView",
     "FairScheduler",
@@ -318,6 +327,7 @@
     "LeasePlan",
     "LeaseRow",
     "LedgerChange",
+    "LimitShares",
     "Listed",
     "Member",
     "MemberStatus",
@@ -350,6 +360,7 @@
     "RouterState",
     "Row",
     "Seal",
+    "SendingLimit",
     "ServerRun",
     "Settlement",
     "StartupPolicy",
@@ -372,6 +383,7 @@
     "change_grant",
     "choice_policies",
     "choice_policy",
+    "choose_senders",
     "claim_transaction",
     "close_grant",
     "close_transaction",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -179,7 +179,8 @@
             head = await self.read_next_head(channel)
             facts = self.dialect.read_answer(head.status, head.headers)
             if not facts.moved:
-                self.backends.set_limit(self.entry, facts.request_limit)
+                now = anyio.current_time()
+                self.backends.set_limit(self.entry, facts.request_limit, now)
             if facts.request_id == self.exchange.caller.request_id:
                 return head, facts
             if facts.not_run:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -3,11 +3,20 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Iterable, Mapping
 
 from attrs import define, field
 
-from ebonyhold.coordination import EjectionPolicy, Ejector
+from ebonyhold.coordination import (
+    EjectionPolicy,
+    Ejector,
+    EndedLimit,
+    EndedLimits,
+    LimitShares,
+    SendingLimit,
+    ServerRun,
+)
 from ebonyhold.forwarding._types import Backend, BackendState, ServiceName
 from ebonyhold.forwarding._work import ServerWork
 from ebonyhold.types import BackendName, Seconds
@@ -46,8 +55,8 @@
         suspects: Number of those requests that may crash the server.
         full_until: Until when it counts as full, after it declined a request.
         moved: Whether an answer stated that another server has its address.
-        limit: Requests per second that it takes from all routers together, as its last
-            answer stated; None if it stated no limit.
+        limit: Its limit on requests from all routers together, and how much of it this
+            router has used; None if its last answer stated no limit.
         drop_at: When to remove it, if its list entry is missing after an outage of the
             store; None otherwise.
     """
@@ -58,9 +67,14 @@
     suspects: int = 0
     full_until: Seconds = 0.0
     moved: bool = False
-    limit: float | None = None
+    limit: SendingLimit | None = None
     drop_at: Seconds | None = None
 
+    @property
+    def run(self) -> ServerRun:
+        """The run of the server's process."""
+        return ServerRun(self.backend.name, self.backend.started_at)
+
 
 @define(eq=False)
 class BackendTable:
@@ -69,10 +83,14 @@
     Attributes:
         entries: The servers by name.
         ejector: Decides which failing servers to avoid.
+        shares: This router's shares of the servers' limits.
+        ended_limits: The ends of limits that this router has noticed.
     """
 
     entries: dict[BackendName, BackendEntry] = field(factory=dict)
     ejector: Ejector = field(factory=lambda: Ejector(EJECTION))
+    shares: LimitShares = field(factory=LimitShares)
+    ended_limits: EndedLimits = field(factory=EndedLimits)
 
     def replace(
         self, listed: Mapping[BackendName, Backend], now: Seconds, after_outage: bool
@@ -153,36 +171,101 @@
         if self.is_current(entry):
             self.ejector.succeeded(entry.backend.name)
 
-    def set_limit(self, entry: BackendEntry, limit: float | None) -> None:
+    def set_limit(self, entry: BackendEntry, limit: float | None, now: Seconds) -> None:
         """Store the limit that a server's answer stated, and log a change."""
-        if limit != entry.limit:
+        known = entry.limit.limit if entry.limit is not None else None
+        if limit != known:
             fields = {"backend": entry.backend.name, "limit": limit}
             log.info("server limit changed", extra=fields)
-        entry.limit = limit
+        if limit is None:
+            if entry.limit is not None:
+                self.ended_limits.add(entry.run, time.time())
+            entry.limit = None
+            return
+        self.ended_limits.discard(entry.run)
+        if entry.limit is None:
+            entry.limit = SendingLimit(limit)
+        entry.limit.limit = limit
+        entry.limit.heard_at = time.time()
+        entry.limit.set_rate(self.shares.rate(entry.backend.name, limit), now)
+
+    def end_limit(self, ended: EndedLimit) -> None:
+        """End a server's limit that another router has seen end.
+
+        What the server has told this router since then counts instead.
+        """
+        entry = self.entries.get(ended.run.server)
+        if entry is None or entry.limit is None or entry.run != ended.run:
+            return
+        if ended.at > entry.limit.heard_at:
+            entry.limit = None
+            fields = {"backend": entry.backend.name}
+            log.info("server limit ended, by another router", extra=fields)
+
+    def limit_wait(self, entry: BackendEntry, now: Seconds) -> Seconds:
+        """Return the time until a server's limit allows a request from this router.
+
+        It is infinite if this router has no share of the limit.
+        """
+        if entry.limit is None:
+            return 0.0
+        name = entry.backend.name
+        entry.limit.set_rate(self.shares.rate(name, entry.limit.limit), now)
+        return entry.limit.wait(self.shares.probe_slot(name, time.time()), now)
+
+    def count_request(self, entry: BackendEntry, now: Seconds) -> None:
+        """Count a request that is sent to a server against its limit."""
+        if entry.limit is not None:
+            slot = self.shares.probe_slot(entry.backend.name, time.time())
+            entry.limit.take(slot, now)
 
     def usable(
         self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
-        These are the ready servers that have not moved, are not in `tried`, and are
-        neither ejected nor full. If only full servers are left, they are returned, and
-        if only ejected ones are left, these.
+        These are the ready servers that have not moved, are not in `tried`, have a
+        limit that allows the request, and are neither ejected nor full. If only full
+        servers are left, they are returned, and if only ejected ones are left, these.
         """
         excluded = set(tried)
-        ready = [
+        ready = self.ready(service)
+        domains = {entry.backend.name: entry.backend.domain for entry in ready}
+        ejected = self.ejector.ejected(domains, now)
+        allowed = [
+            entry
+            for entry in ready
+            if entry.backend.name not in excluded
+            and (entry.limit is None or not self.limit_wait(entry, now))
+        ]
+        healthy = [entry for entry in allowed if entry.backend.name not in ejected]
+        not_full = [entry for entry in healthy if now >= entry.full_until]
+        return not_full or healthy or allowed
+
+    def ready(self, service: ServiceName) -> list[BackendEntry]:
+        """Return the ready servers of a service that have not moved."""
+        return [
             entry
             for entry in self.entries.values()
             if entry.backend.service == service
             and entry.backend.state is BackendState.READY
             and not entry.moved
         ]
-        domains = {entry.backend.name: entry.backend.domain for entry in ready}
-        ejected = self.ejector.ejected(domains, now)
-        untried = [entry for entry in ready if entry.backend.name not in excluded]
-        healthy = [entry for entry in untried if entry.backend.name not in ejected]
-        not_full = [entry for entry in healthy if now >= entry.full_until]
-        return not_full or healthy or untried
+
+    def next_allowed(
+        self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
+    ) -> Seconds | None:
+        """Return the time until the limit of an untried server allows a request.
+
+        None if no server of the service has a limit that does not allow one now.
+        """
+        excluded = set(tried)
+        waits = (
+            self.limit_wait(entry, now)
+            for entry in self.ready(service)
+            if entry.backend.name not in excluded
+        )
+        return min((wait for wait in waits if wait), default=None)
 
 
 def fields_of(backend: Backend) -> dict[str, object]:
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -12,7 +12,6 @@
     REJECT_AFTER,
     CrashRecords,
     RequestLoss,
-    ServerRun,
 )
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendEntry, BackendTable
@@ -119,8 +118,9 @@
         earlier = (other.depth for other in unchecked.earlier)
         loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
         exchange, backend = unchecked.exchange, entry.backend
-        run = ServerRun(backend.name, backend.started_at)
-        self.records.add(RequestLoss(exchange.digest, run, loss.depth, time.time()))
+        self.records.add(
+            RequestLoss(exchange.digest, entry.run, loss.depth, time.time())
+        )
         log.warning(
             "request lost in a crash",
             extra={
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -96,6 +96,8 @@
         reasons: Why attempts failed, for logs.
         known_digest: The digest of its content; empty until `digest` is first read.
         losses: Its losses by connections that broke, in order.
+        retry_after: When its caller may try again, in seconds from now; None for the
+            usual time of a refusal.
     """
 
     connection: CallerConnection
@@ -115,6 +117,7 @@
     reasons: list[str] = field(factory=list)
     known_digest: RequestDigest = ""
     losses: list[AttemptLoss] = field(factory=list)
+    retry_after: Seconds | None = None
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -53,6 +53,13 @@
 """
 
 
+MIN_LIMIT_WAIT: Seconds = 0.05
+"""Minimum Retry-After of a request that the limits of all servers do not allow."""
+
+MAX_LIMIT_WAIT: Seconds = 1.0
+"""Maximum Retry-After of such a request: another router may be allowed to send it."""
+
+
 class RequestHold(Protocol):
     """Sets aside tokens of one workspace's budget for requests."""
 
@@ -308,18 +315,26 @@
         service = exchange.match.service
         entries = self.backends.usable(service, now, exchange.tried)
         if not entries:
+            wait = self.backends.next_allowed(service, now, exchange.tried)
+            if wait is not None:
+                exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
             return self.no_server_left(exchange)
         if suspect:
             entries = with_fewest_suspects(entries)
-        return choose(exchange.caller, entries, self.domain, now)
+        entry = choose(exchange.caller, entries, self.domain, now)
+        self.backends.count_request(entry, now)
+        return entry
 
     def no_server_left(self, exchange: Exchange) -> Refusal:
         """Return the refusal for a request when no untried server is left.
 
-        SERVERS_FULL means that each server that got the request declined it.
+        SERVERS_FULL means that each server that got the request declined it, and
+        SERVERS_LIMITED that the limit of another one does not allow it now.
         """
         if exchange.may_have_run:
             return Refusal.SERVER_LOST
+        if exchange.retry_after is not None:
+            return Refusal.SERVERS_LIMITED
         return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
 
     def record_failure(
@@ -370,8 +385,13 @@
         if exchange.failure is not None:
             await exchange.deliver(exchange.failure)
             return "server_failure"
-        route = exchange.match.route.name
-        await self.refuse(exchange.connection, exchange.caller, refusal, route)
+        await self.refuse(
+            exchange.connection,
+            exchange.caller,
+            refusal,
+            exchange.match.route.name,
+            exchange.retry_after if refusal is Refusal.SERVERS_LIMITED else None,
+        )
         return refusal.code
 
     def identify(self, head: RequestHead) -> Headers:
@@ -391,9 +411,11 @@
         caller: CallerRequest,
         refusal: Refusal,
         route: str = "",
+        retry_after: Seconds | None = None,
     ) -> None:
         """Log a refusal, and send it to the caller."""
-        answer = own_answer(refusal, self.dialect.refusal_headers(caller.request_id))
+        identity = self.dialect.refusal_headers(caller.request_id)
+        answer = own_answer(refusal, identity, retry_after)
         fields = {"request": caller.request_id, "code": refusal.code, "route": route}
         log.info("refused", extra=fields)
         await connection.answer(answer.status, answer.headers, answer.body)
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -34,6 +34,7 @@
     STOPPING = (503, "router_stopping")
     NO_ANSWER = (504, "no_answer_in_time")
     CRASHES_SERVERS = (400, "crashes_servers")
+    SERVERS_LIMITED = (503, "servers_limited")
 
     @property
     def status(self) -> int:
@@ -74,15 +75,18 @@
     body: bytes
 
 
-def own_answer(refusal: Refusal, identity: Headers) -> OwnAnswer:
+def own_answer(
+    refusal: Refusal, identity: Headers, retry_after: Seconds | None = None
+) -> OwnAnswer:
     """Return the answer that reports a refusal.
 
     Args:
         refusal: The reason for the refusal.
         identity: The fields that identify the request.
+        retry_after: The Retry-After, in seconds; None for the refusal's usual one.
     """
     headers = [(b"content-type", b"application/json"), *identity]
-    wait = RETRY_AFTER.get(refusal)
+    wait = RETRY_AFTER.get(refusal) if retry_after is None else retry_after
     if wait is not None:
         headers.append((b"retry-after", b"%g" % wait))
     return OwnAnswer(
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from ebonyhold.coordination import CrashRecords
+from ebonyhold.coordination import CrashRecords, LimitShares
 from ebonyhold.forwarding import (
     CallerConnection,
     CallerLimits,
@@ -44,7 +44,7 @@
 from ebonyhold.gateway._types import PlatformAdapter
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
-from ebonyhold.prepaid import GrantManager, HolderTable, RemoteHolds
+from ebonyhold.prepaid import Fleet, GrantManager, HolderTable, RemoteHolds
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -79,6 +79,7 @@
     presence: Presence = field(init=False)
     peers: GatewayPeers = field(init=False)
     holders: GatewayHolders = field(init=False)
+    holder_table: HolderTable = field(init=False)
     renewals: Renewals = field(init=False)
     grant_manager: GrantManager = field(init=False)
     rules_watcher: Watcher = field(init=False)
@@ -101,14 +102,16 @@
         name = platform.settings.name
         port = platform.settings.peers_port
         own_address = f"{platform.settings.host}:{port}" if port else ""
-        table = HolderTable(name, platform.settings.domain)
+        self.holder_table = table = HolderTable(name, platform.settings.domain)
+        shares = LimitShares(name, lambda: self.presence.count())
+        self.routing.backends.shares = shares
         self.presence = Presence(
             store,
             name,
             self.incarnation,
             own_address,
             platform.settings.domain,
-            table.update,
+            self.update_fleet,
         )
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
@@ -154,6 +157,7 @@
             store,
             name,
             CrashRecords(),
+            self.routing.backends,
             self.presence.count,
             self.renewals.is_store_reachable,
             self.peers,
@@ -167,6 +171,11 @@
             WATCH_WAIT,
         )
 
+    def update_fleet(self, fleet: Fleet) -> None:
+        """Use a new list of the routers."""
+        self.holder_table.update(fleet)
+        self.routing.backends.shares.update(fleet)
+
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
 
--- a/ebonyhold/gateway/_observations.py
+++ b/ebonyhold/gateway/_observations.py
@@ -17,12 +17,14 @@
     DECODE_ERRORS,
     CrashRecords,
     CrashReport,
+    EndedLimit,
     Put,
     Transaction,
     from_bytes,
     to_json,
 )
 from ebonyhold.exceptions import PlatformError
+from ebonyhold.forwarding import BackendTable
 from ebonyhold.gateway._intervals import scale_interval
 from ebonyhold.gateway._transfers import GatewayPeers
 from ebonyhold.gateway._types import GatewayStore, RawRow
@@ -62,9 +64,11 @@
 
     Attributes:
         crashes: Requests that were lost in crashes.
+        ended_limits: Limits that servers no longer state.
     """
 
     crashes: CrashReport = field(factory=CrashReport)
+    ended_limits: tuple[EndedLimit, ...] = ()
 
 
 @frozen
@@ -80,6 +84,7 @@
         store: The store.
         name: This VM's name.
         crashes: What is known of crashes.
+        backends: The known servers and their limits.
         count_routers: Returns the number of gateways.
         is_store_reachable: Returns whether the store seems reachable.
         peers: Sends messages to the other gateways.
@@ -90,6 +95,7 @@
     store: GatewayStore
     name: str
     crashes: CrashRecords
+    backends: BackendTable
     count_routers: Callable[[], int]
     is_store_reachable: Callable[[], bool]
     peers: GatewayPeers
@@ -117,6 +123,8 @@
         """Merge observations, and log which requests are rejected from now on."""
         before = self.crashes.rejected
         self.crashes.merge(observed.crashes, time.time(), own)
+        for ended in observed.ended_limits:
+            self.backends.end_limit(ended)
         for digest in self.crashes.rejected - before:
             log.warning("request rejected from now on", extra={"content": digest})
 
@@ -129,12 +137,14 @@
                 )
             )
             self.crashes.expire(time.time())
-            if self.crashes.changed:
+            ended = self.backends.ended_limits.report(time.time())
+            if self.crashes.changed or ended != self.published.ended_limits:
                 await self.publish()
 
     async def publish(self) -> None:
         """Write this gateway's row, and tell other gateways if the store is away."""
-        observed = ObservationsRow(self.crashes.report())
+        ended = self.backends.ended_limits.report(time.time())
+        observed = ObservationsRow(self.crashes.report(), ended)
         if observed == self.published:
             return
         if not self.is_store_reachable():
--- a/tests/gateway/test_observations.py
+++ b/tests/gateway/test_observations.py
@@ -15,6 +15,8 @@
     Transaction,
     from_json,
 )
+from ebonyhold.coordination._server_limits import END_DELAY
+from ebonyhold.forwarding import Backend, BackendState, BackendTable
 from ebonyhold.gateway import GatewayPeers, Observations, ObservationsRow, Watcher
 from ebonyhold.standins import Faults, MemoryRows, RowHistory
 from tests.virtual import anyio_backend
@@ -27,6 +29,8 @@
 
 LARGE_FLEET = 330
 
+SERVER = Backend("s", "svc", ("host", 1), "a", 4, BackendState.READY, 1)
+
 
 class RecordingPeers(GatewayPeers):
     """Gateways that merge each message at once."""
@@ -48,6 +52,7 @@
         store,
         name,
         CrashRecords(),
+        BackendTable(),
         lambda: fleet,
         lambda: not store.faults.down,
         RecordingPeers(*others),
@@ -124,6 +129,29 @@
     assert "observations//vm-0" in store.history.rows
 
 
+async def test_the_end_of_a_limit_reaches_others() -> None:
+    """Routers that send nothing to a server must not keep to a limit that has ended."""
+    history = RowHistory()
+    gateways = [observations(MemoryRows(history), f"vm-{n}") for n in range(2)]
+    for gateway in gateways:
+        gateway.backends.update(SERVER)
+        entry = gateway.backends.entries[SERVER.name]
+        gateway.backends.set_limit(entry, 2.0, 0.0)
+    async with anyio.create_task_group() as tasks:
+        for gateway in gateways:
+            tasks.start_soon(watcher(gateway).run)
+            tasks.start_soon(gateway.run)
+        await anyio.sleep(1)
+        first = gateways[0].backends
+        first.set_limit(first.entries[SERVER.name], None, 0.0)
+        run = first.entries[SERVER.name].run
+        first.ended_limits.ended[run] += -END_DELAY
+        gateways[1].backends.entries[SERVER.name].limit.heard_at -= 60.0  # type: ignore[union-attr]
+        await anyio.sleep(CONTACT_TIME)
+        tasks.cancel_scope.cancel()
+    assert gateways[1].backends.entries[SERVER.name].limit is None
+
+
 async def test_nothing_is_written_for_requests_that_a_retry_served() -> None:
     """A crash whose requests were all served elsewhere must not cost a write."""
     store = MemoryRows()
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -50,6 +50,7 @@
     TransferRow,
     TransferState,
 )
+from ebonyhold.coordination._server_limits import EndedLimit
 from ebonyhold.daemon._messages import (
     BackendUse,
     HeldGrant,
@@ -319,6 +320,7 @@
 """What is written as compact JSON, by label."""
 
 OBSERVATIONS = ObservationsRow(
+    ended_limits=(EndedLimit(ServerRun("i-3", 1785000000002), at=3.5),),
     crashes=CrashReport(
         losses=(
             RequestLoss(
