Hold no request responsible for servers that end together

Change: if another server ends within 0.1 s of a crash, its losses are logged and not recorded. Servers that have ended unused connections meanwhile are asked as well, since a router rarely has requests at each server of a rack. Servers that had the same request in turn do not count, so that one that crashes each at once is still found.

--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -19,9 +19,17 @@
 from ebonyhold.forwarding._exchange import AttemptLoss, Exchange
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._types import BackendState
+from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
 
+COINCIDENCE: Seconds = 0.1
+"""Servers that end within this time of each other end by a common cause, such as the
+failure of a rack."""
+
+KEPT_ENDS: Seconds = 1.0
+"""Time for which it is kept that a server has ended."""
+
 
 @frozen(eq=False)
 class UncheckedLoss:
@@ -45,19 +53,22 @@
     """Checks servers whose connections broke, and records requests lost in crashes.
 
     A connection may also break because the server drops it. Only if the server refuses
-    a new connection right afterwards has its process ended.
+    a new connection right afterwards has its process ended. If others end at the same
+    time, none of the requests is the cause.
 
     Attributes:
         pool: The connections to servers.
         backends: The known servers.
         records: The losses known to all routers.
         unchecked: The lost requests of each server that is being checked.
+        ended: When servers have ended, by the monotonic clock.
     """
 
     pool: ChannelPool
     backends: BackendTable
     records: CrashRecords = field(factory=CrashRecords)
     unchecked: dict[BackendEntry, list[UncheckedLoss]] = field(factory=dict)
+    ended: dict[BackendName, Seconds] = field(factory=dict)
 
     def is_rejected(self, exchange: Exchange) -> bool:
         """Return whether a request is rejected because it crashes servers."""
@@ -83,7 +94,10 @@
         A server that is draining or no longer listed is expected to end.
         """
         unchecked = UncheckedLoss(
-            exchange, AttemptLoss(), tuple(exchange.losses), known_depth
+            exchange,
+            AttemptLoss(entry.backend.name),
+            tuple(exchange.losses),
+            known_depth,
         )
         exchange.losses.append(unchecked.loss)
         ready = entry.backend.state is BackendState.READY
@@ -96,38 +110,79 @@
         self.pool.tasks.start_soon(self.check, entry)
 
     async def check(self, entry: BackendEntry) -> None:
-        """Connect to a server; if it refuses, record the losses there."""
-        backend = entry.backend
-        refused = False
+        """Record the losses at a server if it has crashed, and no other with it."""
+        at = anyio.current_time()
+        others: set[BackendName] = set()
         try:
-            channel = await self.pool.connect(backend.name, backend.address)
-        except BackendLostError as error:
-            refused = isinstance(error, ConnectRefusedError)
-        else:
-            channel.keep_unused(anyio.current_time())
-            await self.pool.put(backend.name, channel)
+            crashed = await self.has_ended(entry)
+            if crashed:
+                self.ended[entry.backend.name] = at
+                await anyio.sleep(COINCIDENCE)
+                others = await self.ended_with(entry, at)
         finally:
             losses = self.unchecked.pop(entry)
-        if refused:
+        if crashed:
             for unchecked in losses:
-                self.record_crash(entry, unchecked)
+                self.record_crash(entry, unchecked, others)
 
-    def record_crash(self, entry: BackendEntry, unchecked: UncheckedLoss) -> None:
-        """Record and log that a request was at a server when the server crashed."""
-        loss = unchecked.loss
-        earlier = (other.depth for other in unchecked.earlier)
-        loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
+    async def has_ended(self, entry: BackendEntry) -> bool:
+        """Return whether a server refuses a connection; keep one that it accepts."""
+        backend = entry.backend
+        try:
+            channel = await self.pool.connect(backend.name, backend.address)
+        except BackendLostError as error:
+            return isinstance(error, ConnectRefusedError)
+        channel.keep_unused(anyio.current_time())
+        await self.pool.put(backend.name, channel)
+        return False
+
+    async def ended_with(self, entry: BackendEntry, at: Seconds) -> set[BackendName]:
+        """Return the other servers that ended within COINCIDENCE of a server.
+
+        Servers that have only ended unused connections are asked first.
+        """
+        for name in self.pool.ended_between(at - COINCIDENCE, at + COINCIDENCE):
+            other = self.backends.entries.get(name)
+            if other is None or name in self.ended:
+                continue
+            if await self.has_ended(other):
+                self.ended[name] = at
+        kept = anyio.current_time() - KEPT_ENDS
+        self.ended = {name: end for name, end in self.ended.items() if end >= kept}
+        return {
+            name
+            for name, end in self.ended.items()
+            if name != entry.backend.name and abs(end - at) <= COINCIDENCE
+        }
+
+    def record_crash(
+        self, entry: BackendEntry, unchecked: UncheckedLoss, others: set[BackendName]
+    ) -> None:
+        """Record and log that a request was at a server when the server crashed.
+
+        It is only logged if other servers crashed at the same time. Those that had the
+        same request before or after do not count: the request may have crashed each.
+        """
         exchange, backend = unchecked.exchange, entry.backend
-        self.records.add(
-            RequestLoss(exchange.digest, entry.run, loss.depth, time.time())
-        )
+        if others.issubset(lost.server for lost in exchange.losses):
+            self.record_loss(entry, unchecked)
         log.warning(
             "request lost in a crash",
             extra={
                 "request": exchange.caller.request_id,
                 "content": exchange.digest,
                 "backend": backend.name,
-                "depth": loss.depth,
+                "depth": unchecked.loss.depth,
                 "rejected": self.is_rejected(exchange),
+                "ended_with": sorted(others),
             },
         )
+
+    def record_loss(self, entry: BackendEntry, unchecked: UncheckedLoss) -> None:
+        """Record the loss of a request that may be the cause of a crash."""
+        loss = unchecked.loss
+        earlier = (other.depth for other in unchecked.earlier)
+        loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
+        self.records.add(
+            RequestLoss(unchecked.exchange.digest, entry.run, loss.depth, time.time())
+        )
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -67,10 +67,12 @@
     """The loss of an attempt whose connection broke.
 
     Attributes:
+        server: The server.
         depth: Depth of the request's loss (see `RequestLoss`); 0 unless it is confirmed
-            that the server has crashed.
+            that the server has crashed alone.
     """
 
+    server: BackendName
     depth: int = 0
 
 
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -34,6 +34,7 @@
         arrived_at: When the last bytes arrived.
         ended: Whether the peer has closed its side or the connection broke.
         broken: Whether it ended by a reset or an error.
+        ended_at: When the peer ended it; 0 before that.
         changed: Set when bytes arrive or the connection ends, then replaced.
         taken: Set when bytes are taken, so that paused reading resumes.
         on_end: Called when the connection has ended.
@@ -44,6 +45,7 @@
     arrived_at: Seconds = 0.0
     ended: bool = False
     broken: bool = False
+    ended_at: Seconds = 0.0
     changed: anyio.Event = field(factory=anyio.Event)
     taken: anyio.Event = field(factory=anyio.Event)
     on_end: Callable[[], None] | None = None
@@ -74,6 +76,8 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
                 self.ended = True
                 self.broken = True
+            if self.ended:
+                self.ended_at = anyio.current_time()
             self.notify()
             # No bytes are taken after a close, so the close must end this wait too.
             # Otherwise this task and its buffer would never be freed.
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -94,6 +94,14 @@
             return
         channels.append(channel)
 
+    def ended_between(self, start: Seconds, end: Seconds) -> list[BackendName]:
+        """Return the servers that ended unused connections in a period."""
+        return [
+            name
+            for name, channels in self.unused.items()
+            if any(start <= channel.inbox.ended_at <= end for channel in channels)
+        ]
+
     async def sweep(self) -> None:
         """Close expired and ended connections periodically; never return."""
         while True:
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -22,6 +22,9 @@
 
 pytestmark = pytest.mark.anyio
 
+SETTLE_TIME = 0.3
+"""Seconds after a crash within which its losses are recorded."""
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -48,7 +51,7 @@
     caplog.set_level(logging.WARNING)
     async with rig(Server("s", script)) as fleet:
         await fleet.ask(request("/unsafe/x", "POST", b"body"))
-        await anyio.sleep(0.1)
+        await anyio.sleep(SETTLE_TIME)
     lost = [line for line in caplog.records if line.msg == "request lost in a crash"]
     assert len(lost) == count
 
@@ -73,7 +76,7 @@
         for _ in range(2):
             tasks.start_soon(fleet.ask, request("/unsafe/x", "POST", b"body"))
         await both.wait()
-        await anyio.sleep(0.1)
+        await anyio.sleep(SETTLE_TIME)
         assert fleet.forwarder.pool.opened == 3
 
 
@@ -82,6 +85,41 @@
     await stream.send(answer(head))
 
 
+@pytest.mark.parametrize("idle", [False, True])
+async def test_servers_of_one_rack_accuse_no_request(idle: bool) -> None:
+    """Requests at servers that end together must not be recorded as a possible cause.
+
+    With ``idle`` the router has only an unused connection to the second server.
+    """
+    released = anyio.Event()
+
+    async def waits(server: Server, stream: SocketStream, head: str) -> None:
+        if "/idle" in head:
+            await serves(server, stream, head)
+            await released.wait()
+        else:
+            await released.wait()
+            await crashes(server, stream, head)
+        await server.crash()
+        await stream.aclose()
+
+    servers = [Server("a", waits), Server("b", waits)]
+    async with rig(*servers) as fleet, anyio.create_task_group() as tasks:
+        entries = fleet.forwarder.backends.entries
+        for server in servers:
+            other = entries["a" if server.name == "b" else "b"]
+            other.in_flight += 9
+            if idle and server.name == "b":
+                await fleet.ask(request("/unsafe/idle", "POST", b"body"))
+            else:
+                tasks.start_soon(fleet.ask, request("/unsafe/x", "POST", b"body"))
+            await anyio.sleep(0.1)
+            other.in_flight -= 9
+        released.set()
+        await anyio.sleep(SETTLE_TIME)
+        assert fleet.forwarder.crashes.records.losses == {}
+
+
 DIGEST = request_digest("acme", b"POST", "h.example", b"/unsafe/x", b"body")
 CRASHER = request("/unsafe/x", "POST", b"body")
 
@@ -98,7 +136,7 @@
     servers = [Server(f"s{number}", crashes) for number in range(6)]
     async with rig(*servers) as fleet:
         got = await fleet.ask(request("/often/x"))
-        await anyio.sleep(0.1)
+        await anyio.sleep(SETTLE_TIME)
         again = await fleet.ask(request("/often/x"))
     assert sum(len(server.requests) for server in servers) == 3
     assert got.startswith(b"HTTP/1.1 502 ")
