Date a crash by the first request that was lost in it

Cause: read again: a request whose loss is noticed late had its crash taken for a later one, so that the others that ended with the server were not found. Change: the time of the first notice counts for 1 s. Result: tests of the detection pass.

--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -28,7 +28,11 @@
 failure of a rack."""
 
 KEPT_ENDS: Seconds = 1.0
-"""Time for which it is kept that a server has ended."""
+"""Time for which it is kept that a server has ended.
+
+Requests of one crash that are noticed to be lost within this time have the time of the
+first of them.
+"""
 
 
 @frozen(eq=False)
@@ -116,7 +120,8 @@
         try:
             crashed = await self.has_ended(entry)
             if crashed:
-                self.ended[entry.backend.name] = at
+                self.forget_ends(at - KEPT_ENDS)
+                at = self.ended.setdefault(entry.backend.name, at)
                 await anyio.sleep(COINCIDENCE)
                 others = await self.ended_with(entry, at)
         finally:
@@ -147,14 +152,16 @@
                 continue
             if await self.has_ended(other):
                 self.ended[name] = at
-        kept = anyio.current_time() - KEPT_ENDS
-        self.ended = {name: end for name, end in self.ended.items() if end >= kept}
         return {
             name
             for name, end in self.ended.items()
             if name != entry.backend.name and abs(end - at) <= COINCIDENCE
         }
 
+    def forget_ends(self, before: Seconds) -> None:
+        """Forget the servers that ended before a time."""
+        self.ended = {name: end for name, end in self.ended.items() if end >= before}
+
     def record_crash(
         self, entry: BackendEntry, unchecked: UncheckedLoss, others: set[BackendName]
     ) -> None:
