Share a limit among the routers left after a fleet has shrunk

Cause: read again: the count of routers never falls below half of its maximum, so in a fleet that lost more, fewer routers are known than counted for good; each then had an equal share, and saved up a request for a server that takes two a second. Change: equal shares only as long as half of the fleet is not known, as at the start. Result: the extended test passes; before, all 90 routers had a share of a limit of 4.

--- a/ebonyhold/coordination/_server_limits.py
+++ b/ebonyhold/coordination/_server_limits.py
@@ -111,12 +111,11 @@
     def rate(self, server: BackendName, limit: float) -> float:
         """Return how many requests per second this router may send to a server.
 
-        While fewer routers are known than there are, the senders cannot be computed,
-        and each router has an equal share.
+        As long as most routers are not known, each one has an equal share.
         """
         limit = max(limit, MIN_LIMIT)
         count = self.count()
-        if len(self.routers) < count:
+        if 2 * len(self.routers) <= count:
             return limit / count
         share = self.cached.get((server, limit))
         if share is None:
--- a/tests/coordination/test_server_limits.py
+++ b/tests/coordination/test_server_limits.py
@@ -69,9 +69,17 @@
         assert sum(rates) == pytest.approx(limit)
 
 
-def test_a_router_that_does_not_know_the_others_takes_no_more_than_a_part() -> None:
-    """A router that has just started must not take the whole limit for itself."""
-    assert shares("vm-1", [], count=8).rate("s", 4.0) == 0.5
+@pytest.mark.parametrize(("known", "count", "total"), [(0, 8, 0.5), (90, 97, 4.0)])
+def test_fleet_that_is_not_known_whole(known: int, count: int, total: float) -> None:
+    """A router that has just started must not take the whole limit for itself.
+
+    If the fleet has shrunk instead, the shares must be those of the routers left.
+    """
+    names = [f"vm-{number}" for number in range(known)]
+    fleet = [shares(name, names, count) for name in names or ["vm-1"]]
+    rates = [each.rate("s", 4.0) for each in fleet]
+    assert sum(rates) == pytest.approx(total)
+    assert len([rate for rate in rates if rate]) <= 4
 
 
 @pytest.mark.parametrize("routers", [2, 6, 195, 330])
