--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -53,13 +53,15 @@
                 await anyio.sleep(0.1)
 
 
-async def book(gateway: Gateway, request: str, query: str = "sound=1") -> int:
+async def book(
+    gateway: Gateway, request: str, query: str = "sound=1", path: str = "/book/x"
+) -> int:
     """Send a booking, and return the status of its answer; 0 if there is none."""
-    return (await booking(gateway, request, query))[0]
+    return (await booking(gateway, request, query, path))[0]
 
 
 async def booking(
-    gateway: Gateway, request: str, query: str = "sound=1"
+    gateway: Gateway, request: str, query: str = "sound=1", path: str = "/book/x"
 ) -> tuple[int, str]:
     """Send a booking, and return the status and Retry-After of its answer."""
     headers = {
@@ -68,7 +70,7 @@
         "x-ebonyhold-key": "key-vast",
         "x-ebonyhold-deadline-milliseconds": "2500",
     }
-    url = f"http://{gateway.address}:{gateway.port}/book/x?{query}"
+    url = f"http://{gateway.address}:{gateway.port}{path}?{query}"
     async with httpx.AsyncClient() as client:
         try:
             answer = await client.post(url, headers=headers, content=b"same content")
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -9,7 +9,9 @@
 import sys
 from collections.abc import Callable
 
+from ebonyhold.coordination import LimitShares
 from ebonyhold.forwarding import BackendTable, _forwarder
+from ebonyhold.gateway import Observations
 from ebonyhold.gateway.__main__ import main
 from ebonyhold.prepaid import Predecessor
 
@@ -45,10 +47,26 @@
     BackendTable.expire = weakened  # type: ignore[method-assign]
 
 
+def keep_observations() -> None:
+    """Make the gateway tell the others nothing of what it has observed."""
+
+    async def weakened(self: Observations) -> None:
+        pass
+
+    Observations.publish = weakened  # type: ignore[method-assign]
+
+
+def use_whole_limits() -> None:
+    """Make the gateway use the whole limit of each server for itself."""
+    LimitShares.rate = lambda self, server, limit: limit  # type: ignore[method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "proof": assume_nothing_was_used,
     "not-run": resend_everything,
     "sound-tasks": fail_in_a_task,
+    "observations": keep_observations,
+    "shares": use_whole_limits,
 }
 
 
