Let an answer disprove crashes that become known after it

Cause: a content that 12 callers send all the time is at all servers, so each crash accused it. Its answers retracted what the router knew then; reports of crashes arrive 0.4 to 0.8 s later, and with a crash every half second its losses were always a step ahead of its answers. Change: a router keeps when it last saw each request answered, while any loss is known, and a loss that is not more than 5 s younger is retracted as it arrives, for all routers.

--- a/ebonyhold/coordination/_crashes.py
+++ b/ebonyhold/coordination/_crashes.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import Any
 
 from attrs import define, evolve, field, frozen
 
@@ -38,11 +39,18 @@
 """
 
 MAX_LOSSES = 2048
-"""Maximum number of losses, and of retracted losses, that a router keeps.
+"""Maximum number of losses, of retracted losses and of answers that a router keeps.
 
 Above it the oldest ones are dropped.
 """
 
+ANSWER_VALIDITY: Seconds = 5.0
+"""A complete answer acquits a request of crashes up to this long after it.
+
+Copies of a request that is sent often are at all servers all the time, so each crash
+would accuse it, and reports of crashes arrive after answers that disprove them.
+"""
+
 MAX_REPORTED = 100
 """Maximum number of losses, and of retracted losses, in a router's report."""
 
@@ -104,6 +112,8 @@
         retracted: The retracted losses, likewise.
         by_request: The losses of each request.
         rejected: The requests to reject.
+        answers: When this router last saw a complete answer to a request, for requests
+            that were answered while it knew of any loss; in seconds since the epoch.
         reported: The losses that were in a report; the others need no retraction.
         changed: Whether `report` has changed since it was last called.
     """
@@ -112,6 +122,7 @@
     retracted: dict[RequestLoss, bool] = field(factory=dict)
     by_request: Mapping[RequestDigest, Sequence[RequestLoss]] = field(factory=dict)
     rejected: frozenset[RequestDigest] = frozenset()
+    answers: dict[RequestDigest, Seconds] = field(factory=dict)
     reported: set[RequestLoss] = field(factory=set)
     changed: bool = False
 
@@ -120,16 +131,32 @@
         return max((loss.depth for loss in self.by_request.get(request, ())), default=0)
 
     def add(self, loss: RequestLoss) -> None:
-        """Add a loss that this router has seen, unless one at that run is known."""
+        """Add a loss that this router has seen.
+
+        It is left out if one at that run is known, or if an answer disproves it.
+        """
         known = self.by_request.get(loss.request, ())
-        if all(other.run != loss.run for other in known):
+        new = all(other.run != loss.run for other in known)
+        if new and not self.is_disproved(loss):
             self.include((loss,), (), own=True)
 
-    def retract(self, request: RequestDigest) -> None:
+    def is_disproved(self, loss: RequestLoss) -> bool:
+        """Return whether an answer shows that a request is not the cause of a crash."""
+        answered_at = self.answers.get(loss.request)
+        return answered_at is not None and loss.at < answered_at + ANSWER_VALIDITY
+
+    def retract(self, request: RequestDigest, now: Seconds) -> None:
         """Retract a request's losses, because a server answered it completely.
 
         Losses that no other router can know of are only removed.
+
+        Args:
+            request: The request.
+            now: The time, in seconds since the epoch.
         """
+        self.answers.pop(request, None)
+        self.answers[request] = now
+        drop_oldest(self.answers)
         losses = self.by_request.get(request, ())
         private = [
             loss for loss in losses if self.losses[loss] and loss not in self.reported
@@ -168,6 +195,9 @@
         for loss in retracted:
             self.retracted.setdefault(loss, own)
         for loss in losses:
+            if self.is_disproved(loss):
+                self.retracted.setdefault(loss, True)
+                self.changed = True
             if loss not in self.retracted:
                 self.losses.setdefault(loss, own)
         gone = [loss for loss in self.losses if loss in self.retracted]
@@ -224,7 +254,7 @@
     return REJECTION_TIME if loss.depth >= REJECT_AFTER else LOSS_EXPIRY
 
 
-def drop_oldest(entries: dict[RequestLoss, bool]) -> None:
+def drop_oldest(entries: dict[Any, Any]) -> None:
     """Remove the oldest entries above MAX_LOSSES."""
     while len(entries) > MAX_LOSSES:
         del entries[next(iter(entries))]
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -90,7 +90,7 @@
     def answered(self, exchange: Exchange) -> None:
         """Record that a server has answered a request completely."""
         if self.records.losses:
-            self.records.retract(exchange.digest)
+            self.records.retract(exchange.digest, time.time())
 
     def lost(self, exchange: Exchange, entry: BackendEntry, known_depth: int) -> None:
         """Record that the connection broke during a request, and check the server.
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -8,6 +8,7 @@
 
 from ebonyhold.coordination import CrashRecords, CrashReport, RequestLoss, ServerRun
 from ebonyhold.coordination._crashes import (
+    ANSWER_VALIDITY,
     LOSS_EXPIRY,
     MAX_LOSSES,
     MAX_REPORTED,
@@ -95,16 +96,36 @@
     """Losses from before a request was answered must not count later."""
     known = records(loss("x", "a", 1), loss("x", "b", 2))
     known.report()
-    known.retract("x")
+    known.retract("x", NOW)
     assert known.depth("x") == 0
-    known.add(loss("x", "c", 1))
+    known.add(loss("x", "c", 1, at=NOW + ANSWER_VALIDITY))
     assert known.rejected == frozenset()
+    assert known.depth("x") == 1
+
+
+def test_an_answer_disproves_crashes_that_become_known_later() -> None:
+    """A content that callers send all the time must not be accused by each crash.
+
+    Reports of crashes reach a router after it has seen an answer.
+    """
+    known = records(loss("y", "a", 1))
+    known.retract("x", NOW)
+    report = CrashReport(
+        losses=tuple(loss("x", server, depth + 1) for depth, server in enumerate("abc"))
+    )
+    known.merge(report, NOW)
+    assert known.rejected == frozenset()
+    other = CrashRecords()
+    other.merge(report, NOW)
+    assert other.rejected == {"x"}
+    other.merge(known.report(), NOW)
+    assert other.rejected == frozenset()
 
 
 def test_losses_that_nobody_knows_are_not_retracted() -> None:
     """A request that a retry served must not cause a report."""
     known = records(loss("x", "a", 1))
-    known.retract("x")
+    known.retract("x", NOW)
     assert known.report() == CrashReport()
 
 
--- a/tests/gateway/test_observations.py
+++ b/tests/gateway/test_observations.py
@@ -157,7 +157,7 @@
     store = MemoryRows()
     gateway = observations(store, "vm-0")
     lose(gateway, "a", 1)
-    gateway.crashes.retract("x")
+    gateway.crashes.retract("x", time.time())
     await gateway.publish()
     assert store.history.rows == {}
 
