--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -104,10 +104,7 @@
 
 
 def test_an_answer_disproves_crashes_that_become_known_later() -> None:
-    """A content that callers send all the time must not be accused by each crash.
-
-    Reports of crashes reach a router after it has seen an answer.
-    """
+    """A content that callers send all the time must not be accused by each crash."""
     known = records(loss("y", "a", 1))
     known.retract("x", NOW)
     report = CrashReport(
@@ -130,10 +127,7 @@
 
 
 def test_routers_agree_in_any_order_of_reports() -> None:
-    """Reports that arrive late, twice or in another order must not change a decision.
-
-    The request was answered at another router after its second loss.
-    """
+    """Reports that come late, twice or in another order must not change a decision."""
     first = CrashReport(losses=(loss("x", "a", 1), loss("x", "b", 2)))
     answered = CrashReport(retracted=first.losses)
     second = CrashReport(losses=(loss("x", "c", 3),))
--- a/tests/coordination/test_server_limits.py
+++ b/tests/coordination/test_server_limits.py
@@ -37,11 +37,7 @@
 @pytest.mark.parametrize("routers", [1, 6, 9, 23, 195, 330])
 @pytest.mark.parametrize("limit", [0.0, 0.3, 1.0, 2.3, 3.5, 20.0, 150.0])
 def test_no_window_exceeds_the_limit(routers: int, limit: float) -> None:
-    """Small shares, or requests saved up at each router, must not add up to too much.
-
-    All routers get requests at first; then none does for a while, and at last they all
-    get more than they may send at once.
-    """
+    """Small shares or requests saved up at each router must not add up to too much."""
     names = [f"vm-{number}" for number in range(routers)]
     fleet = [shares(name, names) for name in names]
     sending = [SendingLimit(limit) for _ in fleet]
@@ -71,10 +67,7 @@
 
 @pytest.mark.parametrize(("known", "count", "total"), [(0, 8, 0.5), (90, 97, 4.0)])
 def test_fleet_that_is_not_known_whole(known: int, count: int, total: float) -> None:
-    """A router that has just started must not take the whole limit for itself.
-
-    If the fleet has shrunk instead, the shares must be those of the routers left.
-    """
+    """A router must not take the whole limit at its start, nor too little for good."""
     names = [f"vm-{number}" for number in range(known)]
     fleet = [shares(name, names, count) for name in names or ["vm-1"]]
     rates = [each.rate("s", 4.0) for each in fleet]
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -87,10 +87,7 @@
 
 @pytest.mark.parametrize("idle", [False, True])
 async def test_servers_of_one_rack_accuse_no_request(idle: bool) -> None:
-    """Requests at servers that end together must not be recorded as a possible cause.
-
-    With ``idle`` the router has only an unused connection to the second server.
-    """
+    """Requests at servers that end together must not be taken for the cause."""
     released = anyio.Event()
 
     async def waits(server: Server, stream: SocketStream, head: str) -> None:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import signal
+import subprocess
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import httpx
 
-from tests.platform.kit import Gateway, configuration
+from tests.platform.kit import ROOT, Gateway, configuration
 from tests.platform.soak._run import PROGRAM, SoakRun
-from tests.platform.test_late_requests import start_platform
 
 GATEWAYS = 3
 
@@ -20,18 +22,25 @@
 """Seconds within which the platform expects routers to learn from each other."""
 
 
+def start_platform(port: int) -> subprocess.Popen[bytes]:
+    """Start the stand-in of the platform."""
+    command = [sys.executable, "-m", "tests.platform.standin", str(port)]
+    return subprocess.Popen(command, cwd=ROOT)
+
+
 @asynccontextmanager
-async def gateways(folder: Path) -> AsyncIterator[SoakRun]:
-    """Run gateways that know each other, with a stand-in of the platform."""
+async def running_gateways(
+    folder: Path, count: int, rules: dict[str, Any]
+) -> AsyncIterator[SoakRun]:
+    """Run gateways with the stand-in of the platform; kill all at the end."""
     soak = SoakRun(0, 0.0, folder, PROGRAM)
     platform = start_platform(soak.base)
     try:
-        await soak.write("op//config", configuration())
+        await soak.write("op//config", rules)
         async with anyio.create_task_group() as tasks:
             soak.tasks = tasks
-            for number in range(GATEWAYS):
+            for number in range(count):
                 soak.add_gateway(number)
-            await wait_until_ready(soak)
             yield soak
             tasks.cancel_scope.cancel()
     finally:
@@ -43,6 +52,14 @@
         platform.wait()
 
 
+@asynccontextmanager
+async def gateways(folder: Path) -> AsyncIterator[SoakRun]:
+    """Run gateways that know each other, and wait until each answers a booking."""
+    async with running_gateways(folder, GATEWAYS, configuration()) as soak:
+        await wait_until_ready(soak)
+        yield soak
+
+
 async def wait_until_ready(soak: SoakRun) -> None:
     """Wait until each gateway answers a booking."""
     with anyio.fail_after(20.0):
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -4,8 +4,6 @@
 
 import random
 import signal
-import subprocess
-import sys
 import time
 from collections.abc import AsyncIterator, Container
 from contextlib import asynccontextmanager
@@ -14,8 +12,8 @@
 import anyio
 import pytest
 
+from tests.platform.fleet import running_gateways
 from tests.platform.kit import (
-    ROOT,
     Fault,
     Length,
     ProcessRecord,
@@ -26,7 +24,7 @@
     read_runs,
     use_connection,
 )
-from tests.platform.soak._run import PROGRAM, SoakRun, no_next_request
+from tests.platform.soak._run import SoakRun, no_next_request
 
 pytestmark = pytest.mark.anyio
 
@@ -64,33 +62,13 @@
     return "asyncio"
 
 
-def start_platform(port: int) -> subprocess.Popen[bytes]:
-    """Start the stand-in of the platform."""
-    command = [sys.executable, "-m", "tests.platform.standin", str(port)]
-    return subprocess.Popen(command, cwd=ROOT)
-
-
 @asynccontextmanager
 async def one_gateway(folder: Path) -> AsyncIterator[SoakRun]:
     """Run one gateway with the stand-in of the platform; kill both at the end."""
-    soak = SoakRun(0, 0.0, folder, PROGRAM)
-    platform = start_platform(soak.base)
-    try:
-        rules = configuration()
-        rules["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
-        await soak.write("op//config", rules)
-        async with anyio.create_task_group() as tasks:
-            soak.tasks = tasks
-            soak.add_gateway(0)
-            yield soak
-            tasks.cancel_scope.cancel()
-    finally:
-        for gateway in soak.gateways:
-            gateway.send(signal.SIGKILL)
-            if gateway.process is not None:
-                gateway.process.wait()
-        platform.kill()
-        platform.wait()
+    rules = configuration()
+    rules["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
+    async with running_gateways(folder, 1, rules) as soak:
+        yield soak
 
 
 async def send_request(
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -64,10 +64,7 @@
 
 
 async def test_all_routers_together_keep_to_a_limit(tmp_path: Path) -> None:
-    """Routers must not each use the whole limit of a server, nor go on after its end.
-
-    The limit ends 10 s after it was named.
-    """
+    """Routers must not each use a server's whole limit, nor outlive its end."""
     limit = 1.5
     async with gateways(tmp_path) as soak, anyio.create_task_group() as tasks:
         for gateway in range(GATEWAYS):
