Keep to the requests per second that a cold server tolerates

Nothing used how long a server is cold, so nothing kept 59 gateways from all choosing one that has come back.

Change: the senders that share a limit which a server names now share that of a cold server, too. It is known beforehand and ends by time, so nobody probes for its end. Half of what is tolerated is sent: requests that the senders have saved up can double it within one second. A gateway that does not know the others yet sends nothing there, since gateways that start together would each assume a small fleet. Servers of a domain that is taken back count as cold for as long as after a start: their entries may say so up to two seconds later.

Weighed: nothing at all while cold (nine servers less for 3 s, and all come back at once); an equal share for each gateway (59 first requests saved up for 33 that are allowed).

--- a/ebonyhold/coordination/_server_limits.py
+++ b/ebonyhold/coordination/_server_limits.py
@@ -1,5 +1,7 @@
 """How routers share the requests per second that a server takes from all of them.
 
+A server may state such a limit, and it has one while it is cold.
+
 A few routers, the server's senders, have equal shares of its limit; all others send it
 nothing. The fewer the requests, the fewer the senders, so that no share is so small
 that saving up for a single request adds up, over all routers, to more than the limit.
@@ -28,6 +30,13 @@
 SAVED_TIME: Seconds = 1.0
 """Time for which unused requests are saved up, if that is at least one request."""
 
+COLD_SHARE = 0.5
+"""Share of the requests that a cold server tolerates which are sent to it.
+
+In one second, requests that the senders have saved up come on top of their shares: up
+to twice the limit. Sent this share, it gets no more in any second than it tolerates.
+"""
+
 MIN_LIMIT = 0.1
 """Smallest limit, in requests per second, that is applied.
 
@@ -108,15 +117,33 @@
             self.position = sorted(known).index(self.router)
             self.cached.clear()
 
+    @property
+    def is_fleet_known(self) -> bool:
+        """Whether most routers are known, so that all choose the same senders."""
+        return 2 * len(self.routers) > self.count()
+
+    def cold_rate(self, server: BackendName, tolerated: float) -> float:
+        """Return how many requests per second this router may send to a cold server.
+
+        None before the other routers are known: with all VMs of a fleet just started,
+        equal shares of the assumed number of routers would add up to far too many.
+
+        Args:
+            server: The server.
+            tolerated: Requests per second that it tolerates from all routers.
+        """
+        if not self.is_fleet_known:
+            return 0.0
+        return self.rate(server, tolerated * COLD_SHARE)
+
     def rate(self, server: BackendName, limit: float) -> float:
         """Return how many requests per second this router may send to a server.
 
         As long as most routers are not known, each one has an equal share.
         """
         limit = max(limit, MIN_LIMIT)
-        count = self.count()
-        if 2 * len(self.routers) <= count:
-            return limit / count
+        if not self.is_fleet_known:
+            return limit / self.count()
         share = self.cached.get((server, limit))
         if share is None:
             if len(self.cached) >= MAX_CACHED:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -17,7 +17,12 @@
     SendingLimit,
     ServerRun,
 )
-from ebonyhold.forwarding._types import Backend, BackendState, ServiceName
+from ebonyhold.forwarding._types import (
+    Backend,
+    BackendState,
+    Service,
+    ServiceName,
+)
 from ebonyhold.forwarding._work import ServerWork
 from ebonyhold.types import BackendName, Seconds
 
@@ -57,6 +62,9 @@
         moved: Whether an answer stated that another server has its address.
         limit: Its limit on requests from all routers together, and how much of it this
             router has used; None if its last answer stated no limit.
+        cold_until: Until when the server counts as cold.
+        cold_limit: How much of its limit while cold this router has used; None if
+            it was not cold when it was last considered.
         drop_at: When to remove it, if its list entry is missing after an outage of the
             store; None otherwise.
     """
@@ -68,6 +76,8 @@
     full_until: Seconds = 0.0
     moved: bool = False
     limit: SendingLimit | None = None
+    cold_until: Seconds = 0.0
+    cold_limit: SendingLimit | None = None
     drop_at: Seconds | None = None
 
     @property
@@ -85,6 +95,7 @@
         ejector: Decides which failing servers to avoid.
         shares: This router's shares of the servers' limits.
         ended_limits: The ends of limits that this router has noticed.
+        services: The settings of the services.
         evacuated: The failure domains whose servers get no requests.
     """
 
@@ -92,6 +103,7 @@
     ejector: Ejector = field(factory=lambda: Ejector(EJECTION))
     shares: LimitShares = field(factory=LimitShares)
     ended_limits: EndedLimits = field(factory=EndedLimits)
+    services: Mapping[ServiceName, Service] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
 
     def replace(
@@ -102,25 +114,44 @@
         Servers that are not listed are removed as in `remove`.
         """
         for backend in listed.values():
-            self.update(backend)
+            self.update(backend, now)
         for name in [name for name in self.entries if name not in listed]:
             self.remove(name, now, after_outage)
 
-    def update(self, backend: Backend) -> None:
-        """Add a server, or update it; a restarted server loses its earlier state."""
+    def update(self, backend: Backend, now: Seconds = 0.0) -> None:
+        """Add a server, or update it; a restarted server loses its earlier state.
+
+        Args:
+            backend: The server's entry in the server list.
+            now: When the entry was read.
+        """
         known = self.entries.get(backend.name)
         if known is None or known.backend.started_at != backend.started_at:
             # The server is new, or has restarted under the same name.
-            self.entries[backend.name] = BackendEntry(backend)
+            known = self.entries[backend.name] = BackendEntry(backend)
             self.ejector.succeeded(backend.name)
             log.info("server listed", extra=fields_of(backend))
-            return
+        if backend.cold_for:
+            known.cold_until = max(known.cold_until, now + backend.cold_for)
         if known.backend.state is not backend.state:
             log.info("server changed", extra=fields_of(backend))
         known.moved = known.moved and known.backend.address == backend.address
         known.backend = backend
         known.drop_at = None
 
+    def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
+        """Set the failure domains whose servers get no requests.
+
+        At the end of an evacuation its servers may be cold, and their entries may state
+        that only later. So they count as cold for as long as after a start.
+        """
+        for entry in self.entries.values():
+            if entry.backend.domain in self.evacuated - domains:
+                service = self.services.get(entry.backend.service)
+                cold_time = service.cold_time if service is not None else 0.0
+                entry.cold_until = max(entry.cold_until, now + cold_time)
+        self.evacuated = domains
+
     def remove(self, name: BackendName, now: Seconds, after_outage: bool) -> None:
         """Remove a server that is no longer listed.
 
@@ -209,17 +240,37 @@
 
         It is infinite if this router has no share of the limit.
         """
+        wait = self.cold_wait(entry, now)
         if entry.limit is None:
-            return 0.0
+            return wait
         name = entry.backend.name
         entry.limit.set_rate(self.shares.rate(name, entry.limit.limit), now)
-        return entry.limit.wait(self.shares.probe_slot(name, time.time()), now)
+        slot = self.shares.probe_slot(name, time.time())
+        return max(wait, entry.limit.wait(slot, now))
+
+    def cold_wait(self, entry: BackendEntry, now: Seconds) -> Seconds:
+        """Return the time until a cold server's limit allows a request; else 0.
+
+        A router without a share sends nothing. It need not probe for the end of this
+        limit, which is known.
+        """
+        service = self.services.get(entry.backend.service)
+        if now >= entry.cold_until or service is None or not service.cold_rate:
+            entry.cold_limit = None
+            return 0.0
+        if entry.cold_limit is None:
+            entry.cold_limit = SendingLimit(service.cold_rate)
+        rate = self.shares.cold_rate(entry.backend.name, service.cold_rate)
+        entry.cold_limit.set_rate(rate, now)
+        return entry.cold_limit.wait(None, now)
 
     def count_request(self, entry: BackendEntry, now: Seconds) -> None:
-        """Count a request that is sent to a server against its limit."""
+        """Count a request that is sent to a server against its limits."""
         if entry.limit is not None:
             slot = self.shares.probe_slot(entry.backend.name, time.time())
             entry.limit.take(slot, now)
+        if entry.cold_limit is not None:
+            entry.cold_limit.take(None, now)
 
     def usable(
         self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
@@ -237,8 +288,7 @@
         allowed = [
             entry
             for entry in ready
-            if entry.backend.name not in excluded
-            and (entry.limit is None or not self.limit_wait(entry, now))
+            if entry.backend.name not in excluded and not self.limit_wait(entry, now)
         ]
         healthy = [entry for entry in allowed if entry.backend.name not in ejected]
         not_full = [entry for entry in healthy if now >= entry.full_until]
--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -89,11 +89,16 @@
         name: Its name.
         connections: Connections that each of its servers accepts from all routers.
         event_tokens: Maximum number of tokens in one event of its streams.
+        cold_time: For how many seconds after its start a server is cold.
+        cold_rate: Requests per second that a cold server tolerates from all routers
+            together; 0 for no limit.
     """
 
     name: ServiceName
     connections: int
     event_tokens: Tokens = 1
+    cold_time: Seconds = 0.0
+    cold_rate: float = 0.0
 
 
 @frozen
@@ -172,7 +177,7 @@
         state: Whether it accepts new requests.
         started_at: When it started, in milliseconds since the epoch; 0 if unknown.
         cold_for: For how many seconds after the entry was written the server is still
-            slow, because it has just started.
+            cold: slow, and endangered by too many requests.
     """
 
     name: BackendName
--- a/ebonyhold/gateway/_routing_state.py
+++ b/ebonyhold/gateway/_routing_state.py
@@ -58,6 +58,7 @@
             if self.rules is not None and rules.version <= self.rules.version:
                 continue
             self.rules = rules
+            self.backends.services = rules.services
             fields = {"version": rules.version, "hosts": len(rules.routes)}
             log.info("configuration in force", extra=fields)
 
@@ -65,7 +66,7 @@
         """Set the failure domains that are being evacuated, and log a change."""
         if domains != self.backends.evacuated:
             log.info("evacuations changed", extra={"domains": sorted(domains)})
-            self.backends.evacuated = domains
+            self.backends.evacuate(domains, anyio.current_time())
 
     def replace_servers(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
         """Replace the list of servers by the valid rows of a snapshot."""
@@ -87,7 +88,7 @@
         for row in rows:
             backend = None if row.deleted else self.read_entry(row)
             if backend is not None:
-                self.backends.update(backend)
+                self.backends.update(backend, now)
             else:
                 lapsed = row.deleted and after_outage
                 self.backends.remove(row.key, now, lapsed)
--- a/ebonyhold/platform/_documents.py
+++ b/ebonyhold/platform/_documents.py
@@ -104,6 +104,8 @@
         connections=int(raw.get("connection-limit", 0)),
         # A stride is the largest number of tokens in one event of a stream.
         event_tokens=max(1, int(engine.get("stride", 1))),
+        cold_time=float(raw.get("cold-start-s") or 0),
+        cold_rate=float(raw.get("cold-per-s") or 0),
     )
 
 
--- a/tests/coordination/test_server_limits.py
+++ b/tests/coordination/test_server_limits.py
@@ -56,6 +56,37 @@
     assert sum(at < LONG_IDLE for at in sent) >= 0.8 * limit * 20 - 1
 
 
+@pytest.mark.parametrize("routers", [1, 6, 9, 23, 59, 195, 330])
+@pytest.mark.parametrize("tolerated", [0.5, 2.0, 4.0, 19.0, 150.0])
+def test_cold_server_gets_no_more_than_it_tolerates(
+    routers: int, tolerated: float
+) -> None:
+    """All routers together must not overload a server that has just started."""
+    names = [f"vm-{number}" for number in range(routers)]
+    fleet = [shares(name, names) for name in names]
+    sending = [SendingLimit(tolerated) for _ in fleet]
+    sent: list[float] = []
+    steps = [number * STEP for number in range(int(20 / STEP))]
+    for now in [*steps, *(LONG_IDLE + step for step in steps)]:
+        for each, use in zip(fleet, sending, strict=True):
+            use.set_rate(each.cold_rate("s", tolerated), now)
+            while not use.wait(None, now):
+                use.take(None, now)
+                sent.append(now)
+    most = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
+    assert most <= 1.5 * tolerated + 5
+    assert sum(at < LONG_IDLE for at in sent) >= 0.4 * tolerated * 20 - 1
+
+
+@pytest.mark.parametrize(("known", "count"), [(0, 8), (29, 59)])
+def test_cold_server_gets_nothing_from_a_router_without_a_fleet(
+    known: int, count: int
+) -> None:
+    """Routers that start at the same moment must not each assume a small fleet."""
+    names = [f"vm-{number}" for number in range(known)]
+    assert shares("vm-0", names, count).cold_rate("s", 19.0) == 0.0
+
+
 @pytest.mark.parametrize("routers", [6, 195, 330])
 def test_all_routers_choose_the_same_senders(routers: int) -> None:
     """The shares of all routers must add up to the limit."""
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonyhold.coordination import LimitShares
 from ebonyhold.forwarding import (
     Backend,
     BackendEntry,
@@ -13,6 +14,7 @@
     FleetRetryBudget,
     NoRouteError,
     RetryRules,
+    Service,
     ServiceShare,
     choose,
     choose_service,
@@ -213,6 +215,94 @@
     assert table.usable("svc", 0.0, ["s2"]) == []
 
 
+COLD = Service("svc", 100, cold_time=3.0, cold_rate=19.0)
+
+
+def cold_table(evacuated: frozenset[str] = frozenset()) -> BackendTable:
+    """Return a table of a server in each of the domains a and b."""
+    table = BackendTable(services={"svc": COLD}, evacuated=evacuated)
+    table.shares = LimitShares("vm-1", lambda: 1)
+    table.shares.update(["vm-1"])
+    for domain in "ab":
+        table.update(backend(f"s{domain}", domain))
+    return table
+
+
+def names_of(found: list[BackendEntry]) -> list[str]:
+    """Return the names of servers."""
+    return [entry.backend.name for entry in found]
+
+
+@pytest.mark.parametrize(
+    ("evacuated", "tried", "left"),
+    [
+        ("", [], ["sa", "sb"]),
+        ("a", [], ["sb"]),
+        ("a", ["sb"], []),
+        ("ab", [], []),
+        ("c", [], ["sa", "sb"]),
+    ],
+)
+def test_evacuated_servers_get_neither_requests_nor_retries(
+    evacuated: str, tried: list[str], left: list[str]
+) -> None:
+    """A retry or a resumed stream must not go to an evacuated domain either."""
+    table = cold_table(frozenset(evacuated))
+    assert names_of(table.usable("svc", 1.0, tried)) == left
+    assert table.next_allowed("svc", 1.0, tried) is None
+
+
+def test_servers_count_as_cold_after_an_evacuation() -> None:
+    """Servers that are taken back must not get all requests before they say so."""
+    table = cold_table()
+    table.evacuate(frozenset("a"), 10.0)
+    table.evacuate(frozenset(), 20.0)
+    assert names_of(table.usable("svc", 20.0)) == ["sb"]
+    assert names_of(table.usable("svc", 20.0, ["sb"])) == []
+    allowed_at = 20.0 + (table.next_allowed("svc", 20.0) or 0.0)
+    assert 20.0 < allowed_at < 20.0 + 2 / COLD.cold_rate + 0.01
+    found = table.usable("svc", allowed_at + 0.001)
+    assert names_of(found) == ["sa", "sb"]
+    table.count_request(found[0], allowed_at + 0.001)
+    assert names_of(table.usable("svc", allowed_at + 0.001)) == ["sb"]
+    assert names_of(table.usable("svc", 20.0 + COLD.cold_time)) == ["sa", "sb"]
+
+
+@pytest.mark.parametrize(
+    ("stated", "expected", "service", "known"),
+    [
+        (0.0, 0.0, COLD, True),
+        (2.5, 2.5, COLD, True),
+        (2.5, 0.0, Service("svc", 100), True),
+        (2.5, 0.0, None, True),
+        (2.5, 2.5, COLD, False),
+    ],
+    ids=["warm", "cold", "without a limit", "unknown service", "unknown fleet"],
+)
+def test_time_for_which_a_server_is_limited(
+    stated: float, expected: float, service: Service | None, known: bool
+) -> None:
+    """A server must be limited while it is cold, and not for longer."""
+    table = cold_table()
+    table.services = {"svc": service} if service else {}
+    table.shares.count = lambda: 1 if known else 8
+    table.update(backend("sa", cold_for=stated), 100.0)
+    entry = table.entries["sa"]
+    limited = [at for at in (100.0, 101.0, 102.4, 102.6) if table.cold_wait(entry, at)]
+    if not known:
+        assert table.cold_wait(entry, 102.4) == float("inf")
+    assert all(at < 100.0 + expected for at in limited)
+    assert bool(limited) == bool(expected)
+
+
+def test_later_statement_does_not_end_a_cold_period() -> None:
+    """An entry written before a server became cold may be read after that."""
+    table = cold_table()
+    table.update(backend("sa", cold_for=2.0), 100.0)
+    table.update(backend("sa", cold_for=0.0), 100.5)
+    assert table.entries["sa"].cold_until == 102.0
+
+
 def test_full_server_is_skipped_for_a_while() -> None:
     """A server is skipped until `full_until`, unless all servers are full."""
     table = BackendTable()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,6 +67,7 @@
     assert [share.weight for share in route.shares] == [90, 10]
     assert rules.owners["k"].prepaid == 5
     assert rules.services["s"].event_tokens == 5
+    assert rules.services["s"].cold_rate == 0
     assert (rules.limits.head_bytes, rules.limits.idle_timeout) == (100, 15.0)
 
 
@@ -159,6 +160,24 @@
         PlatformDialect().read_request([field])
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, (0.0, 0.0)),
+        ({"cold-start-s": 3.0, "cold-per-s": 19.0}, (3.0, 19.0)),
+        ({"cold-start-s": None, "cold-per-s": 0}, (0.0, 0.0)),
+    ],
+)
+def test_what_a_cold_server_tolerates(
+    fields: dict[str, Any], expected: tuple[float, float]
+) -> None:
+    """A service without these fields must have no limit."""
+    service = {"name": "s", **fields}
+    rules = read_configuration(encode({**CONFIGURATION, "services": [service]}))
+    found = rules.services["s"]
+    assert (found.cold_time, found.cold_rate) == expected
+
+
 @pytest.mark.parametrize(
     ("key", "domain"),
     [
