Tell requests apart that crash servers at the same time

Cause, from the lines of each crash in a fleet of five gateways, twelve engines and eight such requests: servers that end within 0.1 s of each other were taken for a common cause, and nothing was recorded; and a request that all gateways rejected was admitted again as soon as another one with more crashes explained some of those of the first.

Change: a crash beside others is recorded and counts half, at one moment once, in a field of the row of its own, which older gateways do not read; four crashes in a row reject a request whatever others explain; and a server that two requests shared protects neither if each has three crashes of its own.

--- a/ebonyhold/coordination/_crashes.py
+++ b/ebonyhold/coordination/_crashes.py
@@ -2,7 +2,8 @@
 
 A server that crashes breaks off all requests in flight, and only one of them may be the
 cause, so a single crash proves nothing.  A request is rejected once it was on three
-servers that crashed one after the other, without a complete answer in between.
+servers that crashed one after the other, without a complete answer in between.  Servers
+that crash at the same time may have a common cause, so they count less each.
 
 What routers know is a set of losses and a set of retracted losses.  Entries are only
 added, and expire by their own time, so reports can be merged in any order and
@@ -23,7 +24,20 @@
 
 REJECT_CONTESTED_AFTER = 4
 """Number of successive crashes after which a request is rejected even if another one
-was on the same servers and is as likely to be the cause."""
+was on the same servers and may be the cause."""
+
+COMMON_WEIGHT = 0.5
+"""Weight of a crash of one of several servers that ended at the same time.
+
+A request that was on three racks which failed one after the other is not rejected, and
+one that goes on crashing servers is, although others do so at the same time.
+"""
+
+COMMON_TIME: Seconds = 0.25
+"""Time within which losses at servers that did not end alone count once.
+
+Copies of a request at several servers of a rack are noticed to be lost within it.
+"""
 
 REJECTION_TIME: Seconds = 600.0
 """How long a request is rejected.
@@ -80,12 +94,14 @@
             flight at the same time have losses of the same depth, so a fault that ends
             several servers at once counts once.
         at: When the crash was noticed, in seconds since the epoch.
+        alone: Whether no other server ended at the same time.
     """
 
     request: RequestDigest
     run: ServerRun
     depth: int = 1
     at: Seconds = field(default=0.0, eq=False)
+    alone: bool = field(default=True, eq=False)
 
 
 @frozen
@@ -93,13 +109,16 @@
     """What one router has seen of crashes.
 
     Attributes:
-        losses: The losses that it has seen.
+        losses: The losses that it has seen, at servers that ended alone.
         retracted: Losses of requests that a server has answered completely since, seen
             by any router.
+        shared: The losses that it has seen at servers that ended with others. They are
+            apart because routers of older versions would count each as a whole crash.
     """
 
     losses: tuple[RequestLoss, ...] = ()
     retracted: tuple[RequestLoss, ...] = ()
+    shared: tuple[RequestLoss, ...] = ()
 
 
 @define(eq=False)
@@ -179,7 +198,7 @@
         """
         losses, retracted = (
             [evolve(loss, at=min(loss.at, now)) for loss in entries]
-            for entries in (report.losses, report.retracted)
+            for entries in ((*report.losses, *report.shared), report.retracted)
         )
         self.include(
             [loss for loss in losses if now - loss.at < expiry(loss)],
@@ -242,11 +261,13 @@
         losses = [loss for loss, own in reversed(self.losses.items()) if own]
         losses.sort(key=lambda loss: -loss.depth)
         retracted = [loss for loss, own in reversed(self.retracted.items()) if own]
-        report = CrashReport(
-            tuple(losses[:MAX_REPORTED]), tuple(retracted[:MAX_REPORTED])
+        losses = losses[:MAX_REPORTED]
+        self.reported.update(losses)
+        return CrashReport(
+            tuple(loss for loss in losses if loss.alone),
+            tuple(retracted[:MAX_REPORTED]),
+            tuple(loss for loss in losses if not loss.alone),
         )
-        self.reported.update(report.losses)
-        return report
 
 
 def expiry(loss: RequestLoss) -> Seconds:
@@ -265,53 +286,81 @@
 ) -> frozenset[RequestDigest]:
     """Return the requests that are held responsible for crashes.
 
-    These are the ones with `REJECT_AFTER` successive losses. If two of them were on the
-    same server, either may be the cause, and they need `REJECT_CONTESTED_AFTER`. Losses
-    at servers whose crash a rejected request explains do not count for others.
+    These are the ones with `REJECT_CONTESTED_AFTER` successive crashes, and of the
+    others those with `REJECT_AFTER`, unless another request may be the cause: losses at
+    servers whose crash a rejected request explains do not count, and neither do those
+    at servers where another request with as many crashes was.
 
     Args:
         found: The losses of each request; none of them is empty.
     """
     rejected: set[RequestDigest] = set()
     explained: set[ServerRun] = set()
+    leading = [
+        request
+        for request, losses in found.items()
+        if count_crashes(losses, ()) >= REJECT_CONTESTED_AFTER
+    ]
     while True:
+        rejected.update(leading)
+        explained.update(loss.run for request in leading for loss in found[request])
         counts = {
             request: count_crashes(losses, explained)
             for request, losses in found.items()
             if request not in rejected
         }
-        most = max(counts.values(), default=0)
+        most = max(counts.values(), default=0.0)
         if most < REJECT_AFTER:
             return frozenset(rejected)
         leading = [request for request, count in counts.items() if count == most]
-        if most < REJECT_CONTESTED_AFTER:
-            leading = uncontested(leading, found)
-            if not leading:
-                return frozenset(rejected)
-        rejected.update(leading)
-        explained.update(loss.run for request in leading for loss in found[request])
+        leading = uncontested(leading, found, explained)
+        if not leading:
+            return frozenset(rejected)
 
 
 def count_crashes(
     losses: Sequence[RequestLoss], explained: Collection[ServerRun]
-) -> int:
-    """Return the number of successive crashes that no rejected request explains."""
-    runs = {loss.run for loss in losses if loss.run not in explained}
-    return min(len(runs), max(loss.depth for loss in losses))
+) -> float:
+    """Return the number of successive crashes that no rejected request explains.
+
+    A crash of servers that ended at the same time counts as `COMMON_WEIGHT`: the cause
+    may be common, or several requests may each have crashed a server.
+    """
+    counted = [loss for loss in losses if loss.run not in explained]
+    common = {loss.run: loss.at for loss in counted if not loss.alone}
+    alone = {loss.run for loss in counted if loss.run not in common}
+    crashes = len(alone) + COMMON_WEIGHT * count_moments(common.values())
+    depth = max(loss.depth for loss in losses)
+    return crashes if depth >= REJECT_AFTER else min(crashes, depth)
+
+
+def count_moments(times: Iterable[Seconds]) -> int:
+    """Return the number of times that are not within `COMMON_TIME` of an earlier one.
+
+    >>> count_moments([12.0, 10.1, 10.0])
+    2
+    """
+    count, last = 0, -COMMON_TIME
+    for at in sorted(times):
+        if at >= last + COMMON_TIME:
+            count, last = count + 1, at
+    return count
 
 
 def uncontested(
     requests: Sequence[RequestDigest],
     found: Mapping[RequestDigest, Sequence[RequestLoss]],
+    explained: Collection[ServerRun],
 ) -> list[RequestDigest]:
-    """Return the requests that were on no crashed server together with another one."""
+    """Return the requests that have enough crashes of their own.
+
+    Those at servers where another one of the requests was, too, are left out.
+    """
     runs = {request: {loss.run for loss in found[request]} for request in requests}
-    return [
-        request
-        for request in requests
-        if all(
-            runs[request].isdisjoint(runs[other])
-            for other in requests
-            if other != request
-        )
-    ]
+    own: list[RequestDigest] = []
+    for request in requests:
+        shared = set(explained)
+        shared.update(*(runs[other] for other in requests if other != request))
+        if count_crashes(found[request], shared) >= REJECT_AFTER:
+            own.append(request)
+    return own
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -58,7 +58,7 @@
 
     A connection may also break because the server drops it. Only if the server refuses
     a new connection right afterwards has its process ended. If others end at the same
-    time, none of the requests is the cause.
+    time, the cause may be a common one.
 
     Attributes:
         pool: The connections to servers.
@@ -167,12 +167,12 @@
     ) -> None:
         """Record and log that a request was at a server when the server crashed.
 
-        It is only logged if other servers crashed at the same time. Those that had the
-        same request before or after do not count: the request may have crashed each.
+        Of the other servers that crashed at the same time, those that had the same
+        request before or after do not count: the request may have crashed each.
         """
         exchange, backend = unchecked.exchange, entry.backend
-        if others.issubset(lost.server for lost in exchange.losses):
-            self.record_loss(entry, unchecked)
+        unrelated = others.difference(lost.server for lost in exchange.losses)
+        self.record_loss(entry, unchecked, alone=not unrelated)
         log.warning(
             "request lost in a crash",
             extra={
@@ -185,11 +185,15 @@
             },
         )
 
-    def record_loss(self, entry: BackendEntry, unchecked: UncheckedLoss) -> None:
+    def record_loss(
+        self, entry: BackendEntry, unchecked: UncheckedLoss, alone: bool
+    ) -> None:
         """Record the loss of a request that may be the cause of a crash."""
         loss = unchecked.loss
         earlier = (other.depth for other in unchecked.earlier)
         loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
         self.records.add(
-            RequestLoss(unchecked.exchange.digest, entry.run, loss.depth, time.time())
+            RequestLoss(
+                unchecked.exchange.digest, entry.run, loss.depth, time.time(), alone
+            )
         )
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -25,6 +25,11 @@
     return RequestLoss(request, ServerRun(server, started_at), depth, at)
 
 
+def together(request: str, server: str, depth: int) -> RequestLoss:
+    """Return the loss of a request at a server that ended with others."""
+    return RequestLoss(request, ServerRun(server, 1), depth, NOW + depth, alone=False)
+
+
 def records(*losses: RequestLoss) -> CrashRecords:
     """Return the records of a router that has seen some losses."""
     known = CrashRecords()
@@ -92,6 +97,59 @@
     assert records(*(loss(*each) for each in losses)).rejected == rejected
 
 
+@pytest.mark.parametrize(
+    ("servers", "alone", "rejected"),
+    [
+        ("abc", "", False),
+        ("abcde", "", False),
+        ("abcdef", "", True),
+        ("ab", "cd", True),
+    ],
+)
+def test_servers_that_end_together_count_less(
+    servers: str, alone: str, rejected: bool
+) -> None:
+    """Racks must not accuse a request, nor others' crashes hide one that crashes."""
+    known = CrashRecords()
+    for depth, server in enumerate(servers):
+        known.add(together("x", server, depth + 1))
+    for depth, server in enumerate(alone):
+        known.add(loss("x", server, len(servers) + depth + 1))
+    assert known.rejected == ({"x"} if rejected else frozenset())
+
+
+def test_servers_that_end_together_are_reported_apart() -> None:
+    """An older router, which reads only the losses, must not count whole crashes."""
+    known = records(loss("x", "a", 1), together("x", "b", 2))
+    report = known.report()
+    assert [each.run.server for each in report.losses] == ["a"]
+    assert [each.run.server for each in report.shared] == ["b"]
+    other = CrashRecords()
+    other.merge(report, NOW)
+    assert other.depth("x") == 2
+    assert [each.alone for each in other.losses] == [True, False]
+
+
+def test_a_request_stays_rejected_when_another_explains_some_crashes() -> None:
+    """Of several requests that crash servers, none may come back by others' crashes."""
+    runs = "abcd"
+    known = records(*(loss("x", run, depth + 1) for depth, run in enumerate(runs)))
+    for depth, run in enumerate("cdefgh"):
+        known.add(loss("y", run, depth + 1))
+    assert known.rejected == {"x", "y"}
+
+
+def test_requests_with_enough_crashes_of_their_own_are_rejected() -> None:
+    """One server on which two requests were must not protect both."""
+    known = records(*(loss("x", run, depth + 1) for depth, run in enumerate("abc")))
+    for depth, run in enumerate("def"):
+        known.add(loss("y", run, depth + 1))
+    assert known.rejected == {"x", "y"}
+    for request in "xy":
+        known.add(loss(request, "g", 3))
+    assert known.rejected == {"x", "y"}
+
+
 def test_a_complete_answer_acquits_a_request() -> None:
     """Losses from before a request was answered must not count later."""
     known = records(loss("x", "a", 1), loss("x", "b", 2))
