Leave the rotation before a VM's link is full, and close a part of the connections

Cause: the balancer sends all requests of a large caller to one VM, 80 to 100 a second over a link that carries 150. The overload was noticed once most connections failed, when nothing got through any more; then all callers were moved, and the next VM filled.

Change: what a gateway receives is measured against the link's rate in its settings (infinite where they name none). Above 0.55 of it, in the mean of a second, the VM leaves the rotation, and closes as many connections as bring it to 0.35; all of them, as before, where its event loop is late or its link is blocked though not full.

Test: a caller with 270 connections and 2.6 times its usual requests for 6 s, 14 routers: less than 0.8 of its requests are received in time without, more than 0.95 with it.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -10,6 +10,7 @@
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
+from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._listener import CallerListener
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._refusals import Refusal, own_answer
@@ -92,6 +93,7 @@
     "Stage",
     "StreamEvent",
     "TaskStarter",
+    "Traffic",
     "UnknownKeyError",
     "WholeAnswer",
     "Workspace",
--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -10,7 +10,7 @@
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import EbonyholdError
-from ebonyhold.forwarding._inbox import Inbox, close_shielded
+from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.types import Seconds
 
@@ -150,6 +150,7 @@
     Attributes:
         stream: The connection.
         limits: The limits that apply to the caller's requests.
+        traffic: Counts the bytes received.
         inbox: The bytes received from the caller.
         parser: The protocol state.
         received_at: When the latest bytes that the parser has read arrived. A pipelined
@@ -165,6 +166,7 @@
 
     stream: ByteStream
     limits: CallerLimits
+    traffic: Traffic = field(factory=Traffic)
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     received_at: Seconds = 0.0
@@ -176,7 +178,7 @@
     reading_scope: anyio.CancelScope | None = None
 
     def __attrs_post_init__(self) -> None:
-        self.inbox = Inbox(self.stream)
+        self.inbox = Inbox(self.stream, self.traffic)
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
         )
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -20,6 +20,13 @@
 """
 
 
+@define(eq=False)
+class Traffic:
+    """The bytes that a router has received on some of its connections."""
+
+    received: int = 0
+
+
 @define(eq=False)
 class Inbox:
     """The bytes received on a connection that have not been taken yet.
@@ -30,6 +37,7 @@
 
     Attributes:
         stream: The connection.
+        traffic: Counts the bytes received.
         waiting: Bytes received and not taken yet.
         arrived_at: When the last bytes arrived.
         ended: Whether the peer has closed its side or the connection broke.
@@ -41,6 +49,7 @@
     """
 
     stream: ByteStream
+    traffic: Traffic = field(factory=Traffic)
     waiting: bytearray = field(factory=bytearray)
     arrived_at: Seconds = 0.0
     ended: bool = False
@@ -69,7 +78,9 @@
         """Read until the connection ends, pausing while the buffer is full."""
         while not self.ended:
             try:
-                self.waiting += await self.stream.receive(CHUNK)
+                data = await self.stream.receive(CHUNK)
+                self.traffic.received += len(data)
+                self.waiting += data
                 self.arrived_at = anyio.current_time()
             except anyio.EndOfStream:
                 self.ended = True
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from functools import partial
+from itertools import islice
 
 import anyio
 import h11
@@ -20,6 +21,7 @@
     ReadFaultError,
     RequestHead,
 )
+from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._refusals import Refusal, own_answer
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.tasks import Guard, unguarded
@@ -58,7 +60,8 @@
         identify: Returns the fields that identify a request in the router's answer.
         connections: The open connections.
         draining: Whether connections close after their next answers, for a shutdown.
-        shedding: Whether connections close after their next answers, to shed load.
+        shedding: Whether all connections close after their next answers, to shed load.
+        traffic: Counts the bytes received from the callers.
         working: Number of requests being answered.
         open_requests: Number of requests being read or answered.
         idle: Set when `open_requests` falls to 0, then replaced.
@@ -75,6 +78,7 @@
     connections: set[CallerConnection] = field(factory=set)
     draining: bool = False
     shedding: bool = False
+    traffic: Traffic = field(factory=Traffic)
     working: int = 0
     open_requests: int = 0
     idle: anyio.Event = field(factory=anyio.Event)
@@ -129,7 +133,7 @@
 
     async def handle(self, stream: ByteStream) -> None:
         """Serve one connection until it ends; its errors do not affect the others."""
-        connection = CallerConnection(stream, self.limits())
+        connection = CallerConnection(stream, self.limits(), self.traffic)
         connection.last = self.draining or self.shedding
         self.connections.add(connection)
         try:
@@ -272,13 +276,25 @@
         for connection in self.connections:
             connection.last = True
 
-    def shed(self, shedding: bool) -> None:
-        """Start or stop shedding: closing each connection after its next answer."""
-        if shedding is self.shedding:
+    def shed(self, share: float) -> None:
+        """Close a share of the connections after their next answers.
+
+        A share of 1 includes connections that are accepted later, and 0 ends the
+        shedding. The number is rounded down, so a single connection stays unless the
+        share is 1.
+        """
+        self.shedding = share >= 1
+        if self.draining:
             return
-        self.shedding = shedding
-        for connection in self.connections:
-            connection.last = self.draining or shedding
+        if self.shedding or not share:
+            for connection in self.connections:
+                connection.last = self.shedding
+            return
+        closing = sum(connection.last for connection in self.connections)
+        more = int(share * len(self.connections)) - closing
+        open_ones = (one for one in self.connections if not one.last)
+        for connection in list(islice(open_ones, max(0, more))):
+            connection.last = True
 
     def close_idle(self) -> None:
         """Close idle connections now, and the others after their next answers."""
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -13,6 +13,7 @@
     ConnectTimeoutError,
     open_channel,
 )
+from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import BackendName, Seconds
 
@@ -37,6 +38,7 @@
         connect_timeout: Maximum time to wait for a new connection.
         unused: The unused connections of each server, the most recently used one last.
         opened: Number of attempts to open a connection so far.
+        traffic: Counts the bytes received from the servers.
     """
 
     tasks: TaskStarter
@@ -44,6 +46,7 @@
     connect_timeout: Seconds = CONNECT_TIMEOUT
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
+    traffic: Traffic = field(factory=Traffic)
 
     async def get(self, name: BackendName, address: tuple[str, int]) -> Channel:
         """Return a pooled or new connection to a server.
@@ -66,6 +69,7 @@
         except ConnectTimeoutError:
             self.on_connect(name, False)
             raise
+        channel.inbox.traffic = self.traffic
         self.on_connect(name, True)
         return channel
 
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -30,7 +30,7 @@
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
 from ebonyhold.gateway._presence import Presence
-from ebonyhold.gateway._pressure import PressureMonitor
+from ebonyhold.gateway._pressure import LinkUse, PressureMonitor
 from ebonyhold.gateway._renewals import Renewals
 from ebonyhold.gateway._routing_state import RoutingState
 from ebonyhold.gateway._signals import watched_signals
@@ -239,7 +239,11 @@
         self.listener = CallerListener(
             forwarder.serve, self.routing.limits, guard, forwarder.identify
         )
-        self.pressure = PressureMonitor(self.listener.shed)
+        self.pool.traffic = self.listener.traffic
+        self.pressure = PressureMonitor(
+            self.listener.shed,
+            LinkUse(self.listener.traffic, settings.link_rate),
+        )
         self.pool.on_connect = self.pressure.record_connect
         supervisor.start("pressure", self.pressure.run)
         readiness = CallerListener(self.answer_readiness, CallerLimits, guard)
--- a/ebonyhold/gateway/_pressure.py
+++ b/ebonyhold/gateway/_pressure.py
@@ -5,17 +5,23 @@
 then saturated, while other routers are idle. An overloaded router therefore fails its
 readiness checks for a while and closes callers' connections after their next answers,
 so that callers reconnect to other routers.
+
+All connections of one caller reach the same router. If a router whose link is nearly
+full closed all of them, the next one would have the same load. So it closes only as
+many as it takes to have a share that it can serve.
 """
 
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 
 import anyio
 from attrs import define, field
 
+from ebonyhold.forwarding import Traffic
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -61,6 +67,49 @@
 failed. An attempt usually takes about 5 ms and fails after 0.25 s."""
 
 
+HIGH_USE = 0.55
+"""Share of the link's rate above which callers are shed.
+
+A full link cannot recover: what is queued on it arrives too late and is sent again, and
+calls to the store and to other routers time out.
+"""
+
+LOW_USE = 0.4
+"""Share of the link's rate below which new callers are accepted again."""
+
+TARGET_USE = 0.35
+"""Share of the link's rate that is left to the callers that stay."""
+
+USE_TIME: Seconds = 1.0
+"""Time over which the use of the link is averaged."""
+
+
+@define
+class LinkUse:
+    """Measures which share of the network link's rate the received bytes take.
+
+    Requests are passed on as they are received, so about as many bytes are sent.
+
+    Attributes:
+        traffic: The bytes received.
+        rate: What the link carries, in bytes per second.
+        mean: The smoothed share.
+        counted: The bytes that were received at the last measurement.
+    """
+
+    traffic: Traffic = field(factory=Traffic)
+    rate: float = math.inf
+    mean: float = 0.0
+    counted: int = 0
+
+    def measure(self, elapsed: Seconds) -> None:
+        """Update the share, some time after the last measurement."""
+        received = self.traffic.received - self.counted
+        self.counted = self.traffic.received
+        weight = 1.0 - math.exp(-elapsed / USE_TIME)
+        self.mean += (received / elapsed / self.rate - self.mean) * weight
+
+
 @define
 class LinkMonitor:
     """Decides from connection attempts to servers whether the network link works.
@@ -94,12 +143,17 @@
     Attributes:
         mean_delay: The smoothed delay of the event loop.
         link: Decides whether the network link works.
+        use: Measures the use of the network link.
         high_since: When the router left the rotation; None while it is in rotation.
+        failing: Whether since then its event loop was late, or its link was blocked
+            though not full, so that all callers are shed.
     """
 
     mean_delay: Seconds = 0.0
     link: LinkMonitor = field(factory=LinkMonitor)
+    use: LinkUse = field(factory=LinkUse)
     high_since: Seconds | None = None
+    failing: bool = False
 
     @property
     def high(self) -> bool:
@@ -109,24 +163,34 @@
     def record(self, delay: Seconds, now: Seconds) -> None:
         """Record a measurement, and leave or rejoin the rotation if that is due."""
         self.mean_delay += (delay - self.mean_delay) * SMOOTHING
+        self.use.measure(MEASURE_INTERVAL + delay)
         blocked = self.link.is_blocked(now)
+        full = self.use.mean > HIGH_USE
+        failing = self.mean_delay > HIGH_DELAY or (blocked and not full)
         if self.high_since is None:
-            if self.mean_delay > HIGH_DELAY or blocked:
+            if failing or full:
                 self.high_since = now
+                self.failing = failing
         elif (
             self.mean_delay < LOW_DELAY
             and not blocked
+            and self.use.mean < LOW_USE
             and now - self.high_since > MIN_OUT_OF_ROTATION
         ):
             self.high_since = None
+        else:
+            self.failing = self.failing or failing
 
-    def should_shed(self, now: Seconds) -> bool:
-        """Return whether callers' connections close after their next answers.
+    def share_to_shed(self, now: Seconds) -> float:
+        """Return the share of callers' connections to close after their next answers.
 
-        They do so while the router is out of rotation, but only once the load balancer
-        sends no new callers any more.
+        It is 0 until the load balancer sends no new callers any more.
         """
-        return self.high_since is not None and now - self.high_since > LEAVE_ROTATION
+        if self.high_since is None or now - self.high_since <= LEAVE_ROTATION:
+            return 0.0
+        if self.failing:
+            return 1.0
+        return max(0.0, 1.0 - TARGET_USE / max(self.use.mean, TARGET_USE))
 
 
 @define(eq=False)
@@ -134,12 +198,17 @@
     """Measures the event loop and the network link, and sheds callers under pressure.
 
     Attributes:
-        shed: Called with whether connections should close after their next answers.
+        shed: Called with the share of connections to close after their next answers.
+        use: Measures the use of the network link.
         detector: Decides when to leave the rotation and when to return.
     """
 
-    shed: Callable[[bool], None]
-    detector: PressureDetector = field(factory=PressureDetector)
+    shed: Callable[[float], None]
+    use: LinkUse = field(factory=LinkUse)
+    detector: PressureDetector = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.detector = PressureDetector(use=self.use)
 
     @property
     def high(self) -> bool:
@@ -171,7 +240,8 @@
                 "loop_delay": round(self.detector.mean_delay, 3),
                 "connects": len(link.connects),
                 "connects_failed": sum(not made for _, _, made in link.connects),
+                "link_use": round(self.use.mean, 2),
             }
             log.warning(message, extra=fields)
         if was_high or self.detector.high:
-            self.shed(self.detector.should_shed(now))
+            self.shed(self.detector.share_to_shed(now))
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -29,6 +30,8 @@
         retry_ratio: Retries per request that all routers together may make.
         retry_extra: Retries that all routers together may make in addition.
         retry_window: The time over which requests and retries are counted.
+        link_rate: What the VM's network link carries in each direction, in bytes per
+            second; infinite if it is not known.
         log_level: The minimum severity that is logged.
     """
 
@@ -43,6 +46,7 @@
     retry_ratio: float = 0.1
     retry_extra: float = 10.0
     retry_window: Seconds = 10.0
+    link_rate: float = math.inf
     log_level: str = "INFO"
 
     @property
--- a/ebonyhold/platform/_settings.py
+++ b/ebonyhold/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from collections.abc import Mapping
@@ -27,6 +28,16 @@
     return host, int(port)
 
 
+def read_link_rate(limits: Mapping[str, Any]) -> float:
+    """Return what the VM's link carries, in bytes per second; infinite if not stated.
+
+    >>> read_link_rate({"link-mbps": 8.0}), read_link_rate({})
+    (1000000.0, inf)
+    """
+    megabits = float(limits.get("link-mbps") or 0)
+    return megabits * 1e6 / 8 if megabits > 0 else math.inf
+
+
 def decode_settings(raw: Mapping[str, Any]) -> GatewaySettings:
     """Decode the parsed settings file.
 
@@ -53,6 +64,7 @@
             retry_ratio=float(bounds["retry-budget-ratio"]),
             retry_extra=float(bounds["budget-extra-retries"]),
             retry_window=float(bounds["budget-window-s"]),
+            link_rate=read_link_rate(raw.get("limits") or {}),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(f"missing or malformed setting: {error!r}") from error
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
+from attrs import define, field
 
+from ebonyhold.forwarding import CallerLimits, CallerListener, Traffic
 from ebonyhold.gateway._pressure import (
     CONNECT_WINDOW,
     HIGH_DELAY,
@@ -11,8 +15,13 @@
     MEASURE_INTERVAL,
     MIN_OUT_OF_ROTATION,
     LinkMonitor,
+    LinkUse,
     PressureMonitor,
 )
+from tests.virtual import anyio_backend
+
+pytestmark = pytest.mark.anyio
+__all__ = ["anyio_backend"]
 
 DELAYS = [
     # case, event loop delays in seconds, whether the router is then out of rotation
@@ -73,7 +82,7 @@
     This router's event loop delays its answers. It leaves the rotation before it closes
     connections, so that the callers do not reconnect to it.
     """
-    calls: list[tuple[float, bool]] = []
+    calls: list[tuple[float, float]] = []
     now = 0.0
     pressure = PressureMonitor(lambda shed: calls.append((now, shed)))
     while now < LEAVE_ROTATION + 3.0:
@@ -89,3 +98,112 @@
     assert now > MIN_OUT_OF_ROTATION
     assert now - shed_at < MIN_OUT_OF_ROTATION
     assert not calls[-1][1]
+
+
+LINK_RATE = 625_000.0
+"""Bytes per second that a small VM's link carries."""
+
+REQUEST_BYTES = 4_200
+"""Bytes of a request."""
+
+CHANNELS = 270
+"""Connections of one large caller, which the balancer sends to one router."""
+
+ROUTERS = 14
+
+USUAL_USE = 0.07
+"""Share of each link that other callers use."""
+
+IN_TIME = 0.3
+"""Seconds in which a request must have been received."""
+
+BURST = (20.0, 26.0)
+"""Seconds in which the large caller sends 2.6 times its usual requests."""
+
+
+@define(eq=False)
+class FakeConnection:
+    """A caller's connection that has the listener's mark."""
+
+    last: bool = False
+
+
+@define(eq=False)
+class FakeRouter:
+    """A router with a link whose queue delays what its callers send."""
+
+    listener: CallerListener = field(
+        factory=lambda: CallerListener(None, CallerLimits)  # type: ignore[arg-type]
+    )
+    traffic: Traffic = field(factory=Traffic)
+    queued: float = 0.0
+    pressure: PressureMonitor = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        use = LinkUse(self.traffic, LINK_RATE)
+        self.pressure = PressureMonitor(self.listener.shed, use)
+
+    def is_in_rotation(self, now: float) -> bool:
+        """Return whether the balancer sends new callers here."""
+        since = self.pressure.detector.high_since
+        return since is None or now - since < LEAVE_ROTATION
+
+    def receive(self, now: float, sheds: bool) -> None:
+        """Receive what the link carries in one step."""
+        self.queued += USUAL_USE * LINK_RATE * MEASURE_INTERVAL
+        received = min(self.queued, LINK_RATE * MEASURE_INTERVAL)
+        self.queued -= received
+        self.traffic.received += int(received)
+        full = self.queued > 0.25 * LINK_RATE
+        for server in "abcdefgh" if full else "":
+            self.pressure.detector.link.record(server, False, now)
+        if sheds:
+            self.pressure.step(0.0, now)
+
+
+def served_in_time(sheds: bool) -> float:
+    """Return the share of a large caller's requests that are received in time."""
+    rng = random.Random(1)
+    routers = [FakeRouter() for _ in range(ROUTERS)]
+    channels = [(routers[0], FakeConnection()) for _ in range(CHANNELS)]
+    routers[0].listener.connections = {one for _, one in channels}  # type: ignore[misc]
+    sent = in_time = 0
+    for step in range(int(40.0 / MEASURE_INTERVAL)):
+        now = step * MEASURE_INTERVAL
+        rate = 0.37 * (2.6 if BURST[0] <= now < BURST[1] else 1.0)
+        for number, (router, connection) in enumerate(channels):
+            if rng.random() >= rate * MEASURE_INTERVAL:
+                continue
+            sent += 1
+            in_time += router.queued / LINK_RATE < IN_TIME
+            router.queued += REQUEST_BYTES
+            if connection.last:
+                router.listener.connections.discard(connection)
+                router = next(one for one in routers if one.is_in_rotation(now))
+                connection = FakeConnection()
+                router.listener.connections.add(connection)  # type: ignore[arg-type]
+                channels[number] = router, connection
+        for router in routers:
+            router.receive(now, sheds)
+    return in_time / sent
+
+
+async def test_callers_of_a_router_with_a_full_link_are_spread() -> None:
+    """One large caller must not fill the link of one router after another."""
+    assert served_in_time(sheds=False) < 0.8
+    assert served_in_time(sheds=True) > 0.95
+
+
+@pytest.mark.parametrize(
+    ("share", "closing"), [(0.0, 0), (0.04, 0), (0.5, 5), (0.55, 5), (1.0, 10)]
+)
+async def test_share_of_connections_is_closed(share: float, closing: int) -> None:
+    """A router must close as many connections as it has to, and keep the others."""
+    listener = FakeRouter().listener
+    connections = [FakeConnection() for _ in range(10)]
+    listener.connections = set(connections)  # type: ignore[arg-type]
+    for _ in range(3):
+        listener.shed(share)
+    assert sum(one.last for one in connections) == closing
+    listener.shed(0.0)
+    assert not any(one.last for one in connections)
