Let the next holder decide where one cannot reach the store

Cause: a holder that could not obtain tokens refused for the whole fleet, whether it knew the budget or was cut off from it.

--- a/ebonyhold/prepaid/_remote_holds.py
+++ b/ebonyhold/prepaid/_remote_holds.py
@@ -72,8 +72,8 @@
 
         Returns:
             `HELD`, or why not: `EXHAUSTED` or `UNREACHABLE` if the grant refused, and
-            `UNAVAILABLE` if this router is about to stop, the workspace has no budget,
-            or the hold's settlement has already arrived.
+            `UNAVAILABLE` if this router cannot reach the store, is about to stop, the
+            workspace has no budget, or the hold's settlement has already arrived.
         """
         grant = None if self.closing() else self.find_grant(wanted.workspace)
         if grant is None:
@@ -83,6 +83,9 @@
         except BudgetExhaustedError:
             return HoldOutcome.EXHAUSTED
         except BudgetUnreachableError:
+            # Without the store, this router does not know what the budget has left.
+            if not grant.is_store_reachable:
+                return HoldOutcome.UNAVAILABLE
             return HoldOutcome.UNREACHABLE
         if self.early_settlements.pop(wanted.hold, None) is not None:
             grant.settle(wanted.amount, 0)
--- a/ebonyhold/prepaid/_workspace_grant.py
+++ b/ebonyhold/prepaid/_workspace_grant.py
@@ -144,7 +144,7 @@
         """
         if self.try_hold(amount):
             return
-        if self.reachable and self.can_renew():
+        if self.is_store_reachable:
             with anyio.move_on_after(self.options.draw_timeout):
                 await self.obtain(amount)
                 if self.try_hold(amount):
@@ -163,6 +163,11 @@
             f"{self.workspace}: {amount} tokens could not be obtained in time"
         )
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether both the last round and the renewals reached the store."""
+        return self.reachable and self.can_renew()
+
     def is_exhausted(self, amount: Tokens) -> bool:
         """Return whether a request exceeds the budget even if all grants are returned.
 
@@ -204,7 +209,7 @@
         """
         if self.closing:
             return 0
-        if self.reachable and self.can_renew():
+        if self.is_store_reachable:
             return self.state.ledger.available + max(0, self.budget.remaining)
         return self.usable
 
@@ -215,7 +220,7 @@
             The number of tokens given, which may be less than `amount`; 0 if the
             process is shutting down.
         """
-        if amount > self.usable and self.reachable and self.can_renew():
+        if amount > self.usable and self.is_store_reachable:
             with anyio.move_on_after(self.options.draw_timeout):
                 await self.obtain(amount)
         # The shutdown may have begun to return the grant during the draw.
@@ -239,7 +244,7 @@
                 "remaining": budget.remaining,
                 "budget_age": round(self.state.cache.age(), 2),
                 "limit_age": round(self.limits.age(anyio.current_time()), 2),
-                "store_reachable": self.reachable and self.can_renew(),
+                "store_reachable": self.is_store_reachable,
             },
         )
 
