Tests: one way to count requests within a time

Cause: the tests of cold servers and of limits that servers name counted the same way, each for itself.

Change: most_within in the kit of gateway fleets; no check is changed.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -22,6 +22,14 @@
 """Seconds within which the platform expects routers to learn from each other."""
 
 
+def most_within(seconds: float, times: Sequence[float]) -> int:
+    """Return the maximum number of times within some seconds."""
+    return max(
+        (sum(first <= time < first + seconds for time in times) for first in times),
+        default=0,
+    )
+
+
 def start_platform(port: int, domains: str = "aaa") -> subprocess.Popen[bytes]:
     """Start the stand-in of the platform, with an engine in each of some domains."""
     command = [sys.executable, "-m", "tests.platform.standin", str(port), domains]
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
 
-from tests.platform.fleet import GATEWAYS, book, gateways
+from tests.platform.fleet import GATEWAYS, book, gateways, most_within
 from tests.platform.kit import configuration
 from tests.platform.soak._run import SoakRun
 
@@ -51,14 +50,6 @@
     return 1.5 * rate + 5
 
 
-def most_in_a_second(times: Sequence[float]) -> int:
-    """Return the maximum number of times within one second."""
-    return max(
-        (sum(first <= time < first + 1.0 for time in times) for first in times),
-        default=0,
-    )
-
-
 async def call(soak: SoakRun, gateway: int, caller: int) -> None:
     """Send bookings to one gateway until cancelled."""
     number = 0
@@ -107,7 +98,7 @@
     times = sorted(run[4] for run in records["runs"] if run[7] == "i-0")
     cold = [at for at in times if cold_from <= at < cold_from + COLD_TIME - HEARD_AFTER]
     warm = [at for at in times if at > cold_from + COLD_TIME + 1.0]
-    assert most_in_a_second(cold) <= allowed(COLD_RATE)
+    assert most_within(1.0, cold) <= allowed(COLD_RATE)
     assert cold
     # Without a limit there are more requests than the engine tolerates while cold.
-    assert most_in_a_second(warm) > allowed(COLD_RATE)
+    assert most_within(1.0, warm) > allowed(COLD_RATE)
--- a/tests/platform/test_server_limits.py
+++ b/tests/platform/test_server_limits.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
 
-from tests.platform.fleet import CONTACT_TIME, GATEWAYS, book, booking, gateways
+from tests.platform.fleet import (
+    CONTACT_TIME,
+    GATEWAYS,
+    book,
+    booking,
+    gateways,
+    most_within,
+)
 from tests.platform.soak._run import SoakRun
 
 pytestmark = pytest.mark.anyio
@@ -35,14 +41,6 @@
     return 1.5 * limit * WINDOW + 5
 
 
-def most_in_window(times: Sequence[float]) -> int:
-    """Return the maximum number of times within `WINDOW`."""
-    return max(
-        (sum(first <= time < first + WINDOW for time in times) for first in times),
-        default=0,
-    )
-
-
 async def call(soak: SoakRun, gateway: int, caller: int) -> None:
     """Send bookings to one gateway until cancelled."""
     number = 0
@@ -81,7 +79,7 @@
         tasks.cancel_scope.cancel()
     times = arrivals(records, "i-0")
     limited = [time for time in times if named_at + CONTACT_TIME <= time < ended_at]
-    assert most_in_window(limited) <= allowed(limit)
+    assert most_within(WINDOW, limited) <= allowed(limit)
     assert len(limited) >= limit * (ended_at - named_at - CONTACT_TIME) / 2
     last = [time for time in times if time >= ended_at + 5.0]
     others = [time for time in arrivals(records, "i-1") if time >= ended_at + 5.0]
@@ -117,4 +115,4 @@
     for engine in ("i-0", "i-1", "i-2"):
         times = arrivals(records, engine)
         late = [time for time in times if time >= named_at + CONTACT_TIME]
-        assert most_in_window(late) <= allowed(limit)
+        assert most_within(WINDOW, late) <= allowed(limit)
