Read and log what servers state about leaving and rest

The platform's names and values are decoded in platform/_headers.py alone: leaving is the value 1 in any of the fields, rest the longest decimal number of seconds in a 429 or 503. Other values state nothing, so none fails a request. A router logs 'server leaves, by its answer' once for each run of a server, and 'server asks for rest' with the seconds, at most 300. Nothing is decided by either yet.

Evidence: tests/forwarding and the doctests of ebonyhold/platform pass.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -178,9 +178,8 @@
         for _ in range(MAX_STRAY):
             head = await self.read_next_head(channel)
             facts = self.dialect.read_answer(head.status, head.headers)
-            if not facts.moved:
-                now = anyio.current_time()
-                self.backends.set_limit(self.entry, facts.request_limit, now)
+            now = anyio.current_time()
+            self.backends.record_statements(self.entry, facts, now)
             if facts.request_id == self.exchange.caller.request_id:
                 return head, facts
             if facts.not_run:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -18,6 +18,7 @@
     ServerRun,
 )
 from ebonyhold.forwarding._types import (
+    AnswerFacts,
     Backend,
     BackendState,
     Service,
@@ -48,6 +49,9 @@
 FULL_BACKOFF: Seconds = 0.15
 """How long a server that declined a request is avoided, unless no other is left."""
 
+MAX_REST: Seconds = 300.0
+"""Longest rest that is granted, so that a wrong value hides no server for good."""
+
 
 @define(eq=False)
 class BackendEntry:
@@ -62,6 +66,8 @@
         moved: Whether an answer stated that another server has its address.
         limit: Its limit on requests from all routers together, and how much of it this
             router has used; None if its last answer stated no limit.
+        leaving: Whether an answer of this run of the server stated that it leaves.
+        rest_until: Until when it wants no requests from this router.
         cold_until: Until when the server counts as cold.
         cold_limit: How much of its limit while cold this router has used; None if
             it was not cold when it was last considered.
@@ -76,6 +82,8 @@
     full_until: Seconds = 0.0
     moved: bool = False
     limit: SendingLimit | None = None
+    leaving: bool = False
+    rest_until: Seconds = 0.0
     cold_until: Seconds = 0.0
     cold_limit: SendingLimit | None = None
     drop_at: Seconds | None = None
@@ -204,6 +212,23 @@
         if self.is_current(entry):
             self.ejector.succeeded(entry.backend.name)
 
+    def record_statements(
+        self, entry: BackendEntry, facts: AnswerFacts, now: Seconds
+    ) -> None:
+        """Record what a server states about itself in an answer, and log changes."""
+        if facts.moved:
+            # Another server answered at this address.
+            return
+        self.set_limit(entry, facts.request_limit, now)
+        if facts.leaving and not entry.leaving:
+            entry.leaving = True
+            log.info("server leaves, by its answer", extra=fields_of(entry.backend))
+        if facts.rest:
+            rest = min(facts.rest, MAX_REST)
+            entry.rest_until = max(entry.rest_until, now + rest)
+            fields = {"backend": entry.backend.name, "seconds": rest}
+            log.info("server asks for rest", extra=fields)
+
     def set_limit(self, entry: BackendEntry, limit: float | None, now: Seconds) -> None:
         """Store the limit that a server's answer stated, and log a change."""
         known = entry.limit.limit if entry.limit is not None else None
--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -251,6 +251,9 @@
         moved: Whether another server now has the address.
         request_limit: Requests per second that the server takes from all routers
             together; None if it states no limit.
+        leaving: Whether the server states that it leaves.
+        rest: For how many seconds the server, which turned the request away, wants no
+            requests from this router; 0 if it states no time.
     """
 
     request_id: str
@@ -258,3 +261,5 @@
     not_run: bool
     moved: bool
     request_limit: float | None = None
+    leaving: bool = False
+    rest: Seconds = 0.0
--- a/ebonyhold/platform/_headers.py
+++ b/ebonyhold/platform/_headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -14,6 +15,7 @@
     Headers,
     PromptPart,
 )
+from ebonyhold.types import Seconds
 
 REQUEST_ID = b"x-ebonyhold-request-id"
 # Milliseconds that the sender waits, counted from when it sends the request; despite
@@ -32,6 +34,11 @@
 RESUME_AFTER = b"last-event-id"
 # Requests per second from all routers together, as a decimal number.
 REQUEST_LIMIT = b"server-limit"
+# "1" in all answers of a server that leaves.
+LEAVING = b"server-leaving"
+# Seconds for which a server that turns a request away wants no more requests from the
+# router that it answers.
+REST = b"retry-after"
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 MISDIRECTED = 421
@@ -39,6 +46,9 @@
 `EXPECTED_BACKEND`.
 """
 
+TURNED_AWAY = frozenset({429, 503})
+"""Statuses whose answers may state a `REST`."""
+
 LOWEST_PRIORITY = 9
 """The lowest priority that engines accept; 0 is the highest."""
 
@@ -75,6 +85,11 @@
     return b""
 
 
+def all_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Return the values of a field in order, without the white space around them."""
+    return [value.strip() for field, value in headers if field == name]
+
+
 def read_number(name: bytes, value: bytes) -> int:
     """Decode a non-negative number of at most `MAX_DIGITS` digits.
 
@@ -101,6 +116,20 @@
     return float(text) if DECIMAL.fullmatch(text) else None
 
 
+def read_rest(values: Iterable[bytes]) -> Seconds:
+    """Decode for how long a server asks for rest: the longest time of all fields.
+
+    Malformed values state none, since a request must not fail for them. A date states
+    none either: the platform's servers write seconds.
+
+    >>> read_rest([b"3"]), read_rest([b"0.5", b"abc", b"1.5"]), read_rest([b"-1"])
+    (3.0, 1.5, 0.0)
+    """
+    return max(
+        (float(value) for value in values if DECIMAL.fullmatch(value)), default=0.0
+    )
+
+
 def read_tokens(value: bytes) -> tuple[int, int]:
     """Decode the prompt's length and the answer's maximum length, in tokens.
 
@@ -193,6 +222,10 @@
             not_run=status == MISDIRECTED or bool(first_value(headers, NOT_RUN)),
             moved=status == MISDIRECTED,
             request_limit=read_limit(first_value(headers, REQUEST_LIMIT)),
+            leaving=b"1" in all_values(headers, LEAVING),
+            rest=(
+                read_rest(all_values(headers, REST)) if status in TURNED_AWAY else 0.0
+            ),
         )
 
     def refusal_headers(self, request_id: str) -> Headers:
