--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -22,6 +23,10 @@
 """Seconds within which the platform expects routers to learn from each other."""
 
 
+CALL_PAUSE = 0.05
+"""Seconds between two bookings of one caller."""
+
+
 def most_within(seconds: float, times: Sequence[float]) -> int:
     """Return the maximum number of times within some seconds."""
     return max(
@@ -87,6 +92,29 @@
                 await anyio.sleep(0.1)
 
 
+@asynccontextmanager
+async def calling(soak: SoakRun) -> AsyncIterator[list[tuple[float, int]]]:
+    """Send bookings to all gateways; yield the time and status of each answer.
+
+    The ids of the bookings begin with ``call-`` and the gateway's number.
+    """
+    answers: list[tuple[float, int]] = []
+
+    async def call(gateway: int) -> None:
+        number = 0
+        while True:
+            number += 1
+            status = await book(soak.gateways[gateway], f"call-{gateway}-{number}")
+            answers.append((time.monotonic(), status))
+            await anyio.sleep(CALL_PAUSE)
+
+    async with anyio.create_task_group() as tasks:
+        for gateway in range(GATEWAYS):
+            tasks.start_soon(call, gateway)
+        yield answers
+        tasks.cancel_scope.cancel()
+
+
 async def book(
     gateway: Gateway, request: str, query: str = "sound=1", path: str = "/book/x"
 ) -> int:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,9 +3,9 @@
 Run ``python -m tests.platform.standin PORT [DOMAINS]``.  The store listens on that
 port, a server of records on the next one, and the engines on those after it, one for
 each letter of DOMAINS in the failure domain with that name; usually three in ``a``.
-The records are the engines' runs and the store's rows.  The store has the platform's
-published calls and a path, ``/operator``, by which tests write rows as the operator
-does.
+The records are the engines' runs, the requests that engines turned away and the store's
+rows.  The store has the platform's published calls and a path, ``/operator``, by which
+tests write rows as the operator does.
 """
 
 from __future__ import annotations
@@ -60,12 +60,27 @@
 LIMITS_TABLE = "test-limits"
 """The table in which tests write the limits that engines name."""
 
+LEAVING_TABLE = "test-leaving"
+"""The table in which tests write what engines state about leaving in their answers."""
+
+REST_TABLE = "test-rest"
+"""The table in which tests write for how long engines that shed ask for rest.
+
+An engine with a row turns all requests away; with an empty text it names no time.
+"""
+
+RESTART_TABLE = "test-restart"
+"""The table in which tests write a number, to restart an engine each time it grows."""
+
 COLD_TABLE = "test-cold"
 """The table in which tests write until when engines are cold.
 
 The time is one of the monotonic clock, in seconds.
 """
 
+STATEMENTS = ((b"server-limit", LIMITS_TABLE), (b"server-leaving", LEAVING_TABLE))
+"""The fields of all answers of an engine whose values tests write, with the tables."""
+
 CRASH_DELAY = 0.05
 """Seconds from the start of a run that crashes its engine to the crash."""
 
@@ -261,7 +276,10 @@
         runs: The records of all engines' runs.
         started_at: When its process started, in milliseconds since the epoch.
         crash: Ends its process: all connections and the listener.
-        limit: Returns the limit that its answers name, as text; empty for none.
+        stated: Returns what its answers state by a table of this module, as text; None
+            for nothing.
+        declined: The records of all requests that engines turned away: the request's
+            id, the engine's name and the time.
         cold_until: Returns until when it is cold, by the monotonic clock.
         domain: Its failure domain.
         queue: Lets one of the queued runs proceed at a time.
@@ -271,7 +289,8 @@
     runs: list[Run]
     started_at: int = field(factory=lambda: int(time.time() * 1000))
     crash: Callable[[], None] = lambda: None
-    limit: Callable[[], str] = lambda: ""
+    stated: Callable[[str], str | None] = lambda table: None
+    declined: list[tuple[str, str, float]] = field(factory=list)
     cold_until: Callable[[], float] = lambda: 0.0
     domain: str = "a"
     queue: anyio.Lock = field(factory=anyio.Lock)
@@ -279,10 +298,21 @@
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
-        """Run one request, or refuse it with 421 if it names another engine."""
+        """Run one request, or turn it away.
+
+        With 421 if it names another engine, and with 503 while this engine sheds.
+        """
         fields = {name.decode(): value.decode() for name, value in head.headers}
+        identity = self.identity(fields)
         if fields["x-ebonyhold-expect-instance"] != self.name:
-            await connection.answer(421, self.identity(fields), b"")
+            await connection.answer(421, identity, b"")
+            return
+        rest = self.stated(REST_TABLE)
+        if rest is not None:
+            self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
+            not_run = (b"x-ebonyhold-not-executed", b"1")
+            asked = [(b"retry-after", rest.encode())] if rest else []
+            await connection.answer(503, [*identity, not_run, *asked], b"")
             return
         queued = Script.from_target(head.target.decode()).queued
         async with self.queue if queued else nullcontext():
@@ -291,8 +321,9 @@
     def identity(self, fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
         """Return the fields that each answer to a request has."""
         identity = [(b"x-ebonyhold-request-id", fields[REQUEST_ID].encode())]
-        if limit := self.limit():
-            identity.append((b"server-limit", limit.encode()))
+        for name, table in STATEMENTS:
+            if stated := self.stated(table):
+                identity.append((name, stated.encode()))
         return identity
 
     async def run(
@@ -390,10 +421,10 @@
         await anyio.sleep(ENTRY_INTERVAL)
 
 
-def limit_of(store: StoreApp, engine: str) -> str:
-    """Return the limit that a test has written for an engine; empty for none."""
-    row = store.history.rows.get(f"{LIMITS_TABLE}//{engine}")
-    return str(row.value) if row is not None and row.value is not None else ""
+def stated_by(store: StoreApp, engine: str, table: str) -> str | None:
+    """Return what a test has written for an engine into a table; None if nothing."""
+    row = store.history.rows.get(f"{table}//{engine}")
+    return str(row.value) if row is not None and row.value is not None else None
 
 
 def cold_until(store: StoreApp, engine: str) -> float:
@@ -402,6 +433,14 @@
     return float(str(row.value)) if row is not None else 0.0
 
 
+async def restart_when_asked(store: StoreApp, engine: EngineApp) -> None:
+    """End an engine's process when a test asks for it."""
+    asked = stated_by(store, engine.name, RESTART_TABLE)
+    while stated_by(store, engine.name, RESTART_TABLE) == asked:
+        await store.history.changed.wait()
+    engine.crash()
+
+
 async def run_engine(store: StoreApp, engine: EngineApp, port: int) -> None:
     """Run an engine, and restart it after each crash, until cancelled."""
     while True:
@@ -410,6 +449,7 @@
             listener = CallerListener(engine.serve, CallerLimits)
             tasks.start_soon(listener.run, (HOST, port), tasks)
             tasks.start_soon(renew_entry, store, engine, port)
+            tasks.start_soon(restart_when_asked, store, engine)
         await anyio.sleep(RESTART_DELAY)
         engine.started_at = int(time.time() * 1000)
 
@@ -423,13 +463,16 @@
     """
     store = StoreApp()
     runs: list[Run] = []
+    declined: list[tuple[str, str, float]] = []
 
     async def serve_records(
         connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         rows = {key: row.value for key, row in store.history.rows.items()}
         records = [run.to_list() for run in runs]
-        answer = json.dumps({"runs": records, "rows": rows}).encode()
+        answer = json.dumps(
+            {"runs": records, "rows": rows, "declined": declined}
+        ).encode()
         await connection.answer(200, JSON, answer)
 
     async with anyio.create_task_group() as tasks:
@@ -440,7 +483,8 @@
         tasks.start_soon(records_listener.run, (HOST, port + 1), tasks)
         for number, domain in enumerate(domains):
             engine = EngineApp(f"i-{number}", runs, domain=domain)
-            engine.limit = partial(limit_of, store, engine.name)
+            engine.stated = partial(stated_by, store, engine.name)
+            engine.declined = declined
             engine.cold_until = partial(cold_until, store, engine.name)
             tasks.start_soon(run_engine, store, engine, port + 2 + number)
 
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
 
-from tests.platform.fleet import GATEWAYS, book, booking, gateways, wait_until_ready
+from tests.platform.fleet import (
+    GATEWAYS,
+    booking,
+    calling,
+    gateways,
+    wait_until_ready,
+)
 from tests.platform.soak._run import SoakRun
 
 pytestmark = pytest.mark.anyio
@@ -22,9 +27,6 @@
 REFUSAL_TIME = 0.5
 """Seconds within which a request that no server may get must be refused."""
 
-CALL_PAUSE = 0.05
-"""Seconds between two bookings of one caller."""
-
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -32,26 +34,6 @@
     return "asyncio"
 
 
-@asynccontextmanager
-async def calling(soak: SoakRun) -> AsyncIterator[list[tuple[float, int]]]:
-    """Send bookings to all gateways; yield the time and status of each answer."""
-    answers: list[tuple[float, int]] = []
-
-    async def call(gateway: int) -> None:
-        number = 0
-        while True:
-            number += 1
-            status = await book(soak.gateways[gateway], f"call-{gateway}-{number}")
-            answers.append((time.monotonic(), status))
-            await anyio.sleep(CALL_PAUSE)
-
-    async with anyio.create_task_group() as tasks:
-        for gateway in range(GATEWAYS):
-            tasks.start_soon(call, gateway)
-        yield answers
-        tasks.cancel_scope.cancel()
-
-
 async def evacuate(soak: SoakRun, domain: str) -> float:
     """Request the evacuation of a domain; return when it was acknowledged."""
     await soak.write(f"op//evacuate/{domain}", {})
