Decide in one place whether a server may get a request, and ask again before each send

What a server states and what a list states of it was asked in four places (usable, ready, limit_wait, next_allowed), and only when a server was chosen. A request that then waited for a connection, up to 0.25 s, was sent whatever had become known meanwhile: that the server drains, has moved, restarted or gone, that its domain is evacuated, or that its limit is used up.

BackendTable.withheld answers with a cause and a time. It is asked for the choice, by next_allowed for the Retry-After, and by admit right before a request is written, which also counts it against limits; until now a request counted when a server was chosen, also if no connection could be made. A request that is withheld late uses neither a retry nor an attempt and goes to another server. The first attempt of a request is recorded once for the retry budget, where one whose connections failed was recorded for each.

tests/forwarding/test_decisions.py: next_allowed has no list of tried servers any more, since a server that was tried and declined tells its caller when to return as well as one that was not; the assertion is the same for all of its rows.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -1,12 +1,13 @@
 """Forwards callers' requests to backend servers without parsing the request bodies."""
 
-from ebonyhold.forwarding._backends import BackendEntry, BackendTable
+from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._calls import CallNotSentError, HttpCalls
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._choice import choose
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -8,9 +8,10 @@
 from attrs import define
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._backends import FULL_BACKOFF, BackendEntry, BackendTable
+from ebonyhold.forwarding._backends import FULL_BACKOFF, BackendTable
 from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import (
     AttemptEnd,
@@ -78,7 +79,8 @@
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended.
 
-        A failed connection and a missing or incomplete answer are recorded in
+        A request that its server must not get after all is not sent. A failed
+        connection and a missing or incomplete answer are recorded in
         `backends` and returned in the result; BackendLostError is not raised.
         """
         self.entry.suspects += self.suspect
@@ -95,6 +97,12 @@
         except BackendLostError as error:
             self.backends.lost(self.entry, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
+        withheld = self.backends.admit(self.entry, anyio.current_time())
+        if withheld is not None:
+            channel.keep_unused(anyio.current_time())
+            await self.pool.put(backend.name, channel)
+            reason = f"withheld: {withheld.cause.value}"
+            return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
         self.entry.in_flight += 1
         work = self.entry.work.begin(self.exchange.caller, anyio.current_time())
         kept = False
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -15,8 +15,8 @@
     EndedLimits,
     LimitShares,
     SendingLimit,
-    ServerRun,
 )
+from ebonyhold.forwarding._entry import BackendEntry, fields_of
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Backend,
@@ -24,7 +24,7 @@
     Service,
     ServiceName,
 )
-from ebonyhold.forwarding._work import ServerWork
+from ebonyhold.forwarding._withheld import Cause, Withheld
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -53,47 +53,6 @@
 """Longest rest that is granted, so that a wrong value hides no server for good."""
 
 
-@define(eq=False)
-class BackendEntry:
-    """One backend server and the state that this router keeps for it.
-
-    Attributes:
-        backend: The server's entry in the server list.
-        in_flight: Number of this router's requests that it is processing.
-        work: Estimated load of those requests.
-        suspects: Number of those requests that may crash the server.
-        full_until: Until when it counts as full, after it declined a request.
-        moved: Whether an answer stated that another server has its address.
-        limit: Its limit on requests from all routers together, and how much of it this
-            router has used; None if its last answer stated no limit.
-        leaving: Whether an answer of this run of the server stated that it leaves.
-        rest_until: Until when it wants no requests from this router.
-        cold_until: Until when the server counts as cold.
-        cold_limit: How much of its limit while cold this router has used; None if
-            it was not cold when it was last considered.
-        drop_at: When to remove it, if its list entry is missing after an outage of the
-            store; None otherwise.
-    """
-
-    backend: Backend
-    in_flight: int = 0
-    work: ServerWork = field(factory=ServerWork)
-    suspects: int = 0
-    full_until: Seconds = 0.0
-    moved: bool = False
-    limit: SendingLimit | None = None
-    leaving: bool = False
-    rest_until: Seconds = 0.0
-    cold_until: Seconds = 0.0
-    cold_limit: SendingLimit | None = None
-    drop_at: Seconds | None = None
-
-    @property
-    def run(self) -> ServerRun:
-        """The run of the server's process."""
-        return ServerRun(self.backend.name, self.backend.started_at)
-
-
 @define(eq=False)
 class BackendTable:
     """All known servers, updated by the tasks that watch the server list.
@@ -136,6 +95,8 @@
         known = self.entries.get(backend.name)
         if known is None or known.backend.started_at != backend.started_at:
             # The server is new, or has restarted under the same name.
+            if known is not None:
+                known.listed = False
             known = self.entries[backend.name] = BackendEntry(backend)
             self.ejector.succeeded(backend.name)
             log.info("server listed", extra=fields_of(backend))
@@ -185,31 +146,23 @@
     def drop(self, entry: BackendEntry) -> None:
         """Remove a server and its failure history."""
         del self.entries[entry.backend.name]
+        entry.listed = False
         self.ejector.succeeded(entry.backend.name)
         log.info("server gone", extra=fields_of(entry.backend))
 
-    def is_current(self, entry: BackendEntry) -> bool:
-        """Return whether an entry is still the current one of its server.
-
-        It is not if the server was removed or restarted during an attempt. Recording
-        the result would then count against the restarted server, or create a failure
-        record for a removed server, which would never be deleted.
-        """
-        return self.entries.get(entry.backend.name) is entry
-
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
-        """Count a failed connection, if the entry is still current."""
-        if self.is_current(entry):
+        """Count a failed connection, if the server's run is still listed."""
+        if entry.listed:
             self.ejector.lost(entry.backend.name, now)
 
     def failed(self, entry: BackendEntry, now: Seconds) -> None:
-        """Count a server error or a lost answer, if the entry is still current."""
-        if self.is_current(entry):
+        """Count an error or a lost answer, if the server's run is still listed."""
+        if entry.listed:
             self.ejector.failed(entry.backend.name, now)
 
     def succeeded(self, entry: BackendEntry) -> None:
-        """Clear the counted failures, if the entry is still current."""
-        if self.is_current(entry):
+        """Clear the counted failures, if the server's run is still listed."""
+        if entry.listed:
             self.ejector.succeeded(entry.backend.name)
 
     def record_statements(
@@ -260,18 +213,57 @@
             fields = {"backend": entry.backend.name}
             log.info("server limit ended, by another router", extra=fields)
 
-    def limit_wait(self, entry: BackendEntry, now: Seconds) -> Seconds:
+    def withheld(self, entry: BackendEntry, now: Seconds) -> Withheld | None:
+        """Return why a server may not get a request from this router now, or None.
+
+        No other place decides this. It is asked when a server is chosen, and again
+        right before a request is sent to it. Of several causes that end, the one that
+        lasts longest is returned.
+        """
+        backend = entry.backend
+        if not entry.listed:
+            return Withheld(Cause.GONE)
+        if backend.state is not BackendState.READY:
+            return Withheld(Cause.DRAINING)
+        if entry.moved:
+            return Withheld(Cause.MOVED)
+        if backend.domain in self.evacuated:
+            return Withheld(Cause.EVACUATED)
+        wait = 0.0
+        if now < entry.cold_until:
+            cause, wait = Cause.COLD, self.cold_wait(entry, now)
+        else:
+            entry.cold_limit = None
+        if entry.limit is not None:
+            limit_wait = self.limit_wait(entry, entry.limit, now)
+            if limit_wait > wait:
+                cause, wait = Cause.LIMITED, limit_wait
+        if not wait and now < entry.full_until:
+            cause, wait = Cause.FULL, entry.full_until - now
+        return Withheld(cause, wait) if wait else None
+
+    def admit(self, entry: BackendEntry, now: Seconds) -> Withheld | None:
+        """Count a request that is about to be sent to a server, unless it is withheld.
+
+        Returns:
+            Why it must not be sent; None if it may be, and is counted.
+        """
+        withheld = self.withheld(entry, now)
+        if withheld is not None and withheld.cause.is_binding:
+            return withheld
+        self.count_request(entry, now)
+        return None
+
+    def limit_wait(
+        self, entry: BackendEntry, limit: SendingLimit, now: Seconds
+    ) -> Seconds:
         """Return the time until a server's limit allows a request from this router.
 
         It is infinite if this router has no share of the limit.
         """
-        wait = self.cold_wait(entry, now)
-        if entry.limit is None:
-            return wait
         name = entry.backend.name
-        entry.limit.set_rate(self.shares.rate(name, entry.limit.limit), now)
-        slot = self.shares.probe_slot(name, time.time())
-        return max(wait, entry.limit.wait(slot, now))
+        limit.set_rate(self.shares.rate(name, limit.limit), now)
+        return limit.wait(self.shares.probe_slot(name, time.time()), now)
 
     def cold_wait(self, entry: BackendEntry, now: Seconds) -> Seconds:
         """Return the time until a cold server's limit allows a request; else 0.
@@ -302,58 +294,54 @@
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
-        These are the ready servers that have not moved, are not in `tried`, have a
-        limit that allows the request, and are neither ejected nor full. If only full
-        servers are left, they are returned, and if only ejected ones are left, these.
+        None of them is in `tried` or withheld by a binding cause. If only full servers
+        are left, they are returned, and if only ejected ones are left, these.
         """
         excluded = set(tried)
-        ready = self.ready(service)
-        domains = {entry.backend.name: entry.backend.domain for entry in ready}
-        ejected = self.ejector.ejected(domains, now)
-        allowed = [
-            entry
-            for entry in ready
-            if entry.backend.name not in excluded and not self.limit_wait(entry, now)
+        known: list[BackendEntry] = []
+        free: list[BackendEntry] = []
+        full: list[BackendEntry] = []
+        for entry in self.entries.values():
+            if entry.backend.service != service:
+                continue
+            withheld = self.withheld(entry, now)
+            if withheld is None or withheld.cause.ends:
+                known.append(entry)
+            if entry.backend.name in excluded:
+                continue
+            if withheld is None:
+                free.append(entry)
+            elif not withheld.cause.is_binding:
+                full.append(entry)
+        ejected = self.ejected(known, now)
+        healthy = [
+            [entry for entry in entries if entry.backend.name not in ejected]
+            for entries in (free, full)
         ]
-        healthy = [entry for entry in allowed if entry.backend.name not in ejected]
-        not_full = [entry for entry in healthy if now >= entry.full_until]
-        return not_full or healthy or allowed
-
-    def ready(self, service: ServiceName) -> list[BackendEntry]:
-        """Return the ready servers of a service that may get requests at all.
-
-        Those that have moved or whose failure domain is evacuated may not.
+        return healthy[0] or healthy[1] or free + full
+
+    def ejected(
+        self, entries: Iterable[BackendEntry], now: Seconds
+    ) -> frozenset[BackendName]:
+        """Return the servers, among all of a service, that are ejected for failures."""
+        if not self.ejector.records:
+            return frozenset()
+        domains = {entry.backend.name: entry.backend.domain for entry in entries}
+        return self.ejector.ejected(domains, now)
+
+    def next_allowed(self, service: ServiceName, now: Seconds) -> Seconds | None:
+        """Return the time until a server of a service may get a request.
+
+        It is infinite if that is not known. None if no server is withheld by a binding
+        cause that ends.
         """
-        return [
-            entry
+        found = [
+            withheld
             for entry in self.entries.values()
             if entry.backend.service == service
-            and entry.backend.state is BackendState.READY
-            and entry.backend.domain not in self.evacuated
-            and not entry.moved
+            if (withheld := self.withheld(entry, now)) is not None
+            if withheld.cause.ends
         ]
-
-    def next_allowed(
-        self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
-    ) -> Seconds | None:
-        """Return the time until the limit of an untried server allows a request.
-
-        None if no server of the service has a limit that does not allow one now.
-        """
-        excluded = set(tried)
-        waits = (
-            self.limit_wait(entry, now)
-            for entry in self.ready(service)
-            if entry.backend.name not in excluded
-        )
-        return min((wait for wait in waits if wait), default=None)
-
-
-def fields_of(backend: Backend) -> dict[str, object]:
-    """Return the log fields that describe a server."""
-    return {
-        "backend": backend.name,
-        "service": backend.service,
-        "state": backend.state.value,
-        "domain": backend.domain,
-    }
+        if not any(withheld.cause.is_binding for withheld in found):
+            return None
+        return min(withheld.wait for withheld in found)
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -257,8 +257,12 @@
         return not (self.inbox.waiting or self.inbox.ended or self.closed)
 
     def keep_unused(self, now: Seconds) -> None:
-        """Allow a new connection to be used later, for the default time."""
-        self.usable_until = now + DEFAULT_IDLE_TIME
+        """Allow a new connection to be used later, for the default time.
+
+        One that was used before keeps the time that the server named then.
+        """
+        if not self.usable_until:
+            self.usable_until = now + DEFAULT_IDLE_TIME
 
     async def close(self) -> None:
         """Close the connection, and wake the tasks that wait for its bytes."""
--- a/ebonyhold/forwarding/_choice.py
+++ b/ebonyhold/forwarding/_choice.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Sequence
 
-from ebonyhold.forwarding._backends import BackendEntry
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._types import CallerRequest
 from ebonyhold.forwarding._work import shared_tokens, sharing_key
 from ebonyhold.types import Seconds
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -14,11 +14,11 @@
     RequestLoss,
 )
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._backends import BackendEntry, BackendTable
+from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._channel import ConnectRefusedError
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptLoss, Exchange
 from ebonyhold.forwarding._pool import ChannelPool
-from ebonyhold.forwarding._types import BackendState
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -104,8 +104,7 @@
             known_depth,
         )
         exchange.losses.append(unchecked.loss)
-        ready = entry.backend.state is BackendState.READY
-        if not ready or not self.backends.is_current(entry):
+        if entry.is_expected_to_end:
             return
         if entry in self.unchecked:
             self.unchecked[entry].append(unchecked)
--- /dev/null
+++ b/ebonyhold/forwarding/_entry.py
@@ -0,0 +1,69 @@
+"""The state that this router keeps for one backend server."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from ebonyhold.coordination import SendingLimit, ServerRun
+from ebonyhold.forwarding._types import Backend, BackendState
+from ebonyhold.forwarding._work import ServerWork
+from ebonyhold.types import Seconds
+
+
+@define(eq=False)
+class BackendEntry:
+    """One run of a backend server and the state that this router keeps for it.
+
+    Attributes:
+        backend: The server's entry in the server list.
+        listed: Whether this run of the server is listed now. Results of attempts at a
+            run that is not must not be recorded for the server's next run.
+        in_flight: Number of this router's requests that it is processing.
+        work: Estimated load of those requests.
+        suspects: Number of those requests that may crash the server.
+        full_until: Until when it counts as full, after it declined a request.
+        moved: Whether an answer stated that another server has its address.
+        limit: Its limit on requests from all routers together, and how much of it this
+            router has used; None if its last answer stated no limit.
+        leaving: Whether an answer of this run of the server stated that it leaves.
+        rest_until: Until when it wants no requests from this router.
+        cold_until: Until when the server counts as cold.
+        cold_limit: How much of its limit while cold this router has used; None if
+            it was not cold when it was last considered.
+        drop_at: When to remove it, if its list entry is missing after an outage of the
+            store; None otherwise.
+    """
+
+    backend: Backend
+    listed: bool = True
+    in_flight: int = 0
+    work: ServerWork = field(factory=ServerWork)
+    suspects: int = 0
+    full_until: Seconds = 0.0
+    moved: bool = False
+    limit: SendingLimit | None = None
+    leaving: bool = False
+    rest_until: Seconds = 0.0
+    cold_until: Seconds = 0.0
+    cold_limit: SendingLimit | None = None
+    drop_at: Seconds | None = None
+
+    @property
+    def run(self) -> ServerRun:
+        """The run of the server's process."""
+        return ServerRun(self.backend.name, self.backend.started_at)
+
+    @property
+    def is_expected_to_end(self) -> bool:
+        """Whether the end of the server's process would be no crash."""
+        return not self.listed or self.backend.state is not BackendState.READY
+
+
+def fields_of(backend: Backend) -> dict[str, object]:
+    """Return the log fields that describe a server."""
+    return {
+        "backend": backend.name,
+        "service": backend.service,
+        "state": backend.state.value,
+        "domain": backend.domain,
+    }
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -27,6 +27,7 @@
         NOT_RUN: The server stated that it did not run the request.
         FAILED: The server answered with status 500 or above.
         LOST: No valid and complete answer arrived in time.
+        WITHHELD: Before it was sent, it became known that the server must not get it.
     """
 
     DELIVERED = "delivered"
@@ -34,6 +35,7 @@
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
+    WITHHELD = "withheld"
 
 
 @frozen
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -16,11 +16,12 @@
     MalformedRequestError,
 )
 from ebonyhold.forwarding._attempt import Attempt
-from ebonyhold.forwarding._backends import BackendEntry, BackendTable
+from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._choice import choose, with_fewest_suspects
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._refusals import Refusal, own_answer
@@ -269,7 +270,7 @@
             attempt = Attempt(
                 exchange, entry, self.pool, self.backends, self.dialect, suspect
             )
-            if exchange.sends == 0:
+            if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
             self.log_dispatch(exchange, entry)
             result = await attempt.run()
@@ -315,15 +316,13 @@
         service = exchange.match.service
         entries = self.backends.usable(service, now, exchange.tried)
         if not entries:
-            wait = self.backends.next_allowed(service, now, exchange.tried)
+            wait = self.backends.next_allowed(service, now)
             if wait is not None:
                 exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
             return self.no_server_left(exchange)
         if suspect:
             entries = with_fewest_suspects(entries)
-        entry = choose(exchange.caller, entries, self.domain, now)
-        self.backends.count_request(entry, now)
-        return entry
+        return choose(exchange.caller, entries, self.domain, now)
 
     def no_server_left(self, exchange: Exchange) -> Refusal:
         """Return the refusal for a request when no untried server is left.
@@ -353,6 +352,8 @@
 
         Another try uses the retry budget, unless no connection could be made.
         """
+        if result.end is AttemptEnd.WITHHELD:
+            return None
         if result.end is AttemptEnd.NOT_SENT:
             # Nothing was sent, so no retry budget is used.
             if exchange.connects < MAX_CONNECTS:
--- /dev/null
+++ b/ebonyhold/forwarding/_withheld.py
@@ -0,0 +1,59 @@
+"""Why a backend server may not get a request from this router now, and for how long."""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+
+from attrs import frozen
+
+from ebonyhold.types import Seconds
+
+
+class Cause(Enum):
+    """Why a server may not get a request.
+
+    Attributes:
+        GONE: It is no longer listed, or has restarted.
+        DRAINING: Its list entry states that it leaves.
+        MOVED: Another server has its address.
+        EVACUATED: Its failure domain is evacuated.
+        LIMITED: The limit that it states does not allow a request from this router now.
+        COLD: It is cold, and what it tolerates from this router is used up.
+        FULL: It declined a request a moment ago.
+    """
+
+    GONE = "gone"
+    DRAINING = "draining"
+    MOVED = "moved"
+    EVACUATED = "evacuated"
+    LIMITED = "limited"
+    COLD = "cold"
+    FULL = "full"
+
+    @property
+    def ends(self) -> bool:
+        """Whether the server may get requests again later, in the same run."""
+        return self in TEMPORARY
+
+    @property
+    def is_binding(self) -> bool:
+        """Whether the server gets no request even if no other server is left."""
+        return self is not Cause.FULL
+
+
+TEMPORARY = frozenset({Cause.LIMITED, Cause.COLD, Cause.FULL})
+"""The causes that end while the server runs."""
+
+
+@frozen
+class Withheld:
+    """A cause for which a server may not get a request now.
+
+    Attributes:
+        cause: The cause.
+        wait: Time until the server may get a request; infinite if it is not known.
+    """
+
+    cause: Cause
+    wait: Seconds = math.inf
--- a/tests/forwarding/test_decisions.py
+++ b/tests/forwarding/test_decisions.py
@@ -249,7 +249,7 @@
     """A retry or a resumed stream must not go to an evacuated domain either."""
     table = cold_table(frozenset(evacuated))
     assert names_of(table.usable("svc", 1.0, tried)) == left
-    assert table.next_allowed("svc", 1.0, tried) is None
+    assert table.next_allowed("svc", 1.0) is None
 
 
 def test_servers_count_as_cold_after_an_evacuation() -> None:
