Count the servers that get no requests, by cause

From the metrics alone it could not be told why a service with ready servers refused requests. ebonyhold_gateway_servers_withheld{service,cause} is set at each scrape from BackendTable.withheld, so it shows what the choice of a server uses. The golden file of metrics stays as it was; a second file holds the added name.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -310,10 +310,7 @@
         now = anyio.current_time()
         for watcher in (self.rules_watcher, self.servers_watcher):
             self.metrics.store_age.labels(watcher.table).set(watcher.age(now))
-        self.metrics.servers.clear()
-        for entry in self.routing.backends.entries.values():
-            backend = entry.backend
-            self.metrics.servers.labels(backend.service, backend.state.value).inc()
+        self.count_servers(now)
         for grant in self.grant_manager.grants.values():
             ledger = grant.state.ledger
             name = grant.workspace
@@ -325,6 +322,19 @@
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
 
+    def count_servers(self, now: Seconds) -> None:
+        """Set the gauges for the servers, by state and by why they get no requests."""
+        metrics, table = self.metrics, self.routing.backends
+        metrics.servers.clear()
+        metrics.servers_withheld.clear()
+        for entry in table.entries.values():
+            backend = entry.backend
+            metrics.servers.labels(backend.service, backend.state.value).inc()
+            withheld = table.withheld(entry, now)
+            if withheld is not None:
+                cause = withheld.cause.value
+                metrics.servers_withheld.labels(backend.service, cause).inc()
+
     async def reclaim(self) -> None:
         """Reclaim the grants of earlier incarnations, once the VM's row is taken over.
 
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -93,6 +93,13 @@
             registry=self.registry,
         )
 
+        self.servers_withheld = Gauge(
+            "ebonyhold_gateway_servers_withheld",
+            "Servers that may not get requests from this router now, by cause.",
+            ("service", "cause"),
+            registry=self.registry,
+        )
+
     def count_hold(self, outcome: HoldOutcome) -> None:
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -406,7 +406,8 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    assert render_gateway_metrics() == read("metrics-gateway.txt")
+    added = read("metrics-gateway-added.txt")
+    assert render_gateway_metrics() == read("metrics-gateway.txt") + added
 
 
 def test_codes_of_errors_are_written() -> None:
