Send nothing more to a server whose answer has stated that it leaves

Where a server ends as it has announced, requests that are still sent to it are cut.

Cause: that a server leaves was known by its list entry alone, which reached the store 11 s after the server's first answer had stated it, since the store was away.

Change: leaving is a cause of BackendTable.withheld, from the head of any answer on, also one to another request. It belongs to the run of the server: no list entry and no answer without it takes it back, also not after the entry has expired and is listed again, and a run that starts anew under the same name is used. So the state of a removed run is kept for 60 s. A 421 comes from the server that now has the address, so its statements are recorded for that one; until now they were ignored. A server that ends after it has stated that it leaves has not crashed.

Other gateways are not told: each learns it from its own first answer, a server serves for longer than that, and while the store is in touch the list tells all of them.

--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -15,6 +15,7 @@
     EndedLimits,
     LimitShares,
     SendingLimit,
+    ServerRun,
 )
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
 from ebonyhold.forwarding._types import (
@@ -49,6 +50,13 @@
 FULL_BACKOFF: Seconds = 0.15
 """How long a server that declined a request is avoided, unless no other is left."""
 
+UNLISTED_KEPT: Seconds = 60.0
+"""How long it is remembered what a server has stated, after it was removed.
+
+An entry that expired during an outage of the store, and any written before the server
+began to leave, may be listed again.
+"""
+
 MAX_REST: Seconds = 300.0
 """Longest rest that is granted, so that a wrong value hides no server for good."""
 
@@ -59,6 +67,7 @@
 
     Attributes:
         entries: The servers by name.
+        unlisted: Runs of servers that were removed in the last UNLISTED_KEPT.
         ejector: Decides which failing servers to avoid.
         shares: This router's shares of the servers' limits.
         ended_limits: The ends of limits that this router has noticed.
@@ -67,6 +76,7 @@
     """
 
     entries: dict[BackendName, BackendEntry] = field(factory=dict)
+    unlisted: dict[ServerRun, BackendEntry] = field(factory=dict)
     ejector: Ejector = field(factory=lambda: Ejector(EJECTION))
     shares: LimitShares = field(factory=LimitShares)
     ended_limits: EndedLimits = field(factory=EndedLimits)
@@ -88,16 +98,21 @@
     def update(self, backend: Backend, now: Seconds = 0.0) -> None:
         """Add a server, or update it; a restarted server loses its earlier state.
 
+        A run that is listed again keeps its state.
+
         Args:
             backend: The server's entry in the server list.
             now: When the entry was read.
         """
         known = self.entries.get(backend.name)
         if known is None or known.backend.started_at != backend.started_at:
-            # The server is new, or has restarted under the same name.
+            # The server is new, is listed again, or has restarted under the same name.
             if known is not None:
                 known.listed = False
-            known = self.entries[backend.name] = BackendEntry(backend)
+            run = ServerRun(backend.name, backend.started_at)
+            known = self.unlisted.pop(run, None) or BackendEntry(backend)
+            known.listed, known.moved = True, False
+            self.entries[backend.name] = known
             self.ejector.succeeded(backend.name)
             log.info("server listed", extra=fields_of(backend))
         if backend.cold_for:
@@ -135,18 +150,28 @@
                 entry.drop_at = now + LAPSE_GRACE
                 log.info("server lapsed", extra=fields_of(entry.backend))
             return
-        self.drop(entry)
+        self.drop(entry, now)
 
     def expire(self, now: Seconds) -> None:
-        """Remove the servers whose LAPSE_GRACE has passed."""
+        """Remove the servers whose LAPSE_GRACE has passed, and forget old runs."""
         for entry in list(self.entries.values()):
             if entry.drop_at is not None and now >= entry.drop_at:
-                self.drop(entry)
+                self.drop(entry, now)
+        for run, entry in list(self.unlisted.items()):
+            if entry.drop_at is None or now >= entry.drop_at:
+                del self.unlisted[run]
+
+    def drop(self, entry: BackendEntry, now: Seconds) -> None:
+        """Remove a server and its failure history.
 
-    def drop(self, entry: BackendEntry) -> None:
-        """Remove a server and its failure history."""
+        A run without a known start is forgotten at once, since it could not be told
+        from the server's next run.
+        """
         del self.entries[entry.backend.name]
         entry.listed = False
+        entry.drop_at = now + UNLISTED_KEPT
+        if entry.backend.started_at:
+            self.unlisted[entry.run] = entry
         self.ejector.succeeded(entry.backend.name)
         log.info("server gone", extra=fields_of(entry.backend))
 
@@ -168,10 +193,23 @@
     def record_statements(
         self, entry: BackendEntry, facts: AnswerFacts, now: Seconds
     ) -> None:
-        """Record what a server states about itself in an answer, and log changes."""
-        if facts.moved:
-            # Another server answered at this address.
+        """Record what a server states about itself in an answer, and log changes.
+
+        A statement holds for the run of the server: neither a list entry nor an answer
+        without it takes it back. If the server has moved, the answer comes from the
+        server that now has its address.
+        """
+        if not facts.moved:
+            self.record_statement(entry, facts, now)
             return
+        for other in self.entries.values():
+            if other is not entry and other.backend.address == entry.backend.address:
+                self.record_statement(other, facts, now)
+
+    def record_statement(
+        self, entry: BackendEntry, facts: AnswerFacts, now: Seconds
+    ) -> None:
+        """Record what the server of an entry states about itself."""
         self.set_limit(entry, facts.request_limit, now)
         if facts.leaving and not entry.leaving:
             entry.leaving = True
@@ -225,6 +263,8 @@
             return Withheld(Cause.GONE)
         if backend.state is not BackendState.READY:
             return Withheld(Cause.DRAINING)
+        if entry.leaving:
+            return Withheld(Cause.LEAVING)
         if entry.moved:
             return Withheld(Cause.MOVED)
         if backend.domain in self.evacuated:
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -30,8 +30,9 @@
         cold_until: Until when the server counts as cold.
         cold_limit: How much of its limit while cold this router has used; None if
             it was not cold when it was last considered.
-        drop_at: When to remove it, if its list entry is missing after an outage of the
-            store; None otherwise.
+        drop_at: When to remove it from the table, if its list entry is missing after an
+            outage of the store, or when to forget a run that is not listed any more;
+            None otherwise.
     """
 
     backend: Backend
@@ -56,7 +57,8 @@
     @property
     def is_expected_to_end(self) -> bool:
         """Whether the end of the server's process would be no crash."""
-        return not self.listed or self.backend.state is not BackendState.READY
+        draining = self.backend.state is not BackendState.READY
+        return self.leaving or draining or not self.listed
 
 
 def fields_of(backend: Backend) -> dict[str, object]:
--- a/ebonyhold/forwarding/_withheld.py
+++ b/ebonyhold/forwarding/_withheld.py
@@ -16,6 +16,7 @@
     Attributes:
         GONE: It is no longer listed, or has restarted.
         DRAINING: Its list entry states that it leaves.
+        LEAVING: It has stated in an answer that it leaves.
         MOVED: Another server has its address.
         EVACUATED: Its failure domain is evacuated.
         LIMITED: The limit that it states does not allow a request from this router now.
@@ -25,6 +26,7 @@
 
     GONE = "gone"
     DRAINING = "draining"
+    LEAVING = "leaving"
     MOVED = "moved"
     EVACUATED = "evacuated"
     LIMITED = "limited"
--- a/tests/forwarding/test_withheld.py
+++ b/tests/forwarding/test_withheld.py
@@ -94,6 +94,7 @@
     ("removed", remove, Cause.GONE),
     ("restarted", restart, Cause.GONE),
     ("draining", drain, Cause.DRAINING),
+    ("leaving", state(leaving=True), Cause.LEAVING),
     ("moved", move, Cause.MOVED),
     ("evacuated", evacuate, Cause.EVACUATED),
     ("limited", state(request_limit=1.0), Cause.LIMITED),
