--- a/tests/platform/observed/_checks.py
+++ b/tests/platform/observed/_checks.py
@@ -1,4 +1,4 @@
-"""Check the records of one seed against the rules for crashes and limits."""
+"""Check the records of one seed against the rules for crashes and statements."""
 
 from __future__ import annotations
 
@@ -7,6 +7,14 @@
 from attrs import frozen
 
 from tests.platform.kit import ProcessRecord, RequestRecord
+from tests.platform.observed._statements import (
+    Arrival,
+    Statement,
+    StatementEvidence,
+    check_leaving,
+    check_rest,
+    count_told,
+)
 from tests.platform.soak._checks import InjectedFault
 from tests.platform.standin import CRASH_DELAY
 
@@ -68,6 +76,8 @@
         limits: The limits that engines named.
         processes: All processes of all VMs.
         faults: The injected faults.
+        arrivals: The callers' requests that arrived at engines, in order.
+        statements: What engines stated of leaving and rest.
     """
 
     requests: Sequence[RequestRecord]
@@ -76,6 +86,27 @@
     limits: Sequence[NamedLimit]
     processes: Sequence[ProcessRecord]
     faults: Sequence[InjectedFault]
+    arrivals: Sequence[Arrival] = ()
+    statements: Sequence[Statement] = ()
+
+    @property
+    def stated(self) -> StatementEvidence:
+        """The records of what engines stated."""
+        return StatementEvidence(
+            self.arrivals,
+            self.statements,
+            {run.engine: self.crashes(run.engine) for run in self.runs},
+            self.processes,
+            self.faults,
+        )
+
+    def crashes(self, engine: str) -> list[float]:
+        """Return when an engine crashed."""
+        return [
+            run.started_at + CRASH_DELAY
+            for run in self.runs
+            if run.engine == engine and run.target in self.crashing
+        ]
 
     def disturbances(self) -> Iterator[tuple[float, float]]:
         """Iterate over the periods in which gateways or their paths were disturbed."""
@@ -101,6 +132,8 @@
         *check_crashing(evidence),
         *check_proper(evidence.requests),
         *check_limits(evidence),
+        *check_leaving(evidence.stated),
+        *check_rest(evidence.stated),
     ]
 
 
@@ -136,11 +169,7 @@
 
     Left out are windows in which a gateway was disturbed or the engine crashed.
     """
-    crashes = [
-        run.started_at + CRASH_DELAY
-        for run in evidence.runs
-        if run.engine == named.engine and run.target in evidence.crashing
-    ]
+    crashes = evidence.crashes(named.engine)
     times = sorted(
         run.started_at for run in evidence.runs if run.engine == named.engine
     )
@@ -163,4 +192,6 @@
         "calm": sum(
             evidence.is_calm(r.started_at, r.started_at) for r in evidence.runs
         ),
+        "told of leaving": count_told(evidence.stated, resting=False),
+        "told of rest": count_told(evidence.stated, resting=True),
     }
--- a/tests/platform/observed/_run.py
+++ b/tests/platform/observed/_run.py
@@ -1,10 +1,11 @@
-"""Run one seed: faults and calm periods, while requests crash engines."""
+"""Run one seed: faults and calm periods, while engines crash, leave and rest."""
 
 from __future__ import annotations
 
 import random
 import time
 from pathlib import Path
+from typing import Any
 
 import anyio
 from attrs import define, field
@@ -18,6 +19,7 @@
     check,
     summarize,
 )
+from tests.platform.observed._statements import Arrival, Statement
 from tests.platform.soak._run import (
     CALLERS,
     GATEWAYS,
@@ -46,6 +48,15 @@
 LIMIT_TIME = (8.0, 16.0)
 """Range of seconds for which an engine names a limit."""
 
+LEAVING_TIME = (3.5, 6.0)
+"""Range of seconds for which an engine states that it leaves, until it restarts."""
+
+RESTS = {"3": 3.0, "1.5": 1.5, "0.7": 0.7, "abc": 0.0, "-1": 0.0, "1e9": 0.0}
+"""What an engine that turns requests away states, with the rest that it asks for."""
+
+SHEDDING_TIME = (1.0, 5.0)
+"""Range of seconds for which an engine turns all requests away."""
+
 
 @define(eq=False)
 class ObservedSoak(SoakRun):
@@ -54,11 +65,13 @@
     Attributes:
         cycles: Number of periods with faults, each followed by a calm one.
         limits: The limits that were named.
+        statements: What engines stated of leaving and rest.
         evidence: The records, once the run has ended.
     """
 
     cycles: int = 3
     limits: list[NamedLimit] = field(factory=list)
+    statements: list[Statement] = field(factory=list)
     evidence: ObservedEvidence | None = None
 
     async def run_traffic(self) -> list[str]:
@@ -77,6 +90,8 @@
             for target in CRASHING:
                 tasks.start_soon(self.repeat_crashing, target)
             tasks.start_soon(self.name_limits)
+            tasks.start_soon(self.let_engines_leave)
+            tasks.start_soon(self.let_engines_rest)
             for _ in range(self.cycles):
                 with anyio.move_on_after(rng.uniform(*FAULT_TIME)):
                     async with anyio.create_task_group() as sources:
@@ -93,6 +108,8 @@
             self.limits,
             self.processes,
             self.faults,
+            self.arrivals(records),
+            self.statements,
         )
         violations = check(self.evidence)
         for gateway in self.gateways:
@@ -126,6 +143,57 @@
                 self.limits.append(NamedLimit(engine, limit, named_at, ended_at))
             await self.write(f"test-limits//{engine}", None)
 
+    async def let_engines_leave(self) -> None:
+        """Make an engine state that it leaves, and restart it, until cancelled."""
+        rng = self.rng("leaving")
+        while True:
+            await anyio.sleep(rng.uniform(2.0, 6.0))
+            await self.state("i-1", "leaving", "1", rng.uniform(*LEAVING_TIME))
+            await self.write("test-restart//i-1", rng.random())
+
+    async def let_engines_rest(self) -> None:
+        """Make an engine turn all requests away for some time, until cancelled."""
+        rng = self.rng("rest")
+        while True:
+            await anyio.sleep(rng.uniform(1.0, 5.0))
+            engine, rest = rng.choice(["i-0", "i-2"]), rng.choice(list(RESTS))
+            length = rng.uniform(*SHEDDING_TIME)
+            await self.state(engine, "rest", rest, length, RESTS[rest])
+
+    async def state(
+        self,
+        engine: str,
+        table: str,
+        value: str,
+        seconds: float,
+        rest: float | None = None,
+    ) -> None:
+        """Make an engine state a value for some time, and record that."""
+        await self.write(f"test-{table}//{engine}", value)
+        stated_at = time.monotonic()
+        try:
+            await anyio.sleep(seconds)
+        finally:
+            ended_at = time.monotonic()
+            self.statements.append(Statement(engine, stated_at, ended_at, rest))
+        await self.write(f"test-{table}//{engine}", None)
+
+    def arrivals(self, records: dict[str, Any]) -> list[Arrival]:
+        """Return the callers' requests that arrived at engines, in order."""
+        known = {request.request_id: request for request in self.requests}
+        found = []
+        for run in records["runs"]:
+            request = known.get(run[0])
+            if request is not None:
+                booked = "/book/" in run[1] and request.status == 200
+                answered_at = run[5] if run[6] or booked else 0.0
+                found.append(Arrival(request.vm, run[7], run[4], answered_at))
+        for request_id, engine, at in records["declined"]:
+            request = known.get(request_id)
+            if request is not None:
+                found.append(Arrival(request.vm, engine, at, turned_away=True))
+        return sorted(found, key=lambda arrival: arrival.at)
+
 
 async def run_seed(
     seed: int, folder: Path, cycles: int = 3, program: str = PROGRAM
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -8,6 +8,9 @@
 import random
 import sys
 from collections.abc import Callable
+from functools import partial
+
+from attrs import evolve
 
 from ebonyhold.coordination import LimitShares
 from ebonyhold.forwarding import BackendTable, _forwarder
@@ -61,12 +64,24 @@
     LimitShares.rate = lambda self, server, limit: limit  # type: ignore[method-assign]
 
 
+def ignore_statements(**ignored: object) -> None:
+    """Make the gateway ignore what servers state about themselves."""
+    record = BackendTable.record_statement
+
+    def weakened(self, entry, facts, now):  # type: ignore[no-untyped-def]
+        record(self, entry, evolve(facts, **ignored), now)
+
+    BackendTable.record_statement = weakened  # type: ignore[method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "proof": assume_nothing_was_used,
     "not-run": resend_everything,
     "sound-tasks": fail_in_a_task,
     "observations": keep_observations,
     "shares": use_whole_limits,
+    "leaving": partial(ignore_statements, leaving=False),
+    "rest": partial(ignore_statements, rest=0.0),
 }
 
 
