Use nothing of an outdated load report

A report that is outdated changes nothing now. On the code before, the two reports of the new test leave e0 and e1 in use, now e1 alone.

--- a/ebonyhold/backends/_state.py
+++ b/ebonyhold/backends/_state.py
@@ -90,16 +90,19 @@
         engine = self.backend.kind is BackendKind.ENGINE
         self.window = max(1.0, slots * INITIAL_WINDOW) if engine else slots
 
-    def record_report(self, report: LoadReport, now: Seconds) -> None:
+    def record_report(self, report: LoadReport, now: Seconds) -> bool:
         """Store a load report and adjust the window, unless the report is outdated.
 
         A report is outdated if it has the boot identifier of the latest report and a
         smaller sequence number.  A new boot identifier means that the server restarted,
         so its prefix index is cleared.
+
+        Returns:
+            Whether the report was used.
         """
         restarted = report.boot != self.report.boot
         if not restarted and report.sequence < self.report.sequence:
-            return
+            return False
         if restarted:
             self.prefixes.clear()
         self.report = report
@@ -107,6 +110,7 @@
         self.reported_at = now
         self.own_at_report = min(self.own_requests, report.running + report.queued)
         self.boot = report.boot
+        return True
 
     def adjust_window(self) -> None:
         """Adjust this router's window to the latest report.
--- a/ebonyhold/backends/_table.py
+++ b/ebonyhold/backends/_table.py
@@ -12,7 +12,7 @@
 from ebonyhold.backends._attempt_status import UNKNOWN, close_at_engine
 from ebonyhold.backends._engine import EngineClient
 from ebonyhold.backends._http import make_client
-from ebonyhold.backends._messages import Timeouts
+from ebonyhold.backends._messages import LoadReport, Timeouts
 from ebonyhold.backends._poll import poll_cache, poll_load
 from ebonyhold.backends._service import ServiceClient
 from ebonyhold.backends._state import BackendState
@@ -145,18 +145,22 @@
             self.on_change()
             return
         self.ejector.reached(name)
-        state.record_report(report, anyio.current_time())
-        self.update_leaving(name, report.leaving)
+        self.use_report(state, report)
         if self.rounds % CACHE_POLL_ROUNDS == 0:
             await poll_cache(self.client, state, self.poll_interval)
         self.on_change()
 
-    def update_leaving(self, name: BackendName, leaving: bool) -> None:
-        """Record in the fleet view whether a server reports that it is leaving."""
-        if leaving:
-            self.fleet.reported_leaving.add(name)
+    def use_report(self, state: BackendState, report: LoadReport) -> None:
+        """Use a load report, and record in the fleet view whether the server leaves.
+
+        An outdated report changes nothing.
+        """
+        if not state.record_report(report, anyio.current_time()):
+            return
+        if report.leaving:
+            self.fleet.reported_leaving.add(state.backend.name)
         else:
-            self.fleet.reported_leaving.discard(name)
+            self.fleet.reported_leaving.discard(state.backend.name)
 
     def refresh(self) -> None:
         """Update the states and the working set to the current document.
--- a/tests/backends/test_table.py
+++ b/tests/backends/test_table.py
@@ -95,6 +95,17 @@
     assert bool(state.prefixes.held) is False
 
 
+async def test_a_late_report_does_not_take_leaving_back() -> None:
+    """An engine that leaves must not be used again by an older report."""
+    table = make_table(2)
+    table.refresh()
+    state = table.states["e0"]
+    for report in (LoadReport("b", 2, leaving=True), LoadReport("b", 1)):
+        table.use_report(state, report)
+    usable = table.usable(BackendKind.ENGINE, MODEL)
+    assert [found.backend.name for found in usable] == ["e1"]
+
+
 async def test_windows_shrink_on_queues_and_grow_with_free_slots() -> None:
     table = make_table(1)
     table.refresh()
