--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -264,8 +264,7 @@
         """Return why a server may not get a request from this router now, or None.
 
         No other place decides this. It is asked when a server is chosen, and again
-        right before a request is sent to it. Of several causes that end, the one that
-        lasts longest is returned.
+        right before a request is sent to it.
         """
         backend = entry.backend
         if not entry.listed:
@@ -278,6 +277,7 @@
             return Withheld(Cause.MOVED)
         if backend.domain in self.evacuated:
             return Withheld(Cause.EVACUATED)
+        # Of the causes that end, the one that lasts longest is kept.
         cause, wait = Cause.RESTING, max(0.0, entry.rest_until - now)
         if now < entry.cold_until:
             cold_wait = self.cold_wait(entry, now)
@@ -365,11 +365,11 @@
             elif not withheld.cause.is_binding:
                 full.append(entry)
         ejected = self.ejected(known, now)
-        healthy = [
-            [entry for entry in entries if entry.backend.name not in ejected]
-            for entries in (free, full)
-        ]
-        return healthy[0] or healthy[1] or free + full
+
+        def healthy(entries: list[BackendEntry]) -> list[BackendEntry]:
+            return [entry for entry in entries if entry.backend.name not in ejected]
+
+        return healthy(free) or healthy(full) or free + full
 
     def ejected(
         self, entries: Iterable[BackendEntry], now: Seconds
