--- a/tests/forwarding/test_server_statements.py
+++ b/tests/forwarding/test_server_statements.py
@@ -105,11 +105,12 @@
 async def test_request_that_runs_at_a_leaving_server_goes_on_to_its_end() -> None:
     """A stream whose server leaves must not be cut or sent elsewhere."""
     server = Server("s", start_stream)
-    async with rig(server, Server("other", start_stream)) as fleet:
+    other = Server("other", start_stream)
+    async with rig(server, other) as fleet:
         got = await fleet.ask(request("/stream/x", "POST", b"body"))
     assert event(1) in got
     assert got.endswith(b"0\r\n\r\n")
-    assert len(server.requests) <= 1
+    assert len(server.requests) + len(other.requests) == 1
 
 
 @pytest.mark.parametrize(
--- a/tests/forwarding/test_withheld.py
+++ b/tests/forwarding/test_withheld.py
@@ -207,8 +207,6 @@
     server = Server("s", ok)
     async with rig(server) as fleet:
         change_while_connecting(fleet, "s", change)
-        if change is restart:
-            fleet.forwarder.backends.ejector.lost("s", anyio.current_time())
         got = await fleet.ask(request("/unsafe/x", "POST", b"body"))
     assert got.startswith(b"HTTP/1.1 503 ")
     assert b"retry-after: " in got.lower()
