--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -35,6 +35,9 @@
 REFUSAL_TIME = 0.5
 """Seconds within which a request that no server may get must be refused."""
 
+SAMPLE_TIME = 4.0
+"""Seconds in which a gateway that chooses at random uses each of three servers."""
+
 ENGINES = ("i-0", "i-1", "i-2")
 
 
@@ -161,7 +164,7 @@
         await anyio.sleep(2.5 * float(rest))
         await state(soak, "rest", None, "i-0")
         ended_at = time.monotonic()
-        await anyio.sleep(1.5 * float(rest))
+        await anyio.sleep(1.1 * float(rest) + SAMPLE_TIME)
         records = await soak.engine_records()
     assert in_rest(records, "i-0", float(rest)) <= MAX_IN_REST
     for gateway in range(GATEWAYS):
@@ -179,7 +182,7 @@
         await anyio.sleep(1.0)
         await state(soak, "rest", None, "i-0")
         ended_at = time.monotonic()
-        await anyio.sleep(1.0)
+        await anyio.sleep(SAMPLE_TIME)
         records = await soak.engine_records()
     for gateway in range(GATEWAYS):
         assert max(arrivals(records, "i-0", gateway)) > ended_at
