Count connects to servers by outcome, refused ones too

The pool now reports each outcome, and ebonyhold_gateway_connects_total counts them. The overload detection uses those that it used before, so no decision changes.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -13,7 +13,7 @@
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._listener import CallerListener
-from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._pool import ChannelPool, ConnectOutcome
 from ebonyhold.forwarding._refusals import Refusal, own_answer
 from ebonyhold.forwarding._retries import FleetRetryBudget, RetryRules
 from ebonyhold.forwarding._routes import (
@@ -65,6 +65,7 @@
     "CallerRequest",
     "Channel",
     "ChannelPool",
+    "ConnectOutcome",
     "CrashDetector",
     "Dialect",
     "Dispatch",
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 import anyio
 from attrs import define, field
 
+from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._channel import (
     CONNECT_TIMEOUT,
     Channel,
+    ConnectRefusedError,
     ConnectTimeoutError,
     open_channel,
 )
@@ -27,14 +30,38 @@
 """
 
 
+class ConnectOutcome(Enum):
+    """How an attempt to connect to a server ended.
+
+    Attributes:
+        MADE: The connection was made.
+        REFUSED: No process listens at the address, or a device on the path refuses.
+        TIMED_OUT: It was neither made nor refused in time.
+        FAILED: Another error, such as an unreachable network.
+    """
+
+    MADE = "made"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    FAILED = "failed"
+
+
+def outcome_of(error: BackendLostError) -> ConnectOutcome:
+    """Return how an attempt ended for which `open_channel` has raised an error."""
+    if isinstance(error, ConnectTimeoutError):
+        return ConnectOutcome.TIMED_OUT
+    refused = isinstance(error, ConnectRefusedError)
+    return ConnectOutcome.REFUSED if refused else ConnectOutcome.FAILED
+
+
 @define(eq=False)
 class ChannelPool:
     """Keeps unused connections, by server.
 
     Attributes:
         tasks: Starts the tasks that read connections.
-        on_connect: Called with the server's name and whether a new connection was made
-            (True) or timed out (False); not called if it was refused.
+        on_connect: Called with the server's name and the outcome of each attempt to
+            open a connection.
         connect_timeout: Maximum time to wait for a new connection.
         unused: The unused connections of each server, the most recently used one last.
         opened: Number of attempts to open a connection so far.
@@ -42,7 +69,7 @@
     """
 
     tasks: TaskStarter
-    on_connect: Callable[[BackendName, bool], None] = lambda name, made: None
+    on_connect: Callable[[BackendName, ConnectOutcome], None] = lambda name, how: None
     connect_timeout: Seconds = CONNECT_TIMEOUT
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
@@ -66,11 +93,11 @@
         self.opened += 1
         try:
             channel = await open_channel(address, self.tasks, self.connect_timeout)
-        except ConnectTimeoutError:
-            self.on_connect(name, False)
+        except BackendLostError as error:
+            self.on_connect(name, outcome_of(error))
             raise
         channel.inbox.traffic = self.traffic
-        self.on_connect(name, True)
+        self.on_connect(name, ConnectOutcome.MADE)
         return channel
 
     def take(self, name: BackendName, address: tuple[str, int]) -> Channel | None:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -17,6 +17,7 @@
     CallerLimits,
     CallerListener,
     ChannelPool,
+    ConnectOutcome,
     CrashDetector,
     FleetRetryBudget,
     Forwarder,
@@ -45,7 +46,7 @@
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
 from ebonyhold.prepaid import Fleet, GrantManager, HolderTable, RemoteHolds
-from ebonyhold.types import Seconds
+from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -244,7 +245,7 @@
             self.listener.shed,
             LinkUse(self.listener.traffic, settings.link_rate),
         )
-        self.pool.on_connect = self.pressure.record_connect
+        self.pool.on_connect = self.record_connect
         supervisor.start("pressure", self.pressure.run)
         readiness = CallerListener(self.answer_readiness, CallerLimits, guard)
         metrics = CallerListener(self.answer_metrics, CallerLimits, guard)
@@ -262,6 +263,11 @@
             supervisor.start("transfers", listen, peer_listener, address, tasks)
             supervisor.start("lent holds", handler.expire)
 
+    def record_connect(self, server: BackendName, outcome: ConnectOutcome) -> None:
+        """Record an attempt to open a connection to a server."""
+        self.metrics.count_connect(outcome)
+        self.pressure.record_connect(server, outcome)
+
     def ages(self) -> dict[str, Seconds]:
         """Return how long ago the store last answered for rules and for servers.
 
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -10,6 +10,7 @@
     generate_latest,
 )
 
+from ebonyhold.forwarding import ConnectOutcome
 from ebonyhold.prepaid import HoldOutcome
 from ebonyhold.types import Seconds
 
@@ -67,6 +68,12 @@
             "Connections opened to servers since the start.",
             registry=self.registry,
         )
+        self.connects = Counter(
+            "ebonyhold_gateway_connects_total",
+            "Attempts to open a connection to a server, by outcome.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.failures = Counter(
             "ebonyhold_gateway_task_failures_total",
             "Failures of the gateway's own tasks, and what was done.",
@@ -104,6 +111,10 @@
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
 
+    def count_connect(self, outcome: ConnectOutcome) -> None:
+        """Count an attempt to open a connection to a server."""
+        self.connects.labels(outcome.value).inc()
+
     def count_late(self, taken: bool) -> None:
         """Count a request that arrived during the stop, as accepted or refused."""
         self.late_requests.labels("taken" if taken else "refused").inc()
--- a/ebonyhold/gateway/_pressure.py
+++ b/ebonyhold/gateway/_pressure.py
@@ -21,7 +21,7 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.forwarding import Traffic
+from ebonyhold.forwarding import ConnectOutcome, Traffic
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -215,9 +215,14 @@
         """Whether readiness checks fail, so that no new callers are sent here."""
         return self.detector.high
 
-    def record_connect(self, server: BackendName, made: bool) -> None:
-        """Record a connection attempt to a server and whether it succeeded."""
-        self.detector.link.record(server, made, anyio.current_time())
+    def record_connect(self, server: BackendName, outcome: ConnectOutcome) -> None:
+        """Record a connection attempt to a server.
+
+        Only one that was made or timed out tells of the link: a full link refuses none.
+        """
+        if outcome in (ConnectOutcome.MADE, ConnectOutcome.TIMED_OUT):
+            made = outcome is ConnectOutcome.MADE
+            self.detector.link.record(server, made, anyio.current_time())
 
     async def run(self) -> None:
         """Measure the event loop's delay at regular intervals until cancelled."""
--- /dev/null
+++ b/tests/forwarding/test_connects.py
@@ -0,0 +1,58 @@
+"""The outcomes of attempts to connect to servers, as the pool reports them."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import suppress
+
+import anyio
+import pytest
+
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding import ChannelPool, ConnectOutcome
+from tests.forwarding.kit import LOOPBACK
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use a real clock, since sockets do not work with a virtual one."""
+    return "asyncio"
+
+
+@pytest.fixture
+def listening() -> Iterator[socket.socket]:
+    """Listen on a loopback port without accepting connections."""
+    with socket.create_server((LOOPBACK, 0), backlog=0) as found:
+        yield found
+
+
+async def outcomes(port: int) -> list[ConnectOutcome]:
+    """Return what a pool reports of one attempt to connect to a port."""
+    reported: list[ConnectOutcome] = []
+    async with anyio.create_task_group() as tasks:
+        pool = ChannelPool(tasks, lambda name, how: reported.append(how))
+        with suppress(BackendLostError):
+            channel = await pool.connect("i-1", (LOOPBACK, port))
+            await channel.close()
+        tasks.cancel_scope.cancel()
+    return reported
+
+
+async def test_made_connection_is_reported(listening: socket.socket) -> None:
+    assert await outcomes(listening.getsockname()[1]) == [ConnectOutcome.MADE]
+
+
+async def test_refused_connection_is_reported(listening: socket.socket) -> None:
+    """Refused connects must not be missing in what tells a cut from a calm time."""
+    port = listening.getsockname()[1]
+    listening.close()
+    assert await outcomes(port) == [ConnectOutcome.REFUSED]
+
+
+async def test_silent_connect_is_reported(listening: socket.socket) -> None:
+    with socket.create_connection(listening.getsockname()):
+        found = await outcomes(listening.getsockname()[1])
+    assert found == [ConnectOutcome.TIMED_OUT]
