--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -14,8 +14,8 @@
 import anyio
 import httpx
 
-from tests.platform.kit import ROOT, Gateway, configuration
-from tests.platform.soak._run import PROGRAM, SoakRun
+from tests.platform.kit import ROOT, Gateway, LinkGrid, configuration
+from tests.platform.soak._run import FIRST_ENGINE, PROGRAM, SoakRun
 
 GATEWAYS = 3
 
@@ -35,23 +35,31 @@
     )
 
 
-def start_platform(port: int, domains: str = "aaa") -> subprocess.Popen[bytes]:
+def start_platform(
+    port: int, domains: str = "aaa", links: LinkGrid | None = None
+) -> subprocess.Popen[bytes]:
     """Start the stand-in of the platform, with an engine in each of some domains."""
     command = [sys.executable, "-m", "tests.platform.standin", str(port), domains]
-    return subprocess.Popen(command, cwd=ROOT)
+    return subprocess.Popen([*command, *(links.arguments if links else [])], cwd=ROOT)
 
 
 @asynccontextmanager
 async def running_gateways(
-    folder: Path, count: int, rules: dict[str, Any], domains: str = "aaa"
+    folder: Path,
+    count: int,
+    rules: dict[str, Any],
+    domains: str = "aaa",
+    links: LinkGrid | None = None,
 ) -> AsyncIterator[SoakRun]:
     """Run gateways with the stand-in of the platform; kill all at the end."""
-    soak = SoakRun(0, 0.0, folder, PROGRAM)
-    platform = start_platform(soak.base, domains)
+    soak = SoakRun(0, 0.0, folder, PROGRAM, links=links)
+    platform = start_platform(soak.base, domains, links)
     try:
         await soak.write("op//config", rules)
         async with anyio.create_task_group() as tasks:
             soak.tasks = tasks
+            if links is not None:
+                tasks.start_soon(links.run, soak.base + FIRST_ENGINE)
             for number in range(count):
                 soak.add_gateway(number)
             yield soak
--- a/tests/platform/kit/__init__.py
+++ b/tests/platform/kit/__init__.py
@@ -8,6 +8,7 @@
     Style,
     use_connection,
 )
+from tests.platform.kit._links import Link, LinkGrid, LinkMode, link_port
 from tests.platform.kit._logs import log_errors
 from tests.platform.kit._processes import ProcessRecord, find_process, start_process
 from tests.platform.kit._rules import (
@@ -47,6 +48,9 @@
     "Fault",
     "Gateway",
     "Length",
+    "Link",
+    "LinkGrid",
+    "LinkMode",
     "NextRequest",
     "ProcessRecord",
     "Proxy",
@@ -57,6 +61,7 @@
     "crossed_last_answer",
     "find_process",
     "free_ports",
+    "link_port",
     "listener_may_be_closed",
     "log_errors",
     "outlasts_grace",
--- a/tests/platform/soak/_run.py
+++ b/tests/platform/soak/_run.py
@@ -23,6 +23,7 @@
     WORKSPACES,
     Gateway,
     Length,
+    LinkGrid,
     ProcessRecord,
     Proxy,
     RequestRecord,
@@ -61,6 +62,9 @@
 
 PROGRAM = "ebonyhold.gateway"
 
+FIRST_ENGINE = 2
+"""Offset of the first engine's port from the first port of a run."""
+
 
 BOOKING = Length(0, 0.0)
 """Size of the answer to a booking: no events, only one body, sent without a pause.
@@ -85,6 +89,7 @@
         processes: The records of all processes.
         faults: The injected faults so far.
         counts: Number of requests created so far, by the caller's number.
+        links: The links between gateways and engines; None if there are none.
         tasks: Task group of the proxies, processes and callers.
     """
 
@@ -99,6 +104,7 @@
     processes: list[ProcessRecord] = field(factory=list)
     faults: list[InjectedFault] = field(factory=list)
     counts: dict[int, int] = field(factory=dict)
+    links: LinkGrid | None = None
     tasks: TaskGroup = field(init=False)
 
     def rng(self, name: str) -> random.Random:
@@ -159,7 +165,8 @@
 
     def add_gateway(self, number: int) -> None:
         """Start a VM and its proxy to the store."""
-        proxy = Proxy(self.base + 20 + number, self.base)
+        store = self.base if self.links is None else self.links.store_port(number)
+        proxy = Proxy(self.base + 20 + number, store)
         self.proxies.append(proxy)
         self.tasks.start_soon(proxy.run)
         port = self.base + 30
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,8 +1,10 @@
 """Stand-in for the platform: the store over HTTP and engines, in one process.
 
-Run ``python -m tests.platform.standin PORT [DOMAINS]``.  The store listens on that
-port, a server of records on the next one, and the engines on those after it, one for
-each letter of DOMAINS in the failure domain with that name; usually three in ``a``.
+Run ``python -m tests.platform.standin PORT [DOMAINS [LINKS GATEWAYS]]``.  The store
+listens on that port, a server of records on the next one, and the engines on those
+after it, one for each letter of DOMAINS in the failure domain with that name; usually
+three in ``a``.  With LINKS, the store also listens on a port for each of some gateways,
+and lists the engines there at the ports of that gateway's links (see `LinkGrid`).
 The records are the engines' runs, the requests that engines turned away and the store's
 rows.  The store has the platform's published calls and a path, ``/operator``, by which
 tests write rows as the operator does.
@@ -15,7 +17,7 @@
 import sys
 import time
 import zlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import nullcontext
 from functools import partial
 from typing import Any
@@ -41,6 +43,7 @@
     RequestHead,
 )
 from ebonyhold.standins import RowHistory
+from tests.platform.kit import link_port
 
 HOST = "127.0.0.1"
 ENTRY_INTERVAL = 0.4
@@ -139,19 +142,17 @@
     return f"{raw['table']}/{raw['part']}/{raw['key']}"
 
 
-def encode_row(row: Row) -> dict[str, Any]:
-    """Encode a row as the store's calls return it."""
-    table, part, key = row.key.split("/", 2)
-    value = base64.b64encode(json.dumps(row.value).encode()).decode()
-    address = {"table": table, "part": part, "key": key}
-    return {**address, "value": value, "version-number": row.version}
-
-
 @define(eq=False)
 class StoreApp:
-    """Serves the store's calls from rows in memory."""
+    """Serves the store's calls from rows in memory.
+
+    Attributes:
+        history: The rows and their changes.
+        addresses: The addresses at which engines are listed, if they are not their own.
+    """
 
     history: RowHistory = field(factory=RowHistory)
+    addresses: dict[str, str] = field(factory=dict)
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -188,10 +189,24 @@
                 Transaction(tuple(checks), (*writes, *removals))
             )
         except ConflictError as error:
-            rows = [encode_row(row) for row in error.rows if isinstance(row, Row)]
+            rows = [self.encode_row(row) for row in error.rows if isinstance(row, Row)]
             return 412, {"rows": rows}
         return 200, {"version-number": version}
 
+    def encode_row(self, row: Row) -> dict[str, Any]:
+        """Encode a row as the store's calls return it."""
+        table, part, key = row.key.split("/", 2)
+        value = self.encode_value(table, key, json.dumps(row.value).encode())
+        address = {"table": table, "part": part, "key": key}
+        return {**address, "value": value, "version-number": row.version}
+
+    def encode_value(self, table: str, key: str, value: bytes) -> str:
+        """Encode a row's value, with the address at which an engine is listed here."""
+        if table == "servers" and key in self.addresses and value:
+            entry = {**json.loads(value), "address": self.addresses[key]}
+            value = json.dumps(entry).encode()
+        return base64.b64encode(value).decode()
+
     async def write(self, raw: dict[str, Any]) -> tuple[int, Any]:
         """Write a row as the operator or a server does, or remove it."""
         key = raw["key"]
@@ -209,7 +224,7 @@
             if key.startswith(prefix) and low <= key[len(prefix) :] < high
         ]
         limit = int(query.get("limit", "500"))
-        encoded = [encode_row(row) for row in rows[:limit]]
+        encoded = [self.encode_row(row) for row in rows[:limit]]
         return 200, {"rows": encoded, "truncated": len(rows) > limit}
 
     async def feed(self, query: dict[str, str]) -> tuple[int, Any]:
@@ -228,7 +243,7 @@
                 "part": "",
                 "key": raw.key,
                 "version-number": raw.version,
-                "value": base64.b64encode(raw.value).decode(),
+                "value": self.encode_value(table, raw.key, raw.value),
                 "deleted": raw.deleted,
             }
             for name, raw in self.history.feed
@@ -454,12 +469,27 @@
         engine.started_at = int(time.time() * 1000)
 
 
-async def main(port: int, domains: str) -> None:
+def linked_stores(
+    store: StoreApp, engines: int, base: int, gateways: int
+) -> Iterator[tuple[int, StoreApp]]:
+    """Yield the port and the store that each gateway of a grid of links uses."""
+    for gateway in range(gateways):
+        ports = [
+            link_port(base, gateways, engines, gateway, engine)
+            for engine in range(engines)
+        ]
+        addresses = {f"i-{n}": f"{HOST}:{port}" for n, port in enumerate(ports)}
+        yield base + gateway, StoreApp(store.history, addresses)
+
+
+async def main(port: int, domains: str, links: int = 0, gateways: int = 0) -> None:
     """Serve the store, the records and some engines until the process is killed.
 
     Args:
         port: The store's port; the ports after it are for the records and the engines.
         domains: The failure domain of each engine, one letter each.
+        links: The first port of the links between gateways and engines.
+        gateways: How many gateways have links; 0 if all use the engines' own ports.
     """
     store = StoreApp()
     runs: list[Run] = []
@@ -479,6 +509,9 @@
         limits = CallerLimits
         listener = CallerListener(store.serve, limits)
         tasks.start_soon(listener.run, (HOST, port), tasks)
+        for own_port, own in linked_stores(store, len(domains), links, gateways):
+            own_listener = CallerListener(own.serve, limits)
+            tasks.start_soon(own_listener.run, (HOST, own_port), tasks)
         records_listener = CallerListener(serve_records, limits)
         tasks.start_soon(records_listener.run, (HOST, port + 1), tasks)
         for number, domain in enumerate(domains):
@@ -490,4 +523,6 @@
 
 
 if __name__ == "__main__":
-    anyio.run(main, int(sys.argv[1]), sys.argv[2] if len(sys.argv) > 2 else "aaa")
+    first, *more = sys.argv[1:]
+    grid = [int(number) for number in more[1:]] or [0, 0]
+    anyio.run(main, int(first), more[0] if more else "aaa", grid[0], grid[1])
