--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -12,9 +12,20 @@
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
 from ebonyhold.forwarding._inbox import Traffic
-from ebonyhold.forwarding._listener import CallerListener
-from ebonyhold.forwarding._pool import ChannelPool, ConnectOutcome
+from ebonyhold.forwarding._listener import CallerListener, Serve
+from ebonyhold.forwarding._paths import Paths
+from ebonyhold.forwarding._pool import ChannelPool, ConnectOutcome, outcome_of
+from ebonyhold.forwarding._reach import Reach, Reachability
 from ebonyhold.forwarding._refusals import Refusal, own_answer
+from ebonyhold.forwarding._relay import (
+    RELAY_PREFIX,
+    NoPathError,
+    Path,
+    RelayAddress,
+    RelayResult,
+    Relays,
+)
+from ebonyhold.forwarding._relaying import RequestRelay
 from ebonyhold.forwarding._retries import FleetRetryBudget, RetryRules
 from ebonyhold.forwarding._routes import (
     Match,
@@ -52,6 +63,7 @@
 
 __all__ = [
     "DELIVERED",
+    "RELAY_PREFIX",
     "AnswerFacts",
     "AnswerHead",
     "Backend",
@@ -77,17 +89,27 @@
     "HttpCalls",
     "LateRequest",
     "Match",
+    "NoPathError",
     "NoRouteError",
     "Outbound",
+    "Path",
+    "Paths",
     "PromptPart",
+    "Reach",
+    "Reachability",
     "Refusal",
+    "RelayAddress",
+    "RelayResult",
+    "Relays",
     "RequestHead",
     "RequestHold",
+    "RequestRelay",
     "RetryRules",
     "Route",
     "RouteKind",
     "RouteTimes",
     "Ruleset",
+    "Serve",
     "Service",
     "ServiceName",
     "ServiceShare",
@@ -104,5 +126,6 @@
     "choose_service",
     "find_route",
     "match_request",
+    "outcome_of",
     "own_answer",
 ]
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -8,7 +8,7 @@
 from attrs import define
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._backends import FULL_BACKOFF, BackendTable
+from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._entry import BackendEntry
@@ -19,7 +19,15 @@
     Exchange,
     WholeAnswer,
 )
-from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._paths import Paths
+from ebonyhold.forwarding._relay import (
+    NoPathError,
+    RelayAddress,
+    RelayDeclinedError,
+    RelayResult,
+    read_result,
+    without_relay_fields,
+)
 from ebonyhold.forwarding._types import AnswerFacts, Dispatch, RouteKind
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
@@ -63,18 +71,20 @@
     Attributes:
         exchange: The request.
         entry: The server.
-        pool: The connections to servers.
+        paths: Opens the ways to servers.
         backends: Records failures.
         dialect: Decodes and encodes header fields.
         suspect: Whether the request may crash the server.
+        relay: The router that sends the request to the server; None if this one does.
     """
 
     exchange: Exchange
     entry: BackendEntry
-    pool: ChannelPool
+    paths: Paths
     backends: BackendTable
     dialect: Dialect
     suspect: bool = False
+    relay: RelayAddress | None = None
 
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended.
@@ -93,34 +103,41 @@
         """Send the request on a connection and return how the attempt ended."""
         backend = self.entry.backend
         try:
-            channel = await self.pool.get(backend.name, backend.address)
+            path = await self.paths.open(backend)
+        except NoPathError as error:
+            return AttemptResult(AttemptEnd.NO_PATH, reason=str(error))
         except BackendLostError as error:
             self.backends.lost(self.entry, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
-        withheld = self.backends.admit(self.entry, anyio.current_time())
+        self.relay = path.relay
+        now = anyio.current_time()
+        withheld = self.backends.admit(self.entry, now, path.relay is not None)
         if withheld is not None:
-            channel.keep_unused(anyio.current_time())
-            await self.pool.put(backend.name, channel)
+            path.channel.keep_unused(now)
+            await self.paths.put(backend, path)
             reason = f"withheld: {withheld.cause.value}"
             return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
-        self.entry.in_flight += 1
-        work = self.entry.work.begin(self.exchange.caller, anyio.current_time())
         kept = False
         try:
-            result, kept = await self.send_and_read(channel, work)
+            with self.entry.working(self.exchange.caller) as work:
+                result, kept = await self.send_and_read(path.channel, work)
+        except RelayDeclinedError as declined:
+            result = self.handle_relay_declined(declined)
         except BackendLostError as error:
-            self.backends.failed(self.entry, anyio.current_time())
+            if path.relay is None:
+                # A relay counts the failures of servers that it sees itself.
+                self.backends.failed(self.entry, anyio.current_time())
             broken = not isinstance(error, SilenceError)
             result = AttemptResult(AttemptEnd.LOST, reason=str(error), broken=broken)
         finally:
-            self.entry.in_flight -= 1
-            work.end()
+            if not self.entry.in_flight:
+                self.paths.reach.record_idle(backend.name)
             # Engines abort a request when its connection closes. If the connection
             # stayed open, the server would go on processing an abandoned request.
             if not kept:
-                await channel.close()
+                await path.channel.close()
         if kept:
-            await self.pool.put(backend.name, channel)
+            await self.paths.put(backend, path)
         return result
 
     async def send_and_read(
@@ -136,15 +153,27 @@
             The result, and whether the connection can be reused.
 
         Raises:
+            RelayDeclinedError: The request was not sent to the server.
             BackendLostError: No complete, stamped answer arrived in time.
         """
-        exchange = self.exchange
+        exchange, name = self.exchange, self.entry.backend.name
         exchange.sends += 1
-        exchange.tried.append(self.entry.backend.name)
+        exchange.tried.append(name)
         before = exchange.may_have_run
         exchange.may_have_run = True
-        await channel.send(self.outbound())
-        head, facts = await self.read_answer(channel)
+        request = self.outbound()
+        if self.relay is not None:
+            request = self.relay.wrap(request, name)
+        else:
+            self.paths.reach.record_sent(name, anyio.current_time())
+        await channel.send(request)
+        try:
+            head, facts = await self.read_answer(channel)
+        except RelayDeclinedError:
+            exchange.sends -= 1
+            exchange.tried.remove(name)
+            exchange.may_have_run = before
+            raise
         if facts.not_run:
             exchange.may_have_run = before
             return await self.handle_declined(channel, head, facts)
@@ -180,11 +209,14 @@
         not run the request is returned whatever its identifier.
 
         Raises:
+            RelayDeclinedError: The relay has not sent the request.
             BackendLostError: No answer arrived in time, the connection broke, or
                 MAX_STRAY answers were skipped.
         """
         for _ in range(MAX_STRAY):
             head = await self.read_next_head(channel)
+            if self.relay is not None:
+                head = check_relayed(head)
             facts = self.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
             self.backends.record_statements(self.entry, facts, now)
@@ -199,9 +231,17 @@
     async def read_next_head(self, channel: Channel) -> AnswerHead:
         """Return the head of the next answer; raise SilenceError on timeout."""
         with anyio.move_on_after(self.answer_timeout()):
-            return await channel.read_head()
+            head = await channel.read_head()
+            self.record_heard()
+            return head
         raise SilenceError("no answer in time")
 
+    def record_heard(self) -> None:
+        """Record that the server has sent something to this router."""
+        if self.relay is None:
+            name = self.entry.backend.name
+            self.paths.reach.record_heard(name, anyio.current_time())
+
     def answer_timeout(self) -> Seconds | None:
         """Return the timeout for the next data from the server, or None for no timeout.
 
@@ -214,19 +254,25 @@
         minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
         return max(minimum, TIMEOUT_TARGETS * route.target)
 
+    def handle_relay_declined(self, declined: RelayDeclinedError) -> AttemptResult:
+        """Return the result of an attempt whose relay has not sent the request."""
+        reason = f"relay: {declined}"
+        if declined.result is RelayResult.WITHHELD:
+            self.exchange.tried.append(self.entry.backend.name)
+            return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
+        if declined.result is RelayResult.NOT_SENT:
+            self.backends.lost(self.entry, anyio.current_time())
+            return AttemptResult(AttemptEnd.NOT_SENT, reason=reason)
+        if self.relay is not None:
+            self.paths.avoid(self.relay)
+        return AttemptResult(AttemptEnd.NO_PATH, reason=reason)
+
     async def handle_declined(
         self, channel: Channel, head: AnswerHead, facts: AnswerFacts
     ) -> tuple[AttemptResult, bool]:
-        """Handle an answer which states that the server did not run the request.
-
-        The server's entry is marked as moved or, unless the server has asked for a
-        rest, for FULL_BACKOFF as full.
-        """
+        """Handle an answer which states that the server did not run the request."""
         await read_rest(channel)
-        if facts.moved:
-            self.entry.moved = True
-        elif not facts.rest:
-            self.entry.full_until = anyio.current_time() + FULL_BACKOFF
+        self.backends.record_declined(self.entry, facts, anyio.current_time())
         reason = "moved" if facts.moved else f"declined with {head.status}"
         result = AttemptResult(AttemptEnd.NOT_RUN, reason=reason)
         return result, self.finish(channel, head)
@@ -287,7 +333,9 @@
     async def read_next_part(self, channel: Channel) -> bytes | None:
         """Return the next part or, at the end, None; raise SilenceError on timeout."""
         with anyio.move_on_after(self.answer_timeout()):
-            return await channel.read_part()
+            part = await channel.read_part()
+            self.record_heard()
+            return part
         raise SilenceError("the stream stalled")
 
     def undelivered(self, events: list[StreamEvent]) -> list[StreamEvent]:
@@ -320,6 +368,21 @@
         }
 
 
+def check_relayed(head: AnswerHead) -> AnswerHead:
+    """Return the head of a server's answer as it was before a relay passed it on.
+
+    Raises:
+        RelayDeclinedError: The request was not sent to the server.
+        BackendLostError: The server has not answered it, or this is no relay's answer.
+    """
+    result = read_result(head.headers)
+    if result is RelayResult.ANSWERED:
+        return AnswerHead(head.status, without_relay_fields(head.headers))
+    if result is None or result is RelayResult.LOST:
+        raise BackendLostError("lost beyond the relay")
+    raise RelayDeclinedError(result, result.value)
+
+
 async def read_rest(channel: Channel, limit: int = MAX_WHOLE_ANSWER) -> bytes:
     """Return the rest of an answer's body.
 
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -229,6 +229,23 @@
             rest = min(facts.rest, MAX_REST) * random.uniform(1.0, 1.0 + REST_SPREAD)
             entry.rest_until = max(entry.rest_until, now + rest)
 
+    def record_declined(
+        self, entry: BackendEntry, facts: AnswerFacts, now: Seconds
+    ) -> None:
+        """Record that a server states in an answer that it did not run a request.
+
+        Its entry is marked as moved or, unless the server has asked for a rest, for
+        FULL_BACKOFF as full.
+        """
+        if facts.moved:
+            entry.moved = True
+        elif not facts.rest:
+            entry.full_until = now + FULL_BACKOFF
+
+    def forget_failures(self) -> None:
+        """Forget all failures, which were this router's own and not the servers'."""
+        self.ejector.records.clear()
+
     def set_limit(self, entry: BackendEntry, limit: float | None, now: Seconds) -> None:
         """Store the limit that a server's answer stated, and log a change."""
         known = entry.limit.limit if entry.limit is not None else None
@@ -260,11 +277,20 @@
             fields = {"backend": entry.backend.name}
             log.info("server limit ended, by another router", extra=fields)
 
-    def withheld(self, entry: BackendEntry, now: Seconds) -> Withheld | None:
+    def withheld(
+        self, entry: BackendEntry, now: Seconds, relayed: bool = False
+    ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
         No other place decides this. It is asked when a server is chosen, and again
         right before a request is sent to it.
+
+        Args:
+            entry: The server.
+            now: The time.
+            relayed: Whether another router sends the request. Then this router's share
+                of the server's limits does not count, but the other one's, which asks
+                the same question.
         """
         backend = entry.backend
         if not entry.listed:
@@ -279,13 +305,13 @@
             return Withheld(Cause.EVACUATED)
         # Of the causes that end, the one that lasts longest is kept.
         cause, wait = Cause.RESTING, max(0.0, entry.rest_until - now)
-        if now < entry.cold_until:
+        if now >= entry.cold_until:
+            entry.cold_limit = None
+        elif not relayed:
             cold_wait = self.cold_wait(entry, now)
             if cold_wait > wait:
                 cause, wait = Cause.COLD, cold_wait
-        else:
-            entry.cold_limit = None
-        if entry.limit is not None:
+        if entry.limit is not None and not relayed:
             limit_wait = self.limit_wait(entry, entry.limit, now)
             if limit_wait > wait:
                 cause, wait = Cause.LIMITED, limit_wait
@@ -293,16 +319,21 @@
             cause, wait = Cause.FULL, entry.full_until - now
         return Withheld(cause, wait) if wait else None
 
-    def admit(self, entry: BackendEntry, now: Seconds) -> Withheld | None:
+    def admit(
+        self, entry: BackendEntry, now: Seconds, relayed: bool = False
+    ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
+        One that another router sends counts there.
+
         Returns:
             Why it must not be sent; None if it may be, and is counted.
         """
-        withheld = self.withheld(entry, now)
+        withheld = self.withheld(entry, now, relayed)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
-        self.count_request(entry, now)
+        if not relayed:
+            self.count_request(entry, now)
         return None
 
     def limit_wait(
@@ -341,12 +372,17 @@
             entry.cold_limit.take(None, now)
 
     def usable(
-        self, service: ServiceName, now: Seconds, tried: Iterable[BackendName] = ()
+        self,
+        service: ServiceName,
+        now: Seconds,
+        tried: Iterable[BackendName] = (),
+        relayed: bool = False,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
-        None of them is in `tried` or withheld by a binding cause. If only full servers
-        are left, they are returned, and if only ejected ones are left, these.
+        None of them is in `tried` or withheld by a binding cause (see `withheld`). If
+        only full servers are left, they are returned, and if only ejected ones are
+        left, these.
         """
         excluded = set(tried)
         known: list[BackendEntry] = []
@@ -355,7 +391,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now)
+            withheld = self.withheld(entry, now, relayed)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -13,12 +13,10 @@
     CrashRecords,
     RequestLoss,
 )
-from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._channel import ConnectRefusedError
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptLoss, Exchange
-from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._paths import Paths
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -61,14 +59,14 @@
     time, the cause may be a common one.
 
     Attributes:
-        pool: The connections to servers.
+        paths: The ways to the servers.
         backends: The known servers.
         records: The losses known to all routers.
         unchecked: The lost requests of each server that is being checked.
         ended: When servers have ended, by the monotonic clock.
     """
 
-    pool: ChannelPool
+    paths: Paths
     backends: BackendTable
     records: CrashRecords = field(factory=CrashRecords)
     unchecked: dict[BackendEntry, list[UncheckedLoss]] = field(factory=dict)
@@ -110,46 +108,36 @@
             self.unchecked[entry].append(unchecked)
             return
         self.unchecked[entry] = [unchecked]
-        self.pool.tasks.start_soon(self.check, entry)
+        self.paths.pool.tasks.start_soon(self.check, entry)
 
     async def check(self, entry: BackendEntry) -> None:
         """Record the losses at a server if it has crashed, and no other with it."""
         at = anyio.current_time()
         others: set[BackendName] = set()
         try:
-            crashed = await self.has_ended(entry)
+            crashed = await self.paths.has_ended(entry.backend)
             if crashed:
                 self.forget_ends(at - KEPT_ENDS)
                 at = self.ended.setdefault(entry.backend.name, at)
                 await anyio.sleep(COINCIDENCE)
                 others = await self.ended_with(entry, at)
+                crashed = await self.paths.confirm_ended(entry.backend)
         finally:
             losses = self.unchecked.pop(entry)
         if crashed:
             for unchecked in losses:
                 self.record_crash(entry, unchecked, others)
 
-    async def has_ended(self, entry: BackendEntry) -> bool:
-        """Return whether a server refuses a connection; keep one that it accepts."""
-        backend = entry.backend
-        try:
-            channel = await self.pool.connect(backend.name, backend.address)
-        except BackendLostError as error:
-            return isinstance(error, ConnectRefusedError)
-        channel.keep_unused(anyio.current_time())
-        await self.pool.put(backend.name, channel)
-        return False
-
     async def ended_with(self, entry: BackendEntry, at: Seconds) -> set[BackendName]:
         """Return the other servers that ended within COINCIDENCE of a server.
 
         Servers that have only ended unused connections are asked first.
         """
-        for name in self.pool.ended_between(at - COINCIDENCE, at + COINCIDENCE):
+        for name in self.paths.pool.ended_between(at - COINCIDENCE, at + COINCIDENCE):
             other = self.backends.entries.get(name)
             if other is None or name in self.ended:
                 continue
-            if await self.has_ended(other):
+            if await self.paths.has_ended(other.backend):
                 self.ended[name] = at
         return {
             name
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
 from attrs import define, field
 
 from ebonyhold.coordination import SendingLimit, ServerRun
-from ebonyhold.forwarding._types import Backend, BackendState
-from ebonyhold.forwarding._work import ServerWork
+from ebonyhold.forwarding._types import Backend, BackendState, CallerRequest
+from ebonyhold.forwarding._work import RequestWork, ServerWork
 from ebonyhold.types import Seconds
 
 
@@ -49,6 +53,17 @@
     cold_limit: SendingLimit | None = None
     drop_at: Seconds | None = None
 
+    @contextmanager
+    def working(self, request: CallerRequest) -> Iterator[RequestWork]:
+        """Count a request of this router as load of the server while it is there."""
+        self.in_flight += 1
+        work = self.work.begin(request, anyio.current_time())
+        try:
+            yield work
+        finally:
+            self.in_flight -= 1
+            work.end()
+
     @property
     def run(self) -> ServerRun:
         """The run of the server's process."""
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -24,6 +24,7 @@
     Attributes:
         DELIVERED: The caller got the complete answer.
         NOT_SENT: No connection could be made.
+        NO_PATH: No server could be reached, or a relay took no request.
         NOT_RUN: The server stated that it did not run the request.
         FAILED: The server answered with status 500 or above.
         LOST: No valid and complete answer arrived in time.
@@ -32,6 +33,7 @@
 
     DELIVERED = "delivered"
     NOT_SENT = "not_sent"
+    NO_PATH = "no_path"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
@@ -93,6 +95,7 @@
         sends: How often it was sent to a server, also if the server declined it.
         connects: How many connections to servers failed.
         tried: The servers that it was sent to, or that could not be reached.
+        unreached: Those of them that could not be reached.
         may_have_run: Whether a server may have run it.
         last_event: The number of the last event that the caller has; None if none.
         events: How many events were passed on.
@@ -114,6 +117,7 @@
     sends: int = 0
     connects: int = 0
     tried: list[BackendName] = field(factory=list)
+    unreached: list[BackendName] = field(factory=list)
     may_have_run: bool = False
     last_event: int | None = None
     events: int = 0
@@ -152,6 +156,12 @@
         output = min(self.events * self.event_tokens, self.caller.max_output)
         return self.caller.prompt_tokens + output
 
+    def try_again_elsewhere(self) -> None:
+        """Allow the servers again that could not be reached from here."""
+        self.connects = 0
+        self.tried = [name for name in self.tried if name not in self.unreached]
+        self.unreached.clear()
+
     @property
     def attempts_left(self) -> bool:
         """Whether the request was sent less often than its route allows."""
@@ -161,18 +171,12 @@
         """Pass on a complete answer without its hop-by-hop header fields."""
         fields = end_to_end(answer.head.headers)
         if answer.head.status in BODILESS or self.head.method == b"HEAD":
-            await self.deliver_bodiless(answer.head.status, fields)
+            await send_bodiless(self.connection, answer.head.status, fields)
             return
         await self.connection.answer(
             answer.head.status, without_length(fields), answer.body
         )
 
-    async def deliver_bodiless(self, status: int, fields: Headers) -> None:
-        """Pass on an answer without a body; a content length field is kept."""
-        head = self.connection.head(status, fields)
-        end = self.connection.parser.send(h11.EndOfMessage()) or b""
-        await self.connection.stream.send(head + end)
-
     async def deliver_part(self, answer: AnswerHead, data: bytes) -> None:
         """Pass on a part of a streamed answer; the first call also sends the head."""
         if self.connection.started:
@@ -184,6 +188,15 @@
         await self.connection.stream.send(head + part)
 
 
+async def send_bodiless(
+    connection: CallerConnection, status: int, fields: Headers
+) -> None:
+    """Pass on an answer without a body; a content length field is kept."""
+    head = connection.head(status, fields)
+    end = connection.parser.send(h11.EndOfMessage()) or b""
+    await connection.stream.send(head + end)
+
+
 def without_length(headers: Headers) -> Headers:
     """Return the fields without the content length, which the router sets itself."""
     return [(name, value) for name, value in headers if name != b"content-length"]
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -23,7 +23,7 @@
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
-from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._refusals import Refusal, own_answer
 from ebonyhold.forwarding._retries import FleetRetryBudget
 from ebonyhold.forwarding._routes import (
@@ -101,7 +101,7 @@
         domain: The failure domain of this router.
         dialect: Decodes and encodes header fields.
         backends: The known servers.
-        pool: The connections to servers.
+        paths: Opens the ways to servers.
         retries: The retry budget.
         rules: Returns the current rules, or None until some were read.
         open_hold: Opens a hold on a workspace's budget; None if the workspace has no
@@ -116,7 +116,7 @@
     domain: str
     dialect: Dialect
     backends: BackendTable
-    pool: ChannelPool
+    paths: Paths
     retries: FleetRetryBudget
     rules: Callable[[], Ruleset | None]
     open_hold: Callable[[WorkspaceName], RequestHold | None]
@@ -124,7 +124,7 @@
     ages: Callable[[], dict[str, Seconds]] = dict
     shutdown: Shutdown = field(factory=Shutdown)
     crashes: CrashDetector = Factory(
-        lambda self: CrashDetector(self.pool, self.backends), takes_self=True
+        lambda self: CrashDetector(self.paths, self.backends), takes_self=True
     )
 
     async def serve(
@@ -268,7 +268,7 @@
             if isinstance(entry, Refusal):
                 return await self.give_up(exchange, entry)
             attempt = Attempt(
-                exchange, entry, self.pool, self.backends, self.dialect, suspect
+                exchange, entry, self.paths, self.backends, self.dialect, suspect
             )
             if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
@@ -280,10 +280,22 @@
             if result.broken:
                 self.crashes.lost(exchange, entry, depth)
             self.record_failure(exchange, entry.backend.name, result)
+            if result.end is AttemptEnd.NOT_SENT:
+                await self.settle_reach(exchange)
             refusal = self.check_retry(exchange, result)
             if refusal is not None:
                 return await self.give_up(exchange, refusal)
 
+    async def settle_reach(self, exchange: Exchange) -> None:
+        """Wait until it is known whether a server or this router cannot be reached.
+
+        If it is this router, the servers may be tried again by way of another one.
+        """
+        was_connected = self.paths.reach.is_connected
+        await self.paths.reach.settle()
+        if was_connected and self.paths.uses_relays:
+            exchange.try_again_elsewhere()
+
     def log_dispatch(self, exchange: Exchange, entry: BackendEntry) -> None:
         """Log the server that was chosen, and the data used for the choice."""
         now = anyio.current_time()
@@ -314,7 +326,8 @@
             ran = exchange.may_have_run
             return Refusal.NO_ANSWER if ran else Refusal.NOT_STARTED
         service = exchange.match.service
-        entries = self.backends.usable(service, now, exchange.tried)
+        relayed = self.paths.uses_relays
+        entries = self.backends.usable(service, now, exchange.tried, relayed)
         if not entries:
             wait = self.backends.next_allowed(service, now)
             if wait is not None:
@@ -343,8 +356,13 @@
         exchange.reasons.append(f"{backend}: {result.reason}")
         if result.answer is not None:
             exchange.failure = result.answer
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
             exchange.connects += 1
+        if result.end is AttemptEnd.NOT_SENT:
+            exchange.tried.append(backend)
+            exchange.unreached.append(backend)
+        if result.end is AttemptEnd.WITHHELD and self.paths.uses_relays:
+            # The relay decided, and would decide the same again.
             exchange.tried.append(backend)
 
     def check_retry(self, exchange: Exchange, result: AttemptResult) -> Refusal | None:
@@ -354,7 +372,7 @@
         """
         if result.end is AttemptEnd.WITHHELD:
             return None
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
             # Nothing was sent, so no retry budget is used.
             if exchange.connects < MAX_CONNECTS:
                 return None
--- /dev/null
+++ b/ebonyhold/forwarding/_paths.py
@@ -0,0 +1,86 @@
+"""The way of a request to a server: a connection of this router, or another router."""
+
+from __future__ import annotations
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding._channel import ConnectRefusedError
+from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._reach import Reach, Reachability
+from ebonyhold.forwarding._relay import NoPathError, Path, RelayAddress, Relays
+from ebonyhold.forwarding._types import Backend
+
+
+@define(eq=False)
+class Paths:
+    """Opens the ways to servers.
+
+    Attributes:
+        pool: This router's connections to servers.
+        reach: Whether they work.
+        relays: The routers that reach servers while this one does not; None if requests
+            are never sent by way of another router.
+    """
+
+    pool: ChannelPool
+    reach: Reachability = field(factory=Reachability)
+    relays: Relays | None = None
+
+    @property
+    def uses_relays(self) -> bool:
+        """Whether requests are sent by way of other routers now."""
+        return self.reach.state is Reach.PARTITIONED and self.relays is not None
+
+    async def open(self, backend: Backend) -> Path:
+        """Return a way to a server; the caller gives it back with `put`, or closes it.
+
+        Raises:
+            NoPathError: No server can be reached now, as far as this router knows.
+            BackendLostError: This server cannot be reached.
+        """
+        if self.reach.is_connected:
+            return Path(await self.pool.get(backend.name, backend.address))
+        if not self.reach.silent:
+            kept = self.pool.take(backend.name, backend.address)
+            if kept is not None:
+                return Path(kept)
+        if self.relays is None or not self.uses_relays:
+            raise NoPathError("no server can be reached")
+        return await self.relays.open()
+
+    async def put(self, backend: Backend, path: Path) -> None:
+        """Keep the connection of a path for another request."""
+        if path.relay is not None and self.relays is not None:
+            await self.relays.put(path)
+        else:
+            await self.pool.put(backend.name, path.channel)
+
+    def avoid(self, relay: RelayAddress) -> None:
+        """Use other relays for a while, because this one sends no requests."""
+        if self.relays is not None:
+            self.relays.avoid(relay)
+
+    async def has_ended(self, backend: Backend) -> bool:
+        """Return whether a server refuses connections; keep one that it accepts.
+
+        While this router is partitioned, its own failure to connect tells nothing.
+        """
+        if self.relays is not None and not self.reach.is_connected:
+            return self.uses_relays and await self.relays.has_ended(backend.name)
+        try:
+            channel = await self.pool.connect(backend.name, backend.address)
+        except BackendLostError as error:
+            return isinstance(error, ConnectRefusedError)
+        channel.keep_unused(anyio.current_time())
+        await self.pool.put(backend.name, channel)
+        return False
+
+    async def confirm_ended(self, backend: Backend) -> bool:
+        """Return whether a server that refused a connection has ended.
+
+        If this router turns out to be partitioned, other routers are asked.
+        """
+        await self.reach.settle()
+        return self.reach.is_connected or await self.has_ended(backend)
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -133,6 +133,13 @@
             if any(start <= channel.inbox.ended_at <= end for channel in channels)
         ]
 
+    def drop_unused(self) -> None:
+        """Close all unused connections, since they carry nothing any more."""
+        for channels in self.unused.values():
+            for channel in channels:
+                self.tasks.start_soon(channel.close)
+        self.unused.clear()
+
     async def sweep(self) -> None:
         """Close expired and ended connections periodically; never return."""
         while True:
--- /dev/null
+++ b/ebonyhold/forwarding/_relay.py
@@ -0,0 +1,153 @@
+"""The messages by which a router has another one send a request to a server.
+
+A router that reaches no server sends the request, as the server is to get it, to a
+router that does, with `RELAY_PREFIX` before the target, and `SERVER` and `KEY` among
+the fields. The answer is the server's with `RESULT` added, or says why there is none.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+from urllib.parse import quote, unquote
+
+from attrs import evolve, frozen
+
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding._channel import Channel, Outbound
+from ebonyhold.forwarding._types import Headers
+from ebonyhold.types import BackendName
+
+RELAY_PREFIX = b"/relay"
+
+SERVER = b"ebonyhold-relay-server"
+"""The field with the server's name, percent-encoded."""
+
+KEY = b"ebonyhold-relay-key"
+"""The field with the key by which a relay knows other routers."""
+
+RESULT = b"ebonyhold-relay-result"
+"""The field of each answer with a `RelayResult`."""
+
+RELAY_FIELDS = frozenset({SERVER, KEY, RESULT})
+
+
+class RelayResult(Enum):
+    """What became of a request at a relay.
+
+    Attributes:
+        ANSWERED: The answer is the server's.
+        UNAVAILABLE: The relay sends no requests now, or does not know the sender.
+        WITHHELD: The server must not get the request now.
+        NOT_SENT: The relay could not connect to the server.
+        LOST: The request was sent, and the server has not answered it.
+    """
+
+    ANSWERED = "answered"
+    UNAVAILABLE = "unavailable"
+    WITHHELD = "withheld"
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+
+
+class NoPathError(BackendLostError):
+    """No server can be reached, neither from here nor by way of another router."""
+
+    code = "no_path"
+
+
+class RelayDeclinedError(BackendLostError):
+    """A relay has not sent a request.
+
+    Attributes:
+        result: What became of the request.
+    """
+
+    code = "relay_declined"
+
+    def __init__(self, result: RelayResult, detail: str) -> None:
+        super().__init__(detail)
+        self.result = result
+
+
+@frozen
+class RelayAddress:
+    """A router that sends requests to servers for others.
+
+    Attributes:
+        router: The name of its VM.
+        address: Its host and port for other routers.
+        key: The key that it asks for.
+    """
+
+    router: str
+    address: tuple[str, int]
+    key: str
+
+    def wrap(self, request: Outbound, server: BackendName) -> Outbound:
+        """Return a request to a server as it is sent to this relay."""
+        fields = without_relay_fields(request.headers)
+        fields.append((SERVER, quote(server, safe="").encode()))
+        fields.append((KEY, self.key.encode()))
+        return evolve(request, target=RELAY_PREFIX + request.target, headers=fields)
+
+
+@frozen(eq=False)
+class Path:
+    """A way to a server, for one request.
+
+    Attributes:
+        channel: The connection, to the server or to a relay.
+        relay: The router at the other end; None if it is the server.
+    """
+
+    channel: Channel
+    relay: RelayAddress | None = None
+
+
+class Relays(Protocol):
+    """The routers by which servers can be reached that this router does not reach."""
+
+    async def open(self) -> Path:
+        """Return a connection to a relay.
+
+        Raises:
+            NoPathError: None is known that answers.
+        """
+        ...
+
+    async def put(self, path: Path) -> None:
+        """Take back a connection that can be reused."""
+        ...
+
+    def avoid(self, relay: RelayAddress) -> None:
+        """Use other relays for a while, because this one sends no requests."""
+        ...
+
+    async def has_ended(self, server: BackendName) -> bool:
+        """Return whether a server refuses connections from a relay."""
+        ...
+
+
+def without_relay_fields(headers: Headers) -> Headers:
+    """Return the fields that are not between two routers alone."""
+    return [item for item in headers if item[0] not in RELAY_FIELDS]
+
+
+def read_server(headers: Headers) -> BackendName:
+    """Return the server that a request to a relay names; empty if none."""
+    return unquote(read_field(headers, SERVER))
+
+
+def read_field(headers: Headers, name: bytes) -> str:
+    """Return the last value of a field, which the sending router has set, or ''."""
+    values = [value for field, value in headers if field == name]
+    return values[-1].decode("latin-1") if values else ""
+
+
+def read_result(headers: Headers) -> RelayResult | None:
+    """Return what an answer of a relay states; None if it is no relay's answer."""
+    try:
+        return RelayResult(read_field(headers, RESULT))
+    except ValueError:
+        return None
--- /dev/null
+++ b/ebonyhold/forwarding/_relaying.py
@@ -0,0 +1,282 @@
+"""Sends requests of other routers, which reach no server, to servers."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.exceptions import BackendLostError, MalformedRequestError
+from ebonyhold.forwarding._backends import BackendTable
+from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
+from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
+from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._entry import BackendEntry
+from ebonyhold.forwarding._exchange import BODILESS, send_bodiless, without_length
+from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.forwarding._reach import Reachability
+from ebonyhold.forwarding._relay import (
+    KEY,
+    RELAY_PREFIX,
+    RESULT,
+    RelayDeclinedError,
+    RelayResult,
+    read_field,
+    read_server,
+    without_relay_fields,
+)
+from ebonyhold.forwarding._shutdown import Shutdown
+from ebonyhold.forwarding._types import AnswerFacts, CallerRequest
+from ebonyhold.forwarding._work import RequestWork
+from ebonyhold.types import Seconds
+
+log = logging.getLogger(__name__)
+
+MAX_RELAYED = 256
+"""Maximum number of requests of other routers that are sent to servers at once."""
+
+END_MARGIN: Seconds = 0.1
+"""Time after a request's deadline at which it is given up if its sender does not.
+
+The sender closes the connection at the deadline, unless it has lost its power.
+"""
+
+STATUSES = {
+    RelayResult.UNAVAILABLE: 503,
+    RelayResult.WITHHELD: 503,
+    RelayResult.NOT_SENT: 503,
+    RelayResult.LOST: 502,
+}
+
+
+@define(eq=False)
+class RequestRelay:
+    """Passes requests on to the servers that they name, and the answers back.
+
+    A request goes to a server directly or not at all, so none passes two relays. The
+    sender holds its tokens, counts its attempts and decides on a retry.
+
+    Attributes:
+        key: The key that the sender must present.
+        dialect: Decodes header fields.
+        backends: The known servers.
+        pool: The connections to servers.
+        reach: Whether this router reaches servers.
+        shutdown: Limits requests during a shutdown.
+        takes_requests: Returns whether requests of other routers are taken now.
+        on_end: Called with the result of each request, for metrics.
+        under_way: Returns a context that counts a request as open for a shutdown.
+        open: Number of requests that are being passed on.
+    """
+
+    key: str
+    dialect: Dialect
+    backends: BackendTable
+    pool: ChannelPool
+    reach: Reachability = field(factory=Reachability)
+    shutdown: Shutdown = field(factory=Shutdown)
+    takes_requests: Callable[[], bool] = lambda: True
+    on_end: Callable[[RelayResult], None] = lambda result: None
+    under_way: Callable[[], AbstractContextManager[None]] = nullcontext
+    open: int = 0
+
+    async def serve(
+        self, connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        """Answer one request of another router."""
+        self.open += 1
+        try:
+            with self.under_way():
+                await self.answer(connection, head, body)
+        finally:
+            self.open -= 1
+
+    async def answer(
+        self, connection: CallerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        """Pass a request on, or state why not.
+
+        If an answer breaks off, the connection is closed, as the server did.
+        """
+        result, detail, request = RelayResult.ANSWERED, "", ""
+        try:
+            caller = self.check(head)
+            request = caller.request_id
+            await self.pass_on(RelayedRequest(self, connection, head, body, caller))
+        except RelayDeclinedError as declined:
+            result, detail = declined.result, str(declined)
+        except BackendLostError as error:
+            result, detail = RelayResult.LOST, str(error)
+        self.on_end(result)
+        fields = {"request": request, "result": result.value, "detail": detail}
+        log.info("request relayed", extra=fields)
+        if result is RelayResult.ANSWERED:
+            return
+        if connection.started:
+            connection.last = True
+            await connection.close()
+            return
+        stated = (RESULT, result.value.encode())
+        await connection.answer(STATUSES[result], [stated], b"")
+
+    def check(self, head: RequestHead) -> CallerRequest:
+        """Check whether a request may be passed on; return its decoded headers.
+
+        Raises:
+            RelayDeclinedError: Its sender is unknown, or no requests are taken now.
+        """
+        if not hmac.compare_digest(read_field(head.headers, KEY), self.key):
+            raise RelayDeclinedError(RelayResult.UNAVAILABLE, "unknown key")
+        able = self.takes_requests() and self.reach.is_connected
+        if not able or self.open > MAX_RELAYED:
+            raise RelayDeclinedError(RelayResult.UNAVAILABLE, "takes no requests")
+        try:
+            return self.dialect.read_request(head.headers)
+        except MalformedRequestError as error:
+            raise RelayDeclinedError(RelayResult.UNAVAILABLE, str(error)) from error
+
+    async def pass_on(self, request: RelayedRequest) -> None:
+        """Send a request to its server within its time limit.
+
+        Raises:
+            RelayDeclinedError: It was not sent.
+            BackendLostError: It was sent, and no complete answer arrived in time.
+        """
+        limit = request.caller.time_limit or 0.0
+        deadline = anyio.current_time() + limit + END_MARGIN
+        with self.shutdown.bounded(deadline):
+            entry, channel = await self.connect(request.head)
+            await request.send(entry, channel)
+            return
+        raise BackendLostError("no answer in time")
+
+    async def connect(self, head: RequestHead) -> tuple[BackendEntry, Channel]:
+        """Return the server that a request names, admitted, and a connection to it.
+
+        Raises:
+            RelayDeclinedError: The server must not get it now, or cannot be reached.
+        """
+        entry = self.backends.entries.get(read_server(head.headers))
+        if entry is None:
+            raise RelayDeclinedError(RelayResult.WITHHELD, "gone")
+        backend = entry.backend
+        try:
+            channel = await self.pool.get(backend.name, backend.address)
+        except BackendLostError as error:
+            self.backends.lost(entry, anyio.current_time())
+            raise RelayDeclinedError(RelayResult.NOT_SENT, str(error)) from error
+        withheld = self.backends.admit(entry, anyio.current_time())
+        if withheld is None:
+            return entry, channel
+        channel.keep_unused(anyio.current_time())
+        await self.pool.put(backend.name, channel)
+        raise RelayDeclinedError(RelayResult.WITHHELD, withheld.cause.value)
+
+
+@define(eq=False)
+class RelayedRequest:
+    """One request of another router.
+
+    Attributes:
+        relay: The relay.
+        connection: The sender's connection.
+        head: The head of the request.
+        body: The body of the request.
+        caller: The decoded headers of the request.
+    """
+
+    relay: RequestRelay
+    connection: CallerConnection
+    head: RequestHead
+    body: bytes
+    caller: CallerRequest
+
+    async def send(self, entry: BackendEntry, channel: Channel) -> None:
+        """Send the request on a connection to a server, and pass the answer back.
+
+        Raises:
+            BackendLostError: No complete answer arrived.
+        """
+        backends, kept = self.relay.backends, False
+        try:
+            with entry.working(self.caller) as work:
+                kept = await self.exchange(entry, channel, work)
+        except BackendLostError:
+            backends.failed(entry, anyio.current_time())
+            raise
+        finally:
+            if not kept:
+                await channel.close()
+        if kept:
+            await self.relay.pool.put(entry.backend.name, channel)
+
+    async def exchange(
+        self, entry: BackendEntry, channel: Channel, work: RequestWork
+    ) -> bool:
+        """Send the request and pass the answer back; return whether to keep a channel.
+
+        Raises:
+            BackendLostError: No complete answer arrived.
+        """
+        backends = self.relay.backends
+        await channel.send(self.outbound())
+        head, facts = await self.read_answer(entry, channel)
+        if facts.not_run:
+            backends.record_declined(entry, facts, anyio.current_time())
+        elif head.status >= 500 and not facts.rest:
+            backends.failed(entry, anyio.current_time())
+        await self.return_answer(channel, head, work)
+        if head.status < 500:
+            backends.succeeded(entry)
+        return channel.finish(head, anyio.current_time())
+
+    def outbound(self) -> Outbound:
+        """Return the request as the sender would send it to the server."""
+        head = self.head
+        target = head.target.removeprefix(RELAY_PREFIX)
+        fields = without_relay_fields(head.headers)
+        return Outbound(head.method, target, fields, self.body, head.has_body)
+
+    async def read_answer(
+        self, entry: BackendEntry, channel: Channel
+    ) -> tuple[AnswerHead, AnswerFacts]:
+        """Return the head of the answer to this request, also decoded.
+
+        Raises:
+            BackendLostError: The connection broke, or answers to others came instead.
+        """
+        for _ in range(MAX_STRAY):
+            head = await channel.read_head()
+            facts = self.relay.dialect.read_answer(head.status, head.headers)
+            now = anyio.current_time()
+            self.relay.reach.record_heard(entry.backend.name, now)
+            self.relay.backends.record_statements(entry, facts, now)
+            if facts.request_id == self.caller.request_id or facts.not_run:
+                return head, facts
+            await channel.skip_answer()
+        raise BackendLostError("too many answers to other requests")
+
+    async def return_answer(
+        self, channel: Channel, head: AnswerHead, work: RequestWork
+    ) -> None:
+        """Pass an answer back as it arrives, each part at once.
+
+        Raises:
+            BackendLostError: The answer broke off.
+        """
+        fields = without_relay_fields(end_to_end(head.headers))
+        fields.append((RESULT, RelayResult.ANSWERED.value.encode()))
+        if head.status in BODILESS or self.head.method == b"HEAD":
+            await channel.read_part()
+            await send_bodiless(self.connection, head.status, fields)
+            return
+        start = self.connection.head(head.status, without_length(fields))
+        await self.connection.stream.send(start)
+        while (part := await channel.read_part()) is not None:
+            work.mark_read()
+            await self.connection.send(part)
+        await self.connection.end()
--- a/ebonyhold/gateway/_explain.py
+++ b/ebonyhold/gateway/_explain.py
@@ -22,6 +22,7 @@
         "draw failed",
         "too many callers",
         "callers welcome again",
+        "reach of servers changed",
         "budget round failed",
         "server changed",
         "server gone",
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -9,7 +9,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ebonyhold.coordination import CrashRecords, LimitShares
 from ebonyhold.forwarding import (
@@ -21,7 +21,10 @@
     CrashDetector,
     FleetRetryBudget,
     Forwarder,
+    Paths,
+    Reachability,
     RequestHead,
+    RequestRelay,
     Ruleset,
     Shutdown,
 )
@@ -30,8 +33,10 @@
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
-from ebonyhold.gateway._presence import Presence
+from ebonyhold.gateway._partition import PartitionMonitor, ServerProber
+from ebonyhold.gateway._presence import Presence, new_relay_key
 from ebonyhold.gateway._pressure import LinkUse, PressureMonitor
+from ebonyhold.gateway._relays import GatewayRelays
 from ebonyhold.gateway._renewals import Renewals
 from ebonyhold.gateway._routing_state import RoutingState
 from ebonyhold.gateway._signals import watched_signals
@@ -57,6 +62,9 @@
 """Timeout for sending the last settlements at the end of the stop. Those not sent by
 then are lost, and their holders charge the full amount of each hold."""
 
+ADDED_HEAD_BYTES = 4_096
+"""Size of the fields that a router adds to a request, at most."""
+
 EXPIRY_INTERVAL: Seconds = 0.25
 """Interval between two checks for servers whose grace period is over."""
 
@@ -70,6 +78,8 @@
         began_at: Start of the process, by the monotonic clock.
         incarnation: Identifier of this run of the process.
         shutdown: Decides which requests are accepted while the process stops.
+        reach: Whether servers are reached from here, or by way of other gateways.
+        relays: The gateways that reach servers while this one does not.
         draining: Whether the stop has begun.
     """
 
@@ -90,6 +100,8 @@
     listener: CallerListener = field(init=False)
     pressure: PressureMonitor = field(init=False)
     shutdown: Shutdown = field(init=False)
+    relays: GatewayRelays = field(init=False)
+    reach: Reachability = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     pool: ChannelPool | None = None
     draining: bool = False
@@ -113,10 +125,15 @@
             own_address,
             platform.settings.domain,
             self.update_fleet,
+            relay_key=new_relay_key() if port else "",
         )
+        self.reach = Reachability(lambda: len(self.routing.backends.entries))
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
         )
+        self.relays = GatewayRelays(
+            name, platform.settings.domain, self.peers, self.presence.peers
+        )
         self.holders = GatewayHolders(self.peers, self.metrics.count_hold)
         self.renewals = Renewals(
             store,
@@ -189,6 +206,7 @@
             supervisor = self.supervise(tasks)
             self.platform.store.start(GuardedTasks(supervisor, "server connection"))
             self.peers.tasks = GuardedTasks(supervisor, "server connection")
+            self.relays.tasks = self.peers.tasks
             supervisor.start("signals", self.handle_signals, supervisor.stop)
             supervisor.start("rules", self.rules_watcher.run)
             supervisor.start("servers", self.servers_watcher.run)
@@ -221,11 +239,12 @@
         """
         settings = self.platform.settings
         self.pool = ChannelPool(GuardedTasks(supervisor, "server connection"))
+        paths = Paths(self.pool, self.reach, self.relays)
         forwarder = Forwarder(
             domain=settings.domain,
             dialect=self.platform.dialect,
             backends=self.routing.backends,
-            pool=self.pool,
+            paths=paths,
             retries=FleetRetryBudget(settings.retry_rules, self.presence.count),
             rules=self.current_rules,
             open_hold=self.grant_manager.open_hold,
@@ -233,7 +252,7 @@
             ages=self.ages,
             shutdown=self.shutdown,
             crashes=CrashDetector(
-                self.pool, self.routing.backends, self.observations.crashes
+                paths, self.routing.backends, self.observations.crashes
             ),
         )
         guard = partial(supervisor.guard, "caller connection")
@@ -244,9 +263,15 @@
         self.pressure = PressureMonitor(
             self.listener.shed,
             LinkUse(self.listener.traffic, settings.link_rate),
+            self.reach,
         )
         self.pool.on_connect = self.record_connect
+        prober = ServerProber(self.pool, self.routing.backends)
+        partition = PartitionMonitor(
+            self.reach, prober, self.relays, self.pressure.is_link_full
+        )
         supervisor.start("pressure", self.pressure.run)
+        supervisor.start("partition", partition.run)
         readiness = CallerListener(self.answer_readiness, CallerLimits, guard)
         metrics = CallerListener(self.answer_metrics, CallerLimits, guard)
         metrics_address = (settings.host, METRICS_PORT)
@@ -255,17 +280,53 @@
         supervisor.start("readiness", listen, readiness, settings.readiness, tasks)
         supervisor.start("metrics", listen, metrics, metrics_address, tasks)
         if settings.peers_port:
-            remote_holds = RemoteHolds(self.grant_manager.grant, lambda: self.draining)
-            transfers = TransferHandler(self.grant_manager.grant)
-            handler = PeerHandler(transfers, remote_holds, self.observations.merge)
-            peer_listener = CallerListener(handler.serve, lambda: PEER_LIMITS, guard)
-            address = (settings.host, settings.peers_port)
-            supervisor.start("transfers", listen, peer_listener, address, tasks)
-            supervisor.start("lent holds", handler.expire)
+            self.start_peer_listener(tasks, supervisor, prober)
+
+    def start_peer_listener(
+        self, tasks: TaskGroup, supervisor: Supervisor, prober: ServerProber
+    ) -> None:
+        """Start the listener for other gateways."""
+        settings = self.platform.settings
+        remote_holds = RemoteHolds(self.grant_manager.grant, lambda: self.draining)
+        relay = RequestRelay(
+            self.presence.relay_key,
+            self.platform.dialect,
+            self.routing.backends,
+            prober.pool,
+            self.reach,
+            self.shutdown,
+            lambda: not (self.draining or self.pressure.high),
+            self.metrics.count_relayed,
+            self.listener.under_way,
+        )
+        handler = PeerHandler(
+            TransferHandler(self.grant_manager.grant),
+            remote_holds,
+            self.observations.merge,
+            prober.answer,
+            relay.serve,
+        )
+        guard = partial(supervisor.guard, "caller connection")
+        listener = CallerListener(handler.serve, self.peer_limits, guard)
+        address = (settings.host, settings.peers_port)
+        supervisor.start("transfers", listen, listener, address, tasks)
+        supervisor.start("lent holds", handler.expire)
+
+    def peer_limits(self) -> CallerLimits:
+        """Return the limits on messages of other gateways.
+
+        A request that is to be passed on may be as large as one of a caller, with the
+        fields that routers add.
+        """
+        callers = self.routing.limits()
+        head = max(PEER_LIMITS.head_bytes, callers.head_bytes + ADDED_HEAD_BYTES)
+        body = max(PEER_LIMITS.body_bytes, callers.body_bytes)
+        return evolve(PEER_LIMITS, head_bytes=head, body_bytes=body)
 
     def record_connect(self, server: BackendName, outcome: ConnectOutcome) -> None:
         """Record an attempt to open a connection to a server."""
         self.metrics.count_connect(outcome)
+        self.reach.record_connect(server, outcome, anyio.current_time())
         self.pressure.record_connect(server, outcome)
 
     def ages(self) -> dict[str, Seconds]:
@@ -324,6 +385,7 @@
             self.metrics.tokens.labels(name, "held").set(ledger.held)
             self.metrics.tokens.labels(name, "unfiled").set(ledger.unfiled)
             self.metrics.tokens.labels(name, "charged").set(grant.state.charged)
+        self.metrics.set_reach(self.reach, now)
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -10,20 +10,21 @@
 
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from attrs import define, field, frozen
 
 from ebonyhold.coordination import to_json
 from ebonyhold.exceptions import MalformedMessageError
-from ebonyhold.forwarding import CallerConnection, RequestHead
+from ebonyhold.forwarding import RELAY_PREFIX, CallerConnection, RequestHead, Serve
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._observations import (
     OBSERVATIONS_TARGET,
     ObservationsAnswer,
     ObservationsRow,
 )
+from ebonyhold.gateway._relays import REACH_TARGET, ReachAnswer, ReachQuestion
 from ebonyhold.gateway._transfers import (
     ANSWER_HEADERS,
     JSON_HEADERS,
@@ -216,17 +217,24 @@
         transfers: Serves transfers of tokens.
         remote_holds: Holds tokens for requests of other gateways.
         on_observations: Called with the observations of other gateways.
+        answer_reach: Answers which servers this gateway reaches.
+        relay: Serves a request that this gateway is to send to a server.
     """
 
     transfers: TransferHandler
     remote_holds: RemoteHolds
     on_observations: Callable[[ObservationsRow], None] = lambda observed: None
+    answer_reach: Callable[[ReachQuestion], Awaitable[ReachAnswer]] | None = None
+    relay: Serve | None = None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         """Answer one message according to its target; a malformed one gets 400."""
-        answer: HoldAnswer | SettlementsAnswer | ObservationsAnswer
+        answer: HoldAnswer | SettlementsAnswer | ObservationsAnswer | ReachAnswer
+        if self.relay is not None and head.target.startswith(RELAY_PREFIX):
+            await self.relay(connection, head, body)
+            return
         try:
             if head.target == HOLDS_TARGET:
                 answer = await self.hold(body)
@@ -235,6 +243,8 @@
             elif head.target == OBSERVATIONS_TARGET:
                 self.on_observations(read_message(body, ObservationsRow))
                 answer = ObservationsAnswer()
+            elif head.target == REACH_TARGET and self.answer_reach is not None:
+                answer = await self.answer_reach(read_message(body, ReachQuestion))
             else:
                 await self.transfers.serve(connection, head, body)
                 return
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -10,7 +10,7 @@
     generate_latest,
 )
 
-from ebonyhold.forwarding import ConnectOutcome
+from ebonyhold.forwarding import ConnectOutcome, Reach, Reachability, RelayResult
 from ebonyhold.prepaid import HoldOutcome
 from ebonyhold.types import Seconds
 
@@ -74,6 +74,24 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.reach = Gauge(
+            "ebonyhold_gateway_reach",
+            "1 for whether this router reaches servers, 0 for the other states.",
+            ("state",),
+            registry=self.registry,
+        )
+        self.servers_contacted = Gauge(
+            "ebonyhold_gateway_servers_contacted",
+            "Servers connected to in the last second, by the last outcome for each.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.relayed = Counter(
+            "ebonyhold_gateway_relayed_total",
+            "Requests of other routers that this one was to send to a server.",
+            ("result",),
+            registry=self.registry,
+        )
         self.failures = Counter(
             "ebonyhold_gateway_task_failures_total",
             "Failures of the gateway's own tasks, and what was done.",
@@ -115,6 +133,17 @@
         """Count an attempt to open a connection to a server."""
         self.connects.labels(outcome.value).inc()
 
+    def set_reach(self, reach: Reachability, now: Seconds) -> None:
+        """Set the gauges for whether servers are reached."""
+        for state in Reach:
+            self.reach.labels(state.value).set(reach.state is state)
+        for outcome, servers in reach.count_contacts(now).items():
+            self.servers_contacted.labels(outcome).set(servers)
+
+    def count_relayed(self, result: RelayResult) -> None:
+        """Count a request of another router by what became of it."""
+        self.relayed.labels(result.value).inc()
+
     def count_late(self, taken: bool) -> None:
         """Count a request that arrived during the stop, as accepted or refused."""
         self.late_requests.labels("taken" if taken else "refused").inc()
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from collections.abc import Callable, Container
 
 import anyio
@@ -60,6 +61,9 @@
 too low a number makes it too large.
 """
 
+RELAY_KEY_BYTES = 8
+"""Random bytes in a relay's key."""
+
 FORGET_AFTER: Seconds = 60.0
 """A router whose row has not changed for this long is sent no messages.
 
@@ -82,11 +86,14 @@
         address: Where other routers reach this one, as "host:port"; empty if they
             cannot.
         domain: The router's failure domain.
+        relay_key: The key with which other routers send it requests to pass on to
+            servers; empty if it passes none on.
     """
 
     router: RouterId = ""
     address: str = ""
     domain: str = ""
+    relay_key: str = ""
 
 
 @define
@@ -106,6 +113,11 @@
     unchanged: int = 0
 
 
+def new_relay_key() -> str:
+    """Return a random key for one run of a gateway."""
+    return secrets.token_hex(RELAY_KEY_BYTES)
+
+
 def read_presence(row: Row) -> PresenceRow:
     """Return the content of a row; if it is damaged, log that and return defaults."""
     try:
@@ -134,6 +146,7 @@
             cannot.
         domain: This router's failure domain.
         on_count: Called after each count with the result of `fleet`.
+        relay_key: The key of this router as a relay; empty if it is none.
         observed: The last observed change of each router's row, by key.
         max_counted: The highest count so far.
         counts: The number of successful counts so far.
@@ -147,6 +160,7 @@
     address: str = ""
     domain: str = ""
     on_count: Callable[[Fleet], None] = lambda fleet: None
+    relay_key: str = ""
     observed: dict[str, RowObservation] = field(factory=dict)
     max_counted: int = 0
     counts: int = 0
@@ -189,7 +203,7 @@
             # If the removed row were written again, the others would go on counting
             # this router.
             return
-        own = PresenceRow(self.incarnation, self.address, self.domain)
+        own = PresenceRow(self.incarnation, self.address, self.domain, self.relay_key)
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
         self.observe(await self.store.scan(f"{TABLE}//"))
@@ -232,13 +246,17 @@
         }
 
     def peer_addresses(self) -> dict[str, str]:
-        """Return the addresses of the other routers, by VM name.
+        """Return the addresses of the other routers, by VM name."""
+        return {name: row.address for name, row in self.peers().items()}
+
+    def peers(self) -> dict[str, PresenceRow]:
+        """Return the rows of the other routers that have an address, by VM name.
 
-        Those with a row that has not changed for `FORGET_AFTER` are left out.
+        Those that have not changed for `FORGET_AFTER` are left out.
         """
         now = anyio.current_time()
         return {
-            vm_of(key): observation.row.address
+            vm_of(key): observation.row
             for key, observation in self.observed.items()
             if key != self.key
             and observation.row.address
--- a/ebonyhold/gateway/_pressure.py
+++ b/ebonyhold/gateway/_pressure.py
@@ -21,7 +21,7 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.forwarding import ConnectOutcome, Traffic
+from ebonyhold.forwarding import ConnectOutcome, Reach, Reachability, Traffic
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -144,6 +144,7 @@
         mean_delay: The smoothed delay of the event loop.
         link: Decides whether the network link works.
         use: Measures the use of the network link.
+        reach: Whether servers are reached from here, or by way of other routers.
         high_since: When the router left the rotation; None while it is in rotation.
         failing: Whether since then its event loop was late, or its link was blocked
             though not full, so that all callers are shed.
@@ -152,6 +153,7 @@
     mean_delay: Seconds = 0.0
     link: LinkMonitor = field(factory=LinkMonitor)
     use: LinkUse = field(factory=LinkUse)
+    reach: Reachability = field(factory=Reachability)
     high_since: Seconds | None = None
     failing: bool = False
 
@@ -164,7 +166,7 @@
         """Record a measurement, and leave or rejoin the rotation if that is due."""
         self.mean_delay += (delay - self.mean_delay) * SMOOTHING
         self.use.measure(MEASURE_INTERVAL + delay)
-        blocked = self.link.is_blocked(now)
+        blocked = self.is_blocked(now)
         full = self.use.mean > HIGH_USE
         failing = self.mean_delay > HIGH_DELAY or (blocked and not full)
         if self.high_since is None:
@@ -181,6 +183,19 @@
         else:
             self.failing = self.failing or failing
 
+    def is_blocked(self, now: Seconds) -> bool:
+        """Return whether other routers are likely to serve what this one cannot.
+
+        While relays serve this router's callers, it stays in rotation: their way is one
+        router longer, and leaving would fail those that come until the load balancer
+        has noticed. If no router reaches servers, leaving would help nobody.
+        """
+        if self.reach.is_connected:
+            return self.link.is_blocked(now)
+        # Attempts during a partition must not count once it has ended.
+        self.link.connects.clear()
+        return self.reach.state is Reach.ISOLATED
+
     def share_to_shed(self, now: Seconds) -> float:
         """Return the share of callers' connections to close after their next answers.
 
@@ -200,21 +215,27 @@
     Attributes:
         shed: Called with the share of connections to close after their next answers.
         use: Measures the use of the network link.
+        reach: Whether servers are reached from here, or by way of other routers.
         detector: Decides when to leave the rotation and when to return.
     """
 
     shed: Callable[[float], None]
     use: LinkUse = field(factory=LinkUse)
+    reach: Reachability = field(factory=Reachability)
     detector: PressureDetector = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.detector = PressureDetector(use=self.use)
+        self.detector = PressureDetector(use=self.use, reach=self.reach)
 
     @property
     def high(self) -> bool:
         """Whether readiness checks fail, so that no new callers are sent here."""
         return self.detector.high
 
+    def is_link_full(self) -> bool:
+        """Return whether the network link carries more than it reliably can."""
+        return self.use.mean > HIGH_USE
+
     def record_connect(self, server: BackendName, outcome: ConnectOutcome) -> None:
         """Record a connection attempt to a server.
 
@@ -234,6 +255,7 @@
 
     def step(self, delay: Seconds, now: Seconds) -> None:
         """Record a measurement, log a change of rotation, and start or end shedding."""
+        self.reach.check_silence(now)
         was_high = self.detector.high
         self.detector.record(delay, now)
         if self.detector.high is not was_high:
--- /dev/null
+++ b/ebonyhold/gateway/_relays.py
@@ -0,0 +1,216 @@
+"""The other gateways by which servers are reached that this one does not reach.
+
+A gateway asks a few others, the same ones each time, which servers they reach. Those
+that reach some are its relays.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Callable, Collection, Mapping
+
+import anyio
+from attrs import define, field, frozen
+
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding import (
+    ChannelPool,
+    NoPathError,
+    Path,
+    RelayAddress,
+    TaskStarter,
+)
+from ebonyhold.gateway._presence import PresenceRow
+from ebonyhold.gateway._transfers import CONNECT_TIMEOUT, GatewayPeers
+from ebonyhold.types import BackendName, Seconds
+
+log = logging.getLogger(__name__)
+
+REACH_TARGET = b"/reach"
+
+ASKED_AT_ONCE = 3
+"""Number of gateways that are asked at once; they need not all reach servers."""
+
+REACH_TIMEOUT: Seconds = 0.4
+"""Timeout of a question, for which the other gateway may have to connect to servers."""
+
+MAX_SERVERS_ASKED = 8
+"""Maximum number of servers that a question may name."""
+
+AVOIDANCE: Seconds = 1.0
+"""Time for which a relay that took no request is not used, unless no other is left."""
+
+
+@frozen
+class ReachQuestion:
+    """Asks which of some servers a gateway reaches."""
+
+    servers: tuple[BackendName, ...] = ()
+
+
+@frozen
+class ReachAnswer:
+    """The servers that a gateway reaches.
+
+    Attributes:
+        reached: Those that it is connected to, or that accepted a connection.
+        refused: Those that refused one.
+    """
+
+    reached: tuple[BackendName, ...] = ()
+    refused: tuple[BackendName, ...] = ()
+
+
+@define(eq=False)
+class GatewayRelays:
+    """The gateways that reach servers, and connections to them.
+
+    Attributes:
+        name: This VM's name.
+        domain: This VM's failure domain.
+        peers: Sends messages to the other gateways.
+        rows: Returns the presence rows of the others, by VM name.
+        tasks: Starts the tasks that read from connections; None before the start.
+        usable: The relays, by the last answers.
+        avoided: Until when relays that took no request are not used.
+        asked_from: Position of the first gateway that is asked next.
+        turn: Number of connections taken so far, by which the relays take turns.
+        pool: The connections to relays; None before the first.
+    """
+
+    name: str
+    domain: str
+    peers: GatewayPeers
+    rows: Callable[[], Mapping[str, PresenceRow]]
+    tasks: TaskStarter | None = None
+    usable: list[RelayAddress] = field(factory=list)
+    avoided: dict[str, Seconds] = field(factory=dict)
+    asked_from: int = 0
+    turn: int = 0
+    pool: ChannelPool | None = None
+
+    def candidates(self) -> list[str]:
+        """Return the gateways that pass requests on, in the order of this gateway.
+
+        The order is by rendezvous hashing, with other failure domains first, since a
+        cut often concerns a whole one.
+        """
+
+        def order(peer: str) -> tuple[bool, bytes]:
+            own = rows[peer].domain == self.domain
+            text = f"{self.name}\n{peer}".encode()
+            return own, hashlib.blake2b(text, digest_size=8).digest()
+
+        rows = {name: row for name, row in self.rows().items() if row.relay_key}
+        return sorted(rows, key=order)
+
+    async def ask(self, servers: Collection[BackendName]) -> int:
+        """Ask a few gateways which servers they reach; those that reach any are used.
+
+        If none of them does, the next call asks others.
+
+        Returns:
+            The number of gateways that have answered.
+        """
+        question = ReachQuestion(tuple(servers)[:MAX_SERVERS_ASKED])
+        answers = await self.ask_some(question)
+        rows = self.rows()
+        self.usable = [
+            relay_at(peer, rows[peer])
+            for peer, answer in answers.items()
+            if answer.reached and peer in rows
+        ]
+        if not self.usable:
+            self.asked_from += ASKED_AT_ONCE
+        return len(answers)
+
+    async def ask_some(self, question: ReachQuestion) -> dict[str, ReachAnswer]:
+        """Ask ASKED_AT_ONCE gateways, and return the answers by VM name."""
+        now = anyio.current_time()
+        able = [p for p in self.candidates() if self.peers.is_available(p, now)]
+        start = self.asked_from % len(able) if able else 0
+        asked = [*able[start:], *able[:start]][:ASKED_AT_ONCE]
+        answers: dict[str, ReachAnswer] = {}
+        async with anyio.create_task_group() as tasks:
+            for peer in asked:
+                tasks.start_soon(self.ask_one, peer, question, answers)
+        return answers
+
+    async def ask_one(
+        self, peer: str, question: ReachQuestion, answers: dict[str, ReachAnswer]
+    ) -> None:
+        """Ask one gateway, and add its answer if there is one."""
+        answer = await self.peers.post(
+            peer, REACH_TARGET, question, ReachAnswer, REACH_TIMEOUT
+        )
+        if answer is not None:
+            answers[peer] = answer
+
+    async def has_ended(self, server: BackendName) -> bool:
+        """Return whether a server refuses connections from a relay."""
+        answers = await self.ask_some(ReachQuestion((server,)))
+        reached = any(server in answer.reached for answer in answers.values())
+        return not reached and any(server in a.refused for a in answers.values())
+
+    async def open(self) -> Path:
+        """Return a connection to a relay; the relays take turns.
+
+        Raises:
+            NoPathError: None is known, or none of them answers.
+        """
+        for relay in self.in_turn():
+            try:
+                channel = await self.connections().get(relay.router, relay.address)
+            except BackendLostError:
+                self.avoid(relay)
+                continue
+            return Path(channel, relay)
+        raise NoPathError("no relay answers")
+
+    def in_turn(self) -> list[RelayAddress]:
+        """Return the relays that are not avoided, beginning with the next one."""
+        now = anyio.current_time()
+        able = [r for r in self.usable if now >= self.avoided.get(r.router, now)]
+        self.turn += 1
+        start = self.turn % len(able) if able else 0
+        return [*able[start:], *able[:start]]
+
+    async def put(self, path: Path) -> None:
+        """Take back a connection that can be reused."""
+        if path.relay is not None:
+            await self.connections().put(path.relay.router, path.channel)
+
+    def connections(self) -> ChannelPool:
+        """Return the pool of connections to relays.
+
+        Raises:
+            NoPathError: The gateway has not started yet.
+        """
+        if self.tasks is None:
+            raise NoPathError("not started")
+        if self.pool is None:
+            self.pool = ChannelPool(self.tasks, connect_timeout=CONNECT_TIMEOUT)
+        return self.pool
+
+    def avoid(self, relay: RelayAddress) -> None:
+        """Do not use a relay for AVOIDANCE."""
+        self.avoided[relay.router] = anyio.current_time() + AVOIDANCE
+        log.info("relay avoided", extra={"peer": relay.router})
+
+    def has_usable(self) -> bool:
+        """Return whether a relay is known that is not avoided."""
+        now = anyio.current_time()
+        return any(now >= self.avoided.get(r.router, now) for r in self.usable)
+
+    def forget(self) -> None:
+        """Forget the relays, since servers are reached from here again."""
+        self.usable.clear()
+        self.avoided.clear()
+        self.asked_from = 0
+
+
+def relay_at(peer: str, row: PresenceRow) -> RelayAddress:
+    """Return a gateway as a relay."""
+    host, _, port = row.address.rpartition(":")
+    return RelayAddress(peer, (host, int(port)), row.relay_key)
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -244,6 +244,13 @@
             AT_ONCE,
             "its only state is measurements",
         ),
+        TaskRule(
+            "partition",
+            "a suspicion that this router is cut off from servers is not examined, and "
+            "the end of such a partition is not noticed",
+            AFTER_PAUSE,
+            "the evidence and the verdict are kept, and the next probe decides",
+        ),
         TaskRule(
             "sweep",
             "unused connections to servers are not closed",
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -78,7 +78,7 @@
             tasks.start_soon(fleet.ask, request("/unsafe/x", "POST", b"body"))
         await both.wait()
         await anyio.sleep(SETTLE_TIME)
-        assert fleet.forwarder.pool.opened == 3
+        assert fleet.forwarder.paths.pool.opened == 3
 
 
 async def serves(server: Server, stream: SocketStream, head: str) -> None:
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -13,7 +13,7 @@
 from attrs import define, evolve, field
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding import BackendTable, ChannelPool, _pool
+from ebonyhold.forwarding import BackendTable, ChannelPool, Paths, _pool
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._channel import Channel
 from ebonyhold.forwarding._exchange import AttemptEnd
@@ -226,7 +226,7 @@
     attempt = Attempt(
         None,  # type: ignore[arg-type]
         table.entries["i-1"],
-        UnreachablePool(meanwhile),  # type: ignore[arg-type]
+        Paths(UnreachablePool(meanwhile)),  # type: ignore[arg-type]
         table,
         PlatformDialect(),
     )
--- a/tests/forwarding/test_withheld.py
+++ b/tests/forwarding/test_withheld.py
@@ -151,7 +151,7 @@
     """Let a change become known while the first connection to a server is made."""
     forwarder = fleet.forwarder
     changes = {name: lambda: change(forwarder.backends, name)}
-    forwarder.pool = SlowPool(forwarder.pool.tasks, changes=changes)
+    forwarder.paths.pool = SlowPool(forwarder.paths.pool.tasks, changes=changes)
 
 
 @any_change
--- a/tests/platform/kit/_links.py
+++ b/tests/platform/kit/_links.py
@@ -133,6 +133,11 @@
         except OSError:
             accepted.close()
             return
+        if self.mode is LinkMode.RESET:
+            # It was accepted right before the links were reset.
+            await reset(stream)
+            await engine.aclose()
+            return
         self.streams |= {stream, engine}
         try:
             async with stream, engine, anyio.create_task_group() as tasks:
--- a/tests/platform/test_partitions.py
+++ b/tests/platform/test_partitions.py
@@ -166,7 +166,7 @@
         if began_at + CONTACT_TIME < one.sent_at < ended_at - REFUSAL_TIME
     ]
     later = [one for one in tries if one.sent_at > ended_at + CONTACT_TIME]
-    assert {one.status for one in within} == {503}
+    assert [one for one in within if one.status != 503] == []
     assert max(one.taken for one in within) < REFUSAL_TIME
     assert all(0 < float(one.retry_after) <= 2 for one in within)
     assert served(later) == 1.0
