Known failure: brittle servers get more than they have places for

The stand-in's engines can have a number of places, let few requests wait once they have said for 3 s that they are brittle, and fall if they turn too many away within a second.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -44,6 +44,7 @@
 )
 from ebonyhold.standins import RowHistory
 from tests.platform.kit import link_port
+from tests.platform.places import FALL_TIME, NoPlaceError, Places
 
 HOST = "127.0.0.1"
 ENTRY_INTERVAL = 0.4
@@ -81,7 +82,22 @@
 The time is one of the monotonic clock, in seconds.
 """
 
-STATEMENTS = ((b"server-limit", LIMITS_TABLE), (b"server-leaving", LEAVING_TABLE))
+BRITTLE_TABLE = "test-brittle"
+"""The table in which tests write what engines state about being brittle."""
+
+PLACES_TABLE = "test-places"
+"""The table in which tests write how many requests an engine runs at once.
+
+Engines without a row run any number, and are listed with `PLACES`.
+"""
+
+PLACES = 64
+
+STATEMENTS = (
+    (b"server-limit", LIMITS_TABLE),
+    (b"server-leaving", LEAVING_TABLE),
+    (b"server-brittle", BRITTLE_TABLE),
+)
 """The fields of all answers of an engine whose values tests write, with the tables."""
 
 CRASH_DELAY = 0.05
@@ -91,6 +107,7 @@
 """Seconds after a crash until the engine accepts connections again."""
 
 REQUEST_ID = "x-ebonyhold-request-id"
+NOT_RUN = (b"x-ebonyhold-not-executed", b"1")
 NO_ANSWER = 0
 BROKEN_STREAM = 1
 JSON = [(b"content-type", b"application/json")]
@@ -298,6 +315,9 @@
         cold_until: Returns until when it is cold, by the monotonic clock.
         domain: Its failure domain.
         queue: Lets one of the queued runs proceed at a time.
+        places: Its places.
+        falls: When engines have fallen, with their names.
+        down_for: For how many seconds it is down after its process has ended.
     """
 
     name: str
@@ -309,6 +329,28 @@
     cold_until: Callable[[], float] = lambda: 0.0
     domain: str = "a"
     queue: anyio.Lock = field(factory=anyio.Lock)
+    places: Places = field(factory=Places)
+    falls: list[tuple[str, float]] = field(factory=list)
+    down_for: float = RESTART_DELAY
+
+    def __attrs_post_init__(self) -> None:
+        self.places = Places(self.place_count, self.turn_away_limit, self.fall)
+
+    def place_count(self) -> int | None:
+        """Return how many requests it runs at once; None for any number."""
+        stated = self.stated(PLACES_TABLE)
+        return None if stated is None else int(stated)
+
+    def turn_away_limit(self) -> int | None:
+        """Return how many requests it may turn away in a second; None for any."""
+        stated = self.stated(BRITTLE_TABLE) or ""
+        return int(stated) if stated.isdigit() else None
+
+    def fall(self) -> None:
+        """End its process because it had to turn too many requests away."""
+        self.falls.append((self.name, time.monotonic()))
+        self.down_for = FALL_TIME
+        self.crash()
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -325,13 +367,16 @@
         rest = self.stated(REST_TABLE)
         if rest is not None:
             self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
-            not_run = (b"x-ebonyhold-not-executed", b"1")
             asked = [(b"retry-after", rest.encode())] if rest else []
-            await connection.answer(503, [*identity, not_run, *asked], b"")
+            await connection.answer(503, [*identity, NOT_RUN, *asked], b"")
             return
         queued = Script.from_target(head.target.decode()).queued
-        async with self.queue if queued else nullcontext():
-            await self.run(connection, head, fields, body)
+        try:
+            async with self.places.take(), self.queue if queued else nullcontext():
+                await self.run(connection, head, fields, body)
+        except NoPlaceError:
+            self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
+            await connection.answer(503, [*identity, NOT_RUN], b"")
 
     def identity(self, fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
         """Return the fields that each answer to a request has."""
@@ -416,7 +461,7 @@
             "service": "models",
             "address": f"{HOST}:{port}",
             "zone": self.domain,
-            "slots": 64,
+            "slots": self.place_count() or PLACES,
             "state": "ready",
             "cold-remaining-ms": max(
                 0, round((self.cold_until() - time.monotonic()) * 1000)
@@ -465,7 +510,9 @@
             tasks.start_soon(listener.run, (HOST, port), tasks)
             tasks.start_soon(renew_entry, store, engine, port)
             tasks.start_soon(restart_when_asked, store, engine)
-        await anyio.sleep(RESTART_DELAY)
+        await anyio.sleep(engine.down_for)
+        engine.down_for = RESTART_DELAY
+        engine.places.restart()
         engine.started_at = int(time.time() * 1000)
 
 
@@ -494,15 +541,15 @@
     store = StoreApp()
     runs: list[Run] = []
     declined: list[tuple[str, str, float]] = []
+    falls: list[tuple[str, float]] = []
 
     async def serve_records(
         connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         rows = {key: row.value for key, row in store.history.rows.items()}
         records = [run.to_list() for run in runs]
-        answer = json.dumps(
-            {"runs": records, "rows": rows, "declined": declined}
-        ).encode()
+        found = {"runs": records, "rows": rows, "declined": declined, "falls": falls}
+        answer = json.dumps(found).encode()
         await connection.answer(200, JSON, answer)
 
     async with anyio.create_task_group() as tasks:
@@ -518,6 +565,7 @@
             engine = EngineApp(f"i-{number}", runs, domain=domain)
             engine.stated = partial(stated_by, store, engine.name)
             engine.declined = declined
+            engine.falls = falls
             engine.cold_until = partial(cold_until, store, engine.name)
             tasks.start_soon(run_engine, store, engine, port + 2 + number)
 
