Eject a server that was silent for a second only once for it

A server that falls silent for a second and goes on loses the requests that are sent again elsewhere; each of them counted as a failure when it timed out, and doubled the ejection that the first ones had begun, up to 4 s.

Failures while a server is ejected no longer count: they are of requests that were sent before. A failure after the ejection doubles it as before.

tests/coordination/test_ejection.py: with 8 and 40 requests at the server the first test failed before (ejected beyond 0.5 s) and passes; the second one guards that the doubling stays.

--- a/ebonyhold/coordination/_ejection.py
+++ b/ebonyhold/coordination/_ejection.py
@@ -67,9 +67,12 @@
     def failed(self, name: BackendName, now: Seconds) -> None:
         """Record an error, a malformed answer or a timeout.
 
-        The server is ejected when its own error count reaches `policy.errors`.
+        The server is ejected when its own error count reaches `policy.errors`. Errors
+        while it is ejected do not count: they are of requests that were sent before.
         """
         record = self.records.setdefault(name, ServerRecord())
+        if now < record.ejected_until:
+            return
         record.errors += 1
         if record.errors >= self.policy.errors:
             self.eject(record, now)
