Soak: cut gateways from all engines, silent and brittle engines

Beside the faults that it had, the soak now cuts one, most or all gateways off from all engines, in each of the three ways, makes an engine silent for 0.7 to 1.5 s, and makes all engines brittle with 1 to 12 places. They overlap stops, kills, pauses and cuts of the store, and all checks stay.

--- a/tests/platform/soak/_run.py
+++ b/tests/platform/soak/_run.py
@@ -24,6 +24,7 @@
     Gateway,
     Length,
     LinkGrid,
+    LinkMode,
     ProcessRecord,
     Proxy,
     RequestRecord,
@@ -48,6 +49,9 @@
 GATEWAYS = 3
 """Number of gateways, each on a VM of its own."""
 
+ENGINES = 3
+"""Number of engines."""
+
 CALLERS = 8
 """Number of callers that use a new connection for each request."""
 
@@ -113,8 +117,10 @@
 
     async def run(self) -> list[str]:
         """Run the soak with a stand-in of the platform; return the violations."""
+        self.links = LinkGrid(GATEWAYS, ENGINES)
+        arguments = [str(self.base), "a" * ENGINES, *self.links.arguments]
         platform = subprocess.Popen(
-            [sys.executable, "-m", "tests.platform.standin", str(self.base)], cwd=ROOT
+            [sys.executable, "-m", "tests.platform.standin", *arguments], cwd=ROOT
         )
         try:
             return await self.run_traffic()
@@ -132,6 +138,8 @@
         await self.write("op//config", configuration())
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            if self.links is not None:
+                tasks.start_soon(self.links.run, self.base + FIRST_ENGINE)
             for number in range(GATEWAYS):
                 self.add_gateway(number)
             await anyio.sleep(2.5)
@@ -144,8 +152,9 @@
                     for number in range(2):
                         sources.start_soon(self.inject_faults, number)
                     sources.start_soon(self.run_planned_work)
+                    sources.start_soon(self.disturb_engines)
             faults_ended_at = time.monotonic()
-            self.end_faults()
+            await self.end_faults()
             await anyio.sleep(RECOVERY_TIME + 3.0)
             tasks.cancel_scope.cancel()
         runs = read_runs(await self.engine_records())
@@ -245,6 +254,62 @@
                 self.proxies[vm].mode = "open"
                 self.faults.append(InjectedFault(vm, started_at, time.monotonic()))
 
+    async def disturb_engines(self) -> None:
+        """Cut gateways off from all engines, and trouble engines, until cancelled.
+
+        A cut concerns one, most or all gateways; an engine is silent for a second or
+        so; or all state that they are brittle, with few places.
+        """
+        rng = self.rng("links")
+        while True:
+            await anyio.sleep(rng.uniform(0.5, 2.5))
+            kind = rng.choice(["cut", "cut", "silence", "brittle"])
+            length = rng.uniform(0.5, 4.0)
+            if kind == "cut":
+                chosen = rng.sample(range(GATEWAYS), rng.randint(1, GATEWAYS))
+                modes = [LinkMode.SILENT, LinkMode.RESET, LinkMode.REFUSE]
+                await self.cut(chosen, rng.choice(modes), length)
+            elif kind == "silence":
+                await self.silence(rng.randrange(ENGINES), rng.uniform(0.7, 1.5))
+            else:
+                await self.make_brittle(str(rng.randint(1, 12)), length)
+
+    async def cut(self, chosen: list[int], mode: LinkMode, length: float) -> None:
+        """Cut gateways off from all engines for some seconds."""
+        assert self.links is not None
+        started_at = time.monotonic()
+        await self.links.cut(mode, chosen)
+        try:
+            await anyio.sleep(length)
+        finally:
+            for vm in chosen:
+                self.faults.append(InjectedFault(vm, started_at, time.monotonic()))
+        await self.links.cut(LinkMode.OPEN, chosen)
+
+    async def silence(self, engine: int, length: float) -> None:
+        """Make an engine silent to all gateways for some seconds."""
+        assert self.links is not None
+        started_at = time.monotonic()
+        try:
+            await self.links.pause_engine(engine, length)
+        finally:
+            for vm in range(GATEWAYS):
+                self.faults.append(InjectedFault(vm, started_at, time.monotonic()))
+
+    async def make_brittle(self, places: str, length: float) -> None:
+        """Give all engines few places, and let them state that they are brittle."""
+        for engine in range(ENGINES):
+            await self.write(f"test-places//i-{engine}", places)
+            await self.write(f"test-brittle//i-{engine}", "3")
+        await anyio.sleep(length)
+        await self.end_brittle()
+
+    async def end_brittle(self) -> None:
+        """Give all engines any number of places again."""
+        for engine in range(ENGINES):
+            await self.write(f"test-places//i-{engine}", None, delete=True)
+            await self.write(f"test-brittle//i-{engine}", None, delete=True)
+
     async def pause(self, gateway: Gateway, length: float) -> None:
         """Pause a process with SIGSTOP for some seconds."""
         started_at = time.monotonic()
@@ -353,8 +418,11 @@
             gateway.process.wait()
         self.start(gateway)
 
-    def end_faults(self) -> None:
+    async def end_faults(self) -> None:
         """End all faults, and start all processes that have exited or are stopping."""
+        if self.links is not None:
+            await self.links.cut(LinkMode.OPEN, range(GATEWAYS))
+        await self.end_brittle()
         for proxy in self.proxies:
             proxy.mode = "open"
         for gateway in self.gateways:
