Compare relay keys as bytes, wait for places only for want of a server

Read once more: a key with other than ASCII letters would have raised an error instead of being refused (new row, failed before); a request that is refused because it crashes servers would have waited for a place first; and what is known of links to servers that are gone was only forgotten at the next examination. The line 'relays asked for' names the relays.

--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -55,6 +55,9 @@
 """
 
 
+MAY_WAIT = frozenset({Refusal.SERVERS_LIMITED, Refusal.SERVER_LOST})
+"""The refusals for want of a server, which a place that becomes free may spare."""
+
 MIN_LIMIT_WAIT: Seconds = 0.05
 """Minimum Retry-After of a request that no server may get now."""
 
@@ -269,7 +272,7 @@
             suspect = depth > 0 or bool(exchange.losses)
             entry = self.next_entry(exchange, suspect)
             if isinstance(entry, Refusal):
-                if await self.wait_for_place(exchange):
+                if entry in MAY_WAIT and await self.wait_for_place(exchange):
                     continue
                 return await self.give_up(exchange, entry)
             attempt = Attempt(
--- a/ebonyhold/forwarding/_reach.py
+++ b/ebonyhold/forwarding/_reach.py
@@ -180,6 +180,8 @@
 
     def forget_unlisted(self, listed: Container[BackendName]) -> None:
         """Forget the servers that are not listed any more."""
+        if all(name in listed for name in self.contacts):
+            return
         self.contacts = {n: seen for n, seen in self.contacts.items() if n in listed}
         self.waiting = {n: since for n, since in self.waiting.items() if n in listed}
 
--- a/ebonyhold/forwarding/_relay.py
+++ b/ebonyhold/forwarding/_relay.py
@@ -88,7 +88,7 @@
         """Return a request to a server as it is sent to this relay."""
         fields = without_relay_fields(request.headers)
         fields.append((SERVER, quote(server, safe="").encode()))
-        fields.append((KEY, self.key.encode()))
+        fields.append((KEY, self.key.encode("latin-1")))
         return evolve(request, target=RELAY_PREFIX + request.target, headers=fields)
 
 
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -129,7 +129,8 @@
         Raises:
             RelayDeclinedError: Its sender is unknown, or no requests are taken now.
         """
-        if not hmac.compare_digest(read_field(head.headers, KEY), self.key):
+        presented = read_field(head.headers, KEY)
+        if not hmac.compare_digest(presented.encode(), self.key.encode()):
             raise RelayDeclinedError(RelayResult.UNAVAILABLE, "unknown key")
         able = self.takes_requests() and self.reach.is_connected
         if not able or self.open > MAX_RELAYED:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -415,10 +415,14 @@
                 self.renewals.reclaimed(predecessor.router)
 
     async def expire_servers(self) -> None:
-        """Regularly remove servers whose entries did not return after an outage."""
+        """Regularly remove servers whose entries did not return after an outage.
+
+        What is known of the links to servers that are not listed goes, too.
+        """
         while True:
             await anyio.sleep(EXPIRY_INTERVAL)
             self.routing.backends.expire(anyio.current_time())
+            self.reach.forget_unlisted(self.routing.backends.entries)
 
     async def handle_signals(self, stop: Callable[[], None]) -> None:
         """Begin the stop on SIGTERM or SIGINT, and ignore SIGHUP, until cancelled."""
--- a/ebonyhold/gateway/_relays.py
+++ b/ebonyhold/gateway/_relays.py
@@ -123,6 +123,9 @@
         ]
         if not self.usable:
             self.asked_from += ASKED_AT_ONCE
+        relays = [relay.router for relay in self.usable]
+        fields = {"servers": question.servers, "answered": len(answers)}
+        log.info("relays asked for", extra={**fields, "relays": relays})
         return len(answers)
 
     async def ask_some(self, question: ReachQuestion) -> dict[str, ReachAnswer]:
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -245,11 +245,11 @@
     assert cut.results == [RelayResult.NOT_SENT, RelayResult.ANSWERED]
 
 
-@pytest.mark.parametrize("reason", ["key", "partitioned", "busy"])
+@pytest.mark.parametrize("reason", ["key", "odd key", "partitioned", "busy"])
 async def test_relay_that_takes_no_requests_sends_none(reason: str) -> None:
     """A request must pass neither an unknown sender's way nor a second relay."""
     server = Server("one", good)
-    key = "wrong" if reason == "key" else KEY
+    key = {"key": "wrong", "odd key": "\xe9"}.get(reason, KEY)
     async with partitioned(server, key=key) as cut:
         if reason == "partitioned":
             now = anyio.current_time()
