--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -7,7 +7,7 @@
 import pytest
 from attrs import define, field
 
-from ebonyhold.forwarding import CallerLimits, CallerListener, Traffic
+from ebonyhold.forwarding import CallerLimits, CallerListener, Reach, Traffic
 from ebonyhold.gateway._pressure import (
     CONNECT_WINDOW,
     HIGH_DELAY,
@@ -207,3 +207,30 @@
     assert sum(one.last for one in connections) == closing
     listener.shed(0.0)
     assert not any(one.last for one in connections)
+
+
+REACHES = [
+    # state, whether the router is out of rotation while it lasts
+    (Reach.CONNECTED, False),
+    (Reach.PARTITIONED, False),
+    (Reach.UNREACHABLE, False),
+    (Reach.ISOLATED, True),
+]
+
+
+@pytest.mark.parametrize(("state", "leaves"), REACHES)
+def test_rotation_follows_the_verdict_on_servers(state: Reach, leaves: bool) -> None:
+    """Readiness must pass again after proof that servers are reached, not by time."""
+    pressure = PressureMonitor(lambda shed: None)
+    for server in "abcdefgh":
+        pressure.detector.link.record(server, False, 0.0)
+    pressure.reach.decide(state, True, 0.0)
+    calm = [0.002] * int(3 * MIN_OUT_OF_ROTATION / MEASURE_INTERVAL)
+    if state is not Reach.CONNECTED:
+        now = feed(pressure, calm, 0.0)
+        assert pressure.high is leaves
+        pressure.reach.decide(Reach.CONNECTED, False, now)
+        feed(pressure, calm, now)
+    else:
+        feed(pressure, calm, CONNECT_WINDOW)
+    assert not pressure.high
