A router among older builds leaves its callers to them while it is cut off

A router that reaches no server and knows no router with a key counted as alone in its fleet, and kept callers whom older builds would have served; it counts as isolated now, and leaves the rotation (new test, failed before). A server that goes from the list during a probe no longer raises an error in it.

--- a/ebonyhold/forwarding/_reach.py
+++ b/ebonyhold/forwarding/_reach.py
@@ -50,7 +50,8 @@
         CONNECTED: It reaches some, or nothing speaks against it.
         PARTITIONED: It reaches none, and other routers reach some.
         UNREACHABLE: Neither this router nor those that it has asked reach any.
-        ISOLATED: It reaches no server, and none of the routers that it has asked.
+        ISOLATED: It reaches no server, and no other router has answered. Others may
+            serve its callers.
     """
 
     CONNECTED = "connected"
--- a/ebonyhold/gateway/_partition.py
+++ b/ebonyhold/gateway/_partition.py
@@ -16,6 +16,7 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding import (
+    Backend,
     BackendTable,
     ChannelPool,
     ConnectOutcome,
@@ -85,26 +86,26 @@
         """
         found: Outcomes = {}
 
-        async def connect(server: BackendName) -> None:
-            found[server] = await self.connect(server)
-            if until_made and found[server] is ConnectOutcome.MADE:
+        async def connect(backend: Backend) -> None:
+            outcome = found[backend.name] = await self.connect(backend)
+            if until_made and outcome is ConnectOutcome.MADE:
                 tasks.cancel_scope.cancel()
 
+        entries = [self.backends.entries.get(server) for server in servers]
         async with anyio.create_task_group() as tasks:
-            for server in servers:
-                if server in self.backends.entries:
-                    tasks.start_soon(connect, server)
+            for entry in entries:
+                if entry is not None:
+                    tasks.start_soon(connect, entry.backend)
         return found
 
-    async def connect(self, server: BackendName) -> ConnectOutcome:
+    async def connect(self, backend: Backend) -> ConnectOutcome:
         """Connect to a server; the connection is kept for requests."""
-        address = self.backends.entries[server].backend.address
         try:
-            channel = await self.pool.connect(server, address)
+            channel = await self.pool.connect(backend.name, backend.address)
         except BackendLostError as error:
             return outcome_of(error)
         channel.keep_unused(anyio.current_time())
-        await self.pool.put(server, channel)
+        await self.pool.put(backend.name, channel)
         return ConnectOutcome.MADE
 
     async def answer(self, question: ReachQuestion) -> ReachAnswer:
@@ -184,7 +185,7 @@
         silent = ConnectOutcome.TIMED_OUT in outcomes.values()
         if self.relays.usable:
             self.decide(Reach.PARTITIONED, silent)
-        elif answered or not self.relays.candidates():
+        elif answered or not self.relays.rows():
             self.decide(Reach.UNREACHABLE, silent)
         else:
             self.decide(Reach.ISOLATED, silent)
--- a/tests/gateway/test_partition.py
+++ b/tests/gateway/test_partition.py
@@ -6,7 +6,7 @@
 
 import anyio
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ebonyhold.forwarding import (
     BackendTable,
@@ -99,11 +99,12 @@
 
 @define(eq=False)
 class Cut:
-    """A monitor and what it sees."""
+    """A monitor, what it sees, and the presence rows of the others."""
 
     prober: FakeProber
     peers: FakePeers
     monitor: PartitionMonitor
+    rows: dict[str, PresenceRow]
 
 
 def cut_off(
@@ -117,7 +118,7 @@
     relays = GatewayRelays("own", "a", peers, lambda: rows)
     prober = FakeProber()
     monitor = PartitionMonitor(Reachability(), prober, relays, lambda: full)  # type: ignore[arg-type]
-    return Cut(prober, peers, monitor)
+    return Cut(prober, peers, monitor, rows)
 
 
 ALL: dict[str, tuple[str, ...]] = {f"vm-{n}": ("i-1",) for n in range(5)}
@@ -156,6 +157,16 @@
     assert not cut.peers.asked
 
 
+async def test_gateway_among_older_builds_leaves_its_callers_to_them() -> None:
+    """A gateway that has nobody to ask must not keep callers whom others can serve."""
+    cut = cut_off({})
+    rows = {name: evolve(row, relay_key="") for name, row in cut.rows.items()}
+    cut.monitor.relays.rows = lambda: rows
+    await cut.monitor.examine()
+    assert cut.monitor.reach.state is Reach.ISOLATED
+    assert not cut.peers.asked
+
+
 @pytest.mark.parametrize("fleet", [6, 330])
 async def test_gateway_asks_a_few_others_in_turn(fleet: int) -> None:
     """Questions must neither grow with the fleet nor stop at others that are cut."""
