Golden files of the messages, the row and the metrics that are new

The new ones now come last, and a file holds each; files of earlier builds are as they were, but for the list of values added later, which has one more.

--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -68,30 +68,6 @@
             "Connections opened to servers since the start.",
             registry=self.registry,
         )
-        self.connects = Counter(
-            "ebonyhold_gateway_connects_total",
-            "Attempts to open a connection to a server, by outcome.",
-            ("outcome",),
-            registry=self.registry,
-        )
-        self.reach = Gauge(
-            "ebonyhold_gateway_reach",
-            "1 for whether this router reaches servers, 0 for the other states.",
-            ("state",),
-            registry=self.registry,
-        )
-        self.servers_contacted = Gauge(
-            "ebonyhold_gateway_servers_contacted",
-            "Servers connected to in the last second, by the last outcome for each.",
-            ("outcome",),
-            registry=self.registry,
-        )
-        self.relayed = Counter(
-            "ebonyhold_gateway_relayed_total",
-            "Requests of other routers that this one was to send to a server.",
-            ("result",),
-            registry=self.registry,
-        )
         self.failures = Counter(
             "ebonyhold_gateway_task_failures_total",
             "Failures of the gateway's own tasks, and what was done.",
@@ -125,6 +101,31 @@
             registry=self.registry,
         )
 
+        self.connects = Counter(
+            "ebonyhold_gateway_connects_total",
+            "Attempts to open a connection to a server, by outcome.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.reach = Gauge(
+            "ebonyhold_gateway_reach",
+            "1 for whether this router reaches servers, 0 for the other states.",
+            ("state",),
+            registry=self.registry,
+        )
+        self.servers_contacted = Gauge(
+            "ebonyhold_gateway_servers_contacted",
+            "Servers connected to in the last second, by the last outcome for each.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.relayed = Counter(
+            "ebonyhold_gateway_relayed_total",
+            "Requests of other routers that this one was to send to a server.",
+            ("result",),
+            registry=self.registry,
+        )
+
     def count_hold(self, outcome: HoldOutcome) -> None:
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -86,6 +86,7 @@
 from ebonyhold.gateway._holds import HoldAnswer, Settlements, SettlementsAnswer
 from ebonyhold.gateway._observations import ObservationsAnswer, ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
+from ebonyhold.gateway._relays import ReachAnswer, ReachQuestion
 from ebonyhold.gateway._renewals import LimitsRow
 from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.gateway._transfers import TransferRequest as GatewayTransferRequest
@@ -242,6 +243,9 @@
     "row-presence": PresenceRow(
         router="vm-1.b1", address="10.0.0.1:7100", domain="rack-1"
     ),
+    "row-presence-relay": PresenceRow(
+        router="vm-1.b1", address="10.0.0.1:7100", domain="rack-1", relay_key="5e0a"
+    ),
     "row-limits": LimitsRow(
         router="vm-1.b1",
         address="10.0.0.1:7100",
@@ -366,6 +370,8 @@
     "observations": OBSERVATIONS,
     "observations-shared": SHARED_OBSERVATIONS,
     "observations-answer": ObservationsAnswer(),
+    "reach-question": ReachQuestion(servers=("i-1", "i-2")),
+    "reach-answer": ReachAnswer(reached=("i-1",), refused=("i-2",)),
 }
 """What gateways tell each other, by label."""
 
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -57,6 +57,7 @@
 )
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._metrics import GatewayMetrics
+from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.metrics import Metrics
 from ebonyhold.operators._errors import finding_to_json
 from ebonyhold.routers import Envelopes, KeyRing, PeerKey
@@ -95,6 +96,7 @@
 ADDED_LATER = {
     (CrashReport, attrs.fields(CrashReport).shared.name),
     (RequestLoss, attrs.fields(RequestLoss).alone.name),
+    (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
 }
 """Attributes that the first file of their class does not have; a later file does."""
 
@@ -215,7 +217,7 @@
     """An attribute must not be left out of all files because it is new."""
     full = {
         (type(each), attribute.name)
-        for sample in corpus.GATEWAYS.values()
+        for sample in (*corpus.GATEWAYS.values(), *corpus.COMPACT.values())
         for each in objects_in(sample)
         for attribute in attrs.fields(type(each))
         if getattr(each, attribute.name) != attribute.default
@@ -406,7 +408,7 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    added = read("metrics-gateway-added.txt")
+    added = read("metrics-gateway-added.txt") + read("metrics-gateway-reach.txt")
     assert render_gateway_metrics() == read("metrics-gateway.txt") + added
 
 
