Count a refused connect as a server's end where nobody reaches any server

Relays are asked while a router is partitioned, an isolated one counts nothing, and else the refusal stands.

--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -67,8 +67,8 @@
 
         While this router is partitioned, its own failure to connect tells nothing.
         """
-        if self.relays is not None and not self.reach.is_connected:
-            return self.uses_relays and await self.relays.has_ended(backend.name)
+        if self.relays is not None and self.uses_relays:
+            return await self.relays.has_ended(backend.name)
         try:
             channel = await self.pool.connect(backend.name, backend.address)
         except BackendLostError as error:
@@ -80,7 +80,10 @@
     async def confirm_ended(self, backend: Backend) -> bool:
         """Return whether a server that refused a connection has ended.
 
-        If this router turns out to be partitioned, other routers are asked.
+        If this router turns out to be partitioned, other routers are asked. If nobody
+        reaches any server, the refusal stands: all of them may have ended.
         """
         await self.reach.settle()
-        return self.reach.is_connected or await self.has_ended(backend)
+        if self.relays is not None and self.uses_relays:
+            return await self.relays.has_ended(backend.name)
+        return self.reach.state is not Reach.ISOLATED
