Log and count how the answers of servers end

Neither the logs nor the metrics of a gateway tell an answer that stated its end from one that ended with its connection: both are 'delivered'. The line 'request ended' names the ending of each answer, and ebonyhold_gateway_answers_total counts them. Nothing is decided by it yet.

The golden file of the gateway's metrics is compared with a fourth file of added names.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from ebonyhold.forwarding._choice import choose
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._endings import AnswerEnding
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import WholeAnswer
@@ -64,6 +65,7 @@
 __all__ = [
     "DELIVERED",
     "RELAY_PREFIX",
+    "AnswerEnding",
     "AnswerFacts",
     "AnswerHead",
     "Backend",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -121,12 +121,14 @@
         try:
             with self.entry.working(self.exchange.caller) as work:
                 result, kept = await self.send_and_read(path.channel, work)
+            self.exchange.endings.append(path.channel.ending)
         except RelayDeclinedError as declined:
             result = self.handle_relay_declined(declined)
         except BackendLostError as error:
             if path.relay is None:
                 # A relay counts the failures of servers that it sees itself.
                 self.backends.failed(self.entry, anyio.current_time())
+            self.exchange.endings.append(path.channel.ending)
             broken = not isinstance(error, SilenceError)
             result = AttemptResult(AttemptEnd.LOST, reason=str(error), broken=broken)
         finally:
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding._endings import AnswerEnding, states_end
 from ebonyhold.forwarding._inbox import Inbox, close_shielded
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.tasks import TaskStarter
@@ -120,6 +121,8 @@
         parser: The protocol state of the current request.
         request: The current request; None between requests.
         writing: Whether a large request is still being written.
+        end_stated: Whether the answer whose head was read last states its own end.
+        complete: Whether that answer has ended.
         closed: Whether this side has closed the connection.
         usable_until: Until when the connection may be reused.
     """
@@ -131,6 +134,8 @@
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
     writing: bool = False
+    end_stated: bool = False
+    complete: bool = False
     closed: bool = False
     usable_until: Seconds = 0.0
 
@@ -146,6 +151,7 @@
                 answer raises this error instead.
         """
         self.request = request
+        self.end_stated = self.complete = False
         data = self.encode(request)
         if len(data) > LARGE_BODY:
             self.writing = True
@@ -200,7 +206,11 @@
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, list(event.headers))
+                head = AnswerHead(event.status_code, list(event.headers))
+                method = self.request.method if self.request is not None else b""
+                self.end_stated = states_end(method, head.status, head.headers)
+                self.complete = False
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise BackendLostError("the connection ended without an answer")
 
@@ -214,9 +224,20 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self.complete = True
             return None
         raise BackendLostError("the answer ended early")
 
+    @property
+    def ending(self) -> AnswerEnding:
+        """How the answer whose head was read last has ended."""
+        if self.complete and self.end_stated:
+            return AnswerEnding.STATED
+        if self.inbox.broken:
+            return AnswerEnding.RESET
+        ended = self.complete or (self.inbox.ended and not self.closed)
+        return AnswerEnding.CLOSED if ended else AnswerEnding.ABANDONED
+
     async def skip_answer(self) -> None:
         """Discard the body of an answer whose head was read, to read the next answer.
 
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -10,13 +10,11 @@
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
+from ebonyhold.forwarding._endings import BODILESS, AnswerEnding
 from ebonyhold.forwarding._routes import Match, host_of
 from ebonyhold.forwarding._types import CallerRequest, Headers
 from ebonyhold.types import BackendName, RequestDigest, Seconds, Tokens
 
-BODILESS = (204, 304)
-"""Statuses whose answers have no body."""
-
 
 class AttemptEnd(Enum):
     """How an attempt at a backend server ended.
@@ -101,6 +99,7 @@
         events: How many events were passed on.
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
+        endings: How the answers of servers ended, for logs.
         known_digest: The digest of its content; empty until `digest` is first read.
         losses: Its losses by connections that broke, in order.
         waits_until: Until when it waits for a place at a brittle server; None before it
@@ -125,6 +124,7 @@
     events: int = 0
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
+    endings: list[AnswerEnding] = field(factory=list)
     known_digest: RequestDigest = ""
     losses: list[AttemptLoss] = field(factory=list)
     waits_until: Seconds | None = None
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -21,6 +21,7 @@
 from ebonyhold.forwarding._choice import choose, with_fewest_suspects
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._endings import AnswerEnding
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
 from ebonyhold.forwarding._paths import Paths
@@ -112,6 +113,7 @@
             limit.
         on_end: Called at the end of each request with its route, outcome and duration
             in seconds, for metrics.
+        on_answer: Called with how each answer of a server has ended, for metrics.
         ages: Returns the age of each cached input in seconds, for logs.
         shutdown: Decides which requests are accepted during a shutdown.
         places: The requests that wait for a place at a brittle server.
@@ -126,6 +128,7 @@
     rules: Callable[[], Ruleset | None]
     open_hold: Callable[[WorkspaceName], RequestHold | None]
     on_end: Callable[[str, str, Seconds], None]
+    on_answer: Callable[[AnswerEnding], None] = lambda ending: None
     ages: Callable[[], dict[str, Seconds]] = dict
     shutdown: Shutdown = field(factory=Shutdown)
     places: PlaceQueue = field(factory=PlaceQueue)
@@ -471,7 +474,9 @@
         await connection.answer(answer.status, answer.headers, answer.body)
 
     def log_end(self, exchange: Exchange, outcome: str) -> None:
-        """Log how a request ended."""
+        """Log how a request ended, and count how servers' answers to it did."""
+        for ending in exchange.endings:
+            self.on_answer(ending)
         match = exchange.match
         rules = self.rules()
         log.info(
@@ -484,6 +489,7 @@
                 "workspace": match.workspace.name if match.workspace else "",
                 "servers": exchange.tried,
                 "reasons": exchange.reasons,
+                "endings": [ending.value for ending in exchange.endings],
                 "events": exchange.events,
                 "charge": exchange.charge,
                 "ms": round((anyio.current_time() - exchange.head.arrived_at) * 1000),
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -15,8 +15,9 @@
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
 from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._endings import BODILESS
 from ebonyhold.forwarding._entry import BackendEntry
-from ebonyhold.forwarding._exchange import BODILESS, send_bodiless, without_length
+from ebonyhold.forwarding._exchange import send_bodiless, without_length
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._reach import Reachability
 from ebonyhold.forwarding._relay import (
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -249,6 +249,7 @@
             rules=self.current_rules,
             open_hold=self.grant_manager.open_hold,
             on_end=self.metrics.count_request,
+            on_answer=self.metrics.count_answer,
             ages=self.ages,
             shutdown=self.shutdown,
             crashes=CrashDetector(
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -10,7 +10,13 @@
     generate_latest,
 )
 
-from ebonyhold.forwarding import ConnectOutcome, Reach, Reachability, RelayResult
+from ebonyhold.forwarding import (
+    AnswerEnding,
+    ConnectOutcome,
+    Reach,
+    Reachability,
+    RelayResult,
+)
 from ebonyhold.prepaid import HoldOutcome
 from ebonyhold.types import Seconds
 
@@ -126,6 +132,17 @@
             registry=self.registry,
         )
 
+        self.answers = Counter(
+            "ebonyhold_gateway_answers_total",
+            "Answers of servers by how they ended; only a stated end is proof.",
+            ("ending",),
+            registry=self.registry,
+        )
+
+    def count_answer(self, ending: AnswerEnding) -> None:
+        """Count an answer of a server by how it ended."""
+        self.answers.labels(ending.value).inc()
+
     def count_hold(self, outcome: HoldOutcome) -> None:
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -408,8 +408,9 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    added = read("metrics-gateway-added.txt") + read("metrics-gateway-reach.txt")
-    assert render_gateway_metrics() == read("metrics-gateway.txt") + added
+    names = ("gateway", "gateway-added", "gateway-reach", "gateway-answers")
+    files = b"".join(read(f"metrics-{name}.txt") for name in names)
+    assert render_gateway_metrics() == files
 
 
 def test_codes_of_errors_are_written() -> None:
