Split large events of streams in linear time

An event of 1 MB that arrives in parts of 1 KB took longer than its 2 s, and the answer was given up (504): for each part, the splitter searched all bytes of the incomplete event again, and copied them. It searches the new bytes now, and keeps them in a bytearray.

test_event_of_a_megabyte_arrives_whole failed before and passes.

--- a/ebonyhold/forwarding/_events.py
+++ b/ebonyhold/forwarding/_events.py
@@ -7,6 +7,10 @@
 from attrs import define, field, frozen
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+MAX_END = 4
+"""Number of bytes of the longest EVENT_END."""
+
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
 """Matches the identifier of an event if it is a number of at most 18 digits.
 
@@ -32,6 +36,9 @@
 class EventSplitter:
     """Splits bytes into events, and keeps an incomplete event until its end arrives.
 
+    Attributes:
+        buffer: The bytes of the incomplete event.
+
     >>> splitter = EventSplitter()
     >>> [event.number for event in splitter.feed(b"id: 1" + bytes([10, 10]) + b"id")]
     [1]
@@ -39,17 +46,24 @@
     b'id'
     """
 
-    rest: bytes = field(default=b"")
+    buffer: bytearray = field(factory=bytearray)
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes after the last complete event."""
+        return bytes(self.buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes to `rest`; remove and return the events that are now complete."""
-        self.rest += data
+        # The bytes before are known to contain no end of an event.
+        searched = max(0, len(self.buffer) - MAX_END + 1)
+        self.buffer += data
         events: list[StreamEvent] = []
-        while True:
-            found = EVENT_END.search(self.rest)
-            if found is None:
-                return events
-            raw = self.rest[: found.end()]
-            self.rest = self.rest[found.end() :]
+        begin = 0
+        while found := EVENT_END.search(self.buffer, searched):
+            raw = bytes(self.buffer[begin : found.end()])
+            begin = searched = found.end()
             number = EVENT_ID.search(raw)
             events.append(StreamEvent(raw, int(number[1]) if number else None))
+        del self.buffer[:begin]
+        return events
