--- a/ebonyhold/forwarding/_events.py
+++ b/ebonyhold/forwarding/_events.py
@@ -11,11 +11,11 @@
 MAX_END = 4
 """Number of bytes of the longest EVENT_END."""
 
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
+EVENT_ID = re.compile(rb"(?:^(?:\xef\xbb\xbf)?|\n)id: ?(\d{1,18})(?!\d)")
 """Matches the identifier of an event if it is a number of at most 18 digits.
 
 Longer numbers do not fit into 64 bits and are ignored. Python also refuses to convert
-numbers of several thousand digits.
+numbers of several thousand digits. A byte order mark may precede the first event.
 """
 
 
