Reset the connection of an HTTP/1.0 caller whose answer breaks off

An answer to a caller of HTTP/1.0 has no chunks and ends with its connection. A router that gave a broken answer up closed the connection, as at a regular end: the caller took the answer for complete. It is reset now, after internal errors too. Callers of HTTP/1.1 see the missing last chunk, as before.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from enum import Enum
 
 import anyio
 import h11
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import EbonyholdError
@@ -37,6 +39,10 @@
 """
 
 
+LINGER_NONE = struct.pack("ii", 1, 0)
+"""The socket option with which a close resets the connection."""
+
+
 class ReadFault(Enum):
     """Why no request could be read; values from 400 on are the answer's HTTP status.
 
@@ -361,6 +367,17 @@
                 self.inbox.discard()
                 await self.inbox.changed.wait()
 
+    async def abort(self) -> None:
+        """Close the connection before the end of an answer, so that the caller sees it.
+
+        An answer to a caller of HTTP/1.0 has no chunks, and ends with its connection.
+        Only a reset shows that it is incomplete.
+        """
+        raw = self.stream.extra(SocketAttribute.raw_socket, None)
+        if raw is not None and self.parser.their_http_version == b"1.0":
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        await self.close()
+
     async def close(self) -> None:
         """Close the connection, even if the calling task is being cancelled."""
         await close_shielded(self.stream)
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -433,7 +433,7 @@
             # The caller has a part of the answer. Closing the connection before the end
             # is the only way to show that the rest is missing.
             exchange.connection.last = True
-            await exchange.connection.close()
+            await exchange.connection.abort()
             return f"cut: {refusal.code}"
         if exchange.failure is not None:
             await exchange.deliver(exchange.failure)
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -172,7 +172,10 @@
         begun: the close of the connection then shows that the rest of the answer is
         missing.
         """
-        if connection.started or connection.parser.our_state is not h11.SEND_RESPONSE:
+        if connection.started:
+            await connection.abort()
+            return
+        if connection.parser.our_state is not h11.SEND_RESPONSE:
             return
         connection.final = True
         answer = own_answer(Refusal.FAULT, [])
