Take an answer that ends with its connection for whole only on evidence

Callers saw streams that ended as complete and were not. h11 reports the close of an answer without a length or chunks as its end, like a last chunk, and the router took each end for a regular one: it passed on the torn event, and framed the answer as complete. An answer ends in three ways (stated, closed, reset); the code knew two.

Each answer now tells whether it states its end. If it does not: - a stream that ends inside an event has broken off, - otherwise the server must prove that it runs on: it accepts a new connection, and has not ended unused ones together with this one. A crash closes connections just like a regular end. The new connection is kept, in place of the one that the answer has cost. A broken stream is resumed from its last event, or cut; whole answers and errors of 500 and above are checked likewise. Answers that state their end take the same way as before.

A relay frames anew what it passes on. It tells in a field of its connection whether the server's answer states its end, and the sender asks relays whether the server accepts connections. Without the field, from an older relay, nothing is proved.

Calls to the store and between routers need no change: their answers are JSON objects, and a part of one cannot be decoded.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -26,6 +26,7 @@
     RelayDeclinedError,
     RelayResult,
     read_result,
+    reads_end_stated,
     without_relay_fields,
 )
 from ebonyhold.forwarding._types import AnswerFacts, Dispatch, RouteKind
@@ -218,6 +219,7 @@
         for _ in range(MAX_STRAY):
             head = await self.read_next_head(channel)
             if self.relay is not None:
+                channel.end_stated &= reads_end_stated(head.headers)
                 head = check_relayed(head)
             facts = self.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
@@ -293,6 +295,7 @@
                 stream was already sent to the caller.
         """
         body = await read_rest(channel)
+        await self.check_end(channel)
         answer = WholeAnswer(head, body)
         kept = self.finish(channel, head)
         exchange = self.exchange
@@ -312,7 +315,7 @@
     ) -> None:
         """Pass on the events of a stream as they arrive, each one whole.
 
-        Bytes after the last complete event are passed on when the answer ends normally.
+        Bytes after the last complete event are passed on if the answer states its end.
 
         Raises:
             BackendLostError: The stream broke off; the caller has whole events only.
@@ -328,6 +331,9 @@
                 data = b"".join(event.raw for event in events)
                 await self.exchange.deliver_part(head, data)
                 self.record_events(events)
+        if splitter.is_inside_event and not channel.end_stated:
+            raise BackendLostError("the answer ended inside an event")
+        await self.check_end(channel)
         if splitter.rest or not self.exchange.connection.started:
             await self.exchange.deliver_part(head, splitter.rest)
         await self.exchange.connection.end()
@@ -340,6 +346,19 @@
             return part
         raise SilenceError("the stream stalled")
 
+    async def check_end(self, channel: Channel) -> None:
+        """Check that an answer that was read to its end is whole.
+
+        An answer that ends with its connection is, if its server runs on: a server that
+        crashes closes its connections just like one that has finished.
+
+        Raises:
+            BackendLostError: The answer may be incomplete.
+        """
+        if channel.end_stated or await self.paths.runs_on(self.entry.backend):
+            return
+        raise BackendLostError("the answer ended with its connection and its server")
+
     def undelivered(self, events: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that have not been sent to the caller yet.
 
--- a/ebonyhold/forwarding/_events.py
+++ b/ebonyhold/forwarding/_events.py
@@ -53,6 +53,11 @@
         """The bytes after the last complete event."""
         return bytes(self.buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether bytes of an incomplete event are there, other than line ends."""
+        return bool(self.buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes to `rest`; remove and return the events that are now complete."""
         # The bytes before are known to contain no end of an event.
--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -11,6 +11,10 @@
 from ebonyhold.forwarding._reach import Reach, Reachability
 from ebonyhold.forwarding._relay import NoPathError, Path, RelayAddress, Relays
 from ebonyhold.forwarding._types import Backend
+from ebonyhold.types import Seconds
+
+COINCIDENCE: Seconds = 0.1
+"""Connections to a server that end within this time of each other end together."""
 
 
 @define(eq=False)
@@ -62,6 +66,24 @@
         if self.relays is not None:
             self.relays.avoid(relay)
 
+    async def runs_on(self, backend: Backend) -> bool:
+        """Return whether a server that has closed a connection proves to run on.
+
+        It does if it accepts a new one, which is kept, and has not ended unused ones
+        with the closed one: then its process may have been restarted.
+        """
+        if self.relays is not None and self.uses_relays:
+            return await self.relays.is_reached(backend.name)
+        closed_at = anyio.current_time()
+        try:
+            channel = await self.pool.connect(backend.name, backend.address)
+        except BackendLostError:
+            return False
+        lost = self.pool.has_lost_unused(backend.name, closed_at - COINCIDENCE)
+        channel.keep_unused(anyio.current_time())
+        await self.pool.put(backend.name, channel)
+        return not lost
+
     async def has_ended(self, backend: Backend) -> bool:
         """Return whether a server refuses connections; keep one that it accepts.
 
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -133,6 +133,13 @@
             if any(start <= channel.inbox.ended_at <= end for channel in channels)
         ]
 
+    def has_lost_unused(self, name: BackendName, since: Seconds) -> bool:
+        """Return whether a server has ended an unused connection before its time."""
+        return any(
+            since <= channel.inbox.ended_at < channel.usable_until
+            for channel in self.unused.get(name, [])
+        )
+
     def drop_unused(self) -> None:
         """Close all unused connections, since they carry nothing any more."""
         for channels in self.unused.values():
--- a/ebonyhold/forwarding/_relay.py
+++ b/ebonyhold/forwarding/_relay.py
@@ -14,7 +14,8 @@
 from attrs import evolve, frozen
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._channel import Channel, Outbound
+from ebonyhold.forwarding._caller import end_to_end
+from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.types import BackendName
 
@@ -29,7 +30,17 @@
 RESULT = b"ebonyhold-relay-result"
 """The field of each answer with a `RelayResult`."""
 
-RELAY_FIELDS = frozenset({SERVER, KEY, RESULT})
+END = b"ebonyhold-relay-end"
+"""The field of an answer that tells whether the server's answer states its end.
+
+The relay's own framing does not tell it. Relays of earlier builds do not send it.
+"""
+
+END_STATED = b"stated"
+
+END_BY_CLOSE = b"closed"
+
+RELAY_FIELDS = frozenset({SERVER, KEY, RESULT, END})
 
 
 class RelayResult(Enum):
@@ -128,6 +139,10 @@
         """Return whether a server refuses connections from a relay."""
         ...
 
+    async def is_reached(self, server: BackendName) -> bool:
+        """Return whether a server accepts a connection from a relay."""
+        ...
+
 
 def without_relay_fields(headers: Headers) -> Headers:
     """Return the fields that are not between two routers alone."""
@@ -145,6 +160,24 @@
     return values[-1].decode("latin-1") if values else ""
 
 
+def answer_fields(head: AnswerHead, end_stated: bool) -> Headers:
+    """Return the fields of a server's answer as a relay passes them on.
+
+    `END` is named as a field of this connection, so that no router passes it on.
+    """
+    return [
+        *without_relay_fields(end_to_end(head.headers)),
+        (RESULT, RelayResult.ANSWERED.value.encode()),
+        (END, END_STATED if end_stated else END_BY_CLOSE),
+        (b"connection", END),
+    ]
+
+
+def reads_end_stated(headers: Headers) -> bool:
+    """Return whether a relay tells that the server's answer states its end."""
+    return (END, END_STATED) in headers
+
+
 def read_result(headers: Headers) -> RelayResult | None:
     """Return what an answer of a relay states; None if it is no relay's answer."""
     try:
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -12,7 +12,7 @@
 
 from ebonyhold.exceptions import BackendLostError, MalformedRequestError
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
+from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._endings import BODILESS
@@ -26,6 +26,7 @@
     RESULT,
     RelayDeclinedError,
     RelayResult,
+    answer_fields,
     read_field,
     read_server,
     without_relay_fields,
@@ -119,7 +120,7 @@
             return
         if connection.started:
             connection.last = True
-            await connection.close()
+            await connection.abort()
             return
         stated = (RESULT, result.value.encode())
         await connection.answer(STATUSES[result], [stated], b"")
@@ -270,8 +271,7 @@
         Raises:
             BackendLostError: The answer broke off.
         """
-        fields = without_relay_fields(end_to_end(head.headers))
-        fields.append((RESULT, RelayResult.ANSWERED.value.encode()))
+        fields = answer_fields(head, channel.end_stated)
         if head.status in BODILESS or self.head.method == b"HEAD":
             await channel.read_part()
             await send_bodiless(self.connection, head.status, fields)
--- a/ebonyhold/gateway/_relays.py
+++ b/ebonyhold/gateway/_relays.py
@@ -156,6 +156,11 @@
         reached = any(server in answer.reached for answer in answers.values())
         return not reached and any(server in a.refused for a in answers.values())
 
+    async def is_reached(self, server: BackendName) -> bool:
+        """Return whether a server accepts a connection from a relay."""
+        answers = await self.ask_some(ReachQuestion((server,)))
+        return any(server in answer.reached for answer in answers.values())
+
     async def open(self) -> Path:
         """Return a connection to a relay; the relays take turns.
 
--- a/tests/forwarding/test_endings.py
+++ b/tests/forwarding/test_endings.py
@@ -10,7 +10,8 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from ebonyhold.forwarding import AnswerEnding
+from ebonyhold.forwarding import AnswerEnding, AnswerHead, Headers, _relaying
+from ebonyhold.forwarding._relay import END, answer_fields
 from tests.forwarding.kit import (
     LOOPBACK,
     Script,
@@ -129,7 +130,7 @@
     """A stream that broke off must not be framed as complete."""
     bad, fine = Server("bad", script), Server("fine", whole_stream)
     got = await ask_both(context, bad, fine, request("/stream/x"))
-    assert numbers(got) == [1, 2, 3, 4]
+    assert numbers(got.replace(BOM, b"")) == [1, 2, 3, 4]
     assert got.endswith(b"0\r\n\r\n")
     assert value(fine.requests[0], "last-event-id") == "2"
 
@@ -142,7 +143,7 @@
     """A stream that broke off must not be framed as complete."""
     bad, fine = Server("bad", script), Server("fine", whole_stream)
     got = await ask_both(context, bad, fine, request("/once/x"))
-    assert numbers(got) == [1, 2]
+    assert numbers(got.replace(BOM, b"")) == [1, 2]
     assert not got.endswith(b"0\r\n\r\n")
     assert not fine.requests
 
@@ -239,6 +240,25 @@
     assert got.startswith(f"HTTP/1.1 {expected} ".encode()), got
 
 
+@pytest.mark.parametrize(
+    ("how", "sent"), [(End.CLOSED, 1), (End.CRASHED, 2)], ids=["runs on", "crashed"]
+)
+async def test_end_beyond_a_relay_of_an_older_build_is_checked(
+    how: End, sent: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A relay that does not tell how an answer ended must not prove it whole."""
+
+    def old_fields(head: AnswerHead, end_stated: bool) -> Headers:
+        fields = answer_fields(head, end_stated)
+        return [item for item in fields if END not in item]
+
+    monkeypatch.setattr(_relaying, "answer_fields", old_fields)
+    bad, fine = Server("bad", streams(ALL, how)), Server("fine", whole_stream)
+    got = await ask_both(partitioned, bad, fine, request("/stream/x"))
+    assert numbers(got) == [1, 2, 3, 4]
+    assert len(bad.requests) + len(fine.requests) == sent
+
+
 async def test_caller_of_http_1_0_sees_a_reset_of_a_broken_stream() -> None:
     """An answer that ends by its connection must not seem whole if it broke off."""
     script = streams(TWO, End.CRASHED)
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import define, evolve, field
 
+from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding import (
     BackendState,
     BackendTable,
@@ -68,11 +69,13 @@
     Attributes:
         address: Where it is.
         pool: The connections to it.
+        backends: The servers that it reaches.
         avoided: How often it took no request.
     """
 
     address: RelayAddress
     pool: ChannelPool
+    backends: BackendTable
     avoided: int = 0
 
     async def open(self) -> Path:
@@ -93,6 +96,14 @@
         """Return that no server has ended."""
         return False
 
+    async def is_reached(self, server: str) -> bool:
+        """Return whether a server accepts a connection."""
+        backend = self.backends.entries[server].backend
+        try:
+            return bool(await self.pool.connect(server, backend.address))
+        except BackendLostError:
+            return False
+
 
 @define(eq=False)
 class Partitioned:
@@ -132,7 +143,7 @@
         tasks.start_soon(listener.run, (LOOPBACK, port), tasks)
         await until_open(port)
         address = RelayAddress("vm-2", (LOOPBACK, port), key)
-        relays = OneRelay(address, ChannelPool(tasks))
+        relays = OneRelay(address, ChannelPool(tasks), table)
         paths = router.forwarder.paths
         paths.relays = relays
         paths.reach.decide(Reach.PARTITIONED, True, anyio.current_time())
