Daemon: check answers of plain services that end with their connection

The same cause in the daemon's family: httpx reports the close of an answer without a length or chunks as its end, so an answer that a crash has cut short was returned as complete, billed and kept for replays. Such an answer counts now if its server still accepts a connection. Streams of chats are not concerned, since they end with an event of their own, nor are refusals, whose status says all.

The new test's row with a crash failed before and passes. Scripted answers of the test kit state the length of an empty body, as servers do.

--- a/ebonyhold/backends/_engine.py
+++ b/ebonyhold/backends/_engine.py
@@ -19,6 +19,7 @@
     RefusedError,
     base_url,
     check_attempt,
+    check_end,
     open_response,
     read_bounded,
 )
@@ -90,6 +91,7 @@
         """
         async with self.open(backend, call) as response:
             body = await read_bounded(response, MAX_ANSWER_BYTES)
+            await check_end(response)
             return Answer(
                 response.status_code,
                 response.headers.get("content-type", "application/json"),
--- a/ebonyhold/backends/_http.py
+++ b/ebonyhold/backends/_http.py
@@ -12,7 +12,7 @@
 from ebonyhold.backends._transport import PooledByServer
 from ebonyhold.document import Backend
 from ebonyhold.exceptions import BackendError
-from ebonyhold.types import AttemptId
+from ebonyhold.types import AttemptId, Seconds
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 BOOT_HEADER = "X-Boot-Id"
@@ -27,6 +27,14 @@
 queue is full; 503: the server is leaving.
 """
 
+BODILESS = (204, 304)
+"""Statuses whose responses have no body."""
+
+DEFAULT_PORTS = {"http": 80, "https": 443}
+
+END_CHECK_TIMEOUT: Seconds = 0.25
+"""Maximum time to wait for a server to prove that it runs on."""
+
 
 class RefusedError(BackendError):
     """The server refused the attempt without running it.
@@ -132,6 +140,39 @@
         raise BackendError("the answer belongs to another attempt", ran=True)
 
 
+def states_end(response: httpx.Response) -> bool:
+    """Return whether a response states its own end, by a length or by chunks.
+
+    >>> states_end(httpx.Response(200, content=b"a")), states_end(httpx.Response(204))
+    (True, True)
+    >>> states_end(httpx.Response(200))
+    False
+    """
+    framed = {"content-length", "transfer-encoding"} & set(response.headers)
+    return bool(framed) or response.status_code in BODILESS
+
+
+async def check_end(response: httpx.Response) -> None:
+    """Check that a response that was read to its end is complete.
+
+    One that ends with its connection is, if its server still accepts connections: a
+    server that crashes closes its connections just like one that has finished.
+
+    Raises:
+        BackendError: The response may be incomplete.
+    """
+    if states_end(response) or response.request.method == "HEAD":
+        return
+    url = response.request.url
+    port = url.port or DEFAULT_PORTS[url.scheme]
+    try:
+        with anyio.fail_after(END_CHECK_TIMEOUT):
+            stream = await anyio.connect_tcp(url.host, port)
+    except (OSError, TimeoutError) as error:
+        raise BackendError(f"half an answer: {error!r}", ran=True) from error
+    await stream.aclose()
+
+
 async def read_bounded(response: httpx.Response, max_bytes: int) -> bytes:
     """Return the complete body of a response.
 
--- a/ebonyhold/backends/_service.py
+++ b/ebonyhold/backends/_service.py
@@ -10,6 +10,7 @@
     BOOT_HEADER,
     base_url,
     check_attempt,
+    check_end,
     open_response,
     read_bounded,
 )
@@ -70,6 +71,7 @@
         async with open_response(self.client, request, call.timeout) as response:
             check_attempt(response, call.attempt)
             body = await read_bounded(response, call.max_body)
+            await check_end(response)
             return Answer(
                 response.status_code,
                 response.headers.get("content-type", ""),
--- a/tests/backends/kit.py
+++ b/tests/backends/kit.py
@@ -233,6 +233,8 @@
 
     async def run(engine: Engine, request: httpx.Request) -> httpx.Response:
         named = {name.replace("_", "-"): value for name, value in headers.items()}
+        # The library adds no length to an empty body, as servers do.
+        named.setdefault("Content-Length", str(len(body)))
         return httpx.Response(status, content=body, headers=named)
 
     return run
--- a/tests/backends/test_sockets.py
+++ b/tests/backends/test_sockets.py
@@ -7,7 +7,8 @@
 
 import anyio
 import pytest
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.streams.stapled import MultiListener
 from attrs import define, field
 
 from ebonyhold.backends import (
@@ -49,11 +50,26 @@
         script: Answers one request, or fails to.
         connections: Number of connections accepted.
         requests: For each request its connection's number, from 1, and its attempt.
+        listener: Accepts its connections, once it listens.
     """
 
     script: Script
     connections: int = 0
     requests: list[tuple[int, str]] = field(factory=list)
+    listener: MultiListener[SocketStream] | None = None
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Accept connections until `crash` is called, and serve each in a task."""
+        assert self.listener is not None
+        try:
+            await self.listener.serve(self.serve, tasks)
+        except* anyio.ClosedResourceError:
+            self.listener = None
+
+    async def crash(self) -> None:
+        """Refuse all further connections."""
+        assert self.listener is not None
+        await self.listener.aclose()
 
     async def serve(self, stream: SocketStream) -> None:
         """Run the script for each request on a connection until it is closed."""
@@ -136,7 +152,8 @@
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(SocketAttribute.local_port)
     async with listener, anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, server.serve)
+        server.listener = listener
+        tasks.start_soon(server.run, tasks)
         yield server, Backend("e", BackendKind.ENGINE, f"127.0.0.1:{port}", "d")
         tasks.cancel_scope.cancel()
 
@@ -232,3 +249,27 @@
                 await ask(client, backend, "a-1")
         assert (await ask(client, backend, "a-2")).count(b"id: 0\n") == 1
     assert server.requests == [(1, "a-1"), (2, "a-2")]
+
+
+@pytest.mark.parametrize("crashes", [False, True])
+async def test_an_answer_without_a_length_is_whole_if_its_server_runs_on(
+    crashes: bool,
+) -> None:
+    """An answer that a crash has ended must not be taken for a complete one."""
+
+    async def script(server: Server, stream: SocketStream, attempt: str) -> None:
+        whole = answer(attempt, b"0123456789")
+        await stream.send(whole.replace(b"Content-Length: 10\r\n", b""))
+        if crashes:
+            await server.crash()
+        await stream.aclose()
+
+    call = ServiceCall("a-1", "GET", "/")
+    async with serving(script) as (_, backend), make_client(QUICK) as http:
+        if crashes:
+            with pytest.raises(BackendError) as caught:
+                await ServiceClient(http).call(backend, call)
+            assert caught.value.ran is True
+        else:
+            found = await ServiceClient(http).call(backend, call)
+            assert found.body == b"0123456789"
