Soak: engines whose answers end with their connection

The stand-in's engines can answer without a length or chunks; a broken answer ends inside an event, a crash ends all connections. Both soaks let engines do so for some seconds, and the soak of observations checks the events of streams now, as the other one does. A gateway that believes all ends is one of those that the soak must find.

--- a/tests/platform/observed/_checks.py
+++ b/tests/platform/observed/_checks.py
@@ -15,7 +15,7 @@
     check_rest,
     count_told,
 )
-from tests.platform.soak._checks import InjectedFault
+from tests.platform.soak._checks import InjectedFault, check_answer
 from tests.platform.standin import CRASH_DELAY
 
 CONTACT_TIME = 3.0
@@ -131,6 +131,7 @@
     return [
         *check_crashing(evidence),
         *check_proper(evidence.requests),
+        *check_events(evidence.requests),
         *check_limits(evidence),
         *check_leaving(evidence.stated),
         *check_rest(evidence.stated),
@@ -156,6 +157,13 @@
             yield f"{request.request_id} crashes nothing and was rejected"
 
 
+def check_events(requests: Sequence[RequestRecord]) -> Iterator[str]:
+    """Check that streams have their events in order, and complete ones have all."""
+    for request in requests:
+        # How often it ran is another check's matter.
+        yield from check_answer(request, runs=0)
+
+
 def check_limits(evidence: ObservedEvidence) -> Iterator[str]:
     """Check that engines with a limit get no more requests than it allows."""
     for named in evidence.limits:
--- a/tests/platform/observed/_run.py
+++ b/tests/platform/observed/_run.py
@@ -22,6 +22,7 @@
 from tests.platform.observed._statements import Arrival, Statement
 from tests.platform.soak._run import (
     CALLERS,
+    ENGINES,
     GATEWAYS,
     KEPT_CALLERS,
     PROGRAM,
@@ -92,6 +93,7 @@
             tasks.start_soon(self.name_limits)
             tasks.start_soon(self.let_engines_leave)
             tasks.start_soon(self.let_engines_rest)
+            tasks.start_soon(self.let_answers_end_by_close)
             for _ in range(self.cycles):
                 with anyio.move_on_after(rng.uniform(*FAULT_TIME)):
                     async with anyio.create_task_group() as sources:
@@ -160,6 +162,14 @@
             length = rng.uniform(*SHEDDING_TIME)
             await self.state(engine, "rest", rest, length, RESTS[rest])
 
+    async def let_answers_end_by_close(self) -> None:
+        """Make an engine end its answers with their connections, until cancelled."""
+        rng = self.rng("framing")
+        while True:
+            await anyio.sleep(rng.uniform(0.5, 2.0))
+            engine = rng.randrange(ENGINES)
+            await self.end_answers_by_close(engine, rng.uniform(2.0, 6.0))
+
     async def state(
         self,
         engine: str,
--- a/tests/platform/soak/_run.py
+++ b/tests/platform/soak/_run.py
@@ -266,12 +266,13 @@
         """Cut gateways off from all engines, and trouble engines, until cancelled.
 
         A cut concerns one, most or all gateways; an engine is silent for a second or
-        so; or all state that they are brittle, with few places.
+        so; all state that they are brittle, with few places; or an engine ends its
+        answers with their connections.
         """
         rng = self.rng("links")
         while True:
             await anyio.sleep(rng.uniform(0.5, 2.5))
-            kind = rng.choice(["cut", "cut", "silence", "brittle"])
+            kind = rng.choice(["cut", "cut", "silence", "brittle", "unframed"])
             length = rng.uniform(0.5, 4.0)
             if kind == "cut":
                 chosen = rng.sample(range(GATEWAYS), rng.randint(1, GATEWAYS))
@@ -279,6 +280,8 @@
                 await self.cut(chosen, rng.choice(modes), length)
             elif kind == "silence":
                 await self.silence(rng.randrange(ENGINES), rng.uniform(0.7, 1.5))
+            elif kind == "unframed":
+                await self.end_answers_by_close(rng.randrange(ENGINES), length)
             else:
                 await self.make_brittle(str(rng.randint(1, 12)), length)
 
@@ -318,6 +321,12 @@
             await self.write(f"test-places//i-{engine}", None, delete=True)
             await self.write(f"test-brittle//i-{engine}", None, delete=True)
 
+    async def end_answers_by_close(self, engine: int, length: float) -> None:
+        """Make an engine end its answers with their connections for some seconds."""
+        await self.write(f"test-framing//i-{engine}", "closed")
+        await anyio.sleep(length)
+        await self.write(f"test-framing//i-{engine}", None, delete=True)
+
     async def pause(self, gateway: Gateway, length: float) -> None:
         """Pause a process with SIGSTOP for some seconds."""
         started_at = time.monotonic()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -45,6 +45,7 @@
 from ebonyhold.standins import RowHistory
 from tests.platform.kit import link_port
 from tests.platform.places import FALL_TIME, NoPlaceError, Places
+from tests.platform.unframed import UnframedAnswer
 
 HOST = "127.0.0.1"
 ENTRY_INTERVAL = 0.4
@@ -93,6 +94,12 @@
 
 PLACES = 64
 
+FRAMING_TABLE = "test-framing"
+"""The table in which tests write that an engine's answers end with their connection.
+
+A broken one ends inside an event.
+"""
+
 STATEMENTS = (
     (b"server-limit", LIMITS_TABLE),
     (b"server-leaving", LEAVING_TABLE),
@@ -419,26 +426,44 @@
                 await connection.close()
                 return
             proof = [*identity, (b"x-ebonyhold-response-stamp", self.name.encode())]
+            unframed = UnframedAnswer(connection) if self.ends_by_close() else None
             if "/book/" in target:
                 await anyio.sleep(script.pause)
-                await connection.answer(200, proof, body)
+                if unframed is None:
+                    await connection.answer(200, proof, body)
+                    return
+                await unframed.begin(proof)
+                await unframed.send(body)
+                await unframed.end()
                 return
-            kind = (b"content-type", b"text/event-stream")
-            await connection.stream.send(connection.head(200, [*proof, kind]))
+            fields_sent = [*proof, (b"content-type", b"text/event-stream")]
+            if unframed is None:
+                await connection.stream.send(connection.head(200, fields_sent))
+            else:
+                await unframed.begin(fields_sent)
             events = script.events
             last = int(max_tokens) // EVENT_TOKENS if events is None else events
-            await self.stream(connection, run, range(first, last + 1), fault)
+            numbers = range(first, last + 1)
+            await self.stream(unframed or connection, run, numbers, fault)
         finally:
             run.ended_at = time.monotonic()
 
+    def ends_by_close(self) -> bool:
+        """Return whether its answers end with their connection."""
+        return self.stated(FRAMING_TABLE) is not None
+
     async def stream(
-        self, connection: CallerConnection, run: Run, numbers: range, fault: int
+        self,
+        answer: CallerConnection | UnframedAnswer,
+        run: Run,
+        numbers: range,
+        fault: int,
     ) -> None:
         """Send the events of an answer.
 
-        With the fault `BROKEN_STREAM` the connection is closed before event 3.  Neither
-        a stream that starts at event 3 or later nor one whose target has ``sound`` gets
-        this fault.
+        With the fault `BROKEN_STREAM` the connection is closed before event 3 or, if
+        the answer ends with its connection, inside of it.  Neither a stream that starts
+        at event 3 or later nor one whose target has ``sound`` gets this fault.
         """
         script = Script.from_target(run.target)
         for number in numbers:
@@ -448,12 +473,16 @@
                 and number == 3 > numbers.start
                 and not script.fault_free
             ):
-                await connection.close()
+                if isinstance(answer, UnframedAnswer):
+                    await answer.send(b"id: 3\ndata: ")
+                    await answer.end()
+                else:
+                    await answer.close()
                 return
             end = b"end" if number == numbers.stop - 1 else b"more"
-            await connection.send(b"id: %d\ndata: %s\n\n" % (number, end))
+            await answer.send(b"id: %d\ndata: %s\n\n" % (number, end))
             run.sent += 1
-        await connection.end()
+        await answer.end()
 
     def entry(self, port: int, sequence: int) -> dict[str, Any]:
         """Return the engine's entry in the list of servers."""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -23,6 +23,7 @@
         ("proof", r"spent \d+ of \d+"),
         ("not-run", r"must not be repeated|was refused as not run"),
         ("sound-tasks", "task failed"),
+        ("endings", "ended early"),
     ],
 )
 def test_a_missing_guard_is_found(tmp_path: Path, guard: str, finding: str) -> None:
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -13,7 +13,8 @@
 from attrs import evolve
 
 from ebonyhold.coordination import LimitShares
-from ebonyhold.forwarding import BackendTable, _forwarder
+from ebonyhold.forwarding import BackendTable, Channel, EventSplitter, _forwarder
+from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.gateway import Observations
 from ebonyhold.gateway.__main__ import main
 from ebonyhold.prepaid import Predecessor
@@ -74,6 +75,16 @@
     BackendTable.record_statement = weakened  # type: ignore[method-assign]
 
 
+def believe_all_ends() -> None:
+    """Make the gateway take answers that end with their connection for whole."""
+
+    async def weakened(self: Attempt, channel: Channel) -> None:
+        pass
+
+    Attempt.check_end = weakened  # type: ignore[method-assign]
+    EventSplitter.is_inside_event = False  # type: ignore[assignment]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "proof": assume_nothing_was_used,
     "not-run": resend_everything,
@@ -81,6 +92,7 @@
     "observations": keep_observations,
     "shares": use_whole_limits,
     "leaving": partial(ignore_statements, leaving=False),
+    "endings": believe_all_ends,
     "rest": partial(ignore_statements, rest=0.0),
 }
 
