Log the software versions of servers, and which streams callers take up

The list states the version of each server's software, and a caller that takes a stream up names in Resumes the attempt that brought its first event. Both are read now. So streams that are mixed within an answer can be told from those mixed over a caller's tries. Nothing is decided by it yet. An entry without a version has the empty one; with a version that is no text it is malformed, as the users' page says of other types.

--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -92,4 +92,5 @@
         "service": backend.service,
         "state": backend.state.value,
         "domain": backend.domain,
+        "version": backend.version,
     }
--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -16,6 +16,9 @@
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 """Header fields in order, with names in lower case, as h11 returns them."""
 
+SoftwareVersion: TypeAlias = str
+"""The version of a backend server's software."""
+
 PromptPart: TypeAlias = tuple[str, Tokens]
 """One part of a prompt that requests may share: its identifier and length."""
 
@@ -178,6 +181,8 @@
         started_at: When it started, in milliseconds since the epoch; 0 if unknown.
         cold_for: For how many seconds after the entry was written the server is still
             cold: slow, and endangered by too many requests.
+        version: The version of its software. What two versions write into one stream
+            does not fit together. Entries that state none have the same, empty one.
     """
 
     name: BackendName
@@ -188,6 +193,7 @@
     state: BackendState
     started_at: int = 0
     cold_for: Seconds = 0.0
+    version: SoftwareVersion = ""
 
 
 @frozen
@@ -204,6 +210,8 @@
         prompt_parts: The parts of the prompt, in order.
         resume_after: The number of the last event that the caller has; None for a new
             stream.
+        resumes: The identifier of the attempt that brought the first event of the
+            stream that is taken up; empty if not stated.
     """
 
     request_id: str
@@ -213,6 +221,7 @@
     max_output: Tokens = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumes: str = ""
 
     @property
     def max_charge(self) -> Tokens:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -395,6 +395,12 @@
         """Set the gauges for the servers, by state and by why they get no requests."""
         metrics, table = self.metrics, self.routing.backends
         metrics.servers.clear()
+        metrics.versions.clear()
+        versions = {
+            (e.backend.service, e.backend.version) for e in table.entries.values()
+        }
+        for service, _ in versions:
+            metrics.versions.labels(service).inc()
         metrics.servers_withheld.clear()
         for entry in table.entries.values():
             backend = entry.backend
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -139,6 +139,13 @@
             registry=self.registry,
         )
 
+        self.versions = Gauge(
+            "ebonyhold_gateway_server_versions",
+            "Software versions of the servers listed, by service.",
+            ("service",),
+            registry=self.registry,
+        )
+
     def count_answer(self, ending: AnswerEnding) -> None:
         """Count an answer of a server by how it ended."""
         self.answers.labels(ending.value).inc()
--- a/ebonyhold/platform/_documents.py
+++ b/ebonyhold/platform/_documents.py
@@ -232,4 +232,5 @@
         # Distinguishes incarnations of a server with the same name; 0 if absent.
         started_at=typed_field(raw, "born", int) if "born" in raw else 0,
         cold_for=cold_for,
+        version=typed_field(raw, "version", str) if "version" in raw else "",
     )
--- a/ebonyhold/platform/_headers.py
+++ b/ebonyhold/platform/_headers.py
@@ -32,6 +32,8 @@
 RESPONSE_STAMP = b"x-ebonyhold-response-stamp"
 NOT_RUN = b"x-ebonyhold-not-executed"
 RESUME_AFTER = b"last-event-id"
+# The identifier of the attempt that brought the first event of a resumed stream.
+RESUMES = b"resumes"
 # Requests per second from all routers together, as a decimal number.
 REQUEST_LIMIT = b"server-limit"
 # "1" in all answers of a server that leaves.
@@ -190,6 +192,7 @@
             max_output=max_output,
             prompt_parts=read_parts(parts) if parts else (),
             resume_after=read_number(RESUME_AFTER, resume) if resume else None,
+            resumes=first_value(headers, RESUMES).decode("latin-1").strip(),
         )
 
     def dispatch_headers(self, headers: Headers, dispatch: Dispatch) -> Headers:
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -408,7 +408,8 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    names = ("gateway", "gateway-added", "gateway-reach", "gateway-answers")
+    added = ("added", "reach", "answers", "versions")
+    names = ("gateway", *(f"gateway-{name}" for name in added))
     files = b"".join(read(f"metrics-{name}.txt") for name in names)
     assert render_gateway_metrics() == files
 
