--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -338,13 +338,13 @@
             extra={
                 "request": exchange.caller.request_id,
                 "backend": entry.backend.name,
-                "version": entry.backend.version,
                 "attempt": exchange.sends + 1,
-                "after_event": exchange.last_event,
-                "resumes": exchange.caller.resumes,
                 "in_flight": entry.in_flight,
                 "work": round(entry.work.waiting),
                 "ms_left": round((exchange.deadline - now) * 1000),
+                "version": entry.backend.version,
+                "after_event": exchange.last_event,
+                "resumes": exchange.caller.resumes,
                 **self.ages(),
             },
         )
