--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -84,6 +84,7 @@
         bodies: The request bodies received.
         connections: Number of connections accepted.
         closed: Number of connections that ended.
+        version: The version of its software.
         port: Its port, once it listens.
         listener: Accepts its connections, once it listens.
     """
@@ -94,6 +95,7 @@
     bodies: list[bytes] = field(factory=list)
     connections: int = 0
     closed: int = 0
+    version: str = ""
     port: int = 0
     listener: SocketListener | None = None
 
@@ -133,7 +135,16 @@
     def backend(self) -> Backend:
         """Return its entry in the server list."""
         address = (LOOPBACK, self.port)
-        return Backend(self.name, "svc", address, "a", 4, BackendState.READY, 1)
+        return Backend(
+            self.name,
+            "svc",
+            address,
+            "a",
+            4,
+            BackendState.READY,
+            1,
+            version=self.version,
+        )
 
 
 def value(head: str, name: str) -> str:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -94,6 +94,17 @@
 
 PLACES = 64
 
+VERSIONS_TABLE = "test-versions"
+"""The table in which tests write the software version of an engine's next start.
+
+The engine takes a new name then, which ends with the version, unless ``SAME_NAME``
+follows the version.
+"""
+
+FIRST_VERSION = "v1"
+
+SAME_NAME = " same name"
+
 FRAMING_TABLE = "test-framing"
 """The table in which tests write that an engine's answers end with their connection.
 
@@ -128,6 +139,7 @@
         events: Number of events in the answer; None for as many as the request's
             maximum number of tokens allows.
         pause: Seconds before each event, or before an answer that is one body.
+        per_run: Number of events after which each run breaks off; None for no such.
         fault_free: Whether the engine must not inject a fault.
         crashes: Whether the run crashes its engine.
         queued: Whether the run waits until no other such run is in progress.
@@ -135,6 +147,7 @@
 
     events: int | None = None
     pause: float = EVENT_PAUSE
+    per_run: int | None = None
     fault_free: bool = False
     crashes: bool = False
     queued: bool = False
@@ -143,10 +156,11 @@
     def from_target(cls, target: str) -> Script:
         """Decode the query of a target; absent parameters get the defaults."""
         query = {name: v[0] for name, v in parse_qs(urlsplit(target).query).items()}
-        events = query.get("events")
+        events, per_run = query.get("events"), query.get("per_run")
         return cls(
             None if events is None else int(events),
             float(query.get("pause", EVENT_PAUSE)),
+            None if per_run is None else int(per_run),
             "sound" in query,
             "crash" in query,
             "queued" in query,
@@ -325,6 +339,7 @@
         places: Its places.
         falls: When engines have fallen, with their names.
         down_for: For how many seconds it is down after its process has ended.
+        version: The version of its software.
     """
 
     name: str
@@ -339,6 +354,7 @@
     places: Places = field(factory=Places)
     falls: list[tuple[str, float]] = field(factory=list)
     down_for: float = RESTART_DELAY
+    version: str = FIRST_VERSION
 
     def __attrs_post_init__(self) -> None:
         self.places = Places(self.place_count, self.turn_away_limit, self.fall)
@@ -468,6 +484,9 @@
         script = Script.from_target(run.target)
         for number in numbers:
             await anyio.sleep(script.pause)
+            if run.sent == script.per_run:
+                await answer.close()
+                return
             if (
                 fault == BROKEN_STREAM
                 and number == 3 > numbers.start
@@ -479,8 +498,9 @@
                 else:
                     await answer.close()
                 return
-            end = b"end" if number == numbers.stop - 1 else b"more"
-            await answer.send(b"id: %d\ndata: %s\n\n" % (number, end))
+            end = "end" if number == numbers.stop - 1 else "more"
+            event = f"id: {number}\ndata: {end}\nversion: {self.version}\n\n"
+            await answer.send(event.encode())
             run.sent += 1
         await answer.end()
 
@@ -490,6 +510,7 @@
             "service": "models",
             "address": f"{HOST}:{port}",
             "zone": self.domain,
+            "version": self.version,
             "slots": self.place_count() or PLACES,
             "state": "ready",
             "cold-remaining-ms": max(
@@ -516,6 +537,16 @@
     return str(row.value) if row is not None and row.value is not None else None
 
 
+def turn_to_next_version(store: StoreApp, engine: EngineApp) -> None:
+    """Let an engine that starts run the version that a test has written for it."""
+    asked = engine.stated(VERSIONS_TABLE) or engine.version
+    version = asked.removesuffix(SAME_NAME)
+    if version != engine.version and not asked.endswith(SAME_NAME):
+        store.history.apply(Transaction((), (Delete(f"servers//{engine.name}"),)))
+        engine.name = f"{engine.name}-{version}"
+    engine.version = version
+
+
 def cold_until(store: StoreApp, engine: str) -> float:
     """Return until when a test has made an engine cold; 0 if it never was."""
     row = store.history.rows.get(f"{COLD_TABLE}//{engine}")
@@ -543,6 +574,7 @@
         engine.down_for = RESTART_DELAY
         engine.places.restart()
         engine.started_at = int(time.time() * 1000)
+        turn_to_next_version(store, engine)
 
 
 def linked_stores(
--- a/tests/platform/unframed.py
+++ b/tests/platform/unframed.py
@@ -31,3 +31,7 @@
     async def end(self) -> None:
         """End the answer and the connection."""
         await self.connection.close()
+
+    async def close(self) -> None:
+        """Break the answer off."""
+        await self.connection.close()
