Move the choice of servers and retries out of the forwarder

_forwarder.py held what becomes of a caller's request (hold, charge, refusal, log) and which servers it is sent to.

--- /dev/null
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -0,0 +1,230 @@
+"""Sends a request to one backend server after the other until it has an answer."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from attrs import define
+
+from ebonyhold.forwarding._attempt import Attempt
+from ebonyhold.forwarding._backends import BackendTable
+from ebonyhold.forwarding._choice import choose, with_fewest_suspects
+from ebonyhold.forwarding._crash_detection import CrashDetector
+from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._entry import BackendEntry
+from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
+from ebonyhold.forwarding._paths import Paths
+from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
+from ebonyhold.forwarding._refusals import Refusal
+from ebonyhold.forwarding._retries import FleetRetryBudget
+from ebonyhold.types import Seconds
+
+log = logging.getLogger(__name__)
+
+MIN_TIME_LEFT: Seconds = 0.005
+"""Minimum time left before the deadline for a request to be sent to a server."""
+
+MAX_CONNECTS = 4
+"""Number of failed connections after which a request is refused.
+
+Each of them delays the answer by up to a quarter of a second.
+"""
+
+
+MAY_WAIT = frozenset({Refusal.SERVERS_LIMITED, Refusal.SERVER_LOST})
+"""The refusals for want of a server, which a place that becomes free may spare."""
+
+MIN_LIMIT_WAIT: Seconds = 0.05
+"""Minimum Retry-After of a request that no server may get now."""
+
+MAX_LIMIT_WAIT: Seconds = 1.0
+"""Maximum Retry-After of such a request: limits and rests differ between routers."""
+
+
+@define(eq=False)
+class Dispatcher:
+    """Chooses the servers of a request, and decides on retries.
+
+    Attributes:
+        domain: The failure domain of this router.
+        dialect: Decodes and encodes header fields.
+        backends: The known servers.
+        paths: Opens the ways to servers.
+        retries: The retry budget.
+        places: The requests that wait for a place at a brittle server.
+        crashes: Detects crashes of servers and rejects requests that cause them.
+        ages: Returns the age of each cached input in seconds, for logs.
+    """
+
+    domain: str
+    dialect: Dialect
+    backends: BackendTable
+    paths: Paths
+    retries: FleetRetryBudget
+    places: PlaceQueue
+    crashes: CrashDetector
+    ages: Callable[[], dict[str, Seconds]]
+
+    async def dispatch(self, exchange: Exchange) -> Refusal | None:
+        """Send a request to servers in turn, until an answer was passed on.
+
+        Returns:
+            None if one was passed on; otherwise why the request is given up.
+        """
+        while True:
+            depth = self.crashes.depth(exchange)
+            suspect = depth > 0 or bool(exchange.losses)
+            entry = self.next_entry(exchange, suspect)
+            if isinstance(entry, Refusal):
+                if entry in MAY_WAIT and await self.wait_for_place(exchange):
+                    continue
+                return entry
+            attempt = Attempt(
+                exchange, entry, self.paths, self.backends, self.dialect, suspect
+            )
+            if not exchange.reasons:
+                self.retries.request(exchange.match.service, anyio.current_time())
+            self.log_dispatch(exchange, entry)
+            try:
+                result = await attempt.run()
+            finally:
+                self.places.free(exchange.match.service)
+            if result.end is AttemptEnd.DELIVERED:
+                self.crashes.answered(exchange)
+                return None
+            if result.broken:
+                self.crashes.lost(exchange, entry, depth)
+            self.record_failure(exchange, entry.backend.name, result)
+            if result.end is AttemptEnd.NOT_SENT:
+                await self.settle_reach(exchange)
+            refusal = self.check_retry(exchange, result)
+            if refusal is not None:
+                return refusal
+
+    async def wait_for_place(self, exchange: Exchange) -> bool:
+        """Wait until a request at a brittle server has ended; return whether one has.
+
+        Requests wait here, since one that a brittle server turns away may cost all that
+        are there. As many may wait as are in flight, so each waits for about one.
+        """
+        now, match = anyio.current_time(), exchange.match
+        if not self.backends.waits_for_place(match.service, now):
+            return False
+        if exchange.waits_until is None:
+            target, deadline = match.route.target, exchange.deadline
+            exchange.waits_until = wait_until(now, target, deadline)
+        in_flight = self.backends.in_flight(match.service)
+        freed = await self.places.wait(
+            match.service, match.priority, exchange.waits_until, in_flight
+        )
+        if freed:
+            exchange.retry_after = None
+        return freed
+
+    async def settle_reach(self, exchange: Exchange) -> None:
+        """Wait until it is known whether a server or this router cannot be reached.
+
+        If it is this router, the servers may be tried again by way of another one.
+        """
+        was_connected = self.paths.reach.is_connected
+        await self.paths.reach.settle()
+        if was_connected and self.paths.uses_relays:
+            exchange.try_again_elsewhere()
+
+    def log_dispatch(self, exchange: Exchange, entry: BackendEntry) -> None:
+        """Log the server that was chosen, and the data used for the choice."""
+        now = anyio.current_time()
+        log.info(
+            "dispatched",
+            extra={
+                "request": exchange.caller.request_id,
+                "backend": entry.backend.name,
+                "attempt": exchange.sends + 1,
+                "in_flight": entry.in_flight,
+                "work": round(entry.work.waiting),
+                "ms_left": round((exchange.deadline - now) * 1000),
+                "version": entry.backend.version,
+                "after_event": exchange.last_event,
+                "resumes": exchange.caller.resumes,
+                **self.ages(),
+            },
+        )
+
+    def next_entry(self, exchange: Exchange, suspect: bool) -> BackendEntry | Refusal:
+        """Return the next server to try, or a refusal if there is none.
+
+        Args:
+            exchange: The request.
+            suspect: Whether it may crash the server.
+        """
+        if self.crashes.is_rejected(exchange):
+            return Refusal.CRASHES_SERVERS
+        now = anyio.current_time()
+        if exchange.deadline - now < MIN_TIME_LEFT:
+            ran = exchange.may_have_run
+            return Refusal.NO_ANSWER if ran else Refusal.NOT_STARTED
+        service = exchange.match.service
+        relayed = self.paths.uses_relays
+        entries = self.backends.usable(service, now, exchange.tried, relayed)
+        if not entries:
+            wait = self.backends.next_allowed(service, now)
+            if wait is not None:
+                exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
+            return self.no_server_left(exchange)
+        if suspect:
+            entries = with_fewest_suspects(entries)
+        return choose(exchange.caller, entries, self.domain, now)
+
+    def no_server_left(self, exchange: Exchange) -> Refusal:
+        """Return the refusal for a request when no untried server is left.
+
+        SERVERS_FULL means that each server that got the request declined it, and
+        SERVERS_LIMITED that a server may get requests again later.
+        """
+        if exchange.may_have_run:
+            return Refusal.SERVER_LOST
+        if exchange.retry_after is not None:
+            return Refusal.SERVERS_LIMITED
+        return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
+
+    def record_failure(
+        self, exchange: Exchange, backend: str, result: AttemptResult
+    ) -> None:
+        """Store why an attempt failed, and the server's error answer if any."""
+        exchange.reasons.append(f"{backend}: {result.reason}")
+        if result.answer is not None:
+            exchange.failure = result.answer
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
+            exchange.connects += 1
+        if result.end is AttemptEnd.NOT_SENT:
+            exchange.tried.append(backend)
+            exchange.unreached.append(backend)
+        if result.end is AttemptEnd.WITHHELD and self.paths.uses_relays:
+            # The relay decided, and would decide the same again.
+            exchange.tried.append(backend)
+
+    def check_retry(self, exchange: Exchange, result: AttemptResult) -> Refusal | None:
+        """Return None if another server may be tried, or else the refusal.
+
+        Another try uses the retry budget, unless no connection could be made.
+        """
+        if result.end is AttemptEnd.WITHHELD:
+            return None
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
+            # Nothing was sent, so no retry budget is used.
+            if exchange.connects < MAX_CONNECTS:
+                return None
+            return self.no_server_left(exchange)
+        lost = result.end in (AttemptEnd.LOST, AttemptEnd.FAILED)
+        refusal = Refusal.SERVER_LOST if exchange.may_have_run else Refusal.SERVERS_FULL
+        if lost and not exchange.match.route.idempotent:
+            return refusal
+        if not (exchange.attempts_left and self.crashes.may_retry(exchange)):
+            return refusal
+        now = anyio.current_time()
+        if not self.retries.take(exchange.match.service, now):
+            exchange.reasons.append("no retry left in the budget")
+            return refusal
+        return None
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -13,7 +13,7 @@
 from attrs import evolve
 
 from ebonyhold.coordination import LimitShares
-from ebonyhold.forwarding import BackendTable, Channel, EventSplitter, _forwarder
+from ebonyhold.forwarding import BackendTable, Channel, EventSplitter, _dispatcher
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.gateway import Observations
 from ebonyhold.gateway.__main__ import main
@@ -30,13 +30,13 @@
 
 def resend_everything() -> None:
     """Make the gateway resend requests that may have run, whatever their kind."""
-    check_retry = _forwarder.Forwarder.check_retry
+    check_retry = _dispatcher.Dispatcher.check_retry
 
     def weakened(self, exchange, result):  # type: ignore[no-untyped-def]
         exchange.may_have_run = False
         return check_retry(self, exchange, result)
 
-    _forwarder.Forwarder.check_retry = weakened  # type: ignore[method-assign]
+    _dispatcher.Dispatcher.check_retry = weakened  # type: ignore[method-assign]
 
 
 def fail_in_a_task() -> None:
