Move the list of servers out of the table of what they state

_backends.py held the runs of servers by the list (updates, outages, evacuations), what servers state in answers, and whether they may get requests. The list is ServerList now, in a module of its own; BackendTable adds the rest.

--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -1,30 +1,26 @@
-"""The known backend servers and the state that this router keeps for each."""
+"""What backend servers have stated, and whether they may get requests."""
 
 from __future__ import annotations
 
 import logging
 import random
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from attrs import define, field
 
 from ebonyhold.coordination import (
-    EjectionPolicy,
-    Ejector,
     EndedLimit,
     EndedLimits,
     LimitShares,
     SendingLimit,
-    ServerRun,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
+from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import (
     AnswerFacts,
-    Backend,
     BackendState,
-    Service,
     ServiceName,
 )
 from ebonyhold.forwarding._withheld import Cause, Withheld
@@ -32,33 +28,9 @@
 
 log = logging.getLogger(__name__)
 
-LAPSE_GRACE: Seconds = 2.2
-"""How long a server is kept if its list entry is missing after a store outage.
-
-Servers renew their entries within two seconds of the end of an outage. Without this
-grace period, a long outage would remove all running servers at once.
-"""
-
-EJECTION = EjectionPolicy(
-    errors=4, lost=1, first_duration=0.5, max_duration=4.0, max_unreachable=2.0
-)
-"""One failed connection is enough for an ejection, and ejections are shorter than by
-default.
-
-A server that has recovered is needed at once, and trying a server that is still
-unreachable costs only one failed connection.
-"""
-
 FULL_BACKOFF: Seconds = 0.15
 """How long a server that declined a request is avoided, unless no other is left."""
 
-UNLISTED_KEPT: Seconds = 60.0
-"""How long it is remembered what a server has stated, after it was removed.
-
-An entry that expired during an outage of the store, and any written before the server
-began to leave, may be listed again.
-"""
-
 MAX_REST: Seconds = 300.0
 """Longest rest that is granted, so that a wrong value hides no server for good."""
 
@@ -70,120 +42,18 @@
 
 
 @define(eq=False)
-class BackendTable:
-    """All known servers, updated by the tasks that watch the server list.
+class BackendTable(ServerList):
+    """All known servers, what they have stated, and whether they may get requests.
 
     Attributes:
-        entries: The servers by name.
-        unlisted: Runs of servers that were removed in the last UNLISTED_KEPT.
-        ejector: Decides which failing servers to avoid.
         shares: This router's shares of the servers' limits.
         brittle: Which servers are brittle.
         ended_limits: The ends of limits that this router has noticed.
-        services: The settings of the services.
-        evacuated: The failure domains whose servers get no requests.
     """
 
-    entries: dict[BackendName, BackendEntry] = field(factory=dict)
-    unlisted: dict[ServerRun, BackendEntry] = field(factory=dict)
-    ejector: Ejector = field(factory=lambda: Ejector(EJECTION))
     shares: LimitShares = field(factory=LimitShares)
     brittle: BrittleServers = field(factory=BrittleServers)
     ended_limits: EndedLimits = field(factory=EndedLimits)
-    services: Mapping[ServiceName, Service] = field(factory=dict)
-    evacuated: frozenset[str] = frozenset()
-
-    def replace(
-        self, listed: Mapping[BackendName, Backend], now: Seconds, after_outage: bool
-    ) -> None:
-        """Update the table from a complete server list.
-
-        Servers that are not listed are removed as in `remove`.
-        """
-        for backend in listed.values():
-            self.update(backend, now)
-        for name in [name for name in self.entries if name not in listed]:
-            self.remove(name, now, after_outage)
-
-    def update(self, backend: Backend, now: Seconds = 0.0) -> None:
-        """Add a server, or update it; a restarted server loses its earlier state.
-
-        A run that is listed again keeps its state.
-
-        Args:
-            backend: The server's entry in the server list.
-            now: When the entry was read.
-        """
-        known = self.entries.get(backend.name)
-        if known is None or known.backend.started_at != backend.started_at:
-            # The server is new, is listed again, or has restarted under the same name.
-            if known is not None:
-                known.listed = False
-            run = ServerRun(backend.name, backend.started_at)
-            known = self.unlisted.pop(run, None) or BackendEntry(backend)
-            known.listed, known.moved = True, False
-            self.entries[backend.name] = known
-            self.ejector.succeeded(backend.name)
-            log.info("server listed", extra=fields_of(backend))
-        if backend.cold_for:
-            known.cold_until = max(known.cold_until, now + backend.cold_for)
-        if known.backend.state is not backend.state:
-            log.info("server changed", extra=fields_of(backend))
-        known.moved = known.moved and known.backend.address == backend.address
-        known.backend = backend
-        known.drop_at = None
-
-    def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
-        """Set the failure domains whose servers get no requests.
-
-        At the end of an evacuation its servers may be cold, and their entries may state
-        that only later. So they count as cold for as long as after a start.
-        """
-        for entry in self.entries.values():
-            if entry.backend.domain in self.evacuated - domains:
-                service = self.services.get(entry.backend.service)
-                cold_time = service.cold_time if service is not None else 0.0
-                entry.cold_until = max(entry.cold_until, now + cold_time)
-        self.evacuated = domains
-
-    def remove(self, name: BackendName, now: Seconds, after_outage: bool) -> None:
-        """Remove a server that is no longer listed.
-
-        After an outage of the store, a ready server is kept for LAPSE_GRACE first,
-        because running servers could not renew their list entries during the outage.
-        """
-        entry = self.entries.get(name)
-        if entry is None:
-            return
-        if after_outage and entry.backend.state is BackendState.READY:
-            if entry.drop_at is None:
-                entry.drop_at = now + LAPSE_GRACE
-                log.info("server lapsed", extra=fields_of(entry.backend))
-            return
-        self.drop(entry, now)
-
-    def expire(self, now: Seconds) -> None:
-        """Remove the servers whose LAPSE_GRACE has passed, and forget old runs."""
-        for entry in list(self.entries.values()):
-            if entry.drop_at is not None and now >= entry.drop_at:
-                self.drop(entry, now)
-        for run, entry in list(self.unlisted.items()):
-            if entry.drop_at is None or now >= entry.drop_at:
-                del self.unlisted[run]
-
-    def drop(self, entry: BackendEntry, now: Seconds) -> None:
-        """Remove a server and its failure history.
-
-        A run without a known start is forgotten at once, since it could not be told
-        from the server's next run.
-        """
-        del self.entries[entry.backend.name]
-        entry.listed = False
-        entry.drop_at = now + UNLISTED_KEPT
-        if entry.backend.started_at:
-            self.unlisted[entry.run] = entry
-        self.ejector.succeeded(entry.backend.name)
-        log.info("server gone", extra=fields_of(entry.backend))
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
--- a/tests/forwarding/test_server_statements.py
+++ b/tests/forwarding/test_server_statements.py
@@ -9,12 +9,11 @@
 
 from ebonyhold.forwarding import AnswerFacts, BackendEntry, BackendState
 from ebonyhold.forwarding._backends import (
-    LAPSE_GRACE,
     MAX_REST,
     REST_SPREAD,
-    UNLISTED_KEPT,
 )
 from ebonyhold.forwarding._refusals import RETRY_SPREAD
+from ebonyhold.forwarding._server_list import LAPSE_GRACE, UNLISTED_KEPT
 from ebonyhold.platform import PlatformDialect
 from tests.forwarding.kit import (
     Rig,
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -15,6 +15,7 @@
 from ebonyhold.coordination import LimitShares
 from ebonyhold.forwarding import BackendTable, Channel, EventSplitter, _dispatcher
 from ebonyhold.forwarding._attempt import Attempt
+from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.gateway import Observations
 from ebonyhold.gateway.__main__ import main
 from ebonyhold.prepaid import Predecessor
@@ -41,14 +42,14 @@
 
 def fail_in_a_task() -> None:
     """Make a task raise an unexpected error, usually within some 30 s of the start."""
-    expire = BackendTable.expire
+    expire = ServerList.expire
 
-    def weakened(self: BackendTable, now: float) -> None:
+    def weakened(self: ServerList, now: float) -> None:
         if random.random() < 0.01:
             raise ValueError("list.remove(x): x not in list")
         expire(self, now)
 
-    BackendTable.expire = weakened  # type: ignore[method-assign]
+    ServerList.expire = weakened  # type: ignore[method-assign]
 
 
 def keep_observations() -> None:
