Resume a stream within one answer only at the version that began it

A stream that broke off was resumed at any usable server of its service, so an answer could hold events of two software versions, which do not fit together. The answer of the run whose first event the caller got now binds the exchange to that version, and BackendTable.withheld, where all causes are, withholds servers of others from it (other_version). A run without an event binds nothing. With no server of the version left the stream ends as broken, at once. An entry whose version changes, with or without a start, is another run.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -5,7 +5,7 @@
 import logging
 
 import anyio
-from attrs import define
+from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendTable
@@ -29,7 +29,12 @@
     reads_end_stated,
     without_relay_fields,
 )
-from ebonyhold.forwarding._types import AnswerFacts, Dispatch, RouteKind
+from ebonyhold.forwarding._types import (
+    AnswerFacts,
+    Dispatch,
+    RouteKind,
+    SoftwareVersion,
+)
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
 
@@ -77,6 +82,7 @@
         dialect: Decodes and encodes header fields.
         suspect: Whether the request may crash the server.
         relay: The router that sends the request to the server; None if this one does.
+        version: The software version of the server's run that was connected to.
     """
 
     exchange: Exchange
@@ -86,6 +92,10 @@
     dialect: Dialect
     suspect: bool = False
     relay: RelayAddress | None = None
+    version: SoftwareVersion = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.version = self.entry.backend.version
 
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended.
@@ -112,7 +122,9 @@
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.relay = path.relay
         now = anyio.current_time()
-        withheld = self.backends.admit(self.entry, now, path.relay is not None)
+        withheld = self.backends.admit(
+            self.entry, now, path.relay is not None, self.exchange.version
+        )
         if withheld is not None:
             path.channel.keep_unused(now)
             await self.paths.put(backend, path)
@@ -372,6 +384,8 @@
     def record_events(self, events: list[StreamEvent]) -> None:
         """Count events sent to the caller, and store the last event number."""
         exchange = self.exchange
+        if exchange.version is None:
+            exchange.version = self.version
         exchange.events += len(events)
         numbers = [event.number for event in events if event.number is not None]
         if numbers:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -22,6 +22,7 @@
     AnswerFacts,
     BackendState,
     ServiceName,
+    SoftwareVersion,
 )
 from ebonyhold.forwarding._withheld import Cause, Withheld
 from ebonyhold.types import BackendName, Seconds
@@ -154,7 +155,11 @@
             log.info("server limit ended, by another router", extra=fields)
 
     def withheld(
-        self, entry: BackendEntry, now: Seconds, relayed: bool = False
+        self,
+        entry: BackendEntry,
+        now: Seconds,
+        relayed: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -167,6 +172,8 @@
             relayed: Whether another router sends the request. Then this router's share
                 of the server's limits does not count, but the other one's, which asks
                 the same question.
+            version: The software version that the request's stream belongs to; None if
+                it belongs to none.
         """
         backend = entry.backend
         if not entry.listed:
@@ -177,6 +184,8 @@
             return Withheld(Cause.LEAVING)
         if entry.moved:
             return Withheld(Cause.MOVED)
+        if version is not None and backend.version != version:
+            return Withheld(Cause.OTHER_VERSION)
         if backend.domain in self.evacuated:
             return Withheld(Cause.EVACUATED)
         # Of the causes that end, the one that lasts longest is kept.
@@ -200,7 +209,11 @@
         return Withheld(cause, wait) if wait else None
 
     def admit(
-        self, entry: BackendEntry, now: Seconds, relayed: bool = False
+        self,
+        entry: BackendEntry,
+        now: Seconds,
+        relayed: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
@@ -209,7 +222,7 @@
         Returns:
             Why it must not be sent; None if it may be, and is counted.
         """
-        withheld = self.withheld(entry, now, relayed)
+        withheld = self.withheld(entry, now, relayed, version)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
         if not relayed:
@@ -265,6 +278,7 @@
         now: Seconds,
         tried: Iterable[BackendName] = (),
         relayed: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
@@ -279,7 +293,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now, relayed)
+            withheld = self.withheld(entry, now, relayed, version)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
@@ -322,7 +336,12 @@
             for entry in self.entries.values()
         )
 
-    def next_allowed(self, service: ServiceName, now: Seconds) -> Seconds | None:
+    def next_allowed(
+        self,
+        service: ServiceName,
+        now: Seconds,
+        version: SoftwareVersion | None = None,
+    ) -> Seconds | None:
         """Return the time until a server of a service may get a request.
 
         It is infinite if that is not known. None if no server is withheld by a binding
@@ -332,7 +351,7 @@
             withheld
             for entry in self.entries.values()
             if entry.backend.service == service
-            if (withheld := self.withheld(entry, now)) is not None
+            if (withheld := self.withheld(entry, now, version=version)) is not None
             if withheld.cause.ends
         ]
         if not any(withheld.cause.is_binding for withheld in found):
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -167,9 +167,11 @@
             return Refusal.NO_ANSWER if ran else Refusal.NOT_STARTED
         service = exchange.match.service
         relayed = self.paths.uses_relays
-        entries = self.backends.usable(service, now, exchange.tried, relayed)
+        entries = self.backends.usable(
+            service, now, exchange.tried, relayed, exchange.version
+        )
         if not entries:
-            wait = self.backends.next_allowed(service, now)
+            wait = self.backends.next_allowed(service, now, exchange.version)
             if wait is not None:
                 exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
             return self.no_server_left(exchange)
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -12,7 +12,7 @@
 from ebonyhold.forwarding._digest import request_digest
 from ebonyhold.forwarding._endings import BODILESS, AnswerEnding
 from ebonyhold.forwarding._routes import Match, host_of
-from ebonyhold.forwarding._types import CallerRequest, Headers
+from ebonyhold.forwarding._types import CallerRequest, Headers, SoftwareVersion
 from ebonyhold.types import BackendName, RequestDigest, Seconds, Tokens
 
 
@@ -96,6 +96,8 @@
         unreached: Those of them that could not be reached.
         may_have_run: Whether a server may have run it.
         last_event: The number of the last event that the caller has; None if none.
+        version: The software version that its stream belongs to, which is that of the
+            run whose first event the caller got; None before one.
         events: How many events were passed on.
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
@@ -121,6 +123,7 @@
     unreached: list[BackendName] = field(factory=list)
     may_have_run: bool = False
     last_event: int | None = None
+    version: SoftwareVersion | None = None
     events: int = 0
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -79,7 +79,7 @@
             now: When the entry was read.
         """
         known = self.entries.get(backend.name)
-        if known is None or known.backend.started_at != backend.started_at:
+        if known is None or known.backend.incarnation != backend.incarnation:
             # The server is new, is listed again, or has restarted under the same name.
             if known is not None:
                 known.listed = False
--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -195,6 +195,11 @@
     cold_for: Seconds = 0.0
     version: SoftwareVersion = ""
 
+    @property
+    def incarnation(self) -> tuple[int, SoftwareVersion]:
+        """What tells the runs of one name apart; a start may be unknown."""
+        return self.started_at, self.version
+
 
 @frozen
 class CallerRequest:
--- a/ebonyhold/forwarding/_withheld.py
+++ b/ebonyhold/forwarding/_withheld.py
@@ -18,6 +18,8 @@
         DRAINING: Its list entry states that it leaves.
         LEAVING: It has stated in an answer that it leaves.
         MOVED: Another server has its address.
+        OTHER_VERSION: It runs another software version than the one that began the
+            stream.
         EVACUATED: Its failure domain is evacuated.
         RESTING: It has asked this router for rest.
         LIMITED: The limit that it states does not allow a request from this router now.
@@ -30,6 +32,7 @@
     DRAINING = "draining"
     LEAVING = "leaving"
     MOVED = "moved"
+    OTHER_VERSION = "other_version"
     EVACUATED = "evacuated"
     RESTING = "resting"
     LIMITED = "limited"
--- a/tests/forwarding/test_withheld.py
+++ b/tests/forwarding/test_withheld.py
@@ -228,3 +228,18 @@
         change_while_connecting(fleet, "a", drain)
         got = await fleet.ask(request("/safe/x"))
     assert got.startswith(b"HTTP/1.1 200 ")
+
+
+def test_server_of_another_version_is_withheld_from_a_begun_stream() -> None:
+    """The version must be asked for where all other causes are."""
+    table = BackendTable()
+    server = Server("s", ok, version="v1")
+    table.update(server.backend())
+    entry = table.entries["s"]
+    assert table.withheld(entry, 0.0) is None
+    assert table.withheld(entry, 0.0, version="v1") is None
+    withheld = table.withheld(entry, 0.0, version="v2")
+    assert withheld is not None
+    assert withheld.cause is Cause.OTHER_VERSION
+    assert withheld.cause.is_binding and not withheld.cause.ends
+    assert table.next_allowed("svc", 0.0, "v2") is None
