Take streams up only at the version that began them, at any router

A caller whose stream breaks off comes back to any router, with Resumes and Last-Event-Id.

Each router keeps the version of the streams that it begins. While a second version is in play in the service, the first event of a stream tells three routers, which the hash of workspace and attempt chooses; a router that is asked for a stream asks these and the next one in order. When a second version appears, the streams that began before are told. A router that stops hands over what it knows. Nothing is told or asked while one version serves and the list of servers is current.

If nobody knows a stream, it began at the one version that all routers know, or it is refused at once, unrun (503, version_unknown); so is one whose version has no server (version_gone). A version that is new stays out of the choice for new streams for 2.5 s, unless no other is left, so that all routers know it first. A router whose list is old asks also with one version in play, and goes on only if others answer and know no more.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -240,6 +240,13 @@
     draining_servers,
     is_stopped,
 )
+from ._stream_versions import (
+    BegunStream,
+    StreamId,
+    StreamRecords,
+    VersionHistory,
+    stream_id,
+)
 from ._transactions import (
     Absent,
     AtVersion,
@@ -292,6 +299,7 @@
     "Backoff",
     "Beat",
     "BeatKind",
+    "BegunStream",
     "Bill",
     "BreakerPolicy",
     "BreakerState",
@@ -370,6 +378,8 @@
     "ServerRun",
     "Settlement",
     "StartupPolicy",
+    "StreamId",
+    "StreamRecords",
     "Table",
     "Ticket",
     "TokenBucket",
@@ -380,6 +390,7 @@
     "TransferOut",
     "TransferRow",
     "TransferState",
+    "VersionHistory",
     "Write",
     "announce_transfer",
     "append_transaction",
@@ -450,6 +461,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "stream_id",
     "to_bytes",
     "to_json",
     "topup_key",
--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -43,6 +43,12 @@
     Stage,
     accepts_late,
 )
+from ebonyhold.forwarding._streams import (
+    Found,
+    NoKeepers,
+    Origin,
+    StreamVersions,
+)
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Backend,
@@ -58,6 +64,7 @@
     Service,
     ServiceName,
     ServiceShare,
+    SoftwareVersion,
     Workspace,
 )
 from ebonyhold.tasks import Guard, TaskStarter
@@ -86,13 +93,16 @@
     "EventSplitter",
     "FleetRetryBudget",
     "Forwarder",
+    "Found",
     "Guard",
     "Headers",
     "HttpCalls",
     "LateRequest",
     "Match",
+    "NoKeepers",
     "NoPathError",
     "NoRouteError",
+    "Origin",
     "Outbound",
     "Path",
     "Paths",
@@ -116,8 +126,10 @@
     "ServiceName",
     "ServiceShare",
     "Shutdown",
+    "SoftwareVersion",
     "Stage",
     "StreamEvent",
+    "StreamVersions",
     "TaskStarter",
     "Traffic",
     "UnknownKeyError",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -9,7 +9,12 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
+from ebonyhold.forwarding._channel import (
+    MAX_STRAY,
+    AnswerHead,
+    Channel,
+    Outbound,
+)
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
@@ -29,6 +34,7 @@
     reads_end_stated,
     without_relay_fields,
 )
+from ebonyhold.forwarding._streams import StreamVersions
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Dispatch,
@@ -80,6 +86,7 @@
         paths: Opens the ways to servers.
         backends: Records failures.
         dialect: Decodes and encodes header fields.
+        streams: Records which version began a stream.
         suspect: Whether the request may crash the server.
         relay: The router that sends the request to the server; None if this one does.
         version: The software version of the server's run that was connected to.
@@ -90,6 +97,7 @@
     paths: Paths
     backends: BackendTable
     dialect: Dialect
+    streams: StreamVersions
     suspect: bool = False
     relay: RelayAddress | None = None
     version: SoftwareVersion = field(init=False)
@@ -386,6 +394,8 @@
         exchange = self.exchange
         if exchange.version is None:
             exchange.version = self.version
+        if not exchange.events:
+            self.streams.begin(exchange, exchange.version)
         exchange.events += len(events)
         numbers = [event.number for event in events if event.number is not None]
         if numbers:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -160,6 +160,7 @@
         now: Seconds,
         relayed: bool = False,
         version: SoftwareVersion | None = None,
+        begins: bool = False,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -174,6 +175,7 @@
                 the same question.
             version: The software version that the request's stream belongs to; None if
                 it belongs to none.
+            begins: Whether the request begins a stream that callers may take up.
         """
         backend = entry.backend
         if not entry.listed:
@@ -206,6 +208,9 @@
                 cause, wait = Cause.BRITTLE, brittle_wait
         if not wait and now < entry.full_until:
             cause, wait = Cause.FULL, entry.full_until - now
+        if not wait and begins:
+            cause = Cause.UNSETTLED
+            wait = self.versions.unsettled_for(backend.service, backend.version, now)
         return Withheld(cause, wait) if wait else None
 
     def admit(
@@ -279,6 +284,7 @@
         tried: Iterable[BackendName] = (),
         relayed: bool = False,
         version: SoftwareVersion | None = None,
+        begins: bool = False,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
@@ -293,7 +299,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now, relayed, version)
+            withheld = self.withheld(entry, now, relayed, version, begins)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -19,6 +19,11 @@
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
+from ebonyhold.forwarding._streams import (
+    StreamVersions,
+    UnknownVersionError,
+    takes_up,
+)
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -56,6 +61,7 @@
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
         ages: Returns the age of each cached input in seconds, for logs.
+        streams: Finds the versions of streams that callers take up.
     """
 
     domain: str
@@ -66,6 +72,7 @@
     places: PlaceQueue
     crashes: CrashDetector
     ages: Callable[[], dict[str, Seconds]]
+    streams: StreamVersions
 
     async def dispatch(self, exchange: Exchange) -> Refusal | None:
         """Send a request to servers in turn, until an answer was passed on.
@@ -73,6 +80,12 @@
         Returns:
             None if one was passed on; otherwise why the request is given up.
         """
+        if takes_up(exchange):
+            try:
+                exchange.version = await self.streams.find(exchange)
+            except UnknownVersionError as error:
+                exchange.reasons.append(str(error))
+                return Refusal.VERSION_UNKNOWN
         while True:
             depth = self.crashes.depth(exchange)
             suspect = depth > 0 or bool(exchange.losses)
@@ -82,7 +95,13 @@
                     continue
                 return entry
             attempt = Attempt(
-                exchange, entry, self.paths, self.backends, self.dialect, suspect
+                exchange,
+                entry,
+                self.paths,
+                self.backends,
+                self.dialect,
+                self.streams,
+                suspect,
             )
             if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
@@ -168,7 +187,12 @@
         service = exchange.match.service
         relayed = self.paths.uses_relays
         entries = self.backends.usable(
-            service, now, exchange.tried, relayed, exchange.version
+            service,
+            now,
+            exchange.tried,
+            relayed,
+            exchange.version,
+            begins=exchange.match.route.resumable and exchange.version is None,
         )
         if not entries:
             wait = self.backends.next_allowed(service, now, exchange.version)
@@ -182,13 +206,16 @@
     def no_server_left(self, exchange: Exchange) -> Refusal:
         """Return the refusal for a request when no untried server is left.
 
-        SERVERS_FULL means that each server that got the request declined it, and
-        SERVERS_LIMITED that a server may get requests again later.
+        SERVERS_FULL means that each server that got the request declined it,
+        SERVERS_LIMITED that a server may get requests again later, and VERSION_GONE
+        that no server of the stream's version is left.
         """
         if exchange.may_have_run:
             return Refusal.SERVER_LOST
         if exchange.retry_after is not None:
             return Refusal.SERVERS_LIMITED
+        if exchange.version is not None and not exchange.sends:
+            return Refusal.VERSION_GONE
         return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
 
     def record_failure(
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -33,6 +33,7 @@
     match_request,
 )
 from ebonyhold.forwarding._shutdown import Shutdown
+from ebonyhold.forwarding._streams import StreamVersions
 from ebonyhold.forwarding._types import CallerRequest, Headers, Ruleset
 from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
 
@@ -97,6 +98,7 @@
         shutdown: Decides which requests are accepted during a shutdown.
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
+        streams: Keeps which software version each stream belongs to.
         dispatcher: Sends requests to servers.
     """
 
@@ -115,6 +117,9 @@
     crashes: CrashDetector = Factory(
         lambda self: CrashDetector(self.paths, self.backends), takes_self=True
     )
+    streams: StreamVersions = Factory(
+        lambda self: StreamVersions(self.backends), takes_self=True
+    )
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -127,6 +132,7 @@
             self.places,
             self.crashes,
             self.ages,
+            self.streams,
         )
 
     async def serve(
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -36,6 +36,8 @@
     NO_ANSWER = (504, "no_answer_in_time")
     CRASHES_SERVERS = (400, "crashes_servers")
     SERVERS_LIMITED = (503, "servers_limited")
+    VERSION_UNKNOWN = (503, "version_unknown")
+    VERSION_GONE = (503, "version_gone")
 
     @property
     def status(self) -> int:
@@ -60,6 +62,8 @@
     # router.
     Refusal.BUDGET_UNREACHABLE: 0.05,
     Refusal.SLOW_REQUEST: 0.1,
+    # Routers learn of a stream some milliseconds after its first event.
+    Refusal.VERSION_UNKNOWN: 0.1,
     # The caller's retry reaches another router. Waiting 0.8 s, until other stopping
     # routers may be back, would only delay the answer.
     Refusal.STOPPING: 0.05,
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from attrs import define, field
 
-from ebonyhold.coordination import EjectionPolicy, Ejector, ServerRun
+from ebonyhold.coordination import EjectionPolicy, Ejector, ServerRun, VersionHistory
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
 from ebonyhold.forwarding._types import Backend, BackendState, Service, ServiceName
 from ebonyhold.types import BackendName, Seconds
@@ -31,6 +31,12 @@
 unreachable costs only one failed connection.
 """
 
+CURRENT_FOR: Seconds = 2.2
+"""Age of the list up to which it is current.
+
+It is less than the time after which a new version is assumed to be known everywhere.
+"""
+
 UNLISTED_KEPT: Seconds = 60.0
 """How long it is remembered what a server has stated, after it was removed.
 
@@ -49,6 +55,9 @@
         ejector: Decides which failing servers to avoid.
         services: The settings of the services.
         evacuated: The failure domains whose servers get no requests.
+        versions: The software versions in play.
+        read_age: Returns the time since the list was last read.
+        on_version: Called with a service in which a version is listed beside another.
     """
 
     entries: dict[BackendName, BackendEntry] = field(factory=dict)
@@ -56,6 +65,9 @@
     ejector: Ejector = field(factory=lambda: Ejector(EJECTION))
     services: Mapping[ServiceName, Service] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
+    versions: VersionHistory = field(factory=VersionHistory)
+    read_age: Callable[[], Seconds] = lambda: 0.0
+    on_version: Callable[[ServiceName], None] = lambda service: None
 
     def replace(
         self, listed: Mapping[BackendName, Backend], now: Seconds, after_outage: bool
@@ -64,12 +76,13 @@
 
         Servers that are not listed are removed as in `remove`.
         """
+        first = not self.versions.seen
         for backend in listed.values():
-            self.update(backend, now)
+            self.update(backend, now, first)
         for name in [name for name in self.entries if name not in listed]:
             self.remove(name, now, after_outage)
 
-    def update(self, backend: Backend, now: Seconds = 0.0) -> None:
+    def update(self, backend: Backend, now: Seconds = 0.0, first: bool = False) -> None:
         """Add a server, or update it; a restarted server loses its earlier state.
 
         A run that is listed again keeps its state.
@@ -77,7 +90,12 @@
         Args:
             backend: The server's entry in the server list.
             now: When the entry was read.
+            first: Whether it is in the first list that this router reads.
         """
+        if self.versions.record(backend.service, backend.version, now, first):
+            fields = {"service": backend.service, "version": backend.version}
+            log.info("version listed", extra=fields)
+            self.on_version(backend.service)
         known = self.entries.get(backend.name)
         if known is None or known.backend.incarnation != backend.incarnation:
             # The server is new, is listed again, or has restarted under the same name.
@@ -97,6 +115,11 @@
         known.backend = backend
         known.drop_at = None
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the list shows all changes that are two seconds old."""
+        return self.read_age() < CURRENT_FOR
+
     def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
         """Set the failure domains whose servers get no requests.
 
@@ -127,7 +150,14 @@
         self.drop(entry, now)
 
     def expire(self, now: Seconds) -> None:
-        """Remove the servers whose LAPSE_GRACE has passed, and forget old runs."""
+        """Remove the servers whose LAPSE_GRACE has passed, and forget old runs.
+
+        So are versions that no server has had for long.
+        """
+        for entry in self.entries.values():
+            backend = entry.backend
+            self.versions.record(backend.service, backend.version, now)
+        self.versions.expire(now)
         for entry in list(self.entries.values()):
             if entry.drop_at is not None and now >= entry.drop_at:
                 self.drop(entry, now)
--- /dev/null
+++ b/ebonyhold/forwarding/_streams.py
@@ -0,0 +1,195 @@
+"""Which software version the streams belong to that callers take up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+from enum import Enum
+from typing import Protocol
+
+import anyio
+from attrs import define, field, frozen
+
+from ebonyhold.coordination import BegunStream, StreamId, StreamRecords, stream_id
+from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.forwarding._exchange import Exchange
+from ebonyhold.forwarding._server_list import ServerList
+from ebonyhold.forwarding._types import RouteKind, ServiceName, SoftwareVersion
+
+
+class Origin(Enum):
+    """How the version of a stream that a caller takes up was found.
+
+    Attributes:
+        OWN: This router has begun it, or was told.
+        ONLY: One version is in play in the service.
+        TOLD: Another router knew it.
+        SETTLED: No router knows it, and it can have begun at one version alone.
+        UNKNOWN: It was not found.
+    """
+
+    OWN = "own"
+    ONLY = "only"
+    TOLD = "told"
+    SETTLED = "settled"
+    UNKNOWN = "unknown"
+
+
+class UnknownVersionError(EbonyholdError):
+    """A stream may belong to several versions, and it is not known to which."""
+
+    code = "version_unknown"
+
+
+@frozen
+class Found:
+    """What other routers know of a stream.
+
+    Attributes:
+        begun: The stream; None if none of them knows it.
+        answered: How many of them have answered.
+        versions: The versions that are in play in the service by their lists.
+    """
+
+    begun: BegunStream | None = None
+    answered: int = 0
+    versions: frozenset[SoftwareVersion] = frozenset()
+
+
+class StreamKeepers(Protocol):
+    """The routers that are told of streams, and asked for them."""
+
+    def tell(self, begun: Mapping[StreamId, BegunStream]) -> None:
+        """Tell the keepers of some streams, without waiting."""
+        ...
+
+    async def ask(self, stream: StreamId, service: ServiceName) -> Found:
+        """Return what the keepers of a stream know."""
+        ...
+
+    @property
+    def are_known(self) -> bool:
+        """Whether other routers are known that keep streams."""
+        ...
+
+
+@define
+class NoKeepers:
+    """The keepers of a router that is alone."""
+
+    are_known: bool = False
+
+    def tell(self, begun: Mapping[StreamId, BegunStream]) -> None:
+        """Tell nobody."""
+
+    async def ask(self, stream: StreamId, service: ServiceName) -> Found:
+        """Return that nobody knows the stream."""
+        return Found()
+
+
+@define(eq=False)
+class StreamVersions:
+    """Keeps the versions of streams, and finds those of streams that are taken up.
+
+    While one version is in play in a service, its streams are kept here alone and
+    nobody is asked. When a second one appears, the keepers are told of those that are
+    kept, and from then on of each stream with its first event.
+
+    Attributes:
+        servers: The list of servers.
+        keepers: The routers that are told of streams.
+        records: The streams that this router has begun or keeps for others.
+        on_found: Called with how a version was found, for metrics.
+    """
+
+    servers: ServerList
+    keepers: StreamKeepers = field(factory=NoKeepers)
+    records: StreamRecords = field(factory=StreamRecords)
+    on_found: Callable[[Origin], None] = lambda origin: None
+
+    def __attrs_post_init__(self) -> None:
+        self.servers.on_version = self.tell_all
+
+    def tell_all(self, service: ServiceName) -> None:
+        """Tell the keepers of a service's streams, as a second version has appeared."""
+        begun = self.records.of_service(service)
+        if begun:
+            self.keepers.tell(begun)
+
+    def begin(self, exchange: Exchange, version: SoftwareVersion) -> None:
+        """Record that a caller gets the first event of an answer."""
+        if not exchange.match.route.resumable:
+            return
+        service = exchange.match.service
+        begun = BegunStream(service, version)
+        stream = id_of(exchange, exchange.caller.request_id)
+        self.records.add(stream, begun, anyio.current_time())
+        if self.servers.versions.are_several(service) or not self.servers.is_current:
+            self.keepers.tell({stream: begun})
+
+    async def find(self, exchange: Exchange) -> SoftwareVersion | None:
+        """Return the version of a stream that a caller takes up.
+
+        Returns:
+            None if the stream began in another service, or no server is known.
+
+        Raises:
+            UnknownVersionError: It may belong to several versions.
+        """
+        service = exchange.match.service
+        stream = id_of(exchange, exchange.caller.resumes)
+        begun = self.records.begun.get(stream)
+        if begun is not None:
+            return self.found(Origin.OWN, begun, service)
+        current = self.servers.is_current
+        in_play = list(self.servers.versions.in_play(service))
+        if current and len(in_play) <= 1:
+            self.on_found(Origin.ONLY)
+            return in_play[0] if in_play else None
+        asked = Found()
+        if exchange.caller.resumes:
+            asked = await self.keepers.ask(stream, service)
+        if asked.begun is not None:
+            self.records.add(stream, asked.begun, anyio.current_time())
+            return self.found(Origin.TOLD, asked.begun, service)
+        possible = self.possible_versions(service, current, asked)
+        if len(possible) != 1:
+            self.on_found(Origin.UNKNOWN)
+            raise UnknownVersionError(f"one of {sorted(possible)}")
+        self.on_found(Origin.SETTLED)
+        return next(iter(possible))
+
+    def found(
+        self, origin: Origin, begun: BegunStream, service: ServiceName
+    ) -> SoftwareVersion | None:
+        """Count how a stream was found, and return its version in a service."""
+        self.on_found(origin)
+        return begun.version if begun.service == service else None
+
+    def possible_versions(
+        self, service: ServiceName, current: bool, asked: Found
+    ) -> Collection[SoftwareVersion]:
+        """Return the versions at which a stream that nobody knows may have begun.
+
+        With a current list these are the settled ones: streams begin at others only if
+        nothing else is left, and then the keepers were told. Without one, this router
+        may have missed a version, so others must have answered.
+        """
+        versions = self.servers.versions
+        if current:
+            return versions.settled(service, anyio.current_time())
+        if self.keepers.are_known and not asked.answered:
+            return ()
+        return {*versions.in_play(service), *asked.versions}
+
+
+def id_of(exchange: Exchange, attempt: str) -> StreamId:
+    """Return the identifier of a stream of the same workspace."""
+    workspace = exchange.match.workspace
+    return stream_id(workspace.name if workspace is not None else "", attempt)
+
+
+def takes_up(exchange: Exchange) -> bool:
+    """Return whether a request goes on with a stream that an earlier one has begun."""
+    route = exchange.match.route
+    resumable = route.kind is RouteKind.STREAM and route.resumable
+    return resumable and exchange.caller.resume_after is not None
--- a/ebonyhold/forwarding/_withheld.py
+++ b/ebonyhold/forwarding/_withheld.py
@@ -26,6 +26,8 @@
         BRITTLE: It is brittle, and has no place left for a request from this router.
         COLD: It is cold, and what it tolerates from this router is used up.
         FULL: It declined a request a moment ago.
+        UNSETTLED: Not all routers may know its software version yet, and the request
+            may begin a stream that another router is to carry on.
     """
 
     GONE = "gone"
@@ -39,6 +41,7 @@
     BRITTLE = "brittle"
     COLD = "cold"
     FULL = "full"
+    UNSETTLED = "unsettled"
 
     @property
     def ends(self) -> bool:
@@ -48,11 +51,18 @@
     @property
     def is_binding(self) -> bool:
         """Whether the server gets no request even if no other server is left."""
-        return self is not Cause.FULL
+        return self not in (Cause.FULL, Cause.UNSETTLED)
 
 
 TEMPORARY = frozenset(
-    {Cause.RESTING, Cause.LIMITED, Cause.BRITTLE, Cause.COLD, Cause.FULL}
+    {
+        Cause.RESTING,
+        Cause.LIMITED,
+        Cause.BRITTLE,
+        Cause.COLD,
+        Cause.FULL,
+        Cause.UNSETTLED,
+    }
 )
 """The causes that end while the server runs."""
 
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 from attrs import define, evolve, field
 
-from ebonyhold.coordination import CrashRecords, LimitShares
+from ebonyhold.coordination import CrashRecords, LimitShares, StreamRecords
 from ebonyhold.forwarding import (
     CallerConnection,
     CallerLimits,
@@ -27,6 +27,7 @@
     RequestRelay,
     Ruleset,
     Shutdown,
+    StreamVersions,
 )
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
@@ -41,6 +42,7 @@
 from ebonyhold.gateway._routing_state import RoutingState
 from ebonyhold.gateway._signals import watched_signals
 from ebonyhold.gateway._stop import GatewayStop
+from ebonyhold.gateway._streams import GatewayStreams
 from ebonyhold.gateway._supervision import GuardedTasks, Supervisor
 from ebonyhold.gateway._transfers import (
     PEER_LIMITS,
@@ -80,6 +82,7 @@
         shutdown: Decides which requests are accepted while the process stops.
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
+        streams: The gateways that keep which version began a stream.
         draining: Whether the stop has begun.
     """
 
@@ -102,6 +105,7 @@
     shutdown: Shutdown = field(init=False)
     relays: GatewayRelays = field(init=False)
     reach: Reachability = field(init=False)
+    streams: GatewayStreams = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     pool: ChannelPool | None = None
     draining: bool = False
@@ -118,6 +122,7 @@
         self.holder_table = table = HolderTable(name, platform.settings.domain)
         shares = LimitShares(name, lambda: self.presence.count())
         self.routing.backends.shares = shares
+        self.routing.backends.read_age = self.list_age
         self.presence = Presence(
             store,
             name,
@@ -134,6 +139,13 @@
         self.relays = GatewayRelays(
             name, platform.settings.domain, self.peers, self.presence.peers
         )
+        self.streams = GatewayStreams(
+            name,
+            self.peers,
+            self.presence.peers,
+            StreamRecords(),
+            self.routing.backends.versions,
+        )
         self.holders = GatewayHolders(self.peers, self.metrics.count_hold)
         self.renewals = Renewals(
             store,
@@ -216,6 +228,7 @@
             supervisor.start("presence", self.presence.run)
             supervisor.start("treasury", self.grant_manager.run)
             supervisor.start("settlements", self.holders.run)
+            supervisor.start("streams", self.streams.run)
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
             self.start_listeners(tasks, supervisor)
@@ -255,6 +268,12 @@
             crashes=CrashDetector(
                 paths, self.routing.backends, self.observations.crashes
             ),
+            streams=StreamVersions(
+                self.routing.backends,
+                self.streams,
+                self.streams.records,
+                self.metrics.count_stream,
+            ),
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
@@ -306,6 +325,7 @@
             self.observations.merge,
             prober.answer,
             relay.serve,
+            self.streams,
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
@@ -330,6 +350,10 @@
         self.reach.record_connect(server, outcome, anyio.current_time())
         self.pressure.record_connect(server, outcome)
 
+    def list_age(self) -> Seconds:
+        """Return the time since the list of servers was last read."""
+        return self.servers_watcher.age(anyio.current_time())
+
     def ages(self) -> dict[str, Seconds]:
         """Return how long ago the store last answered for rules and for servers.
 
@@ -428,7 +452,9 @@
         """
         while True:
             await anyio.sleep(EXPIRY_INTERVAL)
-            self.routing.backends.expire(anyio.current_time())
+            now = anyio.current_time()
+            self.routing.backends.expire(now)
+            self.streams.records.expire(now)
             self.reach.forget_unlisted(self.routing.backends.entries)
 
     async def handle_signals(self, stop: Callable[[], None]) -> None:
@@ -449,12 +475,18 @@
             return
         self.draining = True
         stop = GatewayStop(self.listener, self.shutdown, self.grant_manager, self.leave)
-        await stop.run(self.platform.settings.grace)
+        async with anyio.create_task_group() as steps:
+            steps.start_soon(self.streams.hand_over)
+            await stop.run(self.platform.settings.grace)
         with anyio.move_on_after(FINAL_SETTLEMENT_TIMEOUT):
             await self.holders.send_all()
         tasks.cancel_scope.cancel()
 
     async def leave(self) -> None:
-        """Remove this router's rows; the limits row stays if a successor needs it."""
+        """Remove this router's rows; the limits row stays if a successor needs it.
+
+        What it knows of streams goes to other gateways.
+        """
+        await self.streams.hand_over()
         await self.renewals.leave()
         await self.presence.leave()
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -25,6 +25,13 @@
     ObservationsRow,
 )
 from ebonyhold.gateway._relays import REACH_TARGET, ReachAnswer, ReachQuestion
+from ebonyhold.gateway._streams import (
+    NOTICES_TARGET,
+    QUESTIONS_TARGET,
+    BegunStreams,
+    GatewayStreams,
+    StreamQuestion,
+)
 from ebonyhold.gateway._transfers import (
     ANSWER_HEADERS,
     JSON_HEADERS,
@@ -219,6 +226,7 @@
         on_observations: Called with the observations of other gateways.
         answer_reach: Answers which servers this gateway reaches.
         relay: Serves a request that this gateway is to send to a server.
+        streams: Keeps streams for other gateways.
     """
 
     transfers: TransferHandler
@@ -226,12 +234,13 @@
     on_observations: Callable[[ObservationsRow], None] = lambda observed: None
     answer_reach: Callable[[ReachQuestion], Awaitable[ReachAnswer]] | None = None
     relay: Serve | None = None
+    streams: GatewayStreams | None = None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         """Answer one message according to its target; a malformed one gets 400."""
-        answer: HoldAnswer | SettlementsAnswer | ObservationsAnswer | ReachAnswer
+        answer: object
         if self.relay is not None and head.target.startswith(RELAY_PREFIX):
             await self.relay(connection, head, body)
             return
@@ -245,6 +254,10 @@
                 answer = ObservationsAnswer()
             elif head.target == REACH_TARGET and self.answer_reach is not None:
                 answer = await self.answer_reach(read_message(body, ReachQuestion))
+            elif head.target == NOTICES_TARGET and self.streams is not None:
+                answer = self.streams.record(read_message(body, BegunStreams))
+            elif head.target == QUESTIONS_TARGET and self.streams is not None:
+                answer = self.streams.answer(read_message(body, StreamQuestion))
             else:
                 await self.transfers.serve(connection, head, body)
                 return
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -13,6 +13,7 @@
 from ebonyhold.forwarding import (
     AnswerEnding,
     ConnectOutcome,
+    Origin,
     Reach,
     Reachability,
     RelayResult,
@@ -146,6 +147,17 @@
             registry=self.registry,
         )
 
+        self.streams_taken_up = Counter(
+            "ebonyhold_gateway_streams_taken_up_total",
+            "Streams that callers took up, by how their version was found.",
+            ("origin",),
+            registry=self.registry,
+        )
+
+    def count_stream(self, origin: Origin) -> None:
+        """Count a stream that a caller took up."""
+        self.streams_taken_up.labels(origin.value).inc()
+
     def count_answer(self, ending: AnswerEnding) -> None:
         """Count an answer of a server by how it ended."""
         self.answers.labels(ending.value).inc()
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -88,12 +88,14 @@
         domain: The router's failure domain.
         relay_key: The key with which other routers send it requests to pass on to
             servers; empty if it passes none on.
+        keeps_streams: Whether the router keeps which version began a stream.
     """
 
     router: RouterId = ""
     address: str = ""
     domain: str = ""
     relay_key: str = ""
+    keeps_streams: bool = False
 
 
 @define
@@ -203,7 +205,13 @@
             # If the removed row were written again, the others would go on counting
             # this router.
             return
-        own = PresenceRow(self.incarnation, self.address, self.domain, self.relay_key)
+        own = PresenceRow(
+            self.incarnation,
+            self.address,
+            self.domain,
+            self.relay_key,
+            keeps_streams=bool(self.address),
+        )
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
         self.observe(await self.store.scan(f"{TABLE}//"))
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -219,6 +219,12 @@
             "unconfirmed settlements are sent again; a holder charges a hold without a "
             "settlement in full",
         ),
+        TaskRule(
+            "streams",
+            "other routers are not told which software version began a stream",
+            AFTER_PAUSE,
+            "a stream of which nobody knows is refused while several versions serve",
+        ),
         TaskRule(
             "lent holds",
             "expired holds of killed routers are not ended",
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -13,7 +13,7 @@
 from attrs import define, evolve, field
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding import BackendTable, ChannelPool, Paths, _pool
+from ebonyhold.forwarding import BackendTable, ChannelPool, Paths, StreamVersions, _pool
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._channel import Channel
 from ebonyhold.forwarding._exchange import AttemptEnd
@@ -229,6 +229,7 @@
         Paths(UnreachablePool(meanwhile)),  # type: ignore[arg-type]
         table,
         PlatformDialect(),
+        StreamVersions(table),
     )
     result = await attempt.run()
     assert result.end is AttemptEnd.NOT_SENT
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -23,6 +23,7 @@
 from ebonyhold.callers._codes import Kind, Ran
 from ebonyhold.configuration._parts import Change
 from ebonyhold.configuration._store import BaseIndex, Manifest, Pack, PackEntry
+from ebonyhold.coordination import BegunStream
 from ebonyhold.coordination._attempts import AttemptState
 from ebonyhold.coordination._configuration import HeadRow
 from ebonyhold.coordination._crashes import CrashReport, RequestLoss, ServerRun
@@ -88,6 +89,12 @@
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._relays import ReachAnswer, ReachQuestion
 from ebonyhold.gateway._renewals import LimitsRow
+from ebonyhold.gateway._streams import (
+    BegunStreams,
+    BegunStreamsAnswer,
+    StreamAnswer,
+    StreamQuestion,
+)
 from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.gateway._transfers import TransferRequest as GatewayTransferRequest
 from ebonyhold.operators._interface import (
@@ -246,6 +253,13 @@
     "row-presence-relay": PresenceRow(
         router="vm-1.b1", address="10.0.0.1:7100", domain="rack-1", relay_key="5e0a"
     ),
+    "row-presence-streams": PresenceRow(
+        router="vm-1.b1",
+        address="10.0.0.1:7100",
+        domain="rack-1",
+        relay_key="5e0a",
+        keeps_streams=True,
+    ),
     "row-limits": LimitsRow(
         router="vm-1.b1",
         address="10.0.0.1:7100",
@@ -370,6 +384,12 @@
     "observations": OBSERVATIONS,
     "observations-shared": SHARED_OBSERVATIONS,
     "observations-answer": ObservationsAnswer(),
+    "begun-streams": BegunStreams(streams={"5e0a": BegunStream("chat", "v1.1")}),
+    "begun-streams-answer": BegunStreamsAnswer(),
+    "stream-question": StreamQuestion(stream="5e0a", service="chat"),
+    "stream-answer": StreamAnswer(
+        known=True, begun=BegunStream("chat", "v1.1"), versions=("v1", "v1.1")
+    ),
     "reach-question": ReachQuestion(servers=("i-1", "i-2")),
     "reach-answer": ReachAnswer(reached=("i-1",), refused=("i-2",)),
 }
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -97,6 +97,7 @@
     (CrashReport, attrs.fields(CrashReport).shared.name),
     (RequestLoss, attrs.fields(RequestLoss).alone.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
+    (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
 }
 """Attributes that the first file of their class does not have; a later file does."""
 
