Carry no stream on over a connection to a run that is not known

A server that restarts under its name with another version is listed as its earlier run until the list is read again, with the store away for as long as that lasts: streams went on there, and new ones were recorded with the wrong version.

A connection to the earlier run is gone, so when it was opened tells the run: one that was opened after the server's process was seen to have ended, or since the last reading of an old list while several versions are in play, leads to a run that is not known (withheld: unconfirmed). A stream that begins there goes on nowhere.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -13,6 +13,7 @@
     MAX_STRAY,
     AnswerHead,
     Channel,
+    ConnectRefusedError,
     Outbound,
 )
 from ebonyhold.forwarding._dialect import Dialect
@@ -34,13 +35,14 @@
     reads_end_stated,
     without_relay_fields,
 )
-from ebonyhold.forwarding._streams import StreamVersions
+from ebonyhold.forwarding._streams import UNKNOWN_VERSION, StreamVersions
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Dispatch,
     RouteKind,
     SoftwareVersion,
 )
+from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
 
@@ -126,18 +128,27 @@
         except NoPathError as error:
             return AttemptResult(AttemptEnd.NO_PATH, reason=str(error))
         except BackendLostError as error:
+            if isinstance(error, ConnectRefusedError):
+                self.backends.record_end(self.entry, anyio.current_time())
             self.backends.lost(self.entry, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.relay = path.relay
         now = anyio.current_time()
+        opened_at = path.channel.opened_at if path.relay is None else None
         withheld = self.backends.admit(
-            self.entry, now, path.relay is not None, self.exchange.version
+            self.entry, now, path.relay is not None, self.exchange.version, opened_at
         )
         if withheld is not None:
             path.channel.keep_unused(now)
             await self.paths.put(backend, path)
+            if withheld.cause is Cause.UNCONFIRMED:
+                # It would be chosen again, since this is known of a connection alone.
+                self.exchange.tried.append(backend.name)
             reason = f"withheld: {withheld.cause.value}"
             return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
+        if opened_at is not None:
+            known = self.backends.is_run_known(self.entry, opened_at, now)
+            self.version = backend.version if known else UNKNOWN_VERSION
         kept = False
         try:
             with self.entry.working(self.exchange.caller) as work:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -161,6 +161,7 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         begins: bool = False,
+        opened_at: Seconds | None = None,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -176,6 +177,8 @@
             version: The software version that the request's stream belongs to; None if
                 it belongs to none.
             begins: Whether the request begins a stream that callers may take up.
+            opened_at: When the connection was opened on which it is to be sent; None
+                before one is chosen, or if another router sends it.
         """
         backend = entry.backend
         if not entry.listed:
@@ -188,6 +191,9 @@
             return Withheld(Cause.MOVED)
         if version is not None and backend.version != version:
             return Withheld(Cause.OTHER_VERSION)
+        known = opened_at is None or self.is_run_known(entry, opened_at, now)
+        if version is not None and not known:
+            return Withheld(Cause.UNCONFIRMED)
         if backend.domain in self.evacuated:
             return Withheld(Cause.EVACUATED)
         # Of the causes that end, the one that lasts longest is kept.
@@ -219,6 +225,7 @@
         now: Seconds,
         relayed: bool = False,
         version: SoftwareVersion | None = None,
+        opened_at: Seconds | None = None,
     ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
@@ -227,7 +234,7 @@
         Returns:
             Why it must not be sent; None if it may be, and is counted.
         """
-        withheld = self.withheld(entry, now, relayed, version)
+        withheld = self.withheld(entry, now, relayed, version, opened_at=opened_at)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
         if not relayed:
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -117,6 +117,7 @@
         stream: The connection.
         tasks: Starts the task that reads the connection.
         address: The server's host and port.
+        opened_at: When it was opened.
         inbox: The bytes received from the server.
         parser: The protocol state of the current request.
         request: The current request; None between requests.
@@ -130,6 +131,7 @@
     stream: SocketStream
     tasks: TaskStarter
     address: tuple[str, int]
+    opened_at: Seconds = field(factory=anyio.current_time)
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -117,6 +117,7 @@
         try:
             crashed = await self.paths.has_ended(entry.backend)
             if crashed:
+                self.backends.record_end(entry, at)
                 self.forget_ends(at - KEPT_ENDS)
                 at = self.ended.setdefault(entry.backend.name, at)
                 await anyio.sleep(COINCIDENCE)
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -40,6 +40,8 @@
         cold_until: Until when the server counts as cold.
         cold_limit: How much of its limit while cold this router has used; None if
             it was not cold when it was last considered.
+        ended_at: When its process was seen to have ended, while the list shows the run
+            still; None if it was not, or the list has confirmed the run since.
         drop_at: When to remove it from the table, if its list entry is missing after an
             outage of the store, or when to forget a run that is not listed any more;
             None otherwise.
@@ -60,6 +62,7 @@
     probed_in: int | None = None
     cold_until: Seconds = 0.0
     cold_limit: SendingLimit | None = None
+    ended_at: Seconds | None = None
     drop_at: Seconds | None = None
 
     @contextmanager
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -37,6 +37,9 @@
 It is less than the time after which a new version is assumed to be known everywhere.
 """
 
+CONFIRMED_AFTER: Seconds = 2.5
+"""Time from the end of a server's process after which an entry read is not older."""
+
 UNLISTED_KEPT: Seconds = 60.0
 """How long it is remembered what a server has stated, after it was removed.
 
@@ -114,12 +117,38 @@
         known.moved = known.moved and known.backend.address == backend.address
         known.backend = backend
         known.drop_at = None
+        if known.ended_at is not None and now - known.ended_at >= CONFIRMED_AFTER:
+            known.ended_at = None
 
     @property
     def is_current(self) -> bool:
         """Whether the list shows all changes that are two seconds old."""
         return self.read_age() < CURRENT_FOR
 
+    def record_end(self, entry: BackendEntry, now: Seconds) -> None:
+        """Record that a server's process has ended; it may be back as another run."""
+        if entry.ended_at is None:
+            entry.ended_at = now
+
+    def is_run_known(
+        self, entry: BackendEntry, opened_at: Seconds, now: Seconds
+    ) -> bool:
+        """Return whether a connection leads to the run of a server that is listed.
+
+        A connection to an earlier run is gone when the server restarts. One that was
+        opened since may lead to the next run, which the list does not show yet.
+
+        Args:
+            entry: The server.
+            opened_at: When the connection was opened.
+            now: The time.
+        """
+        if entry.ended_at is not None and opened_at > entry.ended_at:
+            return False
+        if self.is_current or not self.versions.are_several(entry.backend.service):
+            return True
+        return opened_at <= now - self.read_age()
+
     def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
         """Set the failure domains whose servers get no requests.
 
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -15,6 +15,12 @@
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import RouteKind, ServiceName, SoftwareVersion
 
+UNKNOWN_VERSION: SoftwareVersion = "\0unknown"
+"""The version of a stream that began at a run of a server whose version is not known.
+
+No server states it, so the stream goes on nowhere.
+"""
+
 
 class Origin(Enum):
     """How the version of a stream that a caller takes up was found.
--- a/ebonyhold/forwarding/_withheld.py
+++ b/ebonyhold/forwarding/_withheld.py
@@ -20,6 +20,7 @@
         MOVED: Another server has its address.
         OTHER_VERSION: It runs another software version than the one that began the
             stream.
+        UNCONFIRMED: It may have restarted with another version since the list was read.
         EVACUATED: Its failure domain is evacuated.
         RESTING: It has asked this router for rest.
         LIMITED: The limit that it states does not allow a request from this router now.
@@ -35,6 +36,7 @@
     LEAVING = "leaving"
     MOVED = "moved"
     OTHER_VERSION = "other_version"
+    UNCONFIRMED = "unconfirmed"
     EVACUATED = "evacuated"
     RESTING = "resting"
     LIMITED = "limited"
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -9,6 +9,7 @@
 from anyio.abc import SocketStream
 from attrs import evolve
 
+from ebonyhold.forwarding import BackendTable
 from tests.forwarding.kit import (
     Rig,
     Script,
@@ -123,3 +124,59 @@
         got = await router.ask(request("/stream/x"))
     assert numbers(got) == [1]
     assert (len(bad.requests), len(other.requests)) == (1, 0)
+
+
+@pytest.mark.parametrize("ended", ["same", "bad"])
+async def test_run_that_the_list_does_not_show_yet_mixes_nothing(ended: str) -> None:
+    """A server that is back under its name may run another version."""
+    bad = Server("bad", broken_stream, version="v1")
+    same = Server("same", whole_stream, version="v1")
+    async with rig(bad, same) as router:
+        prefer(router, [bad, same])
+        entry = router.forwarder.backends.entries[ended]
+        router.forwarder.backends.record_end(entry, anyio.current_time())
+        got = await router.ask(request("/stream/x"))
+    assert numbers(got)[:2] == [1, 2]
+    assert not got.endswith(b"0\r\n\r\n")
+    assert not same.requests
+
+
+RUNS = [
+    # end of the process, last update, age of the list, versions, opened, run is known
+    pytest.param(None, 0.0, 0.0, 2, 9.0, True, id="nothing seen"),
+    pytest.param(5.0, 0.0, 0.0, 2, 4.0, True, id="opened before the end"),
+    pytest.param(5.0, 0.0, 0.0, 2, 6.0, False, id="opened after the end"),
+    pytest.param(5.0, 6.0, 0.0, 2, 6.0, False, id="entry may be older than the end"),
+    pytest.param(5.0, 8.0, 0.0, 2, 6.0, True, id="confirmed by the list"),
+    pytest.param(5.0, 0.0, 0.0, 1, 6.0, False, id="one version, opened after the end"),
+    pytest.param(None, 0.0, 4.0, 2, 5.0, True, id="opened before the last reading"),
+    pytest.param(None, 0.0, 4.0, 2, 7.0, False, id="opened since the last reading"),
+    pytest.param(None, 0.0, 4.0, 1, 7.0, True, id="one version, old list"),
+]
+
+
+@pytest.mark.parametrize(
+    ("ended_at", "updated_at", "age", "versions", "opened_at", "known"), RUNS
+)
+def test_run_behind_a_connection(
+    ended_at: float | None,
+    updated_at: float,
+    age: float,
+    versions: int,
+    opened_at: float,
+    known: bool,
+) -> None:
+    """What was known when a connection was opened is stronger than the list."""
+    table = BackendTable()
+    for number in range(1, versions + 1):
+        table.update(Server(f"s{number}", whole_stream, version=f"v{number}").backend())
+    entry = table.entries["s1"]
+    if ended_at is not None:
+        table.record_end(entry, ended_at)
+    if updated_at:
+        table.update(entry.backend, updated_at)
+    table.read_age = lambda: age
+    assert table.is_run_known(entry, opened_at, 10.0) is known
+    withheld = table.withheld(entry, 10.0, version="v1", opened_at=opened_at)
+    assert (withheld is None) is known
+    assert table.withheld(entry, 10.0, opened_at=opened_at) is None
