Relay a stream only to the run of the server that was chosen

A relay looks the server up by its name, and its list may show another run there, with another version. With one version nothing is added, so relays of older builds get the fields as before; while several are in play they ignore these two and pass them on to the server.

New rows for another run, an ended run and another version in test_relaying.py.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -31,6 +31,7 @@
     RelayAddress,
     RelayDeclinedError,
     RelayResult,
+    RelayTarget,
     read_result,
     reads_end_stated,
     without_relay_fields,
@@ -197,7 +198,7 @@
         exchange.may_have_run = True
         request = self.outbound()
         if self.relay is not None:
-            request = self.relay.wrap(request, name)
+            request = self.relay.wrap(request, self.relay_target())
         else:
             self.paths.reach.record_sent(name, anyio.current_time())
         await channel.send(request)
@@ -219,6 +220,13 @@
             return AttemptResult(AttemptEnd.DELIVERED), self.finish(channel, head)
         return await self.handle_whole(channel, head, facts)
 
+    def relay_target(self) -> RelayTarget:
+        """Return where a relay is to send the request."""
+        backend = self.entry.backend
+        several = self.backends.versions.are_several(backend.service)
+        started_at = backend.started_at if several else None
+        return RelayTarget(backend.name, started_at, self.exchange.version)
+
     def outbound(self) -> Outbound:
         """Return the request as it is sent to this server."""
         exchange = self.exchange
--- a/ebonyhold/forwarding/_relay.py
+++ b/ebonyhold/forwarding/_relay.py
@@ -2,7 +2,8 @@
 
 A router that reaches no server sends the request, as the server is to get it, to a
 router that does, with `RELAY_PREFIX` before the target, and `SERVER` and `KEY` among
-the fields. The answer is the server's with `RESULT` added, or says why there is none.
+the fields, with `RUN` and `VERSION` where they matter. The answer is the server's with
+`RESULT` added, or says why there is none.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._caller import end_to_end
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
-from ebonyhold.forwarding._types import Headers
+from ebonyhold.forwarding._types import Headers, SoftwareVersion
 from ebonyhold.types import BackendName
 
 RELAY_PREFIX = b"/relay"
@@ -40,7 +41,20 @@
 
 END_BY_CLOSE = b"closed"
 
-RELAY_FIELDS = frozenset({SERVER, KEY, RESULT, END})
+RUN = b"ebonyhold-relay-run"
+"""The field with the start of the server's run that the sender has chosen.
+
+It is sent while the service has several software versions; the relay may know another
+run under the server's name.
+"""
+
+VERSION = b"ebonyhold-relay-version"
+"""The field with the version that the request's stream belongs to, percent-encoded."""
+
+MAX_DIGITS = 18
+"""Maximum number of digits of a start that is read."""
+
+RELAY_FIELDS = frozenset({SERVER, KEY, RESULT, END, RUN, VERSION})
 
 
 class RelayResult(Enum):
@@ -81,6 +95,23 @@
         self.result = result
 
 
+@frozen
+class RelayTarget:
+    """Where a relay is to send a request.
+
+    Attributes:
+        server: The server.
+        started_at: The start of its run, in milliseconds since the epoch; None if any
+            run may get the request.
+        version: The software version that the request's stream belongs to; None if it
+            belongs to none.
+    """
+
+    server: BackendName
+    started_at: int | None = None
+    version: SoftwareVersion | None = None
+
+
 @frozen
 class RelayAddress:
     """A router that sends requests to servers for others.
@@ -95,10 +126,14 @@
     address: tuple[str, int]
     key: str
 
-    def wrap(self, request: Outbound, server: BackendName) -> Outbound:
+    def wrap(self, request: Outbound, target: RelayTarget) -> Outbound:
         """Return a request to a server as it is sent to this relay."""
         fields = without_relay_fields(request.headers)
-        fields.append((SERVER, quote(server, safe="").encode()))
+        fields.append((SERVER, quote(target.server, safe="").encode()))
+        if target.started_at is not None:
+            fields.append((RUN, b"%d" % target.started_at))
+        if target.version is not None:
+            fields.append((VERSION, quote(target.version, safe="").encode()))
         fields.append((KEY, self.key.encode("latin-1")))
         return evolve(request, target=RELAY_PREFIX + request.target, headers=fields)
 
@@ -149,9 +184,12 @@
     return [item for item in headers if item[0] not in RELAY_FIELDS]
 
 
-def read_server(headers: Headers) -> BackendName:
-    """Return the server that a request to a relay names; empty if none."""
-    return unquote(read_field(headers, SERVER))
+def read_target(headers: Headers) -> RelayTarget:
+    """Return where a request to a relay is to be sent; its server is empty if none."""
+    run, names = read_field(headers, RUN), [name for name, _ in headers]
+    version = unquote(read_field(headers, VERSION)) if VERSION in names else None
+    started_at = int(run) if run.isdecimal() and len(run) <= MAX_DIGITS else None
+    return RelayTarget(unquote(read_field(headers, SERVER)), started_at, version)
 
 
 def read_field(headers: Headers, name: bytes) -> str:
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -13,7 +13,13 @@
 from ebonyhold.exceptions import BackendLostError, MalformedRequestError
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
-from ebonyhold.forwarding._channel import MAX_STRAY, AnswerHead, Channel, Outbound
+from ebonyhold.forwarding._channel import (
+    MAX_STRAY,
+    AnswerHead,
+    Channel,
+    ConnectRefusedError,
+    Outbound,
+)
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._endings import BODILESS
 from ebonyhold.forwarding._entry import BackendEntry
@@ -28,11 +34,12 @@
     RelayResult,
     answer_fields,
     read_field,
-    read_server,
+    read_target,
     without_relay_fields,
 )
 from ebonyhold.forwarding._shutdown import Shutdown
 from ebonyhold.forwarding._types import AnswerFacts, CallerRequest
+from ebonyhold.forwarding._withheld import Cause, Withheld
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
 
@@ -163,19 +170,32 @@
         Raises:
             RelayDeclinedError: The server must not get it now, or cannot be reached.
         """
-        entry = self.backends.entries.get(read_server(head.headers))
+        target = read_target(head.headers)
+        entry = self.backends.entries.get(target.server)
         if entry is None:
             raise RelayDeclinedError(RelayResult.WITHHELD, "gone")
         backend = entry.backend
+        if target.started_at not in (None, backend.started_at):
+            raise RelayDeclinedError(RelayResult.WITHHELD, "another run")
         try:
             channel = await self.pool.get(backend.name, backend.address)
         except BackendLostError as error:
+            if isinstance(error, ConnectRefusedError):
+                self.backends.record_end(entry, anyio.current_time())
             self.backends.lost(entry, anyio.current_time())
             raise RelayDeclinedError(RelayResult.NOT_SENT, str(error)) from error
-        withheld = self.backends.admit(entry, anyio.current_time())
+        now = anyio.current_time()
+        # The sender has named the run, and cannot tell to which one this leads.
+        known = self.backends.is_run_known(entry, channel.opened_at, now)
+        if target.started_at is None or known:
+            withheld = self.backends.admit(
+                entry, now, version=target.version, opened_at=channel.opened_at
+            )
+        else:
+            withheld = Withheld(Cause.UNCONFIRMED)
         if withheld is None:
             return entry, channel
-        channel.keep_unused(anyio.current_time())
+        channel.keep_unused(now)
         await self.pool.put(backend.name, channel)
         raise RelayDeclinedError(RelayResult.WITHHELD, withheld.cause.value)
 
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -9,10 +9,12 @@
 import pytest
 from attrs import define, evolve, field
 
+from ebonyhold.coordination import BegunStream, stream_id
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding import (
     BackendState,
     BackendTable,
+    CallerConnection,
     CallerLimits,
     CallerListener,
     ChannelPool,
@@ -21,8 +23,11 @@
     Reach,
     RelayAddress,
     RelayResult,
+    RequestHead,
     RequestRelay,
+    Serve,
 )
+from ebonyhold.forwarding._relay import RUN
 from ebonyhold.misc import free_port
 from ebonyhold.platform import PlatformDialect
 from tests.forwarding.kit import (
@@ -113,12 +118,14 @@
         router: The router that callers ask.
         relay: What the other one does with requests.
         relays: The first one's connections to the other one.
+        listener: The other one's listener for routers.
         results: What became of the requests at the other one.
     """
 
     router: Rig
     relay: RequestRelay
     relays: OneRelay
+    listener: CallerListener
     results: list[RelayResult] = field(factory=list)
 
 
@@ -147,7 +154,7 @@
         paths = router.forwarder.paths
         paths.relays = relays
         paths.reach.decide(Reach.PARTITIONED, True, anyio.current_time())
-        yield Partitioned(router, relay, relays, results)
+        yield Partitioned(router, relay, relays, listener, results)
         tasks.cancel_scope.cancel()
 
 
@@ -291,3 +298,53 @@
         got = await cut.router.ask(request("/safe/x"))
     assert got.startswith(b"HTTP/1.1 503 ")
     assert sum(len(server.requests) for server in servers) == 2
+
+
+@pytest.mark.parametrize("known", ["another run", "an ended run", "another version"])
+async def test_relay_sends_to_the_run_that_was_chosen(known: str) -> None:
+    """A relay may know another run of a server, with another software version."""
+    chosen = Server("chosen", whole_stream, version="v1")
+    other = Server("other", whole_stream, version="v2")
+    async with partitioned(chosen, other) as cut:
+        entries = cut.router.forwarder.backends.entries
+        entries["other"].in_flight = 9
+        table = cut.relay.backends
+        entry = table.entries["chosen"]
+        if known == "another run":
+            table.update(evolve(entry.backend, version="v3", started_at=2))
+        elif known == "an ended run":
+            table.record_end(entry, anyio.current_time())
+        else:
+            table.update(evolve(entry.backend, version="v3"))
+            cut.router.forwarder.streams.records.add(
+                stream_id("acme", "r0"), BegunStream("svc", "v1"), 0.0
+            )
+        takes_up = known == "another version"
+        extra = "Resumes: r0\r\nLast-Event-Id: 2\r\n" if takes_up else ""
+        got = await cut.router.ask(request("/stream/x", extra=extra))
+    assert not chosen.requests
+    assert cut.results[0] is RelayResult.WITHHELD
+    assert got.startswith(b"HTTP/1.1 503 " if takes_up else b"HTTP/1.1 200 ")
+    assert "relay" not in "".join(other.requests).lower()
+
+
+async def test_fields_of_a_run_are_sent_only_with_several_versions() -> None:
+    """A relay of an older build would pass fields on that it does not know."""
+    seen: list[list[bytes]] = []
+    for versions in (("v1",), ("v1", "v2")):
+        servers = [Server(v, whole_stream, version=v) for v in versions]
+        async with partitioned(*servers) as cut:
+            serve = cut.relay.serve
+
+            async def record(
+                connection: CallerConnection,
+                head: RequestHead,
+                body: bytes,
+                serve: Serve = serve,
+            ) -> None:
+                seen.append([name for name, _ in head.headers])
+                await serve(connection, head, body)
+
+            cut.listener.serve = record
+            await cut.router.ask(request("/stream/x"))
+    assert [RUN in names for names in seen] == [False, True]
