Take the end of unused connections as a sign of a server's restart

Their end is recorded now, and while several versions are in play a connection that was opened since leads to a run that is not known. With one version nothing changes.

--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -42,6 +42,7 @@
             it was not cold when it was last considered.
         ended_at: When its process was seen to have ended, while the list shows the run
             still; None if it was not, or the list has confirmed the run since.
+        lost_at: When it ended an unused connection before its time, likewise.
         drop_at: When to remove it from the table, if its list entry is missing after an
             outage of the store, or when to forget a run that is not listed any more;
             None otherwise.
@@ -63,6 +64,7 @@
     cold_until: Seconds = 0.0
     cold_limit: SendingLimit | None = None
     ended_at: Seconds | None = None
+    lost_at: Seconds | None = None
     drop_at: Seconds | None = None
 
     @contextmanager
@@ -76,6 +78,13 @@
             self.in_flight -= 1
             work.end()
 
+    def confirm(self, until: Seconds) -> None:
+        """Forget signs of the end of its process that are not later than a time."""
+        if self.ended_at is not None and self.ended_at <= until:
+            self.ended_at = None
+        if self.lost_at is not None and self.lost_at <= until:
+            self.lost_at = None
+
     @property
     def run(self) -> ServerRun:
         """The run of the server's process."""
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -117,8 +117,7 @@
         known.moved = known.moved and known.backend.address == backend.address
         known.backend = backend
         known.drop_at = None
-        if known.ended_at is not None and now - known.ended_at >= CONFIRMED_AFTER:
-            known.ended_at = None
+        known.confirm(now - CONFIRMED_AFTER)
 
     @property
     def is_current(self) -> bool:
@@ -130,6 +129,12 @@
         if entry.ended_at is None:
             entry.ended_at = now
 
+    def record_lost(self, name: BackendName, now: Seconds) -> None:
+        """Record that a server has ended an unused connection before its time."""
+        entry = self.entries.get(name)
+        if entry is not None and entry.lost_at is None:
+            entry.lost_at = now
+
     def is_run_known(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
     ) -> bool:
@@ -145,9 +150,11 @@
         """
         if entry.ended_at is not None and opened_at > entry.ended_at:
             return False
-        if self.is_current or not self.versions.are_several(entry.backend.service):
+        if not self.versions.are_several(entry.backend.service):
             return True
-        return opened_at <= now - self.read_age()
+        if entry.lost_at is not None and opened_at > entry.lost_at:
+            return False
+        return self.is_current or opened_at <= now - self.read_age()
 
     def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
         """Set the failure domains whose servers get no requests.
