Do not take all versions of a router's first list for known everywhere

Of the versions in the first list the one that has served for longest counts as known now, the others settle like any new one. A stream that nobody knows may have begun at each of them, though.

--- a/ebonyhold/coordination/_stream_versions.py
+++ b/ebonyhold/coordination/_stream_versions.py
@@ -106,13 +106,16 @@
     """When a version was seen.
 
     Attributes:
-        first_at: When a server with it was first listed; minus infinity if it was when
-            this router read its first list.
+        first_at: When a server with it was first listed; minus infinity if all routers
+            can be assumed to know it.
         last_at: When one was last.
+        inherited: Whether it was in the first list that this router has read, so that
+            streams may have begun there before.
     """
 
     first_at: Seconds
     last_at: Seconds
+    inherited: bool = False
 
 
 @define(eq=False)
@@ -126,15 +129,18 @@
     seen: dict[str, dict[str, SeenVersion]] = field(factory=dict)
 
     def record(
-        self, service: str, version: str, now: Seconds, settled: bool = False
+        self, service: str, version: str, now: Seconds, inherited: bool = False
     ) -> bool:
         """Record that a server with a version is listed.
 
+        Of several versions in the first list, the one that is recorded first counts as
+        known to all routers.
+
         Args:
             service: The service.
             version: The version.
             now: The time.
-            settled: Whether other routers can be assumed to know it.
+            inherited: Whether it is in the first list that this router reads.
 
         Returns:
             Whether the version is new beside another one.
@@ -144,8 +150,8 @@
         if known is not None:
             known.last_at = now
             return False
-        first_at = -float("inf") if settled or not versions else now
-        versions[version] = SeenVersion(first_at, now)
+        first_at = now if versions else -float("inf")
+        versions[version] = SeenVersion(first_at, now, inherited)
         return len(versions) > 1
 
     def expire(self, now: Seconds) -> None:
@@ -170,10 +176,14 @@
         seen = self.seen.get(service, {}).get(version)
         return 0.0 if seen is None else max(0.0, seen.first_at + SETTLED_AFTER - now)
 
-    def settled(self, service: str, now: Seconds) -> list[str]:
-        """Return the versions that all routers know."""
+    def possible(self, service: str, now: Seconds) -> list[str]:
+        """Return the versions at which a stream that nobody knows may have begun.
+
+        Streams begin at a version that not all routers know only if nothing else is
+        left, and then others were told.
+        """
         return [
             version
-            for version in self.in_play(service)
-            if not self.unsettled_for(service, version, now)
+            for version, seen in self.in_play(service).items()
+            if seen.inherited or not self.unsettled_for(service, version, now)
         ]
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -80,7 +80,8 @@
         Servers that are not listed are removed as in `remove`.
         """
         first = not self.versions.seen
-        for backend in listed.values():
+        # Of several versions, the one that has served for longest is known everywhere.
+        for backend in sorted(listed.values(), key=lambda one: one.started_at):
             self.update(backend, now, first)
         for name in [name for name in self.entries if name not in listed]:
             self.remove(name, now, after_outage)
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -176,13 +176,12 @@
     ) -> Collection[SoftwareVersion]:
         """Return the versions at which a stream that nobody knows may have begun.
 
-        With a current list these are the settled ones: streams begin at others only if
-        nothing else is left, and then the keepers were told. Without one, this router
-        may have missed a version, so others must have answered.
+        Without a current list this router may have missed a version, so others must
+        have answered.
         """
         versions = self.servers.versions
         if current:
-            return versions.settled(service, anyio.current_time())
+            return versions.possible(service, anyio.current_time())
         if self.keepers.are_known and not asked.answered:
             return ()
         return {*versions.in_play(service), *asked.versions}
--- a/tests/coordination/test_stream_versions.py
+++ b/tests/coordination/test_stream_versions.py
@@ -64,7 +64,7 @@
 
 
 @pytest.mark.parametrize(
-    ("first", "after", "settled"),
+    ("first", "after", "possible"),
     [
         (False, 0.0, ["v1"]),
         (False, SETTLED - 0.1, ["v1"]),
@@ -73,9 +73,13 @@
     ],
     ids=["just seen", "not yet", "settled", "in the first list"],
 )
-def test_new_version_settles(first: bool, after: float, settled: list[str]) -> None:
+def test_new_version_settles(first: bool, after: float, possible: list[str]) -> None:
     """Other routers may not know a version that this one has just seen."""
     history = VersionHistory()
-    history.record("svc", "v1", 0.0, first)
+    history.record("svc", "v1", 10.0, first)
     history.record("svc", "v2", 10.0, first)
-    assert history.settled("svc", 10.0 + after) == settled
+    now = 10.0 + after
+    assert history.possible("svc", now) == possible
+    assert not history.unsettled_for("svc", "v1", now)
+    left = max(0.0, SETTLED - after)
+    assert history.unsettled_for("svc", "v2", now) == pytest.approx(left)
