Move the delivery of answers and the gauges into modules of their own job

_attempt.py connected, sent, judged and passed answers on: the last is AnswerDelivery in _delivery.py. The gauges of servers and tokens are set where the other metrics are.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -16,14 +16,18 @@
     ConnectRefusedError,
     Outbound,
 )
+from ebonyhold.forwarding._delivery import (
+    AnswerDelivery,
+    SilenceError,
+    answer_timeout,
+    read_rest,
+)
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._entry import BackendEntry
-from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import (
     AttemptEnd,
     AttemptResult,
     Exchange,
-    WholeAnswer,
 )
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._relay import (
@@ -45,39 +49,9 @@
 )
 from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
-from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
 
-MAX_WHOLE_ANSWER = 1_048_576
-"""Size limit, in bytes, of an answer that is read whole before it is passed on.
-
-If the answer breaks off or is larger, the caller has received no part of it, so the
-request can still be retried or refused with an error.
-"""
-
-SAFE_TIMEOUT: Seconds = 0.3
-"""Minimum timeout for the answer to a safe request that can be sent again."""
-
-STREAM_TIMEOUT: Seconds = 1.2
-"""Minimum time without data after which a stream is resumed at another server.
-
-Callers give up a stream after two seconds without an event. A busy but healthy engine
-sends events at intervals of less than half of this time.
-"""
-
-TIMEOUT_TARGETS = 3.0
-"""The timeout as a multiple of the route's target latency.
-
-SAFE_TIMEOUT or STREAM_TIMEOUT applies instead if it is longer.
-"""
-
-
-class SilenceError(BackendLostError):
-    """A backend server sent nothing for longer than the timeout."""
-
-    code = "backend_silent"
-
 
 @define(eq=False)
 class Attempt:
@@ -215,7 +189,7 @@
         if 200 <= head.status < 300 and not facts.proof:
             raise BackendLostError("a success without the server's response stamp")
         if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
-            await self.relay_stream(channel, head, work)
+            await self.delivery(channel).relay_stream(head, work)
             self.backends.succeeded(self.entry)
             return AttemptResult(AttemptEnd.DELIVERED), self.finish(channel, head)
         return await self.handle_whole(channel, head, facts)
@@ -273,7 +247,7 @@
 
     async def read_next_head(self, channel: Channel) -> AnswerHead:
         """Return the head of the next answer; raise SilenceError on timeout."""
-        with anyio.move_on_after(self.answer_timeout()):
+        with anyio.move_on_after(answer_timeout(self.exchange)):
             head = await channel.read_head()
             self.record_heard()
             return head
@@ -285,18 +259,6 @@
             name = self.entry.backend.name
             self.paths.reach.record_heard(name, anyio.current_time())
 
-    def answer_timeout(self) -> Seconds | None:
-        """Return the timeout for the next data from the server, or None for no timeout.
-
-        A request that cannot be sent to another server has no timeout: it waits for
-        this server's answer until its deadline.
-        """
-        route = self.exchange.match.route
-        if not (route.idempotent and self.exchange.attempts_left):
-            return None
-        minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
-        return max(minimum, TIMEOUT_TARGETS * route.target)
-
     def handle_relay_declined(self, declined: RelayDeclinedError) -> AttemptResult:
         """Return the result of an attempt whose relay has not sent the request."""
         reason = f"relay: {declined}"
@@ -333,9 +295,7 @@
             BackendLostError: The answer is incomplete or too large, or a part of a
                 stream was already sent to the caller.
         """
-        body = await read_rest(channel)
-        await self.check_end(channel)
-        answer = WholeAnswer(head, body)
+        answer = await self.delivery(channel).read_whole(head)
         kept = self.finish(channel, head)
         exchange = self.exchange
         if head.status >= 500:
@@ -349,76 +309,17 @@
         await exchange.deliver(answer)
         return AttemptResult(AttemptEnd.DELIVERED), kept
 
-    async def relay_stream(
-        self, channel: Channel, head: AnswerHead, work: RequestWork
-    ) -> None:
-        """Pass on the events of a stream as they arrive, each one whole.
-
-        Bytes after the last complete event are passed on if the answer states its end.
-
-        Raises:
-            BackendLostError: The stream broke off; the caller has whole events only.
-        """
-        splitter = EventSplitter()
-        while True:
-            part = await self.read_next_part(channel)
-            if part is None:
-                break
-            events = self.undelivered(splitter.feed(part))
-            if events:
-                work.mark_read()
-                data = b"".join(event.raw for event in events)
-                await self.exchange.deliver_part(head, data)
-                self.record_events(events)
-        if splitter.is_inside_event and not channel.end_stated:
-            raise BackendLostError("the answer ended inside an event")
-        await self.check_end(channel)
-        if splitter.rest or not self.exchange.connection.started:
-            await self.exchange.deliver_part(head, splitter.rest)
-        await self.exchange.connection.end()
-
-    async def read_next_part(self, channel: Channel) -> bytes | None:
-        """Return the next part or, at the end, None; raise SilenceError on timeout."""
-        with anyio.move_on_after(self.answer_timeout()):
-            part = await channel.read_part()
-            self.record_heard()
-            return part
-        raise SilenceError("the stream stalled")
-
-    async def check_end(self, channel: Channel) -> None:
-        """Check that an answer that was read to its end is whole.
-
-        An answer that ends with its connection is, if its server runs on: a server that
-        crashes closes its connections just like one that has finished.
-
-        Raises:
-            BackendLostError: The answer may be incomplete.
-        """
-        if channel.end_stated or await self.paths.runs_on(self.entry.backend):
-            return
-        raise BackendLostError("the answer ended with its connection and its server")
-
-    def undelivered(self, events: list[StreamEvent]) -> list[StreamEvent]:
-        """Return the events that have not been sent to the caller yet.
-
-        An event without a number always counts as not sent.
-        """
-        last = self.exchange.last_event
-        if last is None:
-            return events
-        return [e for e in events if e.number is None or e.number > last]
-
-    def record_events(self, events: list[StreamEvent]) -> None:
-        """Count events sent to the caller, and store the last event number."""
-        exchange = self.exchange
-        if exchange.version is None:
-            exchange.version = self.version
-        if not exchange.events:
-            self.streams.begin(exchange, exchange.version)
-        exchange.events += len(events)
-        numbers = [event.number for event in events if event.number is not None]
-        if numbers:
-            exchange.last_event = numbers[-1]
+    def delivery(self, channel: Channel) -> AnswerDelivery:
+        """Return what passes the body of an answer on."""
+        return AnswerDelivery(
+            self.exchange,
+            self.entry.backend,
+            self.version,
+            channel,
+            self.paths,
+            self.streams,
+            self.record_heard,
+        )
 
     def finish(self, channel: Channel, head: AnswerHead) -> bool:
         """Prepare the connection for another request; return whether it is reusable."""
@@ -445,19 +346,3 @@
     if result is None or result is RelayResult.LOST:
         raise BackendLostError("lost beyond the relay")
     raise RelayDeclinedError(result, result.value)
-
-
-async def read_rest(channel: Channel, limit: int = MAX_WHOLE_ANSWER) -> bytes:
-    """Return the rest of an answer's body.
-
-    Raises:
-        BackendLostError: The body ended early, or is larger than ``limit`` bytes.
-    """
-    body = bytearray()
-    while True:
-        part = await channel.read_part()
-        if part is None:
-            return bytes(body)
-        body += part
-        if len(body) > limit:
-            raise BackendLostError("the answer is too large")
--- a/ebonyhold/forwarding/_calls.py
+++ b/ebonyhold/forwarding/_calls.py
@@ -6,13 +6,13 @@
 from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._attempt import read_rest
 from ebonyhold.forwarding._channel import (
     CONNECT_TIMEOUT,
     AnswerHead,
     Channel,
     Outbound,
 )
+from ebonyhold.forwarding._delivery import read_rest
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.tasks import TaskStarter
--- /dev/null
+++ b/ebonyhold/forwarding/_delivery.py
@@ -0,0 +1,178 @@
+"""Reads the body of a server's answer, and passes it on to the caller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from attrs import define
+
+from ebonyhold.exceptions import BackendLostError
+from ebonyhold.forwarding._channel import AnswerHead, Channel
+from ebonyhold.forwarding._events import EventSplitter, StreamEvent
+from ebonyhold.forwarding._exchange import Exchange, WholeAnswer
+from ebonyhold.forwarding._paths import Paths
+from ebonyhold.forwarding._streams import StreamVersions
+from ebonyhold.forwarding._types import Backend, RouteKind, SoftwareVersion
+from ebonyhold.forwarding._work import RequestWork
+from ebonyhold.types import Seconds
+
+MAX_WHOLE_ANSWER = 1_048_576
+"""Size limit, in bytes, of an answer that is read whole before it is passed on.
+
+If the answer breaks off or is larger, the caller has received no part of it, so the
+request can still be retried or refused with an error.
+"""
+
+SAFE_TIMEOUT: Seconds = 0.3
+"""Minimum timeout for the answer to a safe request that can be sent again."""
+
+STREAM_TIMEOUT: Seconds = 1.2
+"""Minimum time without data after which a stream is resumed at another server.
+
+Callers give up a stream after two seconds without an event. A busy but healthy engine
+sends events at intervals of less than half of this time.
+"""
+
+TIMEOUT_TARGETS = 3.0
+"""The timeout as a multiple of the route's target latency.
+
+SAFE_TIMEOUT or STREAM_TIMEOUT applies instead if it is longer.
+"""
+
+
+class SilenceError(BackendLostError):
+    """A backend server sent nothing for longer than the timeout."""
+
+    code = "backend_silent"
+
+
+@define(eq=False)
+class AnswerDelivery:
+    """Passes on the answer whose head was read from a connection.
+
+    Attributes:
+        exchange: The request.
+        backend: The server.
+        version: The software version of its run.
+        channel: The connection, to the server or to a relay.
+        paths: Tells whether the server runs on.
+        streams: Records which version began a stream.
+        heard: Called when the server has sent something.
+    """
+
+    exchange: Exchange
+    backend: Backend
+    version: SoftwareVersion
+    channel: Channel
+    paths: Paths
+    streams: StreamVersions
+    heard: Callable[[], None]
+
+    async def read_whole(self, head: AnswerHead) -> WholeAnswer:
+        """Return a whole answer.
+
+        Raises:
+            BackendLostError: It is incomplete or too large, or may be incomplete.
+        """
+        body = await read_rest(self.channel)
+        await self.check_end()
+        return WholeAnswer(head, body)
+
+    async def relay_stream(self, head: AnswerHead, work: RequestWork) -> None:
+        """Pass on the events of a stream as they arrive, each one whole.
+
+        Bytes after the last complete event are passed on if the answer states its end.
+
+        Raises:
+            BackendLostError: The stream broke off; the caller has whole events only.
+        """
+        splitter = EventSplitter()
+        while True:
+            part = await self.read_next_part()
+            if part is None:
+                break
+            events = self.undelivered(splitter.feed(part))
+            if events:
+                work.mark_read()
+                data = b"".join(event.raw for event in events)
+                await self.exchange.deliver_part(head, data)
+                self.record_events(events)
+        if splitter.is_inside_event and not self.channel.end_stated:
+            raise BackendLostError("the answer ended inside an event")
+        await self.check_end()
+        if splitter.rest or not self.exchange.connection.started:
+            await self.exchange.deliver_part(head, splitter.rest)
+        await self.exchange.connection.end()
+
+    async def read_next_part(self) -> bytes | None:
+        """Return the next part or, at the end, None; raise SilenceError on timeout."""
+        with anyio.move_on_after(answer_timeout(self.exchange)):
+            part = await self.channel.read_part()
+            self.heard()
+            return part
+        raise SilenceError("the stream stalled")
+
+    async def check_end(self) -> None:
+        """Check that an answer that was read to its end is whole.
+
+        An answer that ends with its connection is, if its server runs on: a server that
+        crashes closes its connections just like one that has finished.
+
+        Raises:
+            BackendLostError: The answer may be incomplete.
+        """
+        if self.channel.end_stated or await self.paths.runs_on(self.backend):
+            return
+        raise BackendLostError("the answer ended with its connection and its server")
+
+    def undelivered(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Return the events that have not been sent to the caller yet.
+
+        An event without a number always counts as not sent.
+        """
+        last = self.exchange.last_event
+        if last is None:
+            return events
+        return [e for e in events if e.number is None or e.number > last]
+
+    def record_events(self, events: list[StreamEvent]) -> None:
+        """Count events sent to the caller, and store the last event number."""
+        exchange = self.exchange
+        if exchange.version is None:
+            exchange.version = self.version
+        if not exchange.events:
+            self.streams.begin(exchange, exchange.version)
+        exchange.events += len(events)
+        numbers = [event.number for event in events if event.number is not None]
+        if numbers:
+            exchange.last_event = numbers[-1]
+
+
+def answer_timeout(exchange: Exchange) -> Seconds | None:
+    """Return the timeout for the next data from a server, or None for no timeout.
+
+    A request that cannot be sent to another server has no timeout: it waits for this
+    server's answer until its deadline.
+    """
+    route = exchange.match.route
+    if not (route.idempotent and exchange.attempts_left):
+        return None
+    minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
+    return max(minimum, TIMEOUT_TARGETS * route.target)
+
+
+async def read_rest(channel: Channel, limit: int = MAX_WHOLE_ANSWER) -> bytes:
+    """Return the rest of an answer's body.
+
+    Raises:
+        BackendLostError: The body ended early, or is larger than ``limit`` bytes.
+    """
+    body = bytearray()
+    while True:
+        part = await channel.read_part()
+        if part is None:
+            return bytes(body)
+        body += part
+        if len(body) > limit:
+            raise BackendLostError("the answer is too large")
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -403,38 +403,13 @@
         now = anyio.current_time()
         for watcher in (self.rules_watcher, self.servers_watcher):
             self.metrics.store_age.labels(watcher.table).set(watcher.age(now))
-        self.count_servers(now)
-        for grant in self.grant_manager.grants.values():
-            ledger = grant.state.ledger
-            name = grant.workspace
-            self.metrics.tokens.labels(name, "available").set(ledger.available)
-            self.metrics.tokens.labels(name, "held").set(ledger.held)
-            self.metrics.tokens.labels(name, "unfiled").set(ledger.unfiled)
-            self.metrics.tokens.labels(name, "charged").set(grant.state.charged)
+        self.metrics.set_servers(self.routing.backends, now)
+        self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
 
-    def count_servers(self, now: Seconds) -> None:
-        """Set the gauges for the servers, by state and by why they get no requests."""
-        metrics, table = self.metrics, self.routing.backends
-        metrics.servers.clear()
-        metrics.versions.clear()
-        versions = {
-            (e.backend.service, e.backend.version) for e in table.entries.values()
-        }
-        for service, _ in versions:
-            metrics.versions.labels(service).inc()
-        metrics.servers_withheld.clear()
-        for entry in table.entries.values():
-            backend = entry.backend
-            metrics.servers.labels(backend.service, backend.state.value).inc()
-            withheld = table.withheld(entry, now)
-            if withheld is not None:
-                cause = withheld.cause.value
-                metrics.servers_withheld.labels(backend.service, cause).inc()
-
     async def reclaim(self) -> None:
         """Reclaim the grants of earlier incarnations, once the VM's row is taken over.
 
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -12,13 +14,14 @@
 
 from ebonyhold.forwarding import (
     AnswerEnding,
+    BackendTable,
     ConnectOutcome,
     Origin,
     Reach,
     Reachability,
     RelayResult,
 )
-from ebonyhold.prepaid import HoldOutcome
+from ebonyhold.prepaid import HoldOutcome, WorkspaceGrant
 from ebonyhold.types import Seconds
 
 ANSWER_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0)
@@ -170,6 +173,32 @@
         """Count an attempt to open a connection to a server."""
         self.connects.labels(outcome.value).inc()
 
+    def set_servers(self, servers: BackendTable, now: Seconds) -> None:
+        """Set the gauges for the servers, and for why they get no requests."""
+        self.servers.clear()
+        self.versions.clear()
+        self.servers_withheld.clear()
+        versions: set[tuple[str, str]] = set()
+        for entry in servers.entries.values():
+            backend = entry.backend
+            versions.add((backend.service, backend.version))
+            self.servers.labels(backend.service, backend.state.value).inc()
+            withheld = servers.withheld(entry, now)
+            if withheld is not None:
+                cause = withheld.cause.value
+                self.servers_withheld.labels(backend.service, cause).inc()
+        for service, _ in versions:
+            self.versions.labels(service).inc()
+
+    def set_tokens(self, grants: Iterable[WorkspaceGrant]) -> None:
+        """Set the gauges for the tokens of this router's grants."""
+        for grant in grants:
+            ledger, name = grant.state.ledger, grant.workspace
+            self.tokens.labels(name, "available").set(ledger.available)
+            self.tokens.labels(name, "held").set(ledger.held)
+            self.tokens.labels(name, "unfiled").set(ledger.unfiled)
+            self.tokens.labels(name, "charged").set(grant.state.charged)
+
     def set_reach(self, reach: Reachability, now: Seconds) -> None:
         """Set the gauges for whether servers are reached."""
         for state in Reach:
--- a/tests/platform/observed/__main__.py
+++ b/tests/platform/observed/__main__.py
@@ -2,31 +2,10 @@
 
 from __future__ import annotations
 
-import shutil
 import sys
-import tempfile
-from pathlib import Path
 
-import anyio
-
-from tests.platform.kit import ROOT
 from tests.platform.observed import run_seed
-
-
-def main() -> int:
-    """Run the seeds one after another; return 1 if any had violations."""
-    first, count = int(sys.argv[1]), int(sys.argv[2])
-    found = 0
-    for seed in range(first, first + count):
-        with tempfile.TemporaryDirectory() as name:
-            folder = Path(name)
-            if anyio.run(run_seed, seed, folder):
-                found += 1
-                kept = ROOT / "out" / f"observed-{seed}"
-                shutil.copytree(folder, kept, dirs_exist_ok=True)
-    print(f"{count} seeds, {found} with something broken")
-    return 1 if found else 0
-
+from tests.platform.seeds import run_seeds
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds("observed", run_seed))
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -17,11 +17,10 @@
 from ebonyhold.forwarding import (
     Backend,
     BackendTable,
-    Channel,
     EventSplitter,
     _dispatcher,
 )
-from ebonyhold.forwarding._attempt import Attempt
+from ebonyhold.forwarding._delivery import AnswerDelivery
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.gateway import Observations
 from ebonyhold.gateway.__main__ import main
@@ -86,10 +85,10 @@
 def believe_all_ends() -> None:
     """Make the gateway take answers that end with their connection for whole."""
 
-    async def weakened(self: Attempt, channel: Channel) -> None:
+    async def weakened(self: AnswerDelivery) -> None:
         pass
 
-    Attempt.check_end = weakened  # type: ignore[method-assign]
+    AnswerDelivery.check_end = weakened  # type: ignore[method-assign]
     EventSplitter.is_inside_event = False  # type: ignore[assignment]
 
 
