Carry no stream on over connections of a router's first seconds

While several versions are in play, a connection that was opened within 2.5 s of the first list does not carry a stream on; streams may begin there.

--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -191,8 +191,8 @@
             return Withheld(Cause.MOVED)
         if version is not None and backend.version != version:
             return Withheld(Cause.OTHER_VERSION)
-        known = opened_at is None or self.is_run_known(entry, opened_at, now)
-        if version is not None and not known:
+        confirmed = opened_at is None or self.is_run_confirmed(entry, opened_at, now)
+        if version is not None and not confirmed:
             return Withheld(Cause.UNCONFIRMED)
         if backend.domain in self.evacuated:
             return Withheld(Cause.EVACUATED)
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -43,6 +43,8 @@
         ended_at: When its process was seen to have ended, while the list shows the run
             still; None if it was not, or the list has confirmed the run since.
         lost_at: When it ended an unused connection before its time, likewise.
+        inherited_at: When it was read in this router's first list, which may show a run
+            that had ended before; None if it was listed later.
         drop_at: When to remove it from the table, if its list entry is missing after an
             outage of the store, or when to forget a run that is not listed any more;
             None otherwise.
@@ -65,6 +67,7 @@
     cold_limit: SendingLimit | None = None
     ended_at: Seconds | None = None
     lost_at: Seconds | None = None
+    inherited_at: Seconds | None = None
     drop_at: Seconds | None = None
 
     @contextmanager
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -108,6 +108,7 @@
             run = ServerRun(backend.name, backend.started_at)
             known = self.unlisted.pop(run, None) or BackendEntry(backend)
             known.listed, known.moved = True, False
+            known.inherited_at = now if first else None
             self.entries[backend.name] = known
             self.ejector.succeeded(backend.name)
             log.info("server listed", extra=fields_of(backend))
@@ -157,6 +158,20 @@
             return False
         return self.is_current or opened_at <= now - self.read_age()
 
+    def is_run_confirmed(
+        self, entry: BackendEntry, opened_at: Seconds, now: Seconds
+    ) -> bool:
+        """Return whether a connection may carry on a stream that belongs to a version.
+
+        This asks more than `is_run_known`: a router that has just started has not seen
+        which servers of its first list had ended by then.
+        """
+        since = entry.inherited_at
+        if since is not None and self.versions.are_several(entry.backend.service):
+            settled = opened_at >= since + CONFIRMED_AFTER
+            return settled and self.is_run_known(entry, opened_at, now)
+        return self.is_run_known(entry, opened_at, now)
+
     def evacuate(self, domains: frozenset[str], now: Seconds) -> None:
         """Set the failure domains whose servers get no requests.
 
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -180,3 +180,21 @@
     withheld = table.withheld(entry, 10.0, version="v1", opened_at=opened_at)
     assert (withheld is None) is known
     assert table.withheld(entry, 10.0, opened_at=opened_at) is None
+
+
+@pytest.mark.parametrize(
+    ("versions", "opened_at", "confirmed"),
+    [(2, 6.0, False), (2, 8.0, True), (1, 6.0, True)],
+)
+def test_first_list_of_a_router_may_show_runs_that_have_ended(
+    versions: int, opened_at: float, confirmed: bool
+) -> None:
+    """A router that has just started has not seen which servers had restarted."""
+    table = BackendTable()
+    servers = [Server(f"s{n}", whole_stream, version=f"v{n}") for n in range(versions)]
+    backends = [server.backend() for server in servers]
+    table.replace({backend.name: backend for backend in backends}, 5.0, False)
+    entry = table.entries["s0"]
+    withheld = table.withheld(entry, 9.0, version="v0", opened_at=opened_at)
+    assert (withheld is None) is confirmed
+    assert table.is_run_known(entry, opened_at, 9.0)
