Call a version gone only if no server of it is listed

A stream whose version has servers that cannot be reached or are not confirmed was refused as version_gone, without a Retry-After, as if nothing could serve it any more. It is no_server now, with the time to come back. The new test got version_gone before.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -208,16 +208,24 @@
 
         SERVERS_FULL means that each server that got the request declined it,
         SERVERS_LIMITED that a server may get requests again later, and VERSION_GONE
-        that no server of the stream's version is left.
+        that no server of the stream's version is listed.
         """
         if exchange.may_have_run:
             return Refusal.SERVER_LOST
         if exchange.retry_after is not None:
             return Refusal.SERVERS_LIMITED
-        if exchange.version is not None and not exchange.sends:
+        if self.is_version_gone(exchange):
             return Refusal.VERSION_GONE
         return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
 
+    def is_version_gone(self, exchange: Exchange) -> bool:
+        """Return whether a stream's version has no server that is listed."""
+        service, version = exchange.match.service, exchange.version
+        return version is not None and not any(
+            entry.backend.service == service and entry.backend.version == version
+            for entry in self.backends.entries.values()
+        )
+
     def record_failure(
         self, exchange: Exchange, backend: str, result: AttemptResult
     ) -> None:
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -198,6 +198,18 @@
     assert all(charge == 0 for _, charge in found.hold.charges)
 
 
+async def test_caller_may_return_if_servers_of_the_version_are_unconfirmed() -> None:
+    """A refusal must not call a version gone whose servers may serve again soon."""
+    server = Server("one", whole_stream, version="v1")
+    async with rig(server) as router:
+        table = router.forwarder.backends
+        table.record_end(table.entries["one"], anyio.current_time() - 1.0)
+        got = await router.ask(request("/stream/x", extra=TAKES_UP))
+    assert is_refused(got, "no_server")
+    assert b"retry-after" in got.lower()
+    assert not server.requests
+
+
 async def test_stream_of_another_workspace_is_unknown() -> None:
     """An attempt that another workspace has made must tell nothing."""
     other = Keepers()
