Let the list confirm the runs of a router's first seconds

An entry that is read 2.5 s after the first list shows that these connections lead to its run.

The new test failed before.

--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -44,7 +44,7 @@
             still; None if it was not, or the list has confirmed the run since.
         lost_at: When it ended an unused connection before its time, likewise.
         inherited_at: When it was read in this router's first list, which may show a run
-            that had ended before; None if it was listed later.
+            that had ended before; None if it was listed later, or confirmed since.
         drop_at: When to remove it from the table, if its list entry is missing after an
             outage of the store, or when to forget a run that is not listed any more;
             None otherwise.
@@ -82,11 +82,13 @@
             work.end()
 
     def confirm(self, until: Seconds) -> None:
-        """Forget signs of the end of its process that are not later than a time."""
+        """Forget what was in doubt at a time, as the list has shown this run since."""
         if self.ended_at is not None and self.ended_at <= until:
             self.ended_at = None
         if self.lost_at is not None and self.lost_at <= until:
             self.lost_at = None
+        if self.inherited_at is not None and self.inherited_at <= until:
+            self.inherited_at = None
 
     @property
     def run(self) -> ServerRun:
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -198,3 +198,17 @@
     withheld = table.withheld(entry, 9.0, version="v0", opened_at=opened_at)
     assert (withheld is None) is confirmed
     assert table.is_run_known(entry, opened_at, 9.0)
+
+
+def test_connections_of_a_router_s_first_seconds_are_confirmed_by_the_list() -> None:
+    """A router must carry streams on over the connections that it keeps from then."""
+    table = BackendTable()
+    backends = [
+        Server(f"s{n}", whole_stream, version=f"v{n}").backend() for n in (0, 1)
+    ]
+    table.replace({backend.name: backend for backend in backends}, 5.0, False)
+    entry = table.entries["s0"]
+    for read_at, confirmed in ((7.0, False), (7.6, True)):
+        table.update(backends[0], read_at)
+        withheld = table.withheld(entry, 9.0, version="v0", opened_at=5.1)
+        assert (withheld is None) is confirmed
