Take the end of unused connections back as a sign of a restart

 put every connection to a server in doubt that was opened after the server had ended an unused one early.

--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -42,7 +42,6 @@
             it was not cold when it was last considered.
         ended_at: When its process was seen to have ended, while the list shows the run
             still; None if it was not, or the list has confirmed the run since.
-        lost_at: When it ended an unused connection before its time, likewise.
         inherited_at: When it was read in this router's first list, which may show a run
             that had ended before; None if it was listed later, or confirmed since.
         drop_at: When to remove it from the table, if its list entry is missing after an
@@ -66,7 +65,6 @@
     cold_until: Seconds = 0.0
     cold_limit: SendingLimit | None = None
     ended_at: Seconds | None = None
-    lost_at: Seconds | None = None
     inherited_at: Seconds | None = None
     drop_at: Seconds | None = None
 
@@ -85,8 +83,6 @@
         """Forget what was in doubt at a time, as the list has shown this run since."""
         if self.ended_at is not None and self.ended_at <= until:
             self.ended_at = None
-        if self.lost_at is not None and self.lost_at <= until:
-            self.lost_at = None
         if self.inherited_at is not None and self.inherited_at <= until:
             self.inherited_at = None
 
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from enum import Enum
-from functools import partial
 
 import anyio
 from attrs import define, field
@@ -63,8 +62,6 @@
         tasks: Starts the tasks that read connections.
         on_connect: Called with the server's name and the outcome of each attempt to
             open a connection.
-        on_lost: Called with the server's name and the time when it ends an unused
-            connection before its time.
         connect_timeout: Maximum time to wait for a new connection.
         unused: The unused connections of each server, the most recently used one last.
         opened: Number of attempts to open a connection so far.
@@ -73,7 +70,6 @@
 
     tasks: TaskStarter
     on_connect: Callable[[BackendName, ConnectOutcome], None] = lambda name, how: None
-    on_lost: Callable[[BackendName, Seconds], None] = lambda name, at: None
     connect_timeout: Seconds = CONNECT_TIMEOUT
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
@@ -101,7 +97,6 @@
             self.on_connect(name, outcome_of(error))
             raise
         channel.inbox.traffic = self.traffic
-        channel.inbox.on_end = partial(self.record_end, name, channel)
         self.on_connect(name, ConnectOutcome.MADE)
         return channel
 
@@ -130,13 +125,6 @@
             return
         channels.append(channel)
 
-    def record_end(self, name: BackendName, channel: Channel) -> None:
-        """Report the end of a connection if it was unused and not to end yet."""
-        now = anyio.current_time()
-        unused = channel in self.unused.get(name, ())
-        if unused and not channel.closed and now < channel.usable_until:
-            self.on_lost(name, now)
-
     def ended_between(self, start: Seconds, end: Seconds) -> list[BackendName]:
         """Return the servers that ended unused connections in a period."""
         return [
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -131,12 +131,6 @@
         if entry.ended_at is None:
             entry.ended_at = now
 
-    def record_lost(self, name: BackendName, now: Seconds) -> None:
-        """Record that a server has ended an unused connection before its time."""
-        entry = self.entries.get(name)
-        if entry is not None and entry.lost_at is None:
-            entry.lost_at = now
-
     def is_run_known(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
     ) -> bool:
@@ -152,11 +146,9 @@
         """
         if entry.ended_at is not None and opened_at > entry.ended_at:
             return False
-        if not self.versions.are_several(entry.backend.service):
+        if self.is_current or not self.versions.are_several(entry.backend.service):
             return True
-        if entry.lost_at is not None and opened_at > entry.lost_at:
-            return False
-        return self.is_current or opened_at <= now - self.read_age()
+        return opened_at <= now - self.read_age()
 
     def is_run_confirmed(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -286,7 +286,6 @@
             self.reach,
         )
         self.pool.on_connect = self.record_connect
-        self.pool.on_lost = self.routing.backends.record_lost
         prober = ServerProber(self.pool, self.routing.backends)
         partition = PartitionMonitor(
             self.reach, prober, self.relays, self.pressure.is_link_full
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -11,7 +11,11 @@
 import anyio
 import pytest
 
-from tests.platform.fleet import CONTACT_TIME, running_gateways, wait_until_ready
+from tests.platform.fleet import (
+    CONTACT_TIME,
+    running_gateways,
+    wait_until_ready,
+)
 from tests.platform.kit import configuration
 from tests.platform.soak._run import SoakRun
 from tests.platform.streams import MAX_MIXED, Stream, StreamTry, call, mixed
@@ -130,6 +134,20 @@
     check_streams(streams, lambda one: one.gateway != 0)
 
 
+async def test_streams_go_on_after_all_gateways_have_restarted(tmp_path: Path) -> None:
+    """A router must carry streams on over the connections of its first seconds."""
+    async with streaming(tmp_path) as (soak, streams):
+        await turn_engines(soak, range(5), "v2")
+        for gateway in soak.gateways:
+            soak.kill(gateway)
+            await anyio.sleep(0.5)
+            soak.start(gateway)
+        await anyio.sleep(CONTACT_TIME + 1.0)
+        since = time.monotonic()
+        await anyio.sleep(4.0)
+    check_streams(streams, lambda one: one.sent_at >= since)
+
+
 async def test_streams_are_not_mixed_while_the_store_is_away(tmp_path: Path) -> None:
     """A router that cannot read the list must not guess a stream's version."""
     async with streaming(tmp_path) as (soak, streams):
