--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -196,7 +196,7 @@
     def expire(self, now: Seconds) -> None:
         """Remove the servers whose LAPSE_GRACE has passed, and forget old runs.
 
-        So are versions that no server has had for long.
+        Versions that no server has had for long are forgotten, too.
         """
         for entry in self.entries.values():
             backend = entry.backend
