Log what the limit of a killed router was for

After a power cut of all VMs a successor logged the limit that it had found, and nothing about how much of it had been used, was held for requests in flight or had been allowed ahead. Each limit now states what was used and held at its renewal (two optional fields of the row of limits, which older builds skip and write without), and the reclaim logs both, with the ceiling. 'limits renewed again' says how many renewals were missed. No call, message or wait is added.

--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -232,7 +232,8 @@
     def record_success(self) -> None:
         """Reset the count of failed renewals, and log that they succeed again."""
         if self.misses:
-            log.info("limits renewed again", extra={"life": self.incarnation})
+            fields = {"life": self.incarnation, "misses": self.misses}
+            log.info("limits renewed again", extra=fields)
         self.misses = 0
 
     def record_failure(self, error: PlatformError) -> None:
--- a/ebonyhold/prepaid/_grant_state.py
+++ b/ebonyhold/prepaid/_grant_state.py
@@ -121,7 +121,11 @@
         self.log_reclaim(predecessor, found)
 
     def log_reclaim(self, predecessor: Predecessor, found: PredecessorGrant) -> None:
-        """Log how many tokens were reclaimed, and from which row and limit."""
+        """Log how many tokens were reclaimed, and from which row and limit.
+
+        What the limit holds beyond the tokens used at the last renewal was allowed
+        ahead of the next one.
+        """
         log.info(
             "grant reclaimed" if found.left else "grant not reclaimed",
             extra={
@@ -130,6 +134,9 @@
                 "returned": found.left,
                 "granted": found.granted,
                 "limit": found.limit,
+                "ceiling": found.renewed.ceiling,
+                "used": found.renewed.used,
+                "held": found.renewed.held,
                 "filed": found.grant.billed,
                 "elapsed": round(predecessor.elapsed, 2),
             },
--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeAlias
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ebonyhold.types import Seconds, Tokens, WorkspaceName
 
@@ -40,11 +40,16 @@
         ceiling: The limit at the time of the renewal.
         early_rate: Growth of the limit during `EARLY_PERIOD`, in tokens per second.
         later_rate: Growth of the limit after `EARLY_PERIOD`, in tokens per second.
+        used: Tokens used when the renewal was sent, for the logs of a successor; 0 if
+            the limit was written by an older version.
+        held: The part of `used` that was held for requests in flight.
     """
 
     ceiling: Tokens = 0
     early_rate: float = 0.0
     later_rate: float = 0.0
+    used: Tokens = 0
+    held: Tokens = 0
 
     def after(self, elapsed: Seconds) -> Tokens:
         """Return the limit `elapsed` seconds after the renewal was sent.
@@ -155,7 +160,12 @@
         # start, a kill of the router could lose a tenth of a budget.
         long_outage = self.age(now) > EARLY_PERIOD
         ceiling = max(limit.ceiling, self.limit(workspace, now))
-        return SpendingLimit(ceiling, later if long_outage else early, later)
+        return evolve(
+            limit,
+            ceiling=ceiling,
+            early_rate=later if long_outage else early,
+            later_rate=later,
+        )
 
     def took_effect(self, number: int) -> None:
         """Mark a renewal in doubt as confirmed; ignore one that is not in doubt.
--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -15,7 +15,7 @@
     to_json,
 )
 from ebonyhold.prepaid._changes import check_version
-from ebonyhold.prepaid._limits import ZERO_LIMIT, Limits
+from ebonyhold.prepaid._limits import ZERO_LIMIT, Limits, SpendingLimit
 from ebonyhold.prepaid._types import (
     Change,
     GrantRows,
@@ -60,11 +60,13 @@
         row: The stored row of the grant.
         grant: The decoded row.
         limit: Maximum number of tokens that the predecessor can have used.
+        renewed: The limit as of the predecessor's last renewal.
     """
 
     row: Row
     grant: GrantRow
     limit: Tokens
+    renewed: SpendingLimit
 
     @property
     def granted(self) -> Tokens:
@@ -89,7 +91,9 @@
     for row in await store.scan(key):
         if row.key == key:
             grant = read_row(row, GrantRow)
-            return PredecessorGrant(row, grant, predecessor.limit(workspace))
+            renewed = predecessor.limits.get(workspace, ZERO_LIMIT)
+            limit = predecessor.limit(workspace)
+            return PredecessorGrant(row, grant, limit, renewed)
     return None
 
 
--- a/ebonyhold/prepaid/_workspace_grant.py
+++ b/ebonyhold/prepaid/_workspace_grant.py
@@ -404,7 +404,8 @@
             level=unspent / max(1, budget.prepaid),
             delay=self.limits.delay,
         )
-        return allowance(inputs)
+        limit = allowance(inputs)
+        return evolve(limit, used=inputs.used, held=self.state.ledger.held)
 
     @property
     def typical(self) -> float:
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -276,6 +276,16 @@
             ),
         ),
     ),
+    "row-limits-use": LimitsRow(
+        router="vm-1.b1",
+        address="10.0.0.1:7100",
+        renewed_at=301.5,
+        number=44,
+        limits={"acme": evolve(LIMIT, used=390, held=120)},
+        unreclaimed=(
+            Predecessor(router="vm-1.b0", elapsed=2.75, limits={"beta": LIMIT}),
+        ),
+    ),
     "journal-segment": JournalSegment(entries=tuple(ENTRIES.values())),
     "object-manifest": Manifest(
         version=7,
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -60,6 +60,7 @@
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.metrics import Metrics
 from ebonyhold.operators._errors import finding_to_json
+from ebonyhold.prepaid import SpendingLimit
 from ebonyhold.routers import Envelopes, KeyRing, PeerKey
 from ebonyhold.routers._envelope import converter as header_converter
 from ebonyhold.routers._envelope import parse_header
@@ -98,6 +99,8 @@
     (RequestLoss, attrs.fields(RequestLoss).alone.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
     (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
+    (SpendingLimit, attrs.fields(SpendingLimit).used.name),
+    (SpendingLimit, attrs.fields(SpendingLimit).held.name),
 }
 """Attributes that the first file of their class does not have; a later file does."""
 
--- a/tests/prepaid/test_reclaim.py
+++ b/tests/prepaid/test_reclaim.py
@@ -62,3 +62,17 @@
     assert (
         predecessor.returned == successor.drawn == two.grant.state.ledger.available > 0
     )
+
+
+async def test_reclaim_logs_what_its_limit_was_for(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against stranded tokens of which nobody can tell what they were for."""
+    caplog.set_level("INFO")
+    two = await successor_of_killed(RowHistory())
+    [before] = two.renewals.unreclaimed
+    await two.grant.reclaim(before)
+    [line] = [r for r in caplog.records if r.message == "grant reclaimed"]
+    fields = vars(line)
+    assert fields["used"] == fields["held"] == 1000
+    assert fields["used"] <= fields["ceiling"] <= fields["limit"]
