Renew limits twice when the store is back, and notice its return sooner

Cause: while a renewal is in doubt, the next one lowers no limit, which is right during an outage. So the first renewal after it still allows what the outage was expected to need, and only the one 0.4 s later proves the rest unspent; and in a silent outage a try takes 0.6 s and the pause after it another 0.4 s. A cut within a second of the store's return met rows that proved next to nothing. Change: a renewal that was raised for the sake of an earlier one is followed by another at once, and while renewals fail the time that one has taken counts as its pause.

--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -56,6 +56,9 @@
 """Interval between two renewals of a router without limits to renew. They only check
 whether the store is reachable."""
 
+MIN_RETRY_PAUSE: Seconds = 0.05
+"""The minimum time between a renewal that failed and the next one."""
+
 MIN_RENEWAL_TIMEOUT: Seconds = 0.1
 """The minimum timeout of a renewal; an answer usually takes 12 ms.
 
@@ -185,12 +188,25 @@
         """The key of this router's row of limits."""
         return f"{TABLE}/{self.name}/row"
 
-    @property
-    def interval(self) -> Seconds:
-        """The time until the next renewal, unless one is requested earlier."""
+    def pause(self, taken: Seconds) -> Seconds:
+        """Return the time until the next renewal, unless one is requested earlier.
+
+        There is none after a renewal whose limits were raised for the sake of an
+        earlier one: until the next renewal, a kill of this router would lose all that
+        the outage was expected to need.  While renewals fail, the time that the last
+        one has taken counts, so that the end of an outage is noticed sooner.
+
+        Args:
+            taken: The time that the last renewal has taken.
+        """
         confirmed = self.limits.confirmed
-        unused = confirmed is not None and not confirmed.limits and not self.misses
-        return UNUSED_RENEWAL_INTERVAL if unused else RENEWAL_INTERVAL
+        if self.misses:
+            return max(MIN_RETRY_PAUSE, RENEWAL_INTERVAL - taken)
+        if confirmed is None:
+            return RENEWAL_INTERVAL
+        if confirmed.is_raised:
+            return 0.0
+        return RENEWAL_INTERVAL if confirmed.limits else UNUSED_RENEWAL_INTERVAL
 
     def is_store_reachable(self) -> bool:
         """Return whether the VM's row is taken over and the store seems reachable.
@@ -207,6 +223,7 @@
         serve the requests.
         """
         while True:
+            began = anyio.current_time()
             self.requested = anyio.Event()
             renewal_ended, self.renewal_ended = self.renewal_ended, anyio.Event()
             try:
@@ -216,7 +233,7 @@
                 self.record_failure(error)
             finally:
                 renewal_ended.set()
-            with anyio.move_on_after(self.interval):
+            with anyio.move_on_after(self.pause(anyio.current_time() - began)):
                 await self.requested.wait()
 
     async def renew_now(self) -> None:
--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -79,11 +79,14 @@
         sent_at: Send time on the router's monotonic clock.  That clock stops while a VM
             is frozen, so the time elapsed on the store's clock is never shorter.
         limits: The limits that the renewal writes to the store.
+        is_raised: Whether a limit is above the one that was wanted, because an earlier
+            renewal was in doubt.
     """
 
     number: int
     sent_at: Seconds
     limits: Limits
+    is_raised: bool = False
 
     def limit(self, workspace: WorkspaceName, now: Seconds) -> Tokens:
         """Return the limit of a workspace's grant at a time on the monotonic clock."""
@@ -137,8 +140,9 @@
                 name: self.not_lowered(name, limit, now)
                 for name, limit in limits.items()
             }
+        is_raised = any(limits[name] != wanted[name] for name in wanted)
         self.sent += 1
-        renewal = Renewal(self.sent, now, limits)
+        renewal = Renewal(self.sent, now, limits, is_raised)
         self.in_doubt.append(renewal)
         return renewal
 
