Keep the last tokens of a budget for smaller requests

Cause: the budgets were spent. Whoever came first took the last tokens, and one route sheet uses what serves nine chats. Change: 3 in 100 of a budget are kept for requests smaller than the one that asks, as far as these are expected to ask for it within a minute; callers count on 97 in 100, whatever the size of their requests. Requests of the smallest size, workspaces of one size and requests larger than this part are not held back. What is left is judged by the row, the own grant and the offers of others, which now state what a router itself has (own, optional: older builds state none, and their offers count without the budget's rest). Questions between routers are asked only where the row and the own grant do not show enough, and at most ten times a second a workspace, as for transfers. A holder that read the budget more than 2 s ago leaves a refusal to the next one. FakeGrant of test_transfers tells own tokens from those to be drawn, since the message does.

--- a/ebonyhold/experiments/budget_holders.py
+++ b/ebonyhold/experiments/budget_holders.py
@@ -120,7 +120,7 @@
         grants = (
             (p, self.fleet.routers[p].grant_manager.grant(workspace)) for p in asked
         )
-        return [Offer(peer, a.offer) for peer, a in grants if a is not None]
+        return [Offer(p, a.offer, a.own_offer) for p, a in grants if a is not None]
 
     async def transfer(
         self, peer: str, workspace: WorkspaceName, amount: Tokens
--- a/ebonyhold/gateway/_losses.py
+++ b/ebonyhold/gateway/_losses.py
@@ -23,6 +23,7 @@
 class TokenCause(Enum):
     """Why a request got no tokens; if several members apply, the first of them."""
 
+    KEPT = "tokens kept for smaller requests"
     ABOVE_LIMIT = "tokens here, above the limit"
     STORE_UNREACHABLE = "tokens in the budget, store away"
     ELSEWHERE = "tokens with other routers"
@@ -53,6 +54,10 @@
         fields = line.fields
         amount = fields["amount"]
         elsewhere = sum(self.available.values()) - self.available.get(line.router, 0)
+        found = elsewhere + fields["available"] + fields["remaining"]
+        # Older versions keep nothing, and do not log it.
+        if amount <= found < fields.get("kept", 0) + amount:
+            return TokenCause.KEPT
         if fields["room"] < amount <= fields["available"]:
             return TokenCause.ABOVE_LIMIT
         if not fields["store_reachable"] and fields["remaining"] >= amount:
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -15,7 +15,7 @@
 
 import anyio
 from attrs import define, field, frozen
-from attrs.validators import ge
+from attrs.validators import ge, optional
 
 from ebonyhold.coordination import to_json
 from ebonyhold.exceptions import BackendLostError, MalformedMessageError
@@ -112,10 +112,13 @@
         given: Tokens that belong to the requesting gateway from now on.
         left: Tokens that the giver still offers to any gateway, including the
             requesting one.
+        own: The part of `left` that the giver has itself and need not draw; None if it
+            is of an older version.
     """
 
     given: Tokens = field(default=0, validator=ge(0))
     left: Tokens = field(default=0, validator=ge(0))
+    own: Tokens | None = field(default=None, validator=optional(ge(0)))
 
 
 @frozen
@@ -205,7 +208,7 @@
         answer = await self.request_tokens(
             peer, TransferRequest(workspace), OFFER_TIMEOUT
         )
-        found.append(Offer(peer, answer.left))
+        found.append(Offer(peer, answer.left, answer.own))
 
     async def transfer(
         self, peer: str, workspace: WorkspaceName, amount: Tokens
@@ -332,4 +335,4 @@
             given = await grant.give(request.amount)
             fields = {"workspace": request.workspace, "asked": request.amount}
             log.info("tokens given", extra={**fields, "given": given})
-        return TransferAnswer(given, grant.offer)
+        return TransferAnswer(given, grant.offer, grant.own_offer)
--- a/ebonyhold/prepaid/_grant_manager.py
+++ b/ebonyhold/prepaid/_grant_manager.py
@@ -12,6 +12,7 @@
 
 from ebonyhold.exceptions import PlatformError
 from ebonyhold.prepaid._holders import HolderTable
+from ebonyhold.prepaid._last_tokens import SizeDemand
 from ebonyhold.prepaid._limits import LimitTracker, SpendingLimit
 from ebonyhold.prepaid._local_rate import LocalRates
 from ebonyhold.prepaid._reclaim import Predecessor
@@ -79,6 +80,7 @@
             any more, because they might not be returned.
         holds: Number of request holds created so far; numbers their identifiers.
         rates: The requests of each workspace that reach this router.
+        sizes: The demand of all workspaces by the size of requests.
     """
 
     router: RouterId
@@ -100,6 +102,7 @@
     closing: bool = False
     holds: int = 0
     rates: LocalRates = field(factory=LocalRates)
+    sizes: SizeDemand = field(factory=SizeDemand)
 
     def open_hold(self, workspace: WorkspaceName) -> RequestHold | None:
         """Return a new hold for a request; None if the workspace has no budget."""
@@ -138,6 +141,7 @@
                 self.peers,
                 partial(self.is_holder, workspace),
                 options=self.options,
+                all_sizes=self.sizes,
                 # `close` returns only the grants that were open when it began.  A grant
                 # opened later must not draw, or its tokens would not be returned.
                 closing=self.closing,
--- a/ebonyhold/prepaid/_remote_holds.py
+++ b/ebonyhold/prepaid/_remote_holds.py
@@ -83,8 +83,8 @@
         except BudgetExhaustedError:
             return HoldOutcome.EXHAUSTED
         except BudgetUnreachableError:
-            # Without the store, this router does not know what the budget has left.
-            if not grant.is_store_reachable:
+            # Others may know of tokens that the budget has left.
+            if not grant.knows_budget:
                 return HoldOutcome.UNAVAILABLE
             return HoldOutcome.UNREACHABLE
         if self.early_settlements.pop(wanted.hold, None) is not None:
--- a/ebonyhold/prepaid/_transfers.py
+++ b/ebonyhold/prepaid/_transfers.py
@@ -27,11 +27,22 @@
 
     Attributes:
         peer: Name of the router's VM.
-        tokens: Number of tokens that the router can give.
+        tokens: Number of tokens that the router can give, with those that it can draw.
+        own: The part of them that the router has itself; None if it is of an older
+            version, which does not state it.
     """
 
     peer: str
     tokens: Tokens
+    own: Tokens | None = None
+
+    def without_budget(self, remaining: Tokens) -> Tokens:
+        """Return the tokens that the router has itself.
+
+        Args:
+            remaining: What the budget has left, which all routers in touch offer.
+        """
+        return max(0, self.tokens - remaining) if self.own is None else self.own
 
 
 class TransferPeers(Protocol):
--- a/ebonyhold/prepaid/_workspace_grant.py
+++ b/ebonyhold/prepaid/_workspace_grant.py
@@ -27,8 +27,10 @@
 from ebonyhold.prepaid._changes import ChangeAmounts, make_change
 from ebonyhold.prepaid._demand import Demand
 from ebonyhold.prepaid._grant_state import GrantState
+from ebonyhold.prepaid._last_tokens import SizeDemand, kept_for_smaller
 from ebonyhold.prepaid._limits import LimitTracker, SpendingLimit
 from ebonyhold.prepaid._reclaim import Predecessor
+from ebonyhold.prepaid._row_cache import MAX_REFUSAL_AGE
 from ebonyhold.prepaid._transfers import TransferPeers, choose_givers
 from ebonyhold.prepaid._types import (
     Change,
@@ -44,6 +46,10 @@
 MAX_ATTEMPTS = 12
 """Maximum number of commits tried in one round, while each of them conflicts."""
 
+AMPLE_PART = 0.5
+"""A grant that has this fraction of what is kept for smaller requests need not ask the
+other routers what they have."""
+
 CONFLICT_BACKOFF: Seconds = 0.02
 """Maximum random delay after the first conflict of a round.
 
@@ -79,6 +85,8 @@
         options: The options of the prepaid budgets.
         policy: Computes how much to draw or return.
         demand: The estimated demand at this router.
+        sizes: The workspace's demand at this router by the size of requests.
+        all_sizes: The same of all workspaces.
         state: The grant's ledger and its stored rows.
         asked: Total tokens needed by the requests and transfers that wait for a draw
             or a renewal.
@@ -102,6 +110,8 @@
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
     demand: Demand = field(init=False)
+    sizes: SizeDemand = field(factory=SizeDemand)
+    all_sizes: SizeDemand = field(factory=SizeDemand)
     state: GrantState = field(init=False)
     asked: Tokens = 0
     reachable: bool = True
@@ -142,19 +152,12 @@
             BudgetUnreachableError: The budget may cover it, but the tokens could not
                 be obtained in time.
         """
-        if self.try_hold(amount):
+        for sizes in (self.sizes, self.all_sizes):
+            sizes.record(amount, anyio.current_time())
+        kept = self.kept(amount)
+        if await self.is_spare(amount, kept) and await self.obtain_hold(amount, kept):
             return
-        if self.is_store_reachable:
-            with anyio.move_on_after(self.options.draw_timeout):
-                await self.obtain(amount)
-                if self.try_hold(amount):
-                    return
-                await self.obtain(amount)
-            if self.try_hold(amount):
-                return
-        if self.peers is not None and await self.hold_transferred(amount, self.peers):
-            return
-        self.log_refusal(amount, request)
+        self.log_refusal(amount, request, kept)
         if self.is_exhausted(amount):
             raise BudgetExhaustedError(
                 f"{self.workspace}: {amount} tokens exceed the unspent budget"
@@ -163,20 +166,88 @@
             f"{self.workspace}: {amount} tokens could not be obtained in time"
         )
 
+    async def obtain_hold(self, amount: Tokens, kept: float) -> bool:
+        """Hold tokens that are here, can be drawn, or are passed on by other routers.
+
+        A draw reads the budget anew, and others may have drawn what it had left; so
+        what is kept for smaller requests is looked at again.
+
+        Returns:
+            Whether they are held.
+        """
+        if self.try_hold(amount):
+            return True
+        if self.is_store_reachable:
+            with anyio.move_on_after(self.options.draw_timeout):
+                await self.obtain(amount)
+                if not await self.is_spare(amount, kept):
+                    return False
+                if self.try_hold(amount):
+                    return True
+                await self.obtain(amount)
+            if self.try_hold(amount):
+                return True
+        return self.peers is not None and await self.hold_transferred(
+            amount, self.peers
+        )
+
+    async def is_spare(self, amount: Tokens, kept: float) -> bool:
+        """Return whether a request leaves what is kept for smaller ones."""
+        return self.has_spare(amount, kept) or await self.fleet_has_spare(amount, kept)
+
+    def kept(self, amount: Tokens) -> float:
+        """Return how many tokens of the budget are kept for smaller requests."""
+        rate = self.sizes.rate(anyio.current_time()) * self.routers()
+        return kept_for_smaller(
+            amount, self.configured.prepaid, rate, self.sizes, self.all_sizes
+        )
+
+    def has_spare(self, amount: Tokens, kept: float) -> bool:
+        """Return whether a request leaves what is kept, by what is known here.
+
+        Enough is left in the budget and in this grant, or this grant alone has
+        `AMPLE_PART` of it.  A budget that was not read yet is taken to have enough.
+        """
+        if not kept or self.state.cache.rows is None:
+            return True
+        left = self.state.ledger.available - self.asked - amount
+        in_budget = max(0, self.configured.remaining)
+        return left + in_budget >= kept or left >= AMPLE_PART * kept
+
+    async def fleet_has_spare(self, amount: Tokens, kept: float) -> bool:
+        """Return whether a request leaves what is kept, with what others offer."""
+        if self.peers is None:
+            return False
+        offers = await self.peers.offers(self.workspace)
+        in_budget = max(0, self.configured.remaining)
+        elsewhere = sum(offer.without_budget(in_budget) for offer in offers)
+        left = self.usable + in_budget + elsewhere - self.asked - amount
+        return left >= kept
+
     @property
     def is_store_reachable(self) -> bool:
         """Whether both the last round and the renewals reached the store."""
         return self.reachable and self.can_renew()
 
+    @property
+    def knows_budget(self) -> bool:
+        """Whether the budget was read lately, and the store can be reached."""
+        return self.is_store_reachable and self.state.cache.age() <= MAX_REFUSAL_AGE
+
     def is_exhausted(self, amount: Tokens) -> bool:
         """Return whether a request exceeds the budget even if all grants are returned.
 
         The result is False if the cached budget is unknown or too old to decide.
         """
-        rows = self.state.cache.rows or GrantRows()
-        prepaid = self.apply_configuration(rows.budget).budget.prepaid
+        prepaid = self.configured.prepaid
         return self.state.cache.is_exhausted(amount, self.state.ledger, prepaid)
 
+    @property
+    def configured(self) -> BudgetRow:
+        """The cached budget, with the prepaid tokens that are configured here."""
+        rows = self.state.cache.rows or GrantRows()
+        return self.apply_configuration(rows.budget).budget
+
     async def hold_transferred(self, amount: Tokens, peers: TransferPeers) -> bool:
         """Request the missing tokens from other routers and try the hold again.
 
@@ -207,11 +278,16 @@
         While the store is reachable this includes the remaining tokens of the budget,
         so a router without a connection to the store can draw tokens through this one.
         """
+        if self.closing or not self.is_store_reachable:
+            return self.own_offer
+        return self.own_offer + max(0, self.budget.remaining)
+
+    @property
+    def own_offer(self) -> Tokens:
+        """The part of `offer` that is in this grant."""
         if self.closing:
             return 0
-        if self.is_store_reachable:
-            return self.state.ledger.available + max(0, self.budget.remaining)
-        return self.usable
+        return self.state.ledger.available if self.is_store_reachable else self.usable
 
     async def give(self, amount: Tokens) -> Tokens:
         """Give up to `amount` tokens to another router; draw missing ones first.
@@ -228,8 +304,14 @@
         self.state.give(given)
         return given
 
-    def log_refusal(self, amount: Tokens, request: RequestId) -> None:
-        """Log a refused hold with the cached budget, the limit and the age of each."""
+    def log_refusal(self, amount: Tokens, request: RequestId, kept: float) -> None:
+        """Log a refused hold with the cached budget, the limit and the age of each.
+
+        Args:
+            amount: Maximum cost of the request.
+            request: Identifier of the request.
+            kept: What was kept for smaller requests.
+        """
         budget = self.budget
         log.info(
             "tokens refused",
@@ -242,6 +324,7 @@
                 "prepaid": budget.prepaid,
                 "spent": budget.spent,
                 "remaining": budget.remaining,
+                "kept": int(kept),
                 "budget_age": round(self.state.cache.age(), 2),
                 "limit_age": round(self.limits.age(anyio.current_time()), 2),
                 "store_reachable": self.is_store_reachable,
--- a/tests/gateway/test_transfers.py
+++ b/tests/gateway/test_transfers.py
@@ -32,18 +32,26 @@
 
 @define(eq=False)
 class FakeGrant:
-    """A grant of 500 tokens that gives those available in its ledger."""
+    """A grant of 500 tokens that gives those available in its ledger.
+
+    Its router could draw 100 more.
+    """
 
     ledger: GrantLedger = field(factory=lambda: GrantLedger(available=500))
 
     @property
-    def offer(self) -> int:
-        """The tokens that can be given."""
+    def own_offer(self) -> int:
+        """The tokens that are here."""
         return self.ledger.available
 
+    @property
+    def offer(self) -> int:
+        """The tokens that can be given, with those that can be drawn."""
+        return self.own_offer + 100
+
     async def give(self, amount: int) -> int:
         """Give tokens, as far as they are available."""
-        given = min(amount, self.offer)
+        given = min(amount, self.own_offer)
         self.ledger.give(given)
         return given
 
@@ -83,10 +91,12 @@
     workspace: str, amount: int, arrived: int, left: int
 ) -> None:
     async with serving_gateway(FakeGrant()) as peers:
-        offered = 500 if workspace == "acme" else 0
-        assert list(await peers.offers(workspace)) == [Offer("vm-2", offered)]
+        before, after = Offer("vm-2", 0), Offer("vm-2", 0)
+        if workspace == "acme":
+            before, after = Offer("vm-2", 600, 500), Offer("vm-2", left + 100, left)
+        assert list(await peers.offers(workspace)) == [before]
         assert await peers.transfer("vm-2", workspace, amount) == arrived
-        assert list(await peers.offers(workspace)) == [Offer("vm-2", left)]
+        assert list(await peers.offers(workspace)) == [after]
 
 
 async def no_answer(stream: ByteStream) -> None:
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -385,6 +385,7 @@
 GATEWAYS: Mapping[str, object] = {
     "transfer-request": GatewayTransferRequest(workspace="acme", amount=75),
     "transfer-answer": TransferAnswer(given=75, left=20),
+    "transfer-answer-own": TransferAnswer(given=75, left=20, own=5),
     "wanted-hold": WantedHold(
         hold="vm-1/5", workspace="acme", amount=64, request="req-1"
     ),
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -58,6 +58,7 @@
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._presence import PresenceRow
+from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.metrics import Metrics
 from ebonyhold.operators._errors import finding_to_json
 from ebonyhold.prepaid import SpendingLimit
@@ -99,6 +100,7 @@
     (RequestLoss, attrs.fields(RequestLoss).alone.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
     (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
+    (TransferAnswer, attrs.fields(TransferAnswer).own.name),
     (SpendingLimit, attrs.fields(SpendingLimit).used.name),
     (SpendingLimit, attrs.fields(SpendingLimit).held.name),
 }
--- a/tests/prepaid/kit.py
+++ b/tests/prepaid/kit.py
@@ -87,7 +87,7 @@
         """Return the offers of the other routers."""
         await anyio.sleep(DELAY)
         return [
-            Offer(vm, router.grant.offer)
+            Offer(vm, router.grant.offer, router.grant.own_offer)
             for vm, router in self.routers.items()
             if vm != self.vm
         ]
