Count the crash of a server whose next run is listed by the time it is noticed

What callers saw: one of several requests that crash servers was sent to servers 4 and 5 times later than 3 s after its third crash (3 allowed; [queued behind each other]). Cause: an engine is back 0.8 s after a crash, its entry up to a second later. A request went to the new run under the entry of the old one; then the list showed the new run, so the old entry counted as one that is expected to end, and the loss was dropped. Change: the loss counts for the run that is listed when it is noticed. A server that is delisted without a next run is expected to end, as before. Result: the new row fails without the change (no loss) and passes.

--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -93,8 +93,11 @@
     def lost(self, exchange: Exchange, entry: BackendEntry, known_depth: int) -> None:
         """Record that the connection broke during a request, and check the server.
 
-        A server that is draining or no longer listed is expected to end.
+        A server that is draining or no longer listed is expected to end.  If the list
+        shows its next run by now, the request was at that one: the connections to the
+        earlier run had ended before it started.
         """
+        entry = self.listed_run(entry)
         unchecked = UncheckedLoss(
             exchange,
             AttemptLoss(entry.backend.name),
@@ -110,6 +113,12 @@
         self.unchecked[entry] = [unchecked]
         self.paths.pool.tasks.start_soon(self.check, entry)
 
+    def listed_run(self, entry: BackendEntry) -> BackendEntry:
+        """Return a server's run that is listed now; the given one if none is."""
+        if entry.listed:
+            return entry
+        return self.backends.entries.get(entry.backend.name, entry)
+
     async def check(self, entry: BackendEntry) -> None:
         """Record the losses at a server if it has crashed, and no other with it."""
         at = anyio.current_time()
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -234,3 +234,26 @@
         ("acme", b"GET", "h", b"/a", b""),
     ]
     assert len({request_digest(*each) for each in parts}) == len(parts)
+
+
+@pytest.mark.parametrize(("listed", "runs"), [(True, [2]), (False, [])])
+async def test_crash_counts_though_the_list_shows_the_next_run_late(
+    listed: bool, runs: list[int]
+) -> None:
+    """Guards against crashes of a server that is back before the list shows it."""
+
+    async def crashes_at_next_run(
+        server: Server, stream: SocketStream, head: str
+    ) -> None:
+        backends = fleet.forwarder.backends
+        if listed:
+            backends.update(evolve(backends.entries["s"].backend, started_at=2))
+        else:
+            backends.remove("s", anyio.current_time(), False)
+        await crashes(server, stream, head)
+
+    async with rig(Server("s", crashes_at_next_run)) as fleet:
+        await fleet.ask(request("/unsafe/x", "POST", b"body"))
+        await anyio.sleep(SETTLE_TIME)
+        losses = fleet.forwarder.crashes.records.losses
+        assert [loss.run.started_at for loss in losses] == runs
