--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -37,7 +37,7 @@
 
     ledger: GrantLedger = field(factory=lambda: GrantLedger(available=500))
     error: type[Exception] = BudgetUnreachableError
-    is_store_reachable: bool = True
+    knows_budget: bool = True
 
     async def hold(self, amount: int, request: str) -> None:
         """Hold tokens, or raise `error` if there are too few."""
