Log which parts of prompts were lost in a crash

The logs of second1 show that requests of different content were at the servers that ended, and not what these had in common. The last part, which no other request has, is left out. No call or wait is added.

--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -175,6 +175,7 @@
             extra={
                 "request": exchange.caller.request_id,
                 "content": exchange.digest,
+                "parts": [part for part, _ in exchange.caller.prompt_parts[:-1]],
                 "backend": backend.name,
                 "depth": unchecked.loss.depth,
                 "rejected": self.is_rejected(exchange),
