--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -124,6 +124,15 @@
 RESTART_DELAY = 0.8
 """Seconds after a crash until the engine accepts connections again."""
 
+CRASHING_PART = "dead"
+"""A part of a prompt with this prefix crashes each engine that writes on it."""
+
+PART_CRASH_DELAY = 0.08
+"""Seconds from the start of a run with such a part to the crash."""
+
+PART_CRASH_TIME = 3.0
+"""Seconds after such a crash until the engine accepts connections again."""
+
 REQUEST_ID = "x-ebonyhold-request-id"
 NOT_RUN = (b"x-ebonyhold-not-executed", b"1")
 NO_ANSWER = 0
@@ -175,6 +184,15 @@
     return zlib.crc32(request_id.encode()) % FAULT_PERIOD in (NO_ANSWER, BROKEN_STREAM)
 
 
+def has_crashing_part(fields: dict[str, str]) -> bool:
+    """Return whether a request's prompt has a part that crashes engines.
+
+    The last part, which no other request has, never does.
+    """
+    parts = fields.get("x-ebonyhold-prompt-prefix", "").split(",")
+    return any(part.startswith(CRASHING_PART) for part in parts[:-1])
+
+
 def row_key(raw: dict[str, Any]) -> str:
     """Return the key of a row, written ``table/part/rest``."""
     return f"{raw['table']}/{raw['part']}/{raw['key']}"
@@ -434,6 +452,11 @@
         script = Script.from_target(target)
         fault = zlib.crc32(request_id.encode()) % FAULT_PERIOD
         try:
+            if has_crashing_part(fields):
+                await anyio.sleep(PART_CRASH_DELAY)
+                self.down_for = PART_CRASH_TIME
+                self.crash()
+                await anyio.sleep_forever()
             if script.crashes:
                 await anyio.sleep(CRASH_DELAY)
                 self.crash()
