Reject parts of prompts that crash servers

Cause: a crash accused the digest of each whole request that was there. No two of these were alike, so each had depth 1 for ever. Class of fault: the suspect of an event is taken for the unit that arrives, where the cause may be a piece that many units share. Change: a crash accuses the request and each part of its prompt but the last; whole answers acquit the parts that they had. A part is rejected from its fourth crash on, those of one request's retries counting half, unless one request or another part explains them; parts that cannot be told apart are rejected together only. Requests that a rejected part explains are not rejected themselves. Parts are hashed only while a loss is known; they have a report of their own in the row of observations, which older builds skip. Rejected requests get 400 crashes_servers before tokens are held.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -76,12 +76,18 @@
     resolve_publication,
 )
 from ._cover import OutageCover, outage_cover
+from ._crash_parts import (
+    MAX_PARTS,
+    PartRecords,
+    part_digest,
+)
 from ._crashes import (
     REJECT_AFTER,
     CrashRecords,
     CrashReport,
     RequestLoss,
     ServerRun,
+    count_crashes,
 )
 from ._ejection import (
     EjectionPolicy,
@@ -279,6 +285,7 @@
     "FIRST_WINDOW",
     "GRANT_PREFIX",
     "INITIAL_TOPUP",
+    "MAX_PARTS",
     "MAX_REPEATS",
     "REFUND_PREFIX",
     "REJECT_AFTER",
@@ -356,6 +363,7 @@
     "OutageCover",
     "Outcome",
     "Outgoing",
+    "PartRecords",
     "PlaceWindow",
     "Placement",
     "PlacementPolicy",
@@ -405,6 +413,7 @@
     "close_grant",
     "close_transaction",
     "config_version_key",
+    "count_crashes",
     "decide_claim",
     "decide_filing",
     "draining_servers",
@@ -434,6 +443,7 @@
     "order_prefix",
     "outage_cover",
     "parse_lease",
+    "part_digest",
     "plan_acquire",
     "plan_apply",
     "plan_archive",
--- a/ebonyhold/coordination/_crashes.py
+++ b/ebonyhold/coordination/_crashes.py
@@ -95,6 +95,8 @@
             several servers at once counts once.
         at: When the crash was noticed, in seconds since the epoch.
         alone: Whether no other server ended at the same time.
+        holder: The request that had the part of a prompt which this loss accuses; empty
+            if it accuses the request itself.
     """
 
     request: RequestDigest
@@ -102,6 +104,7 @@
     depth: int = 1
     at: Seconds = field(default=0.0, eq=False)
     alone: bool = field(default=True, eq=False)
+    holder: RequestDigest = field(default="", eq=False)
 
 
 @frozen
@@ -177,6 +180,8 @@
         self.answers[request] = now
         drop_oldest(self.answers)
         losses = self.by_request.get(request, ())
+        if not losses:
+            return
         private = [
             loss for loss in losses if self.losses[loss] and loss not in self.reported
         ]
@@ -250,6 +255,10 @@
             found.setdefault(loss.request, []).append(loss)
         self.by_request = found
         self.reported.intersection_update(self.losses)
+        self.reject(found)
+
+    def reject(self, found: Mapping[RequestDigest, Sequence[RequestLoss]]) -> None:
+        """Decide which requests are rejected."""
         self.rejected = decide_rejections(found)
 
     def report(self) -> CrashReport:
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -191,7 +191,8 @@
         if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
             await self.delivery(channel).relay_stream(head, work)
             self.backends.succeeded(self.entry)
-            return AttemptResult(AttemptEnd.DELIVERED), self.finish(channel, head)
+            result = AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
+            return result, self.finish(channel, head)
         return await self.handle_whole(channel, head, facts)
 
     def relay_target(self) -> RelayTarget:
@@ -307,7 +308,8 @@
         if exchange.connection.started:
             raise BackendLostError(f"status {head.status} to a resumed stream")
         await exchange.deliver(answer)
-        return AttemptResult(AttemptEnd.DELIVERED), kept
+        written = 200 <= head.status < 300
+        return AttemptResult(AttemptEnd.DELIVERED, written=written), kept
 
     def delivery(self, channel: Channel) -> AnswerDelivery:
         """Return what passes the body of an answer on."""
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Mapping
 
 import anyio
 from attrs import define, field, frozen
@@ -11,13 +12,15 @@
 from ebonyhold.coordination import (
     REJECT_AFTER,
     CrashRecords,
+    PartRecords,
     RequestLoss,
+    count_crashes,
 )
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptLoss, Exchange
 from ebonyhold.forwarding._paths import Paths
-from ebonyhold.types import BackendName, Seconds
+from ebonyhold.types import BackendName, PartDigest, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +36,24 @@
 """
 
 
+@frozen
+class Suspicion:
+    """What is known of the crashes in which a request and its parts were.
+
+    Attributes:
+        depth: The greatest depth of the request's losses; 0 if it was in no crash.
+        parts: The same of each part of its prompt that was in a crash.
+    """
+
+    depth: int = 0
+    parts: Mapping[PartDigest, int] = field(factory=dict)
+
+    @property
+    def exists(self) -> bool:
+        """Whether the request may crash a server."""
+        return self.depth > 0 or bool(self.parts)
+
+
 @frozen(eq=False)
 class UncheckedLoss:
     """A loss at a server for which it is not known yet whether the server crashed.
@@ -41,13 +62,13 @@
         exchange: The lost request.
         loss: The loss.
         earlier: The earlier losses of this exchange.
-        known_depth: The depth of the request's losses that were known when it was sent.
+        known: What was known of the request when it was sent.
     """
 
     exchange: Exchange
     loss: AttemptLoss
     earlier: tuple[AttemptLoss, ...]
-    known_depth: int
+    known: Suspicion
 
 
 @define(eq=False)
@@ -62,6 +83,7 @@
         paths: The ways to the servers.
         backends: The known servers.
         records: The losses known to all routers.
+        parts: The losses of parts of prompts known to all routers.
         unchecked: The lost requests of each server that is being checked.
         ended: When servers have ended, by the monotonic clock.
     """
@@ -69,28 +91,49 @@
     paths: Paths
     backends: BackendTable
     records: CrashRecords = field(factory=CrashRecords)
+    parts: PartRecords = field(factory=PartRecords)
     unchecked: dict[BackendEntry, list[UncheckedLoss]] = field(factory=dict)
     ended: dict[BackendName, Seconds] = field(factory=dict)
 
     def is_rejected(self, exchange: Exchange) -> bool:
-        """Return whether a request is rejected because it crashes servers."""
-        rejected = self.records.rejected
-        return bool(rejected) and exchange.digest in rejected
+        """Return whether a request is rejected because it crashes servers.
 
-    def depth(self, exchange: Exchange) -> int:
-        """Return the depth of a request's losses; 0 if it was in no crash."""
-        return self.records.depth(exchange.digest) if self.records.losses else 0
+        One whose crashes a part explains that it does not have is not.
+        """
+        if self.parts.groups and self.parts.is_rejected(exchange.parts):
+            return True
+        rejected = self.records.rejected
+        if not rejected or exchange.digest not in rejected:
+            return False
+        losses = self.records.by_request[exchange.digest]
+        return count_crashes(losses, self.parts.explained) >= REJECT_AFTER
+
+    def suspicion(self, exchange: Exchange) -> Suspicion:
+        """Return what is known of the crashes of a request and its parts."""
+        depth = self.records.depth(exchange.digest) if self.records.losses else 0
+        if not self.parts.losses:
+            return Suspicion(depth)
+        depths = {part: self.parts.depth(part) for part in exchange.parts}
+        return Suspicion(depth, {part: each for part, each in depths.items() if each})
 
     def may_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be sent again, also before all is checked."""
         return len(exchange.losses) < REJECT_AFTER
 
-    def answered(self, exchange: Exchange) -> None:
-        """Record that a server has answered a request completely."""
+    def answered(self, exchange: Exchange, written: bool) -> None:
+        """Record that a server has answered a request completely.
+
+        Args:
+            exchange: The request.
+            written: Whether it has written an answer on the prompt.
+        """
         if self.records.losses:
             self.records.retract(exchange.digest, time.time())
+        if self.parts.losses and written:
+            for part in exchange.parts:
+                self.parts.retract(part, time.time())
 
-    def lost(self, exchange: Exchange, entry: BackendEntry, known_depth: int) -> None:
+    def lost(self, exchange: Exchange, entry: BackendEntry, known: Suspicion) -> None:
         """Record that the connection broke during a request, and check the server.
 
         A server that is draining or no longer listed is expected to end.  If the list
@@ -102,7 +145,7 @@
             exchange,
             AttemptLoss(entry.backend.name),
             tuple(exchange.losses),
-            known_depth,
+            known,
         )
         exchange.losses.append(unchecked.loss)
         if entry.is_expected_to_end:
@@ -175,7 +218,12 @@
             extra={
                 "request": exchange.caller.request_id,
                 "content": exchange.digest,
-                "parts": [part for part, _ in exchange.caller.prompt_parts[:-1]],
+                "parts": {
+                    part: digest
+                    for (part, _), digest in zip(
+                        exchange.caller.prompt_parts, exchange.parts, strict=False
+                    )
+                },
                 "backend": backend.name,
                 "depth": unchecked.loss.depth,
                 "rejected": self.is_rejected(exchange),
@@ -186,12 +234,15 @@
     def record_loss(
         self, entry: BackendEntry, unchecked: UncheckedLoss, alone: bool
     ) -> None:
-        """Record the loss of a request that may be the cause of a crash."""
+        """Record the loss of a request that may be the cause of a crash.
+
+        So may each part of its prompt that other requests have.
+        """
         loss = unchecked.loss
         earlier = (other.depth for other in unchecked.earlier)
-        loss.depth = 1 + max(unchecked.known_depth, *earlier, 0)
-        self.records.add(
-            RequestLoss(
-                unchecked.exchange.digest, entry.run, loss.depth, time.time(), alone
-            )
-        )
+        loss.depth = 1 + max(unchecked.known.depth, *earlier, 0)
+        digest, now = unchecked.exchange.digest, time.time()
+        self.records.add(RequestLoss(digest, entry.run, loss.depth, now, alone))
+        for part in unchecked.exchange.parts:
+            depth = max(loss.depth, 1 + unchecked.known.parts.get(part, 0))
+            self.parts.add(RequestLoss(part, entry.run, depth, now, alone, digest))
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -87,8 +87,8 @@
                 exchange.reasons.append(str(error))
                 return Refusal.VERSION_UNKNOWN
         while True:
-            depth = self.crashes.depth(exchange)
-            suspect = depth > 0 or bool(exchange.losses)
+            known = self.crashes.suspicion(exchange)
+            suspect = known.exists or bool(exchange.losses)
             entry = self.next_entry(exchange, suspect)
             if isinstance(entry, Refusal):
                 if entry in MAY_WAIT and await self.wait_for_place(exchange):
@@ -111,10 +111,10 @@
             finally:
                 self.places.free(exchange.match.service)
             if result.end is AttemptEnd.DELIVERED:
-                self.crashes.answered(exchange)
+                self.crashes.answered(exchange, result.written)
                 return None
             if result.broken:
-                self.crashes.lost(exchange, entry, depth)
+                self.crashes.lost(exchange, entry, known)
             self.record_failure(exchange, entry.backend.name, result)
             if result.end is AttemptEnd.NOT_SENT:
                 await self.settle_reach(exchange)
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -7,13 +7,20 @@
 import h11
 from attrs import define, field, frozen
 
+from ebonyhold.coordination import MAX_PARTS, part_digest
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
 from ebonyhold.forwarding._endings import BODILESS, AnswerEnding
 from ebonyhold.forwarding._routes import Match, host_of
 from ebonyhold.forwarding._types import CallerRequest, Headers, SoftwareVersion
-from ebonyhold.types import BackendName, RequestDigest, Seconds, Tokens
+from ebonyhold.types import (
+    BackendName,
+    PartDigest,
+    RequestDigest,
+    Seconds,
+    Tokens,
+)
 
 
 class AttemptEnd(Enum):
@@ -56,12 +63,14 @@
             other attempt succeeds.
         reason: Why it failed, for logs.
         broken: Whether the connection ended before the answer did.
+        written: Whether the server has written a whole answer on the prompt.
     """
 
     end: AttemptEnd
     answer: WholeAnswer | None = None
     reason: str = ""
     broken: bool = False
+    written: bool = False
 
 
 @define(eq=False)
@@ -103,6 +112,8 @@
         reasons: Why attempts failed, for logs.
         endings: How the answers of servers ended, for logs.
         known_digest: The digest of its content; empty until `digest` is first read.
+        known_parts: The digests of the parts of its prompt that other requests may
+            have; None until `parts` is first read.
         losses: Its losses by connections that broke, in order.
         waits_until: Until when it waits for a place at a brittle server; None before it
             first did.
@@ -129,6 +140,7 @@
     reasons: list[str] = field(factory=list)
     endings: list[AnswerEnding] = field(factory=list)
     known_digest: RequestDigest = ""
+    known_parts: tuple[PartDigest, ...] | None = None
     losses: list[AttemptLoss] = field(factory=list)
     waits_until: Seconds | None = None
     retry_after: Seconds | None = None
@@ -150,6 +162,20 @@
             )
         return self.known_digest
 
+    @property
+    def parts(self) -> tuple[PartDigest, ...]:
+        """The digests of the parts of its prompt but the last, computed when needed.
+
+        No other request has the last part.
+        """
+        if self.known_parts is None:
+            service = self.match.service
+            self.known_parts = tuple(
+                part_digest(service, part)
+                for part, _ in self.caller.prompt_parts[:-1][:MAX_PARTS]
+            )
+        return self.known_parts
+
     @property
     def charge(self) -> Tokens:
         """The tokens to charge; 0 if the request cannot have run.
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -266,7 +266,10 @@
             ages=self.ages,
             shutdown=self.shutdown,
             crashes=CrashDetector(
-                paths, self.routing.backends, self.observations.crashes
+                paths,
+                self.routing.backends,
+                self.observations.crashes,
+                self.observations.parts,
             ),
             streams=StreamVersions(
                 self.routing.backends,
--- a/ebonyhold/gateway/_observations.py
+++ b/ebonyhold/gateway/_observations.py
@@ -18,6 +18,7 @@
     CrashRecords,
     CrashReport,
     EndedLimit,
+    PartRecords,
     Put,
     Transaction,
     from_bytes,
@@ -65,10 +66,13 @@
     Attributes:
         crashes: Requests that were lost in crashes.
         ended_limits: Limits that servers no longer state.
+        parts: Parts of prompts that were lost in crashes; None from an older version.
+            They are apart because that one would take them for requests.
     """
 
     crashes: CrashReport = field(factory=CrashReport)
     ended_limits: tuple[EndedLimit, ...] = ()
+    parts: CrashReport | None = None
 
 
 @frozen
@@ -88,6 +92,7 @@
         count_routers: Returns the number of gateways.
         is_store_reachable: Returns whether the store seems reachable.
         peers: Sends messages to the other gateways.
+        parts: What is known of crashes of parts of prompts.
         published: The last content of this VM's row.
         sent: The last observations that were sent to other gateways.
     """
@@ -99,6 +104,7 @@
     count_routers: Callable[[], int]
     is_store_reachable: Callable[[], bool]
     peers: GatewayPeers
+    parts: PartRecords = field(factory=PartRecords)
     published: ObservationsRow = field(factory=ObservationsRow)
     sent: ObservationsRow = field(factory=ObservationsRow)
 
@@ -120,13 +126,17 @@
             self.merge(observed, own=row.key == self.name)
 
     def merge(self, observed: ObservationsRow, own: bool = False) -> None:
-        """Merge observations, and log which requests are rejected from now on."""
-        before = self.crashes.rejected
+        """Merge observations, and log what is rejected from now on."""
+        requests, parts = self.crashes.rejected, self.parts.rejected
         self.crashes.merge(observed.crashes, time.time(), own)
+        if observed.parts is not None:
+            self.parts.merge(observed.parts, time.time(), own)
         for ended in observed.ended_limits:
             self.backends.end_limit(ended)
-        for digest in self.crashes.rejected - before:
+        for digest in self.crashes.rejected - requests:
             log.warning("request rejected from now on", extra={"content": digest})
+        for digest in self.parts.rejected - parts:
+            log.warning("part rejected from now on", extra={"part": digest})
 
     async def run(self) -> None:
         """Publish the observations whenever they have changed, until cancelled."""
@@ -137,14 +147,18 @@
                 )
             )
             self.crashes.expire(time.time())
+            self.parts.expire(time.time())
             ended = self.backends.ended_limits.report(time.time())
-            if self.crashes.changed or ended != self.published.ended_limits:
+            changed = self.crashes.changed or self.parts.changed
+            if changed or ended != self.published.ended_limits:
                 await self.publish()
 
     async def publish(self) -> None:
         """Write this gateway's row, and tell other gateways if the store is away."""
         ended = self.backends.ended_limits.report(time.time())
-        observed = ObservationsRow(self.crashes.report(), ended)
+        parts = self.parts.report()
+        known = parts if parts != CrashReport() else None
+        observed = ObservationsRow(self.crashes.report(), ended, known)
         if observed == self.published:
             return
         if not self.is_store_reachable():
@@ -153,7 +167,7 @@
         try:
             await self.store.commit(Transaction((), (put,)))
         except PlatformError as error:
-            self.crashes.changed = True
+            self.crashes.changed = self.parts.changed = True
             log.info("observations not published", extra={"error": error.code})
         else:
             self.published = observed
--- a/ebonyhold/types.py
+++ b/ebonyhold/types.py
@@ -29,6 +29,9 @@
 RequestDigest: TypeAlias = str
 """Identifies the requests of one workspace that have the same content."""
 
+PartDigest: TypeAlias = str
+"""Identifies a part of the prompts that requests of one service have."""
+
 AttemptId: TypeAlias = str
 """The identifier of an attempt: one dispatch of a request to a backend server."""
 
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -382,6 +382,33 @@
 )
 """A row with the attributes that the first file of its class does not have yet."""
 
+PART_OBSERVATIONS = evolve(
+    SHARED_OBSERVATIONS,
+    parts=CrashReport(
+        losses=(
+            RequestLoss(
+                "28348b52", ServerRun("i-5", 1785000000004), 2, 5.5, holder="5a0d6ffc"
+            ),
+        ),
+        retracted=(
+            RequestLoss(
+                "c03e", ServerRun("i-5", 1785000000004), 2, 5.5, holder="5a0d6ffc"
+            ),
+        ),
+        shared=(
+            RequestLoss(
+                "28348b52",
+                ServerRun("i-6", 1785000000005),
+                2,
+                6.5,
+                alone=False,
+                holder="9b1e",
+            ),
+        ),
+    ),
+)
+"""The same with parts of prompts."""
+
 GATEWAYS: Mapping[str, object] = {
     "transfer-request": GatewayTransferRequest(workspace="acme", amount=75),
     "transfer-answer": TransferAnswer(given=75, left=20),
@@ -394,6 +421,7 @@
     "settled": SettlementsAnswer(),
     "observations": OBSERVATIONS,
     "observations-shared": SHARED_OBSERVATIONS,
+    "observations-parts": PART_OBSERVATIONS,
     "observations-answer": ObservationsAnswer(),
     "begun-streams": BegunStreams(streams={"5e0a": BegunStream("chat", "v1.1")}),
     "begun-streams-answer": BegunStreamsAnswer(),
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -57,6 +57,7 @@
 )
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._metrics import GatewayMetrics
+from ebonyhold.gateway._observations import ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.metrics import Metrics
@@ -98,6 +99,8 @@
 ADDED_LATER = {
     (CrashReport, attrs.fields(CrashReport).shared.name),
     (RequestLoss, attrs.fields(RequestLoss).alone.name),
+    (RequestLoss, attrs.fields(RequestLoss).holder.name),
+    (ObservationsRow, attrs.fields(ObservationsRow).parts.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
     (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
     (TransferAnswer, attrs.fields(TransferAnswer).own.name),
