Keep the last tokens of a budget for small requests only, and for less time

Cause: each size was kept from the larger ones for a minute of demand, so 3 in 100 were kept of nearly every budget; and of its own tokens a router counted those within its limit only, which is next to none while the store answers. Change: tokens are kept for requests of up to a third of the mean, for 25 s of their demand; all own tokens count while the store is in touch.

--- a/ebonyhold/gateway/_losses.py
+++ b/ebonyhold/gateway/_losses.py
@@ -23,7 +23,7 @@
 class TokenCause(Enum):
     """Why a request got no tokens; if several members apply, the first of them."""
 
-    KEPT = "tokens kept for smaller requests"
+    KEPT = "tokens kept for small requests"
     ABOVE_LIMIT = "tokens here, above the limit"
     STORE_UNREACHABLE = "tokens in the budget, store away"
     ELSEWHERE = "tokens with other routers"
--- a/ebonyhold/prepaid/_last_tokens.py
+++ b/ebonyhold/prepaid/_last_tokens.py
@@ -1,9 +1,8 @@
 """Which requests get the last tokens of a budget.
 
 One large request uses what serves many small ones.  So the last part of a budget is
-kept for requests that are smaller than the one that asks, as far as these are expected
-to need it.  The smallest requests of a workspace, and so all requests of a workspace
-whose requests are of one size, may use its budget to the end.
+kept for small requests, as far as these are expected to need it.  All requests of a
+workspace whose requests are of one size may use its budget to the end.
 """
 
 from __future__ import annotations
@@ -15,18 +14,21 @@
 from ebonyhold.types import Seconds, Tokens
 
 LAST_PART = 0.03
-"""The largest fraction of a budget that is kept for smaller requests.
+"""The largest fraction of a budget that is kept for small requests.
 
 Callers may count on the other 97 in 100 of what they prepaid, whatever the size of
 their requests.
 """
 
-KEPT_FOR: Seconds = 60.0
-"""The time for which smaller requests should be served from the last part.
+KEPT_FOR: Seconds = 25.0
+"""The time for which small requests should be served from the last part.
 
-Within it an operator's top-up is in force everywhere.
+Twice the time within which service is to be back after a restart of all routers.
 """
 
+SMALL = 1 / 3
+"""A request is small if it needs at most this fraction of the mean."""
+
 DEMAND_TIME: Seconds = 60.0
 """Time constant of the decay of past requests."""
 
@@ -40,18 +42,20 @@
 """In that time, a request is small if it needs at most this fraction of the last part
 of its budget."""
 
+CLASSES_PER_DOUBLING = 4
+"""The number of size classes in which sizes double."""
+
 
 @define
 class SizeDemand:
     """The tokens that requests of each size ask for at this router.
 
-    Sizes are classes of powers of two.  Requests count whether they get their tokens
-    or not: the ones that are refused at the end of a budget are those to be served
-    from what is kept for them.
+    Requests count whether they get their tokens or not: the ones that are refused at
+    the end of a budget are those to be served from what is kept for them.
 
     Attributes:
-        weights: Sum of the tokens asked for by requests of each class, in which each
-            request decays with its age.
+        weights: Sum of the tokens asked for by requests of each size class, in which
+            each request decays with its age.
         count: Number of requests, which decays alike.
         started_at: When the first request was counted; None before.
         updated_at: When the weights were last updated.
@@ -77,7 +81,7 @@
         self.weights = {size: w * factor for size, w in self.weights.items()}
         self.count = self.count * factor + 1
         self.updated_at = now
-        size = amount.bit_length()
+        size = size_class(amount)
         self.weights[size] = self.weights.get(size, 0.0) + amount
 
     def rate(self, now: Seconds) -> float:
@@ -89,25 +93,34 @@
         factor = math.exp((self.updated_at - now) / DEMAND_TIME)
         return sum(self.weights.values()) * factor / covered
 
-    def share_below(self, amount: Tokens) -> float:
-        """Return the share of the tokens that requests of lower classes ask for.
+    def small_share(self, amount: Tokens) -> float:
+        """Return the share of the tokens that small requests ask for.
+
+        It is 0 if the amount is that of a small request itself.
 
         >>> demand = SizeDemand()
         >>> for second in range(100):
         ...     demand.record(1000, float(second))
         ...     demand.record(8000, float(second))
-        >>> round(demand.share_below(8000), 3), demand.share_below(1000)
+        >>> round(demand.small_share(8000), 3), demand.small_share(1000)
         (0.111, 0.0)
         """
-        size = amount.bit_length()
-        smaller = sum(w for each, w in self.weights.items() if each < size)
-        return smaller / (sum(self.weights.values()) or 1.0)
+        total = sum(self.weights.values())
+        largest = size_class(max(1, int(total * SMALL / max(1.0, self.count))))
+        if size_class(amount) <= largest:
+            return 0.0
+        return sum(w for size, w in self.weights.items() if size <= largest) / total
+
+
+def size_class(amount: Tokens) -> int:
+    """Return the class of a size, which grows with it."""
+    return int(math.log2(max(1, amount)) * CLASSES_PER_DOUBLING)
 
 
-def kept_for_smaller(
+def kept_for_small(
     amount: Tokens, prepaid: Tokens, rate: float, own: SizeDemand, all_: SizeDemand
 ) -> float:
-    """Return how many tokens of a budget are kept for requests that are smaller.
+    """Return how many tokens of a budget are kept from a request, for small ones.
 
     Args:
         amount: Maximum cost of the request that asks.
@@ -123,6 +136,6 @@
         return 0.0
     for sizes in (own, all_):
         if sizes.count >= MIN_SAMPLE:
-            return min(rate * sizes.share_below(amount) * KEPT_FOR, last)
+            return min(rate * sizes.small_share(amount) * KEPT_FOR, last)
     is_small = amount <= SMALL_PART * last
     return last if all_.is_learning and not is_small else 0.0
--- a/ebonyhold/prepaid/_workspace_grant.py
+++ b/ebonyhold/prepaid/_workspace_grant.py
@@ -27,7 +27,7 @@
 from ebonyhold.prepaid._changes import ChangeAmounts, make_change
 from ebonyhold.prepaid._demand import Demand
 from ebonyhold.prepaid._grant_state import GrantState
-from ebonyhold.prepaid._last_tokens import SizeDemand, kept_for_smaller
+from ebonyhold.prepaid._last_tokens import SizeDemand, kept_for_small
 from ebonyhold.prepaid._limits import LimitTracker, SpendingLimit
 from ebonyhold.prepaid._reclaim import Predecessor
 from ebonyhold.prepaid._row_cache import MAX_REFUSAL_AGE
@@ -47,7 +47,7 @@
 """Maximum number of commits tried in one round, while each of them conflicts."""
 
 AMPLE_PART = 0.5
-"""A grant that has this fraction of what is kept for smaller requests need not ask the
+"""A grant that has this fraction of what is kept for small requests need not ask the
 other routers what they have."""
 
 CONFLICT_BACKOFF: Seconds = 0.02
@@ -170,7 +170,7 @@
         """Hold tokens that are here, can be drawn, or are passed on by other routers.
 
         A draw reads the budget anew, and others may have drawn what it had left; so
-        what is kept for smaller requests is looked at again.
+        what is kept for small requests is looked at again.
 
         Returns:
             Whether they are held.
@@ -192,13 +192,13 @@
         )
 
     async def is_spare(self, amount: Tokens, kept: float) -> bool:
-        """Return whether a request leaves what is kept for smaller ones."""
+        """Return whether a request leaves what is kept for small ones."""
         return self.has_spare(amount, kept) or await self.fleet_has_spare(amount, kept)
 
     def kept(self, amount: Tokens) -> float:
-        """Return how many tokens of the budget are kept for smaller requests."""
+        """Return how many tokens of the budget are kept for small requests."""
         rate = self.sizes.rate(anyio.current_time()) * self.routers()
-        return kept_for_smaller(
+        return kept_for_small(
             amount, self.configured.prepaid, rate, self.sizes, self.all_sizes
         )
 
@@ -221,7 +221,7 @@
         offers = await self.peers.offers(self.workspace)
         in_budget = max(0, self.configured.remaining)
         elsewhere = sum(offer.without_budget(in_budget) for offer in offers)
-        left = self.usable + in_budget + elsewhere - self.asked - amount
+        left = self.own_offer + in_budget + elsewhere - self.asked - amount
         return left >= kept
 
     @property
@@ -310,7 +310,7 @@
         Args:
             amount: Maximum cost of the request.
             request: Identifier of the request.
-            kept: What was kept for smaller requests.
+            kept: What was kept for small requests.
         """
         budget = self.budget
         log.info(
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize(
     ("lines", "cause"),
     [
-        (refusal(True, available=800, kept=400), "tokens kept for smaller requests"),
+        (refusal(True, available=800, kept=400), "tokens kept for small requests"),
         (refusal(True, available=800, kept=200), "tokens here, above the limit"),
         (refusal(True, available=800, room=100), "tokens here, above the limit"),
         (refusal(False, remaining=800), "tokens in the budget, store away"),
--- a/tests/prepaid/test_last_tokens.py
+++ b/tests/prepaid/test_last_tokens.py
@@ -1,4 +1,4 @@
-"""The last tokens of a budget go to the smallest requests that are expected."""
+"""The last tokens of a budget go to small requests that are expected."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
     return served
 
 
-async def test_last_tokens_are_kept_for_smaller_requests() -> None:
+async def test_last_tokens_are_kept_for_small_requests() -> None:
     """Guards against a few large requests that take what serves many small ones."""
     one = await started()
     while await use(one, LARGE) == [True]:
@@ -51,7 +51,7 @@
 
 
 async def test_requests_of_one_size_use_a_budget_to_its_end() -> None:
-    """Guards against tokens that are kept though no smaller request comes."""
+    """Guards against tokens that are kept though no small request comes."""
     one = await started()
     await use(one, *[LARGE] * 60)
     assert one.grant.state.charged == PREPAID
@@ -63,7 +63,7 @@
     assert await use(one, SMALL, PREPAID - SMALL) == [True, True]
 
 
-async def test_keeping_tokens_ends_with_the_smaller_requests() -> None:
+async def test_keeping_tokens_ends_with_the_small_requests() -> None:
     """Guards against tokens that are kept for callers who have left."""
     one = await started()
     await use(one, *[LARGE, SMALL] * 60)
