--- a/tests/gateway/test_observations.py
+++ b/tests/gateway/test_observations.py
@@ -173,3 +173,35 @@
     gateway = observations(store, "vm-0")
     await watcher(gateway).step()
     assert gateway.crashes.losses == {}
+
+
+def lose_part(gateway: Observations, server: str) -> None:
+    """Record at a gateway that a server crashed with a part of a new request."""
+    run, now = ServerRun(server, 1), time.time()
+    gateway.parts.add(RequestLoss("part", run, 2, now, holder=f"request at {server}"))
+
+
+@pytest.mark.parametrize("down", [False, True])
+@pytest.mark.parametrize("fleet", [3, LARGE_FLEET])
+async def test_all_gateways_reject_a_part_in_time(fleet: int, down: bool) -> None:
+    """Guards against a part of prompts that each gateway has to find for itself."""
+    history, gateways = RowHistory(), list[Observations]()
+    for number in range(4):
+        store = MemoryRows(history, Faults(down=down))
+        name = f"vm-{number}"
+        gateways.append(observations(store, name, *gateways, fleet=fleet))
+    for gateway in gateways:
+        others = [other for other in gateways if other is not gateway]
+        gateway.peers = RecordingPeers(*others)
+    async with anyio.create_task_group() as tasks:
+        for gateway in gateways:
+            tasks.start_soon(watcher(gateway).run)
+            tasks.start_soon(gateway.run)
+        await anyio.sleep(5)
+        for number, server in enumerate("abcd"):
+            lose_part(gateways[number], server)
+        await anyio.sleep(CONTACT_TIME)
+        tasks.cancel_scope.cancel()
+    assert [gateway.parts.rejected for gateway in gateways] == [{"part"}] * 4
+    # Older versions read the losses of requests only.
+    assert all(not gateway.crashes.losses for gateway in gateways)
