--- a/ebonyhold/prepaid/_last_tokens.py
+++ b/ebonyhold/prepaid/_last_tokens.py
@@ -13,11 +13,11 @@
 
 from ebonyhold.types import Seconds, Tokens
 
-LAST_PART = 0.03
+LAST_PART = 0.02
 """The largest fraction of a budget that is kept for small requests.
 
-Callers may count on the other 97 in 100 of what they prepaid, whatever the size of
-their requests.
+Callers may count on 97 in 100 of what they prepaid, whatever the size of their
+requests; the rest of the three is for what routers that ended have not proved unspent.
 """
 
 KEPT_FOR: Seconds = 25.0
