Read the memory of servers, of this process and the longest gap of a stream

Routing by memory and flow control need what the configuration and the settings state: places and memory of each server of a service, the longest pause on time between two events of a route, the memory of the router's own process, and whether memory may run out at callers and servers. Nothing uses them yet.

The new rows of tests/platform/test_documents.py and test_settings.py pass.

--- a/ebonyhold/forwarding/_types.py
+++ b/ebonyhold/forwarding/_types.py
@@ -62,6 +62,8 @@
         priority: The priority of its requests; 0 is the most urgent.
         anonymous: Whether requests need no key.
         resumable: Whether a broken stream may be resumed at another server.
+        max_gap: The longest pause between two events of a stream for which it is still
+            on time, in seconds; None if not stated.
     """
 
     name: str
@@ -75,6 +77,7 @@
     priority: int = 5
     anonymous: bool = False
     resumable: bool = False
+    max_gap: Seconds | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -95,6 +98,8 @@
         cold_time: For how many seconds after its start a server is cold.
         cold_rate: Requests per second that a cold server tolerates from all routers
             together; 0 for no limit.
+        slots: Requests that each of its servers runs at once; 0 if not stated.
+        memory: Tokens that the memory of each of its servers holds; 0 if not stated.
     """
 
     name: ServiceName
@@ -102,6 +107,8 @@
     event_tokens: Tokens = 1
     cold_time: Seconds = 0.0
     cold_rate: float = 0.0
+    slots: int = 0
+    memory: Tokens = 0
 
 
 @frozen
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -32,6 +32,11 @@
         retry_window: The time over which requests and retries are counted.
         link_rate: What the VM's network link carries in each direction, in bytes per
             second; infinite if it is not known.
+        memory_bytes: The memory of this process, which is killed above it; infinite if
+            it is not known.
+        memory_pressure: Whether memory may run out: callers and servers may read
+            slowly, and a server crashes if the requests that it holds exceed its
+            memory.
         log_level: The minimum severity that is logged.
     """
 
@@ -47,6 +52,8 @@
     retry_extra: float = 10.0
     retry_window: Seconds = 10.0
     link_rate: float = math.inf
+    memory_bytes: float = math.inf
+    memory_pressure: bool = False
     log_level: str = "INFO"
 
     @property
--- a/ebonyhold/platform/_documents.py
+++ b/ebonyhold/platform/_documents.py
@@ -81,6 +81,7 @@
 
 def read_route(raw: Mapping[str, Any]) -> Route:
     """Decode one route; without a target latency, its timeout serves as the target."""
+    max_gap = raw.get("target-gap-ms")
     return Route(
         name=str(raw["name"]),
         host=str(raw["host"]).lower(),
@@ -93,6 +94,7 @@
         priority=int(raw.get("priority", DEFAULT_PRIORITY)),
         anonymous=bool(raw.get("allow-anonymous", False)),
         resumable=bool(raw.get("resume-streams", False)),
+        max_gap=seconds(max_gap) if max_gap else None,
     )
 
 
@@ -106,6 +108,8 @@
         event_tokens=max(1, int(engine.get("stride", 1))),
         cold_time=float(raw.get("cold-start-s") or 0),
         cold_rate=float(raw.get("cold-per-s") or 0),
+        slots=int(engine.get("slots") or 0),
+        memory=int(engine.get("kv-cache-tokens") or 0),
     )
 
 
--- a/ebonyhold/platform/_settings.py
+++ b/ebonyhold/platform/_settings.py
@@ -16,6 +16,7 @@
 CALLERS = "frontend"
 READINESS = "readiness"
 NO_PORT = 0
+MEMORY_PRESSURE = "pressure"
 
 
 def read_address(text: str) -> tuple[str, int]:
@@ -38,6 +39,16 @@
     return megabits * 1e6 / 8 if megabits > 0 else math.inf
 
 
+def read_memory(limits: Mapping[str, Any]) -> float:
+    """Return the memory of this process in bytes; infinite if not stated.
+
+    >>> read_memory({"memory-mb": 2}), read_memory({})
+    (2000000.0, inf)
+    """
+    megabytes = float(limits.get("memory-mb") or 0)
+    return megabytes * 1e6 if megabytes > 0 else math.inf
+
+
 def decode_settings(raw: Mapping[str, Any]) -> GatewaySettings:
     """Decode the parsed settings file.
 
@@ -65,6 +76,8 @@
             retry_extra=float(bounds["budget-extra-retries"]),
             retry_window=float(bounds["budget-window-s"]),
             link_rate=read_link_rate(raw.get("limits") or {}),
+            memory_bytes=read_memory(raw.get("limits") or {}),
+            memory_pressure=MEMORY_PRESSURE in (raw.get("contracts") or ()),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(f"missing or malformed setting: {error!r}") from error
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -178,6 +178,30 @@
     assert (found.cold_time, found.cold_rate) == expected
 
 
+@pytest.mark.parametrize(
+    ("engine", "expected"),
+    [
+        (None, (0, 0)),
+        ({"stride": 3}, (0, 0)),
+        ({"slots": 96, "kv-cache-tokens": 258964}, (96, 258964)),
+    ],
+)
+def test_memory_of_servers(
+    engine: dict[str, Any] | None, expected: tuple[int, int]
+) -> None:
+    service = {"name": "s", "engine": engine}
+    rules = read_configuration(encode({**CONFIGURATION, "services": [service]}))
+    found = rules.services["s"]
+    assert (found.slots, found.memory) == expected
+
+
+@pytest.mark.parametrize(("stated", "gap"), [(None, None), (0, None), (300, 0.3)])
+def test_longest_gap_of_a_route(stated: int | None, gap: float | None) -> None:
+    route = {**CONFIGURATION["routes"][0], "target-gap-ms": stated}
+    rules = read_configuration(encode({**CONFIGURATION, "routes": [route]}))
+    assert rules.routes["h.example"]["/a/"].max_gap == gap
+
+
 @pytest.mark.parametrize(
     ("key", "domain"),
     [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 
 import pytest
@@ -55,6 +56,26 @@
     assert load_platform_settings().peers_port == port
 
 
+PRESSURE = [
+    ("", False, math.inf),
+    ('contracts = ["base","stream"]\n', False, math.inf),
+    ('contracts = ["pressure"]\nlimits = {memory-mb = 200}\n', True, 200e6),
+]
+
+
+@pytest.mark.parametrize(("lines", "pressure", "memory"), PRESSURE)
+def test_memory_settings(
+    lines: str,
+    pressure: bool,
+    memory: float,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    write_settings(tmp_path, lines + SETTINGS, monkeypatch)
+    settings = load_platform_settings()
+    assert (settings.memory_pressure, settings.memory_bytes) == (pressure, memory)
+
+
 MALFORMED = [
     "node-name = ",
     "",
