Interface of the load that other routers put on servers

The choice of a server and the exchange of loads are built side by side against it. Without an exchange nothing is known, and routers choose as before.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -236,6 +236,7 @@
     SendingLimit,
     choose_senders,
 )
+from ._server_load import FleetLoad, NoFleetLoad, ServerLoad
 from ._startup import (
     StartupPolicy,
 )
@@ -330,6 +331,7 @@
     "FairScheduler",
     "Filed",
     "FilingDecision",
+    "FleetLoad",
     "GrantLedger",
     "GrantPolicy",
     "GrantRow",
@@ -356,6 +358,7 @@
     "Membership",
     "MembershipOptions",
     "Need",
+    "NoFleetLoad",
     "NoTransferMixin",
     "Objects",
     "Observed",
@@ -383,6 +386,7 @@
     "Row",
     "Seal",
     "SendingLimit",
+    "ServerLoad",
     "ServerRun",
     "Settlement",
     "StartupPolicy",
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -12,7 +12,9 @@
 from ebonyhold.coordination import (
     EndedLimit,
     EndedLimits,
+    FleetLoad,
     LimitShares,
+    NoFleetLoad,
     SendingLimit,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
@@ -50,11 +52,13 @@
         shares: This router's shares of the servers' limits.
         brittle: Which servers are brittle.
         ended_limits: The ends of limits that this router has noticed.
+        fleet_load: The load that the other routers put on the servers.
     """
 
     shares: LimitShares = field(factory=LimitShares)
     brittle: BrittleServers = field(factory=BrittleServers)
     ended_limits: EndedLimits = field(factory=EndedLimits)
+    fleet_load: FleetLoad = field(factory=NoFleetLoad)
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
