Notice restarts of servers that the list does not show yet by more signs

Cause of the gap: a stream is sent to a server's next run under the entry of the earlier one, up to 0.5 s before the list shows the restart. Three signs of it were not used: a second end within 2.5 s of the first was not recorded, so the entry of the first restart confirmed the run; the end of unused connections told nothing; and a stream begun at the next run kept the version of the earlier one after the list had shown the restart. Change: the last end must be 2.5 s old before an entry confirms a run. While several versions are in play, a server that ends an unused connection early is asked for a new one, and a refusal is its end. Streams begun over connections that the list has not confirmed lose their version when it shows another one. A router without a connection to the server still learns of its restart with the list.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -40,7 +40,11 @@
     reads_end_stated,
     without_relay_fields,
 )
-from ebonyhold.forwarding._streams import UNKNOWN_VERSION, StreamVersions
+from ebonyhold.forwarding._streams import (
+    UNKNOWN_VERSION,
+    RunOfStream,
+    StreamVersions,
+)
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     Dispatch,
@@ -313,6 +317,7 @@
 
     def delivery(self, channel: Channel) -> AnswerDelivery:
         """Return what passes the body of an answer on."""
+        run = None if self.relay else RunOfStream(self.entry, channel.opened_at)
         return AnswerDelivery(
             self.exchange,
             self.entry.backend,
@@ -321,6 +326,7 @@
             self.paths,
             self.streams,
             self.record_heard,
+            run,
         )
 
     def finish(self, channel: Channel, head: AnswerHead) -> bool:
--- a/ebonyhold/forwarding/_delivery.py
+++ b/ebonyhold/forwarding/_delivery.py
@@ -12,7 +12,7 @@
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import Exchange, WholeAnswer
 from ebonyhold.forwarding._paths import Paths
-from ebonyhold.forwarding._streams import StreamVersions
+from ebonyhold.forwarding._streams import UNKNOWN_VERSION, RunOfStream, StreamVersions
 from ebonyhold.forwarding._types import Backend, RouteKind, SoftwareVersion
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
@@ -59,6 +59,7 @@
         paths: Tells whether the server runs on.
         streams: Records which version began a stream.
         heard: Called when the server has sent something.
+        run: The server's run and the connection to it; None if another router sends.
     """
 
     exchange: Exchange
@@ -68,6 +69,7 @@
     paths: Paths
     streams: StreamVersions
     heard: Callable[[], None]
+    run: RunOfStream | None = None
 
     async def read_whole(self, head: AnswerHead) -> WholeAnswer:
         """Return a whole answer.
@@ -140,9 +142,10 @@
         """Count events sent to the caller, and store the last event number."""
         exchange = self.exchange
         if exchange.version is None:
-            exchange.version = self.version
+            replaced = self.run is not None and self.streams.is_replaced(self.run)
+            exchange.version = UNKNOWN_VERSION if replaced else self.version
         if not exchange.events:
-            self.streams.begin(exchange, exchange.version)
+            self.streams.begin(exchange, exchange.version, self.run)
         exchange.events += len(events)
         numbers = [event.number for event in events if event.number is not None]
         if numbers:
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -116,6 +116,7 @@
             if result.broken:
                 self.crashes.lost(exchange, entry, known)
             self.record_failure(exchange, entry.backend.name, result)
+            self.streams.recheck(exchange)
             if result.end is AttemptEnd.NOT_SENT:
                 await self.settle_reach(exchange)
             refusal = self.check_retry(exchange, result)
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -42,6 +42,7 @@
             it was not cold when it was last considered.
         ended_at: When its process was seen to have ended, while the list shows the run
             still; None if it was not, or the list has confirmed the run since.
+        end_seen_at: When that was seen last, since it may have ended again.
         inherited_at: When it was read in this router's first list, which may show a run
             that had ended before; None if it was listed later, or confirmed since.
         drop_at: When to remove it from the table, if its list entry is missing after an
@@ -65,6 +66,7 @@
     cold_until: Seconds = 0.0
     cold_limit: SendingLimit | None = None
     ended_at: Seconds | None = None
+    end_seen_at: Seconds = 0.0
     inherited_at: Seconds | None = None
     drop_at: Seconds | None = None
 
@@ -81,7 +83,7 @@
 
     def confirm(self, until: Seconds) -> None:
         """Forget what was in doubt at a time, as the list has shown this run since."""
-        if self.ended_at is not None and self.ended_at <= until:
+        if self.ended_at is not None and self.end_seen_at <= until:
             self.ended_at = None
         if self.inherited_at is not None and self.inherited_at <= until:
             self.inherited_at = None
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -25,6 +25,7 @@
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue
 from ebonyhold.forwarding._refusals import Refusal, own_answer
+from ebonyhold.forwarding._restart_watch import RestartWatch
 from ebonyhold.forwarding._retries import FleetRetryBudget
 from ebonyhold.forwarding._routes import (
     Match,
@@ -123,6 +124,8 @@
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        watch = RestartWatch(self.paths, self.backends)
+        self.paths.pool.on_unused_end = watch.unused_ended
         self.dispatcher = Dispatcher(
             self.domain,
             self.dialect,
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 
 import anyio
 from attrs import define, field
@@ -66,6 +67,8 @@
         unused: The unused connections of each server, the most recently used one last.
         opened: Number of attempts to open a connection so far.
         traffic: Counts the bytes received from the servers.
+        on_unused_end: Called with the name of a server that has ended an unused
+            connection before its time.
     """
 
     tasks: TaskStarter
@@ -74,6 +77,7 @@
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
     traffic: Traffic = field(factory=Traffic)
+    on_unused_end: Callable[[BackendName], None] = lambda name: None
 
     async def get(self, name: BackendName, address: tuple[str, int]) -> Channel:
         """Return a pooled or new connection to a server.
@@ -113,6 +117,7 @@
             channel = channels.pop()
             usable = channel.is_idle() and now < channel.usable_until
             if usable and channel.address == address:
+                channel.inbox.on_end = None
                 return channel
             self.tasks.start_soon(channel.close)
         return None
@@ -124,6 +129,12 @@
             await channel.close()
             return
         channels.append(channel)
+        channel.inbox.on_end = partial(self.unused_ended, name, channel)
+
+    def unused_ended(self, name: BackendName, channel: Channel) -> None:
+        """Report the end of an unused connection, unless this router has closed it."""
+        if not channel.closed and anyio.current_time() < channel.usable_until:
+            self.on_unused_end(name)
 
     def ended_between(self, start: Seconds, end: Seconds) -> list[BackendName]:
         """Return the servers that ended unused connections in a period."""
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -61,6 +61,8 @@
         versions: The software versions in play.
         read_age: Returns the time since the list was last read.
         on_version: Called with a service in which a version is listed beside another.
+        on_restart: Called with the earlier run of a server that is listed under the
+            same name with another version.
     """
 
     entries: dict[BackendName, BackendEntry] = field(factory=dict)
@@ -71,6 +73,7 @@
     versions: VersionHistory = field(factory=VersionHistory)
     read_age: Callable[[], Seconds] = lambda: 0.0
     on_version: Callable[[ServiceName], None] = lambda service: None
+    on_restart: Callable[[BackendEntry], None] = lambda entry: None
 
     def replace(
         self, listed: Mapping[BackendName, Backend], now: Seconds, after_outage: bool
@@ -105,6 +108,8 @@
             # The server is new, is listed again, or has restarted under the same name.
             if known is not None:
                 known.listed = False
+                if known.backend.version != backend.version:
+                    self.on_restart(known)
             run = ServerRun(backend.name, backend.started_at)
             known = self.unlisted.pop(run, None) or BackendEntry(backend)
             known.listed, known.moved = True, False
@@ -127,9 +132,14 @@
         return self.read_age() < CURRENT_FOR
 
     def record_end(self, entry: BackendEntry, now: Seconds) -> None:
-        """Record that a server's process has ended; it may be back as another run."""
+        """Record that a server's process has ended; it may be back as another run.
+
+        It may end again before the list shows that, so an entry that is read too soon
+        after the last end confirms nothing.
+        """
         if entry.ended_at is None:
             entry.ended_at = now
+        entry.end_seen_at = max(entry.end_seen_at, now)
 
     def is_run_known(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from enum import Enum
 from typing import Protocol
@@ -11,9 +12,11 @@
 
 from ebonyhold.coordination import BegunStream, StreamId, StreamRecords, stream_id
 from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import Exchange
-from ebonyhold.forwarding._server_list import ServerList
+from ebonyhold.forwarding._server_list import CONFIRMED_AFTER, ServerList
 from ebonyhold.forwarding._types import RouteKind, ServiceName, SoftwareVersion
+from ebonyhold.types import Seconds
 
 UNKNOWN_VERSION: SoftwareVersion = "\0unknown"
 """The version of a stream that began at a run of a server whose version is not known.
@@ -21,6 +24,31 @@
 No server states it, so the stream goes on nowhere.
 """
 
+MAX_UNCONFIRMED = 2_000
+"""Maximum number of streams that are kept as begun at an unconfirmed run."""
+
+
+@frozen
+class RunOfStream:
+    """The run of a server to which the connection of a stream may lead.
+
+    The server may have been restarted before the connection was opened, and the list
+    not show it yet.
+
+    Attributes:
+        entry: The run that was listed when the stream began.
+        opened_at: When the connection was opened.
+    """
+
+    entry: BackendEntry
+    opened_at: Seconds
+
+    @property
+    def has_ended_since(self) -> bool:
+        """Whether the run was seen to end after the connection was opened."""
+        ended_at = self.entry.ended_at
+        return ended_at is not None and self.opened_at <= ended_at
+
 
 class Origin(Enum):
     """How the version of a stream that a caller takes up was found.
@@ -105,15 +133,21 @@
         keepers: The routers that are told of streams.
         records: The streams that this router has begun or keeps for others.
         on_found: Called with how a version was found, for metrics.
+        unconfirmed: The streams begun over connections that are too new for the list to
+            confirm which run they lead to, the oldest first.
     """
 
     servers: ServerList
     keepers: StreamKeepers = field(factory=NoKeepers)
     records: StreamRecords = field(factory=StreamRecords)
     on_found: Callable[[Origin], None] = lambda origin: None
+    unconfirmed: deque[tuple[RunOfStream, StreamId]] = field(
+        factory=lambda: deque(maxlen=MAX_UNCONFIRMED)
+    )
 
     def __attrs_post_init__(self) -> None:
         self.servers.on_version = self.tell_all
+        self.servers.on_restart = self.withdraw
 
     def tell_all(self, service: ServiceName) -> None:
         """Tell the keepers of a service's streams, as a second version has appeared."""
@@ -121,14 +155,67 @@
         if begun:
             self.keepers.tell(begun)
 
-    def begin(self, exchange: Exchange, version: SoftwareVersion) -> None:
-        """Record that a caller gets the first event of an answer."""
+    def is_replaced(self, run: RunOfStream) -> bool:
+        """Return whether the list shows a run with another version by now.
+
+        A connection that carries data then leads to that one.
+        """
+        listed = self.servers.entries.get(run.entry.backend.name, run.entry)
+        return listed.backend.version != run.entry.backend.version
+
+    def withdraw(self, entry: BackendEntry) -> None:
+        """Forget the version of streams that may have begun at a server's next run.
+
+        These are the ones over connections that were opened so shortly before the list
+        has shown the next run that they may lead to it.
+        """
+        for run, stream in self.unconfirmed:
+            if run.entry is not entry or run.has_ended_since:
+                continue
+            begun = self.records.begun.get(stream)
+            if begun is not None and begun.version == entry.backend.version:
+                unknown = BegunStream(begun.service, UNKNOWN_VERSION)
+                self.records.add(stream, unknown, anyio.current_time())
+                self.keepers.tell({stream: unknown})
+
+    def keep_unconfirmed(self, run: RunOfStream, stream: StreamId) -> None:
+        """Keep a stream until the list has confirmed the run at which it began."""
+        confirmed = anyio.current_time() - self.servers.read_age() - CONFIRMED_AFTER
+        while self.unconfirmed and self.unconfirmed[0][0].opened_at <= confirmed:
+            self.unconfirmed.popleft()
+        if run.opened_at > confirmed:
+            self.unconfirmed.append((run, stream))
+
+    def recheck(self, exchange: Exchange) -> None:
+        """Let a stream go on nowhere whose version was withdrawn meanwhile."""
+        if not exchange.events:
+            return
+        begun = self.records.begun.get(id_of(exchange, exchange.caller.request_id))
+        if begun is not None and begun.version == UNKNOWN_VERSION:
+            exchange.version = UNKNOWN_VERSION
+
+    def begin(
+        self,
+        exchange: Exchange,
+        version: SoftwareVersion,
+        run: RunOfStream | None = None,
+    ) -> None:
+        """Record that a caller gets the first event of an answer.
+
+        Args:
+            exchange: The request.
+            version: The version of the server that brought it.
+            run: The server's run and the connection to it; None if another router has
+                sent the request.
+        """
         if not exchange.match.route.resumable:
             return
         service = exchange.match.service
         begun = BegunStream(service, version)
         stream = id_of(exchange, exchange.caller.request_id)
         self.records.add(stream, begun, anyio.current_time())
+        if run is not None and version != UNKNOWN_VERSION:
+            self.keep_unconfirmed(run, stream)
         if self.servers.versions.are_several(service) or not self.servers.is_current:
             self.keepers.tell({stream: begun})
 
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -14,6 +14,7 @@
     Rig,
     Script,
     Server,
+    answer,
     event,
     request,
     rig,
@@ -212,3 +213,79 @@
         table.update(backends[0], read_at)
         withheld = table.withheld(entry, 9.0, version="v0", opened_at=5.1)
         assert (withheld is None) is confirmed
+
+
+def test_end_that_follows_another_one_is_not_confirmed_by_the_list_too_soon() -> None:
+    """A server that ends twice must not count as confirmed after its first restart."""
+    table = BackendTable()
+    backends = [
+        Server(f"s{n}", whole_stream, version=f"v{n}").backend() for n in (0, 1)
+    ]
+    for backend in backends:
+        table.update(backend)
+    entry = table.entries["s0"]
+    table.record_end(entry, 5.0)
+    table.record_end(entry, 7.0)
+    for read_at, known in ((8.0, False), (9.6, True)):
+        table.update(backends[0], read_at)
+        assert table.is_run_known(entry, 7.5, read_at) is known
+
+
+@pytest.mark.parametrize(
+    ("refuses", "versions", "known", "connects"),
+    [
+        pytest.param(True, 2, False, 1, id="process has ended"),
+        pytest.param(False, 2, True, 2, id="idle connection closed"),
+        pytest.param(True, 1, True, 1, id="one version"),
+    ],
+)
+async def test_end_of_an_unused_connection_tells_of_a_restart(
+    refuses: bool, versions: int, known: bool, connects: int
+) -> None:
+    """A router without a request at a server must notice that the server restarts."""
+
+    async def ends_later(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(answer(head))
+        await anyio.sleep(0.05)
+        if refuses:
+            await server.crash()
+        await stream.aclose()
+
+    first = Server("first", ends_later, version="v1")
+    other = Server("other", whole_stream, version=f"v{versions}")
+    async with rig(first, other) as router:
+        prefer(router, [first, other])
+        await router.ask(request("/safe/x"))
+        await anyio.sleep(0.2)
+        table = router.forwarder.backends
+        now = anyio.current_time()
+        assert table.is_run_known(table.entries["first"], now, now) is known
+    assert first.connections == connects
+
+
+@pytest.mark.parametrize("version", ["v1", "v2"])
+@pytest.mark.parametrize("listed_after", [0, 1], ids=["before event", "after event"])
+async def test_stream_begun_shortly_before_the_list_shows_a_restart(
+    version: str, listed_after: int
+) -> None:
+    """A stream must not count as one of the run that the list showed too long."""
+
+    async def begins(server: Server, stream: SocketStream, head: str) -> None:
+        first = b"%x\r\n" % len(event(1)) + event(1) + b"\r\n"
+        await stream.send(stream_head(head) + (first if listed_after else b""))
+        await anyio.sleep(0.05)
+        table = router.forwarder.backends
+        backend = table.entries["bad"].backend
+        table.update(evolve(backend, version=version, started_at=2))
+        await stream.send(b"" if listed_after else first)
+        await anyio.sleep(0.05)
+        await stream.aclose()
+
+    bad = Server("bad", begins, version="v1")
+    same = Server("same", whole_stream, version="v1")
+    async with rig(bad, same) as router:
+        prefer(router, [bad, same])
+        got = await router.ask(request("/stream/x"))
+    goes_on = version == "v1"
+    assert numbers(got) == ([1, 2, 3, 4] if goes_on else [1])
+    assert len(same.requests) == goes_on
