Losses: tokens held, ended, unproved and charged, in sum and at a time

Cause: ebonyhold losses told the tokens with routers and the stranded ones only, so the reason why a budget ended below its prepaid tokens could not be read from logs.

Change: the table has, for each workspace and in sum, what is filed, charged (by the ends of requests), in the row, with routers, held, with incarnations that ended and are not reclaimed yet, stranded, the unproved part of that, and not charged, which is what an account with complete knowledge would still have. --at reads the first seconds only. The account is a module of its own, _token_account.

--- a/ebonyhold/gateway/_losses.py
+++ b/ebonyhold/gateway/_losses.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from datetime import datetime
-from enum import Enum
 from typing import Any, TypeAlias
 
 from attrs import define, field
 
 from ebonyhold.forwarding import DELIVERED, Refusal
 from ebonyhold.gateway._loglines import LogLine, read_line
-from ebonyhold.types import RequestId, RouterId, Tokens, WorkspaceName
+from ebonyhold.gateway._token_account import COLUMNS, BudgetTokens, token_rows
+from ebonyhold.types import RequestId, Seconds, WorkspaceName
 
 WINDOW_SECONDS = 2
 """Time that one row of the table "Lost, by time" covers, in seconds."""
@@ -20,55 +21,6 @@
 REFUSALS = frozenset(refusal.code for refusal in Refusal)
 
 
-class TokenCause(Enum):
-    """Why a request got no tokens; if several members apply, the first of them."""
-
-    KEPT = "tokens kept for small requests"
-    ABOVE_LIMIT = "tokens here, above the limit"
-    STORE_UNREACHABLE = "tokens in the budget, store away"
-    ELSEWHERE = "tokens with other routers"
-    STRANDED = "tokens stranded by dead routers"
-    NOWHERE = "tokens spent or held"
-
-
-@define
-class BudgetTokens:
-    """One workspace's tokens, according to the lines read so far.
-
-    Attributes:
-        prepaid: Last logged prepaid tokens.
-        spent: Last logged tokens that were filed as spent.
-        remaining: Last logged tokens in the budget's row.
-        available: Last logged available tokens of each router's current incarnation.
-        stranded: Tokens of ended incarnations that were neither filed nor returned.
-    """
-
-    prepaid: Tokens = 0
-    spent: Tokens = 0
-    remaining: Tokens = 0
-    available: dict[RouterId, Tokens] = field(factory=dict)
-    stranded: Tokens = 0
-
-    def cause(self, line: LogLine) -> TokenCause:
-        """Return why the request of a "tokens refused" line got no tokens."""
-        fields = line.fields
-        amount = fields["amount"]
-        elsewhere = sum(self.available.values()) - self.available.get(line.router, 0)
-        found = elsewhere + fields["available"] + fields["remaining"]
-        # Older versions keep nothing, and do not log it.
-        if amount <= found < fields.get("kept", 0) + amount:
-            return TokenCause.KEPT
-        if fields["room"] < amount <= fields["available"]:
-            return TokenCause.ABOVE_LIMIT
-        if not fields["store_reachable"] and fields["remaining"] >= amount:
-            return TokenCause.STORE_UNREACHABLE
-        if elsewhere + fields["available"] >= amount:
-            return TokenCause.ELSEWHERE
-        if self.stranded + fields["available"] >= amount:
-            return TokenCause.STRANDED
-        return TokenCause.NOWHERE
-
-
 @define
 class Losses:
     """Requests that were not served, counted in several ways.
@@ -94,20 +46,24 @@
 
     def read(self, line: LogLine, request: RequestId) -> None:
         """Process one line; lines must be passed in order of time."""
-        if self.began is None:
-            self.began = datetime.fromisoformat(line.time)
         reader = READERS.get(line.message)
         if reader is not None:
             reader(self, line, request)
 
+    def seconds(self, line: LogLine) -> Seconds:
+        """Return the time since the first line, which is the one of the first call."""
+        at = datetime.fromisoformat(line.time)
+        if self.began is None:
+            self.began = at
+        return (at - self.began).total_seconds()
+
     def budget(self, line: LogLine) -> BudgetTokens:
         """Return the entry of the workspace that a line names, created if new."""
         return self.budgets.setdefault(line.fields["workspace"], BudgetTokens())
 
     def count(self, line: LogLine, cause: str) -> None:
         """Count one lost request by cause, by route and by time."""
-        assert self.began is not None
-        seconds = (datetime.fromisoformat(line.time) - self.began).total_seconds()
+        seconds = self.seconds(line)
         self.causes[cause] += 1
         self.routes[cause, line.fields.get("route", "")] += 1
         self.times[cause, int(seconds // WINDOW_SECONDS)] += 1
@@ -131,13 +87,13 @@
 
 @reads("starting")
 def read_start(losses: Losses, line: LogLine, request: RequestId) -> None:
-    """Drop the available tokens of the router's previous incarnation.
+    """Count the tokens of the router's previous incarnation as ended.
 
     A later line about their reclaim shows how many of them are stranded.
     """
     del request
     for tokens in losses.budgets.values():
-        tokens.available.pop(line.router, None)
+        tokens.end(line.router)
 
 
 @reads("grant changed")
@@ -148,15 +104,14 @@
     tokens.spent = line.fields["spent"]
     tokens.remaining = line.fields["remaining"]
     tokens.available[line.router] = line.fields["available"]
+    tokens.held[line.router] = line.fields.get("held", 0)
 
 
 @reads("grant reclaimed", "grant not reclaimed")
 def read_reclaim(losses: Losses, line: LogLine, request: RequestId) -> None:
     """Add tokens that an ended incarnation neither returned nor filed to `stranded`."""
     del request
-    fields = line.fields
-    left = fields["granted"] - fields["returned"] - fields["filed"]
-    losses.budget(line).stranded += max(0, left)
+    losses.budget(line).reclaim(line)
 
 
 @reads("tokens refused")
@@ -180,22 +135,30 @@
 
 @reads("request ended")
 def read_end(losses: Losses, line: LogLine, request: RequestId) -> None:
-    """Count a request that failed; refused ones are counted at "refused" lines."""
+    """Add a request's charge, and count one that failed.
+
+    Refused requests are counted at "refused" lines.
+    """
     del request
+    if line.fields.get("charge") and line.fields.get("workspace"):
+        losses.budget(line).charged += line.fields["charge"]
     outcome = line.fields["outcome"]
     if outcome != DELIVERED and outcome not in REFUSALS:
         losses.count(line, outcome)
 
 
-def find_losses(lines: Iterable[str]) -> Losses:
+def find_losses(lines: Iterable[str], until: Seconds = math.inf) -> Losses:
     """Count the requests that were not served, in the ways that `Losses` lists.
 
     Args:
         lines: The logs of all routers, as written, in any order.
+        until: Time since the first line up to which lines are read.
     """
     found = [one for one in map(read_line, lines) if one is not None]
     losses = Losses()
     for line, request in sorted(found, key=lambda one: one[0].time):
+        if losses.seconds(line) > until:
+            break
         losses.read(line, request)
     return losses
 
@@ -229,25 +192,6 @@
             losses.times.items(), key=lambda one: one[0][1]
         )
     ]
-    budgets = [
-        (
-            name,
-            one.prepaid or "",
-            one.spent,
-            one.remaining,
-            sum(one.available.values()),
-            one.stranded,
-        )
-        for name, one in sorted(losses.budgets.items())
-    ]
-    headers = (
-        "workspace",
-        "prepaid",
-        "filed",
-        "in the row",
-        "with routers",
-        "stranded",
-    )
     return [
         *table("Lost, by cause", ("cause", "requests"), losses.causes.most_common()),
         *table("Lost, by route", ("cause", "route", "requests"), routes),
@@ -255,5 +199,5 @@
             "No tokens, by workspace", ("cause", "workspace", "requests"), workspaces
         ),
         *table("Lost, by time", ("from", "cause", "requests"), times),
-        *table("Tokens, as last seen", headers, budgets),
+        *table("Tokens, as last seen", COLUMNS, token_rows(losses.budgets)),
     ]
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -99,3 +99,36 @@
 
 def test_report_without_losses() -> None:
     assert any("Lost, by cause" in one for one in report_losses(find_losses([])))
+
+
+def test_tokens_of_a_budget_are_told_apart(tmp_path: Path) -> None:
+    """Guards against a report that hides what a power cut leaves in no account."""
+    row: dict[str, Any] = {"workspace": "acme", "spent": 700, "remaining": 2_000}
+    renewed: dict[str, Any] = {"granted": 1_500, "limit": 1_200, "used": 900}
+    log = tmp_path / "all.log"
+    lines = [
+        refusal(True)[0].replace("00:05", "00:00"),
+        line("request ended", 1, workspace="acme", charge=600, outcome="delivered"),
+        line("grant changed", 2, "vm-1", available=500, held=100, **row),
+        line("grant changed", 2, "vm-2", available=300, held=20, **row),
+        line("starting", 3, "vm-1"),
+        line(
+            "grant reclaimed",
+            5,
+            workspace="acme",
+            returned=300,
+            held=200,
+            filed=400,
+            **renewed,
+        ),
+    ]
+    log.write_text("\n".join(lines))
+    fixed = [9_000, 700, 600, 2_000]
+    for seconds, expected in [
+        ("2", [*fixed, 800, 120, 0, 0, 0, 8_400]),
+        ("4", [*fixed, 300, 20, 600, 0, 0, 8_400]),
+        # Of 800 tokens, 300 were charged and not filed at the last renewal.
+        ("9", [*fixed, 300, 20, 0, 800, 500, 8_400]),
+    ]:
+        result = CliRunner().invoke(app, ["losses", "--at", seconds, str(log)])
+        assert result.output.split("acme")[-1].split() == [str(n) for n in expected]
