Prepaid: idle holders allow nothing ahead, and a play of power failures

Cause: of the two holders in a failure domain requests reach the first that answers. The renewals of the other one allowed a request ahead, and grew by its share of the budget; after a power failure of all VMs this counts as spent.

--- a/ebonyhold/experiments/budget_holders.py
+++ b/ebonyhold/experiments/budget_holders.py
@@ -161,6 +161,7 @@
         holders: Whether a few of them hold for all, or each for itself.
         prepaid: What each workspace has prepaid.
         unspent: Tokens of each workspace that are neither spent nor in flight.
+        life: Number of the routers' incarnations.
     """
 
     size: int
@@ -171,6 +172,7 @@
     routers: dict[str, ModelRouter] = field(factory=dict)
     unspent: dict[WorkspaceName, Tokens] = field(factory=dict)
     prepaid: dict[WorkspaceName, Tokens] = field(factory=dict)
+    life: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Give each router a grant manager."""
@@ -187,14 +189,14 @@
         """Return one router."""
         store = SlowRows(self.history, counts=self.counts)
         renewals = Renewals(
-            store, name, name, f"{name}.a", lambda: manager.wanted_limits()
+            store, name, name, f"{name}.{self.life}", lambda: manager.wanted_limits()
         )
         peers = ModelPeers(self, name)
         if not self.holders:
             holders.choose = lambda workspace, fleet: list(fleet)
         holders.update(domains)
         manager = GrantManager(
-            f"{name}.a",
+            f"{name}.{self.life}",
             store,
             lambda workspace: (1, self.prepaid[workspace]),
             lambda: self.prepaid,
--- a/ebonyhold/prepaid/_grant_manager.py
+++ b/ebonyhold/prepaid/_grant_manager.py
@@ -140,6 +140,7 @@
                 self.can_renew,
                 self.peers,
                 partial(self.is_holder, workspace),
+                lambda: not self.holder_table.holders(workspace).whole_fleet,
                 options=self.options,
                 all_sizes=self.sizes,
                 # `close` returns only the grants that were open when it began.  A grant
--- a/ebonyhold/prepaid/_grant_rounds.py
+++ b/ebonyhold/prepaid/_grant_rounds.py
@@ -72,6 +72,7 @@
         can_renew: Returns whether renewals currently reach the store.
         peers: Calls to other routers for transfers; None if none can be called.
         is_holder: Returns whether this router is a holder of the workspace.
+        few_hold: Returns whether a few holders hold for all routers.
         options: The options of the prepaid budgets.
         policy: Computes how much to draw or return.
         demand: The estimated demand at this router.
@@ -97,6 +98,7 @@
     can_renew: Callable[[], bool]
     peers: TransferPeers | None = None
     is_holder: Callable[[], bool] = lambda: True
+    few_hold: Callable[[], bool] = lambda: False
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
     demand: Demand = field(init=False)
@@ -323,6 +325,7 @@
             horizon=self.options.horizon,
             level=unspent / max(1, budget.prepaid),
             delay=self.limits.delay,
+            few_hold=self.few_hold(),
         )
         limit = allowance(inputs)
         return evolve(limit, used=inputs.used, held=self.state.ledger.held)
