Reject a request from its fourth crash on, also where rejected parts explain them

Cause, suspected from the code: crashes that rejected parts explain are taken off a request after the decision on requests, without the end that this decision has: four crashes in a row reject whatever others explain. A request that was at the same servers as parts that are rejected together, and has not all of them, goes on. Change: the same four crashes hold there; with three, what parts explain still excuses.

--- a/ebonyhold/coordination/_crashes.py
+++ b/ebonyhold/coordination/_crashes.py
@@ -261,6 +261,25 @@
         """Decide which requests are rejected."""
         self.rejected = decide_rejections(found)
 
+    def is_responsible(
+        self, request: RequestDigest, explained: Collection[ServerRun]
+    ) -> bool:
+        """Return whether a request is rejected although parts of prompts are, too.
+
+        As with other requests, what explains some crashes excuses no request that was
+        in `REJECT_CONTESTED_AFTER` successive ones.
+
+        Args:
+            request: The request.
+            explained: The runs of servers whose crash a rejected part explains.
+        """
+        if request not in self.rejected:
+            return False
+        losses = self.by_request[request]
+        if count_crashes(losses, ()) >= REJECT_CONTESTED_AFTER:
+            return True
+        return count_crashes(losses, explained) >= REJECT_AFTER
+
     def report(self) -> CrashReport:
         """Return what this router reports, at most MAX_REPORTED of each kind.
 
--- a/ebonyhold/forwarding/_crash_detection.py
+++ b/ebonyhold/forwarding/_crash_detection.py
@@ -14,7 +14,6 @@
     CrashRecords,
     PartRecords,
     RequestLoss,
-    count_crashes,
 )
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._entry import BackendEntry
@@ -98,15 +97,13 @@
     def is_rejected(self, exchange: Exchange) -> bool:
         """Return whether a request is rejected because it crashes servers.
 
-        One whose crashes a part explains that it does not have is not.
+        One with few crashes, which a part explains that it does not have, is not.
         """
         if self.parts.groups and self.parts.is_rejected(exchange.parts):
             return True
-        rejected = self.records.rejected
-        if not rejected or exchange.digest not in rejected:
+        if not self.records.rejected:
             return False
-        losses = self.records.by_request[exchange.digest]
-        return count_crashes(losses, self.parts.explained) >= REJECT_AFTER
+        return self.records.is_responsible(exchange.digest, self.parts.explained)
 
     def suspicion(self, exchange: Exchange) -> Suspicion:
         """Return what is known of the crashes of a request and its parts."""
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -5,8 +5,15 @@
 import itertools
 
 import pytest
-
-from ebonyhold.coordination import CrashRecords, CrashReport, RequestLoss, ServerRun
+from attrs import evolve
+
+from ebonyhold.coordination import (
+    CrashRecords,
+    CrashReport,
+    PartRecords,
+    RequestLoss,
+    ServerRun,
+)
 from ebonyhold.coordination._crashes import (
     ANSWER_VALIDITY,
     LOSS_EXPIRY,
@@ -139,6 +146,24 @@
     assert known.rejected == {"x", "y"}
 
 
+@pytest.mark.parametrize(
+    ("servers", "responsible"),
+    [("efg", True), ("abc", False), ("abef", True), ("abcd", True)],
+)
+def test_parts_rejected_together_do_not_excuse_a_request_for_ever(
+    servers: str, responsible: bool
+) -> None:
+    """A request without all of the parts must not go on after its fourth crash."""
+    parts = PartRecords()
+    for part, server in itertools.product("pq", "abcd"):
+        parts.add(evolve(loss(part, server, 2), holder=f"other at {server}"))
+    assert parts.groups == (frozenset("pq"),)
+    assert not parts.is_rejected(("p", "u"))
+    known = records(*(loss("x", server, n + 1) for n, server in enumerate(servers)))
+    assert known.is_responsible("x", parts.explained) is responsible
+    assert not known.is_responsible("y", parts.explained)
+
+
 def test_requests_with_enough_crashes_of_their_own_are_rejected() -> None:
     """One server on which two requests were must not protect both."""
     known = records(*(loss("x", run, depth + 1) for depth, run in enumerate("abc")))
