Bound what is buffered for slow peers, and resume streams after long pauses

Cause: a caller that does not read left up to 320 KiB in an inbox, as much in the parser and megabytes in socket buffers; bodies of slow senders had only a limit each; a stream whose server pauses was resumed after 1.2 s or 3 targets whatever pause is on time. Change (docs/design/flow-control.md): with memory_pressure, 32 KiB are held of an answer and a tenth of the memory of all; sockets get buffers of 64 KiB; a caller whose system acknowledges nothing for 1.5 s while it blocks a server is reset and charged for what was written; the oldest unfinished bodies above a tenth of the memory are refused with 408. With max_gap known, and load shared or memory_pressure, a longer pause is counted and a resumable stream goes on elsewhere after 4 gaps, at least 1.2 s. Three metrics; the bound of complete request bodies and of whole answers (1 MiB each) is as before. Result: tests/forwarding/test_flow_control.py (16 passed): beside a caller that does not read, the router receives under 500,000 bytes of its 16 MB stream, others are served whole within 0.5 s, and the caller is reset.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import WholeAnswer
+from ebonyhold.forwarding._flow_control import BufferAccount, FlowControl, FlowEvent
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._listener import CallerListener, Serve
@@ -43,6 +44,7 @@
     Stage,
     accepts_late,
 )
+from ebonyhold.forwarding._slow_readers import SlowReaders
 from ebonyhold.forwarding._streams import (
     Found,
     NoKeepers,
@@ -79,6 +81,7 @@
     "BackendEntry",
     "BackendState",
     "BackendTable",
+    "BufferAccount",
     "CallNotSentError",
     "CallerConnection",
     "CallerLimits",
@@ -92,6 +95,8 @@
     "Dispatch",
     "EventSplitter",
     "FleetRetryBudget",
+    "FlowControl",
+    "FlowEvent",
     "Forwarder",
     "Found",
     "Guard",
@@ -126,6 +131,7 @@
     "ServiceName",
     "ServiceShare",
     "Shutdown",
+    "SlowReaders",
     "SoftwareVersion",
     "Stage",
     "StreamEvent",
--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import struct
 from enum import Enum
@@ -12,26 +13,13 @@
 from attrs import define, field, frozen
 
 from ebonyhold.exceptions import EbonyholdError
+from ebonyhold.forwarding._end_to_end import end_to_end
+from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
 from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.types import Seconds
 
-CONNECTION_FIELDS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    }
-)
-"""Header fields that apply to a single connection and are not passed on."""
-
+log = logging.getLogger(__name__)
 
 LINGER: Seconds = 0.1
 """Maximum time to wait for a caller to close its side after the last answer: ten times
@@ -96,24 +84,6 @@
     arrived_at: Seconds
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Return the fields without those that apply to one connection only.
-
-    These are CONNECTION_FIELDS and the fields that a Connection field names.
-    """
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for token in value.split(b",")
-    }
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in CONNECTION_FIELDS and name not in named
-    ]
-
-
 def read_head(event: h11.Request, now: Seconds) -> RequestHead:
     """Return the parts of a request head that forwarding needs.
 
@@ -168,6 +138,9 @@
         started: Whether the head of the answer has been written.
         idle_scope: Cancel scope of the wait for the first byte of a request.
         reading_scope: Cancel scope of reading a request that has begun.
+        stop_fault: Why reading was stopped.
+        flow: Bounds what is buffered; None if nothing is bounded.
+        source: What was received of the streamed answer that is being passed on.
     """
 
     stream: ByteStream
@@ -182,9 +155,14 @@
     started: bool = False
     idle_scope: anyio.CancelScope | None = None
     reading_scope: anyio.CancelScope | None = None
+    stop_fault: ReadFault = ReadFault.STOPPING
+    flow: FlowControl[CallerConnection] | None = None
+    source: Inbox | None = None
 
     def __attrs_post_init__(self) -> None:
         self.inbox = Inbox(self.stream, self.traffic)
+        if self.flow is not None:
+            self.inbox.max_waiting = MAX_HELD
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
         )
@@ -225,11 +203,14 @@
             raise ReadFaultError(error.fault, head) from error
         finally:
             self.reading_scope = None
-        raise ReadFaultError(ReadFault.STOPPING, head)
+            if self.flow is not None:
+                self.flow.bodies.end(self)
+        raise ReadFaultError(self.stop_fault, head)
 
-    def stop_reading(self) -> None:
-        """Make `read_whole` fail with STOPPING if it is waiting for more bytes."""
+    def stop_reading(self, fault: ReadFault = ReadFault.STOPPING) -> None:
+        """Make `read_whole` fail if it is waiting for more bytes."""
         if self.reading_scope is not None:
+            self.stop_fault = fault
             self.reading_scope.cancel()
 
     async def read_request(self) -> RequestHead:
@@ -293,9 +274,28 @@
             if not isinstance(event, h11.Data):
                 raise ReadFaultError(ReadFault.LEFT)
             body += event.data
+            self.count_body(len(event.data))
             if len(body) > self.limits.body_bytes:
                 raise ReadFaultError(ReadFault.BODY_TOO_LARGE)
 
+    def count_body(self, size: int) -> None:
+        """Count bytes of an unfinished body; refuse those that exceed the bound."""
+        if self.flow is None:
+            return
+        for slow in self.flow.bodies.add(self, size):
+            fields = {"left": self.flow.bodies.total, "limit": self.flow.bodies.limit}
+            log.warning("unfinished bodies are too large, oldest refused", extra=fields)
+            self.flow.on_event(FlowEvent.SLOW_SENDER)
+            slow.stop_reading(ReadFault.SLOW)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes, and keep that the write is not finished if it is bounded."""
+        if self.flow is None:
+            await self.stream.send(data)
+            return
+        with self.flow.writing(self):
+            await self.stream.send(data)
+
     async def send_continue(self) -> None:
         """Send 100 Continue if the caller waits for it before sending the body."""
         if self.parser.they_are_waiting_for_100_continue:
@@ -308,7 +308,7 @@
         head = self.head(status, [*headers, length])
         data = self.parser.send(h11.Data(data=body)) or b"" if body else b""
         end = self.parser.send(h11.EndOfMessage()) or b""
-        await self.stream.send(head + data + end)
+        await self.write(head + data + end)
 
     def head(self, status: int, headers: Headers) -> bytes:
         """Return the bytes of an answer's head, and record that the answer has started.
@@ -333,13 +333,13 @@
 
     async def send(self, data: bytes) -> None:
         """Write a part of the answer's body."""
-        await self.stream.send(self.parser.send(h11.Data(data=data)) or b"")
+        await self.write(self.parser.send(h11.Data(data=data)) or b"")
 
     async def end(self) -> None:
         """Write the end of the answer."""
         tail = self.parser.send(h11.EndOfMessage()) or b""
         if tail:
-            await self.stream.send(tail)
+            await self.write(tail)
 
     def next_cycle(self) -> bool:
         """Prepare for another request; return whether the connection can take one."""
@@ -373,8 +373,15 @@
         An answer to a caller of HTTP/1.0 has no chunks, and ends with its connection.
         Only a reset shows that it is incomplete.
         """
+        if self.parser.their_http_version == b"1.0":
+            await self.reset()
+        else:
+            await self.close()
+
+    async def reset(self) -> None:
+        """Reset the connection; what the caller has not received is lost."""
         raw = self.stream.extra(SocketAttribute.raw_socket, None)
-        if raw is not None and self.parser.their_http_version == b"1.0":
+        if raw is not None:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
         await self.close()
 
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -12,6 +12,7 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._endings import AnswerEnding, states_end
+from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, BufferAccount
 from ebonyhold.forwarding._inbox import Inbox, close_shielded
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.tasks import TaskStarter
@@ -145,6 +146,12 @@
         self.inbox = Inbox(self.stream)
         self.parser = h11.Connection(h11.CLIENT)
 
+    def bound(self, account: BufferAccount) -> None:
+        """Bound what is buffered of answers; called before anything is received."""
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+        self.inbox.account = account
+
     async def send(self, request: Outbound) -> None:
         """Send a request; one larger than LARGE_BODY is sent by another task.
 
@@ -271,6 +278,7 @@
         if self.parser.trailing_data[0]:
             return False
         self.parser.start_next_cycle()
+        self.inbox.discard()
         self.request = None
         self.usable_until = now + idle_time(head.headers)
         return True
@@ -293,7 +301,7 @@
             self.closed = True
             self.inbox.ended = True
             self.inbox.notify()
-            self.inbox.taken.set()
+            self.inbox.detach()
             await close_shielded(self.stream)
 
 
--- a/ebonyhold/forwarding/_delivery.py
+++ b/ebonyhold/forwarding/_delivery.py
@@ -11,6 +11,7 @@
 from ebonyhold.forwarding._channel import AnswerHead, Channel
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import Exchange, WholeAnswer
+from ebonyhold.forwarding._flow_control import RESUME_GAPS
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._streams import UNKNOWN_VERSION, RunOfStream, StreamVersions
 from ebonyhold.forwarding._types import Backend, RouteKind, SoftwareVersion
@@ -60,6 +61,8 @@
         streams: Records which version began a stream.
         heard: Called when the server has sent something.
         run: The server's run and the connection to it; None if another router sends.
+        max_gap: The longest pause that is on time, once the server has sent an event;
+            None if it is unused.
     """
 
     exchange: Exchange
@@ -70,6 +73,7 @@
     streams: StreamVersions
     heard: Callable[[], None]
     run: RunOfStream | None = None
+    max_gap: Seconds | None = None
 
     async def read_whole(self, head: AnswerHead) -> WholeAnswer:
         """Return a whole answer.
@@ -77,11 +81,20 @@
         Raises:
             BackendLostError: It is incomplete or too large, or may be incomplete.
         """
-        body = await read_rest(self.channel)
+        body = await read_rest(self.channel, on_part=self.exchange.hold_bytes)
         await self.check_end()
         return WholeAnswer(head, body)
 
     async def relay_stream(self, head: AnswerHead, work: RequestWork) -> None:
+        """Pass on the events of a stream; see `relay_events`."""
+        connection = self.exchange.connection
+        connection.source = self.channel.inbox
+        try:
+            await self.relay_events(head, work)
+        finally:
+            connection.source = None
+
+    async def relay_events(self, head: AnswerHead, work: RequestWork) -> None:
         """Pass on the events of a stream as they arrive, each one whole.
 
         Bytes after the last complete event are passed on if the answer states its end.
@@ -100,6 +113,7 @@
                 data = b"".join(event.raw for event in events)
                 await self.exchange.deliver_part(head, data)
                 self.record_events(events)
+                self.max_gap = self.known_gap()
         if splitter.is_inside_event and not self.channel.end_stated:
             raise BackendLostError("the answer ended inside an event")
         await self.check_end()
@@ -109,11 +123,26 @@
 
     async def read_next_part(self) -> bytes | None:
         """Return the next part or, at the end, None; raise SilenceError on timeout."""
-        with anyio.move_on_after(answer_timeout(self.exchange)):
-            part = await self.channel.read_part()
-            self.heard()
-            return part
-        raise SilenceError("the stream stalled")
+        since = anyio.current_time()
+        try:
+            with anyio.move_on_after(answer_timeout(self.exchange, self.max_gap)):
+                part = await self.channel.read_part()
+                self.heard()
+                return part
+            raise SilenceError("the stream stalled")
+        finally:
+            self.record_pause(anyio.current_time() - since)
+
+    def known_gap(self) -> Seconds | None:
+        """Return the longest pause of the stream that is on time; None if unused."""
+        match = self.exchange.match
+        return self.exchange.flow.max_gap(match.route, match.service)
+
+    def record_pause(self, waited: Seconds) -> None:
+        """Count a wait for the server that was too long for the stream."""
+        if self.max_gap is not None and waited > self.max_gap:
+            service = self.exchange.match.service
+            self.exchange.flow.on_pause(service, self.backend.name, waited)
 
     async def check_end(self) -> None:
         """Check that an answer that was read to its end is whole.
@@ -152,9 +181,13 @@
             exchange.last_event = numbers[-1]
 
 
-def answer_timeout(exchange: Exchange) -> Seconds | None:
+def answer_timeout(
+    exchange: Exchange, max_gap: Seconds | None = None
+) -> Seconds | None:
     """Return the timeout for the next data from a server, or None for no timeout.
 
+    Between two events it depends on the longest pause that is on time, if it is known.
+
     A request that cannot be sent to another server has no timeout: it waits for this
     server's answer until its deadline.
     """
@@ -162,12 +195,23 @@
     if not (route.idempotent and exchange.attempts_left):
         return None
     minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
+    if max_gap is not None:
+        return max(minimum, RESUME_GAPS * max_gap)
     return max(minimum, TIMEOUT_TARGETS * route.target)
 
 
-async def read_rest(channel: Channel, limit: int = MAX_WHOLE_ANSWER) -> bytes:
+async def read_rest(
+    channel: Channel,
+    limit: int = MAX_WHOLE_ANSWER,
+    on_part: Callable[[int], None] = lambda size: None,
+) -> bytes:
     """Return the rest of an answer's body.
 
+    Args:
+        channel: The connection.
+        limit: Maximum size in bytes.
+        on_part: Called with the size of each part.
+
     Raises:
         BackendLostError: The body ended early, or is larger than ``limit`` bytes.
     """
@@ -177,5 +221,6 @@
         if part is None:
             return bytes(body)
         body += part
+        on_part(len(part))
         if len(body) > limit:
             raise BackendLostError("the answer is too large")
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -8,10 +8,12 @@
 from attrs import define, field, frozen
 
 from ebonyhold.coordination import MAX_PARTS, part_digest
-from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
+from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
+from ebonyhold.forwarding._end_to_end import end_to_end
 from ebonyhold.forwarding._endings import BODILESS, AnswerEnding
+from ebonyhold.forwarding._flow_control import FlowControl
 from ebonyhold.forwarding._routes import Match, host_of
 from ebonyhold.forwarding._types import CallerRequest, Headers, SoftwareVersion
 from ebonyhold.types import (
@@ -119,6 +121,8 @@
             first did.
         retry_after: When its caller may try again, in seconds from now; None for the
             usual time of a refusal.
+        flow: Bounds what is buffered, and knows the longest pauses of streams.
+        held: Bytes of whole answers that count as held.
     """
 
     connection: CallerConnection
@@ -144,6 +148,8 @@
     losses: list[AttemptLoss] = field(factory=list)
     waits_until: Seconds | None = None
     retry_after: Seconds | None = None
+    flow: FlowControl[CallerConnection] = field(factory=FlowControl)
+    held: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
@@ -188,6 +194,16 @@
         output = min(self.events * self.event_tokens, self.caller.max_output)
         return self.caller.prompt_tokens + output
 
+    def hold_bytes(self, size: int) -> None:
+        """Count bytes of a whole answer as held until `release_bytes`."""
+        self.held += size
+        self.flow.answers.held += size
+
+    def release_bytes(self) -> None:
+        """Count the bytes of whole answers no more."""
+        self.flow.answers.held -= self.held
+        self.held = 0
+
     def try_again_elsewhere(self) -> None:
         """Allow the servers again that could not be reached from here."""
         self.connects = 0
@@ -217,7 +233,7 @@
         fields = without_length(end_to_end(answer.headers))
         head = self.connection.head(answer.status, fields)
         part = self.connection.parser.send(h11.Data(data=data)) or b"" if data else b""
-        await self.connection.stream.send(head + part)
+        await self.connection.write(head + part)
 
 
 async def send_bodiless(
@@ -226,7 +242,7 @@
     """Pass on an answer without a body; a content length field is kept."""
     head = connection.head(status, fields)
     end = connection.parser.send(h11.EndOfMessage()) or b""
-    await connection.stream.send(head + end)
+    await connection.write(head + end)
 
 
 def without_length(headers: Headers) -> Headers:
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -22,6 +22,7 @@
 from ebonyhold.forwarding._dispatcher import Dispatcher
 from ebonyhold.forwarding._endings import AnswerEnding
 from ebonyhold.forwarding._exchange import Exchange
+from ebonyhold.forwarding._flow_control import FlowControl
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue
 from ebonyhold.forwarding._refusals import Refusal, own_answer
@@ -100,6 +101,7 @@
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
         streams: Keeps which software version each stream belongs to.
+        flow: Bounds what is buffered, and recognises pauses of streams.
         dispatcher: Sends requests to servers.
     """
 
@@ -121,6 +123,7 @@
     streams: StreamVersions = Factory(
         lambda self: StreamVersions(self.backends), takes_self=True
     )
+    flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -154,6 +157,7 @@
             await self.refuse(connection, CallerRequest(""), Refusal.MALFORMED)
             return
         route, outcome = "", "left"
+        exchange: Exchange | None = None
         try:
             exchange = self.prepare(connection, head, body, caller)
             route = exchange.match.route.name
@@ -162,6 +166,8 @@
             outcome = error.refusal.code
             await self.refuse(connection, caller, error.refusal, route)
         finally:
+            if exchange is not None:
+                exchange.release_bytes()
             duration = anyio.current_time() - started
             self.on_end(route, outcome, duration)
             if outcome == DELIVERED:
@@ -201,6 +207,7 @@
             match,
             deadline_of(head, caller, match),
             event_tokens=service.event_tokens if service else 1,
+            flow=self.flow,
         )
 
     def check_shutdown(self, exchange: Exchange, priced: bool) -> None:
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -8,6 +8,7 @@
 from anyio.abc import ByteStream
 from attrs import define, field
 
+from ebonyhold.forwarding._flow_control import BufferAccount
 from ebonyhold.types import Seconds
 
 CHUNK = 65_536
@@ -46,6 +47,9 @@
         changed: Set when bytes arrive or the connection ends, then replaced.
         taken: Set when bytes are taken, so that paused reading resumes.
         on_end: Called when the connection has ended.
+        account: Bounds the bytes held; None if only `max_waiting` does.
+        max_waiting: Bytes waiting above which reading pauses, without an account.
+        taken_size: Bytes that were taken last, which count as held until the next are.
     """
 
     stream: ByteStream
@@ -58,6 +62,9 @@
     changed: anyio.Event = field(factory=anyio.Event)
     taken: anyio.Event = field(factory=anyio.Event)
     on_end: Callable[[], None] | None = None
+    account: BufferAccount | None = None
+    max_waiting: int = MAX_WAITING
+    taken_size: int = 0
 
     async def fill(self) -> None:
         """Read until the connection ends.
@@ -78,9 +85,11 @@
         """Read until the connection ends, pausing while the buffer is full."""
         while not self.ended:
             try:
-                data = await self.stream.receive(CHUNK)
+                data = await self.stream.receive(self.room())
                 self.traffic.received += len(data)
                 self.waiting += data
+                if self.account is not None:
+                    self.account.held += len(data)
                 self.arrived_at = anyio.current_time()
             except anyio.EndOfStream:
                 self.ended = True
@@ -92,10 +101,22 @@
             self.notify()
             # No bytes are taken after a close, so the close must end this wait too.
             # Otherwise this task and its buffer would never be freed.
-            while len(self.waiting) > MAX_WAITING and not self.ended:
+            while not (self.room() or self.ended):
                 self.taken = anyio.Event()
                 await self.taken.wait()
 
+    def room(self) -> int:
+        """Return how many bytes may be read now; 0 if reading pauses."""
+        if self.account is not None:
+            return self.account.room(len(self.waiting) + self.taken_size)
+        return 0 if len(self.waiting) > self.max_waiting else CHUNK
+
+    def release(self, size: int) -> None:
+        """Count bytes no more as held, so that paused reading resumes."""
+        if self.account is not None:
+            self.account.held -= size
+        self.taken.set()
+
     def notify(self) -> None:
         """Wake tasks that wait for bytes; call `on_end` if the connection has ended."""
         self.changed.set()
@@ -103,22 +124,40 @@
         if self.ended and self.on_end is not None:
             self.on_end()
 
+    @property
+    def blocks_sender(self) -> bool:
+        """Whether the peer has sent more than was taken, or may send no more."""
+        return bool(self.waiting) or not self.room()
+
     async def take(self) -> bytes:
         """Remove and return the buffered bytes.
 
         Wait for some if there are none; after the end, the result is empty.
         """
+        # What was taken before is passed on by now.
+        done, self.taken_size = self.taken_size, 0
+        self.release(done)
         while not self.waiting and not self.ended:
             await self.changed.wait()
         data = bytes(self.waiting)
         self.waiting.clear()
-        self.taken.set()
+        if self.account is None:
+            self.taken.set()
+        else:
+            self.taken_size = len(data)
         return data
 
+    def detach(self) -> None:
+        """Drop the bytes received, and count none from now on."""
+        self.discard()
+        self.account = None
+
     def discard(self) -> None:
         """Drop the bytes received, so that reading continues."""
+        size = len(self.waiting) + self.taken_size
         self.waiting.clear()
-        self.taken.set()
+        self.taken_size = 0
+        self.release(size)
 
 
 async def close_shielded(stream: ByteStream) -> None:
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -21,6 +21,7 @@
     ReadFaultError,
     RequestHead,
 )
+from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, FlowControl
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._refusals import Refusal, own_answer
 from ebonyhold.forwarding._types import CallerLimits, Headers
@@ -62,6 +63,7 @@
         draining: Whether connections close after their next answers, for a shutdown.
         shedding: Whether all connections close after their next answers, to shed load.
         traffic: Counts the bytes received from the callers.
+        flow: Bounds what is buffered for callers; None if nothing does.
         working: Number of requests being answered.
         open_requests: Number of requests being read or answered.
         idle: Set when `open_requests` falls to 0, then replaced.
@@ -79,6 +81,7 @@
     draining: bool = False
     shedding: bool = False
     traffic: Traffic = field(factory=Traffic)
+    flow: FlowControl[CallerConnection] | None = None
     working: int = 0
     open_requests: int = 0
     idle: anyio.Event = field(factory=anyio.Event)
@@ -121,6 +124,10 @@
     async def serve_socket(self, connection: socket.socket) -> None:
         """Serve an accepted connection, unless the caller has closed it already."""
         try:
+            if self.flow is not None:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER
+                )
             stream = await SocketStream.from_socket(connection)
         except OSError:
             connection.close()
@@ -133,7 +140,9 @@
 
     async def handle(self, stream: ByteStream) -> None:
         """Serve one connection until it ends; its errors do not affect the others."""
-        connection = CallerConnection(stream, self.limits(), self.traffic)
+        connection = CallerConnection(
+            stream, self.limits(), self.traffic, flow=self.flow
+        )
         connection.last = self.draining or self.shedding
         self.connections.add(connection)
         try:
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -17,6 +17,7 @@
     ConnectTimeoutError,
     open_channel,
 )
+from ebonyhold.forwarding._flow_control import BufferAccount
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import BackendName, Seconds
@@ -67,6 +68,7 @@
         unused: The unused connections of each server, the most recently used one last.
         opened: Number of attempts to open a connection so far.
         traffic: Counts the bytes received from the servers.
+        account: Bounds what is buffered of answers; None if nothing does.
         on_unused_end: Called with the name of a server that has ended an unused
             connection before its time.
     """
@@ -77,6 +79,7 @@
     unused: dict[BackendName, list[Channel]] = field(factory=dict)
     opened: int = 0
     traffic: Traffic = field(factory=Traffic)
+    account: BufferAccount | None = None
     on_unused_end: Callable[[BackendName], None] = lambda name: None
 
     async def get(self, name: BackendName, address: tuple[str, int]) -> Channel:
@@ -101,6 +104,8 @@
             self.on_connect(name, outcome_of(error))
             raise
         channel.inbox.traffic = self.traffic
+        if self.account is not None:
+            channel.bound(self.account)
         self.on_connect(name, ConnectOutcome.MADE)
         return channel
 
--- a/ebonyhold/forwarding/_relay.py
+++ b/ebonyhold/forwarding/_relay.py
@@ -15,8 +15,8 @@
 from attrs import evolve, frozen
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._caller import end_to_end
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
+from ebonyhold.forwarding._end_to_end import end_to_end
 from ebonyhold.forwarding._types import Headers, SoftwareVersion
 from ebonyhold.types import BackendName
 
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -20,6 +20,7 @@
     ConnectOutcome,
     CrashDetector,
     FleetRetryBudget,
+    FlowControl,
     Forwarder,
     Paths,
     Reachability,
@@ -27,8 +28,10 @@
     RequestRelay,
     Ruleset,
     Shutdown,
+    SlowReaders,
     StreamVersions,
 )
+from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._metrics import GatewayMetrics
@@ -83,6 +86,7 @@
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
+        flow: Bounds what is buffered for slow peers.
         draining: Whether the stop has begun.
     """
 
@@ -107,6 +111,7 @@
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
+    flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
     draining: bool = False
 
@@ -253,6 +258,7 @@
         settings = self.platform.settings
         self.pool = ChannelPool(GuardedTasks(supervisor, "server connection"))
         paths = Paths(self.pool, self.reach, self.relays)
+        flow = flow_control(settings, self.routing.backends, self.metrics)
         forwarder = Forwarder(
             domain=settings.domain,
             dialect=self.platform.dialect,
@@ -277,12 +283,18 @@
                 self.streams.records,
                 self.metrics.count_stream,
             ),
+            flow=flow,
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
             forwarder.serve, self.routing.limits, guard, forwarder.identify
         )
         self.pool.traffic = self.listener.traffic
+        self.flow = flow
+        if flow.bounded:
+            self.listener.flow, self.pool.account = flow, flow.answers
+            self.relays.account = flow.answers
+            supervisor.start("slow readers", SlowReaders(flow).run)
         self.pressure = PressureMonitor(
             self.listener.shed,
             LinkUse(self.listener.traffic, settings.link_rate),
@@ -408,6 +420,7 @@
         self.metrics.set_servers(self.routing.backends, now)
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
+        self.metrics.set_flow(self.flow)
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -15,14 +15,17 @@
 from ebonyhold.forwarding import (
     AnswerEnding,
     BackendTable,
+    CallerConnection,
     ConnectOutcome,
+    FlowControl,
+    FlowEvent,
     Origin,
     Reach,
     Reachability,
     RelayResult,
 )
 from ebonyhold.prepaid import HoldOutcome, WorkspaceGrant
-from ebonyhold.types import Seconds
+from ebonyhold.types import BackendName, Seconds
 
 ANSWER_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0)
 """Upper bounds of the histogram's buckets in seconds, around usual latency targets."""
@@ -157,6 +160,39 @@
             registry=self.registry,
         )
 
+        self.held_bytes = Gauge(
+            "ebonyhold_gateway_held_bytes",
+            "Bytes held of answers and of unfinished request bodies.",
+            ("of",),
+            registry=self.registry,
+        )
+        self.slow_callers = Counter(
+            "ebonyhold_gateway_slow_callers_total",
+            "Callers that were disconnected or refused because they were slow.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self.stream_pauses = Counter(
+            "ebonyhold_gateway_stream_pauses_total",
+            "Pauses of streams that were longer than is on time.",
+            ("service",),
+            registry=self.registry,
+        )
+
+    def count_slow_caller(self, event: FlowEvent) -> None:
+        """Count a slow caller by what was done."""
+        self.slow_callers.labels(event.value).inc()
+
+    def count_pause(self, service: str, server: BackendName, waited: Seconds) -> None:
+        """Count a pause of a stream."""
+        del server, waited
+        self.stream_pauses.labels(service).inc()
+
+    def set_flow(self, flow: FlowControl[CallerConnection]) -> None:
+        """Set the gauges for what is held for peers."""
+        self.held_bytes.labels("answers").set(flow.answers.held)
+        self.held_bytes.labels("bodies").set(flow.bodies.total)
+
     def count_stream(self, origin: Origin) -> None:
         """Count a stream that a caller took up."""
         self.streams_taken_up.labels(origin.value).inc()
--- a/ebonyhold/gateway/_relays.py
+++ b/ebonyhold/gateway/_relays.py
@@ -15,6 +15,7 @@
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding import (
+    BufferAccount,
     ChannelPool,
     NoPathError,
     Path,
@@ -77,6 +78,7 @@
         asked_from: Position of the first gateway that is asked next.
         turn: Number of connections taken so far, by which the relays take turns.
         pool: The connections to relays; None before the first.
+        account: Bounds what is buffered of relayed answers; None if nothing does.
     """
 
     name: str
@@ -89,6 +91,7 @@
     asked_from: int = 0
     turn: int = 0
     pool: ChannelPool | None = None
+    account: BufferAccount | None = None
 
     def candidates(self) -> list[str]:
         """Return the gateways that pass requests on, in the order of this gateway.
@@ -199,6 +202,7 @@
             raise NoPathError("not started")
         if self.pool is None:
             self.pool = ChannelPool(self.tasks, connect_timeout=CONNECT_TIMEOUT)
+            self.pool.account = self.account
         return self.pool
 
     def avoid(self, relay: RelayAddress) -> None:
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -257,6 +257,12 @@
             AFTER_PAUSE,
             "the evidence and the verdict are kept, and the next probe decides",
         ),
+        TaskRule(
+            "slow readers",
+            "callers that do not read are not disconnected",
+            AT_ONCE,
+            "what is held for them stays bounded, and the next look starts anew",
+        ),
         TaskRule(
             "sweep",
             "unused connections to servers are not closed",
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -14,10 +14,12 @@
     Backend,
     BackendState,
     BackendTable,
+    CallerConnection,
     CallerLimits,
     CallerListener,
     ChannelPool,
     FleetRetryBudget,
+    FlowControl,
     Forwarder,
     Paths,
     RetryRules,
@@ -26,6 +28,7 @@
     Ruleset,
     Service,
     ServiceShare,
+    SlowReaders,
     Workspace,
 )
 from ebonyhold.misc import free_port
@@ -54,6 +57,14 @@
     route("unsafe", RouteKind.UNSAFE),
     route("stream", RouteKind.STREAM, resumable=True),
     route("once", RouteKind.STREAM),
+    route(
+        "paced",
+        RouteKind.STREAM,
+        timeout=4.0,
+        target=0.6,
+        resumable=True,
+        max_gap=0.1,
+    ),
     route("short", RouteKind.UNSAFE, timeout=0.3),
     route("open", RouteKind.SAFE, anonymous=True),
     route("often", RouteKind.SAFE, max_attempts=9),
@@ -255,7 +266,10 @@
 
 @asynccontextmanager
 async def rig(
-    *servers: Server, hold: UnlimitedHold | None = None, extra_retries: float = 50.0
+    *servers: Server,
+    hold: UnlimitedHold | None = None,
+    extra_retries: float = 50.0,
+    flow: FlowControl[CallerConnection] | None = None,
 ) -> AsyncIterator[Rig]:
     """Run a router with backend servers, and yield it once it accepts connections."""
     table = BackendTable()
@@ -276,11 +290,15 @@
             rules=rules,
             open_hold=lambda workspace: hold,
             on_end=lambda name, outcome, duration: ended.append((name, outcome)),
+            flow=flow or FlowControl(),
         )
         port = free_port()
         callers = CallerListener(
             forwarder.serve, lambda: rules().limits, identify=forwarder.identify
         )
+        if flow is not None and flow.bounded:
+            callers.flow, forwarder.paths.pool.account = flow, flow.answers
+            tasks.start_soon(SlowReaders(flow).run)
         tasks.start_soon(callers.run, (LOOPBACK, port), tasks)
         await until_open(port)
         yield Rig(port, forwarder, callers, ended)
