--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -31,6 +31,7 @@
 )
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
+from ebonyhold.gateway._load_exchange import LoadExchange
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
@@ -49,7 +50,7 @@
     GatewayPeers,
     TransferHandler,
 )
-from ebonyhold.gateway._types import PlatformAdapter
+from ebonyhold.gateway._types import PlatformAdapter, RawRow
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
 from ebonyhold.prepaid import Fleet, GrantManager, HolderTable, RemoteHolds
@@ -83,6 +84,7 @@
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
+        load_exchange: The exchange of the servers' load with other gateways.
         draining: Whether the stop has begun.
     """
 
@@ -106,6 +108,7 @@
     relays: GatewayRelays = field(init=False)
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
+    load_exchange: LoadExchange = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     pool: ChannelPool | None = None
     draining: bool = False
@@ -132,6 +135,14 @@
             self.update_fleet,
             relay_key=new_relay_key() if port else "",
         )
+        self.load_exchange = LoadExchange(
+            self.presence,
+            (platform.settings.host, port),
+            platform.settings.link_rate,
+            self.routing.backends,
+            lambda: self.current_rules(),
+            self.metrics,
+        )
         self.reach = Reachability(lambda: len(self.routing.backends.entries))
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
@@ -172,8 +183,8 @@
         self.rules_watcher = Watcher(
             store,
             platform.rules_table,
-            self.routing.replace_rules,
-            self.routing.apply_rules,
+            self.replace_rules,
+            self.apply_rules,
             self.presence.count,
         )
         self.servers_watcher = Watcher(
@@ -205,6 +216,17 @@
         """Use a new list of the routers."""
         self.holder_table.update(fleet)
         self.routing.backends.shares.update(fleet)
+        self.load_exchange.review()
+
+    def replace_rules(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
+        """Use the configuration and the evacuations in all rows of the table."""
+        self.routing.replace_rules(rows, after_outage)
+        self.load_exchange.review()
+
+    def apply_rules(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
+        """Use the configuration in these rows if it is newer than the current one."""
+        self.routing.apply_rules(rows, after_outage)
+        self.load_exchange.review()
 
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
@@ -229,6 +251,7 @@
             supervisor.start("treasury", self.grant_manager.run)
             supervisor.start("settlements", self.holders.run)
             supervisor.start("streams", self.streams.run)
+            supervisor.start("load exchange", self.load_exchange.run)
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
             self.start_listeners(tasks, supervisor)
@@ -408,6 +431,7 @@
         self.metrics.set_servers(self.routing.backends, now)
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
+        self.load_exchange.set_gauges(now)
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- /dev/null
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -0,0 +1,330 @@
+"""Exchanges the load of the servers with other gateways, by UDP datagrams."""
+
+from __future__ import annotations
+
+import errno
+import ipaddress
+import logging
+import math
+import secrets
+import socket
+from collections.abc import Callable, Mapping
+
+import anyio
+from attrs import define, field
+
+from ebonyhold.coordination import (
+    LoadMessage,
+    LoadScope,
+    LoadSharing,
+    NoFleetLoad,
+    Participant,
+    RunKey,
+    ServerLoad,
+    ServerRun,
+    ServerShare,
+    ServiceSize,
+    run_key,
+)
+from ebonyhold.exceptions import MalformedMessageError
+from ebonyhold.forwarding import BackendTable, Ruleset
+from ebonyhold.gateway._intervals import scale_interval
+from ebonyhold.gateway._listening import ADDRESS_ERRORS, ListenError
+from ebonyhold.gateway._load_messages import MAX_DATAGRAM, Decoder, Encoder
+from ebonyhold.gateway._metrics import GatewayMetrics
+from ebonyhold.gateway._presence import Presence
+from ebonyhold.types import Seconds
+
+log = logging.getLogger(__name__)
+
+INTERVAL: Seconds = 0.1
+"""Interval between two steps in fleets of up to 60 routers."""
+
+MAX_INTERVAL: Seconds = 0.4
+"""Maximum interval in large fleets: reports count for 1.5 s and one may be lost."""
+
+MAX_PAUSE: Seconds = 0.6
+"""Maximum interval of a collector with a slow link; a total counts for 1 s."""
+
+LINK_SHARE = 0.05
+"""Share of its link that a collector uses for totals, unless MAX_PAUSE is reached."""
+
+MAX_READ = 1_024
+"""Maximum number of datagrams that are read at once, so that requests go on."""
+
+RECEIVE_BUFFER = 1_048_576
+"""Size of the socket's receive buffer in bytes; the system may allow less.
+
+The reports of an interval of 110 routers arrive while a collector is busy.
+"""
+
+LOG_INTERVAL: Seconds = 2.0
+"""Minimum time between two log lines on the same matter.
+
+A collector on an overloaded VM may be lost and heard again several times a second.
+"""
+
+MAX_KEYS = 2_048
+"""Maximum number of runs of servers whose keys are remembered."""
+
+
+@define(eq=False)
+class LoadExchange:
+    """Tells other gateways what this one has at the servers, and learns what they have.
+
+    It is off, without a socket and without cost, while its scope has no service.
+
+    Attributes:
+        presence: The presence rows of the fleet.
+        address: The host and port of the socket; without a port it is always off.
+        link_rate: The rate of this VM's link in bytes per second.
+        backends: The servers.
+        rules: Returns the current configuration, or None.
+        metrics: The metrics of this gateway.
+        scope: Decides whether load is shared.
+        sharing: This router's part in the exchange.
+        encoder: Encodes messages.
+        decoder: Decodes datagrams.
+        addresses: The addresses of the other participants, by name.
+        keys: The keys of runs of servers.
+        changed: Set when the scope has changed.
+        sent_bytes: Bytes sent in the last step.
+        logged: What was last logged on each matter, and when.
+    """
+
+    presence: Presence
+    address: tuple[str, int]
+    link_rate: float
+    backends: BackendTable
+    rules: Callable[[], Ruleset | None]
+    metrics: GatewayMetrics
+    scope: LoadScope = field(factory=LoadScope)
+    sharing: LoadSharing = field(init=False)
+    encoder: Encoder = field(init=False)
+    decoder: Decoder = field(factory=Decoder)
+    addresses: Mapping[str, tuple[str, int]] = field(factory=dict)
+    keys: dict[ServerRun, RunKey] = field(factory=dict)
+    changed: anyio.Event = field(factory=anyio.Event)
+    sent_bytes: int = 0
+    logged: dict[str, tuple[object, Seconds]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        epoch = secrets.randbelow(0xFFFF_FFFF) + 1
+        self.sharing = LoadSharing(self.presence.name, self.presence.domain, epoch)
+        self.encoder = Encoder(self.presence.name)
+
+    def load(self, run: ServerRun, now: Seconds) -> ServerLoad | None:
+        """Return the load of a server by the other routers; None if too old."""
+        view = self.sharing.view
+        if view.age(now) is None:
+            return None
+        share = view.share(self.key(run))
+        return ServerLoad(share.requests, share.unread, share.resident)
+
+    def is_on(self, service: str) -> bool:
+        """Return whether routers share the load of a service's servers."""
+        return service in self.scope.services
+
+    def key(self, run: ServerRun) -> RunKey:
+        """Return the key of a run of a server in messages."""
+        known = self.keys.get(run)
+        if known is None:
+            if len(self.keys) >= MAX_KEYS:
+                self.keys.clear()
+            known = self.keys[run] = run_key(run)
+        return known
+
+    def review(self) -> None:
+        """Consider the configuration, the servers and the fleet as they are now."""
+        rules = self.rules()
+        services = rules.services.values() if rules is not None else ()
+        sizes = [ServiceSize(one.name, one.slots, one.memory) for one in services]
+        routers = self.presence.count() if self.presence.counts else 0
+        servers = len(self.backends.entries)
+        if self.address[1] and self.scope.update(sizes, routers, servers):
+            fields = {"routers": self.scope.max_routers, "servers": servers}
+            on = "enabled" if self.scope.services else "disabled"
+            log.info("load sharing " + on, extra=fields)
+            self.changed.set()
+            self.changed = anyio.Event()
+        if self.presence.shares_load:
+            self.update_participants()
+
+    def update_participants(self) -> None:
+        """Use the current presence rows of the routers that share their load."""
+        known: dict[str, Participant] = {}
+        addresses: dict[str, tuple[str, int]] = {}
+        for name, row in self.presence.sharers().items():
+            address = read_address(row.address)
+            if address is not None:
+                known[name] = Participant(row.domain, row.link_rate)
+                addresses[name] = address
+        own = self.presence
+        known[own.name] = Participant(own.domain, own.link_rate)
+        self.addresses = addresses
+        self.sharing.update(known, anyio.current_time())
+
+    async def run(self) -> None:
+        """Take part in the exchange while the scope has a service, until cancelled.
+
+        Raises:
+            ListenError: The port cannot be used.
+            OSError: The socket could not be opened for another reason.
+        """
+        while True:
+            changed = self.changed
+            if not self.scope.services:
+                await changed.wait()
+                continue
+            with open_socket(self.address) as sock:
+                rate = self.link_rate if math.isfinite(self.link_rate) else 0.0
+                self.presence.share_load(True, rate)
+                self.backends.fleet_load = self
+                self.update_participants()
+                try:
+                    await self.serve(sock)
+                finally:
+                    self.backends.fleet_load = NoFleetLoad()
+                    self.presence.share_load(False, 0.0)
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Read the datagrams that have arrived, and make a step, at each interval.
+
+        A total waits in the socket for half an interval on average. To wait for it
+        instead would cost a second wake-up for each interval, which is most of the cost
+        of the exchange.
+        """
+        while self.scope.services:
+            self.read(sock)
+            pause = self.step(sock, anyio.current_time())
+            if self.sharing.collects:
+                # The reports of a whole interval may not fit into the socket's buffer.
+                await anyio.sleep(pause / 2)
+                self.read(sock)
+                pause /= 2
+            await anyio.sleep(pause)
+
+    def read(self, sock: socket.socket) -> None:
+        """Use the datagrams that have arrived; malformed ones are only counted."""
+        for _ in range(MAX_READ):
+            try:
+                data = sock.recv(MAX_DATAGRAM + 1)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.metrics.count_datagram("not received")
+                log.debug("datagram not received", extra={"error": repr(error)})
+                return
+            self.receive(data)
+
+    def receive(self, data: bytes) -> None:
+        """Use one datagram, and count it by what became of it."""
+        try:
+            found = self.decoder.decode(data)
+        except MalformedMessageError:
+            self.metrics.count_datagram("malformed")
+            return
+        if found is None:
+            self.metrics.count_datagram("received")
+            return
+        sender, message = found
+        known = self.sharing.receive(sender, message, anyio.current_time())
+        self.metrics.count_datagram("received" if known else "not used")
+
+    def step(self, sock: socket.socket, now: Seconds) -> Seconds:
+        """Send what is due, and return the time until the next step."""
+        interval = scale_interval(INTERVAL, self.presence.count(), MAX_INTERVAL)
+        pause = interval
+        if self.sharing.collects and self.link_rate:
+            needed = self.sent_bytes / (LINK_SHARE * self.link_rate)
+            pause = max(interval, min(MAX_PAUSE, needed))
+        self.sent_bytes = 0
+        shares = self.own_shares()
+        for name, message in self.sharing.step(shares, now, interval, pause):
+            self.send(sock, name, message)
+        self.log_changes(now)
+        return pause
+
+    def own_shares(self) -> dict[RunKey, ServerShare]:
+        """Return what this router has at the servers."""
+        return {
+            self.key(entry.run): ServerShare(
+                entry.in_flight, entry.work.unread, entry.work.resident
+            )
+            for entry in self.backends.entries.values()
+            if entry.in_flight
+        }
+
+    def send(self, sock: socket.socket, name: str, message: LoadMessage) -> None:
+        """Send a message to a router; a datagram that cannot be sent is lost."""
+        address = self.addresses.get(name)
+        if address is None:
+            return
+        for data in self.encoder.encode(message):
+            self.sent_bytes += len(data)
+            try:
+                sock.sendto(data, address)
+            except OSError:
+                self.metrics.count_datagram("not sent")
+            else:
+                self.metrics.count_datagram("sent")
+
+    def log_changes(self, now: Seconds) -> None:
+        """Log who collects, and whether the total can be used, if that has changed."""
+        current = self.sharing.choice.current
+        collector = (current, self.sharing.collects)
+        fields = {"collector": current, "collects": self.sharing.collects}
+        self.log_change("load collector changed", collector, now, fields)
+        fresh = self.sharing.view.age(now) is not None
+        fields = {"fresh": fresh, "participants": len(self.sharing.participants)}
+        self.log_change("load total changed", fresh, now, fields)
+
+    def log_change(
+        self, matter: str, value: object, now: Seconds, fields: dict[str, object]
+    ) -> None:
+        """Log a value that differs from the one logged, once per LOG_INTERVAL."""
+        last = self.logged.get(matter)
+        if last is not None and (last[0] == value or now - last[1] < LOG_INTERVAL):
+            return
+        self.logged[matter] = value, now
+        log.info(matter, extra=fields)
+
+    def set_gauges(self, now: Seconds) -> None:
+        """Set the gauges for the age of the total and for whether this one collects."""
+        age = self.sharing.view.age(now)
+        self.metrics.load_age.set(math.inf if age is None else age)
+        self.metrics.collects_load.set(self.sharing.collects)
+
+
+def read_address(text: str) -> tuple[str, int] | None:
+    """Return the address of a router; None if it is not numeric.
+
+    A name would have to be looked up, which could block all requests.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        return host, int(port)
+    except ValueError:
+        return None
+
+
+def open_socket(address: tuple[str, int]) -> socket.socket:
+    """Return a UDP socket that is bound to an address and does not block.
+
+    Raises:
+        ListenError: The address cannot be used.
+        OSError: The socket could not be opened for another reason.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        if error.errno in ADDRESS_ERRORS or error.errno == errno.EINVAL:
+            raise ListenError(f"{address[0]}:{address[1]}: {error}") from error
+        raise
+    return sock
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -157,6 +157,32 @@
             registry=self.registry,
         )
 
+        self.load_age = Gauge(
+            "ebonyhold_gateway_load_age_seconds",
+            "The age of what is known of other routers' load; infinite if unknown.",
+            registry=self.registry,
+        )
+        self.collects_load = Gauge(
+            "ebonyhold_gateway_collects_load",
+            "Whether this router adds up the load of its failure domain's routers.",
+            registry=self.registry,
+        )
+        self.load_datagrams = Counter(
+            "ebonyhold_gateway_load_datagrams_total",
+            "Datagrams about the load of servers, by what became of them.",
+            ("result",),
+            registry=self.registry,
+        )
+        self.datagrams_by_result: dict[str, Counter] = {}
+
+    def count_datagram(self, result: str) -> None:
+        """Count a datagram about the load of servers by what became of it."""
+        counter = self.datagrams_by_result.get(result)
+        if counter is None:
+            counter = self.load_datagrams.labels(result)
+            self.datagrams_by_result[result] = counter
+        counter.inc()
+
     def count_stream(self, origin: Origin) -> None:
         """Count a stream that a caller took up."""
         self.streams_taken_up.labels(origin.value).inc()
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -89,6 +89,10 @@
         relay_key: The key with which other routers send it requests to pass on to
             servers; empty if it passes none on.
         keeps_streams: Whether the router keeps which version began a stream.
+        shares_load: Whether the router exchanges the load of servers, by datagrams to
+            `address`.
+        link_rate: The rate of the link of such a router, in bytes per second; 0 if it
+            is not known.
     """
 
     router: RouterId = ""
@@ -96,6 +100,8 @@
     domain: str = ""
     relay_key: str = ""
     keeps_streams: bool = False
+    shares_load: bool = False
+    link_rate: float = 0.0
 
 
 @define
@@ -154,6 +160,10 @@
         counts: The number of successful counts so far.
         interval: Time between two counts, scaled to the number of routers.
         leaving: Whether `leave` was called, after which no row is written.
+        shares_load: Whether this router exchanges the load of servers.
+        link_rate: The rate of its link while it does, in bytes per second; else 0.
+        changed: Set when this router's row is to be written before the next count.
+        listed: The keys of the rows in the last reading.
     """
 
     store: GatewayStore
@@ -168,6 +178,10 @@
     counts: int = 0
     interval: Seconds = COUNT_INTERVAL
     leaving: bool = False
+    shares_load: bool = False
+    link_rate: float = 0.0
+    changed: anyio.Event = field(factory=anyio.Event)
+    listed: frozenset[str] = frozenset()
 
     @property
     def key(self) -> str:
@@ -197,7 +211,9 @@
                 fields = {"error": error.code, "counted": self.count()}
                 log.info("routers not counted", extra=fields)
             self.interval = scale_interval(COUNT_INTERVAL, self.count())
-            await anyio.sleep(self.interval if self.settled else FIRST_COUNT_INTERVAL)
+            pause = self.interval if self.settled else FIRST_COUNT_INTERVAL
+            with anyio.move_on_after(pause):
+                await self.changed.wait()
 
     async def count_routers(self) -> None:
         """Write this router's row and read those of all routers."""
@@ -211,7 +227,10 @@
             self.domain,
             self.relay_key,
             keeps_streams=bool(self.address),
+            shares_load=self.shares_load,
+            link_rate=self.link_rate,
         )
+        self.changed = anyio.Event()
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
         self.observe(await self.store.scan(f"{TABLE}//"))
@@ -233,7 +252,8 @@
                 )
             else:
                 known.unchanged += 1
-        self.on_count(self.fleet({row.key for row in rows}))
+        self.listed = frozenset(row.key for row in rows)
+        self.on_count(self.fleet(self.listed))
 
     def fleet(self, listed: Container[str]) -> Fleet:
         """Return the failure domain of each router that can be a holder, by VM name.
@@ -253,6 +273,31 @@
             and observation.unchanged < GONE_AFTER_READINGS
         }
 
+    def share_load(self, shares: bool, link_rate: float) -> None:
+        """Write to this router's row soon whether it exchanges the load of servers.
+
+        Args:
+            shares: Whether it does.
+            link_rate: The rate of its link in bytes per second; 0 if unknown.
+        """
+        self.shares_load, self.link_rate = shares, link_rate
+        self.changed.set()
+
+    def sharers(self) -> dict[str, PresenceRow]:
+        """Return the rows of the others that exchange the load of servers, by name.
+
+        They are the ones of `fleet` at the last reading, so none is left out while the
+        store is not read.
+        """
+        rows = {
+            name: self.observed[f"{TABLE}//{name}"] for name in self.fleet(self.listed)
+        }
+        return {
+            name: known.row
+            for name, known in rows.items()
+            if known.row.shares_load and name != self.name
+        }
+
     def peer_addresses(self) -> dict[str, str]:
         """Return the addresses of the other routers, by VM name."""
         return {name: row.address for name, row in self.peers().items()}
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -225,6 +225,15 @@
             AFTER_PAUSE,
             "a stream of which nobody knows is refused while several versions serve",
         ),
+        TaskRule(
+            "load exchange",
+            "this router does not know what other routers have at the servers, and "
+            "they do not know what it has there",
+            AFTER_PAUSE,
+            "servers are chosen by this router's own load; if its port is taken, "
+            "restarts are rare",
+            port_policy=RETRY_RARELY,
+        ),
         TaskRule(
             "lent holds",
             "expired holds of killed routers are not ended",
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -260,6 +260,15 @@
         relay_key="5e0a",
         keeps_streams=True,
     ),
+    "row-presence-load": PresenceRow(
+        router="vm-1.b1",
+        address="10.0.0.1:7100",
+        domain="rack-1",
+        relay_key="5e0a",
+        keeps_streams=True,
+        shares_load=True,
+        link_rate=625000.0,
+    ),
     "row-limits": LimitsRow(
         router="vm-1.b1",
         address="10.0.0.1:7100",
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -103,6 +103,8 @@
     (ObservationsRow, attrs.fields(ObservationsRow).parts.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
     (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
+    (PresenceRow, attrs.fields(PresenceRow).shares_load.name),
+    (PresenceRow, attrs.fields(PresenceRow).link_rate.name),
     (TransferAnswer, attrs.fields(TransferAnswer).own.name),
     (SpendingLimit, attrs.fields(SpendingLimit).used.name),
     (SpendingLimit, attrs.fields(SpendingLimit).held.name),
@@ -417,7 +419,7 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    added = ("added", "reach", "answers", "versions")
+    added = ("added", "reach", "answers", "versions", "load")
     names = ("gateway", *(f"gateway-{name}" for name in added))
     files = b"".join(read(f"metrics-{name}.txt") for name in names)
     assert render_gateway_metrics() == files
