Totals of a lone router are never complete

A router that knew no other participant yet took its own total for the fleet's: in a trial with five gateway processes one knew "nothing" of the others for 2 s. Its load is unknown until somebody else is heard.

--- a/ebonyhold/coordination/_load_sharing.py
+++ b/ebonyhold/coordination/_load_sharing.py
@@ -258,7 +258,7 @@
                 parts.append(dict(best[0].shares))
                 ages[domain] = now - best[1]
         alone = len(self.reports.reports) <= 1 and len(ages) == 1
-        complete = settled and (not alone or len(self.participants) <= 1)
+        complete = settled and not alone
         shares = add_shares(parts)
 
         def total(name: str) -> LoadTotal:
