Choose servers by the load of all routers (core complete)

Cause: at 90 and 131 routers one router dispatches about a hundredth of a server's load, so its own work says little about the servers' queues.

Change: where the load is shared, a prompt goes to one of the first four servers of its part's rendezvous order or to one that this router sent the part to, by the expected time to the first event. As all routers read the same old figures, the server is drawn by its part of the work that the fleet is expected to place before they change. Requests without a prompt are drawn by the requests of all routers in flight. A server that is slow by all routers' figures costs more and is sent a trial request about every 2 s; one that fails 30% of all routers' requests counts as ejected, within the ejector's limits. Where load is not shared or unknown, the choice is the earlier one.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -92,6 +92,7 @@
 from ._ejection import (
     EjectionPolicy,
     Ejector,
+    domain_allowance,
 )
 from ._grants import (
     GrantLedger,
@@ -420,6 +421,7 @@
     "count_crashes",
     "decide_claim",
     "decide_filing",
+    "domain_allowance",
     "draining_servers",
     "filed_row",
     "find_grant_policy",
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -19,6 +19,7 @@
 )
 from ebonyhold.forwarding._brittle import BrittleServers
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
+from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import (
     AnswerFacts,
@@ -53,12 +54,14 @@
         brittle: Which servers are brittle.
         ended_limits: The ends of limits that this router has noticed.
         fleet_load: The load that the other routers put on the servers.
+        fleet_outliers: The servers that are slow or failing by that.
     """
 
     shares: LimitShares = field(factory=LimitShares)
     brittle: BrittleServers = field(factory=BrittleServers)
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
+    fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
@@ -320,6 +323,13 @@
             elif not withheld.cause.is_binding:
                 full.append(entry)
         ejected = self.ejected(known, now)
+        if self.fleet_load.is_on(service):
+            domains = {entry.backend.name: entry.backend.domain for entry in known}
+            failing = self.outliers(service, now).failing
+            policy, wall = self.ejector.policy, time.time()
+            ejected |= ejected_by_fleet(
+                failing, domains, ejected, self.shares, policy, wall
+            )
 
         def healthy(entries: list[BackendEntry]) -> list[BackendEntry]:
             return [entry for entry in entries if entry.backend.name not in ejected]
@@ -335,6 +345,12 @@
         domains = {entry.backend.name: entry.backend.domain for entry in entries}
         return self.ejector.ejected(domains, now)
 
+    def outliers(self, service: ServiceName, now: Seconds) -> Outliers:
+        """Return the servers of a service that are slow or failing at all routers."""
+        return self.fleet_outliers.of(
+            service, self.entries.values(), self.fleet_load, now
+        )
+
     def in_flight(self, service: ServiceName) -> int:
         """Return the number of this router's requests at the servers of a service."""
         return sum(
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 
 import anyio
-from attrs import define
+from attrs import Factory, define
 
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._backends import BackendTable
@@ -19,6 +20,7 @@
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
+from ebonyhold.forwarding._shared_choice import SharedChoice
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
@@ -62,6 +64,7 @@
         crashes: Detects crashes of servers and rejects requests that cause them.
         ages: Returns the age of each cached input in seconds, for logs.
         streams: Finds the versions of streams that callers take up.
+        shared: Chooses servers where the load of the other routers is known.
     """
 
     domain: str
@@ -73,6 +76,9 @@
     crashes: CrashDetector
     ages: Callable[[], dict[str, Seconds]]
     streams: StreamVersions
+    shared: SharedChoice = Factory(
+        lambda self: SharedChoice(self.domain, self.backends), takes_self=True
+    )
 
     async def dispatch(self, exchange: Exchange) -> Refusal | None:
         """Send a request to servers in turn, until an answer was passed on.
@@ -201,6 +207,9 @@
             return self.no_server_left(exchange)
         if suspect:
             entries = with_fewest_suspects(entries)
+        shared = self.shared.choose(exchange.caller, service, entries, now, time.time())
+        if shared is not None:
+            return shared.entry
         return choose(exchange.caller, entries, self.domain, now)
 
     def no_server_left(self, exchange: Exchange) -> Refusal:
