Learn the speed and the failures of servers from all routers' attempts

A router sends a server one request in some seconds at 131 routers, so it cannot tell a slow or failing server from the others by itself.

Each router records times to the first event against the unread tokens ahead, and failed attempts, where load is shared only. The sums lose weight with a time constant of 3 s, are carried in the reports and added up by collectors. `ServerLoad.slowness` is relative to the median of the service, and `ServerLoad.failing` is what exceeds the median, from 5 attempts on. A server that is new and in no total yet has an unknown load for 1 s.

--- a/ebonyhold/coordination/_load_sharing.py
+++ b/ebonyhold/coordination/_load_sharing.py
@@ -291,9 +291,14 @@
 
 
 def is_same_load(one: Shares, other: Shares) -> bool:
-    """Return whether two reports state the same load; evidence may differ."""
+    """Return whether a report states the same load as an earlier one.
+
+    Observations that only lose weight are no change.
+    """
     if one.keys() != other.keys():
         return False
     return all(
-        one[key].figures[:3] == share.figures[:3] for key, share in other.items()
+        one[key].figures[:3] == share.figures[:3]
+        and one[key].failures >= share.failures
+        for key, share in other.items()
     )
--- a/ebonyhold/coordination/_load_totals.py
+++ b/ebonyhold/coordination/_load_totals.py
@@ -345,6 +345,10 @@
             return None
         return now - self.chosen[1]
 
+    def is_listed(self, key: RunKey) -> bool:
+        """Return whether any router has something at a server, by the total in use."""
+        return self.chosen is not None and key in self.chosen[0].shares
+
     def share(self, key: RunKey) -> ServerShare:
         """Return what the other routers have at a server, by the total in use."""
         known = self.others.get(key)
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -127,6 +127,8 @@
         kept = False
         try:
             with self.entry.working(self.exchange.caller) as work:
+                if path.relay is None:
+                    self.backends.time_answer(self.entry, work, now)
                 result, kept = await self.send_and_read(path.channel, work)
             self.exchange.endings.append(path.channel.ending)
         except RelayDeclinedError as declined:
@@ -193,6 +195,8 @@
             self.backends.succeeded(self.entry)
             result = AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
             return result, self.finish(channel, head)
+        if head.status < 500:
+            work.record_begin()
         return await self.handle_whole(channel, head, facts)
 
     def relay_target(self) -> RelayTarget:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterable
 
+import anyio
 from attrs import define, field
 
 from ebonyhold.coordination import (
@@ -27,6 +28,7 @@
     SoftwareVersion,
 )
 from ebonyhold.forwarding._withheld import Cause, Withheld
+from ebonyhold.forwarding._work import AnswerTimer, RequestWork
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -60,18 +62,34 @@
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
 
+    def time_answer(self, entry: BackendEntry, work: RequestWork, now: Seconds) -> None:
+        """Measure the time to the first event of a request, where load is shared."""
+        if self.fleet_load.is_on(entry.backend.service):
+            others = self.fleet_load.load(entry.run, now)
+            ahead = entry.work.unread + (others.unread if others is not None else 0)
+            work.timer = AnswerTimer(entry.evidence, now, ahead)
+
+    def record_attempt(self, entry: BackendEntry, failed: bool, now: Seconds) -> None:
+        """Record for all routers how an attempt ended, where load is shared."""
+        if self.fleet_load.is_on(entry.backend.service):
+            entry.evidence.record_end(failed, now)
+
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
+        self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.lost(entry.backend.name, now)
 
     def failed(self, entry: BackendEntry, now: Seconds) -> None:
         """Count an error or a lost answer, if the server's run is still listed."""
+        self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.failed(entry.backend.name, now)
 
     def succeeded(self, entry: BackendEntry) -> None:
         """Clear the counted failures, if the server's run is still listed."""
+        if self.fleet_load.is_on(entry.backend.service):
+            entry.evidence.record_end(False, anyio.current_time())
         self.brittle.record_answer(entry)
         if entry.listed:
             self.ejector.succeeded(entry.backend.name)
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -8,7 +8,12 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.coordination import PlaceWindow, SendingLimit, ServerRun
+from ebonyhold.coordination import (
+    PlaceWindow,
+    SendingLimit,
+    ServerEvidence,
+    ServerRun,
+)
 from ebonyhold.forwarding._types import Backend, BackendState, CallerRequest
 from ebonyhold.forwarding._work import RequestWork, ServerWork
 from ebonyhold.types import Seconds
@@ -24,6 +29,7 @@
             run that is not must not be recorded for the server's next run.
         in_flight: Number of this router's requests that it is processing.
         work: Estimated load of those requests.
+        evidence: What this router has recently observed of it, where load is shared.
         suspects: Number of those requests that may crash the server.
         full_until: Until when it counts as full, after it declined a request.
         moved: Whether an answer stated that another server has its address.
@@ -53,6 +59,7 @@
     listed: bool = True
     in_flight: int = 0
     work: ServerWork = field(factory=ServerWork)
+    evidence: ServerEvidence = field(factory=ServerEvidence)
     suspects: int = 0
     full_until: Seconds = 0.0
     moved: bool = False
--- a/ebonyhold/forwarding/_work.py
+++ b/ebonyhold/forwarding/_work.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import anyio
 from attrs import define, field
 
+from ebonyhold.coordination import MIN_UNANSWERED, ServerEvidence
 from ebonyhold.forwarding._types import CallerRequest
 from ebonyhold.types import Seconds, Tokens
 
@@ -97,6 +99,28 @@
             del self.sent[next(iter(self.sent))]
 
 
+@define(eq=False)
+class AnswerTimer:
+    """Measures the time from the dispatch of a request to its first event.
+
+    Attributes:
+        evidence: Records the time.
+        sent_at: When the request was dispatched.
+        ahead: Tokens that the server had to read before the event.
+    """
+
+    evidence: ServerEvidence
+    sent_at: Seconds
+    ahead: Tokens
+
+    def record(self, answered: bool) -> None:
+        """Record that the answer has begun, or that it was given up before."""
+        now = anyio.current_time()
+        length = now - self.sent_at
+        if answered or length >= MIN_UNANSWERED:
+            self.evidence.record_answer(length, self.ahead, now)
+
+
 @define(eq=False)
 class RequestWork:
     """One request's share of a server's load.
@@ -105,19 +129,32 @@
         server: The load of the server that the request was sent to.
         unread: Prompt tokens of the request that count as not read yet.
         resident: Maximum number of prompt and output tokens of the request.
+        timer: Measures the time to the first event; None if it is not measured, or
+            after the event.
     """
 
     server: ServerWork
     unread: Tokens
     resident: Tokens
+    timer: AnswerTimer | None = None
+
+    def record_begin(self) -> None:
+        """Record that the answer has begun."""
+        if self.timer is not None:
+            self.timer.record(True)
+            self.timer = None
 
     def mark_read(self) -> None:
         """Remove the prompt from the unread tokens, because the answer has begun."""
+        self.record_begin()
         self.server.unread -= self.unread
         self.unread = 0
 
     def end(self) -> None:
         """Remove the rest of the request's load."""
+        if self.timer is not None:
+            self.timer.record(False)
+            self.timer = None
         self.mark_read()
         self.server.resident -= self.resident
         self.resident = 0
--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -14,16 +14,20 @@
 from attrs import define, field
 
 from ebonyhold.coordination import (
+    UNRATED,
     LoadMessage,
     LoadScope,
     LoadSharing,
+    LoadTotal,
     NoFleetLoad,
     Participant,
     RunKey,
     ServerLoad,
+    ServerRating,
     ServerRun,
     ServerShare,
     ServiceSize,
+    rate_servers,
     run_key,
 )
 from ebonyhold.exceptions import MalformedMessageError
@@ -49,7 +53,7 @@
 LINK_SHARE = 0.05
 """Share of its link that a collector uses for totals, unless MAX_PAUSE is reached."""
 
-MAX_READ = 1_024
+MAX_READ = 256
 """Maximum number of datagrams that are read at once, so that requests go on."""
 
 RECEIVE_BUFFER = 1_048_576
@@ -67,6 +71,13 @@
 MAX_KEYS = 2_048
 """Maximum number of runs of servers whose keys are remembered."""
 
+NEW_FOR: Seconds = 1.0
+"""How long the load of a server that is in no total counts as unknown.
+
+Other routers may just have sent it requests that no total includes yet. Later, a server
+that is in no total is idle.
+"""
+
 
 @define(eq=False)
 class LoadExchange:
@@ -86,7 +97,8 @@
         encoder: Encodes messages.
         decoder: Decodes datagrams.
         addresses: The addresses of the other participants, by name.
-        keys: The keys of runs of servers.
+        keys: The keys of runs of servers, and when each was first used.
+        rated: The ratings of the servers, and the total that they are from.
         changed: Set when the scope has changed.
         sent_bytes: Bytes sent in the last step.
         logged: What was last logged on each matter, and when.
@@ -103,7 +115,8 @@
     encoder: Encoder = field(init=False)
     decoder: Decoder = field(factory=Decoder)
     addresses: Mapping[str, tuple[str, int]] = field(factory=dict)
-    keys: dict[ServerRun, RunKey] = field(factory=dict)
+    keys: dict[ServerRun, tuple[RunKey, Seconds]] = field(factory=dict)
+    rated: tuple[LoadTotal | None, Mapping[RunKey, ServerRating]] = (None, {})
     changed: anyio.Event = field(factory=anyio.Event)
     sent_bytes: int = 0
     logged: dict[str, tuple[object, Seconds]] = field(factory=dict)
@@ -118,20 +131,51 @@
         view = self.sharing.view
         if view.age(now) is None:
             return None
-        share = view.share(self.key(run))
-        return ServerLoad(share.requests, share.unread, share.resident)
+        key, seen_at = self.key(run, now)
+        if not view.is_listed(key) and now - seen_at < NEW_FOR:
+            return None
+        share, rating = view.share(key), self.ratings(now).get(key, UNRATED)
+        return ServerLoad(
+            share.requests,
+            share.unread,
+            share.resident,
+            rating.slowness,
+            rating.failing,
+        )
+
+    def ratings(self, now: Seconds) -> Mapping[RunKey, ServerRating]:
+        """Return the ratings of the servers by the total in use."""
+        chosen = self.sharing.view.chosen
+        total = chosen[0] if chosen is not None else None
+        if self.rated[0] is not total:
+            self.rated = total, self.rate(total, now) if total is not None else {}
+        return self.rated[1]
+
+    def rate(self, total: LoadTotal, now: Seconds) -> dict[RunKey, ServerRating]:
+        """Compare the servers of each service by a total."""
+        services: dict[str, dict[RunKey, ServerShare]] = {}
+        for entry in self.backends.entries.values():
+            key, _ = self.key(entry.run, now)
+            share = total.shares.get(key)
+            if share is not None:
+                services.setdefault(entry.backend.service, {})[key] = share
+        rated = (rate_servers(shares) for shares in services.values())
+        return {key: rating for one in rated for key, rating in one.items()}
 
     def is_on(self, service: str) -> bool:
         """Return whether routers share the load of a service's servers."""
         return service in self.scope.services
 
-    def key(self, run: ServerRun) -> RunKey:
-        """Return the key of a run of a server in messages."""
+    def key(self, run: ServerRun, now: Seconds) -> tuple[RunKey, Seconds]:
+        """Return the key of a run of a server in messages, and when it was first used.
+
+        If there are too many, the oldest is dropped.
+        """
         known = self.keys.get(run)
         if known is None:
             if len(self.keys) >= MAX_KEYS:
-                self.keys.clear()
-            known = self.keys[run] = run_key(run)
+                del self.keys[next(iter(self.keys))]
+            known = self.keys[run] = run_key(run), now
         return known
 
     def review(self) -> None:
@@ -239,21 +283,23 @@
             needed = self.sent_bytes / (LINK_SHARE * self.link_rate)
             pause = max(interval, min(MAX_PAUSE, needed))
         self.sent_bytes = 0
-        shares = self.own_shares()
+        shares = self.own_shares(now)
         for name, message in self.sharing.step(shares, now, interval, pause):
             self.send(sock, name, message)
         self.log_changes(now)
         return pause
 
-    def own_shares(self) -> dict[RunKey, ServerShare]:
-        """Return what this router has at the servers."""
-        return {
-            self.key(entry.run): ServerShare(
-                entry.in_flight, entry.work.unread, entry.work.resident
+    def own_shares(self, now: Seconds) -> dict[RunKey, ServerShare]:
+        """Return what this router has at the servers, and what it has observed."""
+        shares: dict[RunKey, ServerShare] = {}
+        for entry in self.backends.entries.values():
+            work = entry.work
+            share = entry.evidence.share(
+                entry.in_flight, work.unread, work.resident, now
             )
-            for entry in self.backends.entries.values()
-            if entry.in_flight
-        }
+            if share is not None:
+                shares[self.key(entry.run, now)[0]] = share
+        return shares
 
     def send(self, sock: socket.socket, name: str, message: LoadMessage) -> None:
         """Send a message to a router; a datagram that cannot be sent is lost."""
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -10,13 +10,14 @@
 import anyio
 import msgpack
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ebonyhold.coordination import ServerRun
 from ebonyhold.forwarding import (
     Backend,
     BackendState,
     BackendTable,
+    CallerRequest,
     Ruleset,
     Service,
 )
@@ -153,6 +154,33 @@
         assert fleet.nodes["a3"].exchange.is_on("text")
 
 
+async def test_observations_of_all_routers_rate_a_server() -> None:
+    """One server is five times as slow; no router alone sees enough of it."""
+    async with running(Fleet(), "a1 a2 a3 b1") as fleet:
+        now = anyio.current_time()
+        for node in fleet.nodes.values():
+            table = node.exchange.backends
+            for number in range(4):
+                backend = evolve(BACKEND, name=f"server-{number}")
+                table.update(backend)
+                entry = table.entries[backend.name]
+                work = entry.work.begin(CallerRequest("r", prompt_tokens=2_500), now)
+                table.time_answer(entry, work, now - (1.5 if number == 2 else 0.3))
+                work.mark_read()
+                work.end()
+                table.record_attempt(entry, number == 3, now)
+                table.record_attempt(entry, number == 3, now)
+        one = fleet.nodes["b1"].exchange
+
+        def rating(number: int) -> tuple[float, float]:
+            run = ServerRun(f"server-{number}", 5)
+            load = one.load(run, anyio.current_time())
+            return (load.slowness, load.failing) if load else (0.0, 0.0)
+
+        await fleet.until(lambda: rating(2)[0] > 3.0 and rating(3)[1] > 0.9)
+        assert rating(1)[0] < 1.3 and rating(1)[1] == 0.0
+
+
 async def test_partitioned_failure_domain_and_lost_datagrams(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
