--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -100,6 +100,7 @@
         keys: The keys of runs of servers, and when each was first used.
         rated: The ratings of the servers, and the total that they are from.
         changed: Set when the scope has changed.
+        interval: The time between two steps in a fleet of this size.
         sent_bytes: Bytes sent in the last step.
         logged: What was last logged on each matter, and when.
     """
@@ -118,6 +119,7 @@
     keys: dict[ServerRun, tuple[RunKey, Seconds]] = field(factory=dict)
     rated: tuple[LoadTotal | None, Mapping[RunKey, ServerRating]] = (None, {})
     changed: anyio.Event = field(factory=anyio.Event)
+    interval: Seconds = INTERVAL
     sent_bytes: int = 0
     logged: dict[str, tuple[object, Seconds]] = field(factory=dict)
 
@@ -191,6 +193,7 @@
             log.info("load sharing " + on, extra=fields)
             self.changed.set()
             self.changed = anyio.Event()
+        self.interval = scale_interval(INTERVAL, routers, MAX_INTERVAL)
         if self.presence.shares_load:
             self.update_participants()
 
@@ -256,7 +259,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                self.metrics.count_datagram("not received")
+                self.metrics.count_datagram("unreadable")
                 log.debug("datagram not received", extra={"error": repr(error)})
                 return
             self.receive(data)
@@ -273,12 +276,11 @@
             return
         sender, message = found
         known = self.sharing.receive(sender, message, anyio.current_time())
-        self.metrics.count_datagram("received" if known else "not used")
+        self.metrics.count_datagram("received" if known else "unused")
 
     def step(self, sock: socket.socket, now: Seconds) -> Seconds:
         """Send what is due, and return the time until the next step."""
-        interval = scale_interval(INTERVAL, self.presence.count(), MAX_INTERVAL)
-        pause = interval
+        interval = pause = self.interval
         if self.sharing.collects and self.link_rate:
             needed = self.sent_bytes / (LINK_SHARE * self.link_rate)
             pause = max(interval, min(MAX_PAUSE, needed))
@@ -311,7 +313,7 @@
             try:
                 sock.sendto(data, address)
             except OSError:
-                self.metrics.count_datagram("not sent")
+                self.metrics.count_datagram("unsent")
             else:
                 self.metrics.count_datagram("sent")
 
