A collector that was stopped rests for three seconds

A process that stalls repeatedly took over again each time that it ran, since it has the highest rank, and its failure domain had no totals for half a second after each stall.

--- a/ebonyhold/coordination/_load_collectors.py
+++ b/ebonyhold/coordination/_load_collectors.py
@@ -80,13 +80,18 @@
         if rank <= self.index:
             self.index, self.since = rank, now
 
-    def review(self, now: Seconds, interval: Seconds) -> None:
+    def review(self, now: Seconds, interval: Seconds, able: bool = True) -> None:
         """Turn to the next router in rank if the current one is silent.
 
         After the last one follows the first. A router that is its own collector stays
-        with it, until it hears one of a higher rank.
+        with it, until it hears one of a higher rank or is not able to collect.
+
+        Args:
+            now: The time.
+            interval: The interval at which totals are expected.
+            able: Whether this router itself may collect.
         """
-        if self.current == self.name:
+        if self.current == self.name and able:
             self.since = now
         elif now - self.since > MISSED_INTERVALS * interval and self.ranking:
             self.index = (self.index + 1) % len(self.ranking)
--- a/ebonyhold/coordination/_load_sharing.py
+++ b/ebonyhold/coordination/_load_sharing.py
@@ -39,6 +39,13 @@
 STALL: Seconds = 1.0
 """Time between two steps above which this process was stopped for a while."""
 
+REST: Seconds = 3.0
+"""How long a router does not collect after a stall.
+
+What it had collected is outdated. If it took over again at once, a process that stalls
+repeatedly would interrupt the totals of its failure domain each time.
+"""
+
 SEARCHED = 8
 """Number of routers of another failure domain that are tried as its collector."""
 
@@ -75,7 +82,8 @@
         collecting_since: When it began to collect; None if it does not.
         number: The number of the last message.
         reported: The last report and its receiver, with the time.
-        stepped_at: When the last step was made.
+        stepped_at: When the last step was made; None before the first.
+        rests_until: Until when it does not collect, after a stall.
         announced_at: When the last total was sent to the routers of its domain.
         searches: The number of times that it searched a collector of another domain.
         interval: The interval of the fleet at the last step.
@@ -93,7 +101,8 @@
     collecting_since: Seconds | None = None
     number: int = 0
     reported: tuple[LoadReport, str, Seconds] | None = None
-    stepped_at: Seconds = 0.0
+    stepped_at: Seconds | None = None
+    rests_until: Seconds = -1e9
     announced_at: Seconds = -1e9
     searches: int = 0
     interval: Seconds = 0.1
@@ -176,13 +185,15 @@
             interval: The interval of the fleet.
             pause: The time until this router's next step, which totals state.
         """
-        stalled = now - self.stepped_at > STALL
+        if self.stepped_at is not None and now - self.stepped_at > STALL:
+            self.rests_until = now + REST
         self.stepped_at, self.interval = now, interval
         self.reports.expire(now)
         for table in self.sums.values():
             table.expire(now)
-        self.choice.review(now, self.longest_interval)
-        self.decide(now, stalled)
+        able = now >= self.rests_until
+        self.choice.review(now, self.longest_interval, able)
+        self.decide(now, able)
         report = self.report(shares, now)
         messages: list[tuple[str, LoadMessage]] = [report] if report else []
         if self.collects:
@@ -190,17 +201,15 @@
         self.view.choose(self.ranking, now, self.fresh)
         return messages
 
-    def decide(self, now: Seconds, stalled: bool) -> None:
-        """Decide whether this router collects.
-
-        After a stall it begins anew, since what it has collected is outdated.
-        """
+    def decide(self, now: Seconds, able: bool) -> None:
+        """Decide whether this router collects; it does not while it is not able to."""
         asked = self.choice.current == self.name or any(
             name != self.name for name in self.reports.reports
         )
-        if not asked or self.choice.hears_higher(now, self.longest_interval):
+        higher = self.choice.hears_higher(now, self.longest_interval)
+        if not (asked and able) or higher:
             self.collecting_since = None
-        elif self.collecting_since is None or stalled:
+        elif self.collecting_since is None:
             self.collecting_since = now
 
     def report(self, shares: Shares, now: Seconds) -> tuple[str, LoadReport] | None:
--- a/tests/coordination/test_load_sharing.py
+++ b/tests/coordination/test_load_sharing.py
@@ -156,16 +156,21 @@
     assert set(net.collectors()) == {"a0", "b0"}
 
 
-def test_thawed_collector_starts_anew() -> None:
-    """What it had collected before it was frozen must not be used."""
+def test_thawed_collector_is_not_used_at_once() -> None:
+    """What it had collected is outdated, and it may be stopped again.
+
+    Each time it takes over and fails, its failure domain has no totals for a while.
+    """
     net = Net()
     net.run(2.0)
-    net.run(5.0, frozen=("a0",))
     seen: set[int | None] = set()
-    for _ in range(20):
-        net.run(INTERVAL)
-        seen |= {net.known(name) for name in ("a1", "a2", "a3")}
+    for _ in range(4):
+        net.run(1.5, frozen=("a0",))
+        for _ in range(5):
+            net.run(INTERVAL)
+            seen |= {net.known(name) for name in ("a1", "a2", "a3")}
     assert seen <= {6, 7}
+    assert net.collectors() == ["a1", "b0"]
 
 
 def test_partitioned_domain_knows_its_own_load() -> None:
