Count a hot part's unread tokens without the part, and settle the choice's constants

Cause: a request sent to the second server of a part's order counted with the part's 6,300 tokens, though other routers had sent the part there. Other routers then avoided that server.

Change: the part is recorded as sent when its server is chosen. No servers are drawn beyond the first four of the order, and 6,000 tokens are expected to be placed on these before the figures change; less than a long shared part, so that an idle part stays at one server.

--- a/ebonyhold/forwarding/_shared_choice.py
+++ b/ebonyhold/forwarding/_shared_choice.py
@@ -42,7 +42,6 @@
 
     Attributes:
         candidates: Number of servers considered in a prompt's rendezvous order.
-        others: Number of further servers that are drawn at random.
         spread: Tokens to be read that the fleet is expected to place on these servers
             before the figures change.
         running: By which share all slots in use make reading a prompt take longer.
@@ -50,18 +49,14 @@
         overfull: Cost of each token that exceeds the server's memory, in tokens to be
             read: the request waits until other requests have ended.
         queued: Cost of each request above the server's slots, in tokens to be read.
-        second: The share of the shared parts that the second and later servers of the
-            order must still read, as far as this router knows nothing else.
     """
 
     candidates: int = 4
-    others: int = 0
     spread: Tokens = 6_000
     running: float = 0.2
     resident: float = 0.02
     overfull: float = 1.0
     queued: Tokens = 2_000
-    second: float = 1.0
 
 
 WEIGHTS = ChoiceWeights()
@@ -234,10 +229,12 @@
             load = self.loads([slow], now)
             return RatedServer(slow, load[0], 0, 0.0) if load else None
         chosen = self.draw(found, self.weights.spread)
-        if chosen is found[0]:
-            # The other routers send the part there, too. It is recorded as sent, so
-            # that the unread tokens of this request are counted without it.
-            chosen.entry.work.record_sent(sharing_key(request), now)
+        # The other routers send the part there, too: always to the first server, and to
+        # a further one while the first ones are busy. So the part is recorded as sent
+        # before the request is, and the request's unread tokens are counted without it.
+        # Counted with it, the figures of a hot part's servers would be three times as
+        # high as the work there.
+        chosen.entry.work.record_sent(sharing_key(request), now)
         return chosen
 
     def rate_by_prompt(
@@ -261,11 +258,8 @@
         size, shared = prompt_size(request), shared_tokens(request)
         found = []
         for place, (entry, load) in enumerate(zip(near, known, strict=True)):
-            missing = 0.0
-            if place and not entry.work.has_cached(key, now):
-                likely = place < self.weights.candidates
-                missing = self.weights.second if likely else 1.0
-            reads = max(0, size - round(shared * (1.0 - missing)))
+            cached = not place or entry.work.has_cached(key, now)
+            reads = size - shared if cached else size
             held = size + request.max_output
             cost = reading_cost(load, reads, held, service, self.weights)
             found.append(RatedServer(entry, load, reads, cost))
@@ -284,13 +278,8 @@
                 del by_name[name]
                 if len(found) >= self.weights.candidates:
                     break
-        rest = list(by_name.values())
-        holders = [entry for entry in rest if entry.work.has_cached(key, now)]
-        found += holders
-        free = [entry for entry in rest if entry not in holders] if holders else rest
-        if free:
-            found += self.rng.sample(free, min(self.weights.others, len(free)))
-        return found
+        rest = by_name.values()
+        return found + [entry for entry in rest if entry.work.has_cached(key, now)]
 
     def choose_by_count(
         self, service: Service, entries: Sequence[BackendEntry], now: Seconds
