Keep the own failure domain for requests without a prompt where load is shared

Cause: a draw by the requests of all routers in flight spread plain requests of some 60 ms over all failure domains by figures that are up to 0.3 s old.

Change: servers that have all slots in use by the figures are left out; among the others the choice is the one without shared load.

--- a/ebonyhold/forwarding/_shared_choice.py
+++ b/ebonyhold/forwarding/_shared_choice.py
@@ -20,7 +20,7 @@
 
 from ebonyhold.coordination import ServerLoad, ServerRun
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._choice import NEAR_SLACK, rank
+from ebonyhold.forwarding._choice import choose_nearby, rank
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._types import CallerRequest, Service, ServiceName
 from ebonyhold.forwarding._work import prompt_size, shared_tokens, sharing_key
@@ -220,7 +220,7 @@
         if service is None or not self.backends.fleet_load.is_on(name):
             return None
         if not sharing_key(request):
-            return self.choose_by_count(service, entries, now)
+            return self.choose_by_count(entries, now)
         found = self.rate_by_prompt(request, service, entries, now)
         if not found:
             return None
@@ -282,24 +282,25 @@
         return found + [entry for entry in rest if entry.work.has_cached(key, now)]
 
     def choose_by_count(
-        self, service: Service, entries: Sequence[BackendEntry], now: Seconds
+        self, entries: Sequence[BackendEntry], now: Seconds
     ) -> RatedServer | None:
         """Return the server for a request without prompt parts.
 
-        It is drawn among the servers with the fewest requests of all routers in flight.
-        A server of the own failure domain may have NEAR_SLACK more than the others. The
-        requests last less than the figures are old, so half of a server's slots are
-        expected to be taken by other routers meanwhile.
+        Such requests last less than the figures are old. So the figures only tell which
+        servers have all slots in use; these are left out, and the others are chosen
+        from as if no load were shared.
         """
         known = self.loads(entries, now)
         if known is None:
             return None
-        found = []
-        for entry, load in zip(entries, known, strict=True):
-            away = 0 if entry.backend.domain == self.domain else NEAR_SLACK
-            cost = (load.requests + 1 + away) * max(load.slowness, 0.1)
-            found.append(RatedServer(entry, load, 0, cost))
-        return self.draw(found, max(1.0, service.slots / 2))
+        loads = dict(zip((entry.backend.name for entry in entries), known, strict=True))
+        free = [
+            entry
+            for entry in entries
+            if loads[entry.backend.name].requests < entry.backend.slots
+        ]
+        entry = choose_nearby(free or entries, self.domain)
+        return RatedServer(entry, loads[entry.backend.name], 0, 0.0)
 
     def loads(
         self, entries: Sequence[BackendEntry], now: Seconds
--- a/tests/experiments/test_budget_power_cuts.py
+++ b/tests/experiments/test_budget_power_cuts.py
@@ -4,7 +4,6 @@
 
 from ebonyhold.experiments.budget_power_cuts import CAUSES, Cut, run
 
-
 NEEDLESS = 0.01
 """The part of all requests that may be refused although their budget covers them."""
 
