Collectors read the reports of servers where unreported load matters

The sums lack the requests of routers of older builds and of killed ones. Where servers crash above their memory, or a router does not share its load, the collector of a failure domain asks each of its servers with a stated memory once per second, and the requests there count as at least those.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -151,6 +151,7 @@
 from ._load_scope import LoadScope, ServiceSize
 from ._load_sharing import LoadMessage, LoadSharing, Participant
 from ._load_totals import (
+    Floors,
     LoadReport,
     LoadSum,
     LoadTotal,
@@ -355,6 +356,7 @@
     "Filed",
     "FilingDecision",
     "FleetLoad",
+    "Floors",
     "GrantLedger",
     "GrantPolicy",
     "GrantRow",
--- a/ebonyhold/coordination/_load_sharing.py
+++ b/ebonyhold/coordination/_load_sharing.py
@@ -13,16 +13,19 @@
     rank_collectors,
 )
 from ebonyhold.coordination._load_totals import (
+    REPORT_LASTS,
     TOTAL_LASTS,
     LoadReport,
     LoadSum,
     LoadTotal,
     ReportTable,
+    RunKey,
     Shares,
     Stamp,
     SumTable,
     TotalView,
     add_shares,
+    raise_shares,
 )
 from ebonyhold.types import Seconds
 
@@ -87,6 +90,7 @@
         announced_at: When the last total was sent to the routers of its domain.
         searches: The number of times that it searched a collector of another domain.
         interval: The interval of the fleet at the last step.
+        stated: The requests that servers of its domain state, and since when.
     """
 
     name: str
@@ -106,6 +110,7 @@
     announced_at: Seconds = -1e9
     searches: int = 0
     interval: Seconds = 0.1
+    stated: dict[RunKey, tuple[int, Seconds]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.choice = CollectorChoice(self.name)
@@ -159,6 +164,10 @@
         self.view.choose(self.ranking, now, self.fresh)
         return True
 
+    def record_stated(self, key: RunKey, requests: int, now: Seconds) -> None:
+        """Record how many requests a server of the own domain states that it has."""
+        self.stated[key] = requests, now
+
     @property
     def longest_interval(self) -> Seconds:
         """The interval at which totals are expected.
@@ -256,7 +265,13 @@
         settled = now - since >= MISSED_INTERVALS * self.interval
         stamp = self.next_stamp()
         own = self.reports.sum()
-        message = LoadSum(stamp, settled, 0.0, own)
+        self.stated = {
+            key: (requests, at)
+            for key, (requests, at) in self.stated.items()
+            if now - at <= REPORT_LASTS
+        }
+        floors = {key: requests for key, (requests, _) in self.stated.items()}
+        message = LoadSum(stamp, settled, 0.0, own, floors)
         for domain in self.sums:
             for name in self.find_collectors(domain):
                 yield name, message
@@ -265,10 +280,12 @@
             best = table.best(self.rankings[domain], now, self.fresh)
             if best is not None:
                 parts.append(dict(best[0].shares))
+                floors = {**floors, **best[0].floors}
                 ages[domain] = now - best[1]
         alone = len(self.reports.reports) <= 1 and len(ages) == 1
         complete = settled and not alone
         shares = add_shares(parts)
+        raise_shares(shares, floors)
 
         def total(name: str) -> LoadTotal:
             included = self.reports.included(name)
--- a/ebonyhold/coordination/_load_totals.py
+++ b/ebonyhold/coordination/_load_totals.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeAlias
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ebonyhold.coordination._crashes import ServerRun
 from ebonyhold.types import Seconds, Tokens
@@ -103,6 +103,9 @@
 
 NO_SHARE = ServerShare()
 
+Floors: TypeAlias = Mapping[RunKey, int]
+"""The requests that servers state that they have, which are the least that counts."""
+
 Shares: TypeAlias = Mapping[RunKey, ServerShare]
 """What routers have at each run of a server where they have something."""
 
@@ -121,6 +124,19 @@
     return {key: ServerShare(*figures) for key, figures in sums.items()}
 
 
+def raise_shares(shares: dict[RunKey, ServerShare], floors: Floors) -> None:
+    """Raise the number of requests at each server to what it states.
+
+    Args:
+        shares: The sum of all routers' shares, which is changed.
+        floors: The number of requests that each server states.
+    """
+    for key, requests in floors.items():
+        share = shares.get(key, NO_SHARE)
+        if requests > share.requests:
+            shares[key] = evolve(share, requests=requests)
+
+
 @frozen
 class Stamp:
     """The place of a message among those of its sender.
@@ -163,12 +179,14 @@
         complete: Whether the sender has collected for long enough.
         age: Time since the reports were added up.
         shares: The sum.
+        floors: The requests that the servers of this failure domain state.
     """
 
     stamp: Stamp
     complete: bool
     age: Seconds
     shares: Shares
+    floors: Floors = field(factory=dict)
 
 
 @frozen
--- a/ebonyhold/gateway/__init__.py
+++ b/ebonyhold/gateway/__init__.py
@@ -40,6 +40,7 @@
     GatewayStore,
     PlatformAdapter,
     RawRow,
+    ServerReport,
     Snapshot,
 )
 from ebonyhold.gateway._watcher import Watcher
@@ -72,6 +73,7 @@
     "RawRow",
     "Renewals",
     "RoutingState",
+    "ServerReport",
     "Snapshot",
     "StopTimes",
     "Supervisor",
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -41,6 +41,7 @@
 from ebonyhold.gateway._relays import GatewayRelays
 from ebonyhold.gateway._renewals import Renewals
 from ebonyhold.gateway._routing_state import RoutingState
+from ebonyhold.gateway._server_reports import ServerReports
 from ebonyhold.gateway._signals import watched_signals
 from ebonyhold.gateway._stop import GatewayStop
 from ebonyhold.gateway._streams import GatewayStreams
@@ -85,6 +86,7 @@
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
         load_exchange: The exchange of the servers' load with other gateways.
+        server_reports: Reads the servers' reports while this gateway collects.
         draining: Whether the stop has begun.
     """
 
@@ -109,6 +111,7 @@
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
     load_exchange: LoadExchange = field(init=False)
+    server_reports: ServerReports = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     pool: ChannelPool | None = None
     draining: bool = False
@@ -143,6 +146,14 @@
             lambda: self.current_rules(),
             self.metrics,
         )
+        self.server_reports = ServerReports(
+            self.routing.backends,
+            platform.settings.domain,
+            platform.report_target,
+            platform.read_report,
+            self.load_exchange.record_report,
+            self.are_reports_wanted,
+        )
         self.reach = Reachability(lambda: len(self.routing.backends.entries))
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
@@ -218,6 +229,16 @@
         self.routing.backends.shares.update(fleet)
         self.load_exchange.review()
 
+    def are_reports_wanted(self) -> bool:
+        """Return whether this router reads the reports of its domain's servers.
+
+        They matter where servers crash above their memory, and where some routers do
+        not share their load.
+        """
+        exchange = self.load_exchange
+        pressure = self.platform.settings.memory_pressure
+        return exchange.collects and (pressure or exchange.misses_routers)
+
     def replace_rules(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
         """Use the configuration and the evacuations in all rows of the table."""
         self.routing.replace_rules(rows, after_outage)
@@ -252,6 +273,10 @@
             supervisor.start("settlements", self.holders.run)
             supervisor.start("streams", self.streams.run)
             supervisor.start("load exchange", self.load_exchange.run)
+            self.server_reports.tasks = GuardedTasks(supervisor, "server connection")
+            supervisor.start(
+                "server reports", self.server_reports.run, self.load_exchange.started
+            )
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
             self.start_listeners(tasks, supervisor)
--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -31,12 +31,13 @@
     run_key,
 )
 from ebonyhold.exceptions import MalformedMessageError
-from ebonyhold.forwarding import BackendTable, Ruleset
+from ebonyhold.forwarding import BackendEntry, BackendTable, Ruleset
 from ebonyhold.gateway._intervals import scale_interval
 from ebonyhold.gateway._listening import ADDRESS_ERRORS, ListenError
 from ebonyhold.gateway._load_messages import MAX_DATAGRAM, Decoder, Encoder
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._presence import Presence
+from ebonyhold.gateway._types import ServerReport
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -100,6 +101,7 @@
         keys: The keys of runs of servers, and when each was first used.
         rated: The ratings of the servers, and the total that they are from.
         changed: Set when the scope has changed.
+        started: Set once this router takes part for the first time.
         interval: The time between two steps in a fleet of this size.
         sent_bytes: Bytes sent in the last step.
         logged: What was last logged on each matter, and when.
@@ -119,6 +121,7 @@
     keys: dict[ServerRun, tuple[RunKey, Seconds]] = field(factory=dict)
     rated: tuple[LoadTotal | None, Mapping[RunKey, ServerRating]] = (None, {})
     changed: anyio.Event = field(factory=anyio.Event)
+    started: anyio.Event = field(factory=anyio.Event)
     interval: Seconds = INTERVAL
     sent_bytes: int = 0
     logged: dict[str, tuple[object, Seconds]] = field(factory=dict)
@@ -211,6 +214,23 @@
         self.addresses = addresses
         self.sharing.update(known, anyio.current_time())
 
+    @property
+    def collects(self) -> bool:
+        """Whether this router collects the load of its failure domain."""
+        return bool(self.scope.services) and self.sharing.collects
+
+    @property
+    def misses_routers(self) -> bool:
+        """Whether some routers of the fleet do not share their load."""
+        routers = self.presence.fleet(self.presence.listed).keys()
+        return not self.sharing.participants.keys() >= routers
+
+    def record_report(self, entry: BackendEntry, report: ServerReport) -> None:
+        """Record what a server of the own failure domain reports."""
+        now = anyio.current_time()
+        key, _ = self.key(entry.run, now)
+        self.sharing.record_stated(key, report.requests, now)
+
     async def run(self) -> None:
         """Take part in the exchange while the scope has a service, until cancelled.
 
@@ -228,6 +248,7 @@
                 self.presence.share_load(True, rate)
                 self.backends.fleet_load = self
                 self.update_participants()
+                self.started.set()
                 try:
                     await self.serve(sock)
                 finally:
--- a/ebonyhold/gateway/_load_messages.py
+++ b/ebonyhold/gateway/_load_messages.py
@@ -15,6 +15,7 @@
 from attrs import define, field, frozen
 
 from ebonyhold.coordination import (
+    Floors,
     LoadMessage,
     LoadReport,
     LoadSum,
@@ -39,6 +40,12 @@
 DOMAIN_BYTES = 8
 """Upper bound of the size of an age, without the domain's name."""
 
+FLOOR_BYTES = 12
+"""Size of the number of requests that a server states, with its key."""
+
+MAX_FLOORS = 64
+"""Maximum number of servers of one failure domain whose statements are sent."""
+
 MAX_PARTS = 16
 """Maximum number of datagrams of one message."""
 
@@ -147,6 +154,8 @@
         ages = message.ages if isinstance(message, LoadTotal) else ()
         names = len(self.sender.encode())
         names += sum(len(name.encode()) + DOMAIN_BYTES for name in ages)
+        if isinstance(message, LoadSum):
+            names += FLOOR_BYTES * min(len(message.floors), MAX_FLOORS)
         room = MAX_DATAGRAM - FIXED_BYTES - names
         known = self.last is not None and self.last[0] is message.shares
         if not known or self.last is None or self.last[1] != room:
@@ -170,7 +179,9 @@
     if isinstance(message, LoadReport):
         return REPORT, ()
     if isinstance(message, LoadSum):
-        return SUM, (message.complete, in_ms(message.age))
+        stated = list(message.floors.items())[:MAX_FLOORS]
+        floors = [[key, min(requests, MAX_COUNT)] for key, requests in stated]
+        return SUM, (message.complete, in_ms(message.age), floors)
     included = message.included
     ages = [[domain, in_ms(age)] for domain, age in message.ages.items()]
     interval = in_ms(message.interval)
@@ -254,6 +265,17 @@
     return ages
 
 
+def read_floors(value: object) -> Floors:
+    """Decode the numbers of requests that servers state."""
+    floors: dict[RunKey, int] = {}
+    for item in check_list(value):
+        pair = check_list(item)
+        if len(pair) < 2 or not isinstance(pair[0], bytes):
+            raise MalformedMessageError("a number of requests without a server")
+        floors[pair[0]] = check_number(pair[1])
+    return floors
+
+
 def build(part: Part, shares: Shares) -> LoadMessage:
     """Return the message with the servers of all its parts.
 
@@ -264,7 +286,9 @@
     if part.kind == REPORT:
         return LoadReport(stamp, shares)
     if part.kind == SUM and len(rest) >= 2:
-        return LoadSum(stamp, rest[0] is True, check_number(rest[1]) / 1_000, shares)
+        age = check_number(rest[1]) / 1_000
+        floors = read_floors(rest[2]) if len(rest) > 2 else {}
+        return LoadSum(stamp, rest[0] is True, age, shares, floors)
     if part.kind == TOTAL and len(rest) >= 5:
         interval = check_number(rest[1]) / 1_000
         included = Stamp(check_number(rest[2]), check_number(rest[3]))
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -234,6 +234,12 @@
             "restarts are rare",
             port_policy=RETRY_RARELY,
         ),
+        TaskRule(
+            "server reports",
+            "requests that no router reports are missing in the totals",
+            AFTER_PAUSE,
+            "they are few, and the next reports state them again",
+        ),
         TaskRule(
             "lent holds",
             "expired holds of killed routers are not ended",
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from ebonyhold.exceptions import MalformedEntryError
 from ebonyhold.forwarding import Backend, Dialect, RetryRules, Ruleset, TaskStarter
 from ebonyhold.prepaid import PrepaidStore
 from ebonyhold.types import BackendName, Seconds
@@ -140,6 +141,33 @@
         ...
 
 
+@frozen
+class ServerReport:
+    """What a server reports of its load.
+
+    Attributes:
+        waiting: Requests that wait for a slot.
+        running: Requests that have a slot.
+    """
+
+    waiting: int
+    running: int
+
+    @property
+    def requests(self) -> int:
+        """All requests that it has."""
+        return self.waiting + self.running
+
+
+def read_no_report(body: bytes) -> ServerReport:
+    """Reject a report, on a platform whose servers give none.
+
+    Raises:
+        MalformedEntryError: Always.
+    """
+    raise MalformedEntryError(f"{len(body)} bytes")
+
+
 @frozen
 class PlatformAdapter:
     """The adapter to a platform: everything in which a gateway depends on it.
@@ -156,6 +184,8 @@
         read_evacuation: Returns the failure domain whose evacuation the row with a key
             requests while it exists; None if it is another row. Both kinds of rows are
             in `rules_table`.
+        report_target: The path of the servers' reports; empty if they give none.
+        read_report: Decodes a server's report.
     """
 
     settings: GatewaySettings
@@ -167,3 +197,5 @@
     read_rules: Callable[[bytes], Ruleset]
     read_backend: Callable[[BackendName, bytes], Backend]
     read_evacuation: Callable[[str], str | None] = lambda key: None
+    report_target: bytes = b""
+    read_report: Callable[[bytes], ServerReport] = read_no_report
--- a/ebonyhold/platform/__init__.py
+++ b/ebonyhold/platform/__init__.py
@@ -6,6 +6,7 @@
     read_evacuation,
 )
 from ebonyhold.platform._headers import PlatformDialect
+from ebonyhold.platform._reports import read_report
 from ebonyhold.platform._settings import load_platform_settings
 from ebonyhold.platform._store import StoreClient
 from ebonyhold.platform._wiring import platform_adapter
@@ -18,4 +19,5 @@
     "read_backend",
     "read_configuration",
     "read_evacuation",
+    "read_report",
 ]
--- a/tests/coordination/test_load_sharing.py
+++ b/tests/coordination/test_load_sharing.py
@@ -161,6 +161,20 @@
     assert net.known("a3") == 21
 
 
+def test_load_is_at_least_what_a_server_states() -> None:
+    """Routers of older builds report nothing; what they had sent ends some time."""
+    net = Net()
+    net.run(2.0)
+    for requests, known in ((30, 29), (3, 7)):
+        for _ in range(10):
+            net.routers["b0"].record_stated(KEY, requests, net.now)
+            net.run(INTERVAL)
+        assert net.all_known() == {known}
+    net.routers["b0"].record_stated(KEY, 30, net.now)
+    net.run(2.0)
+    assert net.all_known() == {7}
+
+
 def test_returning_collector_causes_no_gap() -> None:
     """Its first totals lack most routers, so they must not be used."""
     net = Net()
--- a/tests/gateway/test_load_messages.py
+++ b/tests/gateway/test_load_messages.py
@@ -34,7 +34,9 @@
     """Return one message of each kind with this number of servers."""
     servers = shares(count, share)
     total = LoadTotal(STAMP, True, 0.1, STAMP, AGES, servers)
-    return [LoadReport(STAMP, servers), LoadSum(STAMP, True, 0.5, servers), total]
+    floors = dict.fromkeys(list(servers)[:11], 65_535)
+    sums = LoadSum(STAMP, True, 0.5, servers, floors)
+    return [LoadReport(STAMP, servers), sums, total]
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -18,6 +18,7 @@
     read_backend,
     read_configuration,
     read_evacuation,
+    read_report,
 )
 
 CONFIGURATION: dict[str, Any] = {
@@ -216,3 +217,25 @@
 def test_rows_of_evacuations(key: str, domain: str | None) -> None:
     """The operator's other rows must evacuate nothing."""
     assert read_evacuation(key) == domain
+
+
+@pytest.mark.parametrize(
+    ("body", "requests"),
+    [
+        (b'{"waiting-count":3,"running-count":90,"kv-cache-used":1}', 93),
+        (b'{"waiting-count":0,"running-count":0}', 0),
+        (b'{"waiting-count":3}', None),
+        (b'{"waiting-count":-1,"running-count":3}', None),
+        (b'{"waiting-count":1.5,"running-count":3}', None),
+        (b"[1]", None),
+        (b"\xff", None),
+    ],
+)
+def test_report_states_the_requests_of_a_server(
+    body: bytes, requests: int | None
+) -> None:
+    if requests is None:
+        with pytest.raises(MalformedEntryError):
+            read_report(body)
+    else:
+        assert read_report(body).requests == requests
