--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -20,6 +20,7 @@
     ConnectOutcome,
     CrashDetector,
     FleetRetryBudget,
+    FlowControl,
     Forwarder,
     Paths,
     Reachability,
@@ -27,8 +28,10 @@
     RequestRelay,
     Ruleset,
     Shutdown,
+    SlowReaders,
     StreamVersions,
 )
+from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._load_exchange import LoadExchange
@@ -87,6 +90,7 @@
         streams: The gateways that keep which version began a stream.
         load_exchange: The exchange of the servers' load with other gateways.
         server_reports: Reads the servers' reports while this gateway collects.
+        flow: Bounds what is buffered for slow peers.
         draining: Whether the stop has begun.
     """
 
@@ -113,6 +117,7 @@
     load_exchange: LoadExchange = field(init=False)
     server_reports: ServerReports = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
+    flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
     draining: bool = False
 
@@ -301,6 +306,7 @@
         settings = self.platform.settings
         self.pool = ChannelPool(GuardedTasks(supervisor, "server connection"))
         paths = Paths(self.pool, self.reach, self.relays)
+        flow = flow_control(settings, self.routing.backends, self.metrics)
         forwarder = Forwarder(
             domain=settings.domain,
             dialect=self.platform.dialect,
@@ -325,12 +331,18 @@
                 self.streams.records,
                 self.metrics.count_stream,
             ),
+            flow=flow,
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
             forwarder.serve, self.routing.limits, guard, forwarder.identify
         )
         self.pool.traffic = self.listener.traffic
+        self.flow = flow
+        if flow.bounded:
+            self.listener.flow, self.pool.account = flow, flow.answers
+            self.relays.account = flow.answers
+            supervisor.start("slow readers", SlowReaders(flow).run)
         self.pressure = PressureMonitor(
             self.listener.shed,
             LinkUse(self.listener.traffic, settings.link_rate),
@@ -457,6 +469,7 @@
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
         self.load_exchange.set_gauges(now)
+        self.metrics.set_flow(self.flow)
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
