Leases of server memory and a fair queue, as pure logic

Cause: each router admits requests by its own knowledge, so the requests of 90 routers together may exceed the memory of a server, which then crashes.

Change: own shares, two lenders for each server with a quarter each, a view of the fleet that expires, quiet time of new lenders, and a queue by priority with deficit round robin over workspaces. No I/O, no clock, not used yet.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -93,6 +93,10 @@
     EjectionPolicy,
     Ejector,
 )
+from ._fair_queue import (
+    FairQueue,
+    Waiting,
+)
 from ._grants import (
     GrantLedger,
     change_budget,
@@ -158,6 +162,25 @@
 from ._membership import (
     Membership,
 )
+from ._memory_leases import (
+    LENT_SHARE,
+    Decision,
+    LeaseAnswer,
+    LeaseOutcome,
+    MemoryLender,
+    WantedLease,
+)
+from ._memory_lenders import (
+    LEASE_MARGIN,
+    VIEW_INTERVALS,
+    LenderView,
+    choose_lenders,
+)
+from ._memory_pool import (
+    MemoryNeed,
+    MemoryPool,
+    shared_parts,
+)
 from ._observed import (
     Observed,
     observe_row,
@@ -207,6 +230,10 @@
     Backoff,
     RetryBudget,
 )
+from ._router_memory import (
+    RouterMemory,
+    own_share,
+)
 from ._rows import (
     ArchiveRow,
     BudgetRow,
@@ -286,6 +313,8 @@
     "FIRST_WINDOW",
     "GRANT_PREFIX",
     "INITIAL_TOPUP",
+    "LEASE_MARGIN",
+    "LENT_SHARE",
     "MAX_PARTS",
     "MAX_REPEATS",
     "REFUND_PREFIX",
@@ -294,6 +323,7 @@
     "ROUTER_PREFIX",
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
+    "VIEW_INTERVALS",
     "Absent",
     "Action",
     "AdaptiveRate",
@@ -320,6 +350,7 @@
     "ClaimDecision",
     "CrashRecords",
     "CrashReport",
+    "Decision",
     "Delete",
     "DrainingServer",
     "EjectionPolicy",
@@ -328,6 +359,7 @@
     "EndedLimits",
     "EngineOrder",
     "EngineView",
+    "FairQueue",
     "FairScheduler",
     "Filed",
     "FilingDecision",
@@ -345,10 +377,13 @@
     "JournalEntry",
     "JournalSegment",
     "KeptAnswer",
+    "LeaseAnswer",
     "LeaseObservation",
+    "LeaseOutcome",
     "LeasePlan",
     "LeaseRow",
     "LedgerChange",
+    "LenderView",
     "LimitShares",
     "Listed",
     "Member",
@@ -357,6 +392,9 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "MemoryLender",
+    "MemoryNeed",
+    "MemoryPool",
     "Need",
     "NoFleetLoad",
     "NoTransferMixin",
@@ -381,6 +419,7 @@
     "RequestRow",
     "RequestState",
     "RetryBudget",
+    "RouterMemory",
     "RouterRow",
     "RouterState",
     "Row",
@@ -403,6 +442,8 @@
     "TransferRow",
     "TransferState",
     "VersionHistory",
+    "Waiting",
+    "WantedLease",
     "Write",
     "announce_transfer",
     "append_transaction",
@@ -412,6 +453,7 @@
     "change_grant",
     "choice_policies",
     "choice_policy",
+    "choose_lenders",
     "choose_senders",
     "claim_transaction",
     "close_grant",
@@ -446,6 +488,7 @@
     "order_key",
     "order_prefix",
     "outage_cover",
+    "own_share",
     "parse_lease",
     "part_digest",
     "plan_acquire",
@@ -475,6 +518,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "shared_parts",
     "stream_id",
     "to_bytes",
     "to_json",
--- /dev/null
+++ b/ebonyhold/coordination/_router_memory.py
@@ -0,0 +1,158 @@
+"""What one router has in flight at the servers, in its own shares and by leases."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define, field
+
+from ebonyhold.coordination._memory_pool import MemoryNeed, MemoryPool
+from ebonyhold.types import BackendName, Seconds, Tokens
+
+OWN_SHARE = 0.5
+"""Share of a server's memory that is divided among all routers."""
+
+HEADROOM = 16
+"""For each 16 routers, one more is assumed, which others may not have counted yet."""
+
+
+def own_share(memory: Tokens, routers: int) -> Tokens:
+    """Return the memory of a server that each router may use without a lease.
+
+    Args:
+        memory: The server's memory.
+        routers: The highest number of routers known; 0 if none was counted yet.
+
+    >>> own_share(258_964, 90)
+    1348
+    """
+    if not routers:
+        return 0
+    return int(memory * OWN_SHARE / (routers + math.ceil(routers / HEADROOM)))
+
+
+@define
+class RefusedNeed:
+    """A lease that was refused.
+
+    Attributes:
+        size: The memory that was asked for.
+        until: When there is expected to be room.
+    """
+
+    size: Tokens
+    until: Seconds
+
+
+@define(eq=False)
+class RouterMemory:
+    """What one router has in flight at each server, in its own share and by leases.
+
+    Attributes:
+        own: The own share of each server.
+        leased: The leased memory of each server; its size does not matter here.
+        refused: The smallest lease of each server that was refused lately.
+    """
+
+    own: dict[BackendName, MemoryPool] = field(factory=dict)
+    leased: dict[BackendName, MemoryPool] = field(factory=dict)
+    refused: dict[BackendName, RefusedNeed] = field(factory=dict)
+
+    def take_own(
+        self,
+        server: BackendName,
+        name: str,
+        need: MemoryNeed,
+        share: Tokens,
+        now: Seconds,
+        expires_at: Seconds,
+    ) -> bool:
+        """Use the own share for a request, if there is room for it; return whether.
+
+        Args:
+            server: The server.
+            name: The name of the attempt.
+            need: What it needs.
+            share: The size of the own share now.
+            now: The time.
+            expires_at: When the attempt has ended in any case.
+        """
+        pool = self.own.setdefault(server, MemoryPool())
+        pool.size = share
+        pool.expire(now)
+        if not pool.fits(need):
+            return False
+        pool.add(name, need, now, expires_at)
+        return True
+
+    def record_leased(
+        self,
+        server: BackendName,
+        name: str,
+        need: MemoryNeed,
+        now: Seconds,
+        expires_at: Seconds,
+    ) -> None:
+        """Record a lease that was granted to this router."""
+        pool = self.leased.setdefault(server, MemoryPool())
+        pool.add(name, need, now, expires_at)
+
+    def record_refused(
+        self, server: BackendName, need: MemoryNeed, now: Seconds, wait: Seconds
+    ) -> None:
+        """Record that nobody leases memory of a server for `wait` seconds."""
+        known = self.refused.get(server)
+        size = need.total
+        if known is not None and now < known.until:
+            size = min(size, known.size)
+        self.refused[server] = RefusedNeed(size, now + wait)
+
+    def wait(
+        self, server: BackendName, need: MemoryNeed, share: Tokens, now: Seconds
+    ) -> Seconds:
+        """Return the time until a server is expected to have room; 0 if it may now."""
+        refused = self.refused.get(server)
+        if refused is None or now >= refused.until or need.total < refused.size:
+            return 0.0
+        pool = self.own.get(server)
+        if pool is not None and pool.used + pool.added(need) <= share:
+            return 0.0
+        return refused.until - now
+
+    def end(
+        self, server: BackendName, name: str, now: Seconds, expires_at: Seconds
+    ) -> bool:
+        """End an attempt's use of memory at a time; return whether it was a lease.
+
+        Args:
+            server: The server.
+            name: The name of the attempt.
+            now: The time.
+            expires_at: When the server has certainly noticed the end.
+        """
+        pool = self.own.get(server)
+        if pool is not None and name in pool.occupants:
+            pool.end_by(name, expires_at)
+            pool.expire(now)
+            return False
+        leased = self.leased.get(server)
+        return leased is not None and leased.remove(name) is not None
+
+    def used(self) -> Tokens:
+        """Return the memory used in the own shares of all servers."""
+        return sum(pool.used for pool in self.own.values())
+
+    def leased_tokens(self) -> Tokens:
+        """Return the memory leased of all servers."""
+        return sum(pool.used for pool in self.leased.values())
+
+    def forget(self, now: Seconds) -> None:
+        """Forget what has expired, and servers at which nothing is in flight."""
+        for pools in (self.own, self.leased):
+            for server, pool in list(pools.items()):
+                pool.expire(now)
+                if not pool.occupants:
+                    del pools[server]
+        for server, refused in list(self.refused.items()):
+            if now >= refused.until:
+                del self.refused[server]
