Servers' memory is set aside before a request is sent there

Cause: requests of all routers together may exceed the memory of a server, which then crashes (deployments whose settings state pressure).

Change: POST /memory/leases and /memory/returns between gateways; the dispatcher and the relay get room before an attempt and free it after it; BackendTable.withheld and admit know the cause 'memory'; refusals servers_memory_full and server_memory_too_small; presence rows state lends_memory and has_leases; metrics. Nothing of it exists without memory_pressure.

--- a/ebonyhold/coordination/_memory_lenders.py
+++ b/ebonyhold/coordination/_memory_lenders.py
@@ -108,8 +108,8 @@
             fleet: The routers that lend, with their failure domains.
             now: When this router's row was stored, before the others were read.
             valid_for: How long after that this router may lend.
-            unleased: Whether no router has had any lease since its start, so nobody
-                needs to wait until leases have expired.
+            unleased: Whether no router has had any lease since its start.  If the fleet
+                is the same as before, nobody needs to wait until leases have expired.
         """
         if now - self.read_at >= self.valid_for:
             # Others may have left this router out meanwhile, and lent in its place.
@@ -121,7 +121,7 @@
             self.changed_at = now
             # The role in servers that are not named here is computed when it is needed.
             self.since = {s: at for s, at in before.items() if self.is_chosen(s)}
-        if unleased:
+        elif unleased:
             self.changed_at = -math.inf
             self.since = dict.fromkeys(self.since, -math.inf)
         self.read_at, self.valid_for = now, valid_for
--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._listener import CallerListener, Serve
+from ebonyhold.forwarding._memory import MemoryRoom, RoomRequest, ServerMemory
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._pool import ChannelPool, ConnectOutcome, outcome_of
 from ebonyhold.forwarding._reach import Reach, Reachability
@@ -67,6 +68,7 @@
     SoftwareVersion,
     Workspace,
 )
+from ebonyhold.forwarding._work import prompt_size
 from ebonyhold.tasks import Guard, TaskStarter
 
 __all__ = [
@@ -99,6 +101,7 @@
     "HttpCalls",
     "LateRequest",
     "Match",
+    "MemoryRoom",
     "NoKeepers",
     "NoPathError",
     "NoRouteError",
@@ -117,11 +120,13 @@
     "RequestHold",
     "RequestRelay",
     "RetryRules",
+    "RoomRequest",
     "Route",
     "RouteKind",
     "RouteTimes",
     "Ruleset",
     "Serve",
+    "ServerMemory",
     "Service",
     "ServiceName",
     "ServiceShare",
@@ -142,4 +147,5 @@
     "match_request",
     "outcome_of",
     "own_answer",
+    "prompt_size",
 ]
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -111,7 +111,13 @@
         now = anyio.current_time()
         opened_at = path.channel.opened_at if path.relay is None else None
         withheld = self.backends.admit(
-            self.entry, now, path.relay is not None, self.exchange.version, opened_at
+            self.entry,
+            now,
+            path.relay is not None,
+            self.exchange.version,
+            opened_at,
+            self.exchange.need,
+            self.exchange.room,
         )
         if withheld is not None:
             path.channel.keep_unused(now)
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -14,11 +14,13 @@
     EndedLimits,
     FleetLoad,
     LimitShares,
+    MemoryNeed,
     NoFleetLoad,
     SendingLimit,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
+from ebonyhold.forwarding._memory import MemoryRoom, NoServerMemory, ServerMemory
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import (
     AnswerFacts,
@@ -53,12 +55,14 @@
         brittle: Which servers are brittle.
         ended_limits: The ends of limits that this router has noticed.
         fleet_load: The load that the other routers put on the servers.
+        memory: This router's use of the memory of servers.
     """
 
     shares: LimitShares = field(factory=LimitShares)
     brittle: BrittleServers = field(factory=BrittleServers)
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
+    memory: ServerMemory = field(factory=NoServerMemory)
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
@@ -166,6 +170,7 @@
         version: SoftwareVersion | None = None,
         begins: bool = False,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -183,6 +188,7 @@
             begins: Whether the request begins a stream that callers may take up.
             opened_at: When the connection was opened on which it is to be sent; None
                 before one is chosen, or if another router sends it.
+            need: The memory that the request needs and does not have yet, if any.
         """
         backend = entry.backend
         if not entry.listed:
@@ -216,6 +222,10 @@
             brittle_wait = self.brittle_wait(entry, now)
             if brittle_wait > wait:
                 cause, wait = Cause.BRITTLE, brittle_wait
+        if need is not None and not relayed:
+            memory_wait = self.memory.wait(entry, need, now)
+            if memory_wait > wait:
+                cause, wait = Cause.MEMORY, memory_wait
         if not wait and now < entry.full_until:
             cause, wait = Cause.FULL, entry.full_until - now
         if not wait and begins:
@@ -230,10 +240,13 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
+        room: MemoryRoom | None = None,
     ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
-        One that another router sends counts there.
+        One that another router sends counts there. One that needs memory must have it
+        at this run of the server.
 
         Returns:
             Why it must not be sent; None if it may be, and is counted.
@@ -241,6 +254,8 @@
         withheld = self.withheld(entry, now, relayed, version, opened_at=opened_at)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
+        if need is not None and not relayed and (not room or room.run != entry.run):
+            return Withheld(Cause.MEMORY)
         if not relayed:
             self.count_request(entry, now)
         return None
@@ -296,6 +311,7 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         begins: bool = False,
+        need: MemoryNeed | None = None,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
@@ -310,7 +326,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now, relayed, version, begins)
+            withheld = self.withheld(entry, now, relayed, version, begins, need=need)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
@@ -358,6 +374,7 @@
         service: ServiceName,
         now: Seconds,
         version: SoftwareVersion | None = None,
+        need: MemoryNeed | None = None,
     ) -> Seconds | None:
         """Return the time until a server of a service may get a request.
 
@@ -368,7 +385,7 @@
             withheld
             for entry in self.entries.values()
             if entry.backend.service == service
-            if (withheld := self.withheld(entry, now, version=version)) is not None
+            if (withheld := self.withheld(entry, now, version=version, need=need))
             if withheld.cause.ends
         ]
         if not any(withheld.cause.is_binding for withheld in found):
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -19,6 +19,7 @@
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
+from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomKeeper
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
@@ -86,10 +87,20 @@
             except UnknownVersionError as error:
                 exchange.reasons.append(str(error))
                 return Refusal.VERSION_UNKNOWN
+        if exchange.need is not None and self.backends.memory.is_too_large(
+            exchange.match.service, exchange.need
+        ):
+            return Refusal.MEMORY_TOO_SMALL
         while True:
             known = self.crashes.suspicion(exchange)
             suspect = known.exists or bool(exchange.losses)
             entry = self.next_entry(exchange, suspect)
+            if entry is Refusal.MEMORY_FULL:
+                entry = await self.wait_for_memory(exchange)
+            elif isinstance(entry, BackendEntry) and not await self.get_room(
+                exchange, entry
+            ):
+                continue
             if isinstance(entry, Refusal):
                 if entry in MAY_WAIT and await self.wait_for_place(exchange):
                     continue
@@ -106,10 +117,13 @@
             if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
             self.log_dispatch(exchange, entry)
+            end = None
             try:
                 result = await attempt.run()
+                end = result.end
             finally:
                 self.places.free(exchange.match.service)
+                self.rooms.free(exchange, end)
             if result.end is AttemptEnd.DELIVERED:
                 self.crashes.answered(exchange, result.written)
                 return None
@@ -122,6 +136,41 @@
             if refusal is not None:
                 return refusal
 
+    @property
+    def rooms(self) -> RoomKeeper:
+        """What gets and frees the memory of requests at servers."""
+        return RoomKeeper(self.backends)
+
+    async def get_room(self, exchange: Exchange, entry: BackendEntry) -> bool:
+        """Get memory for an attempt at a server; return whether it may be made.
+
+        Where another router is to send the request, that one gets the memory.
+        """
+        if exchange.need is None or self.paths.uses_relays:
+            return True
+        return await self.rooms.get(exchange, entry)
+
+    async def wait_for_memory(self, exchange: Exchange) -> BackendEntry | Refusal:
+        """Wait for memory at the first server in order; return it, if it may be used.
+
+        Memory at a server that must not get the request any more is given back.
+        """
+        short = self.rooms.short(exchange)
+        if short and self.rooms.may_wait(exchange):
+            entry = choose(exchange.caller, short, self.domain, anyio.current_time())
+            if await self.rooms.get(exchange, entry, wait=True):
+                now, version = anyio.current_time(), exchange.version
+                if self.backends.withheld(entry, now, version=version) is None:
+                    return entry
+                self.rooms.free(exchange, AttemptEnd.NOT_SENT)
+        if exchange.may_have_run:
+            return Refusal.SERVER_LOST
+        now, service = anyio.current_time(), exchange.match.service
+        wait = self.backends.next_allowed(service, now, exchange.version, exchange.need)
+        if wait is not None:
+            exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
+        return Refusal.MEMORY_FULL
+
     async def wait_for_place(self, exchange: Exchange) -> bool:
         """Wait until a request at a brittle server has ended; return whether one has.
 
@@ -189,12 +238,17 @@
         entries = self.backends.usable(
             service,
             now,
-            exchange.tried,
+            [*exchange.tried, *exchange.roomless],
             relayed,
             exchange.version,
             begins=exchange.match.route.resumable and exchange.version is None,
+            need=exchange.need,
         )
+        if len(exchange.roomless) >= MAX_SERVERS_ASKED:
+            entries = []
         if not entries:
+            if exchange.need is not None and self.rooms.short(exchange):
+                return Refusal.MEMORY_FULL
             wait = self.backends.next_allowed(service, now, exchange.version)
             if wait is not None:
                 exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import h11
 from attrs import define, field, frozen
 
-from ebonyhold.coordination import MAX_PARTS, part_digest
+from ebonyhold.coordination import MAX_PARTS, MemoryNeed, part_digest
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead, end_to_end
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
@@ -22,6 +23,9 @@
     Tokens,
 )
 
+if TYPE_CHECKING:
+    from ebonyhold.forwarding._memory import MemoryRoom
+
 
 class AttemptEnd(Enum):
     """How an attempt at a backend server ended.
@@ -119,6 +123,10 @@
             first did.
         retry_after: When its caller may try again, in seconds from now; None for the
             usual time of a refusal.
+        need: The memory that it needs at a server; None if that is not accounted for.
+        room: The memory that its current attempt has.
+        roomless: The servers that had no memory for it.
+        waited_for_memory: Whether it has waited for memory.
     """
 
     connection: CallerConnection
@@ -144,6 +152,10 @@
     losses: list[AttemptLoss] = field(factory=list)
     waits_until: Seconds | None = None
     retry_after: Seconds | None = None
+    need: MemoryNeed | None = None
+    room: MemoryRoom | None = None
+    roomless: list[BackendName] = field(factory=list)
+    waited_for_memory: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -42,6 +42,9 @@
 ANSWER_MARGIN: Seconds = 0.03
 """How long after a request's deadline to wait for the server's own timeout answer."""
 
+STATES_TIME = frozenset({Refusal.SERVERS_LIMITED, Refusal.MEMORY_FULL})
+"""The refusals with a time that is known for the request."""
+
 DELIVERED = "delivered"
 """The outcome of a request whose caller got a complete answer from a server."""
 
@@ -198,6 +201,7 @@
             match,
             deadline_of(head, caller, match),
             event_tokens=service.event_tokens if service else 1,
+            need=self.backends.memory.need(match.service, caller),
         )
 
     def check_shutdown(self, exchange: Exchange, priced: bool) -> None:
@@ -288,7 +292,7 @@
             exchange.caller,
             refusal,
             exchange.match.route.name,
-            exchange.retry_after if refusal is Refusal.SERVERS_LIMITED else None,
+            exchange.retry_after if refusal in STATES_TIME else None,
         )
         return refusal.code
 
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -38,6 +38,8 @@
     SERVERS_LIMITED = (503, "servers_limited")
     VERSION_UNKNOWN = (503, "version_unknown")
     VERSION_GONE = (503, "version_gone")
+    MEMORY_FULL = (503, "servers_memory_full")
+    MEMORY_TOO_SMALL = (503, "server_memory_too_small")
 
     @property
     def status(self) -> int:
@@ -58,6 +60,8 @@
     # Servers usually finish a few requests in this time.
     Refusal.SERVERS_FULL: 0.2,
     Refusal.NOT_STARTED: 0.2,
+    # Requests that are being answered free memory at all times.
+    Refusal.MEMORY_FULL: 0.2,
     # The tokens are in other routers' grants, and the caller's retry reaches another
     # router.
     Refusal.BUDGET_UNREACHABLE: 0.05,
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -10,6 +10,7 @@
 import anyio
 from attrs import define, field
 
+from ebonyhold.coordination import MemoryNeed
 from ebonyhold.exceptions import BackendLostError, MalformedRequestError
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
@@ -24,6 +25,7 @@
 from ebonyhold.forwarding._endings import BODILESS
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import send_bodiless, without_length
+from ebonyhold.forwarding._memory import MemoryRoom, RoomRequest
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._reach import Reachability
 from ebonyhold.forwarding._relay import (
@@ -32,6 +34,7 @@
     RESULT,
     RelayDeclinedError,
     RelayResult,
+    RelayTarget,
     answer_fields,
     read_field,
     read_target,
@@ -159,21 +162,50 @@
         limit = request.caller.time_limit or 0.0
         deadline = anyio.current_time() + limit + END_MARGIN
         with self.shutdown.bounded(deadline):
-            entry, channel = await self.connect(request.head)
-            await request.send(entry, channel)
+            await self.send(request, deadline)
             return
         raise BackendLostError("no answer in time")
 
-    async def connect(self, head: RequestHead) -> tuple[BackendEntry, Channel]:
-        """Return the server that a request names, admitted, and a connection to it.
+    async def send(self, request: RelayedRequest, deadline: Seconds) -> None:
+        """Get the memory that a request needs at its server, and send it there.
 
         Raises:
-            RelayDeclinedError: The server must not get it now, or cannot be reached.
+            RelayDeclinedError: It was not sent.
+            BackendLostError: It was sent, and no complete answer arrived.
         """
-        target = read_target(head.headers)
+        target = read_target(request.head.headers)
         entry = self.backends.entries.get(target.server)
         if entry is None:
             raise RelayDeclinedError(RelayResult.WITHHELD, "gone")
+        memory, room, ended = self.backends.memory, None, False
+        need = memory.need(entry.backend.service, request.caller)
+        if need is not None:
+            room = await memory.get(entry, RoomRequest(need, deadline))
+            if room is None:
+                raise RelayDeclinedError(RelayResult.WITHHELD, Cause.MEMORY.value)
+        try:
+            channel = await self.connect(entry, target, need, room)
+            await request.send(entry, channel)
+            ended = True
+        except RelayDeclinedError:
+            ended = True
+            raise
+        finally:
+            if room is not None:
+                memory.free(room, ended)
+
+    async def connect(
+        self,
+        entry: BackendEntry,
+        target: RelayTarget,
+        need: MemoryNeed | None,
+        room: MemoryRoom | None,
+    ) -> Channel:
+        """Return a connection to the server that a request names, admitted.
+
+        Raises:
+            RelayDeclinedError: The server must not get it now, or cannot be reached.
+        """
         backend = entry.backend
         if target.started_at not in (None, backend.started_at):
             raise RelayDeclinedError(RelayResult.WITHHELD, "another run")
@@ -189,12 +221,17 @@
         known = self.backends.is_run_known(entry, channel.opened_at, now)
         if target.started_at is None or known:
             withheld = self.backends.admit(
-                entry, now, version=target.version, opened_at=channel.opened_at
+                entry,
+                now,
+                version=target.version,
+                opened_at=channel.opened_at,
+                need=need,
+                room=room,
             )
         else:
             withheld = Withheld(Cause.UNCONFIRMED)
         if withheld is None:
-            return entry, channel
+            return channel
         channel.keep_unused(now)
         await self.pool.put(backend.name, channel)
         raise RelayDeclinedError(RelayResult.WITHHELD, withheld.cause.value)
--- a/ebonyhold/forwarding/_withheld.py
+++ b/ebonyhold/forwarding/_withheld.py
@@ -26,6 +26,7 @@
         LIMITED: The limit that it states does not allow a request from this router now.
         BRITTLE: It is brittle, and has no place left for a request from this router.
         COLD: It is cold, and what it tolerates from this router is used up.
+        MEMORY: Its memory is used up, or none is set aside for the request.
         FULL: It declined a request a moment ago.
         UNSETTLED: Not all routers may know its software version yet, and the request
             may begin a stream that another router is to carry on.
@@ -42,6 +43,7 @@
     LIMITED = "limited"
     BRITTLE = "brittle"
     COLD = "cold"
+    MEMORY = "memory"
     FULL = "full"
     UNSETTLED = "unsettled"
 
@@ -62,6 +64,7 @@
         Cause.LIMITED,
         Cause.BRITTLE,
         Cause.COLD,
+        Cause.MEMORY,
         Cause.FULL,
         Cause.UNSETTLED,
     }
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -31,6 +31,7 @@
 )
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
+from ebonyhold.gateway._memory_parts import MemoryParts, open_memory
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
@@ -83,6 +84,7 @@
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
+        memory: What accounts for the memory of servers; None where that is not needed.
         draining: Whether the stop has begun.
     """
 
@@ -106,6 +108,7 @@
     relays: GatewayRelays = field(init=False)
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
+    memory: MemoryParts | None = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     pool: ChannelPool | None = None
     draining: bool = False
@@ -200,11 +203,23 @@
             self.presence.count,
             WATCH_WAIT,
         )
+        self.memory = open_memory(
+            platform.settings,
+            self.incarnation,
+            self.routing.backends,
+            self.presence,
+            lambda: self.routing.rules,
+            self.peers,
+            lambda: self.draining,
+            self.metrics.registry,
+        )
 
     def update_fleet(self, fleet: Fleet) -> None:
         """Use a new list of the routers."""
         self.holder_table.update(fleet)
         self.routing.backends.shares.update(fleet)
+        if self.memory is not None:
+            self.memory.update_fleet(fleet)
 
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
@@ -231,6 +246,8 @@
             supervisor.start("streams", self.streams.run)
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
+            if self.memory is not None:
+                self.memory.start(supervisor)
             self.start_listeners(tasks, supervisor)
         log.info("stopped", extra={"vm": settings.name, "status": supervisor.status})
         return supervisor.status
@@ -329,6 +346,7 @@
             prober.answer,
             relay.serve,
             self.streams,
+            self.memory.office if self.memory is not None else None,
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
@@ -408,6 +426,8 @@
         self.metrics.set_servers(self.routing.backends, now)
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
+        if self.memory is not None:
+            self.memory.set_gauges()
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -15,9 +15,16 @@
 import anyio
 from attrs import define, field, frozen
 
-from ebonyhold.coordination import to_json
+from ebonyhold.coordination import WantedLease, to_json
 from ebonyhold.exceptions import MalformedMessageError
 from ebonyhold.forwarding import RELAY_PREFIX, CallerConnection, RequestHead, Serve
+from ebonyhold.gateway._memory import (
+    LEASES_TARGET,
+    RETURNS_TARGET,
+    LendingOffice,
+    MemoryReturns,
+    ReturnsAnswer,
+)
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._observations import (
     OBSERVATIONS_TARGET,
@@ -227,6 +234,7 @@
         answer_reach: Answers which servers this gateway reaches.
         relay: Serves a request that this gateway is to send to a server.
         streams: Keeps streams for other gateways.
+        office: Lends memory of servers to other gateways.
     """
 
     transfers: TransferHandler
@@ -235,6 +243,7 @@
     answer_reach: Callable[[ReachQuestion], Awaitable[ReachAnswer]] | None = None
     relay: Serve | None = None
     streams: GatewayStreams | None = None
+    office: LendingOffice | None = None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -258,6 +267,11 @@
                 answer = self.streams.record(read_message(body, BegunStreams))
             elif head.target == QUESTIONS_TARGET and self.streams is not None:
                 answer = self.streams.answer(read_message(body, StreamQuestion))
+            elif head.target == LEASES_TARGET and self.office is not None:
+                answer = await self.office.lend(read_message(body, WantedLease))
+            elif head.target == RETURNS_TARGET and self.office is not None:
+                self.office.give_back(read_message(body, MemoryReturns).leases)
+                answer = ReturnsAnswer(confirmed=True)
             else:
                 await self.transfers.serve(connection, head, body)
                 return
--- /dev/null
+++ b/ebonyhold/gateway/_memory_parts.py
@@ -0,0 +1,111 @@
+"""The parts of a gateway that account for the memory of servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define, field
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from ebonyhold.coordination import LeaseOutcome, LenderView
+from ebonyhold.forwarding import BackendTable, Ruleset
+from ebonyhold.gateway._memory import LeaseClient, LendingOffice
+from ebonyhold.gateway._memory_roles import MemoryRoles
+from ebonyhold.gateway._presence import Presence
+from ebonyhold.gateway._server_memory import GatewayMemory
+from ebonyhold.gateway._supervision import Supervisor
+from ebonyhold.gateway._transfers import GatewayPeers
+from ebonyhold.gateway._types import GatewaySettings
+from ebonyhold.prepaid import Fleet
+
+
+class MemoryMetrics:
+    """The metrics of a gateway that accounts for the memory of servers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.tokens = Gauge(
+            "ebonyhold_gateway_memory_tokens",
+            "Tokens of servers' memory in the own share, leased, and lent to routers.",
+            ("part",),
+            registry=registry,
+        )
+        self.waiting = Gauge(
+            "ebonyhold_gateway_memory_waiting",
+            "Requests of all routers that wait here for memory of a server.",
+            registry=registry,
+        )
+        self.leases = Counter(
+            "ebonyhold_gateway_memory_leases_total",
+            "Leases of servers' memory that this router asked for, by answer.",
+            ("outcome",),
+            registry=registry,
+        )
+
+    def count(self, outcome: LeaseOutcome) -> None:
+        """Count the answer to a request for a lease."""
+        self.leases.labels(outcome.value).inc()
+
+
+@define(eq=False)
+class MemoryParts:
+    """The parts of a gateway that account for the memory of servers.
+
+    Attributes:
+        roles: The own shares and the lenders.
+        office: Lends memory.
+        client: Asks for leases.
+        memory: Gets room for requests.
+        metrics: Their metrics.
+    """
+
+    roles: MemoryRoles
+    office: LendingOffice
+    client: LeaseClient
+    memory: GatewayMemory
+    metrics: MemoryMetrics = field()
+
+    def update_fleet(self, fleet: Fleet) -> None:
+        """Use a new list of the routers."""
+        self.roles.update(fleet)
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start the tasks."""
+        supervisor.start("memory leases", self.office.run)
+        supervisor.start("memory returns", self.client.run)
+        supervisor.start("memory expiry", self.memory.run)
+
+    def set_gauges(self) -> None:
+        """Set the gauges."""
+        used = self.memory.memory
+        self.metrics.tokens.labels("own").set(used.used())
+        self.metrics.tokens.labels("leased").set(used.leased_tokens())
+        self.metrics.tokens.labels("lent").set(self.office.lender.lent)
+        self.metrics.waiting.set(self.office.lender.waiting)
+
+
+def open_memory(
+    settings: GatewaySettings,
+    incarnation: str,
+    backends: BackendTable,
+    presence: Presence,
+    rules: Callable[[], Ruleset | None],
+    peers: GatewayPeers,
+    closing: Callable[[], bool],
+    registry: CollectorRegistry,
+) -> MemoryParts | None:
+    """Create the parts, and let the servers and the row of presence use them.
+
+    Returns:
+        None where servers do not crash above their memory; nothing is accounted for.
+    """
+    if not settings.memory_pressure:
+        return None
+    view = LenderView(settings.name, settings.domain)
+    roles = MemoryRoles(backends, presence, rules, view)
+    metrics = MemoryMetrics(registry)
+    office = LendingOffice(roles, closing)
+    client = LeaseClient(settings.name, peers, office, metrics.count)
+    memory = GatewayMemory(incarnation, roles, client)
+    backends.memory = memory
+    presence.memory_state = lambda: (not closing(), roles.has_leases)
+    return MemoryParts(roles, office, client, memory, metrics)
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -89,6 +89,8 @@
         relay_key: The key with which other routers send it requests to pass on to
             servers; empty if it passes none on.
         keeps_streams: Whether the router keeps which version began a stream.
+        lends_memory: Whether the router lends memory of servers.
+        has_leases: Whether it may have lent or leased any since its start.
     """
 
     router: RouterId = ""
@@ -96,6 +98,8 @@
     domain: str = ""
     relay_key: str = ""
     keeps_streams: bool = False
+    lends_memory: bool = False
+    has_leases: bool = False
 
 
 @define
@@ -149,6 +153,8 @@
         domain: This router's failure domain.
         on_count: Called after each count with the result of `fleet`.
         relay_key: The key of this router as a relay; empty if it is none.
+        memory_state: Returns what the row states as `lends_memory` and `has_leases`.
+        stored_at: When the last successful count began.
         observed: The last observed change of each router's row, by key.
         max_counted: The highest count so far.
         counts: The number of successful counts so far.
@@ -163,6 +169,8 @@
     domain: str = ""
     on_count: Callable[[Fleet], None] = lambda fleet: None
     relay_key: str = ""
+    memory_state: Callable[[], tuple[bool, bool]] = lambda: (False, False)
+    stored_at: Seconds = 0.0
     observed: dict[str, RowObservation] = field(factory=dict)
     max_counted: int = 0
     counts: int = 0
@@ -205,16 +213,22 @@
             # If the removed row were written again, the others would go on counting
             # this router.
             return
+        began_at = anyio.current_time()
+        lends_memory, has_leases = self.memory_state()
         own = PresenceRow(
             self.incarnation,
             self.address,
             self.domain,
             self.relay_key,
             keeps_streams=bool(self.address),
+            lends_memory=lends_memory and bool(self.address),
+            has_leases=has_leases,
         )
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
-        self.observe(await self.store.scan(f"{TABLE}//"))
+        rows = await self.store.scan(f"{TABLE}//")
+        self.stored_at = began_at
+        self.observe(rows)
 
     @property
     def settled(self) -> bool:
