Lenders need not wait where all holders of earlier leases have restarted

Cause: after a power failure of all VMs, or at the first start, each lender waited for the longest time-out of leases that nobody can have.

Change: a lender keeps which runs of routers may have leases from before its view of the fleet changed; when all of them have ended it lends. Task rules for the three tasks. Tests of lenders in tables, and of real gateways of which one lender is killed.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -174,6 +174,7 @@
     LEASE_MARGIN,
     VIEW_INTERVALS,
     LenderView,
+    RouterRun,
     choose_lenders,
 )
 from ._memory_pool import (
@@ -421,6 +422,7 @@
     "RetryBudget",
     "RouterMemory",
     "RouterRow",
+    "RouterRun",
     "RouterState",
     "Row",
     "Seal",
--- a/ebonyhold/coordination/_memory_lenders.py
+++ b/ebonyhold/coordination/_memory_lenders.py
@@ -2,8 +2,9 @@
 
 Each server has two lenders.  All routers choose them by rendezvous hashing over the
 same fleet, so that they agree without a message.  Routers read the fleet at different
-times, so a new lender waits until the leases of the one before have expired, and a
-lender whose view of the fleet is old grants nothing.
+times, so a new lender waits until the leases of the one before have expired, unless all
+processes that may have any have ended, and a lender whose view of the fleet is old
+grants nothing.
 """
 
 from __future__ import annotations
@@ -12,9 +13,9 @@
 import math
 from collections.abc import Mapping
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from ebonyhold.types import BackendName, Seconds
+from ebonyhold.types import BackendName, RouterId, Seconds
 
 LENDERS = 2
 """Number of lenders of each server.
@@ -69,6 +70,19 @@
     return (first, *(elsewhere or others)[: LENDERS - 1])
 
 
+@frozen
+class RouterRun:
+    """What one run of a router's process states about leases.
+
+    Attributes:
+        name: Its incarnation.
+        has_leases: Whether it may have lent or leased memory since its start.
+    """
+
+    name: RouterId
+    has_leases: bool
+
+
 @define(eq=False)
 class LenderView:
     """The lenders of each server from one router's point of view.
@@ -80,7 +94,8 @@
         read_at: When this router last stored its row and read those of the others.
         valid_for: How long after that it may lend.
         changed_at: When the fleet last changed, or was read again after it had become
-            too old; minus infinity if no router had any lease then.
+            too old; minus infinity if no lease from before that is left.
+        earlier: The runs of routers that may have leases from before that, by router.
         chosen: The lenders of each server, computed since the last change.
         since: Since when this router has been a lender of each server that it is a
             lender of, as far as known.
@@ -92,6 +107,7 @@
     read_at: Seconds = -math.inf
     valid_for: Seconds = 10.0
     changed_at: Seconds = math.inf
+    earlier: dict[str, RouterId] = field(factory=dict)
     chosen: dict[BackendName, tuple[str, ...]] = field(factory=dict)
     since: dict[BackendName, Seconds] = field(factory=dict)
 
@@ -100,7 +116,7 @@
         fleet: Mapping[str, str],
         now: Seconds,
         valid_for: Seconds,
-        unleased: bool = False,
+        runs: Mapping[str, RouterRun],
     ) -> None:
         """Use a new reading of the fleet.
 
@@ -108,23 +124,32 @@
             fleet: The routers that lend, with their failure domains.
             now: When this router's row was stored, before the others were read.
             valid_for: How long after that this router may lend.
-            unleased: Whether no router has had any lease since its start.  If the fleet
-                is the same as before, nobody needs to wait until leases have expired.
+            runs: What all listed routers state about their leases.
         """
-        if now - self.read_at >= self.valid_for:
+        lapsed = now - self.read_at >= self.valid_for
+        changed = fleet != self.fleet
+        self.read_at, self.valid_for = now, valid_for
+        if lapsed:
             # Others may have left this router out meanwhile, and lent in its place.
             self.since.clear()
-            self.changed_at = now
-        if fleet != self.fleet:
+        if changed:
             before, self.fleet = self.since, dict(fleet)
             self.chosen.clear()
-            self.changed_at = now
             # The role in servers that are not named here is computed when it is needed.
             self.since = {s: at for s, at in before.items() if self.is_chosen(s)}
-        elif unleased:
+        if lapsed or changed:
+            self.changed_at = now
+            self.earlier = {n: run.name for n, run in runs.items() if run.has_leases}
+            return
+        # The requests of a process that has ended since have ended with it.
+        self.earlier = {
+            name: run
+            for name, run in self.earlier.items()
+            if name in runs and runs[name].name == run
+        }
+        if not self.earlier:
             self.changed_at = -math.inf
             self.since = dict.fromkeys(self.since, -math.inf)
-        self.read_at, self.valid_for = now, valid_for
 
     def lenders(self, server: BackendName) -> tuple[str, ...]:
         """Return a server's lenders, those in this router's failure domain first."""
--- a/ebonyhold/gateway/_memory_roles.py
+++ b/ebonyhold/gateway/_memory_roles.py
@@ -7,7 +7,13 @@
 
 from attrs import define
 
-from ebonyhold.coordination import LENT_SHARE, VIEW_INTERVALS, LenderView, own_share
+from ebonyhold.coordination import (
+    LENT_SHARE,
+    VIEW_INTERVALS,
+    LenderView,
+    RouterRun,
+    own_share,
+)
 from ebonyhold.forwarding import BackendTable, Ruleset
 from ebonyhold.gateway._presence import Presence, vm_of
 from ebonyhold.prepaid import Fleet
@@ -88,16 +94,16 @@
         presence = self.presence
         rows = {vm_of(key): seen.row for key, seen in presence.observed.items()}
         lending = {vm: domain for vm, domain in fleet.items() if rows[vm].lends_memory}
-        unleased = not any(rows[vm].has_leases for vm in fleet)
+        runs = {vm: RouterRun(rows[vm].router, rows[vm].has_leases) for vm in fleet}
         valid_for = VIEW_INTERVALS * presence.interval
-        self.view.update(lending, presence.stored_at, valid_for, unleased)
+        self.view.update(lending, presence.stored_at, valid_for, runs)
         lent = frozenset(s for s in self.backends.entries if self.view.is_chosen(s))
         if lent != self.lent:
             fields = {
                 "begun": sorted(lent - self.lent),
                 "ceased": sorted(self.lent - lent),
                 "routers": len(lending),
-                "unleased": unleased,
+                "leased_before": len(self.view.earlier),
             }
             log.info("lender of memory changed", extra=fields)
             self.lent = lent
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -225,6 +225,24 @@
             AFTER_PAUSE,
             "a stream of which nobody knows is refused while several versions serve",
         ),
+        TaskRule(
+            "memory leases",
+            "requests that wait here for memory of a server get no answer",
+            AFTER_PAUSE,
+            "the routers that ask give up in time, and leases expire",
+        ),
+        TaskRule(
+            "memory returns",
+            "memory of servers that is not used any more stays leased until it expires",
+            AFTER_PAUSE,
+            "unconfirmed returns are sent again",
+        ),
+        TaskRule(
+            "memory expiry",
+            "memory of requests that broke off stays counted in the own share",
+            AFTER_PAUSE,
+            "the next request at the same server frees what has expired",
+        ),
         TaskRule(
             "lent holds",
             "expired holds of killed routers are not ended",
--- a/tests/coordination/memory_fleet.py
+++ b/tests/coordination/memory_fleet.py
@@ -23,6 +23,7 @@
     MemoryLender,
     MemoryNeed,
     RouterMemory,
+    RouterRun,
     WantedLease,
     own_share,
 )
@@ -62,6 +63,7 @@
 
     name: str
     domain: str
+    run: str
     guards: Guards
     view: LenderView = field(init=False)
     lender: MemoryLender = field(init=False)
@@ -80,7 +82,7 @@
     def read(self, rows: dict[str, list[object]], now: float) -> None:
         """Store the own row and read all, as `Presence` does."""
         version = int(str(rows.get(self.name, [0])[0])) + 1
-        rows[self.name] = [version, self.domain, self.has_leases]
+        rows[self.name] = [version, self.domain, self.run, self.has_leases]
         self.readings += 1
         for name, row in rows.items():
             known, unchanged = self.versions.get(name, (0, 0))
@@ -88,8 +90,8 @@
             self.versions[name] = (int(str(row[0])), count)
         alive = {n: str(row[1]) for n, row in rows.items() if self.versions[n][1] < 4}
         self.highest = max(self.highest, len(rows)) if self.guards.highest_count else 1
-        unleased = not any(rows[name][2] for name in alive)
-        self.view.update(alive, now, VIEW_INTERVALS * INTERVAL, unleased)
+        runs = {n: RouterRun(str(rows[n][2]), bool(rows[n][3])) for n in alive}
+        self.view.update(alive, now, VIEW_INTERVALS * INTERVAL, runs)
 
     def lends(self, server: str, now: float) -> bool:
         """Return whether this router may lend memory of a server."""
@@ -152,7 +154,12 @@
 
     def start(self, name: str) -> None:
         """Start a router's process, as a new run of it."""
-        router = Router(name, f"domain-{int(name[3:]) % 3}", self.guards)
+        router = Router(
+            name,
+            f"domain-{int(name[3:]) % 3}",
+            f"{name}.{next(self.numbers)}",
+            self.guards,
+        )
         self.routers[name] = router
         self.count(router)
 
