State when memory is expected, and ask busy lenders for tokens still

Cause: Retry-After was the time for which a server is not asked again, at most 0.25 s; a lender that did not answer a lease in 0.1 s was avoided for tokens as well; each look at a server counted all routers.

Change: the lender's expected time is kept for Retry-After, at most 2 s; leases have an avoidance of their own of 0.5 s; the count of routers is taken once per reading; servers are asked again for a retry.

--- a/ebonyhold/coordination/_router_memory.py
+++ b/ebonyhold/coordination/_router_memory.py
@@ -37,11 +37,13 @@
 
     Attributes:
         size: The memory that was asked for.
-        until: When there is expected to be room.
+        until: Until when no such lease is asked for.
+        expected_at: When there is expected to be room.
     """
 
     size: Tokens
     until: Seconds
+    expected_at: Seconds
 
 
 @define(eq=False)
@@ -98,14 +100,27 @@
         pool.add(name, need, now, expires_at)
 
     def record_refused(
-        self, server: BackendName, need: MemoryNeed, now: Seconds, wait: Seconds
+        self,
+        server: BackendName,
+        need: MemoryNeed,
+        now: Seconds,
+        wait: Seconds,
+        expected: Seconds,
     ) -> None:
-        """Record that nobody leases memory of a server for `wait` seconds."""
+        """Record that nobody leases so much memory of a server.
+
+        Args:
+            server: The server.
+            need: What was asked for.
+            now: The time.
+            wait: For how long nobody is asked for as much.
+            expected: The time until there is expected to be room.
+        """
         known = self.refused.get(server)
         size = need.total
         if known is not None and now < known.until:
             size = min(size, known.size)
-        self.refused[server] = RefusedNeed(size, now + wait)
+        self.refused[server] = RefusedNeed(size, now + wait, now + expected)
 
     def wait(
         self, server: BackendName, need: MemoryNeed, share: Tokens, now: Seconds
@@ -119,6 +134,11 @@
             return 0.0
         return refused.until - now
 
+    def expected(self, server: BackendName, now: Seconds) -> Seconds:
+        """Return the time until a server is expected to have room; 0 if not known."""
+        refused = self.refused.get(server)
+        return max(0.0, refused.expected_at - now) if refused is not None else 0.0
+
     def end(
         self, server: BackendName, name: str, now: Seconds, expires_at: Seconds
     ) -> bool:
@@ -154,5 +174,5 @@
                 if not pool.occupants:
                     del pools[server]
         for server, refused in list(self.refused.items()):
-            if now >= refused.until:
+            if now >= max(refused.until, refused.expected_at):
                 del self.refused[server]
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -374,7 +374,6 @@
         service: ServiceName,
         now: Seconds,
         version: SoftwareVersion | None = None,
-        need: MemoryNeed | None = None,
     ) -> Seconds | None:
         """Return the time until a server of a service may get a request.
 
@@ -385,7 +384,7 @@
             withheld
             for entry in self.entries.values()
             if entry.backend.service == service
-            if (withheld := self.withheld(entry, now, version=version, need=need))
+            if (withheld := self.withheld(entry, now, version=version)) is not None
             if withheld.cause.ends
         ]
         if not any(withheld.cause.is_binding for withheld in found):
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -48,6 +48,9 @@
 MAX_LIMIT_WAIT: Seconds = 1.0
 """Maximum Retry-After of such a request: limits and rests differ between routers."""
 
+MAX_MEMORY_WAIT: Seconds = 2.0
+"""Maximum Retry-After of a request for which no server has memory."""
+
 
 @define(eq=False)
 class Dispatcher:
@@ -127,6 +130,10 @@
             if result.end is AttemptEnd.DELIVERED:
                 self.crashes.answered(exchange, result.written)
                 return None
+            if result.end is not AttemptEnd.WITHHELD:
+                # A further attempt may ask all servers for memory again.
+                exchange.roomless.clear()
+                exchange.waited_for_memory = False
             if result.broken:
                 self.crashes.lost(exchange, entry, known)
             self.record_failure(exchange, entry.backend.name, result)
@@ -165,10 +172,9 @@
                 self.rooms.free(exchange, AttemptEnd.NOT_SENT)
         if exchange.may_have_run:
             return Refusal.SERVER_LOST
-        now, service = anyio.current_time(), exchange.match.service
-        wait = self.backends.next_allowed(service, now, exchange.version, exchange.need)
-        if wait is not None:
-            exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
+        now, memory = anyio.current_time(), self.backends.memory
+        wait = min((memory.expected(entry, now) for entry in short), default=0.0)
+        exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_MEMORY_WAIT)
         return Refusal.MEMORY_FULL
 
     async def wait_for_place(self, exchange: Exchange) -> bool:
--- a/ebonyhold/forwarding/_memory.py
+++ b/ebonyhold/forwarding/_memory.py
@@ -61,6 +61,10 @@
         """Return the time until a server may have room; 0 if it may have it now."""
         ...
 
+    def expected(self, entry: BackendEntry, now: Seconds) -> Seconds:
+        """Return the time until a server that had no room is expected to have some."""
+        ...
+
     async def get(self, entry: BackendEntry, wanted: RoomRequest) -> MemoryRoom | None:
         """Get room at a server; None if there is none in time."""
         ...
@@ -93,6 +97,11 @@
         del entry, need, now
         return 0.0
 
+    def expected(self, entry: BackendEntry, now: Seconds) -> Seconds:
+        """Return 0."""
+        del entry, now
+        return 0.0
+
     async def get(self, entry: BackendEntry, wanted: RoomRequest) -> MemoryRoom | None:
         """Return None."""
         del entry, wanted
--- a/ebonyhold/gateway/_memory.py
+++ b/ebonyhold/gateway/_memory.py
@@ -46,6 +46,13 @@
 RETURN_EXPIRY: Seconds = 20.0
 """Time after which an unconfirmed return is dropped; the lease has expired by then."""
 
+AVOIDED_FOR: Seconds = 0.5
+"""Time for which a lender that did not answer is not asked for leases.
+
+It is still asked for tokens, for which a longer time-out applies: a busy gateway may
+not answer in `LEASE_TIMEOUT`.
+"""
+
 DECISION_INTERVAL: Seconds = 0.05
 """Interval between two looks at the requests that wait here."""
 
@@ -60,7 +67,7 @@
 class MemoryReturns:
     """The leases that have ended."""
 
-    leases: list[str] = field(factory=list)
+    leases: list[str]
 
 
 @frozen
@@ -202,6 +209,7 @@
         count: Called with the outcome of each request for a lease.
         pending: When each lease that is not returned yet ended, by lender.
         due: Set when there are leases to return.
+        avoided: Until when lenders that did not answer are not asked.
     """
 
     router: str
@@ -210,6 +218,7 @@
     count: Callable[[LeaseOutcome], None] = lambda outcome: None
     pending: dict[str, dict[str, Seconds]] = field(factory=dict)
     due: anyio.Event = field(factory=anyio.Event)
+    avoided: dict[str, Seconds] = field(factory=dict)
 
     async def ask(self, lender: str, wanted: WantedLease) -> LeaseAnswer:
         """Request a lease, and count the outcome; UNAVAILABLE without an answer."""
@@ -225,18 +234,24 @@
 
         One that was not answered may have been or may yet be granted: it is returned.
         """
-        if not self.peers.is_available(lender, anyio.current_time()):
+        now = anyio.current_time()
+        avoided = now < self.avoided.get(lender, 0.0)
+        if avoided or not self.peers.is_available(lender, now):
             return LeaseAnswer(LeaseOutcome.UNAVAILABLE)
         timeout = LEASE_TIMEOUT + wanted.waits
         answer = None
         try:
             answer = await self.peers.post(
-                lender, LEASES_TARGET, wanted, LeaseAnswer, timeout
+                lender, LEASES_TARGET, wanted, LeaseAnswer, timeout, avoids=False
             )
         finally:
             if answer is None:
                 self.give_back(lender, wanted.lease)
-        return answer or LeaseAnswer(LeaseOutcome.UNAVAILABLE)
+        if answer is None:
+            self.avoided[lender] = anyio.current_time() + AVOIDED_FOR
+            return LeaseAnswer(LeaseOutcome.UNAVAILABLE)
+        self.avoided.pop(lender, None)
+        return answer
 
     def give_back(self, lender: str, lease: str, delay: Seconds = 0.0) -> None:
         """Return a lease, which is repeated until it is confirmed or has expired.
--- a/ebonyhold/gateway/_memory_roles.py
+++ b/ebonyhold/gateway/_memory_roles.py
@@ -34,6 +34,7 @@
         presence: The known routers.
         rules: Returns the current rules.
         view: The lenders, as this gateway sees them.
+        routers: The highest number of gateways that was counted; 0 before a count.
         has_leases: Whether this gateway may have lent or leased memory.
         lent: The servers of which it was a lender at the last count.
     """
@@ -42,6 +43,7 @@
     presence: Presence
     rules: Callable[[], Ruleset | None]
     view: LenderView
+    routers: int = 0
     has_leases: bool = False
     lent: frozenset[BackendName] = frozenset()
 
@@ -66,11 +68,7 @@
 
         It is nothing until the gateways were counted: this gateway may be one of many.
         """
-        presence = self.presence
-        if not presence.counts:
-            return 0
-        routers = presence.count()
-        return own_share(memory, max(routers, presence.max_counted))
+        return own_share(memory, self.routers)
 
     def max_time(self) -> Seconds:
         """Return the longest time-out of a request."""
@@ -92,6 +90,7 @@
     def update(self, fleet: Fleet) -> None:
         """Use a new reading of the rows of presence, and log a change of the roles."""
         presence = self.presence
+        self.routers = max(self.routers, presence.count(), presence.max_counted)
         rows = {vm_of(key): seen.row for key, seen in presence.observed.items()}
         lending = {vm: domain for vm, domain in fleet.items() if rows[vm].lends_memory}
         runs = {vm: RouterRun(rows[vm].router, rows[vm].has_leases) for vm in fleet}
--- a/ebonyhold/gateway/_server_memory.py
+++ b/ebonyhold/gateway/_server_memory.py
@@ -86,9 +86,15 @@
     def wait(self, entry: BackendEntry, need: MemoryNeed, now: Seconds) -> Seconds:
         """Return the time until a server may have room; 0 if it may have it now."""
         name = entry.backend.name
+        if name not in self.memory.refused:
+            return 0.0
         share = self.roles.own_size(self.roles.memory_of(name))
         return self.memory.wait(name, need, share, now)
 
+    def expected(self, entry: BackendEntry, now: Seconds) -> Seconds:
+        """Return the time until a server that had no room is expected to have some."""
+        return self.memory.expected(entry.backend.name, now)
+
     async def get(self, entry: BackendEntry, wanted: RoomRequest) -> MemoryRoom | None:
         """Get room at a server; None if there is none in time.
 
@@ -101,7 +107,7 @@
         share = self.roles.own_size(self.roles.memory_of(name))
         if self.memory.take_own(name, room.name, need, share, now, expires_at):
             return room
-        waits = MAX_REFUSED_FOR
+        expected = MAX_REFUSED_FOR
         for lender in self.roles.view.lenders(name):
             now = anyio.current_time()
             lease = WantedLease(
@@ -121,8 +127,11 @@
                 self.memory.record_leased(name, room.name, need, now, expires_at)
                 return room
             if answer.outcome is LeaseOutcome.FULL:
-                waits = min(waits, max(REFUSED_FOR, answer.wait))
-        self.memory.record_refused(name, need, anyio.current_time(), waits)
+                expected = max(REFUSED_FOR, answer.wait)
+        now = anyio.current_time()
+        self.memory.record_refused(
+            name, need, now, min(expected, MAX_REFUSED_FOR), expected
+        )
         return None
 
     def free(self, room: MemoryRoom, ended: bool) -> None:
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -241,9 +241,18 @@
         request: object,
         answer_type: type[T],
         timeout: Seconds,
+        avoids: bool = True,
     ) -> T | None:
         """Send a message to another gateway, and return its answer.
 
+        Args:
+            peer: The gateway's VM.
+            target: The target of the message.
+            request: The message.
+            answer_type: The type of the answer.
+            timeout: Time until the answer is given up.
+            avoids: Whether the gateway is avoided if it does not answer.
+
         Returns:
             None if the gateway's address is unknown, if the message could not be sent
             or answered within the timeout, after which the gateway is avoided, or if
@@ -258,7 +267,8 @@
             answer = await self.calls_to(address, self.tasks).call(message, timeout)
             read = read_message(answer.body, answer_type)
         except BackendLostError as error:
-            self.avoid(peer, anyio.current_time())
+            if avoids:
+                self.avoid(peer, anyio.current_time())
             log.info("peer silent", extra={"peer": peer, "detail": str(error)})
         except MalformedMessageError as error:
             log.warning(
--- a/tests/coordination/test_memory_leases.py
+++ b/tests/coordination/test_memory_leases.py
@@ -227,10 +227,11 @@
     memory, small, large = RouterMemory(), MemoryNeed(10), MemoryNeed(50)
     assert memory.take_own("s", "a", small, 15, 0.0, 9.0)
     assert not memory.take_own("s", "b", small, 15, 0.0, 9.0)
-    memory.record_refused("s", large, 0.0, 0.1)
+    memory.record_refused("s", large, 0.0, 0.1, 0.7)
     waits = [memory.wait("s", need, 15, 0.04) for need in (small, large)]
     assert waits == pytest.approx([0.0, 0.06])
     assert memory.wait("s", large, 15, 0.1) == 0.0
+    assert memory.expected("s", 0.2) == pytest.approx(0.5)
     # The server notices the end of the connection a little later.
     assert not memory.end("s", "a", 1.0, 1.25)
     assert not memory.take_own("s", "c", small, 15, 1.2, 9.0)
