--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -94,6 +94,10 @@
     Ejector,
     domain_allowance,
 )
+from ._fair_queue import (
+    FairQueue,
+    Waiting,
+)
 from ._grants import (
     GrantLedger,
     change_budget,
@@ -173,6 +177,26 @@
 from ._membership import (
     Membership,
 )
+from ._memory_leases import (
+    LENT_SHARE,
+    Decision,
+    LeaseAnswer,
+    LeaseOutcome,
+    MemoryLender,
+    WantedLease,
+)
+from ._memory_lenders import (
+    LEASE_MARGIN,
+    VIEW_INTERVALS,
+    LenderView,
+    RouterRun,
+    choose_lenders,
+)
+from ._memory_pool import (
+    MemoryNeed,
+    MemoryPool,
+    shared_parts,
+)
 from ._observed import (
     Observed,
     observe_row,
@@ -222,6 +246,10 @@
     Backoff,
     RetryBudget,
 )
+from ._router_memory import (
+    RouterMemory,
+    own_share,
+)
 from ._rows import (
     ArchiveRow,
     BudgetRow,
@@ -308,6 +336,8 @@
     "FIRST_WINDOW",
     "GRANT_PREFIX",
     "INITIAL_TOPUP",
+    "LEASE_MARGIN",
+    "LENT_SHARE",
     "MAX_PARTS",
     "MAX_REPEATS",
     "MIN_UNANSWERED",
@@ -318,6 +348,7 @@
     "TOPUP_PREFIX",
     "TRANSFER_PREFIX",
     "UNRATED",
+    "VIEW_INTERVALS",
     "Absent",
     "Action",
     "AdaptiveRate",
@@ -345,6 +376,7 @@
     "CollectorChoice",
     "CrashRecords",
     "CrashReport",
+    "Decision",
     "Delete",
     "DrainingServer",
     "EjectionPolicy",
@@ -353,6 +385,7 @@
     "EndedLimits",
     "EngineOrder",
     "EngineView",
+    "FairQueue",
     "FairScheduler",
     "Filed",
     "FilingDecision",
@@ -371,10 +404,13 @@
     "JournalEntry",
     "JournalSegment",
     "KeptAnswer",
+    "LeaseAnswer",
     "LeaseObservation",
+    "LeaseOutcome",
     "LeasePlan",
     "LeaseRow",
     "LedgerChange",
+    "LenderView",
     "LimitShares",
     "Listed",
     "LoadMessage",
@@ -389,6 +425,9 @@
     "MemberView",
     "Membership",
     "MembershipOptions",
+    "MemoryLender",
+    "MemoryNeed",
+    "MemoryPool",
     "Need",
     "NoFleetLoad",
     "NoTransferMixin",
@@ -414,7 +453,9 @@
     "RequestRow",
     "RequestState",
     "RetryBudget",
+    "RouterMemory",
     "RouterRow",
+    "RouterRun",
     "RouterState",
     "Row",
     "RunKey",
@@ -443,6 +484,8 @@
     "TransferRow",
     "TransferState",
     "VersionHistory",
+    "Waiting",
+    "WantedLease",
     "Write",
     "announce_transfer",
     "append_transaction",
@@ -452,6 +495,7 @@
     "change_grant",
     "choice_policies",
     "choice_policy",
+    "choose_lenders",
     "choose_senders",
     "claim_transaction",
     "close_grant",
@@ -487,6 +531,7 @@
     "order_key",
     "order_prefix",
     "outage_cover",
+    "own_share",
     "parse_lease",
     "part_digest",
     "plan_acquire",
@@ -519,6 +564,7 @@
     "segment_key",
     "settle_run",
     "settle_transfer",
+    "shared_parts",
     "stream_id",
     "to_bytes",
     "to_json",
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -15,11 +15,13 @@
     EndedLimits,
     FleetLoad,
     LimitShares,
+    MemoryNeed,
     NoFleetLoad,
     SendingLimit,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
+from ebonyhold.forwarding._memory import MemoryRoom, NoServerMemory, ServerMemory
 from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import (
@@ -57,6 +59,7 @@
         ended_limits: The ends of limits that this router has noticed.
         fleet_load: The load that the other routers put on the servers.
         fleet_outliers: The servers that are slow or failing by that.
+        memory: This router's use of the memory of servers.
     """
 
     shares: LimitShares = field(factory=LimitShares)
@@ -64,6 +67,7 @@
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
     fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
+    memory: ServerMemory = field(factory=NoServerMemory)
 
     def time_answer(self, entry: BackendEntry, work: RequestWork, now: Seconds) -> None:
         """Measure the time to the first event of a request, where load is shared."""
@@ -187,6 +191,7 @@
         version: SoftwareVersion | None = None,
         begins: bool = False,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -204,6 +209,7 @@
             begins: Whether the request begins a stream that callers may take up.
             opened_at: When the connection was opened on which it is to be sent; None
                 before one is chosen, or if another router sends it.
+            need: The memory that the request needs and does not have yet, if any.
         """
         backend = entry.backend
         if not entry.listed:
@@ -237,6 +243,10 @@
             brittle_wait = self.brittle_wait(entry, now)
             if brittle_wait > wait:
                 cause, wait = Cause.BRITTLE, brittle_wait
+        if need is not None and not relayed:
+            memory_wait = self.memory.wait(entry, need, now)
+            if memory_wait > wait:
+                cause, wait = Cause.MEMORY, memory_wait
         if not wait and now < entry.full_until:
             cause, wait = Cause.FULL, entry.full_until - now
         if not wait and begins:
@@ -251,10 +261,13 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
+        room: MemoryRoom | None = None,
     ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
-        One that another router sends counts there.
+        One that another router sends counts there. One that needs memory must have it
+        at this run of the server.
 
         Returns:
             Why it must not be sent; None if it may be, and is counted.
@@ -262,6 +275,8 @@
         withheld = self.withheld(entry, now, relayed, version, opened_at=opened_at)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
+        if need is not None and not relayed and (not room or room.run != entry.run):
+            return Withheld(Cause.MEMORY)
         if not relayed:
             self.count_request(entry, now)
         return None
@@ -317,6 +332,7 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         begins: bool = False,
+        need: MemoryNeed | None = None,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
@@ -331,7 +347,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now, relayed, version, begins)
+            withheld = self.withheld(entry, now, relayed, version, begins, need=need)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import h11
 from attrs import define, field, frozen
 
-from ebonyhold.coordination import MAX_PARTS, part_digest
+from ebonyhold.coordination import MAX_PARTS, MemoryNeed, part_digest
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
@@ -24,6 +25,9 @@
     Tokens,
 )
 
+if TYPE_CHECKING:
+    from ebonyhold.forwarding._memory import MemoryRoom
+
 
 class AttemptEnd(Enum):
     """How an attempt at a backend server ended.
@@ -123,6 +127,10 @@
             usual time of a refusal.
         flow: Bounds what is buffered, and knows the longest pauses of streams.
         held: Bytes of whole answers that count as held.
+        need: The memory that it needs at a server; None if that is not accounted for.
+        room: The memory that its current attempt has.
+        roomless: The servers that had no memory for it.
+        waited_for_memory: Whether it has waited for memory.
     """
 
     connection: CallerConnection
@@ -150,6 +158,10 @@
     retry_after: Seconds | None = None
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     held: int = 0
+    need: MemoryNeed | None = None
+    room: MemoryRoom | None = None
+    roomless: list[BackendName] = field(factory=list)
+    waited_for_memory: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -35,6 +35,7 @@
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
 from ebonyhold.gateway._load_exchange import LoadExchange
+from ebonyhold.gateway._memory_parts import MemoryParts, open_memory
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
@@ -91,6 +92,7 @@
         load_exchange: The exchange of the servers' load with other gateways.
         server_reports: Reads the servers' reports while this gateway collects.
         flow: Bounds what is buffered for slow peers.
+        memory: What accounts for the memory of servers; None where that is not needed.
         draining: Whether the stop has begun.
     """
 
@@ -116,6 +118,7 @@
     streams: GatewayStreams = field(init=False)
     load_exchange: LoadExchange = field(init=False)
     server_reports: ServerReports = field(init=False)
+    memory: MemoryParts | None = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
@@ -227,11 +230,23 @@
             self.presence.count,
             WATCH_WAIT,
         )
+        self.memory = open_memory(
+            platform.settings,
+            self.incarnation,
+            self.routing.backends,
+            self.presence,
+            lambda: self.routing.rules,
+            self.peers,
+            lambda: self.draining,
+            self.metrics.registry,
+        )
 
     def update_fleet(self, fleet: Fleet) -> None:
         """Use a new list of the routers."""
         self.holder_table.update(fleet)
         self.routing.backends.shares.update(fleet)
+        if self.memory is not None:
+            self.memory.update_fleet(fleet)
         self.load_exchange.review()
 
     def are_reports_wanted(self) -> bool:
@@ -284,6 +299,8 @@
             )
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
+            if self.memory is not None:
+                self.memory.start(supervisor)
             self.start_listeners(tasks, supervisor)
         log.info("stopped", extra={"vm": settings.name, "status": supervisor.status})
         return supervisor.status
@@ -389,6 +406,7 @@
             prober.answer,
             relay.serve,
             self.streams,
+            self.memory.office if self.memory is not None else None,
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
@@ -470,6 +488,8 @@
         self.metrics.set_reach(self.reach, now)
         self.load_exchange.set_gauges(now)
         self.metrics.set_flow(self.flow)
+        if self.memory is not None:
+            self.memory.set_gauges()
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -93,6 +93,8 @@
             `address`.
         link_rate: The rate of the link of such a router, in bytes per second; 0 if it
             is not known.
+        lends_memory: Whether the router lends memory of servers.
+        has_leases: Whether it may have lent or leased any since its start.
     """
 
     router: RouterId = ""
@@ -102,6 +104,8 @@
     keeps_streams: bool = False
     shares_load: bool = False
     link_rate: float = 0.0
+    lends_memory: bool = False
+    has_leases: bool = False
 
 
 @define
@@ -155,6 +159,8 @@
         domain: This router's failure domain.
         on_count: Called after each count with the result of `fleet`.
         relay_key: The key of this router as a relay; empty if it is none.
+        memory_state: Returns what the row states as `lends_memory` and `has_leases`.
+        stored_at: When the last successful count began.
         observed: The last observed change of each router's row, by key.
         max_counted: The highest count so far.
         counts: The number of successful counts so far.
@@ -173,6 +179,8 @@
     domain: str = ""
     on_count: Callable[[Fleet], None] = lambda fleet: None
     relay_key: str = ""
+    memory_state: Callable[[], tuple[bool, bool]] = lambda: (False, False)
+    stored_at: Seconds = 0.0
     observed: dict[str, RowObservation] = field(factory=dict)
     max_counted: int = 0
     counts: int = 0
@@ -221,6 +229,8 @@
             # If the removed row were written again, the others would go on counting
             # this router.
             return
+        began_at = anyio.current_time()
+        lends_memory, has_leases = self.memory_state()
         own = PresenceRow(
             self.incarnation,
             self.address,
@@ -229,11 +239,15 @@
             keeps_streams=bool(self.address),
             shares_load=self.shares_load,
             link_rate=self.link_rate,
+            lends_memory=lends_memory and bool(self.address),
+            has_leases=has_leases,
         )
         self.changed = anyio.Event()
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
-        self.observe(await self.store.scan(f"{TABLE}//"))
+        rows = await self.store.scan(f"{TABLE}//")
+        self.stored_at = began_at
+        self.observe(rows)
 
     @property
     def settled(self) -> bool:
--- a/tests/gateway/test_observations.py
+++ b/tests/gateway/test_observations.py
@@ -39,7 +39,7 @@
         super().__init__(lambda: {other.name: "host:1" for other in others})
         self.others = {other.name: other for other in others}
 
-    async def post(self, peer, target, request, answer_type, timeout):  # type: ignore[no-untyped-def]
+    async def post(self, peer, target, request, answer_type, timeout, avoids=True):  # type: ignore[no-untyped-def]
         """Deliver a message."""
         self.others[peer].merge(request)
 
