Stand-in engines of the platform tests state their load

A request without an identifier, such as a read of the report, ended the process of all stand-in engines and of the store with a KeyError.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -51,6 +51,9 @@
 ENTRY_INTERVAL = 0.4
 """Seconds between two writes of an engine's entry in the list of servers."""
 
+REPORT_TARGET = b"/ebonyhold/report"
+"""Where an engine states its load; such a request has no identifier."""
+
 EVENT_TOKENS = 5
 """Number of tokens in one event."""
 
@@ -358,6 +361,7 @@
         falls: When engines have fallen, with their names.
         down_for: For how many seconds it is down after its process has ended.
         version: The version of its software.
+        running: Number of requests that it runs.
     """
 
     name: str
@@ -373,6 +377,7 @@
     falls: list[tuple[str, float]] = field(factory=list)
     down_for: float = RESTART_DELAY
     version: str = FIRST_VERSION
+    running: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.places = Places(self.place_count, self.turn_away_limit, self.fall)
@@ -401,6 +406,10 @@
         With 421 if it names another engine, and with 503 while this engine sheds.
         """
         fields = {name.decode(): value.decode() for name, value in head.headers}
+        if head.target == REPORT_TARGET:
+            report = {"waiting-count": 0, "running-count": self.running}
+            await connection.answer(200, JSON, json.dumps(report).encode())
+            return
         identity = self.identity(fields)
         if fields["x-ebonyhold-expect-instance"] != self.name:
             await connection.answer(421, identity, b"")
@@ -414,7 +423,11 @@
         queued = Script.from_target(head.target.decode()).queued
         try:
             async with self.places.take(), self.queue if queued else nullcontext():
-                await self.run(connection, head, fields, body)
+                self.running += 1
+                try:
+                    await self.run(connection, head, fields, body)
+                finally:
+                    self.running -= 1
         except NoPlaceError:
             self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
             await connection.answer(503, [*identity, NOT_RUN], b"")
