Refuse requests early that no server can begin before their deadline

Cause: when prompts for seconds wait at all servers, a new request gets no answer in time, but it keeps others waiting, and its caller learns of it only at the deadline.

Not measured in a whole fleet.

--- a/ebonyhold/callers/errors_page.py
+++ b/ebonyhold/callers/errors_page.py
@@ -36,6 +36,18 @@
 | --- | --- | --- | --- | --- |
 """
 
+GATEWAY = """
+## Refusals of the gateway under load
+
+The gateway answers `{"error": CODE}`; its other codes are listed in `OPERATIONS.md`.
+
+| Code | Status | Ran | Meaning | What to do |
+| --- | --- | --- | --- | --- |
+| `servers_busy` | 503 | not run | Prompts wait so long at all servers that the first \
+event would come after the request's deadline. | Try again after `Retry-After`, \
+at most 2 s, or allow more time. |
+"""
+
 
 def line(code: RefusalCode) -> str:
     """Return the line of the table for one code."""
@@ -44,8 +56,9 @@
 
 
 def page() -> str:
-    """Return the page, with the codes in alphabetical order."""
-    return INTRODUCTION + "\n".join(line(codes[name]) for name in sorted(codes)) + "\n"
+    """Return the page, with the callers' codes in alphabetical order."""
+    lines = "\n".join(line(codes[name]) for name in sorted(codes))
+    return f"{INTRODUCTION}{lines}\n{GATEWAY}"
 
 
 if __name__ == "__main__":
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -18,6 +18,7 @@
     SendingLimit,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
+from ebonyhold.forwarding._early_refusal import Readings
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
 from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
@@ -55,6 +56,7 @@
         ended_limits: The ends of limits that this router has noticed.
         fleet_load: The load that the other routers put on the servers.
         fleet_outliers: The servers that are slow or failing by that.
+        readings: How fast servers read prompts.
     """
 
     shares: LimitShares = field(factory=LimitShares)
@@ -62,6 +64,7 @@
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
     fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
+    readings: Readings = field(factory=Readings)
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
--- a/ebonyhold/forwarding/_delivery.py
+++ b/ebonyhold/forwarding/_delivery.py
@@ -95,6 +95,8 @@
             events = self.undelivered(splitter.feed(part))
             if events:
                 work.mark_read()
+                if self.exchange.first_event_at is None:
+                    self.exchange.first_event_at = anyio.current_time()
                 data = b"".join(event.raw for event in events)
                 await self.exchange.deliver_part(head, data)
                 self.record_events(events)
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from attrs import Factory, define
@@ -14,18 +15,25 @@
 from ebonyhold.forwarding._choice import choose, with_fewest_suspects
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._early_refusal import check_early
 from ebonyhold.forwarding._entry import BackendEntry
-from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
+from ebonyhold.forwarding._exchange import (
+    AttemptEnd,
+    AttemptResult,
+    Exchange,
+    ExpectedRead,
+)
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
-from ebonyhold.forwarding._shared_choice import SharedChoice
+from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
     takes_up,
 )
+from ebonyhold.forwarding._work import prompt_size, shared_tokens
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -116,6 +124,7 @@
                 result = await attempt.run()
             finally:
                 self.places.free(exchange.match.service)
+            self.record_reading(exchange)
             if result.end is AttemptEnd.DELIVERED:
                 self.crashes.answered(exchange, result.written)
                 return None
@@ -208,10 +217,62 @@
         if suspect:
             entries = with_fewest_suspects(entries)
         shared = self.shared.choose(exchange.caller, service, entries, now, time.time())
+        exchange.expected = None
         if shared is not None:
+            if self.refuses_early(exchange, shared, entries, now):
+                return Refusal.SERVERS_BUSY
+            exchange.expected = ExpectedRead(shared.work, now)
             return shared.entry
         return choose(exchange.caller, entries, self.domain, now)
 
+    def refuses_early(
+        self,
+        exchange: Exchange,
+        chosen: RatedServer,
+        entries: Sequence[BackendEntry],
+        now: Seconds,
+    ) -> bool:
+        """Return whether no server can begin to answer a request before its deadline.
+
+        Only requests that no server has got yet are refused.
+        """
+        reading = self.backends.readings.of(exchange.match.service)
+        speed, time_left = reading.speed, exchange.deadline - now
+        if exchange.sends or speed is None or chosen.work <= speed * time_left:
+            return False
+        caller = exchange.caller
+        early = check_early(
+            self.shared.named_loads(entries, now),
+            prompt_size(caller) - shared_tokens(caller),
+            speed,
+            time_left,
+        )
+        if early is None:
+            return False
+        exchange.retry_after = reading.refuse(early, now, random.random())
+        log.info(
+            "refused early",
+            extra={
+                "request": caller.request_id,
+                "service": exchange.match.service,
+                "backend": early.server,
+                "unread": early.unread,
+                "tokens_per_second": round(early.speed),
+                "expected_ms": round(early.expected * 1000),
+                "ms_left": round(early.time_left * 1000),
+                "retry_ms": round(exchange.retry_after * 1000),
+            },
+        )
+        return True
+
+    def record_reading(self, exchange: Exchange) -> None:
+        """Record how long a server has read until the first event of a stream."""
+        expected, first_at = exchange.expected, exchange.first_event_at
+        if expected is None or first_at is None or first_at < expected.since:
+            return
+        reading = self.backends.readings.of(exchange.match.service)
+        reading.observe(expected.tokens, first_at - expected.since, first_at)
+
     def no_server_left(self, exchange: Exchange) -> Refusal:
         """Return the refusal for a request when no untried server is left.
 
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -87,6 +87,19 @@
     depth: int = 0
 
 
+@frozen
+class ExpectedRead:
+    """What a server is expected to read before the first event of an attempt.
+
+    Attributes:
+        tokens: Prompt tokens, those of other requests included.
+        since: When the server was chosen.
+    """
+
+    tokens: float
+    since: Seconds
+
+
 @define(eq=False)
 class Exchange:
     """A request and its progress.
@@ -119,6 +132,9 @@
             first did.
         retry_after: When its caller may try again, in seconds from now; None for the
             usual time of a refusal.
+        first_event_at: When the first event arrived that was passed on; None before.
+        expected: What the server of the current attempt is expected to read before;
+            None if the load of the other routers is not known.
     """
 
     connection: CallerConnection
@@ -144,6 +160,8 @@
     losses: list[AttemptLoss] = field(factory=list)
     waits_until: Seconds | None = None
     retry_after: Seconds | None = None
+    first_event_at: Seconds | None = None
+    expected: ExpectedRead | None = None
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -42,6 +42,9 @@
 ANSWER_MARGIN: Seconds = 0.03
 """How long after a request's deadline to wait for the server's own timeout answer."""
 
+STATES_RETRY = frozenset({Refusal.SERVERS_LIMITED, Refusal.SERVERS_BUSY})
+"""The refusals whose Retry-After depends on the state of the servers."""
+
 DELIVERED = "delivered"
 """The outcome of a request whose caller got a complete answer from a server."""
 
@@ -288,7 +291,7 @@
             exchange.caller,
             refusal,
             exchange.match.route.name,
-            exchange.retry_after if refusal is Refusal.SERVERS_LIMITED else None,
+            exchange.retry_after if refusal in STATES_RETRY else None,
         )
         return refusal.code
 
--- a/ebonyhold/forwarding/_refusals.py
+++ b/ebonyhold/forwarding/_refusals.py
@@ -38,6 +38,7 @@
     SERVERS_LIMITED = (503, "servers_limited")
     VERSION_UNKNOWN = (503, "version_unknown")
     VERSION_GONE = (503, "version_gone")
+    SERVERS_BUSY = (503, "servers_busy")
 
     @property
     def status(self) -> int:
--- a/ebonyhold/forwarding/_shared_choice.py
+++ b/ebonyhold/forwarding/_shared_choice.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from attrs import define, field, frozen
 
@@ -111,6 +111,11 @@
     reads: Tokens
     cost: float
 
+    @property
+    def work(self) -> float:
+        """Tokens to be read before the first event, as ones at the usual speed."""
+        return (self.load.unread + self.reads) * max(1.0, self.load.slowness)
+
 
 def total_load(entry: BackendEntry, others: ServerLoad) -> ServerLoad:
     """Return the load of all routers, this one included."""
@@ -315,6 +320,15 @@
             for entry, load in zip(entries, stated, strict=True)
         ]
 
+    def named_loads(
+        self, entries: Sequence[BackendEntry], now: Seconds
+    ) -> Iterator[tuple[BackendName, ServerLoad | None]]:
+        """Yield the load of each server by all routers; None if it is not known."""
+        for entry in entries:
+            stated = self.backends.fleet_load.load(entry.run, now)
+            known = total_load(entry, stated) if stated is not None else None
+            yield entry.backend.name, known
+
     def draw(self, found: Sequence[RatedServer], amount: float) -> RatedServer:
         """Return a candidate, drawn by its part of the work that is expected."""
         parts = parts_of([candidate.cost for candidate in found], amount)
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -157,6 +157,13 @@
             registry=self.registry,
         )
 
+        self.reading_speed = Gauge(
+            "ebonyhold_gateway_reading_speed",
+            "Prompt tokens that a server reads per second, as observed, by service.",
+            ("service",),
+            registry=self.registry,
+        )
+
     def count_stream(self, origin: Origin) -> None:
         """Count a stream that a caller took up."""
         self.streams_taken_up.labels(origin.value).inc()
@@ -187,6 +194,8 @@
             if withheld is not None:
                 cause = withheld.cause.value
                 self.servers_withheld.labels(backend.service, cause).inc()
+        for service, reading in servers.readings.services.items():
+            self.reading_speed.labels(service).set(reading.speed or 0.0)
         for service, _ in versions:
             self.versions.labels(service).inc()
 
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -417,7 +417,7 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    added = ("added", "reach", "answers", "versions")
+    added = ("added", "reach", "answers", "versions", "reading")
     names = ("gateway", *(f"gateway-{name}" for name in added))
     files = b"".join(read(f"metrics-{name}.txt") for name in names)
     assert render_gateway_metrics() == files
