Play of power failures: successors are created when their VMs are back

Cause: the play created them at the power failure, so the growth of limits while VMs are without power was left out: the same 237,600 after 0.6 and 1.7 s.

Change: they are created after the restart time.

--- a/ebonyhold/experiments/budget_power_cuts.py
+++ b/ebonyhold/experiments/budget_power_cuts.py
@@ -135,18 +135,28 @@
         self.start_all()
 
     def start_all(self) -> None:
-        """Create the next incarnations."""
+        """Create the first incarnations."""
+        for number in range(self.size):
+            self.create(f"vm-{number}")
+
+    def create(self, name: str) -> None:
+        """Create the next incarnation of a VM's router."""
         domains = {f"vm-{n}": f"domain-{n % DOMAINS}" for n in range(self.size)}
-        for name in domains:
-            holders = HolderTable(name, domains[name])
-            self.routers[name] = self.router(name, holders, domains)
-            peers = CutPeers(fleet=self, router=name)
-            manager = self.routers[name].grant_manager
-            manager.peers = manager.holders = peers
+        holders = HolderTable(name, domains[name])
+        self.routers[name] = self.router(name, holders, domains)
+        peers = CutPeers(fleet=self, router=name)
+        manager = self.routers[name].grant_manager
+        manager.peers = manager.holders = peers
 
     async def run_router(self, name: str, delay: Seconds = 0.0) -> None:
-        """Run one incarnation until its VM loses power."""
-        await anyio.sleep(delay)
+        """Run one incarnation until its VM loses power.
+
+        After a power failure it is created when its VM is back: the time since its
+        predecessor's last renewal counts until then.
+        """
+        if delay:
+            await anyio.sleep(delay)
+            self.create(name)
         one = self.routers[name]
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(one.renewals.run)
@@ -164,7 +174,6 @@
             running.cancel_scope.cancel()
         self.running.clear()
         self.life += 1
-        self.start_all()
         for name in self.routers:
             tasks.start_soon(self.run_router, name, self.random.uniform(*RESTART))
 
