Decode and encode loads with fewer steps

A msgpack packer allocates a buffer of 256 KiB, so each encoder keeps one. The figures of a message are checked together.

--- a/ebonyhold/coordination/_server_evidence.py
+++ b/ebonyhold/coordination/_server_evidence.py
@@ -67,6 +67,11 @@
     failures: float = 0.0
     at: Seconds = 0.0
 
+    @property
+    def is_any(self) -> bool:
+        """Whether there are observations."""
+        return bool(self.attempts or self.expected)
+
     def decay(self, now: Seconds) -> None:
         """Bring the sums up to date."""
         weight = math.exp(-max(0.0, now - self.at) / MEMORY)
@@ -98,7 +103,7 @@
         self, requests: int, unread: Tokens, resident: Tokens, now: Seconds
     ) -> ServerShare | None:
         """Return the observations with the load; None if there is nothing to report."""
-        if not self.attempts and not self.expected:
+        if not self.is_any:
             return ServerShare(requests, unread, resident) if requests else None
         self.decay(now)
         if max(self.attempts, self.expected / BASE_WORK) < FORGOTTEN:
--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -316,6 +316,8 @@
         """Return what this router has at the servers, and what it has observed."""
         shares: dict[RunKey, ServerShare] = {}
         for entry in self.backends.entries.values():
+            if not (entry.in_flight or entry.evidence.is_any):
+                continue
             work = entry.work
             share = entry.evidence.share(
                 entry.in_flight, work.unread, work.resident, now
--- a/ebonyhold/gateway/_load_messages.py
+++ b/ebonyhold/gateway/_load_messages.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+from itertools import chain
 from typing import Any, TypeAlias
 
 import msgpack
@@ -110,12 +111,11 @@
     return [key, *figures]
 
 
-def pack_shares(shares: Shares, room: int) -> Packed:
+def pack_shares(shares: Shares, room: int, packer: msgpack.Packer) -> Packed:
     """Pack the servers into as few arrays as possible of at most `room` bytes.
 
     Servers that do not fit into MAX_PARTS arrays are left out.
     """
-    packer = msgpack.Packer()
     groups: list[list[bytes]] = [[]]
     used = 0
     for key, share in shares.items():
@@ -140,11 +140,13 @@
 
     Attributes:
         sender: This router's name.
+        packer: Packs values; a new one allocates a large buffer.
         last: The servers that were packed last, and the room for which they were.
         packed: The result.
     """
 
     sender: str
+    packer: msgpack.Packer = field(factory=msgpack.Packer)
     last: tuple[Shares, int] | None = None
     packed: Packed = ()
 
@@ -160,8 +162,8 @@
         known = self.last is not None and self.last[0] is message.shares
         if not known or self.last is None or self.last[1] != room:
             self.last, self.packed = (message.shares, room), ()
-            self.packed = pack_shares(message.shares, room)
-        packer = msgpack.Packer()
+            self.packed = pack_shares(message.shares, room, self.packer)
+        packer = self.packer
         suffix = b"".join(packer.pack(each) for each in rest)
         count = len(self.packed)
         stamp = message.stamp
@@ -214,7 +216,7 @@
     if not 0 <= index < parts <= MAX_PARTS:
         raise MalformedMessageError(f"part {index} of {parts}")
     name = check_name(sender)
-    shares = dict(read_entry(entry) for entry in check_list(servers))
+    shares = read_entries(check_list(servers))
     rest = tuple(raw[KNOWN:])
     return Part(kind, name, Stamp(epoch, number), index, parts, shares, rest)
 
@@ -240,18 +242,21 @@
     return value
 
 
-def read_entry(value: object) -> tuple[RunKey, ServerShare]:
-    """Decode the entry of a server; further figures of later builds are ignored."""
-    entry = check_list(value)
-    if not entry or not isinstance(entry[0], bytes):
-        raise MalformedMessageError("a server without a key")
-    figures = entry[1 : 1 + FIGURES]
-    # This is the most frequent check, of some 200 figures in each total.
+def read_entries(entries: Sequence[Any]) -> dict[RunKey, ServerShare]:
+    """Decode the servers in a message; later builds may add figures at the end.
+
+    All figures are checked together, since a total has some 200 of them.
+    """
+    for entry in entries:
+        if not (isinstance(entry, list) and entry and isinstance(entry[0], bytes)):
+            raise MalformedMessageError("a server without a key")
+    found = [(entry[0], entry[1 : 1 + FIGURES]) for entry in entries]
+    figures = list(chain.from_iterable(each for _, each in found))
     if set(map(type, figures)) - {int}:
         raise MalformedMessageError("a figure of a server that is no number")
     if figures and not 0 <= min(figures) <= max(figures) <= MAX_FIGURE:
         raise MalformedMessageError("a figure of a server out of range")
-    return entry[0], ServerShare(*figures)
+    return {key: ServerShare(*each) for key, each in found}
 
 
 def read_ages(value: object) -> Mapping[str, float]:
