--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import errno
-import ipaddress
 import logging
 import math
 import secrets
@@ -32,8 +30,8 @@
 )
 from ebonyhold.exceptions import MalformedMessageError
 from ebonyhold.forwarding import BackendEntry, BackendTable, Ruleset
+from ebonyhold.gateway._datagrams import open_socket, read_address
 from ebonyhold.gateway._intervals import scale_interval
-from ebonyhold.gateway._listening import ADDRESS_ERRORS, ListenError
 from ebonyhold.gateway._load_messages import MAX_DATAGRAM, Decoder, Encoder
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._presence import Presence
@@ -57,12 +55,6 @@
 MAX_READ = 256
 """Maximum number of datagrams that are read at once, so that requests go on."""
 
-RECEIVE_BUFFER = 1_048_576
-"""Size of the socket's receive buffer in bytes; the system may allow less.
-
-The reports of an interval of 110 routers arrive while a collector is busy.
-"""
-
 LOG_INTERVAL: Seconds = 2.0
 """Minimum time between two log lines on the same matter.
 
@@ -365,37 +357,3 @@
         age = self.sharing.view.age(now)
         self.metrics.load_age.set(math.inf if age is None else age)
         self.metrics.collects_load.set(self.sharing.collects)
-
-
-def read_address(text: str) -> tuple[str, int] | None:
-    """Return the address of a router; None if it is not numeric.
-
-    A name would have to be looked up, which could block all requests.
-    """
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        return host, int(port)
-    except ValueError:
-        return None
-
-
-def open_socket(address: tuple[str, int]) -> socket.socket:
-    """Return a UDP socket that is bound to an address and does not block.
-
-    Raises:
-        ListenError: The address cannot be used.
-        OSError: The socket could not be opened for another reason.
-    """
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind(address)
-    except OSError as error:
-        sock.close()
-        if error.errno in ADDRESS_ERRORS or error.errno == errno.EINVAL:
-            raise ListenError(f"{address[0]}:{address[1]}: {error}") from error
-        raise
-    return sock
