--- a/ebonyhold/gateway/_memory.py
+++ b/ebonyhold/gateway/_memory.py
@@ -21,6 +21,7 @@
     MemoryLender,
     WantedLease,
 )
+from ebonyhold.exceptions import BackendLostError, MalformedMessageError
 from ebonyhold.gateway._memory_roles import MemoryRoles
 from ebonyhold.gateway._transfers import GatewayPeers
 from ebonyhold.types import Seconds
@@ -241,9 +242,12 @@
         timeout = LEASE_TIMEOUT + wanted.waits
         answer = None
         try:
-            answer = await self.peers.post(
-                lender, LEASES_TARGET, wanted, LeaseAnswer, timeout, avoids=False
+            answer = await self.peers.send(
+                lender, LEASES_TARGET, wanted, LeaseAnswer, timeout
             )
+        except (BackendLostError, MalformedMessageError) as error:
+            fields: dict[str, object] = {"peer": lender, "detail": str(error)}
+            self.office.lines.write("lender silent", fields)
         finally:
             if answer is None:
                 self.give_back(lender, wanted.lease)
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -241,34 +241,18 @@
         request: object,
         answer_type: type[T],
         timeout: Seconds,
-        avoids: bool = True,
     ) -> T | None:
         """Send a message to another gateway, and return its answer.
 
-        Args:
-            peer: The gateway's VM.
-            target: The target of the message.
-            request: The message.
-            answer_type: The type of the answer.
-            timeout: Time until the answer is given up.
-            avoids: Whether the gateway is avoided if it does not answer.
-
         Returns:
             None if the gateway's address is unknown, if the message could not be sent
             or answered within the timeout, after which the gateway is avoided, or if
             the answer is malformed.
         """
-        address = self.addresses().get(peer)
-        if address is None or self.tasks is None:
-            return None
-        content = json.dumps(to_json(request)).encode()
-        message = Outbound(b"POST", target, JSON_HEADERS, content, True)
         try:
-            answer = await self.calls_to(address, self.tasks).call(message, timeout)
-            read = read_message(answer.body, answer_type)
+            answer = await self.send(peer, target, request, answer_type, timeout)
         except BackendLostError as error:
-            if avoids:
-                self.avoid(peer, anyio.current_time())
+            self.avoid(peer, anyio.current_time())
             log.info("peer silent", extra={"peer": peer, "detail": str(error)})
         except MalformedMessageError as error:
             log.warning(
@@ -276,10 +260,36 @@
                 extra={"peer": peer, "detail": str(error)},
             )
         else:
-            self.avoidances.pop(peer, None)
-            return read
+            if answer is not None:
+                self.avoidances.pop(peer, None)
+            return answer
         return None
 
+    async def send(
+        self,
+        peer: str,
+        target: bytes,
+        request: object,
+        answer_type: type[T],
+        timeout: Seconds,
+    ) -> T | None:
+        """Send a message to another gateway, and return its answer.
+
+        Returns:
+            None if the gateway's address is unknown.
+
+        Raises:
+            BackendLostError: The message could not be sent or answered in time.
+            MalformedMessageError: The answer is malformed.
+        """
+        address = self.addresses().get(peer)
+        if address is None or self.tasks is None:
+            return None
+        content = json.dumps(to_json(request)).encode()
+        message = Outbound(b"POST", target, JSON_HEADERS, content, True)
+        answer = await self.calls_to(address, self.tasks).call(message, timeout)
+        return read_message(answer.body, answer_type)
+
     def avoid(self, peer: str, now: Seconds) -> None:
         """Avoid a VM that did not answer: twice as long as before, within the maximum.
 
