Routers that are left out count as holders of leases, too

Cause: a router that is cut off from the store is not in the fleet any more, but may still have leases; a new lender looked at the routers of the fleet alone.

Change: the runs of all routers whose rows were read count. The test asserts instead that more than the own shares is in flight both before the kill and from 2 s after it, which holds only if leases are granted after it.

--- a/ebonyhold/coordination/_fair_queue.py
+++ b/ebonyhold/coordination/_fair_queue.py
@@ -16,8 +16,9 @@
 MAX_WAITING = 64
 """Number of requests of one priority that may wait.
 
-A server finishes some 60 requests in the longest time that a request may wait, so more
-of them would wait in vain.
+It bounds the messages that a lender holds open.  A server of the deployments that use
+the queue gets 8 to 14 requests per second, so more could not be served in the longest
+time that a request may wait.
 """
 
 LOWEST_PRIORITY = 7
--- a/ebonyhold/coordination/_memory_lenders.py
+++ b/ebonyhold/coordination/_memory_lenders.py
@@ -124,7 +124,8 @@
             fleet: The routers that lend, with their failure domains.
             now: When this router's row was stored, before the others were read.
             valid_for: How long after that this router may lend.
-            runs: What all listed routers state about their leases.
+            runs: What all routers state about their leases, also those that are not
+                in the fleet any more.
         """
         lapsed = now - self.read_at >= self.valid_for
         changed = fleet != self.fleet
--- a/ebonyhold/gateway/_memory_roles.py
+++ b/ebonyhold/gateway/_memory_roles.py
@@ -93,7 +93,8 @@
         self.routers = max(self.routers, presence.count(), presence.max_counted)
         rows = {vm_of(key): seen.row for key, seen in presence.observed.items()}
         lending = {vm: domain for vm, domain in fleet.items() if rows[vm].lends_memory}
-        runs = {vm: RouterRun(rows[vm].router, rows[vm].has_leases) for vm in fleet}
+        # A router that is cut off from the store is left out, and may have leases.
+        runs = {vm: RouterRun(row.router, row.has_leases) for vm, row in rows.items()}
         valid_for = VIEW_INTERVALS * presence.interval
         self.view.update(lending, presence.stored_at, valid_for, runs)
         lent = frozenset(s for s in self.backends.entries if self.view.is_chosen(s))
--- a/tests/coordination/memory_fleet.py
+++ b/tests/coordination/memory_fleet.py
@@ -90,7 +90,7 @@
             self.versions[name] = (int(str(row[0])), count)
         alive = {n: str(row[1]) for n, row in rows.items() if self.versions[n][1] < 4}
         self.highest = max(self.highest, len(rows)) if self.guards.highest_count else 1
-        runs = {n: RouterRun(str(rows[n][2]), bool(rows[n][3])) for n in alive}
+        runs = {n: RouterRun(str(rows[n][2]), bool(rows[n][3])) for n in rows}
         self.view.update(alive, now, VIEW_INTERVALS * INTERVAL, runs)
 
     def lends(self, server: str, now: float) -> bool:
--- a/tests/platform/test_server_memory.py
+++ b/tests/platform/test_server_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 from collections.abc import Sequence
@@ -114,13 +115,18 @@
         records = await soak.engine_records()
         tasks.cancel_scope.cancel()
     runs = [run for run in records["runs"] if run[0].startswith("memory-")]
-    most = most_used(runs)
-    before = Counter(code for at, code in answers if killed_at - 3 < at < killed_at)
-    after = Counter(code for at, code in answers if at > killed_at + 2.0)
-    assert max(most.values()) <= MEMORY, (most, before, after)
+    whole, before, after = (
+        most_used([run for run in runs if begin <= run[4] < end])
+        for begin, end in (
+            (0.0, math.inf),
+            (0.0, killed_at),
+            (killed_at + 2.0, math.inf),
+        )
+    )
+    outcomes = Counter(code for _, code in answers)
+    assert max(whole.values()) <= MEMORY, (whole, outcomes)
     # More than the own shares of all gateways together were in flight: leases work.
-    share = PROMPT + MAX_OUTPUT
-    assert max(most.values()) > GATEWAYS * share, (most, before, after)
-    assert before["200"] > 100, (before, after)
-    assert after["200"] > 100, (before, after)
-    assert before["servers_memory_full"], (before, after)
+    shares = GATEWAYS * (PROMPT + MAX_OUTPUT)
+    assert max(before.values()) > shares, (before, outcomes)
+    assert max(after.values()) > shares, (after, outcomes)
+    assert outcomes["servers_memory_full"], outcomes
