--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -30,6 +30,12 @@
 from ebonyhold.coordination._heartbeats import Beat, BeatKind
 from ebonyhold.coordination._leases import LeaseRow
 from ebonyhold.coordination._members import MemberStatus, MemberUpdate
+from ebonyhold.coordination._memory_leases import (
+    LeaseAnswer,
+    LeaseOutcome,
+    WantedLease,
+)
+from ebonyhold.coordination._memory_pool import MemoryNeed
 from ebonyhold.coordination._orders import Action, EngineOrder, OrderRow
 from ebonyhold.coordination._rows import (
     ArchiveRow,
@@ -85,6 +91,7 @@
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._types import RouteKind
 from ebonyhold.gateway._holds import HoldAnswer, Settlements, SettlementsAnswer
+from ebonyhold.gateway._memory import MemoryReturns, ReturnsAnswer
 from ebonyhold.gateway._observations import ObservationsAnswer, ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._relays import ReachAnswer, ReachQuestion
@@ -260,6 +267,15 @@
         relay_key="5e0a",
         keeps_streams=True,
     ),
+    "row-presence-memory": PresenceRow(
+        router="vm-1.b1",
+        address="10.0.0.1:7100",
+        domain="rack-1",
+        relay_key="5e0a",
+        keeps_streams=True,
+        lends_memory=True,
+        has_leases=True,
+    ),
     "row-limits": LimitsRow(
         router="vm-1.b1",
         address="10.0.0.1:7100",
@@ -419,6 +435,18 @@
     "hold-answer": HoldAnswer(outcome=HoldOutcome.EXHAUSTED),
     "settlements": Settlements(charges={"vm-1/5": 33}),
     "settled": SettlementsAnswer(),
+    "wanted-lease": WantedLease(
+        lease="vm-1.b1/5",
+        server="i-1",
+        need=MemoryNeed(own=2941, shared={"5e0a": 6300}),
+        lasts=7.5,
+        workspace="acme",
+        priority=2,
+        waits=0.5,
+    ),
+    "lease-answer": LeaseAnswer(outcome=LeaseOutcome.FULL, wait=0.25),
+    "memory-returns": MemoryReturns(leases=["vm-1.b1/5"]),
+    "memory-returned": ReturnsAnswer(confirmed=True),
     "observations": OBSERVATIONS,
     "observations-shared": SHARED_OBSERVATIONS,
     "observations-parts": PART_OBSERVATIONS,
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -20,7 +20,7 @@
 import msgpack
 import pytest
 import yaml
-from prometheus_client import generate_latest
+from prometheus_client import CollectorRegistry, generate_latest
 
 import ebonyhold
 import ebonyhold.daemon
@@ -55,6 +55,7 @@
     to_canonical_json,
     to_yaml,
 )
+from ebonyhold.gateway._memory_parts import MemoryMetrics
 from ebonyhold.gateway._messages import read_message
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import ObservationsRow
@@ -103,6 +104,8 @@
     (ObservationsRow, attrs.fields(ObservationsRow).parts.name),
     (PresenceRow, attrs.fields(PresenceRow).relay_key.name),
     (PresenceRow, attrs.fields(PresenceRow).keeps_streams.name),
+    (PresenceRow, attrs.fields(PresenceRow).lends_memory.name),
+    (PresenceRow, attrs.fields(PresenceRow).has_leases.name),
     (TransferAnswer, attrs.fields(TransferAnswer).own.name),
     (SpendingLimit, attrs.fields(SpendingLimit).used.name),
     (SpendingLimit, attrs.fields(SpendingLimit).held.name),
@@ -410,6 +413,14 @@
     return b"".join(line for line in lines if line.startswith(b"# TYPE"))
 
 
+def render_memory_metrics() -> bytes:
+    """Return the names of the metrics of a gateway that accounts for memory."""
+    registry = CollectorRegistry()
+    MemoryMetrics(registry)
+    lines = generate_latest(registry).splitlines(keepends=True)
+    return b"".join(line for line in lines if line.startswith(b"# TYPE"))
+
+
 def list_caller_codes() -> str:
     """Return the codes of the callers' errors with their status."""
     return "".join(f"{code} {each.status}\n" for code, each in sorted(codes.items()))
@@ -421,6 +432,7 @@
     names = ("gateway", *(f"gateway-{name}" for name in added))
     files = b"".join(read(f"metrics-{name}.txt") for name in names)
     assert render_gateway_metrics() == files
+    assert render_memory_metrics() == read("metrics-gateway-memory.txt")
 
 
 def test_codes_of_errors_are_written() -> None:
