Use half of a server's memory in common while routers know each other's load

Cause: a request above the own share of 1,348 tokens (90 routers) needed a message to a lender, and after restarts of VMs lenders are quiet for up to 31 s. Such requests would then be refused, though servers use a tenth of their memory.

Change: while the load of the other routers is known, a request needs no lease if all that is in flight at the server and its own need are at most half of the memory. Above that, or without that knowledge, own shares and lenders decide as before.

--- a/ebonyhold/coordination/_router_memory.py
+++ b/ebonyhold/coordination/_router_memory.py
@@ -1,4 +1,8 @@
-"""What one router has in flight at the servers, in its own shares and by leases."""
+"""What one router has in flight at the servers, and by which right.
+
+A request is in the common half of a server's memory, in the router's own share of that
+half, or leased.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,10 @@
 from ebonyhold.types import BackendName, Seconds, Tokens
 
 OWN_SHARE = 0.5
-"""Share of a server's memory that is divided among all routers."""
+"""Share of a server's memory that routers use without leases.
+
+All use it in common while they know each other's load; otherwise it is divided evenly.
+"""
 
 HEADROOM = 16
 """For each 16 routers, one more is assumed, which others may not have counted yet."""
@@ -48,18 +55,47 @@
 
 @define(eq=False)
 class RouterMemory:
-    """What one router has in flight at each server, in its own share and by leases.
+    """What one router has in flight at each server.
 
     Attributes:
+        common: What it has in the common half of each server.
         own: The own share of each server.
         leased: The leased memory of each server; its size does not matter here.
         refused: The smallest lease of each server that was refused lately.
     """
 
+    common: dict[BackendName, MemoryPool] = field(factory=dict)
     own: dict[BackendName, MemoryPool] = field(factory=dict)
     leased: dict[BackendName, MemoryPool] = field(factory=dict)
     refused: dict[BackendName, RefusedNeed] = field(factory=dict)
 
+    def fits_common(
+        self, server: BackendName, need: MemoryNeed, others: Tokens, memory: Tokens
+    ) -> bool:
+        """Return whether a server's requests leave room in the common half.
+
+        Args:
+            server: The server.
+            need: What a further request needs.
+            others: What the other routers have in flight there, by the shared load.
+            memory: The server's memory.
+        """
+        pools = (self.common, self.own, self.leased)
+        here = sum(pool[server].used for pool in pools if server in pool)
+        return others + here + need.total <= memory * OWN_SHARE
+
+    def record_common(
+        self,
+        server: BackendName,
+        name: str,
+        need: MemoryNeed,
+        now: Seconds,
+        expires_at: Seconds,
+    ) -> None:
+        """Record a request that uses the common half."""
+        pool = self.common.setdefault(server, MemoryPool())
+        pool.add(name, need, now, expires_at)
+
     def take_own(
         self,
         server: BackendName,
@@ -150,14 +186,19 @@
             now: The time.
             expires_at: When the server has certainly noticed the end.
         """
-        pool = self.own.get(server)
-        if pool is not None and name in pool.occupants:
-            pool.end_by(name, expires_at)
-            pool.expire(now)
-            return False
+        for pools in (self.common, self.own):
+            pool = pools.get(server)
+            if pool is not None and name in pool.occupants:
+                pool.end_by(name, expires_at)
+                pool.expire(now)
+                return False
         leased = self.leased.get(server)
         return leased is not None and leased.remove(name) is not None
 
+    def common_tokens(self) -> Tokens:
+        """Return the memory used in the common halves of all servers."""
+        return sum(pool.used for pool in self.common.values())
+
     def used(self) -> Tokens:
         """Return the memory used in the own shares of all servers."""
         return sum(pool.used for pool in self.own.values())
@@ -168,7 +209,7 @@
 
     def forget(self, now: Seconds) -> None:
         """Forget what has expired, and servers at which nothing is in flight."""
-        for pools in (self.own, self.leased):
+        for pools in (self.common, self.own, self.leased):
             for server, pool in list(pools.items()):
                 pool.expire(now)
                 if not pool.occupants:
--- a/ebonyhold/gateway/_memory_parts.py
+++ b/ebonyhold/gateway/_memory_parts.py
@@ -25,7 +25,7 @@
     def __init__(self, registry: CollectorRegistry) -> None:
         self.tokens = Gauge(
             "ebonyhold_gateway_memory_tokens",
-            "Tokens of servers' memory in the own share, leased, and lent to routers.",
+            "Tokens of servers' memory in common, in the own share, leased, and lent.",
             ("part",),
             registry=registry,
         )
@@ -77,6 +77,7 @@
     def set_gauges(self) -> None:
         """Set the gauges."""
         used = self.memory.memory
+        self.metrics.tokens.labels("common").set(used.common_tokens())
         self.metrics.tokens.labels("own").set(used.used())
         self.metrics.tokens.labels("leased").set(used.leased_tokens())
         self.metrics.tokens.labels("lent").set(self.office.lender.lent)
--- a/ebonyhold/gateway/_server_memory.py
+++ b/ebonyhold/gateway/_server_memory.py
@@ -46,7 +46,7 @@
 
 @define(eq=False)
 class GatewayMemory:
-    """Gets room at servers in the own share or by a lease.
+    """Gets room at servers in the common half, in the own share or by a lease.
 
     Attributes:
         incarnation: The incarnation of this gateway, for the names of leases.
@@ -83,10 +83,25 @@
         lent = self.roles.lent_share(known.memory)
         return need.total > max(lent, self.roles.own_size(known.memory))
 
+    def fits_common(self, entry: BackendEntry, need: MemoryNeed, now: Seconds) -> bool:
+        """Return whether a request fits into the common half of a server's memory.
+
+        It does not while the load of the other routers is unknown.
+        """
+        fleet = self.roles.backends.fleet_load
+        if not fleet.is_on(entry.backend.service):
+            return False
+        load = fleet.load(entry.run, now)
+        if load is None:
+            return False
+        name = entry.backend.name
+        memory = self.roles.memory_of(name)
+        return self.memory.fits_common(name, need, load.resident, memory)
+
     def wait(self, entry: BackendEntry, need: MemoryNeed, now: Seconds) -> Seconds:
         """Return the time until a server may have room; 0 if it may have it now."""
         name = entry.backend.name
-        if name not in self.memory.refused:
+        if name not in self.memory.refused or self.fits_common(entry, need, now):
             return 0.0
         share = self.roles.own_size(self.roles.memory_of(name))
         return self.memory.wait(name, need, share, now)
@@ -104,6 +119,9 @@
         now = anyio.current_time()
         room = MemoryRoom(entry.run, f"{self.incarnation}/{next(self.numbers)}")
         expires_at = wanted.deadline + LEASE_MARGIN
+        if self.fits_common(entry, need, now):
+            self.memory.record_common(name, room.name, need, now, expires_at)
+            return room
         share = self.roles.own_size(self.roles.memory_of(name))
         if self.memory.take_own(name, room.name, need, share, now, expires_at):
             return room
