--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -34,7 +34,7 @@
 from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
-from ebonyhold.gateway._load_exchange import LoadExchange
+from ebonyhold.gateway._load_parts import LoadParts, open_load
 from ebonyhold.gateway._memory_parts import MemoryParts, open_memory
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
@@ -45,7 +45,6 @@
 from ebonyhold.gateway._relays import GatewayRelays
 from ebonyhold.gateway._renewals import Renewals
 from ebonyhold.gateway._routing_state import RoutingState
-from ebonyhold.gateway._server_reports import ServerReports
 from ebonyhold.gateway._signals import watched_signals
 from ebonyhold.gateway._stop import GatewayStop
 from ebonyhold.gateway._streams import GatewayStreams
@@ -55,7 +54,7 @@
     GatewayPeers,
     TransferHandler,
 )
-from ebonyhold.gateway._types import PlatformAdapter, RawRow
+from ebonyhold.gateway._types import PlatformAdapter
 from ebonyhold.gateway._watcher import Watcher
 from ebonyhold.misc import new_incarnation
 from ebonyhold.prepaid import Fleet, GrantManager, HolderTable, RemoteHolds
@@ -89,8 +88,7 @@
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
-        load_exchange: The exchange of the servers' load with other gateways.
-        server_reports: Reads the servers' reports while this gateway collects.
+        load: What shares the load of servers with other gateways.
         flow: Bounds what is buffered for slow peers.
         memory: What accounts for the memory of servers; None where that is not needed.
         draining: Whether the stop has begun.
@@ -116,8 +114,7 @@
     relays: GatewayRelays = field(init=False)
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
-    load_exchange: LoadExchange = field(init=False)
-    server_reports: ServerReports = field(init=False)
+    load: LoadParts = field(init=False)
     memory: MemoryParts | None = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
@@ -146,22 +143,13 @@
             self.update_fleet,
             relay_key=new_relay_key() if port else "",
         )
-        self.load_exchange = LoadExchange(
+        self.load = open_load(
+            platform,
+            self.routing,
             self.presence,
-            (platform.settings.host, port),
-            platform.settings.link_rate,
-            self.routing.backends,
             lambda: self.current_rules(),
             self.metrics,
         )
-        self.server_reports = ServerReports(
-            self.routing.backends,
-            platform.settings.domain,
-            platform.report_target,
-            platform.read_report,
-            self.load_exchange.record_report,
-            self.are_reports_wanted,
-        )
         self.reach = Reachability(lambda: len(self.routing.backends.entries))
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
@@ -202,8 +190,8 @@
         self.rules_watcher = Watcher(
             store,
             platform.rules_table,
-            self.replace_rules,
-            self.apply_rules,
+            self.load.replace_rules,
+            self.load.apply_rules,
             self.presence.count,
         )
         self.servers_watcher = Watcher(
@@ -247,27 +235,7 @@
         self.routing.backends.shares.update(fleet)
         if self.memory is not None:
             self.memory.update_fleet(fleet)
-        self.load_exchange.review()
-
-    def are_reports_wanted(self) -> bool:
-        """Return whether this router reads the reports of its domain's servers.
-
-        They matter where servers crash above their memory, and where some routers do
-        not share their load.
-        """
-        exchange = self.load_exchange
-        pressure = self.platform.settings.memory_pressure
-        return exchange.collects and (pressure or exchange.misses_routers)
-
-    def replace_rules(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
-        """Use the configuration and the evacuations in all rows of the table."""
-        self.routing.replace_rules(rows, after_outage)
-        self.load_exchange.review()
-
-    def apply_rules(self, rows: tuple[RawRow, ...], after_outage: bool) -> None:
-        """Use the configuration in these rows if it is newer than the current one."""
-        self.routing.apply_rules(rows, after_outage)
-        self.load_exchange.review()
+        self.load.exchange.review()
 
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
@@ -292,11 +260,7 @@
             supervisor.start("treasury", self.grant_manager.run)
             supervisor.start("settlements", self.holders.run)
             supervisor.start("streams", self.streams.run)
-            supervisor.start("load exchange", self.load_exchange.run)
-            self.server_reports.tasks = GuardedTasks(supervisor, "server connection")
-            supervisor.start(
-                "server reports", self.server_reports.run, self.load_exchange.started
-            )
+            self.load.start(supervisor)
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
             if self.memory is not None:
@@ -486,7 +450,7 @@
         self.metrics.set_servers(self.routing.backends, now)
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
-        self.load_exchange.set_gauges(now)
+        self.load.exchange.set_gauges(now)
         self.metrics.set_flow(self.flow)
         if self.memory is not None:
             self.memory.set_gauges()
