Place requests without a prompt by each router's own load again

Cause: figures of the other routers are up to 0.3 s old, and such requests last some 60 ms. When the figures showed all slots of a server in use, all routers of its failure domain left it at once.

Change: requests without prompt parts never use the shared choice; ejection of failing servers by all routers' attempts still holds for them.

--- a/ebonyhold/forwarding/_shared_choice.py
+++ b/ebonyhold/forwarding/_shared_choice.py
@@ -20,7 +20,7 @@
 
 from ebonyhold.coordination import ServerLoad, ServerRun
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._choice import choose_nearby, rank
+from ebonyhold.forwarding._choice import rank
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._types import CallerRequest, Service, ServiceName
 from ebonyhold.forwarding._work import prompt_size, shared_tokens, sharing_key
@@ -218,7 +218,10 @@
         now: Seconds,
         wall: Seconds,
     ) -> RatedServer | None:
-        """Return the server for a request, or None if no load is known.
+        """Return the server for a request, or None if the choice is the earlier one.
+
+        It is if no load is known, and for requests without prompt parts. These last
+        some 60 ms, less than the figures are old, and keep to the own failure domain.
 
         Args:
             request: The request.
@@ -231,7 +234,7 @@
         if service is None or not self.backends.fleet_load.is_on(name):
             return None
         if not sharing_key(request):
-            return self.choose_by_count(entries, now)
+            return None
         found = self.rate_by_prompt(request, service, entries, now)
         if not found:
             return None
@@ -294,27 +297,6 @@
         rest = by_name.values()
         return found + [entry for entry in rest if entry.work.has_cached(key, now)]
 
-    def choose_by_count(
-        self, entries: Sequence[BackendEntry], now: Seconds
-    ) -> RatedServer | None:
-        """Return the server for a request without prompt parts.
-
-        Such requests last less than the figures are old. So the figures only tell which
-        servers have all slots in use; these are left out, and the others are chosen
-        from as if no load were shared.
-        """
-        known = self.loads(entries, now)
-        if known is None:
-            return None
-        loads = dict(zip((entry.backend.name for entry in entries), known, strict=True))
-        free = [
-            entry
-            for entry in entries
-            if loads[entry.backend.name].requests < entry.backend.slots
-        ]
-        entry = choose_nearby(free or entries, self.domain)
-        return RatedServer(entry, loads[entry.backend.name], 0, 0.0)
-
     def loads(
         self, entries: Sequence[BackendEntry], now: Seconds
     ) -> list[ServerLoad] | None:
