--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -115,7 +115,13 @@
         now = anyio.current_time()
         opened_at = path.channel.opened_at if path.relay is None else None
         withheld = self.backends.admit(
-            self.entry, now, path.relay is not None, self.exchange.version, opened_at
+            self.entry,
+            now,
+            path.relay is not None,
+            self.exchange.version,
+            opened_at,
+            self.exchange.need,
+            self.exchange.room,
         )
         if withheld is not None:
             path.channel.keep_unused(now)
@@ -131,6 +137,8 @@
         kept = False
         try:
             with self.entry.working(self.exchange.caller) as work:
+                if path.relay is None:
+                    self.backends.time_answer(self.entry, work, now)
                 result, kept = await self.send_and_read(path.channel, work)
             self.exchange.endings.append(path.channel.ending)
         except RelayDeclinedError as declined:
@@ -197,6 +205,8 @@
             self.backends.succeeded(self.entry)
             result = AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
             return result, self.finish(channel, head)
+        if head.status < 500:
+            work.record_begin()
         return await self.handle_whole(channel, head, facts)
 
     def relay_target(self) -> RelayTarget:
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterable
 
+import anyio
 from attrs import define, field
 
 from ebonyhold.coordination import (
@@ -14,11 +15,15 @@
     EndedLimits,
     FleetLoad,
     LimitShares,
+    MemoryNeed,
     NoFleetLoad,
     SendingLimit,
 )
 from ebonyhold.forwarding._brittle import BrittleServers
+from ebonyhold.forwarding._early_refusal import Readings
 from ebonyhold.forwarding._entry import BackendEntry, fields_of
+from ebonyhold.forwarding._memory import MemoryRoom, NoServerMemory, ServerMemory
+from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import (
     AnswerFacts,
@@ -27,6 +32,7 @@
     SoftwareVersion,
 )
 from ebonyhold.forwarding._withheld import Cause, Withheld
+from ebonyhold.forwarding._work import AnswerTimer, RequestWork
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -53,25 +59,47 @@
         brittle: Which servers are brittle.
         ended_limits: The ends of limits that this router has noticed.
         fleet_load: The load that the other routers put on the servers.
+        fleet_outliers: The servers that are slow or failing by that.
+        memory: This router's use of the memory of servers.
+        readings: How fast servers read prompts.
     """
 
     shares: LimitShares = field(factory=LimitShares)
     brittle: BrittleServers = field(factory=BrittleServers)
     ended_limits: EndedLimits = field(factory=EndedLimits)
     fleet_load: FleetLoad = field(factory=NoFleetLoad)
+    fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
+    memory: ServerMemory = field(factory=NoServerMemory)
+    readings: Readings = field(factory=Readings)
+
+    def time_answer(self, entry: BackendEntry, work: RequestWork, now: Seconds) -> None:
+        """Measure the time to the first event of a request, where load is shared."""
+        if self.fleet_load.is_on(entry.backend.service):
+            others = self.fleet_load.load(entry.run, now)
+            ahead = entry.work.unread + (others.unread if others is not None else 0)
+            work.timer = AnswerTimer(entry.evidence, now, ahead)
+
+    def record_attempt(self, entry: BackendEntry, failed: bool, now: Seconds) -> None:
+        """Record for all routers how an attempt ended, where load is shared."""
+        if self.fleet_load.is_on(entry.backend.service):
+            entry.evidence.record_end(failed, now)
 
     def lost(self, entry: BackendEntry, now: Seconds) -> None:
         """Count a failed connection, if the server's run is still listed."""
+        self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.lost(entry.backend.name, now)
 
     def failed(self, entry: BackendEntry, now: Seconds) -> None:
         """Count an error or a lost answer, if the server's run is still listed."""
+        self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.failed(entry.backend.name, now)
 
     def succeeded(self, entry: BackendEntry) -> None:
         """Clear the counted failures, if the server's run is still listed."""
+        if self.fleet_load.is_on(entry.backend.service):
+            entry.evidence.record_end(False, anyio.current_time())
         self.brittle.record_answer(entry)
         if entry.listed:
             self.ejector.succeeded(entry.backend.name)
@@ -166,6 +194,7 @@
         version: SoftwareVersion | None = None,
         begins: bool = False,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
     ) -> Withheld | None:
         """Return why a server may not get a request from this router now, or None.
 
@@ -183,6 +212,7 @@
             begins: Whether the request begins a stream that callers may take up.
             opened_at: When the connection was opened on which it is to be sent; None
                 before one is chosen, or if another router sends it.
+            need: The memory that the request needs and does not have yet, if any.
         """
         backend = entry.backend
         if not entry.listed:
@@ -216,6 +246,10 @@
             brittle_wait = self.brittle_wait(entry, now)
             if brittle_wait > wait:
                 cause, wait = Cause.BRITTLE, brittle_wait
+        if need is not None and not relayed:
+            memory_wait = self.memory.wait(entry, need, now)
+            if memory_wait > wait:
+                cause, wait = Cause.MEMORY, memory_wait
         if not wait and now < entry.full_until:
             cause, wait = Cause.FULL, entry.full_until - now
         if not wait and begins:
@@ -230,10 +264,13 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         opened_at: Seconds | None = None,
+        need: MemoryNeed | None = None,
+        room: MemoryRoom | None = None,
     ) -> Withheld | None:
         """Count a request that is about to be sent to a server, unless it is withheld.
 
-        One that another router sends counts there.
+        One that another router sends counts there. One that needs memory must have it
+        at this run of the server.
 
         Returns:
             Why it must not be sent; None if it may be, and is counted.
@@ -241,6 +278,8 @@
         withheld = self.withheld(entry, now, relayed, version, opened_at=opened_at)
         if withheld is not None and withheld.cause.is_binding:
             return withheld
+        if need is not None and not relayed and (not room or room.run != entry.run):
+            return Withheld(Cause.MEMORY)
         if not relayed:
             self.count_request(entry, now)
         return None
@@ -296,6 +335,7 @@
         relayed: bool = False,
         version: SoftwareVersion | None = None,
         begins: bool = False,
+        need: MemoryNeed | None = None,
     ) -> list[BackendEntry]:
         """Return the servers of a service that may get a request now.
 
@@ -310,7 +350,7 @@
         for entry in self.entries.values():
             if entry.backend.service != service:
                 continue
-            withheld = self.withheld(entry, now, relayed, version, begins)
+            withheld = self.withheld(entry, now, relayed, version, begins, need=need)
             if withheld is None or withheld.cause.ends:
                 known.append(entry)
             if entry.backend.name in excluded:
@@ -320,6 +360,13 @@
             elif not withheld.cause.is_binding:
                 full.append(entry)
         ejected = self.ejected(known, now)
+        if self.fleet_load.is_on(service):
+            domains = {entry.backend.name: entry.backend.domain for entry in known}
+            failing = self.outliers(service, now).failing
+            policy, wall = self.ejector.policy, time.time()
+            ejected |= ejected_by_fleet(
+                failing, domains, ejected, self.shares, policy, wall
+            )
 
         def healthy(entries: list[BackendEntry]) -> list[BackendEntry]:
             return [entry for entry in entries if entry.backend.name not in ejected]
@@ -335,6 +382,12 @@
         domains = {entry.backend.name: entry.backend.domain for entry in entries}
         return self.ejector.ejected(domains, now)
 
+    def outliers(self, service: ServiceName, now: Seconds) -> Outliers:
+        """Return the servers of a service that are slow or failing at all routers."""
+        return self.fleet_outliers.of(
+            service, self.entries.values(), self.fleet_load, now
+        )
+
     def in_flight(self, service: ServiceName) -> int:
         """Return the number of this router's requests at the servers of a service."""
         return sum(
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -3,27 +3,38 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+import random
+import time
+from collections.abc import Callable, Sequence
 
 import anyio
-from attrs import define
+from attrs import Factory, define
 
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._choice import choose, with_fewest_suspects
 from ebonyhold.forwarding._crash_detection import CrashDetector
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._early_refusal import check_early
 from ebonyhold.forwarding._entry import BackendEntry
-from ebonyhold.forwarding._exchange import AttemptEnd, AttemptResult, Exchange
+from ebonyhold.forwarding._exchange import (
+    AttemptEnd,
+    AttemptResult,
+    Exchange,
+    ExpectedRead,
+)
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
+from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomKeeper
+from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
     takes_up,
 )
+from ebonyhold.forwarding._work import prompt_size, shared_tokens
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -47,6 +58,9 @@
 MAX_LIMIT_WAIT: Seconds = 1.0
 """Maximum Retry-After of such a request: limits and rests differ between routers."""
 
+MAX_MEMORY_WAIT: Seconds = 2.0
+"""Maximum Retry-After of a request for which no server has memory."""
+
 
 @define(eq=False)
 class Dispatcher:
@@ -62,6 +76,7 @@
         crashes: Detects crashes of servers and rejects requests that cause them.
         ages: Returns the age of each cached input in seconds, for logs.
         streams: Finds the versions of streams that callers take up.
+        shared: Chooses servers where the load of the other routers is known.
     """
 
     domain: str
@@ -73,6 +88,9 @@
     crashes: CrashDetector
     ages: Callable[[], dict[str, Seconds]]
     streams: StreamVersions
+    shared: SharedChoice = Factory(
+        lambda self: SharedChoice(self.domain, self.backends), takes_self=True
+    )
 
     async def dispatch(self, exchange: Exchange) -> Refusal | None:
         """Send a request to servers in turn, until an answer was passed on.
@@ -86,10 +104,20 @@
             except UnknownVersionError as error:
                 exchange.reasons.append(str(error))
                 return Refusal.VERSION_UNKNOWN
+        if exchange.need is not None and self.backends.memory.is_too_large(
+            exchange.match.service, exchange.need
+        ):
+            return Refusal.MEMORY_TOO_SMALL
         while True:
             known = self.crashes.suspicion(exchange)
             suspect = known.exists or bool(exchange.losses)
             entry = self.next_entry(exchange, suspect)
+            if entry is Refusal.MEMORY_FULL:
+                entry = await self.wait_for_memory(exchange)
+            elif isinstance(entry, BackendEntry) and not await self.get_room(
+                exchange, entry
+            ):
+                continue
             if isinstance(entry, Refusal):
                 if entry in MAY_WAIT and await self.wait_for_place(exchange):
                     continue
@@ -106,13 +134,21 @@
             if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
             self.log_dispatch(exchange, entry)
+            end = None
             try:
                 result = await attempt.run()
+                end = result.end
             finally:
                 self.places.free(exchange.match.service)
+                self.rooms.free(exchange, end)
+            self.record_reading(exchange)
             if result.end is AttemptEnd.DELIVERED:
                 self.crashes.answered(exchange, result.written)
                 return None
+            if result.end is not AttemptEnd.WITHHELD:
+                # A further attempt may ask all servers for memory again.
+                exchange.roomless.clear()
+                exchange.waited_for_memory = False
             if result.broken:
                 self.crashes.lost(exchange, entry, known)
             self.record_failure(exchange, entry.backend.name, result)
@@ -123,6 +159,40 @@
             if refusal is not None:
                 return refusal
 
+    @property
+    def rooms(self) -> RoomKeeper:
+        """What gets and frees the memory of requests at servers."""
+        return RoomKeeper(self.backends)
+
+    async def get_room(self, exchange: Exchange, entry: BackendEntry) -> bool:
+        """Get memory for an attempt at a server; return whether it may be made.
+
+        Where another router is to send the request, that one gets the memory.
+        """
+        if exchange.need is None or self.paths.uses_relays:
+            return True
+        return await self.rooms.get(exchange, entry)
+
+    async def wait_for_memory(self, exchange: Exchange) -> BackendEntry | Refusal:
+        """Wait for memory at the first server in order; return it, if it may be used.
+
+        Memory at a server that must not get the request any more is given back.
+        """
+        short = self.rooms.short(exchange)
+        if short and self.rooms.may_wait(exchange):
+            entry = choose(exchange.caller, short, self.domain, anyio.current_time())
+            if await self.rooms.get(exchange, entry, wait=True):
+                now, version = anyio.current_time(), exchange.version
+                if self.backends.withheld(entry, now, version=version) is None:
+                    return entry
+                self.rooms.free(exchange, AttemptEnd.NOT_SENT)
+        if exchange.may_have_run:
+            return Refusal.SERVER_LOST
+        now, memory = anyio.current_time(), self.backends.memory
+        wait = min((memory.expected(entry, now) for entry in short), default=0.0)
+        exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_MEMORY_WAIT)
+        return Refusal.MEMORY_FULL
+
     async def wait_for_place(self, exchange: Exchange) -> bool:
         """Wait until a request at a brittle server has ended; return whether one has.
 
@@ -190,20 +260,80 @@
         entries = self.backends.usable(
             service,
             now,
-            exchange.tried,
+            [*exchange.tried, *exchange.roomless],
             relayed,
             exchange.version,
             begins=exchange.match.route.resumable and exchange.version is None,
+            need=exchange.need,
         )
+        if len(exchange.roomless) >= MAX_SERVERS_ASKED:
+            entries = []
         if not entries:
+            if exchange.need is not None and self.rooms.short(exchange):
+                return Refusal.MEMORY_FULL
             wait = self.backends.next_allowed(service, now, exchange.version)
             if wait is not None:
                 exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
             return self.no_server_left(exchange)
         if suspect:
             entries = with_fewest_suspects(entries)
+        shared = self.shared.choose(exchange.caller, service, entries, now, time.time())
+        exchange.expected = None
+        if shared is not None:
+            if self.refuses_early(exchange, shared, entries, now):
+                return Refusal.SERVERS_BUSY
+            exchange.expected = ExpectedRead(shared.work, now)
+            return shared.entry
         return choose(exchange.caller, entries, self.domain, now)
 
+    def refuses_early(
+        self,
+        exchange: Exchange,
+        chosen: RatedServer,
+        entries: Sequence[BackendEntry],
+        now: Seconds,
+    ) -> bool:
+        """Return whether no server can begin to answer a request before its deadline.
+
+        Only requests that no server has got yet are refused.
+        """
+        reading = self.backends.readings.of(exchange.match.service)
+        speed, time_left = reading.speed, exchange.deadline - now
+        if exchange.sends or speed is None or chosen.work <= speed * time_left:
+            return False
+        caller = exchange.caller
+        early = check_early(
+            self.shared.named_loads(entries, now),
+            prompt_size(caller) - shared_tokens(caller),
+            speed,
+            time_left,
+        )
+        if early is None:
+            return False
+        exchange.retry_after = reading.refuse(early, now, random.random())
+        log.info(
+            "refused early",
+            extra={
+                "request": caller.request_id,
+                "service": exchange.match.service,
+                "backend": early.server,
+                "unread": early.unread,
+                "tokens_per_second": round(early.speed),
+                "expected_ms": round(early.expected * 1000),
+                "ms_left": round(early.time_left * 1000),
+                "retry_ms": round(exchange.retry_after * 1000),
+            },
+        )
+        return True
+
+    def record_reading(self, exchange: Exchange) -> None:
+        """Record how long a server has read until the first event of a stream."""
+        expected, first_at = exchange.expected, exchange.first_event_at
+        if expected is None or first_at is None or first_at < expected.since:
+            return
+        reading = self.backends.readings.of(exchange.match.service)
+        reading.observe(expected.tokens, first_at - expected.since, first_at)
+
     def no_server_left(self, exchange: Exchange) -> Refusal:
         """Return the refusal for a request when no untried server is left.
 
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import h11
 from attrs import define, field, frozen
 
-from ebonyhold.coordination import MAX_PARTS, part_digest
+from ebonyhold.coordination import MAX_PARTS, MemoryNeed, part_digest
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._channel import AnswerHead
 from ebonyhold.forwarding._digest import request_digest
@@ -24,6 +25,9 @@
     Tokens,
 )
 
+if TYPE_CHECKING:
+    from ebonyhold.forwarding._memory import MemoryRoom
+
 
 class AttemptEnd(Enum):
     """How an attempt at a backend server ended.
@@ -89,6 +93,19 @@
     depth: int = 0
 
 
+@frozen
+class ExpectedRead:
+    """What a server is expected to read before the first event of an attempt.
+
+    Attributes:
+        tokens: Prompt tokens, those of other requests included.
+        since: When the server was chosen.
+    """
+
+    tokens: float
+    since: Seconds
+
+
 @define(eq=False)
 class Exchange:
     """A request and its progress.
@@ -123,6 +140,13 @@
             usual time of a refusal.
         flow: Bounds what is buffered, and knows the longest pauses of streams.
         held: Bytes of whole answers that count as held.
+        need: The memory that it needs at a server; None if that is not accounted for.
+        room: The memory that its current attempt has.
+        roomless: The servers that had no memory for it.
+        waited_for_memory: Whether it has waited for memory.
+        first_event_at: When the first event arrived that was passed on; None before.
+        expected: What the server of the current attempt is expected to read before;
+            None if the load of the other routers is not known.
     """
 
     connection: CallerConnection
@@ -150,6 +174,12 @@
     retry_after: Seconds | None = None
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     held: int = 0
+    need: MemoryNeed | None = None
+    room: MemoryRoom | None = None
+    roomless: list[BackendName] = field(factory=list)
+    waited_for_memory: bool = False
+    first_event_at: Seconds | None = None
+    expected: ExpectedRead | None = None
 
     def __attrs_post_init__(self) -> None:
         self.last_event = self.caller.resume_after
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -34,6 +34,8 @@
 from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
+from ebonyhold.gateway._load_parts import LoadParts, open_load
+from ebonyhold.gateway._memory_parts import MemoryParts, open_memory
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import TABLE as OBSERVATIONS_TABLE
 from ebonyhold.gateway._observations import WATCH_WAIT, Observations
@@ -86,7 +88,9 @@
         reach: Whether servers are reached from here, or by way of other gateways.
         relays: The gateways that reach servers while this one does not.
         streams: The gateways that keep which version began a stream.
+        load: What shares the load of servers with other gateways.
         flow: Bounds what is buffered for slow peers.
+        memory: What accounts for the memory of servers; None where that is not needed.
         draining: Whether the stop has begun.
     """
 
@@ -110,6 +114,8 @@
     relays: GatewayRelays = field(init=False)
     reach: Reachability = field(init=False)
     streams: GatewayStreams = field(init=False)
+    load: LoadParts = field(init=False)
+    memory: MemoryParts | None = field(init=False)
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
@@ -137,6 +143,13 @@
             self.update_fleet,
             relay_key=new_relay_key() if port else "",
         )
+        self.load = open_load(
+            platform,
+            self.routing,
+            self.presence,
+            lambda: self.current_rules(),
+            self.metrics,
+        )
         self.reach = Reachability(lambda: len(self.routing.backends.entries))
         self.peers = GatewayPeers(
             self.presence.peer_addresses, holders=lambda name: table.holders(name).names
@@ -177,8 +190,8 @@
         self.rules_watcher = Watcher(
             store,
             platform.rules_table,
-            self.routing.replace_rules,
-            self.routing.apply_rules,
+            self.load.replace_rules,
+            self.load.apply_rules,
             self.presence.count,
         )
         self.servers_watcher = Watcher(
@@ -205,11 +218,24 @@
             self.presence.count,
             WATCH_WAIT,
         )
+        self.memory = open_memory(
+            platform.settings,
+            self.incarnation,
+            self.routing.backends,
+            self.presence,
+            lambda: self.routing.rules,
+            self.peers,
+            lambda: self.draining,
+            self.metrics.registry,
+        )
 
     def update_fleet(self, fleet: Fleet) -> None:
         """Use a new list of the routers."""
         self.holder_table.update(fleet)
         self.routing.backends.shares.update(fleet)
+        if self.memory is not None:
+            self.memory.update_fleet(fleet)
+        self.load.exchange.review()
 
     async def run(self) -> int:
         """Serve until a signal or a fault stops the process.
@@ -234,8 +260,11 @@
             supervisor.start("treasury", self.grant_manager.run)
             supervisor.start("settlements", self.holders.run)
             supervisor.start("streams", self.streams.run)
+            self.load.start(supervisor)
             supervisor.start("expiry", self.expire_servers)
             supervisor.start("reclaim", self.reclaim)
+            if self.memory is not None:
+                self.memory.start(supervisor)
             self.start_listeners(tasks, supervisor)
         log.info("stopped", extra={"vm": settings.name, "status": supervisor.status})
         return supervisor.status
@@ -341,6 +370,7 @@
             prober.answer,
             relay.serve,
             self.streams,
+            self.memory.office if self.memory is not None else None,
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
@@ -420,7 +450,10 @@
         self.metrics.set_servers(self.routing.backends, now)
         self.metrics.set_tokens(self.grant_manager.grants.values())
         self.metrics.set_reach(self.reach, now)
+        self.load.exchange.set_gauges(now)
         self.metrics.set_flow(self.flow)
+        if self.memory is not None:
+            self.memory.set_gauges()
         self.metrics.loop_delay.set(self.pressure.detector.mean_delay)
         if self.pool is not None:
             self.metrics.connections.set(self.pool.opened)
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -160,6 +160,23 @@
             registry=self.registry,
         )
 
+        self.load_age = Gauge(
+            "ebonyhold_gateway_load_age_seconds",
+            "The age of what is known of other routers' load; infinite if unknown.",
+            registry=self.registry,
+        )
+        self.collects_load = Gauge(
+            "ebonyhold_gateway_collects_load",
+            "Whether this router adds up the load of its failure domain's routers.",
+            registry=self.registry,
+        )
+        self.load_datagrams = Counter(
+            "ebonyhold_gateway_load_datagrams_total",
+            "Datagrams about the load of servers, by what became of them.",
+            ("result",),
+            registry=self.registry,
+        )
+        self.datagrams_by_result: dict[str, Counter] = {}
         self.held_bytes = Gauge(
             "ebonyhold_gateway_held_bytes",
             "Bytes held of answers and of unfinished request bodies.",
@@ -178,6 +195,20 @@
             ("service",),
             registry=self.registry,
         )
+        self.reading_speed = Gauge(
+            "ebonyhold_gateway_reading_speed",
+            "Prompt tokens that a server reads per second, as observed, by service.",
+            ("service",),
+            registry=self.registry,
+        )
+
+    def count_datagram(self, result: str) -> None:
+        """Count a datagram about the load of servers by what became of it."""
+        counter = self.datagrams_by_result.get(result)
+        if counter is None:
+            counter = self.load_datagrams.labels(result)
+            self.datagrams_by_result[result] = counter
+        counter.inc()
 
     def count_slow_caller(self, event: FlowEvent) -> None:
         """Count a slow caller by what was done."""
@@ -223,6 +254,8 @@
             if withheld is not None:
                 cause = withheld.cause.value
                 self.servers_withheld.labels(backend.service, cause).inc()
+        for service, reading in servers.readings.services.items():
+            self.reading_speed.labels(service).set(reading.speed or 0.0)
         for service, _ in versions:
             self.versions.labels(service).inc()
 
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -225,6 +225,39 @@
             AFTER_PAUSE,
             "a stream of which nobody knows is refused while several versions serve",
         ),
+        TaskRule(
+            "load exchange",
+            "this router does not know what other routers have at the servers, and "
+            "they do not know what it has there",
+            AFTER_PAUSE,
+            "servers are chosen by this router's own load; if its port is taken, "
+            "restarts are rare",
+            port_policy=RETRY_RARELY,
+        ),
+        TaskRule(
+            "server reports",
+            "requests that no router reports are missing in the totals",
+            AFTER_PAUSE,
+            "they are few, and the next reports state them again",
+        ),
+        TaskRule(
+            "memory leases",
+            "requests that wait here for memory of a server get no answer",
+            AFTER_PAUSE,
+            "the routers that ask give up in time, and leases expire",
+        ),
+        TaskRule(
+            "memory returns",
+            "memory of servers that is not used any more stays leased until it expires",
+            AFTER_PAUSE,
+            "unconfirmed returns are sent again",
+        ),
+        TaskRule(
+            "memory expiry",
+            "memory of requests that broke off stays counted in the own share",
+            AFTER_PAUSE,
+            "the next request at the same server frees what has expired",
+        ),
         TaskRule(
             "lent holds",
             "expired holds of killed routers are not ended",
