Mend what two reviews of shared load, server memory and flow control found

- Connections that were open before a partition need memory like all direct ones.
- A wait for memory is no reading time, and observed speeds count for 20 s: early refusal would go on by the speed of servers that were slow before.
- A part counts as sent to a server once the request is about to be, not when the server is chosen, and a server that lacks memory is avoided also without that.
- Sharing of load does not end while servers are replaced, nor begin by an early count.
- The task of presence rows does not loop while the process stops; ports above 65,535 and servers that hang do not disturb the exchange and the reports of others.
- Failures of a partitioned router, and of a relayed request at its sender, are not counted for all.
- Lenders that nobody has asked keep their role when the fleet changes; waiting keeps to servers that are not ejected, and suspect requests apart.
- Requests between a quarter and half of a server's memory are not refused for good.

Found by reading.

--- a/ebonyhold/coordination/__init__.pyi
+++ b/ebonyhold/coordination/__init__.pyi
@@ -247,6 +247,7 @@
     RetryBudget,
 )
 from ._router_memory import (
+    OWN_SHARE,
     RouterMemory,
     own_share,
 )
@@ -341,6 +342,7 @@
     "MAX_PARTS",
     "MAX_REPEATS",
     "MIN_UNANSWERED",
+    "OWN_SHARE",
     "REFUND_PREFIX",
     "REJECT_AFTER",
     "REQUEST_PREFIX",
--- a/ebonyhold/coordination/_load_scope.py
+++ b/ebonyhold/coordination/_load_scope.py
@@ -48,11 +48,13 @@
     Attributes:
         max_routers: The highest number of routers so far.
         max_servers: The highest number of listed servers so far.
+        many: Whether there have been enough routers for each server.
         services: The services for which load is shared.
     """
 
     max_routers: int = 0
     max_servers: int = 0
+    many: bool = False
     services: frozenset[str] = frozenset()
 
     def update(
@@ -60,19 +62,21 @@
     ) -> bool:
         """Consider the configuration and the fleet; return whether `services` changed.
 
-        The counts are kept at their highest, so that sharing does not end when VMs are
-        lost, which is when it is needed most.
+        The counts are kept at their highest, so that a loss of servers does not begin
+        sharing. Once begun, it does not end when VMs are lost, which is when it is
+        needed most, nor when servers are replaced while the earlier ones are listed.
 
         Args:
             services: All services of the configuration.
-            routers: The number of routers counted now; 0 if unknown.
+            routers: The number of routers counted now; 0 if it is not reliable yet.
             servers: The number of servers listed now; 0 if unknown.
         """
         self.max_routers = max(self.max_routers, routers)
         self.max_servers = max(self.max_servers, servers)
         known = list(services)
         bound = any(service.is_bound_by_memory for service in known)
-        many = 0 < self.max_servers * ROUTERS_PER_SERVER <= self.max_routers
-        names = (service.name for service in known) if bound and many else ()
+        if bound and 0 < self.max_servers * ROUTERS_PER_SERVER <= self.max_routers:
+            self.many = True
+        names = (service.name for service in known) if bound and self.many else ()
         before, self.services = self.services, frozenset(names)
         return self.services != before
--- a/ebonyhold/coordination/_memory_lenders.py
+++ b/ebonyhold/coordination/_memory_lenders.py
@@ -134,6 +134,11 @@
             # Others may have left this router out meanwhile, and lent in its place.
             self.since.clear()
         if changed:
+            if not lapsed:
+                # Roles that nobody has asked for are as old as the last change.
+                for server, lenders in self.chosen.items():
+                    if self.router in lenders:
+                        self.since.setdefault(server, self.changed_at)
             before, self.fleet = self.since, dict(fleet)
             self.chosen.clear()
             # The role in servers that are not named here is computed when it is needed.
--- a/ebonyhold/coordination/_server_evidence.py
+++ b/ebonyhold/coordination/_server_evidence.py
@@ -99,6 +99,10 @@
         self.attempts += 1.0
         self.failures += failed
 
+    def forget_ends(self) -> None:
+        """Forget how attempts ended, as this router's link was the cause."""
+        self.attempts = self.failures = 0.0
+
     def share(
         self, requests: int, unread: Tokens, resident: Tokens, now: Seconds
     ) -> ServerShare | None:
--- a/ebonyhold/experiments/shared_load/_run.py
+++ b/ebonyhold/experiments/shared_load/_run.py
@@ -188,6 +188,8 @@
             entry = entry or choose(request, entries, choice.domain, now)
             server = int(entry.backend.name[1:])
         entry = entries[server]
+        if self.policy == "new":
+            choice.record_sent(request, name, entry, now)
         entry.in_flight += 1
         work = entry.work.begin(request, now)
         own = self.exchange.own[arrival.router][server]
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -202,7 +202,7 @@
             raise BackendLostError("a success without the server's response stamp")
         if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
             await self.delivery(channel).relay_stream(head, work)
-            self.backends.succeeded(self.entry)
+            self.backends.succeeded(self.entry, self.relay is not None)
             result = AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
             return result, self.finish(channel, head)
         if head.status < 500:
@@ -281,7 +281,7 @@
             self.exchange.tried.append(self.entry.backend.name)
             return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
         if declined.result is RelayResult.NOT_SENT:
-            self.backends.lost(self.entry, anyio.current_time())
+            self.backends.lost(self.entry, anyio.current_time(), relayed=True)
             return AttemptResult(AttemptEnd.NOT_SENT, reason=reason)
         if self.relay is not None:
             self.paths.avoid(self.relay)
@@ -315,10 +315,11 @@
         exchange = self.exchange
         if head.status >= 500:
             if not facts.rest:
-                self.backends.failed(self.entry, anyio.current_time())
+                relayed = self.relay is not None
+                self.backends.failed(self.entry, anyio.current_time(), relayed)
             reason = f"answered {head.status}"
             return AttemptResult(AttemptEnd.FAILED, answer, reason), kept
-        self.backends.succeeded(self.entry)
+        self.backends.succeeded(self.entry, self.relay is not None)
         if exchange.connection.started:
             raise BackendLostError(f"status {head.status} to a resumed stream")
         await exchange.deliver(answer)
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -84,21 +84,25 @@
         if self.fleet_load.is_on(entry.backend.service):
             entry.evidence.record_end(failed, now)
 
-    def lost(self, entry: BackendEntry, now: Seconds) -> None:
+    def lost(self, entry: BackendEntry, now: Seconds, relayed: bool = False) -> None:
         """Count a failed connection, if the server's run is still listed."""
-        self.record_attempt(entry, True, now)
+        if not relayed:
+            # A relay records for all routers what it sees itself.
+            self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.lost(entry.backend.name, now)
 
-    def failed(self, entry: BackendEntry, now: Seconds) -> None:
+    def failed(self, entry: BackendEntry, now: Seconds, relayed: bool = False) -> None:
         """Count an error or a lost answer, if the server's run is still listed."""
-        self.record_attempt(entry, True, now)
+        if not relayed:
+            # A relay records for all routers what it sees itself.
+            self.record_attempt(entry, True, now)
         if entry.listed:
             self.ejector.failed(entry.backend.name, now)
 
-    def succeeded(self, entry: BackendEntry) -> None:
+    def succeeded(self, entry: BackendEntry, relayed: bool = False) -> None:
         """Clear the counted failures, if the server's run is still listed."""
-        if self.fleet_load.is_on(entry.backend.service):
+        if not relayed and self.fleet_load.is_on(entry.backend.service):
             entry.evidence.record_end(False, anyio.current_time())
         self.brittle.record_answer(entry)
         if entry.listed:
@@ -154,6 +158,8 @@
     def forget_failures(self) -> None:
         """Forget all failures, which were this router's own and not the servers'."""
         self.ejector.records.clear()
+        for entry in self.entries.values():
+            entry.evidence.forget_ends()
 
     def set_limit(self, entry: BackendEntry, limit: float | None, now: Seconds) -> None:
         """Store the limit that a server's answer stated, and log a change."""
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -113,7 +113,7 @@
             suspect = known.exists or bool(exchange.losses)
             entry = self.next_entry(exchange, suspect)
             if entry is Refusal.MEMORY_FULL:
-                entry = await self.wait_for_memory(exchange)
+                entry = await self.wait_for_memory(exchange, suspect)
             elif isinstance(entry, BackendEntry) and not await self.get_room(
                 exchange, entry
             ):
@@ -131,6 +131,9 @@
                 self.streams,
                 suspect,
             )
+            self.shared.record_sent(
+                exchange.caller, exchange.match.service, entry, anyio.current_time()
+            )
             if not exchange.reasons:
                 self.retries.request(exchange.match.service, anyio.current_time())
             self.log_dispatch(exchange, entry)
@@ -169,18 +172,27 @@
 
         Where another router is to send the request, that one gets the memory.
         """
-        if exchange.need is None or self.paths.uses_relays:
+        if exchange.need is None or self.paths.goes_by_relay(entry.backend):
             return True
         return await self.rooms.get(exchange, entry)
 
-    async def wait_for_memory(self, exchange: Exchange) -> BackendEntry | Refusal:
+    async def wait_for_memory(
+        self, exchange: Exchange, suspect: bool
+    ) -> BackendEntry | Refusal:
         """Wait for memory at the first server in order; return it, if it may be used.
 
         Memory at a server that must not get the request any more is given back.
+
+        Args:
+            exchange: The request.
+            suspect: Whether it may crash the server.
         """
+        # The time of the wait says nothing about how fast a server reads.
+        exchange.expected = None
         short = self.rooms.short(exchange)
         if short and self.rooms.may_wait(exchange):
-            entry = choose(exchange.caller, short, self.domain, anyio.current_time())
+            entries = with_fewest_suspects(short) if suspect else short
+            entry = choose(exchange.caller, entries, self.domain, anyio.current_time())
             if await self.rooms.get(exchange, entry, wait=True):
                 now, version = anyio.current_time(), exchange.version
                 if self.backends.withheld(entry, now, version=version) is None:
@@ -249,6 +261,7 @@
             exchange: The request.
             suspect: Whether it may crash the server.
         """
+        exchange.expected = None
         if self.crashes.is_rejected(exchange):
             return Refusal.CRASHES_SERVERS
         now = anyio.current_time()
@@ -275,12 +288,12 @@
             if wait is not None:
                 exchange.retry_after = min(max(wait, MIN_LIMIT_WAIT), MAX_LIMIT_WAIT)
             return self.no_server_left(exchange)
+        allowed = entries
         if suspect:
             entries = with_fewest_suspects(entries)
         shared = self.shared.choose(exchange.caller, service, entries, now, time.time())
-        exchange.expected = None
         if shared is not None:
-            if self.refuses_early(exchange, shared, entries, now):
+            if self.refuses_early(exchange, shared, allowed, now):
                 return Refusal.SERVERS_BUSY
             exchange.expected = ExpectedRead(shared.work, now)
             return shared.entry
@@ -298,7 +311,7 @@
         Only requests that no server has got yet are refused.
         """
         reading = self.backends.readings.of(exchange.match.service)
-        speed, time_left = reading.speed, exchange.deadline - now
+        speed, time_left = reading.speed(now), exchange.deadline - now
         if exchange.sends or speed is None or chosen.work <= speed * time_left:
             return False
         caller = exchange.caller
--- a/ebonyhold/forwarding/_early_refusal.py
+++ b/ebonyhold/forwarding/_early_refusal.py
@@ -28,6 +28,10 @@
 MAX_SAMPLES = 64
 """Number of observations kept; a router of a large fleet makes some 3 per second."""
 
+SAMPLES_LAST: Seconds = 20.0
+"""Time for which an observation counts. After servers were slow, refused requests give
+no observations that they are not any more."""
+
 MIN_TOKENS: Tokens = 2_048
 """Fewest tokens of an observation; with fewer, the time of a step outweighs them."""
 
@@ -130,12 +134,14 @@
     """How fast the servers of a service read prompts, as this router observes it.
 
     Attributes:
-        speeds: The last observed speeds, in tokens per second.
+        speeds: When the last speeds were observed, and each in tokens per second.
         served: When requests had their first event in RATE_WINDOW, in seconds.
         refused: When requests were refused early in RATE_WINDOW, in seconds.
     """
 
-    speeds: deque[float] = field(factory=lambda: deque(maxlen=MAX_SAMPLES))
+    speeds: deque[tuple[Seconds, float]] = field(
+        factory=lambda: deque(maxlen=MAX_SAMPLES)
+    )
     served: deque[Seconds] = field(factory=lambda: deque(maxlen=MAX_COUNTED))
     refused: deque[Seconds] = field(factory=lambda: deque(maxlen=MAX_COUNTED))
 
@@ -149,14 +155,16 @@
         """
         self.served.append(now)
         if tokens >= MIN_TOKENS and elapsed > 0.0:
-            self.speeds.append(tokens / elapsed)
+            self.speeds.append((now, tokens / elapsed))
 
-    @property
-    def speed(self) -> float | None:
-        """Prompt tokens that a server reads per second; None if it is not known."""
+    def speed(self, now: Seconds) -> float | None:
+        """Return the prompt tokens that a server reads per second; None if unknown."""
+        while self.speeds and self.speeds[0][0] <= now - SAMPLES_LAST:
+            self.speeds.popleft()
         if len(self.speeds) < MIN_SAMPLES:
             return None
-        return sorted(self.speeds)[int(len(self.speeds) * SPEED_QUANTILE)]
+        speeds = sorted(speed for _, speed in self.speeds)
+        return speeds[int(len(speeds) * SPEED_QUANTILE)]
 
     def refuse(self, early: EarlyRefusal, now: Seconds, chance: float) -> Seconds:
         """Count an early refusal, and return when its caller may return, in seconds."""
--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -37,6 +37,17 @@
         """Whether requests are sent by way of other routers now."""
         return self.reach.state is Reach.PARTITIONED and self.relays is not None
 
+    def goes_by_relay(self, backend: Backend) -> bool:
+        """Return whether a request to a server would go by way of another router.
+
+        Connections that were open before a partition may still work.
+        """
+        if not self.uses_relays:
+            return False
+        return self.reach.silent or not self.pool.has_unused(
+            backend.name, backend.address
+        )
+
     async def open(self, backend: Backend) -> Path:
         """Return a way to a server; the caller gives it back with `put`, or closes it.
 
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -127,6 +127,16 @@
             self.tasks.start_soon(channel.close)
         return None
 
+    def has_unused(self, name: BackendName, address: tuple[str, int]) -> bool:
+        """Return whether `take` would find a usable pooled connection."""
+        now = anyio.current_time()
+        return any(
+            channel.is_idle()
+            and now < channel.usable_until
+            and channel.address == address
+            for channel in self.unused.get(name, ())
+        )
+
     async def put(self, name: BackendName, channel: Channel) -> None:
         """Add a connection to the pool, or close it if MAX_UNUSED are pooled."""
         channels = self.unused.setdefault(name, [])
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -180,7 +180,7 @@
         memory, room, ended = self.backends.memory, None, False
         need = memory.need(entry.backend.service, request.caller)
         if need is not None:
-            room = await memory.get(entry, RoomRequest(need, deadline))
+            room = await memory.get(entry, RoomRequest(need, deadline - END_MARGIN))
             if room is None:
                 raise RelayDeclinedError(RelayResult.WITHHELD, Cause.MEMORY.value)
         try:
--- a/ebonyhold/forwarding/_rooms.py
+++ b/ebonyhold/forwarding/_rooms.py
@@ -83,7 +83,7 @@
         if need is None:
             return []
         service, version = exchange.match.service, exchange.version
-        return [
+        found = [
             entry
             for entry in self.backends.entries.values()
             if entry.backend.service == service
@@ -92,3 +92,5 @@
             if entry.backend.name in exchange.roomless
             or self.backends.memory.wait(entry, need, now)
         ]
+        ejected = self.backends.ejected(found, now)
+        return [e for e in found if e.backend.name not in ejected] or found
--- a/ebonyhold/forwarding/_shared_choice.py
+++ b/ebonyhold/forwarding/_shared_choice.py
@@ -61,7 +61,7 @@
     margin: Tokens = 5_000
     running: float = 0.2
     resident: float = 0.02
-    overfull: float = 1.0
+    overfull: float = 4.0
     queued: Tokens = 2_000
 
 
@@ -176,7 +176,7 @@
 def parts_of(costs: Sequence[float], amount: float) -> list[float]:
     """Return how an amount of work is distributed so that the final costs are equal.
 
-    RatedServers that cost more than the level that the others reach get nothing.
+    Candidates that cost more than the level that the others reach get nothing.
 
     >>> parts_of([100, 0, 1000], 300)
     [100.0, 200.0, 0.0]
@@ -242,14 +242,25 @@
         if slow is not None:
             load = self.loads([slow], now)
             return RatedServer(slow, load[0], 0, 0.0) if load else None
-        chosen = self.draw(found, self.weights.spread)
-        # The other routers send the part there, too: always to the first server, and to
-        # a further one while the first ones are busy. So the part is recorded as sent
-        # before the request is, and the request's unread tokens are counted without it.
-        # Counted with it, the figures of a hot part's servers would be three times as
-        # high as the work there.
-        chosen.entry.work.record_sent(sharing_key(request), now)
-        return chosen
+        return self.draw(found, self.weights.spread)
+
+    def record_sent(
+        self,
+        request: CallerRequest,
+        name: ServiceName,
+        entry: BackendEntry,
+        now: Seconds,
+    ) -> None:
+        """Record that a request's shared part is sent to a server, before it is.
+
+        The other routers send the part there, too: always to the first server, and to a
+        further one while the first ones are busy. So the request's unread tokens are
+        counted without it. Counted with it, the figures of a hot part's servers would
+        be three times as high as the work there.
+        """
+        key = sharing_key(request)
+        if key and self.backends.fleet_load.is_on(name):
+            entry.work.record_sent(key, now)
 
     def rate_by_prompt(
         self,
--- a/ebonyhold/forwarding/_slow_readers.py
+++ b/ebonyhold/forwarding/_slow_readers.py
@@ -56,6 +56,9 @@
     async def look(self, now: Seconds) -> None:
         """Disconnect the callers that are stalled."""
         for connection, write in list(self.flow.writes.items()):
+            if self.flow.writes.get(connection) is not write:
+                # It has ended while another connection was reset.
+                continue
             try:
                 acknowledged = acknowledged_bytes(connection.stream)
             except OSError:
--- a/ebonyhold/gateway/_datagrams.py
+++ b/ebonyhold/gateway/_datagrams.py
@@ -15,17 +15,22 @@
 """
 
 
+MAX_PORT = 65_535
+"""The highest UDP port; sending to a higher one raises no OSError."""
+
+
 def read_address(text: str) -> tuple[str, int] | None:
-    """Return the address of a router; None if it is not numeric.
+    """Return the address of a router; None if it is malformed or not numeric.
 
     A name would have to be looked up, which could block all requests.
     """
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host)
-        return host, int(port)
+        number = int(port)
     except ValueError:
         return None
+    return (host, number) if 0 < number <= MAX_PORT else None
 
 
 def open_socket(address: tuple[str, int]) -> socket.socket:
--- a/ebonyhold/gateway/_load_exchange.py
+++ b/ebonyhold/gateway/_load_exchange.py
@@ -180,7 +180,7 @@
         rules = self.rules()
         services = rules.services.values() if rules is not None else ()
         sizes = [ServiceSize(one.name, one.slots, one.memory) for one in services]
-        routers = self.presence.count() if self.presence.counts else 0
+        routers = self.presence.count() if self.presence.settled else 0
         servers = len(self.backends.entries)
         if self.address[1] and self.scope.update(sizes, routers, servers):
             fields = {"routers": self.scope.max_routers, "servers": servers}
@@ -356,4 +356,4 @@
         """Set the gauges for the age of the total and for whether this one collects."""
         age = self.sharing.view.age(now)
         self.metrics.load_age.set(math.inf if age is None else age)
-        self.metrics.collects_load.set(self.sharing.collects)
+        self.metrics.collects_load.set(self.collects)
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -255,7 +255,7 @@
                 cause = withheld.cause.value
                 self.servers_withheld.labels(backend.service, cause).inc()
         for service, reading in servers.readings.services.items():
-            self.reading_speed.labels(service).set(reading.speed or 0.0)
+            self.reading_speed.labels(service).set(reading.speed(now) or 0.0)
         for service, _ in versions:
             self.versions.labels(service).inc()
 
--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -225,6 +225,7 @@
 
     async def count_routers(self) -> None:
         """Write this router's row and read those of all routers."""
+        self.changed = anyio.Event()
         if self.leaving:
             # If the removed row were written again, the others would go on counting
             # this router.
@@ -242,7 +243,6 @@
             lends_memory=lends_memory and bool(self.address),
             has_leases=has_leases,
         )
-        self.changed = anyio.Event()
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
         rows = await self.store.scan(f"{TABLE}//")
--- a/ebonyhold/gateway/_server_memory.py
+++ b/ebonyhold/gateway/_server_memory.py
@@ -10,6 +10,7 @@
 
 from ebonyhold.coordination import (
     LEASE_MARGIN,
+    OWN_SHARE,
     LeaseOutcome,
     MemoryNeed,
     RouterMemory,
@@ -76,12 +77,17 @@
         return MemoryNeed(max(0, own), shared)
 
     def is_too_large(self, service: ServiceName, need: MemoryNeed) -> bool:
-        """Return whether neither a lender nor the own share can hold a request."""
+        """Return whether no share of a server's memory can hold a request."""
         known = self.roles.backends.services.get(service)
         if known is None:
             return False
-        lent = self.roles.lent_share(known.memory)
-        return need.total > max(lent, self.roles.own_size(known.memory))
+        shares = [
+            self.roles.lent_share(known.memory),
+            self.roles.own_size(known.memory),
+        ]
+        if self.roles.backends.fleet_load.is_on(service):
+            shares.append(int(known.memory * OWN_SHARE))
+        return need.total > max(shares)
 
     def fits_common(self, entry: BackendEntry, need: MemoryNeed, now: Seconds) -> bool:
         """Return whether a request fits into the common half of a server's memory.
--- a/ebonyhold/gateway/_server_reports.py
+++ b/ebonyhold/gateway/_server_reports.py
@@ -61,9 +61,12 @@
         """
         await started.wait()
         while True:
-            await anyio.sleep(READ_INTERVAL)
+            next_at = anyio.current_time() + READ_INTERVAL
             if self.target and self.is_wanted():
-                await self.read_all()
+                # Otherwise one server that hangs would delay the reports of all.
+                with anyio.move_on_after(TIMEOUT):
+                    await self.read_all()
+            await anyio.sleep_until(next_at)
 
     def servers(self) -> list[BackendEntry]:
         """Return the servers whose reports are read.
--- a/tests/coordination/test_load_scope.py
+++ b/tests/coordination/test_load_scope.py
@@ -26,6 +26,10 @@
         ((TEXT_A, PLAIN), [(90, 0)], set()),
         # Half of the fleet is lost.
         ((TEXT_A, PLAIN), [(90, 33), (45, 33)], {"text", "plain"}),
+        # Servers are replaced, and the earlier ones are listed still.
+        ((TEXT_A, PLAIN), [(90, 33), (90, 63)], {"text", "plain"}),
+        # The routers are not counted reliably yet.
+        ((TEXT_A, PLAIN), [(0, 10), (60, 33)], set()),
         # All servers but a few are gone for a while.
         ((TEXT_A, PLAIN), [(23, 33), (23, 3)], set()),
     ],
--- a/tests/forwarding/test_early_refusal.py
+++ b/tests/forwarding/test_early_refusal.py
@@ -11,6 +11,7 @@
 from ebonyhold.forwarding._early_refusal import (
     MAX_RETRY,
     MIN_SAMPLES,
+    SAMPLES_LAST,
     EarlyRefusal,
     ServiceReading,
     check_early,
@@ -107,10 +108,20 @@
     """Guards against refusals by a speed from few, short or late observations."""
     reading = ServiceReading()
     for number in range(MIN_SAMPLES):
-        reading.observe(100, 0.05, number)
-        assert reading.speed is None
-        reading.observe(RATE, 1.0 if number % 4 else 3.0, number)
-    assert reading.speed == RATE
+        now = number / 2
+        reading.observe(100, 0.05, now)
+        assert reading.speed(now) is None
+        reading.observe(RATE, 1.0 if number % 4 else 3.0, now)
+    assert reading.speed(now) == RATE
+
+
+def test_speed_is_unknown_after_a_while_without_observations() -> None:
+    """Guards against refusals by the speed of servers that were slow before."""
+    reading = ServiceReading()
+    for _ in range(MIN_SAMPLES):
+        reading.observe(RATE, 9.0, 5.0)
+    assert reading.speed(5.0 + SAMPLES_LAST - 0.1) is not None
+    assert reading.speed(5.0 + SAMPLES_LAST) is None
 
 
 async def streams(server: Server, stream: SocketStream, head: str) -> None:
@@ -171,7 +182,7 @@
             await ask(fleet, 3_000, on)
             seen = list(fleet.forwarder.backends.readings.of("svc").speeds)
         assert len(seen) == MIN_SAMPLES + expected
-        assert not on or 20_000 < seen[-1] < 60_000
+        assert not on or 20_000 < seen[-1][1] < 60_000
 
 
 async def plain(server: Server, stream: SocketStream, head: str) -> None:
