Name the parts that lend memory and check slow readers plainly

Review of wording: LeaseServer and RoomAllocator, checks instead of looks. No change of behaviour; tests of memory, flow control, holds and the golden files pass.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -27,7 +27,7 @@
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
-from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomKeeper
+from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomAllocator
 from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
 from ebonyhold.forwarding._streams import (
     StreamVersions,
@@ -163,9 +163,9 @@
                 return refusal
 
     @property
-    def rooms(self) -> RoomKeeper:
+    def rooms(self) -> RoomAllocator:
         """What gets and frees the memory of requests at servers."""
-        return RoomKeeper(self.backends)
+        return RoomAllocator(self.backends)
 
     async def get_room(self, exchange: Exchange, entry: BackendEntry) -> bool:
         """Get memory for an attempt at a server; return whether it may be made.
--- a/ebonyhold/forwarding/_flow_control.py
+++ b/ebonyhold/forwarding/_flow_control.py
@@ -43,7 +43,7 @@
 Servers abort an answer that is not read for some seconds.
 """
 
-MAX_LOOK: Seconds = 0.5
+MAX_CHECK: Seconds = 0.5
 """Longest time between two looks at a write that counts as time without progress.
 
 The time in which this process was frozen, and could not write, must not count.
@@ -148,7 +148,7 @@
         if acknowledged != self.acknowledged:
             self.acknowledged, self.waited = acknowledged, 0.0
         else:
-            self.waited += min(now - self.looked_at, MAX_LOOK)
+            self.waited += min(now - self.looked_at, MAX_CHECK)
         self.looked_at = now
         return self.waited
 
--- a/ebonyhold/forwarding/_rooms.py
+++ b/ebonyhold/forwarding/_rooms.py
@@ -20,7 +20,7 @@
 
 
 @define(eq=False)
-class RoomKeeper:
+class RoomAllocator:
     """Gets and frees the room of the requests that callers send to this router.
 
     Attributes:
--- a/ebonyhold/forwarding/_slow_readers.py
+++ b/ebonyhold/forwarding/_slow_readers.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-LOOK_INTERVAL: Seconds = 0.25
+CHECK_INTERVAL: Seconds = 0.25
 """Time between two looks at the unfinished writes."""
 
 BYTES_ACKED = 120
@@ -39,7 +39,7 @@
 
 @define(eq=False)
 class SlowReaders:
-    """Looks at unfinished writes, and ends the connections of stalled callers.
+    """Checks unfinished writes, and ends the connections of stalled callers.
 
     Attributes:
         flow: The unfinished writes.
@@ -48,12 +48,12 @@
     flow: FlowControl[CallerConnection]
 
     async def run(self) -> None:
-        """Look at the writes periodically; never return."""
+        """Check the writes periodically; never return."""
         while True:
-            await anyio.sleep(LOOK_INTERVAL)
-            await self.look(anyio.current_time())
+            await anyio.sleep(CHECK_INTERVAL)
+            await self.check(anyio.current_time())
 
-    async def look(self, now: Seconds) -> None:
+    async def check(self, now: Seconds) -> None:
         """Disconnect the callers that are stalled."""
         for connection, write in list(self.flow.writes.items()):
             if self.flow.writes.get(connection) is not write:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -370,7 +370,7 @@
             prober.answer,
             relay.serve,
             self.streams,
-            self.memory.office if self.memory is not None else None,
+            self.memory.lease_server if self.memory is not None else None,
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -21,7 +21,7 @@
 from ebonyhold.gateway._memory import (
     LEASES_TARGET,
     RETURNS_TARGET,
-    LendingOffice,
+    LeaseServer,
     MemoryReturns,
     ReturnsAnswer,
 )
@@ -234,7 +234,7 @@
         answer_reach: Answers which servers this gateway reaches.
         relay: Serves a request that this gateway is to send to a server.
         streams: Keeps streams for other gateways.
-        office: Lends memory of servers to other gateways.
+        lease_server: Lends memory of servers to other gateways.
     """
 
     transfers: TransferHandler
@@ -243,7 +243,7 @@
     answer_reach: Callable[[ReachQuestion], Awaitable[ReachAnswer]] | None = None
     relay: Serve | None = None
     streams: GatewayStreams | None = None
-    office: LendingOffice | None = None
+    lease_server: LeaseServer | None = None
 
     async def serve(
         self, connection: CallerConnection, head: RequestHead, body: bytes
@@ -267,10 +267,10 @@
                 answer = self.streams.record(read_message(body, BegunStreams))
             elif head.target == QUESTIONS_TARGET and self.streams is not None:
                 answer = self.streams.answer(read_message(body, StreamQuestion))
-            elif head.target == LEASES_TARGET and self.office is not None:
-                answer = await self.office.lend(read_message(body, WantedLease))
-            elif head.target == RETURNS_TARGET and self.office is not None:
-                self.office.give_back(read_message(body, MemoryReturns).leases)
+            elif head.target == LEASES_TARGET and self.lease_server is not None:
+                answer = await self.lease_server.lend(read_message(body, WantedLease))
+            elif head.target == RETURNS_TARGET and self.lease_server is not None:
+                self.lease_server.give_back(read_message(body, MemoryReturns).leases)
                 answer = ReturnsAnswer(confirmed=True)
             else:
                 await self.transfers.serve(connection, head, body)
--- a/ebonyhold/gateway/_memory.py
+++ b/ebonyhold/gateway/_memory.py
@@ -109,7 +109,7 @@
 
 
 @define(eq=False)
-class LendingOffice:
+class LeaseServer:
     """Decides on the leases that other gateways and this one ask this one for.
 
     Attributes:
@@ -206,7 +206,7 @@
     Attributes:
         router: This gateway's VM.
         peers: Sends messages to the other gateways.
-        office: Decides where this gateway is the lender itself.
+        lease_server: Decides where this gateway is the lender itself.
         count: Called with the outcome of each request for a lease.
         pending: When each lease that is not returned yet ended, by lender.
         due: Set when there are leases to return.
@@ -215,7 +215,7 @@
 
     router: str
     peers: GatewayPeers
-    office: LendingOffice
+    lease_server: LeaseServer
     count: Callable[[LeaseOutcome], None] = lambda outcome: None
     pending: dict[str, dict[str, Seconds]] = field(factory=dict)
     due: anyio.Event = field(factory=anyio.Event)
@@ -224,7 +224,7 @@
     async def ask(self, lender: str, wanted: WantedLease) -> LeaseAnswer:
         """Request a lease, and count the outcome; UNAVAILABLE without an answer."""
         if lender == self.router:
-            answer = await self.office.lend(wanted)
+            answer = await self.lease_server.lend(wanted)
         else:
             answer = await self.request(lender, wanted)
         self.count(answer.outcome)
@@ -247,7 +247,7 @@
             )
         except (BackendLostError, MalformedMessageError) as error:
             fields: dict[str, object] = {"peer": lender, "detail": str(error)}
-            self.office.lines.write("lender silent", fields)
+            self.lease_server.lines.write("lender silent", fields)
         finally:
             if answer is None:
                 self.give_back(lender, wanted.lease)
@@ -266,7 +266,7 @@
             delay: How long to wait before it is returned.
         """
         if lender == self.router and not delay:
-            self.office.give_back([lease])
+            self.lease_server.give_back([lease])
             return
         ended_at = anyio.current_time() + delay
         self.pending.setdefault(lender, {})[lease] = ended_at
@@ -301,7 +301,7 @@
         ended = [lease for lease, ended_at in pending.items() if ended_at <= now]
         confirmed = False
         if lender == self.router:
-            self.office.give_back(ended)
+            self.lease_server.give_back(ended)
             confirmed = True
         elif ended and self.peers.is_available(lender, now):
             message = MemoryReturns(ended)
--- a/ebonyhold/gateway/_memory_parts.py
+++ b/ebonyhold/gateway/_memory_parts.py
@@ -9,7 +9,7 @@
 
 from ebonyhold.coordination import LeaseOutcome, LenderView
 from ebonyhold.forwarding import BackendTable, Ruleset
-from ebonyhold.gateway._memory import LeaseClient, LendingOffice
+from ebonyhold.gateway._memory import LeaseClient, LeaseServer
 from ebonyhold.gateway._memory_roles import MemoryRoles
 from ebonyhold.gateway._presence import Presence
 from ebonyhold.gateway._server_memory import GatewayMemory
@@ -52,14 +52,14 @@
 
     Attributes:
         roles: The own shares and the lenders.
-        office: Lends memory.
+        lease_server: Lends memory.
         client: Asks for leases.
         memory: Gets room for requests.
         metrics: Their metrics.
     """
 
     roles: MemoryRoles
-    office: LendingOffice
+    lease_server: LeaseServer
     client: LeaseClient
     memory: GatewayMemory
     metrics: MemoryMetrics = field()
@@ -70,7 +70,7 @@
 
     def start(self, supervisor: Supervisor) -> None:
         """Start the tasks."""
-        supervisor.start("memory leases", self.office.run)
+        supervisor.start("memory leases", self.lease_server.run)
         supervisor.start("memory returns", self.client.run)
         supervisor.start("memory expiry", self.memory.run)
 
@@ -80,8 +80,8 @@
         self.metrics.tokens.labels("common").set(used.common_tokens())
         self.metrics.tokens.labels("own").set(used.used())
         self.metrics.tokens.labels("leased").set(used.leased_tokens())
-        self.metrics.tokens.labels("lent").set(self.office.lender.lent)
-        self.metrics.waiting.set(self.office.lender.waiting)
+        self.metrics.tokens.labels("lent").set(self.lease_server.lender.lent)
+        self.metrics.waiting.set(self.lease_server.lender.waiting)
 
 
 def open_memory(
@@ -104,9 +104,9 @@
     view = LenderView(settings.name, settings.domain)
     roles = MemoryRoles(backends, presence, rules, view)
     metrics = MemoryMetrics(registry)
-    office = LendingOffice(roles, closing)
-    client = LeaseClient(settings.name, peers, office, metrics.count)
+    lease_server = LeaseServer(roles, closing)
+    client = LeaseClient(settings.name, peers, lease_server, metrics.count)
     memory = GatewayMemory(incarnation, roles, client)
     backends.memory = memory
     presence.memory_state = lambda: (not closing(), roles.has_leases)
-    return MemoryParts(roles, office, client, memory, metrics)
+    return MemoryParts(roles, lease_server, client, memory, metrics)
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -13,7 +13,7 @@
 from ebonyhold.coordination import LeaseOutcome, MemoryNeed, WantedLease
 from ebonyhold.forwarding import CallerLimits, CallerListener
 from ebonyhold.gateway import GatewayPeers, PeerHandler, TransferHandler
-from ebonyhold.gateway._memory import LeaseClient, LendingOffice
+from ebonyhold.gateway._memory import LeaseClient, LeaseServer
 from ebonyhold.misc import free_port
 from ebonyhold.prepaid import RemoteHolds
 from tests.gateway.test_holds import wait_until
@@ -56,44 +56,44 @@
 @asynccontextmanager
 async def lending(
     lends: bool = True, older: bool = False
-) -> AsyncIterator[tuple[LeaseClient, LendingOffice]]:
+) -> AsyncIterator[tuple[LeaseClient, LeaseServer]]:
     """Serve leases as vm-2, which may be of an older build; yield a client, vm-1."""
     port = free_port()
-    office = LendingOffice(cast(Any, FakeRoles(lends)), lambda: False)
+    lease_server = LeaseServer(cast(Any, FakeRoles(lends)), lambda: False)
     remote_holds = RemoteHolds(lambda name: None, lambda: False)
     handler = PeerHandler(TransferHandler(lambda name: None), remote_holds)
-    handler.office = None if older else office
+    handler.lease_server = None if older else lease_server
     listener = CallerListener(handler.serve, CallerLimits)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.run, (HOST, port), tasks)
         await until_listening(port)
         peers = GatewayPeers(lambda: {"vm-2": f"{HOST}:{port}"}, tasks)
-        client = LeaseClient("vm-1", peers, office)
+        client = LeaseClient("vm-1", peers, lease_server)
         tasks.start_soon(client.run)
-        tasks.start_soon(office.run)
-        yield client, office
+        tasks.start_soon(lease_server.run)
+        yield client, lease_server
         tasks.cancel_scope.cancel()
 
 
 async def test_lease_is_granted_and_returned() -> None:
     """Memory that is not returned cannot be used until the lease expires."""
-    async with lending() as (client, office):
+    async with lending() as (client, lease_server):
         outcomes = [
             (await client.ask("vm-2", wanted(name, 60))).outcome for name in "ab"
         ]
         assert outcomes == [LeaseOutcome.GRANTED, LeaseOutcome.FULL]
-        assert office.lender.lent == 70
+        assert lease_server.lender.lent == 70
         client.give_back("vm-2", "a")
-        await wait_until(lambda: not office.lender.lent and not client.pending)
+        await wait_until(lambda: not lease_server.lender.lent and not client.pending)
 
 
 @pytest.mark.parametrize(("lends", "older"), [(False, False), (True, True)])
 async def test_gateway_that_lends_nothing(lends: bool, older: bool) -> None:
     """The answer of an older build to an unknown message must not count as a lease."""
-    async with lending(lends, older) as (client, office):
+    async with lending(lends, older) as (client, lease_server):
         answer = await client.ask("vm-2", wanted("a", 60))
         assert answer.outcome is LeaseOutcome.UNAVAILABLE
-        assert not office.lender.lent
+        assert not lease_server.lender.lent
         # Without an answer that confirms it, a return is sent again.
         assert bool(client.pending) == older
         if older:
@@ -103,15 +103,15 @@
 
 async def test_request_waits_at_the_lender() -> None:
     """A request for which memory is about to be free must not be refused."""
-    async with lending() as (client, office):
+    async with lending() as (client, lease_server):
         assert (await client.ask("vm-2", wanted("a", 60))).outcome.value == "granted"
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(client.ask, "vm-2", wanted("b", 60, waits=0.9))
-            await wait_until(lambda: len(office.waiting) == 1)
+            await wait_until(lambda: len(lease_server.waiting) == 1)
             client.give_back("vm-2", "a")
             with anyio.fail_after(0.5):
-                await wait_until(lambda: not office.waiting)
-        assert office.lender.lent == 70
+                await wait_until(lambda: not lease_server.waiting)
+        assert lease_server.lender.lent == 70
         # The third one waits for as long as it can, and is refused then.
         with anyio.fail_after(0.5):
             answer = await client.ask("vm-2", wanted("c", 60, waits=0.2))
@@ -122,33 +122,33 @@
 
 async def test_asker_that_leaves_keeps_nothing() -> None:
     """Its lease would be granted later, and hold memory that nobody uses."""
-    async with lending() as (client, office):
+    async with lending() as (client, lease_server):
         await client.ask("vm-2", wanted("a", 60))
         with anyio.move_on_after(0.1):
             await client.ask("vm-2", wanted("b", 60, waits=0.9))
-        await wait_until(lambda: not office.waiting)
+        await wait_until(lambda: not lease_server.waiting)
         client.give_back("vm-2", "a")
-        await wait_until(lambda: not office.lender.lent)
-        assert not office.lender.waiting
+        await wait_until(lambda: not lease_server.lender.lent)
+        assert not lease_server.lender.waiting
 
 
 async def test_own_lender_needs_no_message() -> None:
     """A gateway that lends a server's memory uses it as all others do."""
-    async with lending() as (client, office):
+    async with lending() as (client, lease_server):
         assert (await client.ask("vm-1", wanted("a", 60))).outcome.value == "granted"
         client.give_back("vm-1", "a", delay=0.2)
-        assert office.lender.lent == 70
-        await wait_until(lambda: not office.lender.lent)
+        assert lease_server.lender.lent == 70
+        await wait_until(lambda: not lease_server.lender.lent)
 
 
 @pytest.mark.parametrize("target", ["leases", "returns"])
 @pytest.mark.parametrize("body", [b"", b"[]", b'{"lease": 1}', b'{"leases": 5}'])
 async def test_malformed_message_is_refused(target: str, body: bytes) -> None:
     """A message that is no request must not be answered as one."""
-    async with lending() as (client, office):
+    async with lending() as (client, lease_server):
         host, _, port = client.peers.addresses()["vm-2"].rpartition(":")
         async with await anyio.connect_tcp(host, int(port)) as stream:
             head = b"POST /memory/%s HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n"
             await stream.send(head % (target.encode(), len(body)) + body)
             assert b" 400 " in (await stream.receive()).partition(b"\r\n")[0]
-        assert not office.lender.lent
+        assert not lease_server.lender.lent
