Let idle holders allow tokens ahead again

Cause: let a holder without demand allow nothing ahead of its renewals, to lose less in a power failure of all VMs. At the beginning of an outage of the store the first holder of a failure domain soon reaches its limit, and the idle one, which is asked next, had nothing.

--- a/ebonyhold/prepaid/_allowance.py
+++ b/ebonyhold/prepaid/_allowance.py
@@ -36,9 +36,6 @@
 MAX_HEADROOM = 2.0
 """Maximum headroom of a limit, in requests of the typical size."""
 
-IDLE_PART = 0.1
-"""A holder is idle below this expected demand of an outage, in typical requests."""
-
 
 @frozen
 class AllowanceInputs:
@@ -54,8 +51,6 @@
         horizon: Length of the outage for which `cover` and the later rate are computed.
         level: Unspent fraction of the budget.
         delay: Typical time until a renewal is acknowledged.
-        few_hold: Whether a few holders serve the requests of all routers, so that
-            others serve those for which this router has too few tokens.
     """
 
     used: Tokens
@@ -66,7 +61,6 @@
     horizon: Seconds
     level: float
     delay: Seconds = 0.0
-    few_hold: bool = False
 
 
 def allowance_factor(level: float) -> float:
@@ -91,11 +85,6 @@
     If the mean demand of an outage is less than one request, it is no useful estimate.
     The limit then has headroom for one request and grows by `cover` during an outage.
 
-    Of the holders in a failure domain, requests reach the first that answers.  The
-    others get hardly any, and what they may use ahead is only lost if all VMs lose
-    power.  So where `few_hold`, a holder without demand has no headroom, and `cover`
-    adds to its later rate only.
-
     The headroom, the early rate and the growth by `cover` are smaller if less of the
     budget is left.
     """
@@ -103,14 +92,12 @@
     mean = inputs.rate * inputs.horizon
     ahead = inputs.rate * inputs.delay * HEADROOM_RENEWALS
     rare = mean < max(inputs.typical, 1.0)
-    idle = inputs.few_hold and mean <= inputs.typical * IDLE_PART
-    minimum = inputs.typical if rare and not idle else 0.0
+    minimum = inputs.typical if rare else 0.0
     headroom = min(max(ahead, minimum), inputs.typical * MAX_HEADROOM) * factor
     extra = factor * max(0.0, inputs.cover - mean) if rare else 0.0
     later = (mean + extra) / inputs.horizon
-    early = mean / inputs.horizon if idle else later
     return SpendingLimit(
         ceiling=inputs.used + inputs.asked + int(headroom),
-        early_rate=early * factor,
+        early_rate=later * factor,
         later_rate=later,
     )
--- a/ebonyhold/prepaid/_grant_manager.py
+++ b/ebonyhold/prepaid/_grant_manager.py
@@ -140,7 +140,6 @@
                 self.can_renew,
                 self.peers,
                 partial(self.is_holder, workspace),
-                lambda: not self.holder_table.holders(workspace).whole_fleet,
                 partial(self.reached, workspace),
                 options=self.options,
                 all_sizes=self.sizes,
--- a/ebonyhold/prepaid/_grant_rounds.py
+++ b/ebonyhold/prepaid/_grant_rounds.py
@@ -72,7 +72,6 @@
         can_renew: Returns whether renewals currently reach the store.
         peers: Calls to other routers for transfers; None if none can be called.
         is_holder: Returns whether this router is a holder of the workspace.
-        few_hold: Returns whether a few holders hold for all routers.
         reached: Returns how many of the routers that share the budget get requests for
             its tokens; None if all do.
         options: The options of the prepaid budgets.
@@ -100,7 +99,6 @@
     can_renew: Callable[[], bool]
     peers: TransferPeers | None = None
     is_holder: Callable[[], bool] = lambda: True
-    few_hold: Callable[[], bool] = lambda: False
     reached: Callable[[], int] | None = None
     options: PrepaidOptions = field(factory=PrepaidOptions)
     policy: GrantPolicy = field(factory=lambda: find_grant_policy("outage_cover"))
@@ -328,7 +326,6 @@
             horizon=self.options.horizon,
             level=unspent / max(1, budget.prepaid),
             delay=self.limits.delay,
-            few_hold=self.few_hold(),
         )
         limit = allowance(inputs)
         return evolve(limit, used=inputs.used, held=self.state.ledger.held)
