--- a/tests/coordination/test_load_sharing.py
+++ b/tests/coordination/test_load_sharing.py
@@ -190,11 +190,8 @@
     assert set(net.collectors()) == {"a0", "b0"}
 
 
-def test_thawed_collector_is_not_used_at_once() -> None:
-    """What it had collected is outdated, and it may be stopped again.
-
-    Each time it takes over and fails, its failure domain has no totals for a while.
-    """
+def test_resumed_collector_is_not_used_at_once() -> None:
+    """Guards against totals that a collector gathered before its VM was frozen."""
     net = Net()
     net.run(2.0)
     seen: set[int | None] = set()
--- a/tests/forwarding/test_shared_choice.py
+++ b/tests/forwarding/test_shared_choice.py
@@ -195,10 +195,7 @@
 
 
 def test_slow_server_is_tried_once_in_two_seconds() -> None:
-    """Load: a server that was slow has recovered, and no part's order begins there.
-
-    Guards against a server that stays slow in the figures as nobody asks it.
-    """
+    """Guards against a recovered server that stays slow as nobody asks it."""
     loads: dict[str, ServerLoad | None] = dict.fromkeys(names(30), IDLE)
     loads["s7"] = evolve(IDLE, slowness=5.0)
     members = [f"vm-{number:03}" for number in range(90)]
@@ -289,10 +286,7 @@
 def test_plain_requests_are_placed_without_shared_load(
     requests: tuple[int, ...],
 ) -> None:
-    """Load: requests that last less than the figures are old, at busy servers.
-
-    Guards against routers of a failure domain that leave its server all at once.
-    """
+    """Guards against routers of a failure domain that leave its server all at once."""
     loads: dict[str, ServerLoad | None] = {
         f"s{number}": evolve(IDLE, requests=count)
         for number, count in enumerate(requests)
--- a/tests/gateway/test_common_memory.py
+++ b/tests/gateway/test_common_memory.py
@@ -103,11 +103,7 @@
 async def test_requests_need_no_lender_below_half_of_the_memory(
     resident: Tokens | None, served: int
 ) -> None:
-    """Guards against refusals while lenders are quiet and memory is free.
-
-    The 6,300 shared tokens of this router's requests count once, those of the next
-    request in full.
-    """
+    """Guards against refusals while lenders lend nothing and memory is free."""
     gateway, lenders = memory(resident)
     server, rooms = entry(), list[MemoryRoom]()
     while room := await gateway.get(server, RoomRequest(LONG, 9.0, "w", 1)):
--- a/tests/prepaid/test_budget_end.py
+++ b/tests/prepaid/test_budget_end.py
@@ -105,10 +105,7 @@
 
 
 async def test_restarted_router_serves_large_requests_of_a_budget_half_spent() -> None:
-    """Guards against tokens kept of a budget whose other tokens are not here.
-
-    All others are granted to routers that do not answer, as after a power failure.
-    """
+    """Guards against tokens kept where the others are at routers that are silent."""
     one = await started(PREPAID // 2)
     await one.grant.obtain(LARGE * 2)
     rows = one.grant.state.cache.rows
