Log and count silences of servers, and why answers are cut

Cause: the logs told that a stream had stalled, not whether other servers were silent too, nor for how long this router had waited in truth (a frozen process waits longer than the limit). Cuts were counted without a cause.

Change: the line "server silent" with the other servers of the service that were heard, silent and idle in the second half of the silence, and the time waited; ebonyhold_gateway_silences_total{service,outcome} and ebonyhold_gateway_answers_cut_total{cause}. Forwarding is as before.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -10,7 +10,7 @@
 from ebonyhold.forwarding._endings import AnswerEnding
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
-from ebonyhold.forwarding._exchange import WholeAnswer
+from ebonyhold.forwarding._exchange import CutCause, WholeAnswer
 from ebonyhold.forwarding._flow_control import BufferAccount, FlowControl, FlowEvent
 from ebonyhold.forwarding._forwarder import DELIVERED, Forwarder, RequestHold
 from ebonyhold.forwarding._inbox import Traffic
@@ -45,6 +45,7 @@
     Stage,
     accepts_late,
 )
+from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder
 from ebonyhold.forwarding._slow_readers import SlowReaders
 from ebonyhold.forwarding._streams import (
     Found,
@@ -93,6 +94,7 @@
     "ChannelPool",
     "ConnectOutcome",
     "CrashDetector",
+    "CutCause",
     "Dialect",
     "Dispatch",
     "EventSplitter",
@@ -136,6 +138,8 @@
     "ServiceName",
     "ServiceShare",
     "Shutdown",
+    "SilenceOutcome",
+    "SilenceRecorder",
     "SlowReaders",
     "SoftwareVersion",
     "Stage",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -5,7 +5,7 @@
 import logging
 
 import anyio
-from attrs import define, field
+from attrs import Factory, define, field
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._backends import BackendTable
@@ -40,6 +40,7 @@
     reads_end_stated,
     without_relay_fields,
 )
+from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder
 from ebonyhold.forwarding._streams import (
     UNKNOWN_VERSION,
     RunOfStream,
@@ -53,6 +54,7 @@
 )
 from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
+from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
 
@@ -68,9 +70,11 @@
         backends: Records failures.
         dialect: Decodes and encodes header fields.
         streams: Records which version began a stream.
+        silences: Logs and counts silences of servers.
         suspect: Whether the request may crash the server.
         relay: The router that sends the request to the server; None if this one does.
         version: The software version of the server's run that was connected to.
+        heard_at: When the server last sent something, or was sent the request.
     """
 
     exchange: Exchange
@@ -79,9 +83,13 @@
     backends: BackendTable
     dialect: Dialect
     streams: StreamVersions
+    silences: SilenceRecorder = Factory(
+        lambda self: SilenceRecorder(self.backends), takes_self=True
+    )
     suspect: bool = False
     relay: RelayAddress | None = None
     version: SoftwareVersion = field(init=False)
+    heard_at: Seconds = field(init=False, default=0.0)
 
     def __attrs_post_init__(self) -> None:
         self.version = self.entry.backend.version
@@ -148,8 +156,13 @@
                 # A relay counts the failures of servers that it sees itself.
                 self.backends.failed(self.entry, anyio.current_time())
             self.exchange.endings.append(path.channel.ending)
-            broken = not isinstance(error, SilenceError)
-            result = AttemptResult(AttemptEnd.LOST, reason=str(error), broken=broken)
+            silent = isinstance(error, SilenceError)
+            if silent:
+                self.silences.began(self.exchange, self.entry, self.heard_at)
+                self.silences.ended(self.exchange, SilenceOutcome.LEFT)
+            result = AttemptResult(
+                AttemptEnd.LOST, reason=str(error), broken=not silent, silent=silent
+            )
         finally:
             if not self.entry.in_flight:
                 self.paths.reach.record_idle(backend.name)
@@ -188,6 +201,7 @@
         else:
             self.paths.reach.record_sent(name, anyio.current_time())
         await channel.send(request)
+        self.heard_at = anyio.current_time()
         try:
             head, facts = await self.read_answer(channel)
         except RelayDeclinedError:
@@ -270,9 +284,9 @@
 
     def record_heard(self) -> None:
         """Record that the server has sent something to this router."""
+        self.heard_at = self.entry.heard_at = anyio.current_time()
         if self.relay is None:
-            name = self.entry.backend.name
-            self.paths.reach.record_heard(name, anyio.current_time())
+            self.paths.reach.record_heard(self.entry.backend.name, self.heard_at)
 
     def handle_relay_declined(self, declined: RelayDeclinedError) -> AttemptResult:
         """Return the result of an attempt whose relay has not sent the request."""
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -29,6 +29,7 @@
 from ebonyhold.forwarding._retries import FleetRetryBudget
 from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomAllocator
 from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
+from ebonyhold.forwarding._silence import SilenceRecorder
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
@@ -77,6 +78,7 @@
         ages: Returns the age of each cached input in seconds, for logs.
         streams: Finds the versions of streams that callers take up.
         shared: Chooses servers where the load of the other routers is known.
+        silences: Logs and counts silences of servers.
     """
 
     domain: str
@@ -91,6 +93,9 @@
     shared: SharedChoice = Factory(
         lambda self: SharedChoice(self.domain, self.backends), takes_self=True
     )
+    silences: SilenceRecorder = Factory(
+        lambda self: SilenceRecorder(self.backends), takes_self=True
+    )
 
     async def dispatch(self, exchange: Exchange) -> Refusal | None:
         """Send a request to servers in turn, until an answer was passed on.
@@ -129,6 +134,7 @@
                 self.backends,
                 self.dialect,
                 self.streams,
+                self.silences,
                 suspect,
             )
             self.shared.record_sent(
@@ -375,6 +381,7 @@
     ) -> None:
         """Store why an attempt failed, and the server's error answer if any."""
         exchange.reasons.append(f"{backend}: {result.reason}")
+        exchange.left_silent = result.silent
         if result.answer is not None:
             exchange.failure = result.answer
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -28,6 +29,8 @@
         listed: Whether this run of the server is listed now. Results of attempts at a
             run that is not must not be recorded for the server's next run.
         in_flight: Number of this router's requests that it is processing.
+        busy_since: Since when it has had such requests without a break.
+        heard_at: When it last sent something to this router.
         work: Estimated load of those requests.
         evidence: What this router has recently observed of it, where load is shared.
         suspects: Number of those requests that may crash the server.
@@ -59,6 +62,8 @@
     backend: Backend
     listed: bool = True
     in_flight: int = 0
+    busy_since: Seconds = 0.0
+    heard_at: Seconds = -math.inf
     work: ServerWork = field(factory=ServerWork)
     evidence: ServerEvidence = field(factory=ServerEvidence)
     suspects: int = 0
@@ -80,8 +85,11 @@
     @contextmanager
     def working(self, request: CallerRequest) -> Iterator[RequestWork]:
         """Count a request of this router as load of the server while it is there."""
+        now = anyio.current_time()
+        if not self.in_flight:
+            self.busy_since = now
         self.in_flight += 1
-        work = self.work.begin(request, anyio.current_time())
+        work = self.work.begin(request, now)
         try:
             yield work
         finally:
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -51,6 +51,20 @@
     NO_PATH = "no_path"
 
 
+class CutCause(Enum):
+    """Why an answer was cut after a part of it had been passed on.
+
+    Attributes:
+        SERVER: A server broke off, and no other one could go on.
+        SILENCE: A silent server was left, and no other one could go on.
+        DEADLINE: The time of the request was over.
+    """
+
+    SERVER = "server"
+    SILENCE = "silence"
+    DEADLINE = "deadline"
+
+
 @frozen
 class WholeAnswer:
     """A complete answer of a backend server, not yet passed on."""
@@ -69,6 +83,7 @@
             other attempt succeeds.
         reason: Why it failed, for logs.
         broken: Whether the connection ended before the answer did.
+        silent: Whether the server was left because it was silent.
         written: Whether the server has written a whole answer on the prompt.
     """
 
@@ -76,6 +91,7 @@
     answer: WholeAnswer | None = None
     reason: str = ""
     broken: bool = False
+    silent: bool = False
     written: bool = False
 
 
@@ -130,6 +146,7 @@
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
         endings: How the answers of servers ended, for logs.
+        left_silent: Whether its last attempt was given up because of a silence.
         known_digest: The digest of its content; empty until `digest` is first read.
         known_parts: The digests of the parts of its prompt that other requests may
             have; None until `parts` is first read.
@@ -167,6 +184,7 @@
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
     endings: list[AnswerEnding] = field(factory=list)
+    left_silent: bool = False
     known_digest: RequestDigest = ""
     known_parts: tuple[PartDigest, ...] | None = None
     losses: list[AttemptLoss] = field(factory=list)
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -21,7 +21,7 @@
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._dispatcher import Dispatcher
 from ebonyhold.forwarding._endings import AnswerEnding
-from ebonyhold.forwarding._exchange import Exchange
+from ebonyhold.forwarding._exchange import CutCause, Exchange
 from ebonyhold.forwarding._flow_control import FlowControl
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue
@@ -35,6 +35,7 @@
     match_request,
 )
 from ebonyhold.forwarding._shutdown import Shutdown
+from ebonyhold.forwarding._silence import SilenceRecorder
 from ebonyhold.forwarding._streams import StreamVersions
 from ebonyhold.forwarding._types import CallerRequest, Headers, Ruleset
 from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
@@ -101,12 +102,14 @@
         on_end: Called at the end of each request with its route, outcome and duration
             in seconds, for metrics.
         on_answer: Called with how each answer of a server has ended, for metrics.
+        on_cut: Called with why an answer was cut, for metrics.
         ages: Returns the age of each cached input in seconds, for logs.
         shutdown: Decides which requests are accepted during a shutdown.
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
         streams: Keeps which software version each stream belongs to.
         flow: Bounds what is buffered, and recognises pauses of streams.
+        silences: Logs and counts silences of servers.
         dispatcher: Sends requests to servers.
     """
 
@@ -119,6 +122,7 @@
     open_hold: Callable[[WorkspaceName], RequestHold | None]
     on_end: Callable[[str, str, Seconds], None]
     on_answer: Callable[[AnswerEnding], None] = lambda ending: None
+    on_cut: Callable[[CutCause], None] = lambda cause: None
     ages: Callable[[], dict[str, Seconds]] = dict
     shutdown: Shutdown = field(factory=Shutdown)
     places: PlaceQueue = field(factory=PlaceQueue)
@@ -129,6 +133,9 @@
         lambda self: StreamVersions(self.backends), takes_self=True
     )
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
+    silences: SilenceRecorder = Factory(
+        lambda self: SilenceRecorder(self.backends), takes_self=True
+    )
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -144,6 +151,7 @@
             self.crashes,
             self.ages,
             self.streams,
+            silences=self.silences,
         )
 
     async def serve(
@@ -294,6 +302,7 @@
             # The caller has a part of the answer. Closing the connection before the end
             # is the only way to show that the rest is missing.
             exchange.connection.last = True
+            self.on_cut(cut_cause(exchange, refusal))
             await exchange.connection.abort()
             return f"cut: {refusal.code}"
         if exchange.failure is not None:
@@ -359,6 +368,13 @@
         )
 
 
+def cut_cause(exchange: Exchange, refusal: Refusal) -> CutCause:
+    """Return why an answer is cut, a part of which was passed on."""
+    if refusal in (Refusal.NO_ANSWER, Refusal.NOT_STARTED):
+        return CutCause.DEADLINE
+    return CutCause.SILENCE if exchange.left_silent else CutCause.SERVER
+
+
 def deadline_of(head: RequestHead, caller: CallerRequest, match: Match) -> Seconds:
     """Return the deadline: the earlier of the caller's time limit and the route's."""
     time_limit = match.route.timeout
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -28,6 +28,7 @@
     RequestRelay,
     Ruleset,
     Shutdown,
+    SilenceRecorder,
     SlowReaders,
     StreamVersions,
 )
@@ -298,6 +299,7 @@
             open_hold=self.grant_manager.open_hold,
             on_end=self.metrics.count_request,
             on_answer=self.metrics.count_answer,
+            on_cut=self.metrics.count_cut,
             ages=self.ages,
             shutdown=self.shutdown,
             crashes=CrashDetector(
@@ -313,6 +315,7 @@
                 self.metrics.count_stream,
             ),
             flow=flow,
+            silences=SilenceRecorder(self.routing.backends, self.metrics.count_silence),
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -17,12 +17,14 @@
     BackendTable,
     CallerConnection,
     ConnectOutcome,
+    CutCause,
     FlowControl,
     FlowEvent,
     Origin,
     Reach,
     Reachability,
     RelayResult,
+    SilenceOutcome,
 )
 from ebonyhold.prepaid import HoldOutcome, WorkspaceGrant
 from ebonyhold.types import BackendName, Seconds
@@ -146,6 +148,19 @@
             registry=self.registry,
         )
 
+        self.silences = Counter(
+            "ebonyhold_gateway_silences_total",
+            "Requests whose server sent nothing for too long, by what became of them.",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self.answers_cut = Counter(
+            "ebonyhold_gateway_answers_cut_total",
+            "Answers cut after a part of them had been passed on, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+
         self.versions = Gauge(
             "ebonyhold_gateway_server_versions",
             "Software versions of the servers listed, by service.",
@@ -232,6 +247,14 @@
         """Count an answer of a server by how it ended."""
         self.answers.labels(ending.value).inc()
 
+    def count_silence(self, service: str, outcome: SilenceOutcome) -> None:
+        """Count a silence of a server by what became of the request."""
+        self.silences.labels(service, outcome.value).inc()
+
+    def count_cut(self, cause: CutCause) -> None:
+        """Count an answer that was cut by why it was."""
+        self.answers_cut.labels(cause.value).inc()
+
     def count_hold(self, outcome: HoldOutcome) -> None:
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
