--- /dev/null
+++ b/tests/forwarding/test_silent_servers.py
@@ -0,0 +1,227 @@
+"""Requests whose server is silent for a while, over real sockets."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from tests.forwarding.kit import (
+    GONE,
+    Rig,
+    Script,
+    Server,
+    answer,
+    chunk,
+    event,
+    request,
+    rig,
+    stream_head,
+)
+from tests.forwarding.test_attempts import (
+    declines,
+    fails,
+    numbers,
+    resets,
+    silent,
+    whole_stream,
+)
+
+pytestmark = pytest.mark.anyio
+
+STREAM_PAUSE = 1.6
+"""Seconds for which the first server is silent: longer than the limit for streams."""
+
+SAFE_PAUSE = 0.9
+"""The same for safe requests."""
+
+PATIENCE = 2.0
+"""Seconds without an event after which callers leave a stream."""
+
+MAX_OVERLAP = 0.4
+"""Seconds for which two servers may work on one request."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use a real clock, since sockets do not work with a virtual one."""
+    return "asyncio"
+
+
+async def late_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """Be silent before the first event."""
+    await anyio.sleep(STREAM_PAUSE)
+    await whole_stream(server, stream, head)
+
+
+async def paused_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """Be silent after the second of four events."""
+    await stream.send(stream_head(head) + chunk(event(1)) + chunk(event(2)))
+    await anyio.sleep(STREAM_PAUSE)
+    await stream.send(chunk(event(3)) + chunk(event(4)) + chunk(b""))
+
+
+async def dark_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """Be silent for good after the second event."""
+    await stream.send(stream_head(head) + chunk(event(1)) + chunk(event(2)))
+    await anyio.sleep_forever()
+
+
+async def late_answer(server: Server, stream: SocketStream, head: str) -> None:
+    """Be silent before a whole answer."""
+    await anyio.sleep(SAFE_PAUSE)
+    await stream.send(answer(head))
+
+
+async def good_answer(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer any request at once."""
+    if "/safe/" in head:
+        await stream.send(answer(head))
+    else:
+        await whole_stream(server, stream, head)
+
+
+SILENT = [
+    pytest.param("/stream/x", late_stream, id="before the first event"),
+    pytest.param("/stream/x", paused_stream, id="within a stream"),
+    pytest.param("/safe/x", late_answer, id="safe"),
+]
+
+OTHERS = [
+    # script of the other server; None for none, the retries in the budget
+    pytest.param(good_answer, 0.0, id="no retry left"),
+    pytest.param(None, 50.0, id="no other server"),
+    pytest.param(resets, 50.0, id="the other one ends"),
+    pytest.param(declines, 50.0, id="the other one declines"),
+    pytest.param(fails, 50.0, id="the other one fails"),
+    pytest.param(silent, 50.0, id="the other one is silent too"),
+]
+
+
+def prefer_first(router: Rig) -> None:
+    """Make the router choose the first of its servers."""
+    for name, entry in router.forwarder.backends.entries.items():
+        entry.in_flight += 0 if name == "first" else 3
+
+
+def is_whole(path: str, got: bytes) -> bool:
+    """Return whether a caller got the whole answer, each event once."""
+    if path.startswith("/safe/"):
+        return got.startswith(b"HTTP/1.1 200 ") and got.endswith(b"ok")
+    return numbers(got) == [1, 2, 3, 4] and got.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(("path", "script"), SILENT)
+@pytest.mark.parametrize(("other", "retries"), OTHERS)
+async def test_silent_server_is_kept_until_another_one_answers(
+    path: str, script: Script, other: Script | None, retries: float
+) -> None:
+    """A sound server must not be left for a silence if nothing replaces it."""
+    servers = [Server("first", script)]
+    if other is not None:
+        servers.append(Server("other", other))
+    async with rig(*servers, extra_retries=retries) as router:
+        prefer_first(router)
+        got = await router.ask(request(path))
+    assert is_whole(path, got), got
+    assert len(servers[0].requests) == 1
+
+
+@pytest.mark.parametrize(("path", "script"), SILENT)
+async def test_stream_is_not_moved_to_another_version(
+    path: str, script: Script
+) -> None:
+    """A stream whose other servers have another version must wait for its own."""
+    servers = [
+        Server("first", script, version="v1"),
+        Server("other", good_answer, version="v2"),
+    ]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request(path))
+    assert is_whole(path, got), got
+    if script is paused_stream:
+        assert not servers[1].requests
+
+
+@pytest.mark.parametrize("script", [late_stream, dark_stream])
+async def test_stream_of_a_dark_server_goes_on_in_time(script: Script) -> None:
+    """A server without power sends no reset; its streams must go on elsewhere."""
+    dark = silent if script is late_stream else dark_stream
+    servers = [Server("first", dark), Server("other", whole_stream)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        with anyio.fail_after(PATIENCE):
+            got = await router.ask(request("/stream/x"))
+        assert router.forwarder.backends.entries["first"].in_flight == 0
+    assert is_whole("/stream/x", got), got
+
+
+async def test_two_servers_work_on_a_request_for_a_short_time_only() -> None:
+    """A second run beside a silent one must end soon, whichever of them does."""
+    seen: dict[str, float] = {}
+
+    async def watched(server: Server, stream: SocketStream, head: str) -> None:
+        seen.setdefault(server.name, anyio.current_time())
+        await stream.send(stream_head(head) + chunk(event(1)))
+        try:
+            await stream.receive()
+        except GONE:
+            seen[f"{server.name} left"] = anyio.current_time()
+            raise
+
+    async def slow(server: Server, stream: SocketStream, head: str) -> None:
+        seen.setdefault(server.name, anyio.current_time())
+        try:
+            await stream.receive()
+        except GONE:
+            seen[f"{server.name} left"] = anyio.current_time()
+            raise
+
+    async with rig(Server("first", watched), Server("other", slow)) as router:
+        prefer_first(router)
+        with anyio.move_on_after(2.5):
+            await router.ask(request("/stream/x"))
+    ends = [at for name, at in seen.items() if name.endswith("left")]
+    assert min(ends) - seen["other"] <= MAX_OVERLAP
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/unsafe/x"])
+async def test_request_that_may_run_once_waits_for_its_server(path: str) -> None:
+    """What must not run twice is sent to no other server, however long the silence."""
+    script = paused_stream if path == "/once/x" else late_answer
+    servers = [Server("first", script), Server("other", good_answer)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request(path))
+    assert numbers(got) == [1, 2, 3, 4] or got.endswith(b"ok")
+    assert not servers[1].requests
+
+
+async def test_retry_is_not_counted_if_no_server_could_be_reached() -> None:
+    """A second attempt that never began must not use the retry budget up."""
+    servers = [Server("first", paused_stream), Server("other", whole_stream)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        await servers[1].crash()
+        got = await router.ask(request("/stream/x"))
+        window = router.forwarder.retries.window("svc", anyio.current_time())
+    assert is_whole("/stream/x", got), got
+    assert not window.retries
+
+
+async def test_common_silence_uses_no_retries() -> None:
+    """A silence of all servers must not spend the retry budget on moves among them."""
+    servers = [Server("first", paused_stream), Server("other", paused_stream)]
+    async with rig(*servers) as router:
+        answers: list[bytes] = []
+
+        async def ask() -> None:
+            answers.append(await router.ask(request("/stream/x")))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(8):
+                tasks.start_soon(ask)
+        window = router.forwarder.retries.window("svc", anyio.current_time())
+    assert all(is_whole("/stream/x", got) for got in answers)
+    assert not window.retries
