--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -430,7 +430,16 @@
 
 def test_metrics_are_written() -> None:
     assert render_metrics() == read("metrics.txt")
-    added = ("added", "reach", "answers", "versions", "load", "flow", "reading")
+    added = (
+        "added",
+        "reach",
+        "answers",
+        "silences",
+        "versions",
+        "load",
+        "flow",
+        "reading",
+    )
     names = ("gateway", *(f"gateway-{name}" for name in added))
     files = b"".join(read(f"metrics-{name}.txt") for name in names)
     assert render_gateway_metrics() == files
