Leave a silent server only when another one has answered

What callers saw: resumable streams and safe requests cut or answered with 502 while their servers ran on, where servers sent nothing for a second.

Cause: an attempt was ended after its limit of silence (0.3 s, 1.2 s or three targets), which aborts the run, and only then was it asked whether a retry is left, whether another server has the version, memory and a place, and whether it answers. A silence of many servers reaches the limit of all their streams together and spends the retry budget on moves among silent servers.

Change: the silent attempt keeps its connection. Another server is looked for that is not silent too; it gets the request besides, and whichever has something for the caller first goes on, the other one is ended. If neither has after 0.3 s, the second one is ended, unless the first server alone was heard on no connection since. A retry that was never sent is given back, a silent server counts as failed only if it is left, and the time in which this process was frozen counts for half a second at most.

Why it works: an answer that was passed on is now ended by its server, its deadline or its caller, or after another server has taken its place.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -45,7 +45,7 @@
     Stage,
     accepts_late,
 )
-from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder
+from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder, StandbyResult
 from ebonyhold.forwarding._slow_readers import SlowReaders
 from ebonyhold.forwarding._streams import (
     Found,
@@ -143,6 +143,7 @@
     "SlowReaders",
     "SoftwareVersion",
     "Stage",
+    "StandbyResult",
     "StreamEvent",
     "StreamVersions",
     "TaskStarter",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 
 import anyio
 from attrs import Factory, define, field
@@ -16,22 +18,22 @@
     ConnectRefusedError,
     Outbound,
 )
-from ebonyhold.forwarding._delivery import (
-    AnswerDelivery,
-    SilenceError,
-    answer_timeout,
-    read_rest,
-)
+from ebonyhold.forwarding._crash_detection import Suspicion
+from ebonyhold.forwarding._delivery import AnswerDelivery, read_rest
 from ebonyhold.forwarding._dialect import Dialect
+from ebonyhold.forwarding._endings import AnswerEnding
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import (
     AttemptEnd,
     AttemptResult,
     Exchange,
+    ExpectedRead,
 )
+from ebonyhold.forwarding._memory import MemoryRoom
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._relay import (
     NoPathError,
+    Path,
     RelayAddress,
     RelayDeclinedError,
     RelayResult,
@@ -40,7 +42,8 @@
     reads_end_stated,
     without_relay_fields,
 )
-from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder
+from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder, StandbyResult
+from ebonyhold.forwarding._silence_watch import SilenceError, SilenceWatch
 from ebonyhold.forwarding._streams import (
     UNKNOWN_VERSION,
     RunOfStream,
@@ -54,7 +57,6 @@
 )
 from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
-from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
 
@@ -72,9 +74,25 @@
         streams: Records which version began a stream.
         silences: Logs and counts silences of servers.
         suspect: Whether the request may crash the server.
+        known: What was known of the crashes of the request when it was sent.
+        room: The memory that it has at the server; None if it needs none.
+        expected: What the server is expected to read before the first event; None if
+            that is not known.
+        on_sent: Called when the request has been sent.
+        on_claim: Called when this attempt begins to write to the caller.
         relay: The router that sends the request to the server; None if this one does.
         version: The software version of the server's run that was connected to.
-        heard_at: When the server last sent something, or was sent the request.
+        watch: Waits for the server.
+        held: What to give back when the attempt has ended.
+        end: How it ended; None if it has not, or was cancelled.
+        channel: The connection; None before and after the attempt.
+        is_kept: Whether the connection can be reused.
+        work: The load that the request adds to the server.
+        answer: The head of the server's answer, once it was read.
+        delivery: Passes the body on, once the answer has begun.
+        has_silence: Whether a silence of the server was logged that has not ended.
+        kept_for: Why no other server got the request during it; None before.
+        is_sent: Whether the request has been sent.
     """
 
     exchange: Exchange
@@ -87,12 +105,28 @@
         lambda self: SilenceRecorder(self.backends), takes_self=True
     )
     suspect: bool = False
+    known: Suspicion = field(factory=Suspicion)
+    room: MemoryRoom | None = None
+    expected: ExpectedRead | None = None
+    on_sent: Callable[[], None] = lambda: None
+    on_claim: Callable[[], None] = lambda: None
     relay: RelayAddress | None = None
     version: SoftwareVersion = field(init=False)
-    heard_at: Seconds = field(init=False, default=0.0)
+    watch: SilenceWatch = field(init=False)
+    held: ExitStack = field(init=False, factory=ExitStack)
+    end: AttemptEnd | None = field(init=False, default=None)
+    channel: Channel | None = field(init=False, default=None)
+    is_kept: bool = field(init=False, default=False)
+    work: RequestWork = field(init=False)
+    answer: tuple[AnswerHead, AnswerFacts] | None = field(init=False, default=None)
+    delivery: AnswerDelivery | None = field(init=False, default=None)
+    has_silence: bool = field(init=False, default=False)
+    kept_for: StandbyResult | None = field(init=False, default=None)
+    is_sent: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         self.version = self.entry.backend.version
+        self.watch = SilenceWatch(self.exchange)
 
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended.
@@ -100,12 +134,52 @@
         A request that its server must not get after all is not sent. A failed
         connection and a missing or incomplete answer are recorded in
         `backends` and returned in the result; BackendLostError is not raised.
+
+        If the server is silent, the attempt has not ended: its connection stays open
+        until it has ended after `resume`, or `release` is called.
         """
         self.entry.suspects += self.suspect
+        self.held.callback(self.clear_suspect)
+        return await self.release_at_end(self.connect_and_send)
+
+    async def resume(self) -> AttemptResult:
+        """Go on waiting for a silent server; return as `run` does."""
+        return await self.release_at_end(self.exchange_messages)
+
+    async def release_at_end(
+        self, step: Callable[[], Awaitable[AttemptResult]]
+    ) -> AttemptResult:
+        """Take a step; give back what is held, unless the server is silent."""
+        result: AttemptResult | None = None
         try:
-            return await self.connect_and_send()
+            result = await step()
+            return result
         finally:
-            self.entry.suspects -= self.suspect
+            if result is None or result.end is not AttemptEnd.SILENT:
+                self.end = result.end if result is not None else None
+                await self.release()
+
+    async def release(self) -> None:
+        """End the attempt; without effect if it has ended."""
+        self.held.close()
+        channel, self.channel = self.channel, None
+        if channel is None:
+            return
+        self.end_silence(SilenceOutcome.UNANSWERED)
+        if self.exchange.writer is self:
+            self.exchange.writer = None
+        if not self.entry.in_flight:
+            self.paths.reach.record_idle(self.entry.backend.name)
+        # Engines abort a request when its connection closes. If the connection
+        # stayed open, the server would go on processing an abandoned request.
+        if self.is_kept and self.end is not None:
+            await self.paths.put(self.entry.backend, Path(channel, self.relay))
+        else:
+            await channel.close()
+
+    def clear_suspect(self) -> None:
+        """Count the request no more among those that may crash the server."""
+        self.entry.suspects -= self.suspect
 
     async def connect_and_send(self) -> AttemptResult:
         """Send the request on a connection and return how the attempt ended."""
@@ -129,7 +203,7 @@
             self.exchange.version,
             opened_at,
             self.exchange.need,
-            self.exchange.room,
+            self.room,
         )
         if withheld is not None:
             path.channel.keep_unused(now)
@@ -142,86 +216,126 @@
         if opened_at is not None:
             known = self.backends.is_run_known(self.entry, opened_at, now)
             self.version = backend.version if known else UNKNOWN_VERSION
-        kept = False
+        self.channel = path.channel
+        self.work = self.held.enter_context(self.entry.working(self.exchange.caller))
+        if path.relay is None:
+            self.backends.time_answer(self.entry, self.work, now)
+        return await self.exchange_messages()
+
+    async def exchange_messages(self) -> AttemptResult:
+        """Send the request, unless it was sent, and handle the answer."""
+        channel = self.channel
+        assert channel is not None
         try:
-            with self.entry.working(self.exchange.caller) as work:
-                if path.relay is None:
-                    self.backends.time_answer(self.entry, work, now)
-                result, kept = await self.send_and_read(path.channel, work)
-            self.exchange.endings.append(path.channel.ending)
+            result = await self.send_and_read(channel)
+            self.exchange.endings.append(channel.ending)
+        except SilenceError as error:
+            if not self.has_silence:
+                self.has_silence = True
+                since = self.watch.waiting_since
+                self.silences.began(self.exchange, self.entry, since)
+            return AttemptResult(AttemptEnd.SILENT, reason=str(error))
         except RelayDeclinedError as declined:
             result = self.handle_relay_declined(declined)
         except BackendLostError as error:
-            if path.relay is None:
+            if self.relay is None:
                 # A relay counts the failures of servers that it sees itself.
                 self.backends.failed(self.entry, anyio.current_time())
-            self.exchange.endings.append(path.channel.ending)
-            silent = isinstance(error, SilenceError)
-            if silent:
-                self.silences.began(self.exchange, self.entry, self.heard_at)
-                self.silences.ended(self.exchange, SilenceOutcome.LEFT)
-            result = AttemptResult(
-                AttemptEnd.LOST, reason=str(error), broken=not silent, silent=silent
-            )
-        finally:
-            if not self.entry.in_flight:
-                self.paths.reach.record_idle(backend.name)
-            # Engines abort a request when its connection closes. If the connection
-            # stayed open, the server would go on processing an abandoned request.
-            if not kept:
-                await path.channel.close()
-        if kept:
-            await self.paths.put(backend, path)
+            self.end_silence(SilenceOutcome.ENDED)
+            self.exchange.endings.append(channel.ending)
+            result = AttemptResult(AttemptEnd.LOST, reason=str(error), broken=True)
         return result
 
-    async def send_and_read(
-        self, channel: Channel, work: RequestWork
-    ) -> tuple[AttemptResult, bool]:
-        """Send the request and handle the answer.
-
-        Args:
-            channel: The connection.
-            work: The load that the request adds to the server.
-
-        Returns:
-            The result, and whether the connection can be reused.
+    async def send_and_read(self, channel: Channel) -> AttemptResult:
+        """Send the request, unless it was sent, and handle the answer.
 
         Raises:
             RelayDeclinedError: The request was not sent to the server.
+            SilenceError: The server is silent; a further call goes on.
             BackendLostError: No complete, stamped answer arrived in time.
         """
+        exchange = self.exchange
+        if self.answer is None:
+            if not self.is_sent:
+                await self.send(channel)
+            self.answer = await self.read_sent(channel)
+        head, facts = self.answer
+        if facts.not_run:
+            exchange.possible_runs -= 1
+            return await self.handle_declined(channel, head, facts)
+        if 200 <= head.status < 300 and not facts.proof:
+            raise BackendLostError("a success without the server's response stamp")
+        if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
+            await self.body_of(channel).relay_stream(head, self.work)
+            self.backends.succeeded(self.entry, self.relay is not None)
+            self.is_kept = self.finish(channel, head)
+            return AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
+        if head.status < 500:
+            self.work.record_begin()
+        return await self.handle_whole(channel, head, facts)
+
+    async def send(self, channel: Channel) -> None:
+        """Send the request.
+
+        Raises:
+            BackendLostError: The connection broke.
+        """
         exchange, name = self.exchange, self.entry.backend.name
         exchange.sends += 1
         exchange.tried.append(name)
-        before = exchange.may_have_run
-        exchange.may_have_run = True
+        exchange.possible_runs += 1
         request = self.outbound()
         if self.relay is not None:
             request = self.relay.wrap(request, self.relay_target())
         else:
             self.paths.reach.record_sent(name, anyio.current_time())
+        self.is_sent = True
+        self.on_sent()
         await channel.send(request)
-        self.heard_at = anyio.current_time()
+
+    async def read_sent(self, channel: Channel) -> tuple[AnswerHead, AnswerFacts]:
+        """Return the head of the answer; see `read_answer`.
+
+        A request that a relay has not sent counts as not sent.
+        """
+        exchange = self.exchange
         try:
-            head, facts = await self.read_answer(channel)
+            return await self.read_answer(channel)
         except RelayDeclinedError:
             exchange.sends -= 1
-            exchange.tried.remove(name)
-            exchange.may_have_run = before
+            exchange.tried.remove(self.entry.backend.name)
+            exchange.possible_runs -= 1
             raise
-        if facts.not_run:
-            exchange.may_have_run = before
-            return await self.handle_declined(channel, head, facts)
-        if 200 <= head.status < 300 and not facts.proof:
-            raise BackendLostError("a success without the server's response stamp")
-        if exchange.match.route.kind is RouteKind.STREAM and head.status == 200:
-            await self.delivery(channel).relay_stream(head, work)
-            self.backends.succeeded(self.entry, self.relay is not None)
-            result = AttemptResult(AttemptEnd.DELIVERED, written=exchange.events > 0)
-            return result, self.finish(channel, head)
-        if head.status < 500:
-            work.record_begin()
-        return await self.handle_whole(channel, head, facts)
+
+    async def claim(self) -> None:
+        """Take the caller's answer, which only one attempt writes.
+
+        If another attempt has taken it, this one is about to be cancelled.
+        """
+        if self.exchange.writer is self:
+            return
+        if self.exchange.writer is not None:
+            await anyio.sleep_forever()
+        self.exchange.writer = self
+        self.on_claim()
+
+    def leave(self, outcome: SilenceOutcome) -> None:
+        """Record that the silent server is left, whose connection is then closed."""
+        exchange, name = self.exchange, self.entry.backend.name
+        if self.relay is None:
+            self.backends.failed(self.entry, anyio.current_time())
+        exchange.reasons.append(f"{name}: silent, {outcome.value}")
+        exchange.endings.append(AnswerEnding.ABANDONED)
+        exchange.left_silent |= outcome is SilenceOutcome.LEFT
+        self.end_silence(outcome)
+
+    def end_silence(self, outcome: SilenceOutcome) -> None:
+        """Record what became of a silence, if there is one."""
+        if self.has_silence:
+            self.has_silence = False
+            self.kept_for = None
+            since = self.watch.waiting_since
+            self.silences.ended(self.exchange, self.entry, since, outcome)
 
     def relay_target(self) -> RelayTarget:
         """Return where a relay is to send the request."""
@@ -255,8 +369,8 @@
 
         Raises:
             RelayDeclinedError: The relay has not sent the request.
-            BackendLostError: No answer arrived in time, the connection broke, or
-                MAX_STRAY answers were skipped.
+            SilenceError: The server is silent; a further call goes on.
+            BackendLostError: The connection broke, or MAX_STRAY answers were skipped.
         """
         for _ in range(MAX_STRAY):
             head = await self.read_next_head(channel)
@@ -276,17 +390,18 @@
 
     async def read_next_head(self, channel: Channel) -> AnswerHead:
         """Return the head of the next answer; raise SilenceError on timeout."""
-        with anyio.move_on_after(answer_timeout(self.exchange)):
-            head = await channel.read_head()
-            self.record_heard()
-            return head
-        raise SilenceError("no answer in time")
+        head = await self.watch.read(channel.read_head, "no answer in time")
+        self.record_heard()
+        return head
 
     def record_heard(self) -> None:
         """Record that the server has sent something to this router."""
-        self.heard_at = self.entry.heard_at = anyio.current_time()
+        now = anyio.current_time()
+        self.entry.heard_at = now
         if self.relay is None:
-            self.paths.reach.record_heard(self.entry.backend.name, self.heard_at)
+            self.paths.reach.record_heard(self.entry.backend.name, now)
+        self.watch.is_silent = False
+        self.end_silence(SilenceOutcome.WENT_ON)
 
     def handle_relay_declined(self, declined: RelayDeclinedError) -> AttemptResult:
         """Return the result of an attempt whose relay has not sent the request."""
@@ -303,17 +418,17 @@
 
     async def handle_declined(
         self, channel: Channel, head: AnswerHead, facts: AnswerFacts
-    ) -> tuple[AttemptResult, bool]:
+    ) -> AttemptResult:
         """Handle an answer which states that the server did not run the request."""
         await read_rest(channel)
         self.backends.record_declined(self.entry, facts, anyio.current_time())
         reason = "moved" if facts.moved else f"declined with {head.status}"
-        result = AttemptResult(AttemptEnd.NOT_RUN, reason=reason)
-        return result, self.finish(channel, head)
+        self.is_kept = self.finish(channel, head)
+        return AttemptResult(AttemptEnd.NOT_RUN, reason=reason)
 
     async def handle_whole(
         self, channel: Channel, head: AnswerHead, facts: AnswerFacts
-    ) -> tuple[AttemptResult, bool]:
+    ) -> AttemptResult:
         """Read a whole answer; pass it on unless it is a server error.
 
         An answer with status 500 or above is returned in the result, so that the
@@ -324,35 +439,41 @@
             BackendLostError: The answer is incomplete or too large, or a part of a
                 stream was already sent to the caller.
         """
-        answer = await self.delivery(channel).read_whole(head)
-        kept = self.finish(channel, head)
+        answer = await self.body_of(channel).read_whole(head)
+        self.is_kept = self.finish(channel, head)
         exchange = self.exchange
         if head.status >= 500:
             if not facts.rest:
                 relayed = self.relay is not None
                 self.backends.failed(self.entry, anyio.current_time(), relayed)
             reason = f"answered {head.status}"
-            return AttemptResult(AttemptEnd.FAILED, answer, reason), kept
+            return AttemptResult(AttemptEnd.FAILED, answer, reason)
+        await self.claim()
         self.backends.succeeded(self.entry, self.relay is not None)
         if exchange.connection.started:
+            self.is_kept = False
             raise BackendLostError(f"status {head.status} to a resumed stream")
         await exchange.deliver(answer)
         written = 200 <= head.status < 300
-        return AttemptResult(AttemptEnd.DELIVERED, written=written), kept
-
-    def delivery(self, channel: Channel) -> AnswerDelivery:
-        """Return what passes the body of an answer on."""
-        run = None if self.relay else RunOfStream(self.entry, channel.opened_at)
-        return AnswerDelivery(
-            self.exchange,
-            self.entry.backend,
-            self.version,
-            channel,
-            self.paths,
-            self.streams,
-            self.record_heard,
-            run,
-        )
+        return AttemptResult(AttemptEnd.DELIVERED, written=written)
+
+    def body_of(self, channel: Channel) -> AnswerDelivery:
+        """Return what passes the body of the answer on."""
+        if self.delivery is None:
+            run = None if self.relay else RunOfStream(self.entry, channel.opened_at)
+            self.delivery = AnswerDelivery(
+                self.exchange,
+                self.entry.backend,
+                self.version,
+                channel,
+                self.paths,
+                self.streams,
+                self.watch,
+                self.record_heard,
+                self.claim,
+                run,
+            )
+        return self.delivery
 
     def finish(self, channel: Channel, head: AnswerHead) -> bool:
         """Prepare the connection for another request; return whether it is reusable."""
--- a/ebonyhold/forwarding/_delivery.py
+++ b/ebonyhold/forwarding/_delivery.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
-from attrs import define
+from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._channel import AnswerHead, Channel
 from ebonyhold.forwarding._events import EventSplitter, StreamEvent
 from ebonyhold.forwarding._exchange import Exchange, WholeAnswer
-from ebonyhold.forwarding._flow_control import RESUME_GAPS
 from ebonyhold.forwarding._paths import Paths
+from ebonyhold.forwarding._silence_watch import SilenceError, SilenceWatch
 from ebonyhold.forwarding._streams import UNKNOWN_VERSION, RunOfStream, StreamVersions
-from ebonyhold.forwarding._types import Backend, RouteKind, SoftwareVersion
+from ebonyhold.forwarding._types import Backend, SoftwareVersion
 from ebonyhold.forwarding._work import RequestWork
 from ebonyhold.types import Seconds
 
@@ -25,28 +25,6 @@
 request can still be retried or refused with an error.
 """
 
-SAFE_TIMEOUT: Seconds = 0.3
-"""Minimum timeout for the answer to a safe request that can be sent again."""
-
-STREAM_TIMEOUT: Seconds = 1.2
-"""Minimum time without data after which a stream is resumed at another server.
-
-Callers give up a stream after two seconds without an event. A busy but healthy engine
-sends events at intervals of less than half of this time.
-"""
-
-TIMEOUT_TARGETS = 3.0
-"""The timeout as a multiple of the route's target latency.
-
-SAFE_TIMEOUT or STREAM_TIMEOUT applies instead if it is longer.
-"""
-
-
-class SilenceError(BackendLostError):
-    """A backend server sent nothing for longer than the timeout."""
-
-    code = "backend_silent"
-
 
 @define(eq=False)
 class AnswerDelivery:
@@ -59,10 +37,11 @@
         channel: The connection, to the server or to a relay.
         paths: Tells whether the server runs on.
         streams: Records which version began a stream.
+        watch: Waits for the server.
         heard: Called when the server has sent something.
+        claim: Called before anything is passed on, since only one attempt may do so.
         run: The server's run and the connection to it; None if another router sends.
-        max_gap: The longest pause that is on time, once the server has sent an event;
-            None if it is unused.
+        splitter: Splits the stream into events.
     """
 
     exchange: Exchange
@@ -71,9 +50,11 @@
     channel: Channel
     paths: Paths
     streams: StreamVersions
+    watch: SilenceWatch
     heard: Callable[[], None]
+    claim: Callable[[], Awaitable[None]]
     run: RunOfStream | None = None
-    max_gap: Seconds | None = None
+    splitter: EventSplitter = field(factory=EventSplitter)
 
     async def read_whole(self, head: AnswerHead) -> WholeAnswer:
         """Return a whole answer.
@@ -88,11 +69,11 @@
     async def relay_stream(self, head: AnswerHead, work: RequestWork) -> None:
         """Pass on the events of a stream; see `relay_events`."""
         connection = self.exchange.connection
-        connection.source = self.channel.inbox
         try:
             await self.relay_events(head, work)
         finally:
-            connection.source = None
+            if connection.source is self.channel.inbox:
+                connection.source = None
 
     async def relay_events(self, head: AnswerHead, work: RequestWork) -> None:
         """Pass on the events of a stream as they arrive, each one whole.
@@ -100,40 +81,45 @@
         Bytes after the last complete event are passed on if the answer states its end.
 
         Raises:
+            SilenceError: The server is silent; a further call goes on.
             BackendLostError: The stream broke off; the caller has whole events only.
         """
-        splitter = EventSplitter()
         while True:
             part = await self.read_next_part()
             if part is None:
                 break
-            events = self.undelivered(splitter.feed(part))
+            events = self.undelivered(self.splitter.feed(part))
             if events:
+                await self.claim()
+                self.exchange.connection.source = self.channel.inbox
                 work.mark_read()
                 if self.exchange.first_event_at is None:
                     self.exchange.first_event_at = anyio.current_time()
                 data = b"".join(event.raw for event in events)
                 await self.exchange.deliver_part(head, data)
                 self.record_events(events)
-                self.max_gap = self.known_gap()
-        if splitter.is_inside_event and not self.channel.end_stated:
+                self.watch.max_gap = self.known_gap()
+        if self.splitter.is_inside_event and not self.channel.end_stated:
             raise BackendLostError("the answer ended inside an event")
         await self.check_end()
-        if splitter.rest or not self.exchange.connection.started:
-            await self.exchange.deliver_part(head, splitter.rest)
+        await self.claim()
+        if self.splitter.rest or not self.exchange.connection.started:
+            await self.exchange.deliver_part(head, self.splitter.rest)
         await self.exchange.connection.end()
 
     async def read_next_part(self) -> bytes | None:
         """Return the next part or, at the end, None; raise SilenceError on timeout."""
-        since = anyio.current_time()
+        silent = False
         try:
-            with anyio.move_on_after(answer_timeout(self.exchange, self.max_gap)):
-                part = await self.channel.read_part()
-                self.heard()
-                return part
-            raise SilenceError("the stream stalled")
+            part = await self.watch.read(self.channel.read_part, "the stream stalled")
+            self.heard()
+            return part
+        except SilenceError:
+            silent = True
+            raise
         finally:
-            self.record_pause(anyio.current_time() - since)
+            if not silent:
+                self.record_pause(anyio.current_time() - self.watch.waiting_since)
 
     def known_gap(self) -> Seconds | None:
         """Return the longest pause of the stream that is on time; None if unused."""
@@ -142,7 +128,8 @@
 
     def record_pause(self, waited: Seconds) -> None:
         """Count a wait for the server that was too long for the stream."""
-        if self.max_gap is not None and waited > self.max_gap:
+        max_gap = self.watch.max_gap
+        if max_gap is not None and waited > max_gap:
             service = self.exchange.match.service
             self.exchange.flow.on_pause(service, self.backend.name, waited)
 
@@ -183,25 +170,6 @@
             exchange.last_event = numbers[-1]
 
 
-def answer_timeout(
-    exchange: Exchange, max_gap: Seconds | None = None
-) -> Seconds | None:
-    """Return the timeout for the next data from a server, or None for no timeout.
-
-    Between two events it depends on the longest pause that is on time, if it is known.
-
-    A request that cannot be sent to another server has no timeout: it waits for this
-    server's answer until its deadline.
-    """
-    route = exchange.match.route
-    if not (route.idempotent and exchange.attempts_left):
-        return None
-    minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
-    if max_gap is not None:
-        return max(minimum, RESUME_GAPS * max_gap)
-    return max(minimum, TIMEOUT_TARGETS * route.target)
-
-
 async def read_rest(
     channel: Channel,
     limit: int = MAX_WHOLE_ANSWER,
--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import anyio
 from attrs import Factory, define
@@ -13,7 +13,7 @@
 from ebonyhold.forwarding._attempt import Attempt
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._choice import choose, with_fewest_suspects
-from ebonyhold.forwarding._crash_detection import CrashDetector
+from ebonyhold.forwarding._crash_detection import CrashDetector, Suspicion
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._early_refusal import check_early
 from ebonyhold.forwarding._entry import BackendEntry
@@ -23,20 +23,21 @@
     Exchange,
     ExpectedRead,
 )
+from ebonyhold.forwarding._hedge import Hedge
 from ebonyhold.forwarding._paths import Paths
 from ebonyhold.forwarding._place_queue import PlaceQueue, wait_until
 from ebonyhold.forwarding._refusals import Refusal
 from ebonyhold.forwarding._retries import FleetRetryBudget
 from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomAllocator
 from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
-from ebonyhold.forwarding._silence import SilenceRecorder
+from ebonyhold.forwarding._silence import SilenceRecorder, StandbyResult
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
     takes_up,
 )
 from ebonyhold.forwarding._work import prompt_size, shared_tokens
-from ebonyhold.types import Seconds
+from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -127,47 +128,125 @@
                 if entry in MAY_WAIT and await self.wait_for_place(exchange):
                     continue
                 return entry
-            attempt = Attempt(
-                exchange,
-                entry,
-                self.paths,
-                self.backends,
-                self.dialect,
-                self.streams,
-                self.silences,
-                suspect,
-            )
-            self.shared.record_sent(
-                exchange.caller, exchange.match.service, entry, anyio.current_time()
-            )
-            if not exchange.reasons:
-                self.retries.request(exchange.match.service, anyio.current_time())
-            self.log_dispatch(exchange, entry)
-            end = None
+            attempt = self.new_attempt(exchange, entry, known, suspect)
             try:
                 result = await attempt.run()
-                end = result.end
+                while result.end is AttemptEnd.SILENT:
+                    attempt, result = await self.wait_or_hedge(exchange, attempt)
             finally:
-                self.places.free(exchange.match.service)
-                self.rooms.free(exchange, end)
-            self.record_reading(exchange)
+                await attempt.release()
+            self.record_result(exchange, attempt, result)
             if result.end is AttemptEnd.DELIVERED:
-                self.crashes.answered(exchange, result.written)
                 return None
-            if result.end is not AttemptEnd.WITHHELD:
-                # A further attempt may ask all servers for memory again.
-                exchange.roomless.clear()
-                exchange.waited_for_memory = False
-            if result.broken:
-                self.crashes.lost(exchange, entry, known)
-            self.record_failure(exchange, entry.backend.name, result)
-            self.streams.recheck(exchange)
             if result.end is AttemptEnd.NOT_SENT:
                 await self.settle_reach(exchange)
             refusal = self.check_retry(exchange, result)
             if refusal is not None:
                 return refusal
 
+    def new_attempt(
+        self,
+        exchange: Exchange,
+        entry: BackendEntry,
+        known: Suspicion,
+        suspect: bool,
+    ) -> Attempt:
+        """Return an attempt at a server that was chosen, and log the choice."""
+        service, now = exchange.match.service, anyio.current_time()
+        attempt = Attempt(
+            exchange,
+            entry,
+            self.paths,
+            self.backends,
+            self.dialect,
+            self.streams,
+            self.silences,
+            suspect,
+            known,
+            exchange.room,
+            exchange.expected,
+        )
+        exchange.room = exchange.expected = None
+        attempt.held.callback(lambda: self.rooms.free(attempt.room, attempt.end))
+        attempt.held.callback(self.places.free, service)
+        self.shared.record_sent(exchange.caller, service, entry, now)
+        if not exchange.reasons and not exchange.sends:
+            self.retries.request(service, now)
+        self.log_dispatch(exchange, entry)
+        return attempt
+
+    def record_result(
+        self, exchange: Exchange, attempt: Attempt, result: AttemptResult
+    ) -> None:
+        """Record how an attempt has ended."""
+        self.record_reading(exchange, attempt.expected)
+        if result.end is AttemptEnd.DELIVERED:
+            self.crashes.answered(exchange, result.written)
+            return
+        if result.end is not AttemptEnd.WITHHELD:
+            # A further attempt may ask all servers for memory again.
+            exchange.roomless.clear()
+            exchange.waited_for_memory = False
+        if result.broken:
+            self.crashes.lost(exchange, attempt.entry, attempt.known)
+        self.record_failure(exchange, attempt.entry.backend.name, result)
+        self.streams.recheck(exchange)
+
+    async def wait_or_hedge(
+        self, exchange: Exchange, silent: Attempt
+    ) -> tuple[Attempt, AttemptResult]:
+        """Wait for a silent server, or for another one too; return what ended last.
+
+        The silent server is not left before another one has answered: a sound server
+        may be silent for a moment, as all may be at the same time.
+        """
+        found = self.find_standby(exchange, silent)
+        if isinstance(found, Attempt):
+            return await Hedge(self, exchange, silent, found).run()
+        if found is not silent.kept_for:
+            silent.kept_for = found
+            self.silences.kept(exchange, silent.entry, found)
+        return silent, await silent.resume()
+
+    def find_standby(
+        self, exchange: Exchange, silent: Attempt
+    ) -> Attempt | StandbyResult:
+        """Return an attempt at another server for a request whose server is silent.
+
+        Its server is not known to be silent too, and its retry is taken from the
+        budget. If there is none, return why.
+        """
+        reachable = self.paths.reach.is_connected or self.paths.uses_relays
+        unlucky = exchange.connects >= MAX_CONNECTS
+        if not reachable or unlucky or not self.crashes.may_retry(exchange):
+            return StandbyResult.NO_SERVER
+        others = self.silences.compare(silent.entry, silent.watch.waiting_since)
+        # By way of other routers, servers may answer that seem to be silent from here.
+        avoided = () if self.paths.uses_relays else others.silent
+        known = self.crashes.suspicion(exchange)
+        suspect = known.exists or bool(exchange.losses)
+        entry = self.next_entry(exchange, suspect, avoided)
+        if isinstance(entry, Refusal):
+            if avoided and not others.heard:
+                return StandbyResult.COMMON_SILENCE
+            gone = self.is_version_gone(exchange, but=silent.entry)
+            return StandbyResult.OTHER_VERSION if gone else StandbyResult.NO_SERVER
+        if not self.retries.take(exchange.match.service, anyio.current_time()):
+            return StandbyResult.NO_RETRY
+        return self.new_attempt(exchange, entry, known, suspect)
+
+    async def run_standby(self, attempt: Attempt) -> AttemptResult:
+        """Get memory for an attempt beside another one, and run it."""
+        exchange = attempt.exchange
+        if not await self.get_room(exchange, attempt.entry):
+            return AttemptResult(AttemptEnd.WITHHELD, reason="withheld: memory")
+        attempt.room, exchange.room = exchange.room, None
+        return await attempt.run()
+
+    def give_retry_back(self, exchange: Exchange) -> None:
+        """Count a retry no more that was never sent."""
+        self.retries.give_back(exchange.match.service, anyio.current_time())
+
     @property
     def rooms(self) -> RoomAllocator:
         """What gets and frees the memory of requests at servers."""
@@ -203,7 +282,8 @@
                 now, version = anyio.current_time(), exchange.version
                 if self.backends.withheld(entry, now, version=version) is None:
                     return entry
-                self.rooms.free(exchange, AttemptEnd.NOT_SENT)
+                room, exchange.room = exchange.room, None
+                self.rooms.free(room, AttemptEnd.NOT_SENT)
         if exchange.may_have_run:
             return Refusal.SERVER_LOST
         now, memory = anyio.current_time(), self.backends.memory
@@ -260,12 +340,15 @@
             },
         )
 
-    def next_entry(self, exchange: Exchange, suspect: bool) -> BackendEntry | Refusal:
+    def next_entry(
+        self, exchange: Exchange, suspect: bool, avoided: Collection[BackendName] = ()
+    ) -> BackendEntry | Refusal:
         """Return the next server to try, or a refusal if there is none.
 
         Args:
             exchange: The request.
             suspect: Whether it may crash the server.
+            avoided: Servers that are not chosen.
         """
         exchange.expected = None
         if self.crashes.is_rejected(exchange):
@@ -279,7 +362,7 @@
         entries = self.backends.usable(
             service,
             now,
-            [*exchange.tried, *exchange.roomless],
+            [*exchange.tried, *exchange.roomless, *avoided],
             relayed,
             exchange.version,
             begins=exchange.match.route.resumable and exchange.version is None,
@@ -345,9 +428,9 @@
         )
         return True
 
-    def record_reading(self, exchange: Exchange) -> None:
+    def record_reading(self, exchange: Exchange, expected: ExpectedRead | None) -> None:
         """Record how long a server has read until the first event of a stream."""
-        expected, first_at = exchange.expected, exchange.first_event_at
+        first_at = exchange.first_event_at
         if expected is None or first_at is None or first_at < expected.since:
             return
         reading = self.backends.readings.of(exchange.match.service)
@@ -368,12 +451,20 @@
             return Refusal.VERSION_GONE
         return Refusal.SERVERS_FULL if exchange.sends else Refusal.NO_SERVER
 
-    def is_version_gone(self, exchange: Exchange) -> bool:
-        """Return whether a stream's version has no server that is listed."""
+    def is_version_gone(
+        self, exchange: Exchange, but: BackendEntry | None = None
+    ) -> bool:
+        """Return whether a stream's version has no server that is listed.
+
+        Args:
+            exchange: The request.
+            but: A server that does not count.
+        """
         service, version = exchange.match.service, exchange.version
         return version is not None and not any(
             entry.backend.service == service and entry.backend.version == version
             for entry in self.backends.entries.values()
+            if entry is not but
         )
 
     def record_failure(
@@ -381,7 +472,6 @@
     ) -> None:
         """Store why an attempt failed, and the server's error answer if any."""
         exchange.reasons.append(f"{backend}: {result.reason}")
-        exchange.left_silent = result.silent
         if result.answer is not None:
             exchange.failure = result.answer
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -29,7 +29,8 @@
         listed: Whether this run of the server is listed now. Results of attempts at a
             run that is not must not be recorded for the server's next run.
         in_flight: Number of this router's requests that it is processing.
-        busy_since: Since when it has had such requests without a break.
+        busy_since: Since when it has had such requests without a break; infinite if it
+            has none.
         heard_at: When it last sent something to this router.
         work: Estimated load of those requests.
         evidence: What this router has recently observed of it, where load is shared.
@@ -62,7 +63,7 @@
     backend: Backend
     listed: bool = True
     in_flight: int = 0
-    busy_since: Seconds = 0.0
+    busy_since: Seconds = math.inf
     heard_at: Seconds = -math.inf
     work: ServerWork = field(factory=ServerWork)
     evidence: ServerEvidence = field(factory=ServerEvidence)
@@ -94,6 +95,8 @@
             yield work
         finally:
             self.in_flight -= 1
+            if not self.in_flight:
+                self.busy_since = math.inf
             work.end()
 
     def confirm(self, until: Seconds) -> None:
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -34,6 +34,7 @@
 
     Attributes:
         DELIVERED: The caller got the complete answer.
+        SILENT: It has not ended: the server has sent nothing for too long.
         NOT_SENT: No connection could be made.
         NOT_RUN: The server stated that it did not run the request.
         FAILED: The server answered with status 500 or above.
@@ -43,6 +44,7 @@
     """
 
     DELIVERED = "delivered"
+    SILENT = "silent"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     FAILED = "failed"
@@ -83,7 +85,6 @@
             other attempt succeeds.
         reason: Why it failed, for logs.
         broken: Whether the connection ended before the answer did.
-        silent: Whether the server was left because it was silent.
         written: Whether the server has written a whole answer on the prompt.
     """
 
@@ -91,7 +92,6 @@
     answer: WholeAnswer | None = None
     reason: str = ""
     broken: bool = False
-    silent: bool = False
     written: bool = False
 
 
@@ -138,7 +138,7 @@
         connects: How many connections to servers failed.
         tried: The servers that it was sent to, or that could not be reached.
         unreached: Those of them that could not be reached.
-        may_have_run: Whether a server may have run it.
+        possible_runs: How many servers may have run it.
         last_event: The number of the last event that the caller has; None if none.
         version: The software version that its stream belongs to, which is that of the
             run whose first event the caller got; None before one.
@@ -146,7 +146,9 @@
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
         endings: How the answers of servers ended, for logs.
-        left_silent: Whether its last attempt was given up because of a silence.
+        left_silent: Whether a server was left for its silence before another one
+            answered.
+        writer: The attempt that may write to the caller; None if any may.
         known_digest: The digest of its content; empty until `digest` is first read.
         known_parts: The digests of the parts of its prompt that other requests may
             have; None until `parts` is first read.
@@ -158,12 +160,12 @@
         flow: Bounds what is buffered, and knows the longest pauses of streams.
         held: Bytes of whole answers that count as held.
         need: The memory that it needs at a server; None if that is not accounted for.
-        room: The memory that its current attempt has.
+        room: The memory for its next attempt.
         roomless: The servers that had no memory for it.
         waited_for_memory: Whether it has waited for memory.
         first_event_at: When the first event arrived that was passed on; None before.
-        expected: What the server of the current attempt is expected to read before;
-            None if the load of the other routers is not known.
+        expected: What the server of the next attempt is expected to read before; None
+            if the load of the other routers is not known.
     """
 
     connection: CallerConnection
@@ -177,7 +179,7 @@
     connects: int = 0
     tried: list[BackendName] = field(factory=list)
     unreached: list[BackendName] = field(factory=list)
-    may_have_run: bool = False
+    possible_runs: int = 0
     last_event: int | None = None
     version: SoftwareVersion | None = None
     events: int = 0
@@ -185,6 +187,7 @@
     reasons: list[str] = field(factory=list)
     endings: list[AnswerEnding] = field(factory=list)
     left_silent: bool = False
+    writer: object | None = None
     known_digest: RequestDigest = ""
     known_parts: tuple[PartDigest, ...] | None = None
     losses: list[AttemptLoss] = field(factory=list)
@@ -258,6 +261,11 @@
         self.tried = [name for name in self.tried if name not in self.unreached]
         self.unreached.clear()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run it."""
+        return self.possible_runs > 0
+
     @property
     def attempts_left(self) -> bool:
         """Whether the request was sent less often than its route allows."""
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -289,7 +289,7 @@
             backends.record_declined(entry, facts, anyio.current_time())
         elif head.status >= 500 and not facts.rest:
             backends.failed(entry, anyio.current_time())
-        await self.return_answer(channel, head, work)
+        await self.return_answer(entry, channel, head, work)
         if head.status < 500:
             backends.succeeded(entry)
         return channel.finish(head, anyio.current_time())
@@ -313,6 +313,7 @@
             head = await channel.read_head()
             facts = self.relay.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
+            entry.heard_at = now
             self.relay.reach.record_heard(entry.backend.name, now)
             self.relay.backends.record_statements(entry, facts, now)
             if facts.request_id == self.caller.request_id or facts.not_run:
@@ -321,7 +322,11 @@
         raise BackendLostError("too many answers to other requests")
 
     async def return_answer(
-        self, channel: Channel, head: AnswerHead, work: RequestWork
+        self,
+        entry: BackendEntry,
+        channel: Channel,
+        head: AnswerHead,
+        work: RequestWork,
     ) -> None:
         """Pass an answer back as it arrives, each part at once.
 
@@ -336,6 +341,7 @@
         start = self.connection.head(head.status, without_length(fields))
         await self.connection.stream.send(start)
         while (part := await channel.read_part()) is not None:
+            entry.heard_at = anyio.current_time()
             work.mark_read()
             await self.connection.send(part)
         await self.connection.end()
--- a/ebonyhold/forwarding/_retries.py
+++ b/ebonyhold/forwarding/_retries.py
@@ -87,3 +87,9 @@
             return False
         window.retries.append(now)
         return True
+
+    def give_back(self, service: ServiceName, now: Seconds) -> None:
+        """Count a retry no more that was taken just before and never sent."""
+        retries = self.window(service, now).retries
+        if retries:
+            retries.pop()
--- a/ebonyhold/forwarding/_rooms.py
+++ b/ebonyhold/forwarding/_rooms.py
@@ -8,7 +8,7 @@
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import AttemptEnd, Exchange
-from ebonyhold.forwarding._memory import RoomRequest
+from ebonyhold.forwarding._memory import MemoryRoom, RoomRequest
 from ebonyhold.forwarding._place_queue import wait_until
 
 MAX_SERVERS_ASKED = 3
@@ -65,15 +65,14 @@
         """Return whether a request may wait for memory; each does so once."""
         return exchange.need is not None and not exchange.waited_for_memory
 
-    def free(self, exchange: Exchange, end: AttemptEnd | None) -> None:
+    def free(self, room: MemoryRoom | None, end: AttemptEnd | None) -> None:
         """Give the room of an attempt back.
 
         Args:
-            exchange: The request.
+            room: The room; None if it had none.
             end: How the attempt ended; None if it was cancelled. A server that has not
                 answered may notice the end of the connection only later.
         """
-        room, exchange.room = exchange.room, None
         if room is not None:
             self.backends.memory.free(room, end not in (None, AttemptEnd.LOST))
 
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -26,10 +26,40 @@
     """What became of a request whose server sent nothing for too long.
 
     Attributes:
-        LEFT: The server was left, before it was known whether another one answers.
+        MOVED: Another server has answered, so this one was left.
+        WENT_ON: The server has sent something again.
+        LEFT: The server was left before another one had answered.
+        ENDED: The server's connection ended.
+        UNANSWERED: The request ended, since its caller left or its time was over.
     """
 
+    MOVED = "moved"
+    WENT_ON = "went_on"
     LEFT = "left"
+    ENDED = "ended"
+    UNANSWERED = "unanswered"
+
+
+class StandbyResult(Enum):
+    """What came of looking for another server while one is silent.
+
+    Attributes:
+        ANSWERED: It has answered.
+        WITHDRAWN: The attempt there was ended in favour of the silent server.
+        FAILED: It could not be reached, declined, failed or broke off.
+        NO_RETRY: No retry is left in the budget.
+        NO_SERVER: No other server may get the request now.
+        OTHER_VERSION: The other servers have other versions than the stream.
+        COMMON_SILENCE: All that may get the request are silent too.
+    """
+
+    ANSWERED = "answered"
+    WITHDRAWN = "withdrawn"
+    FAILED = "failed"
+    NO_RETRY = "no_retry"
+    NO_SERVER = "no_server"
+    OTHER_VERSION = "other_version"
+    COMMON_SILENCE = "common_silence"
 
 
 @frozen
@@ -68,17 +98,39 @@
         if entry is not silent and entry.backend.service == silent.backend.service
     ]
     heard = {entry.backend.name for entry in others if entry.heard_at > middle}
-    busy = {
-        entry.backend.name
-        for entry in others
-        if entry.in_flight and entry.busy_since <= middle
-    }
+    busy = {entry.backend.name for entry in others if entry.busy_since <= middle}
     names = {entry.backend.name for entry in others}
     return OtherServers(
         frozenset(heard), frozenset(busy - heard), frozenset(names - heard - busy)
     )
 
 
+def prefers_second(
+    first: BackendEntry,
+    second: BackendEntry,
+    entries: Iterable[BackendEntry],
+    since: Seconds,
+) -> bool:
+    """Return which of two attempts to keep if neither server has answered.
+
+    The silent one is left only if nothing was heard from its server on any connection,
+    and something from another one: then the silence is its own.
+
+    Args:
+        first: The server that has been silent for too long.
+        second: The server that the request was sent to besides.
+        entries: The known servers.
+        since: When it was sent to the second one.
+    """
+    if first.heard_at > since:
+        return False
+    return any(
+        entry.heard_at > since
+        for entry in (second, *entries)
+        if entry.backend.service == first.backend.service
+    )
+
+
 @define(eq=False)
 class SilenceRecorder:
     """Logs and counts the silences of servers.
@@ -86,17 +138,21 @@
     Attributes:
         backends: The known servers.
         on_outcome: Called with the service and what became of the request.
+        on_standby: Called with the service and what came of looking for another server.
     """
 
     backends: BackendTable
     on_outcome: Callable[[ServiceName, SilenceOutcome], None] = field(
         default=lambda service, outcome: None
     )
+    on_standby: Callable[[ServiceName, StandbyResult], None] = field(
+        default=lambda service, result: None
+    )
 
     def began(self, exchange: Exchange, entry: BackendEntry, since: Seconds) -> None:
         """Log that a server has sent nothing for too long."""
         now = anyio.current_time()
-        others = compare(entry, self.backends.entries.values(), since, now)
+        others = self.compare(entry, since)
         log.info(
             "server silent",
             extra={
@@ -110,6 +166,41 @@
             },
         )
 
-    def ended(self, exchange: Exchange, outcome: SilenceOutcome) -> None:
-        """Count what became of a request whose server was silent."""
+    def compare(self, entry: BackendEntry, since: Seconds) -> OtherServers:
+        """Return what the other servers have done while one was silent until now."""
+        now = anyio.current_time()
+        return compare(entry, self.backends.entries.values(), since, now)
+
+    def kept(
+        self, exchange: Exchange, entry: BackendEntry, result: StandbyResult
+    ) -> None:
+        """Log and count why no other server gets the request of a silent one."""
+        self.on_standby(exchange.match.service, result)
+        log.info(
+            "silent server kept",
+            extra={
+                "request": exchange.caller.request_id,
+                "backend": entry.backend.name,
+                "why": result.value,
+            },
+        )
+
+    def ended(
+        self,
+        exchange: Exchange,
+        entry: BackendEntry,
+        since: Seconds,
+        outcome: SilenceOutcome,
+    ) -> None:
+        """Log and count what became of a request whose server was silent."""
         self.on_outcome(exchange.match.service, outcome)
+        now = anyio.current_time()
+        log.info(
+            "silence ended",
+            extra={
+                "request": exchange.caller.request_id,
+                "backend": entry.backend.name,
+                "outcome": outcome.value,
+                "silent_ms": round((now - since) * 1000),
+            },
+        )
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -315,7 +315,11 @@
                 self.metrics.count_stream,
             ),
             flow=flow,
-            silences=SilenceRecorder(self.routing.backends, self.metrics.count_silence),
+            silences=SilenceRecorder(
+                self.routing.backends,
+                self.metrics.count_silence,
+                self.metrics.count_standby,
+            ),
         )
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -25,6 +25,7 @@
     Reachability,
     RelayResult,
     SilenceOutcome,
+    StandbyResult,
 )
 from ebonyhold.prepaid import HoldOutcome, WorkspaceGrant
 from ebonyhold.types import BackendName, Seconds
@@ -154,6 +155,12 @@
             ("service", "outcome"),
             registry=self.registry,
         )
+        self.standbys = Counter(
+            "ebonyhold_gateway_standbys_total",
+            "Searches for another server while one was silent, by what came of them.",
+            ("service", "result"),
+            registry=self.registry,
+        )
         self.answers_cut = Counter(
             "ebonyhold_gateway_answers_cut_total",
             "Answers cut after a part of them had been passed on, by cause.",
@@ -251,6 +258,10 @@
         """Count a silence of a server by what became of the request."""
         self.silences.labels(service, outcome.value).inc()
 
+    def count_standby(self, service: str, result: StandbyResult) -> None:
+        """Count a search for another server while one was silent."""
+        self.standbys.labels(service, result.value).inc()
+
     def count_cut(self, cause: CutCause) -> None:
         """Count an answer that was cut by why it was."""
         self.answers_cut.labels(cause.value).inc()
