Wait for servers that return from a common silence

Cause: the limit of silence is often as long as a common silence.

Change: a server that was not heard for half a second counts as returned for 0.25 s.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -397,7 +397,7 @@
     def record_heard(self) -> None:
         """Record that the server has sent something to this router."""
         now = anyio.current_time()
-        self.entry.heard_at = now
+        self.entry.record_heard(now)
         if self.relay is None:
             self.paths.reach.record_heard(self.entry.backend.name, now)
         self.watch.is_silent = False
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -19,6 +19,9 @@
 from ebonyhold.forwarding._work import RequestWork, ServerWork
 from ebonyhold.types import Seconds
 
+LONG_PAUSE: Seconds = 0.5
+"""Time without a byte of any answer after which a server counts as heard anew."""
+
 
 @define(eq=False)
 class BackendEntry:
@@ -32,6 +35,7 @@
         busy_since: Since when it has had such requests without a break; infinite if it
             has none.
         heard_at: When it last sent something to this router.
+        heard_since: Since when it has sent something without a long pause.
         work: Estimated load of those requests.
         evidence: What this router has recently observed of it, where load is shared.
         suspects: Number of those requests that may crash the server.
@@ -65,6 +69,7 @@
     in_flight: int = 0
     busy_since: Seconds = math.inf
     heard_at: Seconds = -math.inf
+    heard_since: Seconds = -math.inf
     work: ServerWork = field(factory=ServerWork)
     evidence: ServerEvidence = field(factory=ServerEvidence)
     suspects: int = 0
@@ -99,6 +104,12 @@
                 self.busy_since = math.inf
             work.end()
 
+    def record_heard(self, now: Seconds) -> None:
+        """Record that the server has sent something to this router."""
+        if now - self.heard_at > LONG_PAUSE:
+            self.heard_since = now
+        self.heard_at = now
+
     def confirm(self, until: Seconds) -> None:
         """Forget what was in doubt at a time, as the list has shown this run since."""
         if self.ended_at is not None and self.end_seen_at <= until:
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -313,7 +313,7 @@
             head = await channel.read_head()
             facts = self.relay.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
-            entry.heard_at = now
+            entry.record_heard(now)
             self.relay.reach.record_heard(entry.backend.name, now)
             self.relay.backends.record_statements(entry, facts, now)
             if facts.request_id == self.caller.request_id or facts.not_run:
@@ -341,7 +341,7 @@
         start = self.connection.head(head.status, without_length(fields))
         await self.connection.stream.send(start)
         while (part := await channel.read_part()) is not None:
-            entry.heard_at = anyio.current_time()
+            entry.record_heard(anyio.current_time())
             work.mark_read()
             await self.connection.send(part)
         await self.connection.end()
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -22,6 +22,10 @@
 log = logging.getLogger(__name__)
 
 
+RETURN_TIME: Seconds = 0.25
+"""Time after the end of a common silence in which each server may still return."""
+
+
 class SilenceOutcome(Enum):
     """What became of a request whose server sent nothing for too long.
 
@@ -68,14 +72,24 @@
 
     Attributes:
         heard: Those that have sent something.
+        returned: Those of them that have only just begun to send again.
         silent: Those that have requests of this router and have sent nothing either.
         idle: Those that have had no request for long enough to tell.
     """
 
     heard: frozenset[BackendName] = frozenset()
+    returned: frozenset[BackendName] = frozenset()
     silent: frozenset[BackendName] = frozenset()
     idle: frozenset[BackendName] = frozenset()
 
+    @property
+    def are_silent(self) -> bool:
+        """Whether none sends that may, or those that do have just begun to.
+
+        Then the silence is a common one, which may be over at any moment.
+        """
+        return self.heard <= self.returned and bool(self.silent or self.returned)
+
 
 def compare(
     silent: BackendEntry, entries: Iterable[BackendEntry], since: Seconds, now: Seconds
@@ -99,9 +113,17 @@
     ]
     heard = {entry.backend.name for entry in others if entry.heard_at > middle}
     busy = {entry.backend.name for entry in others if entry.busy_since <= middle}
+    returned = {
+        entry.backend.name
+        for entry in others
+        if entry.backend.name in heard and entry.heard_since > now - RETURN_TIME
+    }
     names = {entry.backend.name for entry in others}
     return OtherServers(
-        frozenset(heard), frozenset(busy - heard), frozenset(names - heard - busy)
+        frozenset(heard),
+        frozenset(returned),
+        frozenset(busy - heard),
+        frozenset(names - heard - busy),
     )
 
 
@@ -161,6 +183,7 @@
                 "events": exchange.events,
                 "silent_ms": round((now - since) * 1000),
                 "others_heard": len(others.heard),
+                "others_returned": len(others.returned),
                 "others_silent": len(others.silent),
                 "others_idle": len(others.idle),
             },
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -12,29 +12,31 @@
 NOW = 10.0
 
 OTHERS = [
-    # when the other server last sent something, since when it has requests; None for
-    # none: what it counts as after a silence of 2 s
-    (9.9, 5.0, "heard"),
-    (9.9, None, "heard"),
-    (8.1, 5.0, "silent"),
-    (7.0, 8.9, "silent"),
-    (7.0, 9.9, "idle"),
-    (8.1, None, "idle"),
+    # when the other server last sent something, and since when it has without a long
+    # pause; since when it has requests, None for none: what it counts as after 2 s
+    (9.9, 5.0, 5.0, {"heard"}),
+    (9.9, 5.0, None, {"heard"}),
+    (9.9, 9.8, 5.0, {"heard", "returned"}),
+    (9.9, 9.7, 5.0, {"heard"}),
+    (8.1, 5.0, 5.0, {"silent"}),
+    (7.0, 5.0, 8.9, {"silent"}),
+    (7.0, 5.0, 9.9, {"idle"}),
+    (8.1, 5.0, None, {"idle"}),
 ]
 
 
-@pytest.mark.parametrize(("heard_at", "busy_since", "kind"), OTHERS)
+@pytest.mark.parametrize(("heard_at", "heard_since", "busy_since", "kinds"), OTHERS)
 def test_server_is_compared_by_the_second_half_of_a_silence(
-    heard_at: float, busy_since: float | None, kind: str
+    heard_at: float, heard_since: float, busy_since: float | None, kinds: set[str]
 ) -> None:
     """What others sent just before a common silence must not count as sent in it."""
     silent, other = (
         BackendEntry(Server(name, good).backend()) for name in ("one", "two")
     )
-    other.heard_at = heard_at
+    other.heard_at, other.heard_since = heard_at, heard_since
     if busy_since is not None:
         other.busy_since = busy_since
-    expected = OtherServers(**{kind: frozenset({"two"})})
+    expected = OtherServers(**{kind: frozenset({"two"}) for kind in kinds})
     assert compare(silent, [silent, other], NOW - 2.0, NOW) == expected
 
 
