Wait longer in a silence that most servers share

Cause: where most servers are silent, the few that send were asked for the streams of all.

Change: a silence that most servers share, counted with those that have just returned, is common; another server is looked for only after 4/3 of the usual limit, which is still within what callers wait. Servers are looked for again every 0.1 s instead of 0.25 s.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -222,14 +222,15 @@
             return StandbyResult.NO_SERVER
         others = self.silences.compare(silent.entry, silent.watch.waiting_since)
         # By way of other routers, servers may answer that seem to be silent from here.
-        avoided = () if self.paths.uses_relays else others.silent
-        if others.returned and others.are_silent and not self.paths.uses_relays:
+        relayed = self.paths.uses_relays
+        if others.share_silence and not relayed and not silent.watch.is_very_long:
             return StandbyResult.COMMON_SILENCE
+        avoided = () if relayed else others.silent
         known = self.crashes.suspicion(exchange)
         suspect = known.exists or bool(exchange.losses)
         entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
-            if avoided and others.are_silent:
+            if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
             gone = self.is_version_gone(exchange, but=silent.entry)
             return StandbyResult.OTHER_VERSION if gone else StandbyResult.NO_SERVER
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -83,12 +83,13 @@
     idle: frozenset[BackendName] = frozenset()
 
     @property
-    def are_silent(self) -> bool:
-        """Whether none sends that may, or those that do have just begun to.
+    def share_silence(self) -> bool:
+        """Whether most are silent too, or have been until a moment ago.
 
         Then the silence is a common one, which may be over at any moment.
         """
-        return self.heard <= self.returned and bool(self.silent or self.returned)
+        steady = len(self.heard - self.returned)
+        return len(self.silent | self.returned) > steady
 
 
 def compare(
--- a/ebonyhold/forwarding/_silence_watch.py
+++ b/ebonyhold/forwarding/_silence_watch.py
@@ -39,7 +39,14 @@
 The time in which this process was frozen, and read nothing, must not count.
 """
 
-RECHECK_INTERVAL: Seconds = 0.25
+COMMON_FACTOR = 4 / 3
+"""The limit for a silence that most servers share, as a multiple of the usual one.
+
+Most of them are likely to return before. The few that send could not take the streams
+of all, and callers wait as long as it takes one more server to answer.
+"""
+
+RECHECK_INTERVAL: Seconds = 0.1
 """Time after which another server is looked for again while one is silent."""
 
 
@@ -100,6 +107,13 @@
             return None
         return RECHECK_INTERVAL if self.is_silent else timeout
 
+    @property
+    def is_very_long(self) -> bool:
+        """Whether the silence is too long even for one that most servers share."""
+        timeout = answer_timeout(self.exchange, self.max_gap)
+        silence = anyio.current_time() - self.waiting_since
+        return timeout is not None and silence >= COMMON_FACTOR * timeout
+
     def end_hedge(self) -> None:
         """Apply the limit again, as no other attempt is under way any more."""
         self.is_hedged = False
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -60,3 +60,27 @@
     for entry, heard in zip(entries, (first, second, third), strict=True):
         entry.heard_at = NOW + heard if heard is not None else NOW - 1.0
     assert prefers_second(entries[0], entries[1], entries, NOW) is leaves
+
+
+SHARED = [
+    # the other servers: "h"eard, "r"eturned, "s"ilent, "i"dle; whether they share it
+    ("", False),
+    ("i", False),
+    ("hs", False),
+    ("hss", True),
+    ("hrs", True),
+    ("r", True),
+    ("rh", False),
+    ("s", True),
+    ("hhhs", False),
+]
+
+
+@pytest.mark.parametrize(("kinds", "shared"), SHARED)
+def test_silence_of_most_servers_is_a_common_one(kinds: str, shared: bool) -> None:
+    """The few servers that send must not get the streams of all others at once."""
+    names = {
+        kind: frozenset(f"{n}" for n, each in enumerate(kinds) if each in chosen)
+        for kind, chosen in {"heard": "hr", "returned": "r", "silent": "s"}.items()
+    }
+    assert OtherServers(**names).share_silence is shared
