Use answers of the store and of gateways that arrived during a pause

Cause: the timeout of a call (0.08 s for an offer, 0.1 s for a lease, 0.4 s for a hold) also passes while this process is paused. It was taken for a silence: the connection was closed with the answer unread, and the peer was sent nothing for a second or more, all peers that were being asked at once.

Change: where a timeout was noticed 0.05 s late or more, what has arrived is read first, for at most 0.05 s. Nothing else waits longer.

--- a/ebonyhold/forwarding/_calls.py
+++ b/ebonyhold/forwarding/_calls.py
@@ -12,9 +12,9 @@
     Channel,
     Outbound,
 )
-from ebonyhold.forwarding._delivery import read_rest
 from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
+from ebonyhold.pauses import READ_TIME, was_paused
 from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import Seconds
 
@@ -95,16 +95,51 @@
     ) -> WholeAnswer:
         """Send a request and read its answer.
 
+        An answer that has arrived while this process was paused counts as in time.
+
         Raises:
             BackendLostError: No complete answer arrived in time.
         """
-        with anyio.move_on_after(timeout):
+        answer: ArrivingAnswer | None = None
+        with anyio.move_on_after(timeout) as scope:
             host = [(b"host", self.name.encode()), *request.headers]
             await channel.send(
                 Outbound(
                     request.method, request.target, host, request.body, request.has_body
                 )
             )
-            head: AnswerHead = await channel.read_head()
-            return WholeAnswer(head, await read_rest(channel, MAX_ANSWER))
+            answer = ArrivingAnswer(channel)
+            return await answer.read()
+        if answer is not None and was_paused(scope):
+            with anyio.move_on_after(READ_TIME):
+                return await answer.read()
         raise BackendLostError(f"no answer in {timeout} s")
+
+
+@define(eq=False)
+class ArrivingAnswer:
+    """What was read of an answer.
+
+    Attributes:
+        channel: The connection.
+        head: The head; None before it was read.
+        body: The body, as far as it was read.
+    """
+
+    channel: Channel
+    head: AnswerHead | None = None
+    body: bytearray = field(factory=bytearray)
+
+    async def read(self) -> WholeAnswer:
+        """Return the whole answer; a call that was cancelled may be repeated.
+
+        Raises:
+            BackendLostError: It is incomplete, or larger than MAX_ANSWER.
+        """
+        if self.head is None:
+            self.head = await self.channel.read_head()
+        while (part := await self.channel.read_part()) is not None:
+            self.body += part
+            if len(self.body) > MAX_ANSWER:
+                raise BackendLostError("the answer is too large")
+        return WholeAnswer(self.head, bytes(self.body))
--- /dev/null
+++ b/ebonyhold/pauses.py
@@ -0,0 +1,23 @@
+"""Tells a silence of a peer from a pause of this process.
+
+When a process that was paused runs on, its timeouts have passed, although what its
+peers have sent meanwhile only has to be read.
+"""
+
+from __future__ import annotations
+
+import anyio
+
+from ebonyhold.types import Seconds
+
+MIN_PAUSE: Seconds = 0.05
+"""Delay of a timeout from which this process counts as paused."""
+
+READ_TIME: Seconds = 0.05
+"""Time after a pause in which what has arrived meanwhile is read."""
+
+
+def was_paused(scope: anyio.CancelScope) -> bool:
+    """Return whether a scope was cancelled late, as this process did not run."""
+    late = anyio.current_time() - scope.deadline
+    return scope.cancelled_caught and late >= MIN_PAUSE
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+import asyncio
+import socket
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, suppress
+from threading import Thread
 
 import anyio
 import pytest
@@ -111,6 +115,47 @@
         assert answer.body == b"ok"
 
 
+@pytest.fixture
+def slow_server() -> Iterator[int]:
+    """Run a server in a thread that answers after 0.1 s; yield its port."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+
+        def serve() -> None:
+            stream, _ = listening.accept()
+            with stream:
+                stream.recv(65_536)
+                time.sleep(0.1)
+                stream.sendall(OK)
+                time.sleep(0.5)
+
+        thread = Thread(target=serve, daemon=True)
+        thread.start()
+        yield listening.getsockname()[1]
+        thread.join()
+
+
+async def test_answer_that_arrives_while_this_process_is_paused_is_used(
+    slow_server: int,
+) -> None:
+    """Guards against giving up calls whose answers only have to be read."""
+    calls = HttpCalls(("127.0.0.1", slow_server))
+    async with anyio.create_task_group() as tasks:
+        calls.start(tasks)
+        asyncio.get_running_loop().call_later(0.03, time.sleep, 0.4)
+        assert (await calls.call(REQUEST, 0.2)).body == b"ok"
+        tasks.cancel_scope.cancel()
+
+
+async def test_call_that_is_not_answered_ends_soon_after_a_pause() -> None:
+    """Guards against waiting for a silent peer once more after a pause."""
+    async with calling(never_answer) as calls:
+        asyncio.get_running_loop().call_later(0.03, time.sleep, 0.3)
+        began = anyio.current_time()
+        with pytest.raises(BackendLostError):
+            await calls.call(REQUEST, 0.1)
+        assert anyio.current_time() - began < 0.6
+
+
 async def test_large_answer() -> None:
     """Guards against a size limit below the largest regular answer.
 
