Connect once more after a pause of this process

Cause: a connect that took longer than 0.25 s only because this process was paused counted as a silent server: the attempt was given up, the server counted as failed, and three such servers raised a suspicion that this router is cut off.

Change: if the timeout was noticed 0.05 s late or more, the connect is made once more, with the same timeout. Nothing was sent on the first one.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -15,6 +15,7 @@
 from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, BufferAccount
 from ebonyhold.forwarding._inbox import Inbox, close_shielded
 from ebonyhold.forwarding._types import Headers
+from ebonyhold.pauses import was_paused
 from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import Seconds
 
@@ -310,6 +311,9 @@
 ) -> Channel:
     """Connect to a backend server, and start the task that reads the connection.
 
+    If this process was paused until the timeout had passed, it connects once more: the
+    server may have accepted meanwhile.
+
     Raises:
         ConnectTimeoutError: The server did not accept in time; nothing was sent.
         ConnectRefusedError: No process listens at the address; nothing was sent.
@@ -317,8 +321,11 @@
     """
     stream: SocketStream | None = None
     try:
-        with anyio.move_on_after(timeout):
+        with anyio.move_on_after(timeout) as scope:
             stream = await anyio.connect_tcp(address[0], address[1])
+        if was_paused(scope):
+            with anyio.move_on_after(timeout):
+                stream = await anyio.connect_tcp(address[0], address[1])
     except OSError as error:
         refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
         kind = ConnectRefusedError if refused else BackendLostError
--- a/tests/forwarding/test_connects.py
+++ b/tests/forwarding/test_connects.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
 from collections.abc import Iterator
 from contextlib import suppress
 
@@ -56,3 +58,11 @@
     with socket.create_connection(listening.getsockname()):
         found = await outcomes(listening.getsockname()[1])
     assert found == [ConnectOutcome.TIMED_OUT]
+
+
+async def test_connect_while_this_process_is_paused_is_no_silence() -> None:
+    """Guards against servers that count as silent because of a pause of this router."""
+    with socket.create_server((LOOPBACK, 0)) as listening:
+        asyncio.get_running_loop().call_soon(time.sleep, 0.4)
+        found = await outcomes(listening.getsockname()[1])
+    assert found == [ConnectOutcome.MADE]
