Keep a whole answer while its server is silent for up to a second

Cause: an answer that ends with its connection counted as broken if its server did not accept a new connection within 0.25 s, as with one lost packet or a VM that is paused. A whole answer to an unsafe request got 502, and a whole stream was cut or asked for again.

Change: a server that neither accepts nor refuses is connected to again, for less than a second in all, while a connection that is older than the end is still open: it shows that a server that accepts later is the same process. Without one, and after a refusal, the answer counts as broken as before.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -284,9 +284,14 @@
         self.usable_until = now + idle_time(head.headers)
         return True
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has ended the connection, as far as is known."""
+        return not (self.inbox.ended or self.closed)
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and has no unread bytes."""
-        return not (self.inbox.waiting or self.inbox.ended or self.closed)
+        return self.is_open and not self.inbox.waiting
 
     def keep_unused(self, now: Seconds) -> None:
         """Allow a new connection to be used later, for the default time.
--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding._channel import ConnectRefusedError
+from ebonyhold.forwarding._channel import ConnectRefusedError, ConnectTimeoutError
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.forwarding._reach import Reach, Reachability
 from ebonyhold.forwarding._relay import NoPathError, Path, RelayAddress, Relays
@@ -16,6 +16,12 @@
 COINCIDENCE: Seconds = 0.1
 """Connections to a server that end within this time of each other end together."""
 
+END_CHECK_TIME: Seconds = 0.75
+"""Time in which a silent server may be connected to again, to prove that it runs on.
+
+With the last attempt it is less than what callers wait for an event of a stream.
+"""
+
 
 @define(eq=False)
 class Paths:
@@ -81,19 +87,29 @@
         """Return whether a server that has closed a connection proves to run on.
 
         It does if it accepts a new one, which is kept, and has not ended unused ones
-        with the closed one: then its process may have been restarted.
+        with the closed one: then its process may have been restarted. If it accepts
+        only after a silence, an older connection that is still open has to show that it
+        was not.
         """
         if self.relays is not None and self.uses_relays:
             return await self.relays.is_reached(backend.name)
-        closed_at = anyio.current_time()
-        try:
-            channel = await self.pool.connect(backend.name, backend.address)
-        except BackendLostError:
-            return False
+        closed_at, is_late = anyio.current_time(), False
+        older = self.pool.open_unused(backend.name)
+        while True:
+            try:
+                channel = await self.pool.connect(backend.name, backend.address)
+                break
+            except ConnectTimeoutError:
+                is_late = True
+                in_time = anyio.current_time() < closed_at + END_CHECK_TIME
+                if not (in_time and any(one.is_open for one in older)):
+                    return False
+            except BackendLostError:
+                return False
         lost = self.pool.has_lost_unused(backend.name, closed_at - COINCIDENCE)
         channel.keep_unused(anyio.current_time())
         await self.pool.put(backend.name, channel)
-        return not lost
+        return not lost and (not is_late or any(one.is_open for one in older))
 
     async def has_ended(self, backend: Backend) -> bool:
         """Return whether a server refuses connections; keep one that it accepts.
--- a/ebonyhold/forwarding/_pool.py
+++ b/ebonyhold/forwarding/_pool.py
@@ -166,6 +166,10 @@
             for channel in self.unused.get(name, [])
         )
 
+    def open_unused(self, name: BackendName) -> list[Channel]:
+        """Return the unused connections to a server that have not ended."""
+        return [channel for channel in self.unused.get(name, ()) if channel.is_open]
+
     def drop_unused(self) -> None:
         """Close all unused connections, since they carry nothing any more."""
         for channels in self.unused.values():
