Ask a gateway for holds that only missed a message of a shorter limit

Cause: a gateway that did not answer an offer or a question within 0.08 s, or a notice within 0.2 s, was sent no message for one to four seconds: no holds, no settlements, no questions of reach, whose limit is 0.4 s. A holder that was paused for a tenth of a second was not asked again, though nobody had taken its place; where no other router had the tokens, requests got 429.

Change: an avoidance names the longest limit that was missed, and a message with a longer one is sent. An answer ends it if it came within that limit. A gateway that can't be connected to, or misses 0.4 s, is sent nothing, as before; the price is one more wait of 0.4 s for a gateway without power whose first missed message was a short one.

--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -138,9 +138,9 @@
     async def request_hold(self, peer: str, wanted: WantedHold) -> HoldOutcome:
         """Request a hold; return UNAVAILABLE without a valid answer.
 
-        No request is sent to a holder that is being avoided.
+        No request is sent to a holder that is being avoided for as long a timeout.
         """
-        if not self.peers.is_available(peer, anyio.current_time()):
+        if not self.peers.is_available(peer, anyio.current_time(), HOLD_TIMEOUT):
             return HoldOutcome.UNAVAILABLE
         answered = False
         try:
@@ -186,7 +186,7 @@
         """
         now = anyio.current_time()
         sent = self.drop_expired(peer, now)
-        if not sent or not self.peers.is_available(peer, now):
+        if not sent or not self.peers.is_available(peer, now, SETTLEMENT_TIMEOUT):
             return
         charges = {hold: one.charge for hold, one in sent.items()}
         answer = await self.peers.post(
--- a/ebonyhold/gateway/_memory.py
+++ b/ebonyhold/gateway/_memory.py
@@ -303,7 +303,7 @@
         if lender == self.router:
             self.lease_server.give_back(ended)
             confirmed = True
-        elif ended and self.peers.is_available(lender, now):
+        elif ended and self.peers.is_available(lender, now, RETURN_TIMEOUT):
             message = MemoryReturns(ended)
             answer = await self.peers.post(
                 lender, RETURNS_TARGET, message, ReturnsAnswer, RETURN_TIMEOUT
--- a/ebonyhold/gateway/_relays.py
+++ b/ebonyhold/gateway/_relays.py
@@ -134,7 +134,11 @@
     async def ask_some(self, question: ReachQuestion) -> dict[str, ReachAnswer]:
         """Ask ASKED_AT_ONCE gateways, and return the answers by VM name."""
         now = anyio.current_time()
-        able = [p for p in self.candidates() if self.peers.is_available(p, now)]
+        able = [
+            peer
+            for peer in self.candidates()
+            if self.peers.is_available(peer, now, REACH_TIMEOUT)
+        ]
         start = self.asked_from % len(able) if able else 0
         asked = [*able[start:], *able[:start]][:ASKED_AT_ONCE]
         answers: dict[str, ReachAnswer] = {}
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -9,12 +9,13 @@
 
 import json
 import logging
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from typing import TypeVar
 
 import anyio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from attrs.validators import ge, optional
 
 from ebonyhold.coordination import to_json
@@ -22,6 +23,7 @@
 from ebonyhold.forwarding import (
     CallerConnection,
     CallerLimits,
+    CallNotSentError,
     HttpCalls,
     Outbound,
     RequestHead,
@@ -125,13 +127,18 @@
 class Avoidance:
     """A period in which a gateway that did not answer is sent no messages.
 
+    Messages with a longer timeout are sent: a gateway that is paused or busy for a
+    moment may answer them in time.
+
     Attributes:
         until: The end of the period.
         pause: The length of the period, which doubles with the next missing answer.
+        timeout: The longest timeout that has passed; infinite without a connection.
     """
 
     until: Seconds
     pause: Seconds
+    timeout: Seconds = math.inf
 
 
 @define
@@ -196,10 +203,18 @@
         able = [peer for peer in peers if self.is_available(peer, now)]
         return random.sample(able, min(len(able), MAX_PEERS_ASKED))
 
-    def is_available(self, peer: str, now: Seconds) -> bool:
-        """Return whether a VM may be sent messages; False while it is avoided."""
+    def is_available(self, peer: str, now: Seconds, timeout: Seconds = 0.0) -> bool:
+        """Return whether a VM may be sent messages; False while it is avoided.
+
+        Args:
+            peer: The VM.
+            now: The time.
+            timeout: The timeout of the message.
+        """
         avoidance = self.avoidances.get(peer)
-        return avoidance is None or now >= avoidance.until
+        if avoidance is None or now >= avoidance.until:
+            return True
+        return timeout > avoidance.timeout
 
     async def add_offer(
         self, peer: str, workspace: WorkspaceName, found: list[Offer]
@@ -249,10 +264,12 @@
             or answered within the timeout, after which the gateway is avoided, or if
             the answer is malformed.
         """
+        began = anyio.current_time()
         try:
             answer = await self.send(peer, target, request, answer_type, timeout)
         except BackendLostError as error:
-            self.avoid(peer, anyio.current_time())
+            missed = math.inf if isinstance(error, CallNotSentError) else timeout
+            self.avoid(peer, anyio.current_time(), missed)
             log.info("peer silent", extra={"peer": peer, "detail": str(error)})
         except MalformedMessageError as error:
             log.warning(
@@ -261,7 +278,7 @@
             )
         else:
             if answer is not None:
-                self.avoidances.pop(peer, None)
+                self.record_answer(peer, anyio.current_time() - began)
             return answer
         return None
 
@@ -290,18 +307,32 @@
         answer = await self.calls_to(address, self.tasks).call(message, timeout)
         return read_message(answer.body, answer_type)
 
-    def avoid(self, peer: str, now: Seconds) -> None:
+    def avoid(self, peer: str, now: Seconds, timeout: Seconds = math.inf) -> None:
         """Avoid a VM that did not answer: twice as long as before, within the maximum.
 
         An answer ends this sequence, so that the next period has its minimum length.
+
+        Args:
+            peer: The VM.
+            now: The time.
+            timeout: The timeout of the message; infinite if it could not be sent.
         """
         before = self.avoidances.get(peer)
-        if before is not None and now < before.until:
-            # Concurrent requests that failed count once.
-            return
+        if before is not None:
+            timeout = max(timeout, before.timeout)
+            if now < before.until:
+                # Concurrent requests that failed count once.
+                self.avoidances[peer] = evolve(before, timeout=timeout)
+                return
         pause = MIN_AVOIDANCE if before is None else before.pause * 2
         pause = min(pause, MAX_AVOIDANCE)
-        self.avoidances[peer] = Avoidance(now + pause, pause)
+        self.avoidances[peer] = Avoidance(now + pause, pause, timeout)
+
+    def record_answer(self, peer: str, taken: Seconds) -> None:
+        """End the avoidance of a VM that has answered within the timeout it missed."""
+        avoidance = self.avoidances.get(peer)
+        if avoidance is not None and taken <= avoidance.timeout:
+            del self.avoidances[peer]
 
     def calls_to(self, address: str, tasks: TaskStarter) -> HttpCalls:
         """Return the client for an address, created and started on first use."""
--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 import pytest
@@ -122,6 +122,59 @@
         await wait_until(lambda: not holders.pending)
 
 
+@define(eq=False)
+class LateHolder:
+    """A gateway that answers each message a while after it has arrived.
+
+    Attributes:
+        delay: How long after it.
+        asked: The targets of the messages.
+    """
+
+    delay: float
+    asked: list[bytes] = field(factory=list)
+
+    async def serve(self, stream: ByteStream) -> None:
+        """Answer the messages of one connection that they hold the tokens."""
+        body = b'{"outcome": "held"}'
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        async for message in stream:
+            self.asked.append(message.split()[1])
+            await anyio.sleep(self.delay)
+            with suppress(anyio.BrokenResourceError):
+                await stream.send(head + body)
+
+
+LATE = [
+    # delay of the holder, outcomes of three holds after an offer was asked for in vain
+    (0.2, [HoldOutcome.HELD, HoldOutcome.HELD, HoldOutcome.HELD], 3),
+    (9.0, [HoldOutcome.UNAVAILABLE] * 3, 1),
+]
+
+
+@pytest.mark.parametrize(("delay", "outcomes", "asked"), LATE)
+async def test_holder_that_missed_an_offer_may_hold_tokens(
+    delay: float, outcomes: list[HoldOutcome], asked: int
+) -> None:
+    """Guards against refusals since a holder was silent for a tenth of a second."""
+    holder = LateHolder(delay)
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, holder.serve)
+        peers = GatewayPeers(lambda: {"vm-2": f"{HOST}:{port}"}, tasks)
+        holders = GatewayHolders(peers)
+        assert [offer.tokens for offer in await peers.offers("acme")] == [0]
+        found = [
+            await holders.hold("vm-2", WantedHold(f"vm-1.a/{n}", "acme", 10, "r"))
+            for n in range(3)
+        ]
+        assert list(await peers.offers("other")) == []
+        tasks.cancel_scope.cancel()
+    assert found == outcomes
+    assert holder.asked == [b"/transfers", *[b"/holds"] * asked]
+
+
 MALFORMED = [
     (b"/holds", b""),
     (b"/holds", b"[]"),
