Read requests that arrived during a pause before refusing them as slow

Cause: the time limits for the head of a request and for more of its body also pass while this process is paused. A caller whose bytes had arrived meanwhile got 408, all callers in the middle of a request at once.

Change: where a limit was noticed 0.05 s late or more, what has arrived is read first, for at most 0.05 s.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -17,6 +17,7 @@
 from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
 from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._types import CallerLimits, Headers
+from ebonyhold.pauses import READ_TIME, was_paused
 from ebonyhold.types import Seconds
 
 log = logging.getLogger(__name__)
@@ -184,6 +185,23 @@
             self.received_at = self.inbox.arrived_at
             self.parser.receive_data(data)
 
+    async def next_event_in_time(
+        self, timeout: Seconds
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next protocol event.
+
+        Bytes that have arrived while this process was paused count as in time.
+
+        Raises:
+            ReadFaultError: It did not arrive in time, or the bytes are not valid HTTP.
+        """
+        with anyio.move_on_after(timeout) as scope:
+            return await self.next_event()
+        if was_paused(scope):
+            with anyio.move_on_after(READ_TIME):
+                return await self.next_event()
+        raise ReadFaultError(ReadFault.SLOW)
+
     async def read_whole(self) -> tuple[RequestHead, bytes]:
         """Read a request that has begun to arrive, with its body.
 
@@ -220,14 +238,12 @@
             ReadFaultError: The head is invalid or too large, did not arrive in time, or
                 the caller disconnected.
         """
-        with anyio.move_on_after(self.limits.head_timeout):
-            event = await self.next_event()
-            if not isinstance(event, h11.Request):
-                raise ReadFaultError(ReadFault.LEFT)
-            if head_size(event) > self.limits.head_bytes:
-                raise ReadFaultError(ReadFault.HEAD_TOO_LARGE)
-            return read_head(event, anyio.current_time())
-        raise ReadFaultError(ReadFault.SLOW)
+        event = await self.next_event_in_time(self.limits.head_timeout)
+        if not isinstance(event, h11.Request):
+            raise ReadFaultError(ReadFault.LEFT)
+        if head_size(event) > self.limits.head_bytes:
+            raise ReadFaultError(ReadFault.HEAD_TOO_LARGE)
+        return read_head(event, anyio.current_time())
 
     async def await_first_byte(self) -> None:
         """Wait until a request begins to arrive.
@@ -265,10 +281,7 @@
         await self.send_continue()
         body = bytearray()
         while True:
-            with anyio.move_on_after(self.limits.idle_timeout) as scope:
-                event = await self.next_event()
-            if scope.cancelled_caught:
-                raise ReadFaultError(ReadFault.SLOW)
+            event = await self.next_event_in_time(self.limits.idle_timeout)
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if not isinstance(event, h11.Data):
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import time
+from threading import Timer
 
 import anyio
 import pytest
@@ -14,7 +17,8 @@
     CallerListener,
     RequestHead,
 )
-from tests.forwarding.kit import Server, UnlimitedHold, request, rig
+from ebonyhold.forwarding._caller import ReadFault, ReadFaultError
+from tests.forwarding.kit import LOOPBACK, Server, UnlimitedHold, request, rig
 from tests.forwarding.test_attempts import good, silent
 
 pytestmark = pytest.mark.anyio
@@ -171,6 +175,62 @@
             await stream.receive()
 
 
+POST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n12"
+
+PAUSED = [
+    # how many bytes arrive before a pause; the others arrive while it lasts
+    pytest.param(0, id="between requests"),
+    pytest.param(20, id="in a head"),
+    pytest.param(len(POST) - 1, id="in a body"),
+]
+
+
+@pytest.mark.parametrize("before", PAUSED)
+async def test_request_that_arrives_while_this_process_is_paused_is_read(
+    before: int,
+) -> None:
+    """Guards against closing connections of callers whose bytes are only unread."""
+    limits = CallerLimits(head_timeout=0.2, idle_timeout=0.2)
+    with socket.create_server((LOOPBACK, 0)) as listening:
+        stream = await anyio.connect_tcp(LOOPBACK, listening.getsockname()[1])
+        caller, _ = listening.accept()
+    connection = CallerConnection(stream, limits)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(connection.inbox.fill)
+        with caller:
+            caller.sendall(POST[:before])
+            rest = Timer(0.1, caller.sendall, [POST[before:]])
+            rest.start()
+            asyncio.get_running_loop().call_later(0.05, time.sleep, 0.4)
+            await connection.await_first_byte()
+            head, body = await connection.read_whole()
+        assert (head.method, body) == (b"POST", b"12")
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("before", PAUSED)
+async def test_caller_that_sends_nothing_is_given_up_soon_after_a_pause(
+    before: int,
+) -> None:
+    """Guards against waiting for silent callers once more after a pause."""
+    limits = CallerLimits(head_timeout=0.2, idle_timeout=0.2)
+    with socket.create_server((LOOPBACK, 0)) as listening:
+        stream = await anyio.connect_tcp(LOOPBACK, listening.getsockname()[1])
+        caller, _ = listening.accept()
+    connection, began = CallerConnection(stream, limits), anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(connection.inbox.fill)
+        with caller:
+            caller.sendall(POST[:before])
+            asyncio.get_running_loop().call_later(0.05, time.sleep, 0.4)
+            with pytest.raises(ReadFaultError) as caught:
+                await connection.await_first_byte()
+                await connection.read_whole()
+        assert caught.value.fault is (ReadFault.SLOW if before else ReadFault.IDLE)
+        assert anyio.current_time() - began < 0.7
+        tasks.cancel_scope.cancel()
+
+
 async def test_late_request_is_answered_before_exit() -> None:
     """Guards against cutting off a request that arrives late in a shutdown.
 
