Draw once more if this process was paused during a draw

Cause: a request waits 0.25 s for a draw. If the process was paused meanwhile, the draw was cancelled with its answer unread, and every request that waited for tokens was refused (429 budget_unreachable) where no other router had some.

Change: if the limit was noticed 0.05 s late or more, the draw is made once more, with the same limit. The change that was cancelled is in doubt as before and is resolved by reading its row first, so it counts once.

--- a/ebonyhold/prepaid/_workspace_grant.py
+++ b/ebonyhold/prepaid/_workspace_grant.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from ebonyhold.exceptions import BudgetExhaustedError, BudgetUnreachableError
+from ebonyhold.pauses import was_paused
 from ebonyhold.prepaid._grant_rounds import GrantRounds
 from ebonyhold.prepaid._row_cache import MAX_REFUSAL_AGE
 from ebonyhold.prepaid._small_requests import SmallRequests
@@ -84,19 +85,34 @@
         if self.try_hold(amount):
             return True
         if self.is_store_reachable:
-            with anyio.move_on_after(self.options.draw_timeout):
-                await self.obtain(amount)
-                if not await self.small.is_spare(amount, kept):
-                    return False
-                if self.try_hold(amount):
-                    return True
-                await self.obtain(amount)
+            for _ in range(2):
+                with anyio.move_on_after(self.options.draw_timeout) as scope:
+                    held = await self.draw_hold(amount, kept)
+                    if held is not None:
+                        return held
+                if not was_paused(scope):
+                    break
+                # The store may have answered in time.
             if self.try_hold(amount):
                 return True
         return self.peers is not None and await self.hold_transferred(
             amount, self.peers
         )
 
+    async def draw_hold(self, amount: Tokens, kept: float) -> bool | None:
+        """Draw missing tokens and hold them.
+
+        Returns:
+            Whether they are held; None if they could not be drawn.
+        """
+        await self.obtain(amount)
+        if not await self.small.is_spare(amount, kept):
+            return False
+        if self.try_hold(amount):
+            return True
+        await self.obtain(amount)
+        return None
+
     @property
     def knows_budget(self) -> bool:
         """Whether the budget was read lately, and the store can be reached."""
--- a/tests/prepaid/test_workspace_grant.py
+++ b/tests/prepaid/test_workspace_grant.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import nullcontext
 from itertools import pairwise
 
 import anyio
 import pytest
+from anyio.lowlevel import checkpoint
+from trio.lowlevel import current_clock
 
 from ebonyhold.coordination import Transaction
 from ebonyhold.exceptions import (
@@ -106,6 +109,39 @@
     assert anyio.current_time() == before
 
 
+@pytest.mark.parametrize("answers", [True, False])
+async def test_draw_during_a_pause_of_this_process_is_made_again(
+    answers: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusals for want of tokens since this router was paused."""
+    history = RowHistory()
+    one = router(history)
+    await one.renewals.step()
+    commit, left = type(one.store).commit, [1.0]
+
+    async def paused(store: MemoryRows, transaction: Transaction) -> Committed:
+        if not answers and not left:
+            await anyio.sleep(60)
+        committed = await commit(store, transaction)
+        if left:
+            current_clock().jump(left.pop())  # type: ignore[attr-defined]
+            if not answers:
+                raise UnknownOutcomeError("no answer")
+            await checkpoint()
+        return committed
+
+    with monkeypatch.context() as patch:
+        patch.setattr(type(one.store), "commit", paused)
+        before = anyio.current_time()
+        with nullcontext() if answers else pytest.raises(BudgetUnreachableError):
+            await one.grant.hold(100, "r")
+            one.grant.state.settle(100, 100)
+        assert anyio.current_time() - before <= 1.5
+    await one.grant.close()
+    after, spent = budget(history).budget, 100 if answers else 0
+    assert (after.spent, after.outstanding, after.prepaid) == (spent, 0, 100_000)
+
+
 async def test_limit_grows_evenly_during_an_outage() -> None:
     """A router that cannot reach the store keeps serving from its grant.
 
