Stand-in: engines that send nothing until a time

Tests could make an engine silent only on the links of one soak, for all its connections at once. A row of the table test-silent names a time of the monotonic clock: until then the engine accepts connections and requests, writes its entry in the list of servers and sends neither heads nor events nor bodies; then it goes on where it was. test-restart still ends it meanwhile.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -86,6 +86,16 @@
 The time is one of the monotonic clock, in seconds.
 """
 
+SILENT_TABLE = "test-silent"
+"""The table in which tests write until when engines send nothing.
+
+The time is one of the monotonic clock, in seconds.  A silent engine still accepts
+connections and requests; afterwards it goes on where it was.
+"""
+
+SILENCE_CHECK = 0.1
+"""Maximum seconds from the removal of its row until an engine goes on."""
+
 BRITTLE_TABLE = "test-brittle"
 """The table in which tests write what engines state about being brittle."""
 
@@ -392,6 +402,15 @@
         stated = self.stated(BRITTLE_TABLE) or ""
         return int(stated) if stated.isdigit() else None
 
+    async def wait_while_silent(self) -> None:
+        """Return when it may send something."""
+        while self.silent_for() > 0:  # noqa: ASYNC110 - its end is a time, not an event
+            await anyio.sleep(min(self.silent_for(), SILENCE_CHECK))
+
+    def silent_for(self) -> float:
+        """Return for how many seconds it sends nothing; not above 0 if it sends."""
+        return float(self.stated(SILENT_TABLE) or 0) - time.monotonic()
+
     def fall(self) -> None:
         """End its process because it had to turn too many requests away."""
         self.falls.append((self.name, time.monotonic()))
@@ -407,17 +426,20 @@
         """
         fields = {name.decode(): value.decode() for name, value in head.headers}
         if head.target == REPORT_TARGET:
+            await self.wait_while_silent()
             report = {"waiting-count": 0, "running-count": self.running}
             await connection.answer(200, JSON, json.dumps(report).encode())
             return
         identity = self.identity(fields)
         if fields["x-ebonyhold-expect-instance"] != self.name:
+            await self.wait_while_silent()
             await connection.answer(421, identity, b"")
             return
         rest = self.stated(REST_TABLE)
         if rest is not None:
             self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
             asked = [(b"retry-after", rest.encode())] if rest else []
+            await self.wait_while_silent()
             await connection.answer(503, [*identity, NOT_RUN, *asked], b"")
             return
         queued = Script.from_target(head.target.decode()).queued
@@ -430,6 +452,7 @@
                     self.running -= 1
         except NoPlaceError:
             self.declined.append((fields[REQUEST_ID], self.name, time.monotonic()))
+            await self.wait_while_silent()
             await connection.answer(503, [*identity, NOT_RUN], b"")
 
     def identity(self, fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
@@ -481,6 +504,7 @@
             unframed = UnframedAnswer(connection) if self.ends_by_close() else None
             if "/book/" in target:
                 await anyio.sleep(script.pause)
+                await self.wait_while_silent()
                 if unframed is None:
                     await connection.answer(200, proof, body)
                     return
@@ -489,6 +513,7 @@
                 await unframed.end()
                 return
             fields_sent = [*proof, (b"content-type", b"text/event-stream")]
+            await self.wait_while_silent()
             if unframed is None:
                 await connection.stream.send(connection.head(200, fields_sent))
             else:
@@ -520,6 +545,7 @@
         script = Script.from_target(run.target)
         for number in numbers:
             await anyio.sleep(script.pause)
+            await self.wait_while_silent()
             if run.sent == script.per_run:
                 await answer.close()
                 return
