--- a/tests/platform/kit/__init__.py
+++ b/tests/platform/kit/__init__.py
@@ -1,11 +1,13 @@
 """Test kit: gateway processes, proxies to the store, callers that record answers."""
 
 from tests.platform.kit._callers import (
+    Connection,
     Fault,
     Length,
     NextRequest,
     RequestRecord,
     Style,
+    connect,
     use_connection,
 )
 from tests.platform.kit._links import Link, LinkGrid, LinkMode, link_port
@@ -44,6 +46,7 @@
     "LISTENER_MARGIN",
     "ROOT",
     "WORKSPACES",
+    "Connection",
     "EngineRun",
     "Fault",
     "Gateway",
@@ -58,6 +61,7 @@
     "Style",
     "address_of",
     "configuration",
+    "connect",
     "crossed_last_answer",
     "find_process",
     "free_ports",
