--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -34,6 +34,7 @@
 
     Attributes:
         DELIVERED: The caller got the complete answer.
+        SILENT: It has not ended: the server has sent nothing for too long.
         NOT_SENT: No connection could be made.
         NOT_RUN: The server stated that it did not run the request.
         FAILED: The server answered with status 500 or above.
@@ -43,6 +44,7 @@
     """
 
     DELIVERED = "delivered"
+    SILENT = "silent"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     FAILED = "failed"
@@ -51,6 +53,20 @@
     NO_PATH = "no_path"
 
 
+class CutCause(Enum):
+    """Why an answer was cut after a part of it had been passed on.
+
+    Attributes:
+        SERVER: A server broke off, and no other one could go on.
+        SILENCE: A silent server was left, and no other one could go on.
+        DEADLINE: The time of the request was over.
+    """
+
+    SERVER = "server"
+    SILENCE = "silence"
+    DEADLINE = "deadline"
+
+
 @frozen
 class WholeAnswer:
     """A complete answer of a backend server, not yet passed on."""
@@ -122,7 +138,7 @@
         connects: How many connections to servers failed.
         tried: The servers that it was sent to, or that could not be reached.
         unreached: Those of them that could not be reached.
-        may_have_run: Whether a server may have run it.
+        possible_runs: How many servers may have run it.
         last_event: The number of the last event that the caller has; None if none.
         version: The software version that its stream belongs to, which is that of the
             run whose first event the caller got; None before one.
@@ -130,6 +146,9 @@
         failure: The last error answer of a server.
         reasons: Why attempts failed, for logs.
         endings: How the answers of servers ended, for logs.
+        left_silent: Whether a server was left for its silence before another one
+            answered.
+        writer: The attempt that may write to the caller; None if any may.
         known_digest: The digest of its content; empty until `digest` is first read.
         known_parts: The digests of the parts of its prompt that other requests may
             have; None until `parts` is first read.
@@ -141,12 +160,12 @@
         flow: Bounds what is buffered, and knows the longest pauses of streams.
         held: Bytes of whole answers that count as held.
         need: The memory that it needs at a server; None if that is not accounted for.
-        room: The memory that its current attempt has.
+        room: The memory for its next attempt.
         roomless: The servers that had no memory for it.
         waited_for_memory: Whether it has waited for memory.
         first_event_at: When the first event arrived that was passed on; None before.
-        expected: What the server of the current attempt is expected to read before;
-            None if the load of the other routers is not known.
+        expected: What the server of the next attempt is expected to read before; None
+            if the load of the other routers is not known.
     """
 
     connection: CallerConnection
@@ -160,13 +179,15 @@
     connects: int = 0
     tried: list[BackendName] = field(factory=list)
     unreached: list[BackendName] = field(factory=list)
-    may_have_run: bool = False
+    possible_runs: int = 0
     last_event: int | None = None
     version: SoftwareVersion | None = None
     events: int = 0
     failure: WholeAnswer | None = None
     reasons: list[str] = field(factory=list)
     endings: list[AnswerEnding] = field(factory=list)
+    left_silent: bool = False
+    writer: object | None = None
     known_digest: RequestDigest = ""
     known_parts: tuple[PartDigest, ...] | None = None
     losses: list[AttemptLoss] = field(factory=list)
@@ -240,6 +261,11 @@
         self.tried = [name for name in self.tried if name not in self.unreached]
         self.unreached.clear()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run it."""
+        return self.possible_runs > 0
+
     @property
     def attempts_left(self) -> bool:
         """Whether the request was sent less often than its route allows."""
