--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -57,6 +57,7 @@
 )
 from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
+from ebonyhold.types import BackendName
 
 log = logging.getLogger(__name__)
 
@@ -319,23 +320,28 @@
         self.exchange.writer = self
         self.on_claim()
 
-    def leave(self, outcome: SilenceOutcome) -> None:
-        """Record that the silent server is left, whose connection is then closed."""
+    def leave(self, outcome: SilenceOutcome, to: BackendName) -> None:
+        """Record that the silent server is left, whose connection is then closed.
+
+        Args:
+            outcome: What became of the silence.
+            to: The server that goes on.
+        """
         exchange, name = self.exchange, self.entry.backend.name
         if self.relay is None:
             self.backends.failed(self.entry, anyio.current_time())
         exchange.reasons.append(f"{name}: silent, {outcome.value}")
         exchange.endings.append(AnswerEnding.ABANDONED)
         exchange.left_silent |= outcome is SilenceOutcome.LEFT
-        self.end_silence(outcome)
+        self.end_silence(outcome, to)
 
-    def end_silence(self, outcome: SilenceOutcome) -> None:
+    def end_silence(self, outcome: SilenceOutcome, to: BackendName = "") -> None:
         """Record what became of a silence, if there is one."""
         if self.has_silence:
             self.has_silence = False
             self.kept_for = None
             since = self.watch.waiting_since
-            self.silences.ended(self.exchange, self.entry, since, outcome)
+            self.silences.ended(self.exchange, self.entry, since, outcome, to)
 
     def relay_target(self) -> RelayTarget:
         """Return where a relay is to send the request."""
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -136,7 +136,7 @@
 
     def leave_first(self, outcome: SilenceOutcome) -> None:
         """Leave the silent server."""
-        self.first.leave(outcome)
+        self.first.leave(outcome, self.second.entry.backend.name)
         self.dispatcher.streams.recheck(self.exchange)
         self.end_hedge(self.first)
         self.scopes[self.first].cancel()
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -215,8 +215,17 @@
         entry: BackendEntry,
         since: Seconds,
         outcome: SilenceOutcome,
+        to: BackendName = "",
     ) -> None:
-        """Log and count what became of a request whose server was silent."""
+        """Log and count what became of a request whose server was silent.
+
+        Args:
+            exchange: The request.
+            entry: The server.
+            since: When it last sent something, or was sent the request.
+            outcome: What became of the request.
+            to: The server that goes on, if it is another one.
+        """
         self.on_outcome(exchange.match.service, outcome)
         now = anyio.current_time()
         log.info(
@@ -225,6 +234,7 @@
                 "request": exchange.caller.request_id,
                 "backend": entry.backend.name,
                 "outcome": outcome.value,
+                "to": to,
                 "silent_ms": round((now - since) * 1000),
             },
         )
