--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -22,6 +22,10 @@
 log = logging.getLogger(__name__)
 
 
+RETURN_TIME: Seconds = 0.25
+"""Time after the end of a common silence in which each server may still return."""
+
+
 class SilenceOutcome(Enum):
     """What became of a request whose server sent nothing for too long.
 
@@ -68,14 +72,25 @@
 
     Attributes:
         heard: Those that have sent something.
+        returned: Those of them that have only just begun to send again.
         silent: Those that have requests of this router and have sent nothing either.
         idle: Those that have had no request for long enough to tell.
     """
 
     heard: frozenset[BackendName] = frozenset()
+    returned: frozenset[BackendName] = frozenset()
     silent: frozenset[BackendName] = frozenset()
     idle: frozenset[BackendName] = frozenset()
 
+    @property
+    def share_silence(self) -> bool:
+        """Whether most are silent too, or have been until a moment ago.
+
+        Then the silence is a common one, which may be over at any moment.
+        """
+        steady = len(self.heard - self.returned)
+        return len(self.silent | self.returned) > steady
+
 
 def compare(
     silent: BackendEntry, entries: Iterable[BackendEntry], since: Seconds, now: Seconds
@@ -99,9 +114,17 @@
     ]
     heard = {entry.backend.name for entry in others if entry.heard_at > middle}
     busy = {entry.backend.name for entry in others if entry.busy_since <= middle}
+    returned = {
+        entry.backend.name
+        for entry in others
+        if entry.backend.name in heard and entry.heard_since > now - RETURN_TIME
+    }
     names = {entry.backend.name for entry in others}
     return OtherServers(
-        frozenset(heard), frozenset(busy - heard), frozenset(names - heard - busy)
+        frozenset(heard),
+        frozenset(returned),
+        frozenset(busy - heard),
+        frozenset(names - heard - busy),
     )
 
 
@@ -161,6 +184,7 @@
                 "events": exchange.events,
                 "silent_ms": round((now - since) * 1000),
                 "others_heard": len(others.heard),
+                "others_returned": len(others.returned),
                 "others_silent": len(others.silent),
                 "others_idle": len(others.idle),
             },
@@ -191,8 +215,17 @@
         entry: BackendEntry,
         since: Seconds,
         outcome: SilenceOutcome,
+        to: BackendName = "",
     ) -> None:
-        """Log and count what became of a request whose server was silent."""
+        """Log and count what became of a request whose server was silent.
+
+        Args:
+            exchange: The request.
+            entry: The server.
+            since: When it last sent something, or was sent the request.
+            outcome: What became of the request.
+            to: The server that goes on, if it is another one.
+        """
         self.on_outcome(exchange.match.service, outcome)
         now = anyio.current_time()
         log.info(
@@ -201,6 +234,7 @@
                 "request": exchange.caller.request_id,
                 "backend": entry.backend.name,
                 "outcome": outcome.value,
+                "to": to,
                 "silent_ms": round((now - since) * 1000),
             },
         )
