Soak of silent servers: dark engines, logs of what is lost, and its checks

The soak prints what the log of a gateway says of the first requests that are lost, counts the streams at a dark engine, looks at all pairs of runs of a request, and takes errors in the logs of gateways for findings, as the short test does now.

--- a/tests/platform/silences/__init__.py
+++ b/tests/platform/silences/__init__.py
@@ -8,19 +8,19 @@
 from tests.platform.silences._checks import (
     Evidence,
     Silence,
+    SilenceEngineRun,
     SilenceRequest,
     check,
-    lost,
 )
 from tests.platform.silences._run import SilenceRun, fleet, run_seed
 
 __all__ = [
     "Evidence",
     "Silence",
+    "SilenceEngineRun",
     "SilenceRequest",
     "SilenceRun",
     "check",
     "fleet",
-    "lost",
     "run_seed",
 ]
--- a/tests/platform/silences/_checks.py
+++ b/tests/platform/silences/_checks.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Mapping, Sequence
-from itertools import pairwise
+from itertools import combinations
 from typing import Any
 
 from attrs import define, field, frozen
@@ -65,6 +66,11 @@
     left: bool = False
     finished: bool = False
 
+    @property
+    def name(self) -> str:
+        """What names it in findings."""
+        return f"{self.kind} {self.request_id}:"
+
     @property
     def target(self) -> str:
         """The request's target, with the answer that the engine is to give."""
@@ -169,9 +175,8 @@
     """Return the violations of a run."""
     violations: list[str] = []
     for request in evidence.requests:
-        name = f"{request.kind} {request.request_id}"
-        violations += [f"{name} {text}" for text in check_answer(request, evidence)]
-        violations += [f"{name} {text}" for text in check_runs(request, evidence)]
+        found = [*check_answer(request, evidence), *check_runs(request, evidence)]
+        violations += [f"{request.name} {text}" for text in found]
     violations += check_budget(evidence)
     return violations
 
@@ -183,7 +188,8 @@
         took = request.ended_at - request.sent_at
         count = f"{len(request.events)} of {request.length.events} events"
         ran = [(run.engine, round(run.started_at - request.sent_at, 2)) for run in runs]
-        yield f"was lost: {request.status}, {count}, after {took:.2f} s, runs {ran}"
+        end = f"{request.status} {request.fault}, {count}, after {took:.2f} s"
+        yield f"was lost: {end}, runs {ran}"
     if request.status in (429, 503) and runs:
         yield "was refused as not run, and ran"
     if request.status and not request.id_matches:
@@ -202,23 +208,28 @@
         yield f"must not be repeated, and ran {len(runs)} times"
     if evidence.was_paused(request):
         return
-    for earlier, later in pairwise(runs):
+    for earlier, later in combinations(runs, 2):
         limit = evidence.goes_on_at(later.engine, later.started_at) + MAX_OVERLAP
-        if all(run.ended_at > limit for run in (earlier, later)):
-            excess = min(earlier.ended_at, later.ended_at) - limit + MAX_OVERLAP
+        until = min(run.ended_at or math.inf for run in (earlier, later))
+        if until > limit:
+            excess = until - limit + MAX_OVERLAP
             yield f"ran twice at once for {excess:.2f} s"
-    if request.left and len(runs) == 1 and request.kind == "resumable":
-        until = evidence.goes_on_at(runs[0].engine, request.ended_at - PATIENCE / 2)
-        dark = until - request.ended_at > DARK_TIME - PATIENCE
-        sending = all(
-            evidence.goes_on_at(run.engine, run.started_at) == run.started_at
-            for others in evidence.runs.values()
-            for run in others
-            if run.engine != runs[0].engine
-            and 0 < request.ended_at - run.started_at < PATIENCE
-        )
-        if dark and sending and has_retries(request, evidence):
-            yield f"was not taken from {runs[0].engine}, which is dark"
+    stayed = request.left and len(runs) == 1 and met_dark(request, evidence)
+    if stayed and has_retries(request, evidence):
+        yield f"was not taken from {runs[0].engine}, which is dark"
+
+
+def met_dark(request: SilenceRequest, evidence: Evidence) -> bool:
+    """Return whether a resumable stream's first engine was dark during its run."""
+    runs = evidence.runs_of(request)
+    return request.kind == "resumable" and any(
+        silence.engine == runs[0].engine
+        and silence.until - silence.began_at > DARK_TIME
+        and runs[0].started_at < silence.until - PATIENCE
+        and not 0 < runs[0].ended_at < silence.began_at
+        for silence in evidence.silences
+        if runs
+    )
 
 
 def arrivals(evidence: Evidence, vm: int | None = None) -> tuple[list[float], ...]:
--- a/tests/platform/silences/_run.py
+++ b/tests/platform/silences/_run.py
@@ -32,6 +32,7 @@
     SilenceRequest,
     check,
     lost,
+    met_dark,
     read_silence_runs,
 )
 from tests.platform.soak._run import SoakRun
@@ -52,6 +53,12 @@
 CHECK_PAUSE = 0.05
 """Seconds between two looks at what a caller has received."""
 
+TRACED = ("time", "message", "backend", "outcome", "reasons", "why", "events", "code")
+"""The fields of a log line that show what became of a request."""
+
+MAX_TRACED = 5
+"""Number of requests of a seed whose log lines are printed."""
+
 PAUSE = 1.0
 """Seconds for which a gateway is paused."""
 
@@ -184,6 +191,10 @@
             self.requests, runs, self.silences, self.ends, soak.processes, soak.faults
         )
 
+    def log_errors(self) -> list[str]:
+        """Return the errors in the logs of the gateways."""
+        return [text for one in self.soak.gateways for text in log_errors(one.log)]
+
 
 async def leave_when_silent(request: SilenceRequest, asking: anyio.CancelScope) -> None:
     """End a request when no event has come for the time that callers wait."""
@@ -269,13 +280,12 @@
 
 
 def log_lines(folder: Path, request: SilenceRequest) -> Iterator[str]:
-    """Yield how the gateway's log says that a request ended."""
+    """Yield what the gateway's log says of a request."""
     log = folder / f"vm-{request.vm}.log"
     for line in log.read_text(errors="replace").splitlines():
         if f'"{request.request_id}"' in line and line.startswith("{"):
             fields = json.loads(line)
-            names = ("outcome", "servers", "reasons", "ms", "code")
-            yield str({name: fields[name] for name in names if name in fields})
+            yield str({name: fields[name] for name in TRACED if name in fields})
 
 
 async def run_seed(seed: int, folder: Path) -> list[str]:
@@ -287,19 +297,21 @@
                 tasks.start_soon(disturb_gateways, run)
         await run.soak.end_faults()
         evidence = await run.evidence()
-    violations = check(evidence)
-    for number in range(GATEWAYS):
-        violations += log_errors(folder / f"vm-{number}.log")
+    violations = [*check(evidence), *run.log_errors()]
     for kind in PATHS:
         those = [one for one in run.requests if one.kind == kind]
-        gone = [one for one in those if lost(one, evidence)]
+        count = sum(lost(one, evidence) for one in those)
         left = sum(one.left for one in those)
         moved = sum(len(evidence.runs_of(one)) > 1 for one in those)
-        print(f"  {kind}: {len(those)}, lost {len(gone)}, left {left}, moved {moved}")
-        for one in gone[:3]:
-            for line in log_lines(folder, one):
-                print(f"    {one.request_id}: {line}")
+        print(f"  {kind}: {len(those)}, lost {count}, left {left}, moved {moved}")
+    dark = [one for one in run.requests if met_dark(one, evidence)]
+    print(f"  at a dark engine: {len(dark)}, left {sum(one.left for one in dark)}")
     print(f"seed {seed}: {len(violations)} broken", flush=True)
     for text in violations:
         print(f"  {text}", flush=True)
+    named = [one for one in run.requests if any(one.name in v for v in violations)]
+    for request in named[:MAX_TRACED]:
+        print(f"  {request.name}, vm-{request.vm}")
+        for line in log_lines(folder, request):
+            print(f"    {line}", flush=True)
     return violations
