Failing tests: answers lost while two servers have a request

When an answer arrives in the same pass of the event loop in which the overlap of two attempts ends, the attempt that was ended goes on to claim the caller and ends the other one: no attempt is left and the connection is closed (AssertionError). And a silent server is left after the overlap for a second one of which nothing was heard either, because a third one sends; if the second one ends, the answer is lost.

--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
+import time
+
 import anyio
 import pytest
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from tests.forwarding.kit import (
     GONE,
@@ -225,3 +228,55 @@
         window = router.forwarder.retries.window("svc", anyio.current_time())
     assert all(is_whole("/stream/x", got) for got in answers)
     assert not window.retries
+
+
+async def long_paused_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """Be silent after the second event until two servers have had the request."""
+    await stream.send(stream_head(head) + chunk(event(1)) + chunk(event(2)))
+    await anyio.sleep(STREAM_PAUSE + MAX_OVERLAP)
+    await stream.send(chunk(event(3)) + chunk(event(4)) + chunk(b""))
+
+
+async def test_answer_that_comes_as_the_overlap_ends_is_not_lost() -> None:
+    """Two attempts must not end each other when a timeout and an answer coincide."""
+
+    async def busy(server: Server, stream: SocketStream, head: str) -> None:
+        await anyio.sleep(MAX_OVERLAP - 0.15)
+        data = stream_head(head) + chunk(event(3)) + chunk(event(4)) + chunk(b"")
+        raw = stream.extra(SocketAttribute.raw_socket)
+        os.write(raw.fileno(), data)
+        # The event loop of the router stands still until its limit is over as well.
+        time.sleep(0.1)  # noqa: ASYNC251 - to block the loop is the purpose
+        await anyio.sleep_forever()
+
+    servers = [Server("first", long_paused_stream), Server("other", busy)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request("/stream/x"))
+    assert is_whole("/stream/x", got), got
+
+
+async def test_silent_server_is_not_left_for_another_silent_one() -> None:
+    """A third server that sends must not tell for a second one that does not."""
+
+    async def ends_late(server: Server, stream: SocketStream, head: str) -> None:
+        await anyio.sleep(MAX_OVERLAP + 0.1)
+        await stream.aclose()
+
+    scripts = [long_paused_stream, ends_late, whole_stream]
+    names = ["first", "other", "third"]
+    servers = [Server(*pair) for pair in zip(names, scripts, strict=True)]
+    async with rig(*servers) as router, anyio.create_task_group() as tasks:
+        prefer_first(router)
+        third = router.forwarder.backends.entries["third"]
+        third.in_flight += 3
+
+        async def hear_third() -> None:
+            while True:
+                third.heard_at = anyio.current_time()
+                await anyio.sleep(0.02)
+
+        tasks.start_soon(hear_third)
+        got = await router.ask(request("/stream/x"))
+        tasks.cancel_scope.cancel()
+    assert is_whole("/stream/x", got), got
