--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -34,23 +34,23 @@
 
     Attributes:
         DELIVERED: The caller got the complete answer.
-        SILENT: It has not ended: the server has sent nothing for too long.
         NOT_SENT: No connection could be made.
         NOT_RUN: The server stated that it did not run the request.
         FAILED: The server answered with status 500 or above.
         LOST: No valid and complete answer arrived in time.
         WITHHELD: Before it was sent, it became known that the server must not get it.
         NO_PATH: No server could be reached, or a relay took no request.
+        SILENT: It has not ended: the server has sent nothing for too long.
     """
 
     DELIVERED = "delivered"
-    SILENT = "silent"
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     FAILED = "failed"
     LOST = "lost"
     WITHHELD = "withheld"
     NO_PATH = "no_path"
+    SILENT = "silent"
 
 
 class CutCause(Enum):
