Keep an attempt that was ended from taking the caller's answer

Cause: when an answer arrives in the pass of the event loop in which the overlap of two attempts ends, the attempt that has just been ended still takes the answer, and ends the other one. No attempt is left.

Change: an attempt in whose place another one goes on takes nothing; it waits for its cancellation.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -91,6 +91,7 @@
         work: The load that the request adds to the server.
         answer: The head of the server's answer, once it was read.
         delivery: Passes the body on, once the answer has begun.
+        is_replaced: Whether another attempt goes on in its place.
         has_silence: Whether a silence of the server was logged that has not ended.
         kept_for: Why no other server got the request during it; None before.
         is_sent: Whether the request has been sent.
@@ -121,6 +122,7 @@
     work: RequestWork = field(init=False)
     answer: tuple[AnswerHead, AnswerFacts] | None = field(init=False, default=None)
     delivery: AnswerDelivery | None = field(init=False, default=None)
+    is_replaced: bool = field(init=False, default=False)
     has_silence: bool = field(init=False, default=False)
     kept_for: StandbyResult | None = field(init=False, default=None)
     is_sent: bool = field(init=False, default=False)
@@ -311,12 +313,12 @@
     async def claim(self) -> None:
         """Take the caller's answer, which only one attempt writes.
 
-        If another attempt has taken it, this one is about to be cancelled.
+        If another attempt goes on in its place, this one is about to be cancelled.
         """
+        if self.is_replaced:
+            await anyio.sleep_forever()
         if self.exchange.writer is self:
             return
-        if self.exchange.writer is not None:
-            await anyio.sleep_forever()
         self.exchange.writer = self
         self.on_claim()
 
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -124,6 +124,7 @@
 
     def end_hedge(self, ended: Attempt) -> None:
         """Let the other attempt go on alone."""
+        ended.is_replaced = True
         self.running.remove(ended)
         for attempt in self.running:
             attempt.watch.end_hedge()
