Leave a silent server only for one that is heard itself

After the overlap the silent server was left for a second one of which nothing had been heard either, since a third one sent; then the second one ended.

Change: the second server itself has to be heard on some connection. It is chosen among those that are heard if there are any.

The row of tests/forwarding/test_silence.py in which a third server decided was the fault; now none of its rows leaves a server for one that is not heard.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -213,8 +213,8 @@
     ) -> Attempt | StandbyResult:
         """Return an attempt at another server for a request whose server is silent.
 
-        Its server is not known to be silent too, and its retry is taken from the
-        budget. If there is none, return why.
+        Its server is not known to be silent too, and if possible known not to be, and
+        its retry is taken from the budget. If there is none, return why.
         """
         reachable = self.paths.reach.is_connected or self.paths.uses_relays
         unlucky = exchange.connects >= MAX_CONNECTS
@@ -225,10 +225,14 @@
         relayed = self.paths.uses_relays
         if others.share_silence and not relayed and not silent.watch.is_very_long:
             return StandbyResult.COMMON_SILENCE
-        avoided = () if relayed else others.silent
         known = self.crashes.suspicion(exchange)
         suspect = known.exists or bool(exchange.losses)
-        entry = self.next_entry(exchange, suspect, avoided)
+        avoided = () if relayed else others.silent
+        entry: BackendEntry | Refusal = Refusal.NO_SERVER
+        if others.heard and not relayed:
+            entry = self.next_entry(exchange, suspect, others.silent | others.idle)
+        if isinstance(entry, Refusal):
+            entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
             if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -38,7 +38,7 @@
     """Two attempts of one request, of which the one that answers first goes on.
 
     The other one is ended. If neither answers within `MAX_OVERLAP`, the second one is
-    ended, unless the evidence is that the first server alone is silent.
+    ended, unless its server is heard on other connections and the first one is not.
 
     Attributes:
         dispatcher: Records how attempts end.
@@ -165,8 +165,7 @@
         if len(self.running) == 1 or self.exchange.writer is not None:
             return
         first, second = self.first.entry, self.second.entry
-        entries = self.dispatcher.backends.entries.values()
-        if prefers_second(first, second, entries, since):
+        if prefers_second(first, second, since):
             self.leave_first(SilenceOutcome.LEFT)
         else:
             self.withdraw_second()
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -128,30 +128,18 @@
     )
 
 
-def prefers_second(
-    first: BackendEntry,
-    second: BackendEntry,
-    entries: Iterable[BackendEntry],
-    since: Seconds,
-) -> bool:
+def prefers_second(first: BackendEntry, second: BackendEntry, since: Seconds) -> bool:
     """Return which of two attempts to keep if neither server has answered.
 
     The silent one is left only if nothing was heard from its server on any connection,
-    and something from another one: then the silence is its own.
+    and something from the second one.
 
     Args:
         first: The server that has been silent for too long.
         second: The server that the request was sent to besides.
-        entries: The known servers.
-        since: When it was sent to the second one.
+        since: When it was sent there.
     """
-    if first.heard_at > since:
-        return False
-    return any(
-        entry.heard_at > since
-        for entry in (second, *entries)
-        if entry.backend.service == first.backend.service
-    )
+    return first.heard_at <= since < second.heard_at
 
 
 @define(eq=False)
