Keep a silent server if another one refuses to resume its stream

A whole answer that is no server error took the caller's answer first, which ended the attempt at the silent server, and only then was found useless for a stream that has begun: the answer was cut. It is now refused before that.

The new test fails without the change (the caller has two of four events).

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -448,11 +448,11 @@
                 self.backends.failed(self.entry, anyio.current_time(), relayed)
             reason = f"answered {head.status}"
             return AttemptResult(AttemptEnd.FAILED, answer, reason)
-        await self.claim()
         self.backends.succeeded(self.entry, self.relay is not None)
         if exchange.connection.started:
             self.is_kept = False
             raise BackendLostError(f"status {head.status} to a resumed stream")
+        await self.claim()
         await exchange.deliver(answer)
         written = 200 <= head.status < 300
         return AttemptResult(AttemptEnd.DELIVERED, written=written)
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -87,6 +87,11 @@
     pytest.param("/safe/x", late_answer, id="safe"),
 ]
 
+async def refuses(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer that the stream is not known here."""
+    await stream.send(answer(head, b"no", "404 Not Found"))
+
+
 OTHERS = [
     # script of the other server; None for none, the retries in the budget
     pytest.param(good_answer, 0.0, id="no retry left"),
@@ -127,6 +132,16 @@
     assert len(servers[0].requests) == 1
 
 
+async def test_stream_is_kept_if_another_server_refuses_to_resume_it() -> None:
+    """A whole answer that cannot be passed on must not end the stream's own server."""
+    servers = [Server("first", paused_stream), Server("other", refuses)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request("/stream/x"))
+    assert is_whole("/stream/x", got), got
+    assert len(servers[1].requests) == 1
+
+
 @pytest.mark.parametrize(("path", "script"), SILENT)
 async def test_stream_is_not_moved_to_another_version(
     path: str, script: Script
