Count the retry of a second attempt that replaces a lost one

If the silent server's connection ended while the second attempt was connecting, and the second server could not be reached, the retry was given back; the next server then got the request without one, so the budget did not bound it. The retry is now given back only while the first attempt is under way.

The new test fails without the change (one more attempt, no retry counted).

--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -111,7 +111,9 @@
         """Return the result of the last attempt from `run`; record that of another."""
         if attempt not in self.running:
             return
-        if attempt is self.second and result.end in NEVER_SENT:
+        never_sent = attempt is self.second and result.end in NEVER_SENT
+        if never_sent and self.first in self.running:
+            # Otherwise the retry is used for what replaces the first attempt.
             self.dispatcher.give_retry_back(self.exchange)
         if len(self.running) == 1 or result.end is AttemptEnd.DELIVERED:
             self.last = attempt, result
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -5,7 +5,15 @@
 import anyio
 import pytest
 from anyio.abc import SocketStream
+from attrs import define, field
 
+from ebonyhold.forwarding import ChannelPool, ConnectOutcome
+from ebonyhold.forwarding._channel import (
+    CONNECT_TIMEOUT,
+    Channel,
+    ConnectTimeoutError,
+)
+from ebonyhold.forwarding._silence_watch import STREAM_TIMEOUT
 from tests.forwarding.kit import (
     GONE,
     Rig,
@@ -67,6 +75,13 @@
     await anyio.sleep_forever()
 
 
+async def ending_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """End after the second event, right after the limit for streams."""
+    await stream.send(stream_head(head) + chunk(event(1)) + chunk(event(2)))
+    await anyio.sleep(STREAM_TIMEOUT + CONNECT_TIMEOUT / 2)
+    raise anyio.EndOfStream
+
+
 async def late_answer(server: Server, stream: SocketStream, head: str) -> None:
     """Be silent before a whole answer."""
     await anyio.sleep(SAFE_PAUSE)
@@ -81,6 +96,25 @@
         await whole_stream(server, stream, head)
 
 
+@define(eq=False)
+class DarkPool(ChannelPool):
+    """Connections to servers, some of which accept none, as without power.
+
+    Attributes:
+        dark: The names of these.
+    """
+
+    dark: set[str] = field(factory=set)
+
+    async def connect(self, name: str, address: tuple[str, int]) -> Channel:
+        """Return a new connection, unless the server accepts none."""
+        if name in self.dark:
+            await anyio.sleep(CONNECT_TIMEOUT)
+            self.on_connect(name, ConnectOutcome.TIMED_OUT)
+            raise ConnectTimeoutError("no connection in time")
+        return await super().connect(name, address)
+
+
 SILENT = [
     pytest.param("/stream/x", late_stream, id="before the first event"),
     pytest.param("/stream/x", paused_stream, id="within a stream"),
@@ -225,6 +259,24 @@
     assert not window.retries
 
 
+async def test_retry_that_replaces_a_lost_attempt_is_counted() -> None:
+    """A retry after the end of a silent server must use the retry budget."""
+    servers = [
+        Server("first", ending_stream),
+        Server("unreachable", whole_stream),
+        Server("other", whole_stream),
+    ]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        router.forwarder.backends.entries["other"].in_flight += 3
+        paths = router.forwarder.paths
+        paths.pool = DarkPool(paths.pool.tasks, dark={"unreachable"})
+        got = await router.ask(request("/stream/x"))
+        window = router.forwarder.retries.window("svc", anyio.current_time())
+    assert is_whole("/stream/x", got), got
+    assert len(servers[2].requests) == len(window.retries) == 1
+
+
 async def test_common_silence_uses_no_retries() -> None:
     """A silence of all servers must not spend the retry budget on moves among them."""
     servers = [Server("first", paused_stream), Server("other", paused_stream)]
