Leave a dark server also where no other request shows who is silent

In a small or idle fleet nothing is heard in the 0.3 s of two attempts if the second server reads for longer than that. The second attempt was then ended in favour of the silent server, and with two attempts allowed there is no third: the request stayed at a dark server until its deadline. While both attempts are under way, the router now connects to the silent server and, if that fails, to the other one: if only the other one accepts, the silent server is left. A paused process does not fail this check, since the system accepts for it.

The new rows (2 and 3 servers) fail without the change and pass with it.

--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -38,7 +38,8 @@
     """Two attempts of one request, of which the one that answers first goes on.
 
     The other one is ended. If neither answers within `MAX_OVERLAP`, the second one is
-    ended, unless the evidence is that the first server alone is silent.
+    ended, unless the evidence is that the first server alone is silent, or accepts no
+    connections any more.
 
     Attributes:
         dispatcher: Records how attempts end.
@@ -48,6 +49,8 @@
         running: The attempts that have not ended.
         scopes: The cancel scopes of the attempts.
         tasks: Runs the attempts.
+        is_first_dark: Whether the silent server accepts no connections, though the
+            other one does.
         last: The attempt that has ended last, with its result.
         error: The unexpected error that has ended the attempts.
     """
@@ -59,6 +62,7 @@
     running: list[Attempt] = field(init=False)
     scopes: dict[Attempt, anyio.CancelScope] = field(init=False)
     tasks: TaskGroup = field(init=False)
+    is_first_dark: bool = field(init=False, default=False)
     last: tuple[Attempt, AttemptResult] | None = field(init=False, default=None)
     error: Exception | None = field(init=False, default=None)
 
@@ -159,6 +163,18 @@
     def begin_overlap(self) -> None:
         """Bound the time for which two servers have the request."""
         self.tasks.start_soon(self.bound_overlap, anyio.current_time())
+        if self.first.relay is None and self.second.relay is None:
+            self.tasks.start_soon(self.check_first)
+
+    async def check_first(self) -> None:
+        """Check whether the silent server accepts connections.
+
+        The system accepts them for a process that is paused, but not without power.
+        That both servers accept none may be a fault of the network.
+        """
+        paths, first = self.dispatcher.paths, self.first.entry.backend
+        if not await paths.accepts(first):
+            self.is_first_dark = await paths.accepts(self.second.entry.backend)
 
     async def bound_overlap(self, since: Seconds) -> None:
         """End one of the attempts if neither server has answered in time."""
@@ -167,7 +183,7 @@
             return
         first, second = self.first.entry, self.second.entry
         entries = self.dispatcher.backends.entries.values()
-        if prefers_second(first, second, entries, since):
+        if self.is_first_dark or prefers_second(first, second, entries, since):
             self.leave_first(SilenceOutcome.LEFT)
         else:
             self.withdraw_second()
--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -111,6 +111,16 @@
         await self.pool.put(backend.name, channel)
         return not lost and (not is_late or any(one.is_open for one in older))
 
+    async def accepts(self, backend: Backend) -> bool:
+        """Return whether a server accepts or refuses a connection in time; keep it."""
+        try:
+            channel = await self.pool.connect(backend.name, backend.address)
+        except BackendLostError as error:
+            return isinstance(error, ConnectRefusedError)
+        channel.keep_unused(anyio.current_time())
+        await self.pool.put(backend.name, channel)
+        return True
+
     async def has_ended(self, backend: Backend) -> bool:
         """Return whether a server refuses connections; keep one that it accepts.
 
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -115,12 +115,19 @@
         return await super().connect(name, address)
 
 
+async def slow_answer(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer any request after a time longer than two attempts may overlap."""
+    await anyio.sleep(MAX_OVERLAP + 0.05)
+    await good_answer(server, stream, head)
+
+
 SILENT = [
     pytest.param("/stream/x", late_stream, id="before the first event"),
     pytest.param("/stream/x", paused_stream, id="within a stream"),
     pytest.param("/safe/x", late_answer, id="safe"),
 ]
 
+
 async def refuses(server: Server, stream: SocketStream, head: str) -> None:
     """Answer that the stream is not known here."""
     await stream.send(answer(head, b"no", "404 Not Found"))
@@ -206,6 +213,40 @@
     assert is_whole("/stream/x", got), got
 
 
+IDLE_FLEETS = [
+    # the path, the script of the first server, that of others; how many others
+    pytest.param("/stream/x", silent, 1, id="before the first event, 2 servers"),
+    pytest.param("/stream/x", dark_stream, 1, id="within a stream, 2 servers"),
+    pytest.param("/stream/x", dark_stream, 2, id="within a stream, 3 servers"),
+    pytest.param("/safe/x", silent, 1, id="safe, 2 servers"),
+]
+
+
+@pytest.mark.parametrize(("path", "script", "others"), IDLE_FLEETS)
+async def test_dark_server_is_left_without_other_requests(
+    path: str, script: Script, others: int
+) -> None:
+    """Where no other request shows who is silent, a dark server must still be left."""
+    servers = [Server("first", script)]
+    servers += [Server(f"other{each}", slow_answer) for each in range(others)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        paths = router.forwarder.paths
+        paths.pool = DarkPool(paths.pool.tasks)
+        answers: list[bytes] = []
+
+        async def ask() -> None:
+            answers.append(await router.ask(request(path)))
+
+        with anyio.fail_after(PATIENCE):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                paths.pool.dark.add("first")
+        assert router.forwarder.backends.entries["first"].in_flight == 0
+    assert is_whole(path, answers[0]), answers
+
+
 async def test_two_servers_work_on_a_request_for_a_short_time_only() -> None:
     """A second run beside a silent one must end soon, whichever of them does."""
     seen: dict[str, float] = {}
