Do not begin a second attempt that is not needed any more

If what the silent server had sent was already there when both attempts were started, as after a pause of this process, the second attempt was withdrawn before its task ran, but the task then ran until its first wait: the request counted as sent once more, which used up its last attempt without a retry.

The new test fails without the change.

--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -102,6 +102,9 @@
         self, attempt: Attempt, step: Callable[[], Awaitable[AttemptResult]]
     ) -> None:
         """Take a step of an attempt, and handle its result unless it is cancelled."""
+        if attempt not in self.running:
+            # The other one has answered before this one began.
+            return
         with self.scopes[attempt]:
             try:
                 result = await step()
