Ask another server in time although most are silent

While most servers are silent, another one was asked after four thirds of the usual limit. For routes whose target is above 0.4 s that is four targets, which is when callers leave, so servers that still sent could take over no stream of a dark one. The longer limit now holds for the minimum alone; the usual one applies where it is longer.

Three rows of the new table (targets of 0.5, 0.6 and 2 s) fail without the change.

--- a/ebonyhold/forwarding/_silence_watch.py
+++ b/ebonyhold/forwarding/_silence_watch.py
@@ -40,10 +40,11 @@
 """
 
 COMMON_FACTOR = 4 / 3
-"""The limit for a silence that most servers share, as a multiple of the usual one.
+"""The limit for a silence that most servers share, as a multiple of the minimum.
 
 Most of them are likely to return before. The few that send could not take the streams
-of all, and callers wait as long as it takes one more server to answer.
+of all, and callers wait as long as it takes one more server to answer. The usual limit
+applies if it is longer: of that, callers bear no such multiple.
 """
 
 RECHECK_INTERVAL: Seconds = 0.1
@@ -112,7 +113,8 @@
         """Whether the silence is too long even for one that most servers share."""
         timeout = answer_timeout(self.exchange, self.max_gap)
         silence = anyio.current_time() - self.waiting_since
-        return timeout is not None and silence >= COMMON_FACTOR * timeout
+        shortest = COMMON_FACTOR * minimum_timeout(self.exchange)
+        return timeout is not None and silence >= max(timeout, shortest)
 
     def end_hedge(self) -> None:
         """Apply the limit again, as no other attempt is under way any more."""
@@ -134,7 +136,13 @@
     route = exchange.match.route
     if not (route.idempotent and exchange.attempts_left):
         return None
-    minimum = SAFE_TIMEOUT if route.kind is RouteKind.SAFE else STREAM_TIMEOUT
+    minimum = minimum_timeout(exchange)
     if max_gap is not None:
         return max(minimum, RESUME_GAPS * max_gap)
     return max(minimum, TIMEOUT_TARGETS * route.target)
+
+
+def minimum_timeout(exchange: Exchange) -> Seconds:
+    """Return the minimum silence after which another server is asked."""
+    safe = exchange.match.route.kind is RouteKind.SAFE
+    return SAFE_TIMEOUT if safe else STREAM_TIMEOUT
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import cast
+
+import anyio
 import pytest
 
-from ebonyhold.forwarding import BackendEntry
+from ebonyhold.forwarding import BackendEntry, RouteKind
+from ebonyhold.forwarding._exchange import Exchange
 from ebonyhold.forwarding._silence import OtherServers, compare, prefers_second
-from tests.forwarding.kit import Server
+from ebonyhold.forwarding._silence_watch import SilenceWatch
+from tests.forwarding.kit import Server, route
 from tests.forwarding.test_attempts import good
 
 NOW = 10.0
@@ -84,3 +90,31 @@
         for kind, chosen in {"heard": "hr", "returned": "r", "silent": "s"}.items()
     }
     assert OtherServers(**names).share_silence is shared
+
+
+LIMITS = [
+    # the route's kind and target, the longest pause on time if an event was sent; for
+    # how long callers wait for the next event
+    (RouteKind.STREAM, 0.1, None, 2.0),
+    (RouteKind.STREAM, 0.5, None, 2.0),
+    (RouteKind.STREAM, 0.6, None, 2.4),
+    (RouteKind.STREAM, 2.0, None, 8.0),
+    (RouteKind.STREAM, 0.6, 0.1, 2.0),
+    (RouteKind.STREAM, 0.6, 0.5, 4.0),
+    (RouteKind.SAFE, 0.1, None, 2.0),
+]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("kind", "target", "max_gap", "patience"), LIMITS)
+async def test_dark_server_is_left_in_time_when_most_are_silent(
+    kind: RouteKind, target: float, max_gap: float | None, patience: float
+) -> None:
+    """A server that can take a stream must get it before its caller has left."""
+    exchange = SimpleNamespace(
+        match=SimpleNamespace(route=route("any", kind, target=target, resumable=True)),
+        attempts_left=True,
+    )
+    watch = SilenceWatch(cast(Exchange, exchange), max_gap)
+    watch.waiting_since = anyio.current_time() - 0.85 * patience
+    assert watch.is_very_long
