--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -38,7 +38,8 @@
     """Two attempts of one request, of which the one that answers first goes on.
 
     The other one is ended. If neither answers within `MAX_OVERLAP`, the second one is
-    ended, unless its server is heard on other connections and the first one is not.
+    ended, unless its server is heard on other connections and the first one is not, or
+    only the first one accepts no connections any more.
 
     Attributes:
         dispatcher: Records how attempts end.
@@ -48,6 +49,8 @@
         running: The attempts that have not ended.
         scopes: The cancel scopes of the attempts.
         tasks: Runs the attempts.
+        is_first_dark: Whether the silent server accepts no connections, though the
+            other one does.
         last: The attempt that has ended last, with its result.
         error: The unexpected error that has ended the attempts.
     """
@@ -59,6 +62,7 @@
     running: list[Attempt] = field(init=False)
     scopes: dict[Attempt, anyio.CancelScope] = field(init=False)
     tasks: TaskGroup = field(init=False)
+    is_first_dark: bool = field(init=False, default=False)
     last: tuple[Attempt, AttemptResult] | None = field(init=False, default=None)
     error: Exception | None = field(init=False, default=None)
 
@@ -98,6 +102,9 @@
         self, attempt: Attempt, step: Callable[[], Awaitable[AttemptResult]]
     ) -> None:
         """Take a step of an attempt, and handle its result unless it is cancelled."""
+        if attempt not in self.running:
+            # The other one has answered before this one began.
+            return
         with self.scopes[attempt]:
             try:
                 result = await step()
@@ -111,7 +118,9 @@
         """Return the result of the last attempt from `run`; record that of another."""
         if attempt not in self.running:
             return
-        if attempt is self.second and result.end in NEVER_SENT:
+        never_sent = attempt is self.second and result.end in NEVER_SENT
+        if never_sent and self.first in self.running:
+            # Otherwise the retry is used for what replaces the first attempt.
             self.dispatcher.give_retry_back(self.exchange)
         if len(self.running) == 1 or result.end is AttemptEnd.DELIVERED:
             self.last = attempt, result
@@ -158,6 +167,18 @@
     def begin_overlap(self) -> None:
         """Bound the time for which two servers have the request."""
         self.tasks.start_soon(self.bound_overlap, anyio.current_time())
+        if self.first.relay is None and self.second.relay is None:
+            self.tasks.start_soon(self.check_first)
+
+    async def check_first(self) -> None:
+        """Check whether the silent server accepts connections.
+
+        The system accepts them for a process that is paused, but not without power.
+        That both servers accept none may be a fault of the network.
+        """
+        paths, first = self.dispatcher.paths, self.first.entry.backend
+        if not await paths.accepts(first):
+            self.is_first_dark = await paths.accepts(self.second.entry.backend)
 
     async def bound_overlap(self, since: Seconds) -> None:
         """End one of the attempts if neither server has answered in time."""
@@ -165,7 +186,7 @@
         if len(self.running) == 1 or self.exchange.writer is not None:
             return
         first, second = self.first.entry, self.second.entry
-        if prefers_second(first, second, since):
+        if self.is_first_dark or prefers_second(first, second, since):
             self.leave_first(SilenceOutcome.LEFT)
         else:
             self.withdraw_second()
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -8,7 +8,15 @@
 import anyio
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
+from attrs import define, field
 
+from ebonyhold.forwarding import ChannelPool, ConnectOutcome
+from ebonyhold.forwarding._channel import (
+    CONNECT_TIMEOUT,
+    Channel,
+    ConnectTimeoutError,
+)
+from ebonyhold.forwarding._silence_watch import STREAM_TIMEOUT
 from tests.forwarding.kit import (
     GONE,
     Rig,
@@ -70,6 +78,13 @@
     await anyio.sleep_forever()
 
 
+async def ending_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """End after the second event, right after the limit for streams."""
+    await stream.send(stream_head(head) + chunk(event(1)) + chunk(event(2)))
+    await anyio.sleep(STREAM_TIMEOUT + CONNECT_TIMEOUT / 2)
+    raise anyio.EndOfStream
+
+
 async def late_answer(server: Server, stream: SocketStream, head: str) -> None:
     """Be silent before a whole answer."""
     await anyio.sleep(SAFE_PAUSE)
@@ -84,12 +99,43 @@
         await whole_stream(server, stream, head)
 
 
+@define(eq=False)
+class DarkPool(ChannelPool):
+    """Connections to servers, some of which accept none, as without power.
+
+    Attributes:
+        dark: The names of these.
+    """
+
+    dark: set[str] = field(factory=set)
+
+    async def connect(self, name: str, address: tuple[str, int]) -> Channel:
+        """Return a new connection, unless the server accepts none."""
+        if name in self.dark:
+            await anyio.sleep(CONNECT_TIMEOUT)
+            self.on_connect(name, ConnectOutcome.TIMED_OUT)
+            raise ConnectTimeoutError("no connection in time")
+        return await super().connect(name, address)
+
+
+async def slow_answer(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer any request after a time longer than two attempts may overlap."""
+    await anyio.sleep(MAX_OVERLAP + 0.05)
+    await good_answer(server, stream, head)
+
+
 SILENT = [
     pytest.param("/stream/x", late_stream, id="before the first event"),
     pytest.param("/stream/x", paused_stream, id="within a stream"),
     pytest.param("/safe/x", late_answer, id="safe"),
 ]
 
+
+async def refuses(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer that the stream is not known here."""
+    await stream.send(answer(head, b"no", "404 Not Found"))
+
+
 OTHERS = [
     # script of the other server; None for none, the retries in the budget
     pytest.param(good_answer, 0.0, id="no retry left"),
@@ -130,6 +176,16 @@
     assert len(servers[0].requests) == 1
 
 
+async def test_stream_is_kept_if_another_server_refuses_to_resume_it() -> None:
+    """A whole answer that cannot be passed on must not end the stream's own server."""
+    servers = [Server("first", paused_stream), Server("other", refuses)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request("/stream/x"))
+    assert is_whole("/stream/x", got), got
+    assert len(servers[1].requests) == 1
+
+
 @pytest.mark.parametrize(("path", "script"), SILENT)
 async def test_stream_is_not_moved_to_another_version(
     path: str, script: Script
@@ -160,6 +216,40 @@
     assert is_whole("/stream/x", got), got
 
 
+IDLE_FLEETS = [
+    # the path, the script of the first server, that of others; how many others
+    pytest.param("/stream/x", silent, 1, id="before the first event, 2 servers"),
+    pytest.param("/stream/x", dark_stream, 1, id="within a stream, 2 servers"),
+    pytest.param("/stream/x", dark_stream, 2, id="within a stream, 3 servers"),
+    pytest.param("/safe/x", silent, 1, id="safe, 2 servers"),
+]
+
+
+@pytest.mark.parametrize(("path", "script", "others"), IDLE_FLEETS)
+async def test_dark_server_is_left_without_other_requests(
+    path: str, script: Script, others: int
+) -> None:
+    """Where no other request shows who is silent, a dark server must still be left."""
+    servers = [Server("first", script)]
+    servers += [Server(f"other{each}", slow_answer) for each in range(others)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        paths = router.forwarder.paths
+        paths.pool = DarkPool(paths.pool.tasks)
+        answers: list[bytes] = []
+
+        async def ask() -> None:
+            answers.append(await router.ask(request(path)))
+
+        with anyio.fail_after(PATIENCE):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                paths.pool.dark.add("first")
+        assert router.forwarder.backends.entries["first"].in_flight == 0
+    assert is_whole(path, answers[0]), answers
+
+
 async def test_two_servers_work_on_a_request_for_a_short_time_only() -> None:
     """A second run beside a silent one must end soon, whichever of them does."""
     seen: dict[str, float] = {}
@@ -213,6 +303,24 @@
     assert not window.retries
 
 
+async def test_retry_that_replaces_a_lost_attempt_is_counted() -> None:
+    """A retry after the end of a silent server must use the retry budget."""
+    servers = [
+        Server("first", ending_stream),
+        Server("unreachable", whole_stream),
+        Server("other", whole_stream),
+    ]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        router.forwarder.backends.entries["other"].in_flight += 3
+        paths = router.forwarder.paths
+        paths.pool = DarkPool(paths.pool.tasks, dark={"unreachable"})
+        got = await router.ask(request("/stream/x"))
+        window = router.forwarder.retries.window("svc", anyio.current_time())
+    assert is_whole("/stream/x", got), got
+    assert len(servers[2].requests) == len(window.retries) == 1
+
+
 async def test_common_silence_uses_no_retries() -> None:
     """A silence of all servers must not spend the retry budget on moves among them."""
     servers = [Server("first", paused_stream), Server("other", paused_stream)]
