--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -345,6 +345,33 @@
     await stream.send(chunk(event(3)) + chunk(event(4)) + chunk(b""))
 
 
+@pytest.mark.parametrize(
+    ("path", "limit"), [("/stream/x", 1.2), ("/safe/x", 0.3)], ids=["stream", "safe"]
+)
+async def test_pause_of_this_process_is_no_silence_of_a_server(
+    path: str, limit: float
+) -> None:
+    """Data that arrived while the router was paused must be read before it counts."""
+
+    async def answers_meanwhile(
+        server: Server, stream: SocketStream, head: str
+    ) -> None:
+        await anyio.sleep(limit - 0.1)
+        data = stream_head(head) + b"".join(chunk(event(n)) for n in (1, 2, 3, 4))
+        whole = answer(head) if path == "/safe/x" else data + chunk(b"")
+        raw = stream.extra(SocketAttribute.raw_socket)
+        os.write(raw.fileno(), whole)
+        # The event loop of the router stands still until its limit is over as well.
+        time.sleep(0.3)  # noqa: ASYNC251 - to block the loop is the purpose
+
+    servers = [Server("first", answers_meanwhile), Server("other", good_answer)]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        got = await router.ask(request(path))
+    assert is_whole(path, got), got
+    assert not servers[1].requests
+
+
 async def test_answer_that_comes_as_the_overlap_ends_is_not_lost() -> None:
     """Two attempts must not end each other when a timeout and an answer coincide."""
 
