--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import re
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 from ebonyhold.standins import RowHistory
 from tests.forwarding.kit import Server, request, rig
 from tests.forwarding.test_attempts import broken_stream, declines
+from tests.gateway.silences import NOT_SENT, SILENCES, Silence
 from tests.prepaid.kit import Router
 
 pytestmark = pytest.mark.anyio
@@ -80,6 +82,38 @@
     assert "store_reachable=False" in text[-1]
 
 
+@pytest.mark.parametrize("silence", SILENCES, ids=str)
+async def test_explains_silence(silence: Silence, lines: list[str]) -> None:
+    """Guards against answers late for a silence of which the logs tell nothing."""
+    async with silence.rig() as router:
+        await silence.ask(router)
+    text = "\n".join(explain("r1", lines))
+    asked = re.findall(r"dispatched: backend=(\S+) attempt=\d", text)
+    first, other = (*asked, "none")[:2]
+    assert re.findall(r"server silent: backend=(\S+) .*silent_ms=\d+", text) == [first]
+    kept = re.findall(r"silent server kept: backend=(\S+) why=(\S+)", text)
+    assert set(kept) == {(first, why) for why in silence.results & NOT_SENT}
+    ended = re.findall(r"silence ended: backend=(\S+) outcome=(\S+) to=(\S*) ", text)
+    to = other if silence.outcome in ("moved", "left") else ""
+    assert ended == [(first, silence.outcome, to)]
+    request_ended = text.splitlines()[-1]
+    assert str(asked) in request_ended
+    reason = silence.reason.format(first=first, other=other)
+    assert re.search(
+        rf"reasons=\[['\"]{reason}" if reason else r"reasons=\[\]", request_ended
+    )
+
+
+async def test_explains_that_all_servers_were_silent(lines: list[str]) -> None:
+    """Guards against a common silence that looks like a fault of one server."""
+    (silence,) = (each for each in SILENCES if "common_silence" in each.results)
+    async with silence.rig() as router:
+        await silence.ask(router)
+    text = "\n".join(explain("r1", lines))
+    others = "others_heard=0 others_returned=0 others_silent=1 others_idle=0"
+    assert f" {others}" in text
+
+
 def test_explain_command(tmp_path: Path) -> None:
     log = tmp_path / "log"
     log.write_text(
