--- a/ebonyhold/callers/errors_page.py
+++ b/ebonyhold/callers/errors_page.py
@@ -37,7 +37,7 @@
 """
 
 GATEWAY = """
-## Refusals of the gateway under load
+## Refusals of the gateway
 
 The gateway answers `{"error": CODE}`; its other codes are listed in `OPERATIONS.md`.
 
@@ -46,6 +46,18 @@
 | `servers_busy` | 503 | not run | Prompts wait so long at all servers that the first \
 event would come after the request's deadline. | Try again after `Retry-After`, \
 at most 2 s, or allow more time. |
+| `server_lost` | 502 | unknown | A server that may have run the request broke off or \
+failed, and no other one could be asked. A silence alone is no reason: \
+the request waits for it until its deadline. | Send the request again where it may \
+run twice. |
+| `no_answer_in_time` | 504 | unknown | No server gave a whole answer before the \
+request's deadline. | Send the request again where it may run twice, or allow more \
+time. |
+
+A stream that has begun and cannot be completed ends without its last chunk, and its
+connection is closed: a server broke off and no other one could go on, or the deadline
+has come. A pause of the server alone is no such reason. Where the route lets streams be
+resumed, send the request again with `Last-Event-Id`.
 """
 
 
