Count each search for another server once

Cause: a second attempt that went on after the silent one was left or had ended had no result in ebonyhold_gateway_standbys_total.

Result: the rows [silent alone] and [server ends beside another] of tests/gateway/test_metrics.py failed and are green; they leave KNOWN-RED.txt.

--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -32,6 +32,9 @@
 )
 """The ends of attempts that use no retry budget."""
 
+HAS_NOT_FAILED = frozenset({AttemptEnd.DELIVERED, AttemptEnd.SILENT})
+"""The ends of attempts whose server has not failed."""
+
 
 @define(eq=False)
 class Hedge:
@@ -122,12 +125,12 @@
         if never_sent and self.first in self.running:
             # Otherwise the retry is used for what replaces the first attempt.
             self.dispatcher.give_retry_back(self.exchange)
+        if attempt is self.second and result.end not in HAS_NOT_FAILED:
+            self.count(StandbyResult.FAILED)
         if len(self.running) == 1 or result.end is AttemptEnd.DELIVERED:
             self.last = attempt, result
             self.tasks.cancel_scope.cancel()
             return
-        if attempt is self.second:
-            self.count(StandbyResult.FAILED)
         self.dispatcher.record_result(self.exchange, attempt, result)
         self.end_hedge(attempt)
 
@@ -140,8 +143,8 @@
 
     def move(self) -> None:
         """Leave the silent server, since the other one has answered."""
+        self.count(StandbyResult.ANSWERED)
         if self.first in self.running:
-            self.count(StandbyResult.ANSWERED)
             self.leave_first(SilenceOutcome.MOVED)
 
     def leave_first(self, outcome: SilenceOutcome) -> None:
