--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -234,6 +234,8 @@
         if isinstance(entry, Refusal):
             entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
+            # The request is not refused, so no time to return is stated for it.
+            exchange.retry_after = None
             if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
             gone = self.is_version_gone(exchange, but=silent.entry)
