Ask servers again for memory while a request's server is silent

A server that had no memory for a request at one look was left out of all further looks, until the attempt at the silent server ended; with two servers the request stayed at a dark one. What is known of memory here still bounds the questions.

The new test fails without the change.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -230,6 +230,8 @@
         suspect = known.exists or bool(exchange.losses)
         entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
+            # Servers may have memory again at the next look.
+            exchange.roomless.clear()
             if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
             gone = self.is_version_gone(exchange, but=silent.entry)
