Let an attempt that is ended for the other one end nothing itself

An answer could arrive in the same step of the event loop in which its attempt was ended for the other one: the task ran until its next wait, took the caller's answer and ended the other attempt. Neither was left, and the request ended with an AssertionError. The attempt that is kept now takes the caller's answer at once.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -162,12 +162,12 @@
     async def release(self) -> None:
         """End the attempt; without effect if it has ended."""
         self.held.close()
+        if self.exchange.writer is self:
+            self.exchange.writer = None
         channel, self.channel = self.channel, None
         if channel is None:
             return
         self.end_silence(SilenceOutcome.UNANSWERED)
-        if self.exchange.writer is self:
-            self.exchange.writer = None
         if not self.entry.in_flight:
             self.paths.reach.record_idle(self.entry.backend.name)
         # Engines abort a request when its connection closes. If the connection
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -137,6 +137,15 @@
         for attempt in self.running:
             attempt.watch.end_hedge()
 
+    def end_other(self, ended: Attempt) -> None:
+        """End an attempt, and let the other one go on alone.
+
+        Until its next wait it runs on, and may have read something to pass on.
+        """
+        self.end_hedge(ended)
+        (self.exchange.writer,) = self.running
+        self.scopes[ended].cancel()
+
     def move(self) -> None:
         """Leave the silent server, since the other one has answered."""
         if self.first in self.running:
@@ -147,8 +156,7 @@
         """Leave the silent server."""
         self.first.leave(outcome)
         self.dispatcher.streams.recheck(self.exchange)
-        self.end_hedge(self.first)
-        self.scopes[self.first].cancel()
+        self.end_other(self.first)
 
     def withdraw_second(self) -> None:
         """End the second attempt, since its server is not needed any more."""
@@ -160,8 +168,7 @@
             self.exchange.reasons.append(f"{name}: withdrawn")
         else:
             self.dispatcher.give_retry_back(self.exchange)
-        self.end_hedge(self.second)
-        self.scopes[self.second].cancel()
+        self.end_other(self.second)
 
     def begin_overlap(self) -> None:
         """Bound the time for which two servers have the request."""
