--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -234,8 +234,10 @@
         if isinstance(entry, Refusal):
             entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
-            # The request is not refused, so no time to return is stated for it.
+            # The request is not refused, so no time to return is stated for it, and
+            # servers may have memory again at the next look.
             exchange.retry_after = None
+            exchange.roomless.clear()
             if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
             gone = self.is_version_gone(exchange, but=silent.entry)
