--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -136,11 +136,17 @@
 
     def end_hedge(self, ended: Attempt) -> None:
         """Let the other attempt go on alone."""
-        ended.is_replaced = True
         self.running.remove(ended)
         for attempt in self.running:
             attempt.watch.end_hedge()
 
+    def end_other(self, ended: Attempt) -> None:
+        """End an attempt, and let the other one go on alone."""
+        # Until its next wait it runs on, and may have read something to pass on.
+        ended.is_replaced = True
+        self.end_hedge(ended)
+        self.scopes[ended].cancel()
+
     def move(self) -> None:
         """Leave the silent server, since the other one has answered."""
         self.count(StandbyResult.ANSWERED)
@@ -151,8 +157,7 @@
         """Leave the silent server."""
         self.first.leave(outcome, self.second.entry.backend.name)
         self.dispatcher.streams.recheck(self.exchange)
-        self.end_hedge(self.first)
-        self.scopes[self.first].cancel()
+        self.end_other(self.first)
 
     def withdraw_second(self) -> None:
         """End the second attempt, since its server is not needed any more."""
@@ -164,8 +169,7 @@
             self.exchange.reasons.append(f"{name}: withdrawn")
         else:
             self.dispatcher.give_retry_back(self.exchange)
-        self.end_hedge(self.second)
-        self.scopes[self.second].cancel()
+        self.end_other(self.second)
 
     def begin_overlap(self) -> None:
         """Bound the time for which two servers have the request."""
