Keep the reasons of silences in logs as they were

`the stream stalled` and `no answer in time` stand in the reasons of `request ended` again, which tools may look for; what became of the silence follows.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -92,6 +92,7 @@
         answer: The head of the server's answer, once it was read.
         delivery: Passes the body on, once the answer has begun.
         is_replaced: Whether another attempt goes on in its place.
+        silence: The text of the last silence, for logs.
         has_silence: Whether a silence of the server was logged that has not ended.
         kept_for: Why no other server got the request during it; None before.
         is_sent: Whether the request has been sent.
@@ -123,6 +124,7 @@
     answer: tuple[AnswerHead, AnswerFacts] | None = field(init=False, default=None)
     delivery: AnswerDelivery | None = field(init=False, default=None)
     is_replaced: bool = field(init=False, default=False)
+    silence: str = field(init=False, default="")
     has_silence: bool = field(init=False, default=False)
     kept_for: StandbyResult | None = field(init=False, default=None)
     is_sent: bool = field(init=False, default=False)
@@ -237,7 +239,8 @@
                 self.has_silence = True
                 since = self.watch.waiting_since
                 self.silences.began(self.exchange, self.entry, since)
-            return AttemptResult(AttemptEnd.SILENT, reason=str(error))
+            self.silence = str(error)
+            return AttemptResult(AttemptEnd.SILENT, reason=self.silence)
         except RelayDeclinedError as declined:
             result = self.handle_relay_declined(declined)
         except BackendLostError as error:
@@ -332,7 +335,7 @@
         exchange, name = self.exchange, self.entry.backend.name
         if self.relay is None:
             self.backends.failed(self.entry, anyio.current_time())
-        exchange.reasons.append(f"{name}: silent, {outcome.value}")
+        exchange.reasons.append(f"{name}: {self.silence}, {outcome.value}")
         exchange.endings.append(AnswerEnding.ABANDONED)
         exchange.left_silent |= outcome is SilenceOutcome.LEFT
         self.end_silence(outcome, to)
--- a/tests/gateway/silences.py
+++ b/tests/gateway/silences.py
@@ -140,7 +140,7 @@
         good_answer,
         "moved",
         frozenset({"answered"}),
-        "{first}: silent, moved",
+        "{first}: no answer in time, moved",
     ),
     Silence(
         "both silent",
@@ -214,7 +214,7 @@
         slow_answer,
         "left",
         frozenset({"answered"}),
-        "{first}: silent, left",
+        "{first}: no answer in time, left",
         beside=("/once/x", steady_stream),
     ),
     Silence(
