Do not take a server that had no requests for one that was silent

A server that sent something after half a second without requests counted as one that returns from a common silence. With few requests for each server, most others looked so, and another server for the streams of a silent one was looked for later.

Two rows of the new table fail without the change.

--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -20,7 +20,10 @@
 from ebonyhold.types import Seconds
 
 LONG_PAUSE: Seconds = 0.5
-"""Time without a byte of any answer after which a server counts as heard anew."""
+"""Time without a byte of any answer after which a server counts as heard anew.
+
+Only a time in which it has requests counts.
+"""
 
 
 @define(eq=False)
@@ -105,8 +108,11 @@
             work.end()
 
     def record_heard(self, now: Seconds) -> None:
-        """Record that the server has sent something to this router."""
-        if now - self.heard_at > LONG_PAUSE:
+        """Record that the server has sent something to this router.
+
+        While it has no requests it has nothing to send, which is no pause.
+        """
+        if now - max(self.heard_at, self.busy_since) > LONG_PAUSE:
             self.heard_since = now
         self.heard_at = now
 
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -46,6 +46,31 @@
     assert compare(silent, [silent, other], NOW - 2.0, NOW) == expected
 
 
+PAUSES = [
+    # when it was heard before, since when it has requests (None for none): whether it
+    # counts as one that sends again
+    (9.4, 5.0, True),
+    (9.6, 5.0, False),
+    (5.0, 9.4, True),
+    (5.0, 9.6, False),
+    (5.0, None, False),
+]
+
+
+@pytest.mark.parametrize(("heard_at", "busy_since", "returned"), PAUSES)
+def test_server_without_requests_has_made_no_pause(
+    heard_at: float, busy_since: float | None, returned: bool
+) -> None:
+    """Servers with few requests must not look like a silence that has just ended."""
+    entry = BackendEntry(Server("one", good).backend())
+    entry.heard_at = entry.heard_since = heard_at
+    if busy_since is not None:
+        entry.busy_since = busy_since
+    entry.record_heard(NOW)
+    assert entry.heard_at == NOW
+    assert (entry.heard_since == NOW) is returned
+
+
 PREFERENCES = [
     # when the first and the second server sent something after the second one got the
     # request; None for not at all: whether the first one is left
