Ask servers again for memory while a request's server is silent

A server that had no memory for a request at one look was left out of all further looks, until the attempt at the silent server ended; with two servers the request stayed at a dark one. What is known of memory here still bounds the questions.

The new test fails without the change.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -236,6 +236,8 @@
         if isinstance(entry, Refusal):
             # The request is not refused, so no time to return is stated for it.
             exchange.retry_after = None
+            # Servers may have memory again at the next look.
+            exchange.roomless.clear()
             if avoided and others.share_silence:
                 return StandbyResult.COMMON_SILENCE
             gone = self.is_version_gone(exchange, but=silent.entry)
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -28,6 +28,7 @@
     whole_stream,
 )
 from tests.forwarding.test_relaying import partitioned
+from tests.forwarding.test_silent_servers import PATIENCE, dark_stream, prefer_first
 from tests.gateway.test_holds import wait_until
 
 pytestmark = pytest.mark.anyio
@@ -196,3 +197,29 @@
     assert (sender.asked, relay.asked) == ([], ["one"])
     assert cut.results == [RelayResult.ANSWERED if room else RelayResult.WITHHELD]
     assert not relay.taken
+
+
+class LateMemory(FakeMemory):
+    """Memory of servers of which one has room only when it is asked again."""
+
+    async def get(self, entry: BackendEntry, wanted: RoomRequest) -> MemoryRoom | None:
+        """Get room, but not at the first question for the other server."""
+        name = entry.backend.name
+        if name == "other" and name not in self.asked:
+            self.asked.append(name)
+            return None
+        return await super().get(entry, wanted)
+
+
+async def test_memory_that_becomes_free_is_used_while_a_server_is_silent() -> None:
+    """A server without memory at one look must not be left out for good."""
+    memory = LateMemory({"first": 1, "other": 1})
+    servers = [Server("first", dark_stream), Server("other", whole_stream)]
+    async with rig(*servers) as router:
+        router.forwarder.backends.memory = memory
+        prefer_first(router)
+        with anyio.fail_after(PATIENCE):
+            got = await router.ask(request("/stream/x", extra=COUNTS))
+    assert numbers(got) == [1, 2, 3, 4]
+    assert memory.asked == ["first", "other", "other"]
+    assert not memory.taken
