Do not count the answer of a relay as heard from the server

A relay's own answer on a request that it could not send, or that was lost beyond it, marked the server as heard and ended its silence. The head now counts once it is known to be the server's.

The new row with a lost request fails without the change.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -381,10 +381,11 @@
             BackendLostError: The connection broke, or MAX_STRAY answers were skipped.
         """
         for _ in range(MAX_STRAY):
-            head = await self.read_next_head(channel)
+            head = await self.watch.read(channel.read_head, "no answer in time")
             if self.relay is not None:
                 channel.end_stated &= reads_end_stated(head.headers)
                 head = check_relayed(head)
+            self.record_heard()
             facts = self.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
             self.backends.record_statements(self.entry, facts, now)
@@ -396,12 +397,6 @@
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
 
-    async def read_next_head(self, channel: Channel) -> AnswerHead:
-        """Return the head of the next answer; raise SilenceError on timeout."""
-        head = await self.watch.read(channel.read_head, "no answer in time")
-        self.record_heard()
-        return head
-
     def record_heard(self) -> None:
         """Record that the server has sent something to this router."""
         now = anyio.current_time()
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_relaying.py
@@ -47,6 +47,7 @@
     declines,
     good,
     numbers,
+    resets,
     silent,
     stray_first,
     unframed,
@@ -348,3 +349,14 @@
             cut.listener.serve = record
             await cut.router.ask(request("/stream/x"))
     assert [RUN in names for names in seen] == [False, True]
+
+
+@pytest.mark.parametrize(("script", "heard"), [(resets, False), (good, True)])
+async def test_answer_of_a_relay_alone_shows_nothing_of_the_server(
+    script: Script, heard: bool
+) -> None:
+    """What a relay states on a lost request must not count as heard from the server."""
+    async with partitioned(Server("one", script)) as cut:
+        await cut.router.ask(request("/unsafe/x"))
+        entry = cut.router.forwarder.backends.entries["one"]
+    assert (entry.heard_at > 0.0) is heard
