Ask an idle server rather than a full one that is heard

Of the servers that are heard while one is silent, a full one was asked if there was no other, though an idle one could take the request. It declines, which uses the last attempt of a request with two, so a dark server was not left.

The new test fails without the change.

--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -231,7 +231,7 @@
         entry: BackendEntry | Refusal = Refusal.NO_SERVER
         if others.heard and not relayed:
             entry = self.next_entry(exchange, suspect, others.silent | others.idle)
-        if isinstance(entry, Refusal):
+        if isinstance(entry, Refusal) or entry.full_until > anyio.current_time():
             entry = self.next_entry(exchange, suspect, avoided)
         if isinstance(entry, Refusal):
             # The request is not refused, so no time to return is stated for it.
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -250,6 +250,31 @@
     assert is_whole(path, answers[0]), answers
 
 
+async def test_idle_server_is_asked_rather_than_a_full_one_that_is_heard() -> None:
+    """The last attempt must not go to a server that will decline the request."""
+    servers = [
+        Server("first", dark_stream),
+        Server("full", declines),
+        Server("idle", whole_stream),
+    ]
+    async with rig(*servers) as router:
+        prefer_first(router)
+        full = router.forwarder.backends.entries["full"]
+        full.full_until = anyio.current_time() + PATIENCE
+
+        async def send_now_and_then() -> None:
+            while True:
+                full.record_heard(anyio.current_time())
+                await anyio.sleep(0.1)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_now_and_then)
+            with anyio.fail_after(PATIENCE):
+                got = await router.ask(request("/stream/x"))
+            tasks.cancel_scope.cancel()
+    assert is_whole("/stream/x", got), got
+
+
 async def test_two_servers_work_on_a_request_for_a_short_time_only() -> None:
     """A second run beside a silent one must end soon, whichever of them does."""
     seen: dict[str, float] = {}
