Leave more of callers' patience to the second server in a common silence

Cause: with 4/3 of the limit another server is asked after 1.6 s and up to one look, which leaves 0.3 s of the 2 s that callers wait.

Change: 5/4 of the limit.

--- a/ebonyhold/forwarding/_silence_watch.py
+++ b/ebonyhold/forwarding/_silence_watch.py
@@ -39,7 +39,7 @@
 The time in which this process was frozen, and read nothing, must not count.
 """
 
-COMMON_FACTOR = 4 / 3
+COMMON_FACTOR = 5 / 4
 """The limit for a silence that most servers share, as a multiple of the minimum.
 
 Most of them are likely to return before. The few that send could not take the streams
