Allow servers again after a silence that could not be reached in it

By reading (review): failed connects of second attempts counted towards the four after which a request is refused, also when its silent server had gone on.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -345,6 +345,8 @@
         if self.has_silence:
             self.has_silence = False
             self.kept_for = None
+            # Servers that could not be reached meanwhile may be back.
+            self.exchange.try_again_elsewhere()
             since = self.watch.waiting_since
             self.silences.ended(self.exchange, self.entry, since, outcome, to)
 
