--- a/ebonyhold/forwarding/_dispatcher.py
+++ b/ebonyhold/forwarding/_dispatcher.py
@@ -30,7 +30,8 @@
 from ebonyhold.forwarding._retries import FleetRetryBudget
 from ebonyhold.forwarding._rooms import MAX_SERVERS_ASKED, RoomAllocator
 from ebonyhold.forwarding._shared_choice import RatedServer, SharedChoice
-from ebonyhold.forwarding._silence import SilenceRecorder, StandbyResult
+from ebonyhold.forwarding._silence import SilenceRecorder
+from ebonyhold.forwarding._standby import Standbys
 from ebonyhold.forwarding._streams import (
     StreamVersions,
     UnknownVersionError,
@@ -44,12 +45,6 @@
 MIN_TIME_LEFT: Seconds = 0.005
 """Minimum time left before the deadline for a request to be sent to a server."""
 
-MAX_CONNECTS = 4
-"""Number of failed connections after which a request is refused.
-
-Each of them delays the answer by up to a quarter of a second.
-"""
-
 
 MAY_WAIT = frozenset({Refusal.SERVERS_LIMITED, Refusal.SERVER_LOST})
 """The refusals for want of a server, which a place that becomes free may spare."""
@@ -200,64 +195,15 @@
         The silent server is not left before another one has answered: a sound server
         may be silent for a moment, as all may be at the same time.
         """
-        found = self.find_standby(exchange, silent)
+        standbys = Standbys(self)
+        found = standbys.find(exchange, silent)
         if isinstance(found, Attempt):
-            return await Hedge(self, exchange, silent, found).run()
+            return await Hedge(standbys, exchange, silent, found).run()
         if found is not silent.kept_for:
             silent.kept_for = found
             self.silences.kept(exchange, silent.entry, found)
         return silent, await silent.resume()
 
-    def find_standby(
-        self, exchange: Exchange, silent: Attempt
-    ) -> Attempt | StandbyResult:
-        """Return an attempt at another server for a request whose server is silent.
-
-        Its server is not known to be silent too, and if possible known not to be, and
-        its retry is taken from the budget. If there is none, return why.
-        """
-        reachable = self.paths.reach.is_connected or self.paths.uses_relays
-        unlucky = exchange.connects >= MAX_CONNECTS
-        if not reachable or unlucky or not self.crashes.may_retry(exchange):
-            return StandbyResult.NO_SERVER
-        others = self.silences.compare(silent.entry, silent.watch.waiting_since)
-        # By way of other routers, servers may answer that seem to be silent from here.
-        relayed = self.paths.uses_relays
-        if others.share_silence and not relayed and not silent.watch.is_very_long:
-            return StandbyResult.COMMON_SILENCE
-        known = self.crashes.suspicion(exchange)
-        suspect = known.exists or bool(exchange.losses)
-        avoided = () if relayed else others.silent
-        entry: BackendEntry | Refusal = Refusal.NO_SERVER
-        if others.heard and not relayed:
-            entry = self.next_entry(exchange, suspect, others.silent | others.idle)
-        if isinstance(entry, Refusal) or entry.full_until > anyio.current_time():
-            entry = self.next_entry(exchange, suspect, avoided)
-        if isinstance(entry, Refusal):
-            # The request is not refused, so no time to return is stated for it, and
-            # servers may have memory again at the next look.
-            exchange.retry_after = None
-            exchange.roomless.clear()
-            if avoided and others.share_silence:
-                return StandbyResult.COMMON_SILENCE
-            gone = self.is_version_gone(exchange, but=silent.entry)
-            return StandbyResult.OTHER_VERSION if gone else StandbyResult.NO_SERVER
-        if not self.retries.take(exchange.match.service, anyio.current_time()):
-            return StandbyResult.NO_RETRY
-        return self.new_attempt(exchange, entry, known, suspect)
-
-    async def run_standby(self, attempt: Attempt) -> AttemptResult:
-        """Get memory for an attempt beside another one, and run it."""
-        exchange = attempt.exchange
-        if not await self.get_room(exchange, attempt.entry):
-            return AttemptResult(AttemptEnd.WITHHELD, reason="withheld: memory")
-        attempt.room, exchange.room = exchange.room, None
-        return await attempt.run()
-
-    def give_retry_back(self, exchange: Exchange) -> None:
-        """Count a retry no more that was never sent."""
-        self.retries.give_back(exchange.match.service, anyio.current_time())
-
     @property
     def rooms(self) -> RoomAllocator:
         """What gets and frees the memory of requests at servers."""
@@ -503,7 +449,7 @@
             return None
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.NO_PATH):
             # Nothing was sent, so no retry budget is used.
-            if exchange.connects < MAX_CONNECTS:
+            if exchange.may_connect:
                 return None
             return self.no_server_left(exchange)
         lost = result.end in (AttemptEnd.LOST, AttemptEnd.FAILED)
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -29,6 +29,13 @@
     from ebonyhold.forwarding._memory import MemoryRoom
 
 
+MAX_CONNECTS = 4
+"""Number of failed connections after which a request is refused.
+
+Each of them delays the answer by up to a quarter of a second.
+"""
+
+
 class AttemptEnd(Enum):
     """How an attempt at a backend server ended.
 
@@ -266,6 +273,11 @@
         """Whether a server may have run it."""
         return self.possible_runs > 0
 
+    @property
+    def may_connect(self) -> bool:
+        """Whether few enough connections have failed for a further one."""
+        return self.connects < MAX_CONNECTS
+
     @property
     def attempts_left(self) -> bool:
         """Whether the request was sent less often than its route allows."""
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -16,6 +16,7 @@
     StandbyResult,
     prefers_second,
 )
+from ebonyhold.forwarding._standby import Standbys
 from ebonyhold.types import Seconds
 
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
     only the first one accepts no connections any more.
 
     Attributes:
-        dispatcher: Records how attempts end.
+        standbys: Runs the second attempt.
         exchange: The request.
         first: The attempt whose server is silent.
         second: The attempt at the other server, not begun.
@@ -58,7 +59,7 @@
         error: The unexpected error that has ended the attempts.
     """
 
-    dispatcher: Dispatcher
+    standbys: Standbys
     exchange: Exchange
     first: Attempt
     second: Attempt
@@ -69,6 +70,11 @@
     last: tuple[Attempt, AttemptResult] | None = field(init=False, default=None)
     error: Exception | None = field(init=False, default=None)
 
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """What records how attempts end."""
+        return self.standbys.dispatcher
+
     def __attrs_post_init__(self) -> None:
         self.running = [self.first, self.second]
         self.scopes = {attempt: anyio.CancelScope() for attempt in self.running}
@@ -99,7 +105,7 @@
 
     async def run_second(self) -> AttemptResult:
         """Run the second attempt."""
-        return await self.dispatcher.run_standby(self.second)
+        return await self.standbys.run(self.second)
 
     async def follow(
         self, attempt: Attempt, step: Callable[[], Awaitable[AttemptResult]]
@@ -124,7 +130,7 @@
         never_sent = attempt is self.second and result.end in NEVER_SENT
         if never_sent and self.first in self.running:
             # Otherwise the retry is used for what replaces the first attempt.
-            self.dispatcher.give_retry_back(self.exchange)
+            self.standbys.give_retry_back(self.exchange)
         if attempt is self.second and result.end not in HAS_NOT_FAILED:
             self.count(StandbyResult.FAILED)
         if len(self.running) == 1 or result.end is AttemptEnd.DELIVERED:
@@ -168,7 +174,7 @@
             name = self.second.entry.backend.name
             self.exchange.reasons.append(f"{name}: withdrawn")
         else:
-            self.dispatcher.give_retry_back(self.exchange)
+            self.standbys.give_retry_back(self.exchange)
         self.end_other(self.second)
 
     def begin_overlap(self) -> None:
--- a/ebonyhold/forwarding/_silence_watch.py
+++ b/ebonyhold/forwarding/_silence_watch.py
@@ -43,8 +43,8 @@
 """The limit for a silence that most servers share, as a multiple of the minimum.
 
 Most of them are likely to return before. The few that send could not take the streams
-of all, and callers wait as long as it takes one more server to answer. The usual limit
-applies if it is longer: of that, callers bear no such multiple.
+of all. The usual limit applies if it is longer, since it leaves callers of such routes
+no time for more.
 """
 
 RECHECK_INTERVAL: Seconds = 0.1
--- a/tests/forwarding/test_hedge.py
+++ b/tests/forwarding/test_hedge.py
@@ -61,20 +61,23 @@
             writer=None, reasons=[], match=SimpleNamespace(service="svc")
         )
         dispatcher = SimpleNamespace(
-            run_standby=self.run_standby,
-            give_retry_back=self.given_back.append,
             silences=SimpleNamespace(on_standby=lambda service, result: None),
             streams=SimpleNamespace(recheck=lambda exchange: None),
         )
+        standbys = SimpleNamespace(
+            dispatcher=dispatcher,
+            run=self.run_second,
+            give_retry_back=self.given_back.append,
+        )
         self.first, self.second = FakeAttempt(exchange), FakeAttempt(exchange)
         self.hedge = Hedge(
-            cast(Any, dispatcher),
+            cast(Any, standbys),
             cast(Any, exchange),
             cast(Any, self.first),
             cast(Any, self.second),
         )
 
-    async def run_standby(self, attempt: FakeAttempt) -> AttemptResult:
+    async def run_second(self, attempt: FakeAttempt) -> AttemptResult:
         """Run the second attempt."""
         self.begun.append(attempt)
         attempt.is_sent = True
