Ask elsewhere for an answer that its server has lost

Change: servers begin answers in the order of requests. One that has begun to answer a later request, or pauses within an answer while it sends others, has lost this one or put it back; then the second server is kept, if it is heard.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -57,7 +57,7 @@
 )
 from ebonyhold.forwarding._withheld import Cause
 from ebonyhold.forwarding._work import RequestWork
-from ebonyhold.types import BackendName
+from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
 
@@ -95,7 +95,8 @@
         silence: The text of the last silence, for logs.
         has_silence: Whether a silence of the server was logged that has not ended.
         kept_for: Why no other server got the request during it; None before.
-        is_sent: Whether the request has been sent.
+        sent_at: When the request was sent; None before.
+        has_begun: Whether the server has begun to answer.
     """
 
     exchange: Exchange
@@ -127,7 +128,8 @@
     silence: str = field(init=False, default="")
     has_silence: bool = field(init=False, default=False)
     kept_for: StandbyResult | None = field(init=False, default=None)
-    is_sent: bool = field(init=False, default=False)
+    sent_at: Seconds | None = field(init=False, default=None)
+    has_begun: bool = field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         self.version = self.entry.backend.version
@@ -262,7 +264,7 @@
         """
         exchange = self.exchange
         if self.answer is None:
-            if not self.is_sent:
+            if self.sent_at is None:
                 await self.send(channel)
             self.answer = await self.read_sent(channel)
         head, facts = self.answer
@@ -295,7 +297,7 @@
             request = self.relay.wrap(request, self.relay_target())
         else:
             self.paths.reach.record_sent(name, anyio.current_time())
-        self.is_sent = True
+        self.sent_at = anyio.current_time()
         self.on_sent()
         await channel.send(request)
 
@@ -322,9 +324,17 @@
             await anyio.sleep_forever()
         if self.exchange.writer is self:
             return
+        self.record_begin()
         self.exchange.writer = self
         self.on_claim()
 
+    def record_begin(self) -> None:
+        """Record that the server has begun to answer."""
+        if self.sent_at is not None and not self.has_begun:
+            self.has_begun = True
+            newest = self.entry.newest_answered
+            self.entry.newest_answered = max(newest, self.sent_at)
+
     def leave(self, outcome: SilenceOutcome, to: BackendName) -> None:
         """Record that the silent server is left, whose connection is then closed.
 
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -39,6 +39,8 @@
             has none.
         heard_at: When it last sent something to this router.
         heard_since: Since when it has sent something without a long pause.
+        newest_answered: When the latest request was sent of those that it has begun to
+            answer.
         work: Estimated load of those requests.
         evidence: What this router has recently observed of it, where load is shared.
         suspects: Number of those requests that may crash the server.
@@ -73,6 +75,7 @@
     busy_since: Seconds = math.inf
     heard_at: Seconds = -math.inf
     heard_since: Seconds = -math.inf
+    newest_answered: Seconds = -math.inf
     work: ServerWork = field(factory=ServerWork)
     evidence: ServerEvidence = field(factory=ServerEvidence)
     suspects: int = 0
--- a/ebonyhold/forwarding/_hedge.py
+++ b/ebonyhold/forwarding/_hedge.py
@@ -42,8 +42,8 @@
     """Two attempts of one request, of which the one that answers first goes on.
 
     The other one is ended. If neither answers within `MAX_OVERLAP`, the second one is
-    ended, unless its server is heard on other connections and the first one is not, or
-    only the first one accepts no connections any more.
+    ended, unless its server is heard on other connections and the first one is not or
+    has passed the request over, or only the first one accepts no connections any more.
 
     Attributes:
         standbys: Runs the second attempt.
@@ -170,7 +170,7 @@
         if self.second not in self.running:
             return
         self.count(StandbyResult.WITHDRAWN)
-        if self.second.is_sent:
+        if self.second.sent_at is not None:
             name = self.second.entry.backend.name
             self.exchange.reasons.append(f"{name}: withdrawn")
         else:
@@ -199,7 +199,8 @@
         if len(self.running) == 1 or self.exchange.writer is not None:
             return
         first, second = self.first.entry, self.second.entry
-        if self.is_first_dark or prefers_second(first, second, since):
+        sent_at = None if self.first.has_begun else self.first.sent_at
+        if self.is_first_dark or prefers_second(first, second, since, sent_at):
             self.leave_first(SilenceOutcome.LEFT)
         else:
             self.withdraw_second()
--- a/ebonyhold/forwarding/_silence.py
+++ b/ebonyhold/forwarding/_silence.py
@@ -128,18 +128,30 @@
     )
 
 
-def prefers_second(first: BackendEntry, second: BackendEntry, since: Seconds) -> bool:
+def prefers_second(
+    first: BackendEntry,
+    second: BackendEntry,
+    since: Seconds,
+    unanswered_since: Seconds | None,
+) -> bool:
     """Return which of two attempts to keep if neither server has answered.
 
-    The silent one is left only if nothing was heard from its server on any connection,
-    and something from the second one.
+    The first one is left only if something was heard from the second server on any
+    connection, and the silence concerns the first server alone, or only this request
+    there: then its answer may be lost. Servers begin answers in the order of requests.
 
     Args:
         first: The server that has been silent for too long.
         second: The server that the request was sent to besides.
         since: When it was sent there.
+        unanswered_since: When it was sent to the first one; None if that has begun to
+            answer it.
     """
-    return first.heard_at <= since < second.heard_at
+    if second.heard_at <= since:
+        return False
+    if first.heard_at <= since or unanswered_since is None:
+        return True
+    return first.newest_answered > unanswered_since
 
 
 @define(eq=False)
--- a/tests/forwarding/test_hedge.py
+++ b/tests/forwarding/test_hedge.py
@@ -31,7 +31,8 @@
         self.watch = SimpleNamespace(is_hedged=False, end_hedge=lambda: None)
         self.entry = SimpleNamespace(backend=SimpleNamespace(name="any"))
         self.relay = None
-        self.is_sent = self.is_replaced = False
+        self.sent_at: float | None = None
+        self.is_replaced = False
         self.on_claim: Callable[[], None] = lambda: None
         self.on_sent: Callable[[], None] = lambda: None
         self.arrived = anyio.Event()
@@ -47,6 +48,9 @@
     async def release(self) -> None:
         """Do nothing."""
 
+    def record_begin(self) -> None:
+        """Do nothing."""
+
     def leave(self, outcome: SilenceOutcome, to: str) -> None:
         """Do nothing."""
 
@@ -80,7 +84,7 @@
     async def run_second(self, attempt: FakeAttempt) -> AttemptResult:
         """Run the second attempt."""
         self.begun.append(attempt)
-        attempt.is_sent = True
+        attempt.sent_at = anyio.current_time()
         return await attempt.resume()
 
 
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -73,23 +73,33 @@
 
 PREFERENCES = [
     # when the first and the second server sent something after the second one got the
-    # request; None for not at all: whether the first one is left
-    (None, None, False),
-    (None, 0.1, True),
-    (0.1, 0.2, False),
-    (0.1, None, False),
+    # request; None for not at all; when the first one got it, None if it has begun to
+    # answer; when the latest request was sent that it has answered; whether it is left
+    (None, None, 0.0, 0.0, False),
+    (None, 0.1, 0.0, 0.0, True),
+    (0.1, None, None, 0.0, False),
+    (0.1, 0.2, 1.0, 0.5, False),
+    (0.1, 0.2, 1.0, 1.5, True),
+    (0.1, 0.2, None, 0.5, True),
 ]
 
 
-@pytest.mark.parametrize(("first", "second", "leaves"), PREFERENCES)
+@pytest.mark.parametrize(
+    ("first", "second", "sent_at", "answered", "leaves"), PREFERENCES
+)
 def test_silent_server_is_left_only_for_one_that_is_heard(
-    first: float | None, second: float | None, leaves: bool
+    first: float | None,
+    second: float | None,
+    sent_at: float | None,
+    answered: float,
+    leaves: bool,
 ) -> None:
     """If the second server sends nothing, the first run must not be given up for it."""
     entries = [BackendEntry(Server(name, good).backend()) for name in "ab"]
     for entry, heard in zip(entries, (first, second), strict=True):
         entry.heard_at = NOW + heard if heard is not None else NOW - 1.0
-    assert prefers_second(entries[0], entries[1], NOW) is leaves
+    entries[0].newest_answered = answered
+    assert prefers_second(entries[0], entries[1], NOW, sent_at) is leaves
 
 
 SHARED = [
--- a/tests/forwarding/test_silent_servers.py
+++ b/tests/forwarding/test_silent_servers.py
@@ -440,3 +440,62 @@
         got = await router.ask(request("/stream/x"))
         tasks.cancel_scope.cancel()
     assert is_whole("/stream/x", got), got
+
+
+LOST = [
+    pytest.param("/stream/x", 0, id="before the first event"),
+    pytest.param("/stream/x", 2, id="within a stream"),
+    pytest.param("/safe/x", 0, id="safe"),
+]
+
+
+@pytest.mark.parametrize(("path", "events"), LOST)
+async def test_answer_that_its_server_has_lost_comes_from_another_one(
+    path: str, events: int
+) -> None:
+    """A server may answer all requests but one, which must not wait for nothing."""
+
+    async def steady(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(stream_head(head))
+        for number in range(1, 60):
+            await stream.send(chunk(event(number)))
+            await anyio.sleep(0.05)
+
+    async def loses(server: Server, stream: SocketStream, head: str) -> None:
+        if "/once/" in head:
+            await steady(server, stream, head)
+            return
+        if events:
+            start = b"".join(chunk(event(n + 1)) for n in range(events))
+            await stream.send(stream_head(head) + start)
+        await anyio.sleep_forever()
+
+    async def slow(server: Server, stream: SocketStream, head: str) -> None:
+        if "/once/" in head:
+            await steady(server, stream, head)
+            return
+        await anyio.sleep(MAX_OVERLAP + 0.1)
+        await good_answer(server, stream, head)
+
+    servers = [Server("first", loses), Server("other", slow)]
+    async with rig(*servers) as router, anyio.create_task_group() as tasks:
+        prefer_first(router)
+        entries = router.forwarder.backends.entries
+        got: list[bytes] = []
+        answered = anyio.Event()
+
+        async def ask() -> None:
+            got.append(await router.ask(request(path)))
+            answered.set()
+
+        tasks.start_soon(ask)
+        await anyio.sleep(0.1)
+        # Later requests are answered, one at each server.
+        tasks.start_soon(router.ask, request("/once/x").replace(b"r1", b"r2"))
+        await anyio.sleep(0.05)
+        entries["first"].in_flight += 9
+        tasks.start_soon(router.ask, request("/once/x").replace(b"r1", b"r3"))
+        with anyio.fail_after(PATIENCE + 1.0):
+            await answered.wait()
+        tasks.cancel_scope.cancel()
+    assert is_whole(path, got[0]), got
