--- a/ebonyhold/forwarding/_paths.py
+++ b/ebonyhold/forwarding/_paths.py
@@ -97,7 +97,7 @@
         older = self.pool.open_unused(backend.name)
         while True:
             try:
-                channel = await self.pool.connect(backend.name, backend.address)
+                await self.connect(backend)
                 break
             except ConnectTimeoutError:
                 is_late = True
@@ -107,19 +107,25 @@
             except BackendLostError:
                 return False
         lost = self.pool.has_lost_unused(backend.name, closed_at - COINCIDENCE)
-        channel.keep_unused(anyio.current_time())
-        await self.pool.put(backend.name, channel)
         return not lost and (not is_late or any(one.is_open for one in older))
 
     async def accepts(self, backend: Backend) -> bool:
         """Return whether a server accepts or refuses a connection in time; keep it."""
         try:
-            channel = await self.pool.connect(backend.name, backend.address)
+            await self.connect(backend)
         except BackendLostError as error:
             return isinstance(error, ConnectRefusedError)
+        return True
+
+    async def connect(self, backend: Backend) -> None:
+        """Open a connection to a server, and keep it for a request.
+
+        Raises:
+            BackendLostError: The server cannot be reached.
+        """
+        channel = await self.pool.connect(backend.name, backend.address)
         channel.keep_unused(anyio.current_time())
         await self.pool.put(backend.name, channel)
-        return True
 
     async def has_ended(self, backend: Backend) -> bool:
         """Return whether a server refuses connections; keep one that it accepts.
@@ -129,11 +135,9 @@
         if self.relays is not None and self.uses_relays:
             return await self.relays.has_ended(backend.name)
         try:
-            channel = await self.pool.connect(backend.name, backend.address)
+            await self.connect(backend)
         except BackendLostError as error:
             return isinstance(error, ConnectRefusedError)
-        channel.keep_unused(anyio.current_time())
-        await self.pool.put(backend.name, channel)
         return False
 
     async def confirm_ended(self, backend: Backend) -> bool:
