--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 from standin import Engine, World, call, main
 
 SHARE = 0.03
-"""Most of an engine's answers that come once more, by the site's `x`."""
+"""Most of an engine's answers in that time that come once more, by the site's `x`."""
 
 TROUBLE_TIME = 5.0
 """Seconds for which engines do so, by the site's `for_s`."""
@@ -93,12 +93,19 @@
     loop = asyncio.get_running_loop()
     began = loop.time() + 3 * PAUSE
 
+    before: dict[str, int] = {}
+
+    def begin_trouble() -> None:
+        before.update({engine.name: engine.answers for engine in engines})
+
     def repeats(engine: Engine) -> bool:
-        inside = 0 <= loop.time() - began <= TROUBLE_TIME
-        few = engine.extras + 1 <= SHARE * engine.answers
-        return inside and few and not engine.is_full
+        if not before or loop.time() > began + TROUBLE_TIME:
+            return False
+        answers = engine.answers - before[engine.name]
+        return engine.extras + 1 <= SHARE * answers and not engine.is_full
 
     if world.trouble:
+        loop.call_at(began, begin_trouble)
         for engine in engines[:FAULTY]:
             engine.repeats = repeats
     statuses: dict[str, int] = {}
