Log and count answers that do not name the request which waits

The logs could not tell why: `request ended` said `declined with 503`, and not which request the rejection named. So these could not be told apart: a rejection of another request that is taken for this one's, a genuine rejection by a server that runs the request all the same, a connection whose answers are off by one, and a request that is sent again after its connection broke.

Change: the line `skipping an answer to another request` tells what the answer names and states and how many requests the connection has carried before; an answer that is taken although it does not name the request has a line of its own; `ebonyhold_gateway_stray_answers_total{service,states}` counts both. The relay for other routers, which logged nothing, does the same. No change of behaviour.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -47,6 +47,7 @@
 )
 from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder, StandbyResult
 from ebonyhold.forwarding._slow_readers import SlowReaders
+from ebonyhold.forwarding._stray import StrayAnswer, StrayRecorder
 from ebonyhold.forwarding._streams import (
     Found,
     NoKeepers,
@@ -144,6 +145,8 @@
     "SoftwareVersion",
     "Stage",
     "StandbyResult",
+    "StrayAnswer",
+    "StrayRecorder",
     "StreamEvent",
     "StreamVersions",
     "TaskStarter",
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -404,11 +404,13 @@
             facts = self.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
             self.backends.record_statements(self.entry, facts, now)
-            if facts.request_id == self.exchange.caller.request_id:
+            request = self.exchange.caller.request_id
+            if facts.request_id == request:
                 return head, facts
-            if facts.not_run:
+            strays, taken = self.backends.strays, facts.not_run
+            strays.record(self.entry, facts, request, channel.earlier, not taken)
+            if taken:
                 return head, facts
-            log.warning("skipping an answer to another request", extra=self.fields())
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
 
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -25,6 +25,7 @@
 from ebonyhold.forwarding._memory import MemoryRoom, NoServerMemory, ServerMemory
 from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
+from ebonyhold.forwarding._stray import StrayRecorder
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     BackendState,
@@ -62,6 +63,7 @@
         fleet_outliers: The servers that are slow or failing by that.
         memory: This router's use of the memory of servers.
         readings: How fast servers read prompts.
+        strays: Logs and counts answers that do not name the request which waits.
     """
 
     shares: LimitShares = field(factory=LimitShares)
@@ -71,6 +73,7 @@
     fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
     memory: ServerMemory = field(factory=NoServerMemory)
     readings: Readings = field(factory=Readings)
+    strays: StrayRecorder = field(factory=StrayRecorder)
 
     def time_answer(self, entry: BackendEntry, work: RequestWork, now: Seconds) -> None:
         """Measure the time to the first event of a request, where load is shared."""
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -123,6 +123,7 @@
         inbox: The bytes received from the server.
         parser: The protocol state of the current request.
         request: The current request; None between requests.
+        sent: Number of requests sent on it.
         writing: Whether a large request is still being written.
         end_stated: Whether the answer whose head was read last states its own end.
         complete: Whether that answer has ended.
@@ -137,6 +138,7 @@
     inbox: Inbox = field(init=False)
     parser: h11.Connection = field(init=False)
     request: Outbound | None = None
+    sent: int = 0
     writing: bool = False
     end_stated: bool = False
     complete: bool = False
@@ -161,6 +163,7 @@
                 answer raises this error instead.
         """
         self.request = request
+        self.sent += 1
         self.end_stated = self.complete = False
         data = self.encode(request)
         if len(data) > LARGE_BODY:
@@ -238,6 +241,11 @@
             return None
         raise BackendLostError("the answer ended early")
 
+    @property
+    def earlier(self) -> int:
+        """Number of requests that it carried before the current one."""
+        return self.sent - 1
+
     @property
     def ending(self) -> AnswerEnding:
         """How the answer whose head was read last has ended."""
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -316,7 +316,12 @@
             entry.record_heard(now)
             self.relay.reach.record_heard(entry.backend.name, now)
             self.relay.backends.record_statements(entry, facts, now)
-            if facts.request_id == self.caller.request_id or facts.not_run:
+            request = self.caller.request_id
+            if facts.request_id == request:
+                return head, facts
+            strays, taken = self.relay.backends.strays, facts.not_run
+            strays.record(entry, facts, request, channel.earlier, not taken)
+            if taken:
                 return head, facts
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
--- /dev/null
+++ b/ebonyhold/forwarding/_stray.py
@@ -0,0 +1,78 @@
+"""Logs and counts answers that do not name the request which waits for them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from enum import Enum
+
+from attrs import define
+
+from ebonyhold.forwarding._entry import BackendEntry
+from ebonyhold.forwarding._types import AnswerFacts, ServiceName
+
+log = logging.getLogger(__name__)
+
+
+class StrayAnswer(Enum):
+    """What an answer states that does not name the request which waits for it.
+
+    Attributes:
+        NOT_RUN: That the request that it names did not run.
+        ANSWERED: Anything else about the request that it names.
+        UNNAMED: It names no request.
+    """
+
+    NOT_RUN = "not_run"
+    ANSWERED = "answered"
+    UNNAMED = "unnamed"
+
+
+def kind_of(facts: AnswerFacts) -> StrayAnswer:
+    """Return the kind of an answer that does not name the request which waits."""
+    if not facts.request_id:
+        return StrayAnswer.UNNAMED
+    return StrayAnswer.NOT_RUN if facts.not_run else StrayAnswer.ANSWERED
+
+
+@define(eq=False)
+class StrayRecorder:
+    """Logs and counts stray answers.
+
+    Attributes:
+        on_stray: Called with the service of the server, and the kind of the answer.
+    """
+
+    on_stray: Callable[[ServiceName, StrayAnswer], None] = lambda service, kind: None
+
+    def record(
+        self,
+        entry: BackendEntry,
+        facts: AnswerFacts,
+        request: str,
+        earlier: int,
+        skipped: bool = True,
+    ) -> None:
+        """Record a stray answer.
+
+        Args:
+            entry: The server.
+            facts: The answer.
+            request: The identifier of the request that waits.
+            earlier: Number of requests that the connection has carried before it.
+            skipped: Whether the answer is skipped.
+        """
+        kind = kind_of(facts)
+        self.on_stray(entry.backend.service, kind)
+        log.warning(
+            "skipping an answer to another request"
+            if skipped
+            else "taking an answer that does not name the request",
+            extra={
+                "request": request,
+                "backend": entry.backend.name,
+                "answer_to": facts.request_id,
+                "states": kind.value,
+                "earlier_requests": earlier,
+            },
+        )
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -135,6 +135,7 @@
         shares = LimitShares(name, lambda: self.presence.count())
         self.routing.backends.shares = shares
         self.routing.backends.read_age = self.list_age
+        self.routing.backends.strays.on_stray = self.metrics.count_stray
         self.presence = Presence(
             store,
             name,
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -26,6 +26,7 @@
     RelayResult,
     SilenceOutcome,
     StandbyResult,
+    StrayAnswer,
 )
 from ebonyhold.prepaid import HoldOutcome, WorkspaceGrant
 from ebonyhold.types import BackendName, Seconds
@@ -167,6 +168,12 @@
             ("cause",),
             registry=self.registry,
         )
+        self.stray_answers = Counter(
+            "ebonyhold_gateway_stray_answers_total",
+            "Answers that did not name the request which waited, by what they stated.",
+            ("service", "states"),
+            registry=self.registry,
+        )
 
         self.versions = Gauge(
             "ebonyhold_gateway_server_versions",
@@ -266,6 +273,10 @@
         """Count an answer that was cut by why it was."""
         self.answers_cut.labels(cause.value).inc()
 
+    def count_stray(self, service: str, kind: StrayAnswer) -> None:
+        """Count an answer that did not name the request which waited for it."""
+        self.stray_answers.labels(service, kind.value).inc()
+
     def count_hold(self, outcome: HoldOutcome) -> None:
         """Count a hold request to another router by its outcome."""
         self.holds.labels(outcome.value).inc()
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -179,6 +179,15 @@
     ).encode() + body
 
 
+def stray(named: str = "r0", status: str = "503 Service Unavailable") -> bytes:
+    """Return a rejection that names another request; an empty name is left out."""
+    identity = f"X-Ebonyhold-Request-Id: {named}\r\n" if named else ""
+    return (
+        f"HTTP/1.1 {status}\r\n{identity}"
+        "X-Ebonyhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
 def stream_head(head: str) -> bytes:
     """Return the head of a streamed answer."""
     request = value(head, "x-ebonyhold-request-id")
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from anyio.abc import SocketStream
 
 from ebonyhold.gateway._metrics import GatewayMetrics
-from tests.forwarding.kit import Rig, Script, Server, request, rig
+from tests.forwarding.kit import Rig, Script, Server, answer, request, rig, stray
 from tests.forwarding.test_attempts import broken_stream, whole_stream
 from tests.forwarding.test_silent_servers import dark_stream, paused_stream
 from tests.gateway.silences import SILENCES, Silence, breaks_late, steady_stream
@@ -90,3 +91,25 @@
         await silence.ask(router)
     assert counts(metrics, "silences") == {("svc", "left"): 1.0}
     assert counts(metrics, "answers_cut") == {("silence",): 1.0}
+
+
+STRAYS = [
+    # what the server sends before the answer, what it is counted as
+    (stray(), "not_run"),
+    (stray(""), "unnamed"),
+    (answer("X-Ebonyhold-Request-Id: r0"), "answered"),
+]
+
+
+@pytest.mark.parametrize(("first", "states"), STRAYS, ids=[s for _, s in STRAYS])
+async def test_answer_to_another_request_is_counted(first: bytes, states: str) -> None:
+    """Guards against such answers that nobody sees in metrics or logs."""
+
+    async def late(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(first + answer(head))
+
+    metrics = GatewayMetrics()
+    async with rig(Server("only", late)) as router:
+        router.forwarder.backends.strays.on_stray = metrics.count_stray
+        await router.ask(request("/unsafe/x"))
+    assert counts(metrics, "stray_answers") == {("svc", states): 1.0}
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -435,6 +435,7 @@
         "reach",
         "answers",
         "silences",
+        "strays",
         "versions",
         "load",
         "flow",
