Take a rejection for the request that it names alone

Cause: an answer which states that a request has not run was taken for the request that waited on its connection, whatever request it named. A server that is full may send a rejection once more, where the next answer is expected. The request at hand was then counted as not run, sent to a second server or refused, while the first server worked on it. The same stood in the relay for other routers.

Why this works: the identifier is looked at first. What names another request is skipped, and the answer to the request at hand follows on the same connection.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -387,8 +387,8 @@
         """Return the head of the answer to this request, also decoded.
 
         Answers with another request identifier are skipped: a server may send a second,
-        late answer to an earlier request. An answer which states that the server did
-        not run the request is returned whatever its identifier.
+        late answer to an earlier request. What it states concerns that one alone, also
+        that it has not run.
 
         Raises:
             RelayDeclinedError: The relay has not sent the request.
@@ -404,12 +404,8 @@
             facts = self.dialect.read_answer(head.status, head.headers)
             now = anyio.current_time()
             self.backends.record_statements(self.entry, facts, now)
-            request = self.exchange.caller.request_id
-            if facts.request_id == request:
-                return head, facts
-            strays, taken = self.backends.strays, facts.not_run
-            strays.record(self.entry, facts, request, channel.earlier, not taken)
-            if taken:
+            request, earlier = self.exchange.caller.request_id, channel.earlier
+            if self.backends.strays.is_answer(self.entry, facts, request, earlier):
                 return head, facts
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -63,7 +63,7 @@
         fleet_outliers: The servers that are slow or failing by that.
         memory: This router's use of the memory of servers.
         readings: How fast servers read prompts.
-        strays: Logs and counts answers that do not name the request which waits.
+        strays: Recognizes late answers to other requests.
     """
 
     shares: LimitShares = field(factory=LimitShares)
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -316,12 +316,8 @@
             entry.record_heard(now)
             self.relay.reach.record_heard(entry.backend.name, now)
             self.relay.backends.record_statements(entry, facts, now)
-            request = self.caller.request_id
-            if facts.request_id == request:
-                return head, facts
-            strays, taken = self.relay.backends.strays, facts.not_run
-            strays.record(entry, facts, request, channel.earlier, not taken)
-            if taken:
+            strays, request = self.relay.backends.strays, self.caller.request_id
+            if strays.is_answer(entry, facts, request, channel.earlier):
                 return head, facts
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
--- a/ebonyhold/forwarding/_stray.py
+++ b/ebonyhold/forwarding/_stray.py
@@ -1,4 +1,4 @@
-"""Logs and counts answers that do not name the request which waits for them."""
+"""Tells the answer to a request from late answers to others on its connection."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 @define(eq=False)
 class StrayRecorder:
-    """Logs and counts stray answers.
+    """Recognizes stray answers, and logs and counts them.
 
     Attributes:
         on_stray: Called with the service of the server, and the kind of the answer.
@@ -45,29 +45,28 @@
 
     on_stray: Callable[[ServiceName, StrayAnswer], None] = lambda service, kind: None
 
-    def record(
-        self,
-        entry: BackendEntry,
-        facts: AnswerFacts,
-        request: str,
-        earlier: int,
-        skipped: bool = True,
-    ) -> None:
-        """Record a stray answer.
+    def is_answer(
+        self, entry: BackendEntry, facts: AnswerFacts, request: str, earlier: int
+    ) -> bool:
+        """Return whether an answer is the one to a request; if not, record it.
+
+        A rejection that names no request counts as the answer to this one.
 
         Args:
             entry: The server.
             facts: The answer.
             request: The identifier of the request that waits.
             earlier: Number of requests that the connection has carried before it.
-            skipped: Whether the answer is skipped.
         """
+        if facts.request_id == request:
+            return True
+        is_answer = facts.not_run and not facts.request_id
         kind = kind_of(facts)
         self.on_stray(entry.backend.service, kind)
         log.warning(
-            "skipping an answer to another request"
-            if skipped
-            else "taking an answer that does not name the request",
+            "taking an answer that does not name the request"
+            if is_answer
+            else "skipping an answer to another request",
             extra={
                 "request": request,
                 "backend": entry.backend.name,
@@ -76,3 +75,4 @@
                 "earlier_requests": earlier,
             },
         )
+        return is_answer
--- /dev/null
+++ b/tests/forwarding/test_stray_answers.py
@@ -0,0 +1,94 @@
+"""Answers that servers send late, where the answer to the next request is expected."""
+
+from __future__ import annotations
+
+from contextlib import AbstractAsyncContextManager
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from tests.forwarding.kit import (
+    Rig,
+    Script,
+    Server,
+    UnlimitedHold,
+    request,
+    rig,
+    stray,
+)
+from tests.forwarding.test_attempts import good, numbers, whole_stream
+from tests.forwarding.test_relaying import Partitioned, partitioned
+
+pytestmark = pytest.mark.anyio
+
+COUNTS = "X-Ebonyhold-Token-Counts: 100,40\r\n"
+
+WORK = 0.02
+"""Seconds that a server works on a request after it has sent the late rejection."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use a real clock, since sockets do not work with a virtual one."""
+    return "asyncio"
+
+
+def late(rejection: bytes, then: Script = good) -> Script:
+    """Return a script that sends a late rejection, and then runs the request."""
+
+    async def script(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(rejection)
+        await anyio.sleep(WORK)
+        await then(server, stream, head)
+
+    return script
+
+
+def router_of(running: Rig | Partitioned) -> Rig:
+    """Return the router that callers ask."""
+    return running if isinstance(running, Rig) else running.router
+
+
+def run(
+    way: str, *servers: Server, hold: UnlimitedHold | None = None
+) -> AbstractAsyncContextManager[Rig | Partitioned]:
+    """Run a router that sends to servers itself, or by way of another one."""
+    return (
+        rig(*servers, hold=hold)
+        if way == "direct"
+        else partitioned(*servers, hold=hold)
+    )
+
+
+REJECTIONS = [
+    stray(),
+    stray(status="429 Too Many Requests"),
+    stray(status="400 Bad Request"),
+    stray(status="421 Misdirected Request"),
+    stray() + stray(status="421 Misdirected Request"),
+]
+
+
+@pytest.mark.parametrize("rejection", REJECTIONS, ids=range(len(REJECTIONS)))
+@pytest.mark.parametrize("path", ["unsafe", "safe", "once", "stream"])
+@pytest.mark.parametrize("way", ["direct", "relay"])
+async def test_late_rejection_of_another_request_repeats_none(
+    way: str, path: str, rejection: bytes
+) -> None:
+    """Guards against a request that runs twice, or is refused or free though it ran."""
+    then = good if path in ("unsafe", "safe") else whole_stream
+    first, second = Server("first", late(rejection, then)), Server("second", then)
+    hold = UnlimitedHold()
+    async with run(way, first, second, hold=hold) as running:
+        router = router_of(running)
+        router.forwarder.backends.entries["second"].in_flight = 9
+        got = await router.ask(request(f"/{path}/x", extra=COUNTS))
+        entries = router.forwarder.backends.entries
+        assert not entries["first"].moved
+        assert entries["first"].full_until == 0.0
+    assert got.startswith(b"HTTP/1.1 200 "), got
+    assert (len(first.requests), len(second.requests)) == (1, 0)
+    assert hold.charges[0][1] > 0
+    if then is whole_stream:
+        assert numbers(got) == [1, 2, 3, 4]
