Take no rejection without a name on a connection that had other requests

Change: on a connection's first request it counts as before. On another one the attempt is lost: a request that may be repeated goes elsewhere, any other gets 502, which promises nothing.

Result: the row of an unsafe request on a used connection failed before (the request was sent to a second server), and is green.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -393,7 +393,8 @@
         Raises:
             RelayDeclinedError: The relay has not sent the request.
             SilenceError: The server is silent; a further call goes on.
-            BackendLostError: The connection broke, or MAX_STRAY answers were skipped.
+            BackendLostError: The connection broke, MAX_STRAY answers were skipped, or a
+                rejection may be that of another request.
         """
         for _ in range(MAX_STRAY):
             head = await self.watch.read(channel.read_head, "no answer in time")
--- a/ebonyhold/forwarding/_stray.py
+++ b/ebonyhold/forwarding/_stray.py
@@ -8,6 +8,7 @@
 
 from attrs import define
 
+from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._types import AnswerFacts, ServiceName
 
@@ -50,23 +51,27 @@
     ) -> bool:
         """Return whether an answer is the one to a request; if not, record it.
 
-        A rejection that names no request counts as the answer to this one.
+        A rejection that names no request is the answer if its connection has carried
+        no other one.
 
         Args:
             entry: The server.
             facts: The answer.
             request: The identifier of the request that waits.
             earlier: Number of requests that the connection has carried before it.
+
+        Raises:
+            BackendLostError: A rejection names no request, and may be that of another.
         """
         if facts.request_id == request:
             return True
-        is_answer = facts.not_run and not facts.request_id
         kind = kind_of(facts)
+        is_unnamed_rejection = facts.not_run and kind is StrayAnswer.UNNAMED
+        if is_unnamed_rejection and not earlier:
+            return True
         self.on_stray(entry.backend.service, kind)
         log.warning(
-            "taking an answer that does not name the request"
-            if is_answer
-            else "skipping an answer to another request",
+            "skipping an answer to another request",
             extra={
                 "request": request,
                 "backend": entry.backend.name,
@@ -75,4 +80,6 @@
                 "earlier_requests": earlier,
             },
         )
-        return is_answer
+        if is_unnamed_rejection:
+            raise BackendLostError("a rejection that names no request")
+        return False
--- a/tests/forwarding/test_stray_answers.py
+++ b/tests/forwarding/test_stray_answers.py
@@ -13,6 +13,7 @@
     Script,
     Server,
     UnlimitedHold,
+    answer,
     request,
     rig,
     stray,
@@ -92,3 +93,34 @@
     assert hold.charges[0][1] > 0
     if then is whole_stream:
         assert numbers(got) == [1, 2, 3, 4]
+
+
+UNNAMED = [
+    # whether the connection has carried a request, path, status, sent to the second
+    (False, "unsafe", 200, 1),
+    (False, "safe", 200, 1),
+    (True, "unsafe", 502, 0),
+    (True, "safe", 200, 1),
+]
+
+
+@pytest.mark.parametrize(("used", "path", "status", "sent"), UNNAMED)
+async def test_rejection_without_a_name_proves_nothing_on_a_used_connection(
+    used: bool, path: str, status: int, sent: int
+) -> None:
+    """Guards against a request that runs twice, since it may be an earlier one's."""
+
+    async def unnamed(server: Server, stream: SocketStream, head: str) -> None:
+        if used and len(server.requests) == 1:
+            await stream.send(answer(head))
+        else:
+            await stream.send(stray("") + answer(head))
+
+    first, second = Server("first", unnamed), Server("second", good)
+    async with rig(first, second) as router:
+        router.forwarder.backends.entries["second"].in_flight = 9
+        if used:
+            await router.ask(request("/unsafe/x"))
+        got = await router.ask(request(f"/{path}/x"))
+    assert got.startswith(f"HTTP/1.1 {status} ".encode()), got
+    assert (len(first.requests), len(second.requests)) == (1 + used, sent)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -96,7 +96,7 @@
 STRAYS = [
     # what the server sends before the answer, what it is counted as
     (stray(), "not_run"),
-    (stray(""), "unnamed"),
+    (stray("").replace(b"X-Ebonyhold-Not-Executed: 1\r\n", b""), "unnamed"),
     (answer("X-Ebonyhold-Request-Id: r0"), "answered"),
 ]
 
