Give up a request whose relay passes on another request's answer

Change: a relay answers each request once, so the attempt is lost at once. A request that may be repeated goes elsewhere, any other gets 502.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -408,6 +408,9 @@
             request, earlier = self.exchange.caller.request_id, channel.earlier
             if self.backends.strays.is_answer(self.entry, facts, request, earlier):
                 return head, facts
+            if self.relay is not None:
+                # A relay answers each request once, so no other answer follows.
+                raise BackendLostError("the relay passed on another request's answer")
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
 
--- a/tests/forwarding/test_stray_answers.py
+++ b/tests/forwarding/test_stray_answers.py
@@ -7,7 +7,10 @@
 import anyio
 import pytest
 from anyio.abc import SocketStream
+from attrs import evolve
 
+from ebonyhold.forwarding import AnswerFacts, AnswerHead, BackendEntry, Channel
+from ebonyhold.forwarding._relaying import RelayedRequest
 from tests.forwarding.kit import (
     Rig,
     Script,
@@ -124,3 +127,25 @@
         got = await router.ask(request(f"/{path}/x"))
     assert got.startswith(f"HTTP/1.1 {status} ".encode()), got
     assert (len(first.requests), len(second.requests)) == (1 + used, sent)
+
+
+async def test_late_rejection_passed_on_by_an_earlier_build_repeats_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that runs twice while old and new routers run."""
+
+    async def take_any(
+        relayed: RelayedRequest, entry: BackendEntry, channel: Channel
+    ) -> tuple[AnswerHead, AnswerFacts]:
+        head = await channel.read_head()
+        facts = relayed.relay.dialect.read_answer(head.status, head.headers)
+        return head, evolve(facts, not_run=False)
+
+    monkeypatch.setattr(RelayedRequest, "read_answer", take_any)
+    first, second = Server("first", late(stray())), Server("second", good)
+    async with partitioned(first, second) as cut:
+        cut.router.forwarder.backends.entries["second"].in_flight = 9
+        with anyio.fail_after(1.0):
+            got = await cut.router.ask(request("/unsafe/x"))
+    assert got.startswith(b"HTTP/1.1 502 "), got
+    assert (len(first.requests), len(second.requests)) == (1, 0)
