Take no limit and no rest from a late answer to another request

A late rejection with a Retry-After kept a sound server without requests for that time once more, and a limit that is over was set again, and reported to the other routers as ended.

Change: only the answer to the request at hand states limits and rests. That a server leaves still counts in any answer, since no server takes it back (test_any_answer_of_a_server_may_state_that_it_leaves).

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -403,11 +403,12 @@
                 head = check_relayed(head)
             self.record_heard()
             facts = self.dialect.read_answer(head.status, head.headers)
-            now = anyio.current_time()
-            self.backends.record_statements(self.entry, facts, now)
             request, earlier = self.exchange.caller.request_id, channel.earlier
             if self.backends.strays.is_answer(self.entry, facts, request, earlier):
+                now = anyio.current_time()
+                self.backends.record_statements(self.entry, facts, now)
                 return head, facts
+            self.backends.record_late(self.entry, facts)
             if self.relay is not None:
                 # A relay answers each request once, so no other answer follows.
                 raise BackendLostError("the relay passed on another request's answer")
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -135,15 +135,27 @@
         """Record what the server of an entry states about itself."""
         self.set_limit(entry, facts.request_limit, now)
         self.brittle.record(entry, facts.brittle, self.entries.values(), now)
-        if facts.leaving and not entry.leaving:
-            entry.leaving = True
-            log.info("server leaves, by its answer", extra=fields_of(entry.backend))
+        self.record_leaving(entry, facts)
         if facts.rest:
             fields = {"backend": entry.backend.name, "seconds": facts.rest}
             log.info("server asks for rest", extra=fields)
             rest = min(facts.rest, MAX_REST) * random.uniform(1.0, 1.0 + REST_SPREAD)
             entry.rest_until = max(entry.rest_until, now + rest)
 
+    def record_late(self, entry: BackendEntry, facts: AnswerFacts) -> None:
+        """Record what still holds of a late answer to another request.
+
+        A server that leaves does not return, but limits and rests may be over.
+        """
+        if not facts.moved:
+            self.record_leaving(entry, facts)
+
+    def record_leaving(self, entry: BackendEntry, facts: AnswerFacts) -> None:
+        """Record whether a server states that it leaves."""
+        if facts.leaving and not entry.leaving:
+            entry.leaving = True
+            log.info("server leaves, by its answer", extra=fields_of(entry.backend))
+
     def record_declined(
         self, entry: BackendEntry, facts: AnswerFacts, now: Seconds
     ) -> None:
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -315,10 +315,11 @@
             now = anyio.current_time()
             entry.record_heard(now)
             self.relay.reach.record_heard(entry.backend.name, now)
-            self.relay.backends.record_statements(entry, facts, now)
-            strays, request = self.relay.backends.strays, self.caller.request_id
-            if strays.is_answer(entry, facts, request, channel.earlier):
+            backends, request = self.relay.backends, self.caller.request_id
+            if backends.strays.is_answer(entry, facts, request, channel.earlier):
+                backends.record_statements(entry, facts, now)
                 return head, facts
+            backends.record_late(entry, facts)
             await channel.skip_answer()
         raise BackendLostError("too many answers to other requests")
 
--- a/tests/forwarding/test_stray_answers.py
+++ b/tests/forwarding/test_stray_answers.py
@@ -149,3 +149,23 @@
             got = await cut.router.ask(request("/unsafe/x"))
     assert got.startswith(b"HTTP/1.1 502 "), got
     assert (len(first.requests), len(second.requests)) == (1, 0)
+
+
+STATEMENTS = ["Retry-After: 9", "Server-Limit: 1"]
+
+
+@pytest.mark.parametrize("statement", STATEMENTS)
+@pytest.mark.parametrize("way", ["direct", "relay"])
+async def test_late_answer_states_no_limit_or_rest(way: str, statement: str) -> None:
+    """Guards against a sound server that gets no requests for a limit that is over."""
+    end = b"\r\n\r\n"
+    script = late(stray().replace(end, f"\r\n{statement}".encode() + end))
+    async with run(way, Server("only", script)) as running:
+        for _ in range(2):
+            got = await router_of(running).ask(request("/unsafe/x"))
+            assert got.startswith(b"HTTP/1.1 200 "), got
+        tables = [router_of(running).forwarder.backends]
+        if isinstance(running, Partitioned):
+            tables.append(running.relay.backends)
+        for table in tables:
+            assert not table.ended_limits.ended
