Give up answers that are more framing than content

Cause: interim answers were skipped and tiny chunks were taken one by one without a bound, since the limits count only the bytes of heads and bodies. While bytes were buffered, up to 256 KB a connection, reading never waited, so nothing else in the process ran: neither other requests nor the deadline of this one.

Change: what a server sends is taken 16 KB at a time, and what is neither head nor body is counted. An answer with 24 KB more framing than content is given up, as is one that breaks off: a request that may be repeated goes elsewhere, any other gets 502 at once. 4 KB more are allowed each second, so a slow answer may have small parts. After 64 protocol events other tasks run. Parts that were received together are passed on together: by way of another router each tiny chunk was a write of its own, and such an answer took 1.2 to 1.7 s to be given up.

The same holds for calls to the store, to other routers and for reports of servers, which use the same connections.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -15,7 +15,7 @@
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.forwarding._end_to_end import end_to_end
 from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
-from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
+from ebonyhold.forwarding._inbox import CHUNK, Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.pauses import READ_TIME, was_paused
 from ebonyhold.types import Seconds
@@ -181,7 +181,7 @@
                 raise ReadFaultError(fault_of(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.inbox.take()
+            data = await self.inbox.take(CHUNK)
             self.received_at = self.inbox.arrived_at
             self.parser.receive_data(data)
 
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -4,6 +4,7 @@
 
 import re
 import socket
+from typing import TypeAlias
 
 import anyio
 import h11
@@ -14,6 +15,7 @@
 from ebonyhold.forwarding._endings import AnswerEnding, states_end
 from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, BufferAccount
 from ebonyhold.forwarding._inbox import Inbox, close_shielded
+from ebonyhold.forwarding._intake import EVENTS_AT_ONCE, Intake
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.pauses import was_paused
 from ebonyhold.tasks import TaskStarter
@@ -55,6 +57,9 @@
 both sides could block, each waiting for the other to read.
 """
 
+Event: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+"""What a parser returns."""
+
 MAX_STRAY = 4
 """Number of answers to other requests after which the connection is given up."""
 
@@ -121,7 +126,9 @@
         address: The server's host and port.
         opened_at: When it was opened.
         inbox: The bytes received from the server.
+        intake: Takes them.
         parser: The protocol state of the current request.
+        ahead: What comes after the part of a body that was read last, if that is known.
         request: The current request; None between requests.
         sent: Number of requests sent on it.
         writing: Whether a large request is still being written.
@@ -136,7 +143,9 @@
     address: tuple[str, int]
     opened_at: Seconds = field(factory=anyio.current_time)
     inbox: Inbox = field(init=False)
+    intake: Intake = field(init=False)
     parser: h11.Connection = field(init=False)
+    ahead: Event | BackendLostError | None = None
     request: Outbound | None = None
     sent: int = 0
     writing: bool = False
@@ -147,6 +156,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.inbox = Inbox(self.stream)
+        self.intake = Intake(self.inbox)
         self.parser = h11.Connection(h11.CLIENT)
 
     def bound(self, account: BufferAccount) -> None:
@@ -192,24 +202,35 @@
             self.inbox.notify()
         self.writing = False
 
-    async def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    async def next_event(self) -> Event:
         """Return the next event of the answer, waiting for bytes if necessary.
 
         Raises:
-            BackendLostError: The connection broke, or the bytes are not valid HTTP.
+            BackendLostError: The connection broke, or the bytes are not valid HTTP, or
+                too many of them are neither a head nor a body.
         """
         while True:
-            try:
-                event = self.parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BackendLostError(f"no answer in the protocol: {error}") from error
+            await self.intake.yield_often()
+            event, self.ahead = self.ahead or self.parse(), None
+            if isinstance(event, BackendLostError):
+                raise event
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.inbox.take()
+            data = await self.intake.take()
             if not data and self.inbox.broken:
                 raise BackendLostError("the connection was reset")
+            if self.intake.excess > 0:
+                raise BackendLostError("more framing than content")
             self.parser.receive_data(data)
 
+    def parse(self) -> Event | BackendLostError:
+        """Return the next event of the bytes that were taken, or why there is none."""
+        self.intake.events += 1
+        try:
+            return self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            return BackendLostError(f"no answer in the protocol: {error}")
+
     async def read_head(self) -> AnswerHead:
         """Read the head of the next answer; interim answers (1xx) are skipped.
 
@@ -219,6 +240,7 @@
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                self.intake.count_head()
                 head = AnswerHead(event.status_code, list(event.headers))
                 method = self.request.method if self.request is not None else b""
                 self.end_stated = states_end(method, head.status, head.headers)
@@ -235,12 +257,28 @@
         """
         event = await self.next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            part = self.join_received(event)
+            self.intake.count_content(len(part))
+            return part
         if isinstance(event, h11.EndOfMessage):
             self.complete = True
             return None
         raise BackendLostError("the answer ended early")
 
+    def join_received(self, first: h11.Data) -> bytes:
+        """Return a part of a body with the next ones that were taken already.
+
+        Small parts would each cost a write to the caller.
+        """
+        parts = [first.data]
+        while len(parts) < EVENTS_AT_ONCE:
+            event = self.parse()
+            if not isinstance(event, h11.Data):
+                self.ahead = None if event is h11.NEED_DATA else event
+                break
+            parts.append(event.data)
+        return b"".join(parts)
+
     @property
     def earlier(self) -> int:
         """Number of requests that it carried before the current one."""
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -129,18 +129,21 @@
         """Whether the peer has sent more than was taken, or may send no more."""
         return bool(self.waiting) or not self.room()
 
-    async def take(self) -> bytes:
-        """Remove and return the buffered bytes.
+    async def take(self, size: int) -> bytes:
+        """Remove and return the first buffered bytes.
 
         Wait for some if there are none; after the end, the result is empty.
+
+        Args:
+            size: Maximum number of bytes.
         """
         # What was taken before is passed on by now.
         done, self.taken_size = self.taken_size, 0
         self.release(done)
         while not self.waiting and not self.ended:
             await self.changed.wait()
-        data = bytes(self.waiting)
-        self.waiting.clear()
+        data = bytes(self.waiting[:size])
+        del self.waiting[:size]
         if self.account is None:
             self.taken.set()
         else:
--- /dev/null
+++ b/ebonyhold/forwarding/_intake.py
@@ -0,0 +1,83 @@
+"""Takes what a peer has sent a little at a time, and measures what it is made of.
+
+The load handled here is a peer that sends interim answers, tiny chunks or chunk
+extensions without end. Each of them costs processor time, while the message does not
+grow, so that no limit of its size is reached.
+"""
+
+from __future__ import annotations
+
+import anyio
+import anyio.lowlevel
+from attrs import define, field
+
+from ebonyhold.forwarding._inbox import Inbox
+from ebonyhold.types import Seconds
+
+MAX_TAKE = 16_384
+"""Maximum number of bytes that are taken at once, before their framing is measured."""
+
+MAX_FRAMING = 24_576
+"""Bytes of framing, beyond the bytes of the body, that a message may have at once.
+
+The head of a message, of at most 16 KB, counts until it is complete.
+"""
+
+FRAMING_RATE = 4_096
+"""Further bytes of framing for each second, so that a long answer may have small parts.
+
+It is far below the rate at which they can be read, or they would never exceed it.
+"""
+
+EVENTS_AT_ONCE = 64
+"""Number of protocol events after which other tasks run."""
+
+
+@define(eq=False)
+class Intake:
+    """Takes the bytes of one connection for its parser.
+
+    Attributes:
+        inbox: The bytes received.
+        framing: Bytes taken that are no content, beyond those that are, less what is
+            allowed for the time that has passed.
+        counted_at: When `framing` was last computed.
+        events: Number of protocol events since other tasks were last let run.
+    """
+
+    inbox: Inbox
+    framing: float = 0.0
+    counted_at: Seconds = field(factory=anyio.current_time)
+    events: int = 0
+
+    async def yield_often(self) -> None:
+        """Let other tasks run if EVENTS_AT_ONCE were counted since they last did.
+
+        Without this, nothing else would run while many bytes are buffered, and the
+        deadline of the request would be noticed late.
+        """
+        if self.events >= EVENTS_AT_ONCE:
+            self.events = 0
+            await anyio.lowlevel.checkpoint()
+
+    async def take(self) -> bytes:
+        """Remove and return bytes of the inbox; empty after the end; see `Inbox`."""
+        data = await self.inbox.take(MAX_TAKE)
+        now = anyio.current_time()
+        allowed = (now - self.counted_at) * FRAMING_RATE
+        self.framing = max(0.0, self.framing - allowed) + len(data)
+        self.counted_at = now
+        return data
+
+    def count_content(self, size: int) -> None:
+        """Count bytes that were taken as content."""
+        self.framing = max(0.0, self.framing - size)
+
+    def count_head(self) -> None:
+        """Count what was taken as the head of a message."""
+        self.framing = 0.0
+
+    @property
+    def excess(self) -> float:
+        """Bytes of framing beyond MAX_FRAMING; negative if they are fewer."""
+        return self.framing - MAX_FRAMING
--- a/tests/forwarding/test_faults.py
+++ b/tests/forwarding/test_faults.py
@@ -116,5 +116,5 @@
     with pytest.raises(RuntimeError, match="odd"):
         await inbox.fill()
     with anyio.fail_after(1.0):
-        assert await inbox.take() == b""
+        assert await inbox.take(1) == b""
     assert inbox.ended and inbox.broken
