Allow as much framing as content in long answers

An answer of any length in usual chunks was given up when its framing alone had come to 24 KB: a body of 3.4 MB in chunks of 1 KB, or 5,000 events of a chunk each.

Change: each byte of content makes up for one of framing, as was meant.

--- a/ebonyhold/forwarding/_intake.py
+++ b/ebonyhold/forwarding/_intake.py
@@ -39,8 +39,8 @@
 
     Attributes:
         inbox: The bytes received.
-        framing: Bytes taken that are no content, beyond those that are, less what is
-            allowed for the time that has passed.
+        framing: Bytes taken that are no content, less those that are, and less what is
+            allowed for the time that has passed; at least 0.
         counted_at: When `framing` was last computed.
         events: Number of protocol events since other tasks were last let run.
     """
@@ -70,8 +70,8 @@
         return data
 
     def count_content(self, size: int) -> None:
-        """Count bytes that were taken as content."""
-        self.framing = max(0.0, self.framing - size)
+        """Count bytes taken as content, for which as much framing is allowed."""
+        self.framing = max(0.0, self.framing - 2 * size)
 
     def count_head(self) -> None:
         """Count what was taken as the head of a message."""
