Give up connections on which a late answer has no end

The request at hand waited for its deadline.

Change: a late answer that does not state its end, or has more than 1 MB, ends the connection at once, and the request goes elsewhere or gets 502.

--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -63,6 +63,9 @@
 MAX_STRAY = 4
 """Number of answers to other requests after which the connection is given up."""
 
+MAX_SKIPPED = 1_048_576
+"""Size in bytes of one of them above which the connection is given up."""
+
 
 class ConnectTimeoutError(BackendLostError):
     """A connection was neither accepted nor refused in time."""
@@ -298,10 +301,16 @@
         """Discard the body of an answer whose head was read, to read the next answer.
 
         Raises:
-            BackendLostError: The answer ended early, or the connection closed after it.
+            BackendLostError: The answer ended early, is too large, or ends only with
+                the connection.
         """
-        while await self.read_part() is not None:
-            pass
+        if not self.end_stated:
+            raise BackendLostError("an answer to another request ends the connection")
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > MAX_SKIPPED:
+                raise BackendLostError("an answer to another request is too large")
         rest, ended = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT)
         if self.request is None or ended:
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -21,6 +21,7 @@
     event,
     request,
     rig,
+    stray,
     stream_head,
     value,
 )
@@ -94,6 +95,8 @@
 
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a.css>; rel=preload\r\n\r\n"
 TINY = chunk(b"x")
+UNFRAMED_STRAY = stray().replace(b"Content-Length: 0\r\n", b"")
+CHUNKED_STRAY = stray().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
 
 ENDLESS = {
     # in place of a head
@@ -104,6 +107,9 @@
     "answers to another request": endless(
         answer("X-Ebonyhold-Request-Id: r0", b"late"), b""
     ),
+    "answer to another request": endless(chunk(b"x" * 1000), CHUNKED_STRAY),
+    "tiny chunks to another request": endless(TINY, CHUNKED_STRAY),
+    "unframed answer to another request": endless(b"x", UNFRAMED_STRAY),
     # in place of a body
     "tiny chunks": endless(TINY),
     "chunk size": endless(b"0", stream_head("") + b"0"),
