Give up streams whose event has no end

Change: an event has at most 1 MB, as an answer that is read whole. Then the attempt is lost: a stream that may be resumed goes on elsewhere, any other is cut or gets 502.

--- a/ebonyhold/forwarding/_delivery.py
+++ b/ebonyhold/forwarding/_delivery.py
@@ -26,6 +26,10 @@
 """
 
 
+MAX_EVENT = 1_048_576
+"""Size limit, in bytes, of one event of a stream, which is passed on whole."""
+
+
 @define(eq=False)
 class AnswerDelivery:
     """Passes on the answer whose head was read from a connection.
@@ -99,6 +103,8 @@
                 await self.exchange.deliver_part(head, data)
                 self.record_events(events)
                 self.watch.max_gap = self.known_gap()
+            if len(self.splitter.buffer) > MAX_EVENT:
+                raise BackendLostError("an event of the stream is too large")
         if self.splitter.is_inside_event and not self.channel.end_stated:
             raise BackendLostError("the answer ended inside an event")
         await self.check_end()
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -111,6 +111,7 @@
     "tiny chunks to another request": endless(TINY, CHUNKED_STRAY),
     "unframed answer to another request": endless(b"x", UNFRAMED_STRAY),
     # in place of a body
+    "chunks": endless(chunk(b"x" * 1000)),
     "tiny chunks": endless(TINY),
     "chunk size": endless(b"0", stream_head("") + b"0"),
     "chunk extensions": endless(b"1;" + b"a" * 8000 + b"\r\nx\r\n"),
