--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -397,6 +397,8 @@
                 rejection may be that of another request.
         """
         for _ in range(MAX_STRAY):
+            if channel.is_skipping:
+                await self.watch.read(channel.skip_answer, "no answer in time")
             head = await self.watch.read(channel.read_head, "no answer in time")
             if self.relay is not None:
                 channel.end_stated &= reads_end_stated(head.headers)
@@ -412,7 +414,7 @@
             if self.relay is not None:
                 # A relay answers each request once, so no other answer follows.
                 raise BackendLostError("the relay passed on another request's answer")
-            await channel.skip_answer()
+            channel.is_skipping = True
         raise BackendLostError("too many answers to other requests")
 
     def record_heard(self) -> None:
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -134,6 +134,8 @@
         ahead: What comes after the part of a body that was read last, if that is known.
         request: The current request; None between requests.
         sent: Number of requests sent on it.
+        is_skipping: Whether a part of an answer is still to be skipped.
+        skipped: Size of what was skipped of it.
         writing: Whether a large request is still being written.
         end_stated: Whether the answer whose head was read last states its own end.
         complete: Whether that answer has ended.
@@ -151,6 +153,8 @@
     ahead: Event | BackendLostError | None = None
     request: Outbound | None = None
     sent: int = 0
+    is_skipping: bool = False
+    skipped: int = 0
     writing: bool = False
     end_stated: bool = False
     complete: bool = False
@@ -300,17 +304,19 @@
     async def skip_answer(self) -> None:
         """Discard the body of an answer whose head was read, to read the next answer.
 
+        It may be cancelled while it waits, and called again.
+
         Raises:
             BackendLostError: The answer ended early, is too large, or ends only with
                 the connection.
         """
         if not self.end_stated:
             raise BackendLostError("an answer to another request ends the connection")
-        size = 0
         while (part := await self.read_part()) is not None:
-            size += len(part)
-            if size > MAX_SKIPPED:
+            self.skipped += len(part)
+            if self.skipped > MAX_SKIPPED:
                 raise BackendLostError("an answer to another request is too large")
+        self.is_skipping, self.skipped = False, 0
         rest, ended = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT)
         if self.request is None or ended:
--- a/tests/forwarding/test_stray_answers.py
+++ b/tests/forwarding/test_stray_answers.py
@@ -169,3 +169,44 @@
             tables.append(running.relay.backends)
         for table in tables:
             assert not table.ended_limits.ended
+
+
+@pytest.mark.parametrize("path", ["safe", "stream"])
+@pytest.mark.parametrize("way", ["direct", "relay"])
+async def test_late_answer_that_stops_midway_holds_no_request(
+    way: str, path: str
+) -> None:
+    """Guards against requests that wait for the rest of it until their deadline."""
+    part = stray().replace(b"Content-Length: 0", b"Content-Length: 9") + b"part"
+
+    async def stops(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(part)
+        await anyio.sleep(3.0)
+
+    sound = good if path == "safe" else whole_stream
+    first, second = Server("first", stops), Server("second", sound)
+    async with run(way, first, second) as running:
+        router = router_of(running)
+        router.forwarder.backends.entries["second"].in_flight = 9
+        with anyio.move_on_after(1.9):
+            got = await router.ask(request(f"/{path}/x"))
+            assert got.startswith(b"HTTP/1.1 200 "), got
+            return
+    raise AssertionError("no answer before the deadline")
+
+
+async def test_answer_behind_a_late_one_that_pauses_is_passed_on() -> None:
+    """Guards against losing one's place in a late answer when its server pauses."""
+    late_answer = answer("X-Ebonyhold-Request-Id: r0", b"late")
+
+    async def pauses(server: Server, stream: SocketStream, head: str) -> None:
+        await stream.send(late_answer[:-2])
+        await anyio.sleep(0.7)
+        await stream.send(late_answer[-2:] + answer(head))
+
+    first = Server("first", pauses)
+    async with rig(first) as router:
+        got = await router.ask(request("/safe/x"))
+    assert got.startswith(b"HTTP/1.1 200 "), got
+    assert got.endswith(b"ok")
+    assert len(first.requests) == 1
