Let other requests run while a body in tiny chunks is read

Change: callers' connections use what servers' connections use: 16 KB at a time, and other tasks run after 64 protocol events. Nothing is given up, since such a request may be proper, and its body is bounded.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -15,7 +15,8 @@
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.forwarding._end_to_end import end_to_end
 from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
-from ebonyhold.forwarding._inbox import CHUNK, Inbox, Traffic, close_shielded
+from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
+from ebonyhold.forwarding._intake import Intake
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.pauses import READ_TIME, was_paused
 from ebonyhold.types import Seconds
@@ -129,6 +130,7 @@
         limits: The limits that apply to the caller's requests.
         traffic: Counts the bytes received.
         inbox: The bytes received from the caller.
+        intake: Takes them.
         parser: The protocol state.
         received_at: When the latest bytes that the parser has read arrived. A pipelined
             request is queued behind others from then on.
@@ -148,6 +150,7 @@
     limits: CallerLimits
     traffic: Traffic = field(factory=Traffic)
     inbox: Inbox = field(init=False)
+    intake: Intake = field(init=False)
     parser: h11.Connection = field(init=False)
     received_at: Seconds = 0.0
     last: bool = False
@@ -162,6 +165,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.inbox = Inbox(self.stream, self.traffic)
+        self.intake = Intake(self.inbox)
         if self.flow is not None:
             self.inbox.max_waiting = MAX_HELD
         self.parser = h11.Connection(
@@ -175,13 +179,15 @@
             ReadFaultError: The bytes are not valid HTTP.
         """
         while True:
+            await self.intake.yield_often()
+            self.intake.events += 1
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise ReadFaultError(fault_of(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.inbox.take(CHUNK)
+            data = await self.intake.take()
             self.received_at = self.inbox.arrived_at
             self.parser.receive_data(data)
 
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -187,3 +187,15 @@
         got = await router.ask(request("/stream/x"))
     assert numbers(got) == [1, 2, 3, 4]
     assert value(fine.requests[0], "last-event-id") == "2"
+
+
+async def test_request_in_tiny_chunks_delays_no_others() -> None:
+    """Guards against requests that wait while the body of another one is read."""
+    head = request("/safe/x", "POST", extra="Transfer-Encoding: chunked\r\n")
+    head = head.replace(b"Content-Length: 0\r\n", b"")
+    server = Server("only", good)
+    async with rig(server) as router, measured_delay() as delay:
+        got = await router.ask(head + TINY * 60_000 + chunk(b""))
+    assert got.startswith(b"HTTP/1.1 200 "), got[:200]
+    assert server.bodies == [b"x" * 60_000]
+    assert delay.longest < MAX_DELAY
