Rename StrayRecorder to StrayFilter

It decides which answers are for the request, and records the others. No change of behaviour; tests/forwarding, tests/gateway, tests/golden are green.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -47,7 +47,7 @@
 )
 from ebonyhold.forwarding._silence import SilenceOutcome, SilenceRecorder, StandbyResult
 from ebonyhold.forwarding._slow_readers import SlowReaders
-from ebonyhold.forwarding._stray import StrayAnswer, StrayRecorder
+from ebonyhold.forwarding._stray import StrayAnswer, StrayFilter
 from ebonyhold.forwarding._streams import (
     Found,
     NoKeepers,
@@ -146,7 +146,7 @@
     "Stage",
     "StandbyResult",
     "StrayAnswer",
-    "StrayRecorder",
+    "StrayFilter",
     "StreamEvent",
     "StreamVersions",
     "TaskStarter",
--- a/ebonyhold/forwarding/_backends.py
+++ b/ebonyhold/forwarding/_backends.py
@@ -25,7 +25,7 @@
 from ebonyhold.forwarding._memory import MemoryRoom, NoServerMemory, ServerMemory
 from ebonyhold.forwarding._outliers import FleetOutliers, Outliers, ejected_by_fleet
 from ebonyhold.forwarding._server_list import ServerList
-from ebonyhold.forwarding._stray import StrayRecorder
+from ebonyhold.forwarding._stray import StrayFilter
 from ebonyhold.forwarding._types import (
     AnswerFacts,
     BackendState,
@@ -73,7 +73,7 @@
     fleet_outliers: FleetOutliers = field(factory=FleetOutliers)
     memory: ServerMemory = field(factory=NoServerMemory)
     readings: Readings = field(factory=Readings)
-    strays: StrayRecorder = field(factory=StrayRecorder)
+    strays: StrayFilter = field(factory=StrayFilter)
 
     def time_answer(self, entry: BackendEntry, work: RequestWork, now: Seconds) -> None:
         """Measure the time to the first event of a request, where load is shared."""
--- a/ebonyhold/forwarding/_stray.py
+++ b/ebonyhold/forwarding/_stray.py
@@ -37,8 +37,8 @@
 
 
 @define(eq=False)
-class StrayRecorder:
-    """Recognizes stray answers, and logs and counts them.
+class StrayFilter:
+    """Finds the answers that are not for the request which waits; logs and counts them.
 
     Attributes:
         on_stray: Called with the service of the server, and the kind of the answer.
