Soak: engines with late rejections and with answers without end

Change: beside all other troubles one engine after another sends a late rejection of another request before each answer, which excuses nothing, or interim answers or chunks of one byte without end. A gateway that takes all rejections must be found.

--- a/tests/platform/soak/_run.py
+++ b/tests/platform/soak/_run.py
@@ -16,6 +16,7 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
+from tests.platform.faulty_answers import FaultyAnswer
 from tests.platform.kit import (
     GRACE,
     HOST,
@@ -153,6 +154,7 @@
                         sources.start_soon(self.inject_faults, number)
                     sources.start_soon(self.run_planned_work)
                     sources.start_soon(self.disturb_engines)
+                    sources.start_soon(self.disturb_answers)
             faults_ended_at = time.monotonic()
             await self.end_faults()
             await anyio.sleep(RECOVERY_TIME + 3.0)
@@ -285,6 +287,28 @@
             else:
                 await self.make_brittle(str(rng.randint(1, 12)), length)
 
+    async def disturb_answers(self) -> None:
+        """Make the answers of one engine after another faulty until cancelled.
+
+        Late rejections of other requests excuse nothing. A request that gets bytes
+        without end in place of an answer may have no other answer.
+        """
+        rng = self.rng("answers")
+        while True:
+            await anyio.sleep(rng.uniform(0.5, 2.5))
+            engine, length = rng.randrange(ENGINES), rng.uniform(0.3, 2.0)
+            kind = rng.choice([FaultyAnswer.LATE, *FaultyAnswer])
+            started_at = time.monotonic()
+            await self.write(f"test-faulty//i-{engine}", kind.value)
+            try:
+                await anyio.sleep(length)
+            finally:
+                if kind is not FaultyAnswer.LATE:
+                    now = time.monotonic()
+                    for vm in range(GATEWAYS):
+                        self.faults.append(InjectedFault(vm, started_at, now))
+            await self.write(f"test-faulty//i-{engine}", None, delete=True)
+
     async def cut(self, chosen: list[int], mode: LinkMode, length: float) -> None:
         """Cut gateways off from all engines for some seconds."""
         assert self.links is not None
@@ -440,6 +464,8 @@
         if self.links is not None:
             await self.links.cut(LinkMode.OPEN, range(GATEWAYS))
         await self.end_brittle()
+        for engine in range(ENGINES):
+            await self.write(f"test-faulty//i-{engine}", None, delete=True)
         for proxy in self.proxies:
             proxy.mode = "open"
         for gateway in self.gateways:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -43,6 +43,7 @@
     RequestHead,
 )
 from ebonyhold.standins import RowHistory
+from tests.platform.faulty_answers import FaultyAnswer, send_faulty
 from tests.platform.kit import link_port
 from tests.platform.places import FALL_TIME, NoPlaceError, Places
 from tests.platform.unframed import UnframedAnswer
@@ -124,6 +125,9 @@
 A broken one ends inside an event.
 """
 
+FAULTY_TABLE = "test-faulty"
+"""The table in which tests write how an engine's answers are faulty."""
+
 STATEMENTS = (
     (b"server-limit", LIMITS_TABLE),
     (b"server-leaving", LEAVING_TABLE),
@@ -501,6 +505,8 @@
                 await connection.close()
                 return
             proof = [*identity, (b"x-ebonyhold-response-stamp", self.name.encode())]
+            if faulty := self.stated(FAULTY_TABLE):
+                await send_faulty(connection, FaultyAnswer(faulty), proof)
             unframed = UnframedAnswer(connection) if self.ends_by_close() else None
             if "/book/" in target:
                 await anyio.sleep(script.pause)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -22,6 +22,7 @@
     [
         ("proof", r"spent \d+ of \d+"),
         ("not-run", r"must not be repeated|was refused as not run"),
+        ("identity", r"must not be repeated|was refused as not run"),
         ("sound-tasks", "task failed"),
         ("endings", "ended early"),
     ],
--- a/tests/platform/weak_gateway.py
+++ b/tests/platform/weak_gateway.py
@@ -18,6 +18,7 @@
     Backend,
     BackendTable,
     EventSplitter,
+    StrayFilter,
     _dispatcher,
 )
 from ebonyhold.forwarding._delivery import AnswerDelivery
@@ -102,6 +103,18 @@
     ServerList.update = weakened  # type: ignore[method-assign,assignment]
 
 
+def take_all_rejections() -> None:
+    """Make the gateway take a rejection of any request for the one that waits."""
+    is_answer = StrayFilter.is_answer
+
+    def weakened(self, entry, facts, request, earlier):  # type: ignore[no-untyped-def]
+        if facts.not_run:
+            return True
+        return is_answer(self, entry, facts, request, earlier)
+
+    StrayFilter.is_answer = weakened  # type: ignore[method-assign]
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "proof": assume_nothing_was_used,
     "not-run": resend_everything,
@@ -111,6 +124,7 @@
     "leaving": partial(ignore_statements, leaving=False),
     "endings": believe_all_ends,
     "versions": ignore_versions,
+    "identity": take_all_rejections,
     "rest": partial(ignore_statements, rest=0.0),
 }
 
