Test the bound of framing over time, and the turns of other tasks

On a virtual clock: answers in small parts are given up by their rate and not by their length, and other tasks run while much is buffered. Both were only tested by floods before.

--- /dev/null
+++ b/tests/forwarding/test_intake.py
@@ -0,0 +1,69 @@
+"""What is taken of a connection, on a virtual clock."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import anyio
+import pytest
+from anyio.abc import ByteStream
+
+from ebonyhold.forwarding._inbox import Inbox
+from ebonyhold.forwarding._intake import EVENTS_AT_ONCE, MAX_TAKE, Intake
+from tests.forwarding.kit import chunk
+from tests.virtual import anyio_backend
+
+pytestmark = pytest.mark.anyio
+
+__all__ = ["anyio_backend"]
+
+STREAMS = [
+    # size of a chunk, chunks per second, whether a minute of it is given up
+    (1, 500, False),
+    (1, 5_000, True),
+    (4, 3_000, False),
+    (4, 20_000, True),
+    (8, 20_000, False),
+]
+
+
+@pytest.mark.parametrize(("size", "rate", "exceeds"), STREAMS)
+async def test_slow_answers_may_have_small_parts(
+    size: int, rate: int, exceeds: bool
+) -> None:
+    """Guards against streams that are given up for small chunks, however slow."""
+    intake = Intake(Inbox(cast("ByteStream", None)))
+    intake.count_head()
+    exceeded = False
+    for _ in range(600):
+        await anyio.sleep(0.1)
+        count = rate // 10
+        intake.inbox.waiting += chunk(b"x" * size) * count
+        content = size * count
+        while intake.inbox.waiting and not exceeded:
+            share = min(1.0, MAX_TAKE / len(intake.inbox.waiting))
+            await intake.take()
+            exceeded |= intake.excess > 0
+            intake.count_content(round(content * share))
+            content -= round(content * share)
+    assert exceeded is exceeds
+
+
+async def test_other_tasks_run_while_much_is_buffered() -> None:
+    """Guards against a connection whose bytes nothing else can run beside."""
+    intake = Intake(Inbox(cast("ByteStream", None)))
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await anyio.lowlevel.checkpoint()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(count_turns)
+        for _ in range(100 * EVENTS_AT_ONCE):
+            await intake.yield_often()
+            intake.events += 1
+        tasks.cancel_scope.cancel()
+    assert turns >= 99
