--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A consumer's channel is reset as soon as it is made; see claim.txt."""
+"""Consumers' channels are reset as soon as they are made; see claim.txt."""
 
 import asyncio
 import contextlib
@@ -24,7 +24,7 @@
 CONSUMERS = 12
 EVENTS = 60
 PAUSE = 0.05
-RESETS = 1
+RESETS = 5
 
 CHAT = {
     "kind": "streaming",
@@ -113,7 +113,7 @@
     if world.trouble:
         for _ in range(RESETS):
             connect_and_reset(router)
-        world.record.write(f"{RESETS} channel to the router is made and reset")
+        world.record.write(f"{RESETS} channels to the router are made and reset")
     answers = await asyncio.gather(*consumers)
     ran = {line["request"] for line in world.runs() if line["what"] == "runs"}
     lost = 0
