Count a deeply nested row as damaged, as other odd rows

Callers saw: after another program had written one deeply nested row into `observations` or `versions`, routers that read it learned nothing from other routers any more, or refused streams that nobody knows, for good.

Cause: the JSON decoder raises RecursionError for such a row. The errors that the readers of rows and of messages count as malformed lacked it, so the task ended, was started again and read the same row.

OverflowError is added as the other list of such errors has it; no value was found that raises it outside of cattrs.

--- a/ebonyhold/coordination/_codec.py
+++ b/ebonyhold/coordination/_codec.py
@@ -22,11 +22,13 @@
     LookupError,
     TypeError,
     AttributeError,
+    OverflowError,
+    RecursionError,
 )
 """Exceptions raised when a value cannot be structured as the requested type.
 
 A value of an entirely different type raises builtin exceptions instead of those of
-cattrs.
+cattrs, and so does JSON that is nested too deeply for the decoder.
 """
 
 converter = cattrs.Converter(forbid_extra_keys=False, omit_if_default=True)
@@ -58,9 +60,9 @@
     """
     # cattrs would accept an empty list as an object without attributes, for example as
     # a budget of which nothing was spent yet.
-    if not isinstance(row.value, Mapping):
-        raise DamagedRowError(f"{row.key}: {str(row.value)[:80]} is no object")
     try:
+        if not isinstance(row.value, Mapping):
+            raise DamagedRowError(f"{row.key}: {str(row.value)[:80]} is no object")
         return from_json(row.value, as_type)
     except DECODE_ERRORS as error:
         raise DamagedRowError(f"{row.key}: {error!r}") from error
@@ -76,6 +78,7 @@
 
     Raises:
         ValueError: The bytes are not JSON.
+        RecursionError: They are nested too deeply.
         cattrs.BaseValidationError: The value does not match the type; see `from_json`
             for the other exceptions.
     """
