Read the other rows of an answer with a row that is no JSON

Callers saw: after another program had written one row that is no JSON into `routers`, no other router was counted, asked for tokens or used as a relay by routers that started later, and others forgot them. A router whose row of limits was such a row did not start to serve prepaid requests, at any later start either. A row beside a budget or a grant whose key begins with theirs made the budget unreachable.

Cause: `StoreClient.scan` decoded all rows of an answer in one block, so one that fails made the whole call an UnavailableError, at each reading. A conflict's rows were dropped likewise.

Such a row now has the value None. Each reader counts a value that is no object as damaged already: presence logs it once for each version of the row, a budget or grant is refused (it is never taken for an empty one), and a damaged row of limits is overwritten at the start, so that nothing is reclaimed from it.

--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -120,8 +120,16 @@
 
 
 def decode_row(raw: dict[str, Any]) -> Row:
-    """Decode one row whose value is JSON, as this software writes it."""
-    value = json.loads(base64.b64decode(raw["value"]))
+    """Decode one row whose value is JSON, as this software writes it.
+
+    Other programs may write the row too. A value that is not JSON becomes None, which
+    its reader counts as damaged like any other value that is no object, so that the
+    other rows of the answer are read.
+    """
+    try:
+        value = json.loads(base64.b64decode(raw["value"]))
+    except DECODE_ERRORS:
+        value = None
     return Row(join_key(raw), int(raw[VERSION_FIELD]), value)
 
 
