Use no presence row with values that no router has

Callers saw: one row of another program in `routers`, with a port out of range or without one, a name, a host or a domain with a lone surrogate, or a relay key outside Latin-1, is used as a router like any other, and whatever uses it fails.

Cause: rows of routers were checked for the types of their values alone. The task of the budgets is among those that choose holders, and its failure stops the process.

Rows with a rate that is infinite, negative or no number, a port 0 or an empty name raised nothing and were used: an infinite rate makes its router the first choice of those that collect loads.

Such a row counts as damaged now: it is logged once for each of its versions, and has no address.

--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+import re
 import secrets
 from collections.abc import Callable, Container
 
@@ -18,6 +20,7 @@
     to_json,
 )
 from ebonyhold.exceptions import DamagedRowError, PlatformError
+from ebonyhold.gateway._datagrams import MAX_PORT
 from ebonyhold.gateway._intervals import scale_interval
 from ebonyhold.gateway._types import GatewayStore
 from ebonyhold.prepaid import Fleet
@@ -64,6 +67,15 @@
 RELAY_KEY_BYTES = 8
 """Random bytes in a relay's key."""
 
+RELAY_KEY = re.compile(r"[!-~]*")
+"""Form of a relay's key, which is sent in a request header."""
+
+HOST_AND_PORT = re.compile(
+    r"(?:[0-9A-Fa-f:]*:[0-9A-Fa-f:]*|[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*)"
+    r":(?P<port>[0-9]{1,5})"
+)
+"""Form of a router's address: an IPv6 address or a host, and a port."""
+
 FORGET_AFTER: Seconds = 60.0
 """A router whose row has not changed for this long is sent no messages.
 
@@ -133,7 +145,9 @@
 def read_presence(row: Row) -> PresenceRow:
     """Return the content of a row; if it is damaged, log that and return defaults."""
     try:
-        return read_row(row, PresenceRow)
+        found = read_row(row, PresenceRow)
+        check_presence(vm_of(row.key), found)
+        return found
     except DamagedRowError as error:
         log.warning(
             "presence row damaged", extra={"row": row.key, "detail": str(error)}
@@ -141,6 +155,39 @@
         return PresenceRow()
 
 
+def check_presence(name: str, row: PresenceRow) -> None:
+    """Check the values of a row, which are hashed, connected to and sent in headers.
+
+    Raises:
+        DamagedRowError: No router has such a value.
+    """
+    checks = {
+        "name": bool(name) and name.isprintable(),
+        "address": not row.address or is_address(row.address),
+        "domain": row.domain.isprintable(),
+        "relay_key": RELAY_KEY.fullmatch(row.relay_key) is not None,
+        "link_rate": 0 <= row.link_rate < math.inf,
+    }
+    wrong = [attribute for attribute, is_right in checks.items() if not is_right]
+    if wrong:
+        raise DamagedRowError(f"{name[:80]!r}: no router has this {', '.join(wrong)}")
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is a host and a port.
+
+    Connecting to another one would raise an error that callers do not handle as a
+    failed connection.
+
+    >>> [is_address(text) for text in ("10.0.0.1:80", "::1:80", "a.b:1", "a..b:1")]
+    [True, True, True, False]
+    >>> [is_address(text) for text in ("a:0", "a:65536", "a:1x", ":1", "a")]
+    [False, False, False, False, False]
+    """
+    match = HOST_AND_PORT.fullmatch(text)
+    return match is not None and 0 < int(match["port"]) <= MAX_PORT
+
+
 def vm_of(key: str) -> str:
     """Return the VM name in the key of a presence row."""
     return key.removeprefix(f"{TABLE}//")
--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -8,6 +8,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+import anyio
 import pytest
 
 from ebonyhold.coordination import (
@@ -20,9 +21,10 @@
 from ebonyhold.exceptions import ConflictError, DamagedRowError
 from ebonyhold.forwarding import BackendTable, Outbound, WholeAnswer
 from ebonyhold.gateway import GatewayPeers, Observations, Presence, Renewals, Watcher
+from ebonyhold.gateway._relays import GatewayRelays, ReachAnswer, ReachQuestion
 from ebonyhold.gateway._version_rows import VersionRows
 from ebonyhold.platform import StoreClient
-from ebonyhold.prepaid import PrepaidRow
+from ebonyhold.prepaid import HolderTable, PrepaidRow
 from ebonyhold.prepaid._reclaim import Predecessor, find_predecessor_grant
 from ebonyhold.prepaid._row_cache import GrantRowCache
 from tests.platform.test_store import answer, client
@@ -114,7 +116,7 @@
 
 def row_of(name: str) -> bytes:
     """Return the presence row of a router."""
-    return json.dumps({"router": f"{name}.a", "address": "10.0.0.2:1"}).encode()
+    return json.dumps({"router": f"{name}.a", "address": "127.0.0.1:1"}).encode()
 
 
 @unreadable
@@ -181,3 +183,51 @@
             Transaction((AtVersion("t/p/odd", 4),), ())
         )
     assert [row.key for row in caught.value.rows] == ["t/p/odd", "t/p/sound"]
+
+
+OUT_OF_RANGE = {
+    "no port": ("vm-0", {"address": "127.0.0.1"}),
+    "port out of range": ("vm-0", {"address": "127.0.0.1:65536"}),
+    "port 0": ("vm-0", {"address": "127.0.0.1:0"}),
+    "port of 5,000 digits": ("vm-0", {"address": f"127.0.0.1:{'9' * 5_000}"}),
+    "negative port": ("vm-0", {"address": "127.0.0.1:-1"}),
+    "port with a line end": ("vm-0", {"address": "127.0.0.1:1\n"}),
+    "no host": ("vm-0", {"address": ":1"}),
+    "empty label": ("vm-0", {"address": "a..b:1"}),
+    "long label": ("vm-0", {"address": f"{'a' * 64}.b:1"}),
+    "host with a line end": ("vm-0", {"address": "a\r\nb:1"}),
+    "host with a surrogate": ("vm-0", {"address": "\ud800:1"}),
+    "relay key with a line end": ("vm-0", {"relay_key": "a\r\nb"}),
+    "relay key outside Latin-1": ("vm-0", {"relay_key": "\u20ac"}),
+    "infinite rate": ("vm-0", {"link_rate": 1e999}),
+    "rate that is no number": ("vm-0", {"link_rate": float("nan")}),
+    "negative rate": ("vm-0", {"link_rate": -1.0}),
+    "domain with a surrogate": ("vm-0", {"domain": "\ud800"}),
+    "name with a surrogate": ("vm-\ud800", {}),
+    "name with a line end": ("vm\r\n0", {}),
+    "empty name": ("", {}),
+}
+"""Names and presence rows with values that no router has, by what is odd."""
+
+
+@pytest.mark.parametrize(("name", "odd"), OUT_OF_RANGE.values(), ids=[*OUT_OF_RANGE])
+async def test_odd_presence_row_is_used_for_nothing(
+    name: str, odd: dict[str, Any]
+) -> None:
+    """An odd address or name in a row ended tasks and requests that used it."""
+    usual = {"address": "127.0.0.1:1", "relay_key": "k", "shares_load": True}
+    value = json.dumps({"router": "r", **usual, **odd}).encode()
+    store = store_with({f"routers//{name}": value, "routers//vm-2": row_of("vm-2")})
+    table = HolderTable("vm-1", "")
+    presence = Presence(store, "vm-1", "vm-1.a", "127.0.0.1:2", on_count=table.update)
+    for _ in range(2):
+        await presence.count_routers()
+    assert {*table.holders("acme").names} == {"vm-1", "vm-2"}
+    assert presence.sharers() == {}
+    async with anyio.create_task_group() as tasks:
+        peers = GatewayPeers(presence.peer_addresses, tasks)
+        relays = GatewayRelays("vm-1", "", peers, presence.peers, tasks)
+        assert relays.candidates() == []
+        for peer in [name, "vm-2"]:
+            await peers.post(peer, b"/reach", ReachQuestion(), ReachAnswer, 0.1)
+        assert [*peers.calls] == ["127.0.0.1:1"]
