Refuse budgets and grants with numbers that no router writes

Callers saw: after another program had written the budget's row of one workspace as an empty object, or with a negative number, the budget was available again as a whole (tokens spent twice). With a number of 401 digits, requests of the workspace failed with an error that nobody handles; the tasks of the budgets and of the renewals compute with the same number, and a failure of one of them stops the process, at each start anew.

Cause: rows of budgets and grants were checked for the types of their values alone; a missing number counts as 0.

Evidence: ten new rows of tests, all red before: of seven odd budgets five gave the 1,000 tokens asked for and two raised OverflowError; three odd grants of a predecessor, such as one that has returned -5,000 of 5,000 tokens, would have been reclaimed. After, all are refused as damaged, as budgets that are no JSON are.

A budget that a router has written names the version of the configuration that set it, so one without counts as damaged. Nothing is written to a damaged budget or grant: the workspace alone is refused, until the row is repaired or removed.

--- a/ebonyhold/prepaid/_reclaim.py
+++ b/ebonyhold/prepaid/_reclaim.py
@@ -11,11 +11,11 @@
     Row,
     Transaction,
     change_grant,
-    read_row,
     to_json,
 )
 from ebonyhold.prepaid._changes import check_version
 from ebonyhold.prepaid._limits import ZERO_LIMIT, Limits, SpendingLimit
+from ebonyhold.prepaid._row_cache import read_grant
 from ebonyhold.prepaid._types import (
     Change,
     GrantRows,
@@ -90,7 +90,7 @@
     key = grant_row_key(workspace, predecessor.router)
     for row in await store.scan(key):
         if row.key == key:
-            grant = read_row(row, GrantRow)
+            grant = read_grant(row)
             renewed = predecessor.limits.get(workspace, ZERO_LIMIT)
             limit = predecessor.limit(workspace)
             return PredecessorGrant(row, grant, limit, renewed)
--- a/ebonyhold/prepaid/_row_cache.py
+++ b/ebonyhold/prepaid/_row_cache.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-from attrs import define, evolve
+from attrs import astuple, define, evolve
 
 from ebonyhold.coordination import GrantLedger, GrantRow, Row, read_row
-from ebonyhold.exceptions import ConflictError
+from ebonyhold.exceptions import ConflictError, DamagedRowError
 from ebonyhold.prepaid._types import (
     Change,
     Committed,
@@ -49,6 +49,46 @@
 """
 
 
+MAX_NUMBER = 2**63 - 1
+"""The largest number in a row; larger ones may be too large for a float."""
+
+
+def read_budget(row: Row) -> PrepaidRow:
+    """Decode a budget row.
+
+    Raises:
+        DamagedRowError: No router has written it, for example because it names no
+            version of the configuration. If missing numbers counted as 0, tokens that
+            are spent could be drawn again.
+    """
+    found = read_row(row, PrepaidRow)
+    budget = found.budget
+    check_numbers(row, found.rules_version - 1, budget.outstanding, budget.spent)
+    check_numbers(row, abs(budget.prepaid))
+    return found
+
+
+def read_grant(row: Row) -> GrantRow:
+    """Decode a grant row.
+
+    Raises:
+        DamagedRowError: No router has written it.
+    """
+    found = read_row(row, GrantRow)
+    check_numbers(row, *astuple(found))
+    return found
+
+
+def check_numbers(row: Row, *numbers: int) -> None:
+    """Check numbers of a row.
+
+    Raises:
+        DamagedRowError: One is negative or too large.
+    """
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        raise DamagedRowError(f"{row.key}: a number is out of range")
+
+
 @define(eq=False)
 class GrantRowCache:
     """Reads the budget and grant rows and caches them with their versions.
@@ -169,10 +209,10 @@
             if not isinstance(row, Row):
                 continue
             if row.key == self.budget_key:
-                budget = read_row(row, PrepaidRow)
+                budget = read_budget(row)
                 rows = evolve(rows, budget=budget, budget_version=row.version)
             elif row.key == self.grant_key:
-                grant = read_row(row, GrantRow)
+                grant = read_grant(row)
                 rows = evolve(rows, grant=grant, grant_version=row.version)
         return rows
 
--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -15,19 +15,23 @@
     AtVersion,
     CrashRecords,
     GrantRow,
+    Put,
     Transaction,
     to_bytes,
 )
-from ebonyhold.exceptions import ConflictError, DamagedRowError
+from ebonyhold.exceptions import BudgetUnreachableError, ConflictError, DamagedRowError
 from ebonyhold.forwarding import BackendTable, Outbound, WholeAnswer
 from ebonyhold.gateway import GatewayPeers, Observations, Presence, Renewals, Watcher
 from ebonyhold.gateway._relays import GatewayRelays, ReachAnswer, ReachQuestion
 from ebonyhold.gateway._version_rows import VersionRows
 from ebonyhold.platform import StoreClient
-from ebonyhold.prepaid import HolderTable, PrepaidRow
+from ebonyhold.prepaid import HolderTable, PrepaidRow, budget_row_key
 from ebonyhold.prepaid._reclaim import Predecessor, find_predecessor_grant
 from ebonyhold.prepaid._row_cache import GrantRowCache
+from ebonyhold.standins import RowHistory
+from ebonyhold.types import Json
 from tests.platform.test_store import answer, client
+from tests.prepaid.kit import WORKSPACE, Router
 from tests.virtual import anyio_backend
 
 pytestmark = pytest.mark.anyio
@@ -231,3 +235,46 @@
         for peer in [name, "vm-2"]:
             await peers.post(peer, b"/reach", ReachQuestion(), ReachAnswer, 0.1)
         assert [*peers.calls] == ["127.0.0.1:1"]
+
+
+HUGE = 10**400
+
+ODD_BUDGETS: dict[str, Json] = {
+    "huge": {"rules_version": 1, "budget": {"prepaid": HUGE}},
+    "huge negative": {"rules_version": 1, "budget": {"prepaid": 9, "spent": -HUGE}},
+    "negative grants": {"rules_version": 1, "budget": {"outstanding": -(10**6)}},
+    "negative bills": {"rules_version": 1, "budget": {"spent": -(10**6)}},
+    "empty": {},
+    "of no configuration": {"budget": {"prepaid": 10**6}},
+    "attributes of another program": {"spent": 3, "limit": 10},
+}
+
+
+@pytest.mark.parametrize("odd", ODD_BUDGETS.values(), ids=[*ODD_BUDGETS])
+async def test_odd_budget_gives_no_tokens(odd: Json) -> None:
+    """A budget with a negative or missing number gave tokens a second time."""
+    one = Router(RowHistory(), "vm-1", "vm-1.a", [10_000])
+    key = budget_row_key(WORKSPACE)
+    one.history.apply(Transaction((), (Put(key, odd),)))
+    await one.renewals.step()
+    with pytest.raises(BudgetUnreachableError):
+        await one.grant.hold(1000, "r")
+    await one.renewals.step()
+    assert one.history.rows[key].value == odd
+
+
+def grant_of(**odd: Json) -> Json:
+    """Return a predecessor's grant with an odd number."""
+    return {"drawn": 5_000, "sequence": 1, **odd}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [grant_of(returned=-5_000), grant_of(drawn=HUGE), grant_of(billed=-1)],
+    ids=["negative return", "huge", "negative bills"],
+)
+async def test_nothing_is_reclaimed_from_an_odd_grant(odd: Json) -> None:
+    """A grant with a negative number would give tokens that were never drawn."""
+    store = store_with({"prepaid/acme/grant/r": json.dumps(odd).encode()})
+    with pytest.raises(DamagedRowError):
+        await find_predecessor_grant(store, "acme", Predecessor("r", 1.0))
