Believe no limit or time that a predecessor cannot have written

Callers saw: after another program had written into a router's row of limits, its successor's reclaim failed for all workspaces, again and again (a rate that is infinite or no number), or tokens that the predecessor may have used counted as unused and could be spent again (a negative rate or ceiling; a time that is in the future, infinite or no number).

Cause: values of the type float were used as they are. max(0.0, NaN) is 0.0, so a time that is no number even proved all tokens above the ceiling unused.

An odd limit proves nothing for its workspace alone, whose tokens count as spent; the workspaces beside it are reclaimed. With an odd time, the time counts as unknown. A time up to 1 s before the last renewal is still used: answers with the store's clock take up to 0.6 s.

--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 import anyio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ebonyhold.coordination import (
     Absent,
@@ -88,6 +89,11 @@
 """How long a predecessor is assumed to have run after its last renewal until the real
 time is known. It is so long that all the predecessor's tokens count as spent."""
 
+MAX_CLOCK_ERROR: Seconds = 1.0
+"""How far before its last renewal a predecessor may seem to have ended, as answers with
+the store's clock take up to `MAX_RENEWAL_TIMEOUT`; the time of the row is wrong if it
+is more."""
+
 MAX_UNRECLAIMED = 4
 """Maximum number of predecessors that the row of limits names; older ones are dropped.
 Four kills before a reclaim are rare, and a row is limited to 64 KB."""
@@ -115,6 +121,23 @@
     unreclaimed: tuple[Predecessor, ...] = ()
 
 
+def proven(predecessor: Predecessor) -> Predecessor:
+    """Return a predecessor without the limits and the time that it cannot have written.
+
+    Other programs may have written its row. Tokens below a limit that is not known
+    count as spent.
+    """
+    valid = {n: limit for n, limit in predecessor.limits.items() if limit.is_valid}
+    elapsed = predecessor.elapsed
+    if not -MAX_CLOCK_ERROR <= elapsed < math.inf:
+        elapsed = UNKNOWN_ELAPSED
+    found = Predecessor(predecessor.router, elapsed, valid)
+    if found != predecessor:
+        fields = {"predecessor": found.router, "workspaces": sorted(valid)}
+        log.error("predecessor's limits damaged", extra=fields)
+    return found
+
+
 @define
 class StoreClock:
     """An estimate of the store's monotonic clock that is never ahead of it.
@@ -317,7 +340,8 @@
             return
         self.previous_row = previous
         predecessor = Predecessor(previous.router, UNKNOWN_ELAPSED, previous.limits)
-        self.unreclaimed = (*previous.unreclaimed, predecessor)[-MAX_UNRECLAIMED:]
+        found = (*previous.unreclaimed, predecessor)[-MAX_UNRECLAIMED:]
+        self.unreclaimed = tuple(proven(one) for one in found)
 
     def compute_elapsed(self) -> None:
         """Compute how long the predecessor may have run after its last renewal.
@@ -333,8 +357,8 @@
         elapsed = since - (self.clock.at - self.began_at)
         fields = {"predecessor": previous.router, "elapsed": round(elapsed, 2)}
         log.info("predecessor found", extra=fields)
-        predecessor = Predecessor(previous.router, elapsed, previous.limits)
-        self.unreclaimed = (*self.unreclaimed[:-1], predecessor)
+        predecessor = evolve(self.unreclaimed[-1], elapsed=elapsed)
+        self.unreclaimed = (*self.unreclaimed[:-1], proven(predecessor))
 
     def reclaimed(self, router: RouterId) -> None:
         """Drop a predecessor whose grants are returned; later renewals omit it."""
--- a/ebonyhold/prepaid/_limits.py
+++ b/ebonyhold/prepaid/_limits.py
@@ -28,6 +28,9 @@
 reclaim adds a clock margin of 0.2 s.
 """
 
+MAX_NUMBER = 2**63
+"""Upper bound of the numbers of a limit; larger ones may be too large for a float."""
+
 
 @frozen
 class SpendingLimit:
@@ -51,6 +54,12 @@
     used: Tokens = 0
     held: Tokens = 0
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether no number is negative, infinite or NaN, as in rows of others."""
+        numbers = (self.ceiling, self.early_rate, self.later_rate)
+        return all(0 <= number < MAX_NUMBER for number in numbers)
+
     def after(self, elapsed: Seconds) -> Tokens:
         """Return the limit `elapsed` seconds after the renewal was sent.
 
--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -278,3 +278,46 @@
     store = store_with({"prepaid/acme/grant/r": json.dumps(odd).encode()})
     with pytest.raises(DamagedRowError):
         await find_predecessor_grant(store, "acme", Predecessor("r", 1.0))
+
+
+LIMIT = {"ceiling": 100, "early_rate": 10.0, "later_rate": 10.0}
+
+
+def earlier(elapsed: float) -> dict[str, Any]:
+    """Return what a row states of one more killed router with an odd time."""
+    one = {"router": "vm-1.0", "elapsed": elapsed, "limits": {"acme": LIMIT}}
+    return {"unreclaimed": [one], "limits": {"blue": LIMIT}}
+
+
+def limits_with(**odd: Any) -> dict[str, Any]:
+    """Return a row of limits of a killed router with odd values."""
+    limits = {"acme": {**LIMIT, **odd.pop("limit", {})}, "blue": LIMIT}
+    row = {"router": "vm-1.a", "address": "10.0.0.1", "renewed_at": 0.5}
+    return {**row, "limits": limits, **odd}
+
+
+ODD_LIMITS = {
+    "rate no number": limits_with(limit={"later_rate": float("nan")}),
+    "infinite rate": limits_with(limit={"early_rate": 1e999}),
+    "negative rate": limits_with(limit={"early_rate": -1e6}),
+    "negative ceiling": limits_with(limit={"ceiling": -(10**6)}),
+    "huge ceiling": limits_with(limit={"ceiling": HUGE}),
+    "time no number": limits_with(renewed_at=float("nan")),
+    "infinite time": limits_with(renewed_at=1e999),
+    "time in the future": limits_with(renewed_at=1e9),
+    "negative time": limits_with(renewed_at=-1e9),
+    "earlier one in the future": limits_with(**earlier(-9.0)),
+    "earlier one with a time no number": limits_with(**earlier(float("nan"))),
+}
+"""Rows of limits with odd values for the workspace acme, or for all."""
+
+
+@pytest.mark.parametrize("odd", ODD_LIMITS.values(), ids=[*ODD_LIMITS])
+async def test_odd_limit_proves_no_token_unused(odd: dict[str, Any]) -> None:
+    """An odd rate or time ended the reclaim, or proved used tokens unused."""
+    store = store_with({"limits/vm-1/row": json.dumps(odd).encode()})
+    renewals = Renewals(store, "vm-1", "10.0.0.1", "vm-1.b", dict)
+    await renewals.step()
+    for before in renewals.unreclaimed:
+        assert "acme" not in before.limits or before.limit("acme") >= 10**6
+    assert renewals.unreclaimed[-1].limit("blue") >= 100
