--- a/tests/platform/soak/_run.py
+++ b/tests/platform/soak/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import signal
 import subprocess
@@ -213,17 +214,23 @@
 
         Raises:
             RuntimeError: The store did not start within 100 attempts.
+            httpx.HTTPStatusError: The store refused the write.
         """
+        await self.post_writes({"key": key, "value": value, "delete": delete})
+
+    async def post_writes(self, body: dict[str, Any]) -> None:
+        """Write rows as the operator or another program does; see `write`."""
         async with httpx.AsyncClient(verify=False) as client:
             for _ in range(100):
                 try:
-                    await client.post(
+                    answer = await client.post(
                         f"http://{HOST}:{self.base}/operator",
-                        json={"key": key, "value": value, "delete": delete},
+                        content=json.dumps(body),
                     )
                 except httpx.TransportError:
                     await anyio.sleep(0.05)
                     continue
+                answer.raise_for_status()
                 return
         raise RuntimeError("the platform did not start")
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -274,17 +274,25 @@
         return {**address, "value": value, "version-number": row.version}
 
     def encode_value(self, table: str, key: str, value: bytes) -> str:
-        """Encode a row's value, with the address at which an engine is listed here."""
+        """Encode a row's value, with the address at which an engine is listed here.
+
+        A value that was written as ``{"base64": …}`` has these bytes.
+        """
+        if value.startswith(b'{"base64":'):
+            return str(json.loads(value)["base64"])
         if table == "servers" and key in self.addresses and value:
             entry = {**json.loads(value), "address": self.addresses[key]}
             value = json.dumps(entry).encode()
         return base64.b64encode(value).decode()
 
     async def write(self, raw: dict[str, Any]) -> tuple[int, Any]:
-        """Write a row as the operator or a server does, or remove it."""
-        key = raw["key"]
-        write = Delete(key) if raw.get("delete") else Put(key, raw["value"])
-        self.history.apply(Transaction((), (write,)))
+        """Write a row as the operator or a server does, or remove it, or write many."""
+        for key, value in raw.get("rows", {}).items():
+            self.history.apply(Transaction((), (Put(key, value),)))
+        if "key" in raw:
+            key = raw["key"]
+            write = Delete(key) if raw.get("delete") else Put(key, raw["value"])
+            self.history.apply(Transaction((), (write,)))
         return 200, {}
 
     async def get(self, query: dict[str, str]) -> tuple[int, Any]:
