Log a damaged budget once, and delay no other reclaim by it

Operators saw: beside one damaged budget or grant each router wrote a line twice a second, which did not say what is damaged. After a kill, the tokens of workspaces behind it in the random order came back 20 s later.

Cause: a damaged row was retried like a store that is away, 40 times when a grant is reclaimed, one workspace after the other.

Evidence, both tests red before: 9 lines in 5 s; the reclaim of a damaged and a sound workspace was not over after 1 s. After: one line, which names the row, until another damage is found or a round has succeeded; the reclaim leaves the damaged one to the next process at once, as it did after the retries.

--- a/ebonyhold/prepaid/_grant_manager.py
+++ b/ebonyhold/prepaid/_grant_manager.py
@@ -10,7 +10,7 @@
 import anyio
 from attrs import define, field
 
-from ebonyhold.exceptions import PlatformError
+from ebonyhold.exceptions import DamagedRowError, PlatformError
 from ebonyhold.prepaid._holders import HolderTable
 from ebonyhold.prepaid._last_tokens import SizeDemand
 from ebonyhold.prepaid._limits import LimitTracker, SpendingLimit
@@ -52,6 +52,11 @@
 """
 
 
+def failure_fields(workspace: WorkspaceName, error: PlatformError) -> dict[str, str]:
+    """Return the log fields of a store error; the text names a damaged row."""
+    return {"workspace": workspace, "error": error.code, "detail": str(error)[:400]}
+
+
 @define(eq=False)
 class GrantManager:
     """Manages this router's grants of all workspaces.
@@ -73,6 +78,8 @@
             holders, so that tokens may be drawn before the first request.
         options: The options of the prepaid budgets.
         grants: The grants opened so far, by workspace.
+        damaged: What is damaged in the rows of workspaces whose last round has found
+            that.
         paused_until: Earliest time of each grant's first round after an outage.
         guard: Runs a function, catches unexpected errors and returns whether there were
             none.  So after an error in one grant, `close` still returns the others.
@@ -97,6 +104,7 @@
     fleet_known: Callable[[], bool] = lambda: True
     options: PrepaidOptions = field(factory=PrepaidOptions)
     grants: dict[WorkspaceName, WorkspaceGrant] = field(factory=dict)
+    damaged: dict[WorkspaceName, str] = field(factory=dict)
     paused_until: dict[WorkspaceName, Seconds] = field(factory=dict)
     guard: Guard = unguarded
     closing: bool = False
@@ -237,9 +245,18 @@
             return
         try:
             await grant.tick()
+        except DamagedRowError as error:
+            # The row is read in each round, until it is repaired or removed.
+            if self.damaged.get(grant.workspace) != str(error):
+                self.damaged[grant.workspace] = str(error)
+                log.warning(
+                    "budget round failed", extra=failure_fields(grant.workspace, error)
+                )
         except PlatformError as error:
-            fields = {"workspace": grant.workspace, "error": error.code}
+            fields = failure_fields(grant.workspace, error)
             log.warning("budget round failed", extra=fields)
+        else:
+            self.damaged.pop(grant.workspace, None)
 
     async def reclaim(self, predecessor: Predecessor) -> bool:
         """Reclaim the tokens that a predecessor provably left unused in its grants.
@@ -266,8 +283,9 @@
         """Reclaim one grant of a predecessor, and retry after store errors.
 
         Returns:
-            False after `RECLAIM_ATTEMPTS` failed attempts or if the process is shutting
-            down, else True, also if the workspace has no budget any more.
+            False after `RECLAIM_ATTEMPTS` failed attempts, at once if a row is damaged
+            or the process is shutting down, else True, also if the workspace has no
+            budget any more.
         """
         grant = self.grant(workspace)
         if grant is None:
@@ -277,8 +295,10 @@
             try:
                 return await grant.reclaim(predecessor)
             except PlatformError as error:
-                fields = {"workspace": workspace, "error": error.code}
+                fields = failure_fields(workspace, error)
                 log.warning("reclaim failed", extra=fields)
+                if isinstance(error, DamagedRowError):
+                    return False
                 await anyio.sleep(self.options.tick)
         return False
 
--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -25,13 +25,20 @@
 from ebonyhold.gateway._relays import GatewayRelays, ReachAnswer, ReachQuestion
 from ebonyhold.gateway._version_rows import VersionRows
 from ebonyhold.platform import StoreClient
-from ebonyhold.prepaid import HolderTable, PrepaidRow, budget_row_key
+from ebonyhold.prepaid import (
+    GrantManager,
+    HolderTable,
+    PrepaidRow,
+    SpendingLimit,
+    budget_row_key,
+)
 from ebonyhold.prepaid._reclaim import Predecessor, find_predecessor_grant
 from ebonyhold.prepaid._row_cache import GrantRowCache
 from ebonyhold.standins import RowHistory
 from ebonyhold.types import Json
 from tests.platform.test_store import answer, client
 from tests.prepaid.kit import WORKSPACE, Router
+from tests.prepaid.test_grant_manager import manager_of
 from tests.virtual import anyio_backend
 
 pytestmark = pytest.mark.anyio
@@ -321,3 +328,35 @@
     for before in renewals.unreclaimed:
         assert "acme" not in before.limits or before.limit("acme") >= 10**6
     assert renewals.unreclaimed[-1].limit("blue") >= 100
+
+
+def damaged_budget(caplog: pytest.LogCaptureFixture) -> tuple[Router, GrantManager]:
+    """Return a router whose workspace has a damaged budget, and its grants."""
+    caplog.set_level("INFO")
+    one = Router(RowHistory(), "vm-1", "vm-1.a", [10_000])
+    put = Put(budget_row_key(WORKSPACE), ODD_BUDGETS["huge"])
+    one.history.apply(Transaction((), (put,)))
+    return one, manager_of(one)
+
+
+async def test_odd_budget_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Each round of a workspace with a damaged budget wrote a line."""
+    one, manager = damaged_budget(caplog)
+    await one.renewals.step()
+    with anyio.move_on_after(5.0):
+        await manager.run()
+    lines = [line for line in caplog.records if line.message == "budget round failed"]
+    assert len(lines) == 1
+    assert budget_row_key(WORKSPACE) in vars(lines[0])["detail"]
+
+
+async def test_odd_budget_delays_no_other_reclaim(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The tokens of other workspaces came back only after 20 s."""
+    one, manager = damaged_budget(caplog)
+    await one.renewals.step()
+    limits = {WORKSPACE: SpendingLimit(), "blue": SpendingLimit()}
+    with anyio.fail_after(1.0):
+        assert not await manager.reclaim(Predecessor("vm-1.0", 1.0, limits))
+    assert {line.message for line in caplog.records} >= {"reclaim failed"}
