Renew over a row of limits that no router can have written

Callers saw: after another program had written into the row of limits of a router that runs, that router refused prepaid requests until it was started again.

Cause: a router that finds its row damaged treated it like the row of a successor, whose limits it must not overwrite, and so never renewed again.

A row that is damaged and names no other router is not a successor's: no router writes one. The renewal that finds it still fails, and the next one overwrites it at the version that was read. No token can be used twice by that: the odd row proves nothing unused, renewals in doubt check an older version, and their limits still apply here until the new renewal is confirmed.

--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 from attrs import define, evolve, field, frozen
@@ -138,6 +138,12 @@
     return found
 
 
+def writer_of(row: Row) -> RouterId:
+    """Return the incarnation that a row of limits names; empty if it names none."""
+    router = row.value.get("router") if isinstance(row.value, Mapping) else None
+    return router if isinstance(router, str) else ""
+
+
 @define
 class StoreClock:
     """An estimate of the store's monotonic clock that is never ahead of it.
@@ -416,25 +422,26 @@
     async def read_own_row(self) -> None:
         """Read this router's row, set `version` from it and confirm its renewal.
 
-        If there is no row, nothing is changed.
+        If there is no row, nothing is changed. A row that no router can have written
+        is overwritten by the next renewal: until then the row proves no token unused,
+        and renewals in doubt cannot take effect any more.
 
         Raises:
-            ConflictError: The row is damaged or belongs to another router.
+            ConflictError: The row belongs to another router.
             PlatformError: The row could not be read.
         """
         for row in await self.store.scan(self.key):
             if row.key != self.key:
                 continue
-            try:
-                found = read_row(row, LimitsRow)
-            except DamagedRowError as error:
-                raise ConflictError("this VM's row of limits is damaged") from error
-            if found.router != self.incarnation:
+            if writer_of(row) not in {self.incarnation, ""}:
                 raise ConflictError(
                     "another router wrote this VM's row of limits", (self.key,)
                 )
             self.version = row.version
-            self.limits.took_effect(found.number)
+            try:
+                self.limits.took_effect(read_row(row, LimitsRow).number)
+            except DamagedRowError as error:
+                log.error("limits row damaged", extra={"detail": str(error)[:400]})
 
     async def leave(self) -> None:
         """Remove the VM's row when the process ends, unless a successor needs it.
