Read on beside a row whose value is no base64 or whose key has a surrogate

Seen in tests alone; whether the platform's store can hold such rows is not known.

One value that is not base64 made a whole answer malformed, so that a gateway stopped following the table. If the last key of a full page had a lone surrogate, the next page's call raised UnicodeEncodeError, which nobody handles.

Evidence: the eleven new rows of tests were red before. Such a value counts as empty now, which no reader accepts (an odd entry of a server removes that server alone); the key is sent as it is, and a store that rejects it counts as unavailable.

--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -115,10 +115,21 @@
     empty.
     """
     deleted = bool(raw.get("deleted"))
-    value = b"" if deleted else base64.b64decode(raw["value"])
+    value = b"" if deleted else decode_value(raw)
     return RawRow(str(raw["key"]), int(raw[VERSION_FIELD]), value, deleted)
 
 
+def decode_value(raw: dict[str, Any]) -> bytes:
+    """Decode the value of a row; one that is not base64 counts as empty.
+
+    No reader accepts an empty value, and the other rows of the answer are read.
+    """
+    try:
+        return base64.b64decode(raw["value"])
+    except DECODE_ERRORS:
+        return b""
+
+
 def decode_row(raw: dict[str, Any]) -> Row:
     """Decode one row whose value is JSON, as this software writes it.
 
@@ -127,7 +138,7 @@
     other rows of the answer are read.
     """
     try:
-        value = json.loads(base64.b64decode(raw["value"]))
+        value = json.loads(decode_value(raw))
     except DECODE_ERRORS:
         value = None
     return Row(join_key(raw), int(raw[VERSION_FIELD]), value)
@@ -165,7 +176,8 @@
             UnavailableError: The call failed, or its answer is malformed.
         """
         limit = wait + FEED_MARGIN if wait else CALL_TIMEOUT
-        target = f"{path}?{urlencode(query)}".encode()
+        # A key of another program may contain surrogates.
+        target = f"{path}?{urlencode(query, errors='surrogatepass')}".encode()
         try:
             answer = await self.calls.call(
                 Outbound(b"GET", target, [], b"", False), limit
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -171,6 +171,27 @@
         read_row(odd, GrantRow)
 
 
+@pytest.mark.parametrize("value", [None, 7, "x", "\u20ac", ["eA=="]])
+@pytest.mark.parametrize("call", [snapshot, changes])
+async def test_row_with_an_odd_value_hides_no_other(call: Call, value: Any) -> None:
+    """Guards against a value that is no base64 and stops the reading of its table."""
+    odd = {**row("a", 6, 1), "value": value}
+    body = {"rows": [odd, row("b", 7, 1)], "version-number": 7}
+    found = await call(client(always(200, body)))
+    assert [(item.key, item.value) for item in found.rows] == [("a", b""), ("b", b"1")]
+
+
+async def test_page_may_end_with_an_odd_key() -> None:
+    """Guards against a key with a surrogate that ends the task which reads it."""
+    pages = [
+        {"rows": [row("\ud800", 1, 1)], "truncated": True, "version-number": 8},
+        {"rows": [row("\ue000", 2, 2)], "version-number": 8},
+    ]
+    left = iter(pages)
+    found = await client(lambda request: answer(200, next(left))).snapshot("t", "p")
+    assert [item.key for item in found.rows] == ["\ud800", "\ue000"]
+
+
 async def test_commit() -> None:
     calls: list[Any] = []
 
