--- a/ebonyhold/gateway/_renewals.py
+++ b/ebonyhold/gateway/_renewals.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 
 import anyio
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ebonyhold.coordination import (
     Absent,
@@ -88,6 +89,11 @@
 """How long a predecessor is assumed to have run after its last renewal until the real
 time is known. It is so long that all the predecessor's tokens count as spent."""
 
+MAX_CLOCK_ERROR: Seconds = 1.0
+"""How far before its last renewal a predecessor may seem to have ended, as answers with
+the store's clock take up to `MAX_RENEWAL_TIMEOUT`; the time of the row is wrong if it
+is more."""
+
 MAX_UNRECLAIMED = 4
 """Maximum number of predecessors that the row of limits names; older ones are dropped.
 Four kills before a reclaim are rare, and a row is limited to 64 KB."""
@@ -115,6 +121,29 @@
     unreclaimed: tuple[Predecessor, ...] = ()
 
 
+def proven(predecessor: Predecessor) -> Predecessor:
+    """Return a predecessor without the limits and the time that it cannot have written.
+
+    Other programs may have written its row. Tokens below a limit that is not known
+    count as spent.
+    """
+    valid = {n: limit for n, limit in predecessor.limits.items() if limit.is_valid}
+    elapsed = predecessor.elapsed
+    if not -MAX_CLOCK_ERROR <= elapsed < math.inf:
+        elapsed = UNKNOWN_ELAPSED
+    found = Predecessor(predecessor.router, elapsed, valid)
+    if found != predecessor:
+        fields = {"predecessor": found.router, "workspaces": sorted(valid)}
+        log.error("predecessor's limits damaged", extra=fields)
+    return found
+
+
+def writer_of(row: Row) -> RouterId:
+    """Return the incarnation that a row of limits names; empty if it names none."""
+    router = row.value.get("router") if isinstance(row.value, Mapping) else None
+    return router if isinstance(router, str) else ""
+
+
 @define
 class StoreClock:
     """An estimate of the store's monotonic clock that is never ahead of it.
@@ -317,7 +346,8 @@
             return
         self.previous_row = previous
         predecessor = Predecessor(previous.router, UNKNOWN_ELAPSED, previous.limits)
-        self.unreclaimed = (*previous.unreclaimed, predecessor)[-MAX_UNRECLAIMED:]
+        found = (*previous.unreclaimed, predecessor)[-MAX_UNRECLAIMED:]
+        self.unreclaimed = tuple(proven(one) for one in found)
 
     def compute_elapsed(self) -> None:
         """Compute how long the predecessor may have run after its last renewal.
@@ -333,8 +363,8 @@
         elapsed = since - (self.clock.at - self.began_at)
         fields = {"predecessor": previous.router, "elapsed": round(elapsed, 2)}
         log.info("predecessor found", extra=fields)
-        predecessor = Predecessor(previous.router, elapsed, previous.limits)
-        self.unreclaimed = (*self.unreclaimed[:-1], predecessor)
+        predecessor = evolve(self.unreclaimed[-1], elapsed=elapsed)
+        self.unreclaimed = (*self.unreclaimed[:-1], proven(predecessor))
 
     def reclaimed(self, router: RouterId) -> None:
         """Drop a predecessor whose grants are returned; later renewals omit it."""
@@ -392,25 +422,26 @@
     async def read_own_row(self) -> None:
         """Read this router's row, set `version` from it and confirm its renewal.
 
-        If there is no row, nothing is changed.
+        If there is no row, nothing is changed. A row that no router can have written
+        is overwritten by the next renewal: until then the row proves no token unused,
+        and renewals in doubt cannot take effect any more.
 
         Raises:
-            ConflictError: The row is damaged or belongs to another router.
+            ConflictError: The row belongs to another router.
             PlatformError: The row could not be read.
         """
         for row in await self.store.scan(self.key):
             if row.key != self.key:
                 continue
-            try:
-                found = read_row(row, LimitsRow)
-            except DamagedRowError as error:
-                raise ConflictError("this VM's row of limits is damaged") from error
-            if found.router != self.incarnation:
+            if writer_of(row) not in {self.incarnation, ""}:
                 raise ConflictError(
                     "another router wrote this VM's row of limits", (self.key,)
                 )
             self.version = row.version
-            self.limits.took_effect(found.number)
+            try:
+                self.limits.took_effect(read_row(row, LimitsRow).number)
+            except DamagedRowError as error:
+                log.error("limits row damaged", extra={"detail": str(error)[:400]})
 
     async def leave(self) -> None:
         """Remove the VM's row when the process ends, unless a successor needs it.
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -115,13 +115,32 @@
     empty.
     """
     deleted = bool(raw.get("deleted"))
-    value = b"" if deleted else base64.b64decode(raw["value"])
+    value = b"" if deleted else decode_value(raw)
     return RawRow(str(raw["key"]), int(raw[VERSION_FIELD]), value, deleted)
 
 
+def decode_value(raw: dict[str, Any]) -> bytes:
+    """Decode the value of a row; one that is not base64 counts as empty.
+
+    No reader accepts an empty value, and the other rows of the answer are read.
+    """
+    try:
+        return base64.b64decode(raw["value"])
+    except DECODE_ERRORS:
+        return b""
+
+
 def decode_row(raw: dict[str, Any]) -> Row:
-    """Decode one row whose value is JSON, as this software writes it."""
-    value = json.loads(base64.b64decode(raw["value"]))
+    """Decode one row whose value is JSON, as this software writes it.
+
+    Other programs may write the row too. A value that is not JSON becomes None, which
+    its reader counts as damaged like any other value that is no object, so that the
+    other rows of the answer are read.
+    """
+    try:
+        value = json.loads(decode_value(raw))
+    except DECODE_ERRORS:
+        value = None
     return Row(join_key(raw), int(raw[VERSION_FIELD]), value)
 
 
@@ -157,7 +176,8 @@
             UnavailableError: The call failed, or its answer is malformed.
         """
         limit = wait + FEED_MARGIN if wait else CALL_TIMEOUT
-        target = f"{path}?{urlencode(query)}".encode()
+        # A key of another program may contain surrogates.
+        target = f"{path}?{urlencode(query, errors='surrogatepass')}".encode()
         try:
             answer = await self.calls.call(
                 Outbound(b"GET", target, [], b"", False), limit
