Test an odd entry of a live engine, and an odd configuration at a start

An odd entry under the name of a live engine removes the engine until its next report and ends none of 18 answers in progress. A process that starts beside an odd configuration reads the evacuations, waits, and serves once the configuration can be read; the others serve on with the last one.

Types of the tables of odd rows for mypy.

--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -16,6 +16,7 @@
     CrashRecords,
     GrantRow,
     Put,
+    Row,
     Transaction,
     to_bytes,
 )
@@ -193,10 +194,11 @@
         await client(lambda request: answer(412, {"rows": rows})).commit(
             Transaction((AtVersion("t/p/odd", 4),), ())
         )
-    assert [row.key for row in caught.value.rows] == ["t/p/odd", "t/p/sound"]
+    found = [row.key for row in caught.value.rows if isinstance(row, Row)]
+    assert found == ["t/p/odd", "t/p/sound"]
 
 
-OUT_OF_RANGE = {
+OUT_OF_RANGE: dict[str, tuple[str, dict[str, Any]]] = {
     "no port": ("vm-0", {"address": "127.0.0.1"}),
     "port out of range": ("vm-0", {"address": "127.0.0.1:65536"}),
     "port 0": ("vm-0", {"address": "127.0.0.1:0"}),
--- a/tests/platform/test_odd_rows.py
+++ b/tests/platform/test_odd_rows.py
@@ -17,7 +17,7 @@
     OUT_OF_RANGE,
     UNREADABLE,
 )
-from tests.platform.fleet import GATEWAYS, calling, gateways, wait_until_ready
+from tests.platform.fleet import GATEWAYS, book, calling, gateways, wait_until_ready
 from tests.platform.kit import configuration
 
 pytestmark = pytest.mark.anyio
@@ -108,3 +108,52 @@
     assert not [at for at in lost if not killed_at <= at <= ready_at]
     for text in logs:
         assert '"rules": 2' in text
+
+
+@pytest.mark.parametrize("odd", [b"{", b"[" * 5_000], ids=["not JSON", "nested"])
+async def test_odd_entry_of_a_live_engine_ends_no_answer(
+    tmp_path: Path, odd: bytes
+) -> None:
+    """An entry that another program has overwritten must not cut its answers."""
+    statuses: list[int] = []
+
+    async def call(number: int) -> None:
+        gateway = soak.gateways[number % GATEWAYS]
+        query = "pause=1.5&sound=1"
+        statuses.append(await book(gateway, f"slow-{number}", query))
+
+    async with gateways(tmp_path) as soak:
+        async with anyio.create_task_group() as tasks:
+            for number in range(18):
+                tasks.start_soon(call, number)
+            await anyio.sleep(0.5)
+            await soak.write("servers//i-0", raw(odd))
+        removed_at = time.monotonic()
+        async with calling(soak) as answers:
+            await anyio.sleep(2.0)
+        records = await soak.engine_records()
+        logs = [gateway.log.read_text() for gateway in soak.gateways]
+    runs = [run for run in records["runs"] if run[7] == "i-0"]
+    assert [run for run in runs if run[0].startswith("slow-")]
+    assert statuses == [200] * 18
+    assert [run for run in runs if run[4] > removed_at]
+    assert all("server entry ignored" in text for text in logs)
+    assert {status for _, status in answers} == {200}
+
+
+async def test_process_starts_beside_an_odd_configuration(tmp_path: Path) -> None:
+    """A process must wait for a configuration that it can read, and not end."""
+    async with gateways(tmp_path) as soak:
+        started, running = soak.gateways[0], soak.gateways[1:]
+        await soak.write("op//config", raw(b"[" * 5_000))
+        await soak.write("op//evacuate/b", {})
+        soak.replace(started)
+        await anyio.sleep(2.0)
+        assert [await book(one, f"odd-{one.number}") for one in running] == [200, 200]
+        assert started.process is not None and started.process.poll() is None
+        await soak.write("op//config", {**configuration(), "version": 2})
+        await wait_until_ready(soak)
+        text = started.log.read_text()
+    assert text.count("configuration rejected") == 1
+    assert "task failed" not in text
+    assert '"evacuations changed"' in text
