Count routers beside many odd rows, and forget those that are gone

Callers saw, with some hundred rows of other programs in `routers`: no router whose row comes after them was counted, a holder or a relay, and all odd rows were counted as routers, by half of their highest number for good, so that each router's share of budgets and of the extra retries shrank. Sixteen rows of 64 KB do the same by reading, since an answer has at most 1 MB (not run). A row whose key changes was kept in memory for good.

Cause: `StoreClient.scan` read one page; damaged rows were counted; no observed row was ever forgotten.

Evidence: both new tests were red before (no router known beside 1,000 odd rows; 100 of 100 rows kept). After, `scan` reads up to ten pages if the store says that there are more, which costs no call otherwise; a damaged row is not counted; a row that is gone is forgotten after the 60 s for which it is sent messages.

A router is counted less often than before only if its own row is damaged, which no build writes.

--- a/ebonyhold/gateway/_presence.py
+++ b/ebonyhold/gateway/_presence.py
@@ -47,6 +47,9 @@
 share of each budget.
 """
 
+MAX_PRESENCE_ROWS = 5000
+"""Maximum number of rows that are read, so that rows of other programs hide none."""
+
 GONE_AFTER_READINGS = 4
 """A router whose row is unchanged in this many readings can no longer be a holder.
 
@@ -137,13 +140,17 @@
     unchanged: int = 0
 
 
+DAMAGED = PresenceRow()
+"""Stands for a damaged row, which is used for nothing and not counted."""
+
+
 def new_relay_key() -> str:
     """Return a random key for one run of a gateway."""
     return secrets.token_hex(RELAY_KEY_BYTES)
 
 
 def read_presence(row: Row) -> PresenceRow:
-    """Return the content of a row; if it is damaged, log that and return defaults."""
+    """Return the content of a row; if it is damaged, log that and return `DAMAGED`."""
     try:
         found = read_row(row, PresenceRow)
         check_presence(vm_of(row.key), found)
@@ -152,7 +159,7 @@
         log.warning(
             "presence row damaged", extra={"row": row.key, "detail": str(error)}
         )
-        return PresenceRow()
+        return DAMAGED
 
 
 def check_presence(name: str, row: PresenceRow) -> None:
@@ -253,7 +260,11 @@
             return ASSUMED_ROUTERS
         now = anyio.current_time()
         missing = MAX_MISSED_COUNTS * self.interval
-        alive = sum(1 for s in self.observed.values() if now - s.at < missing)
+        alive = sum(
+            1
+            for seen in self.observed.values()
+            if now - seen.at < missing and seen.row is not DAMAGED
+        )
         self.max_counted = max(self.max_counted, alive)
         return max(1, alive, int(self.max_counted * MIN_COUNT_SHARE))
 
@@ -292,7 +303,7 @@
         )
         put = Put(self.key, to_json(own))
         await self.store.commit(Transaction((), (put,)))
-        rows = await self.store.scan(f"{TABLE}//")
+        rows = await self.store.scan(f"{TABLE}//", limit=MAX_PRESENCE_ROWS)
         self.stored_at = began_at
         self.observe(rows)
 
@@ -314,8 +325,18 @@
             else:
                 known.unchanged += 1
         self.listed = frozenset(row.key for row in rows)
+        self.forget(now)
         self.on_count(self.fleet(self.listed))
 
+    def forget(self, now: Seconds) -> None:
+        """Forget rows that are gone and no longer count for anything."""
+        kept_for = max(FORGET_AFTER, MAX_MISSED_COUNTS * self.interval)
+        self.observed = {
+            key: seen
+            for key, seen in self.observed.items()
+            if key in self.listed or now - seen.at < kept_for
+        }
+
     def fleet(self, listed: Container[str]) -> Fleet:
         """Return the failure domain of each router that can be a holder, by VM name.
 
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -67,7 +67,11 @@
 """Errors raised by decoding a malformed answer."""
 
 MAX_ROWS = 500
-"""Maximum number of rows per call; `snapshot` reads all pages, `scan` only one."""
+"""Maximum number of rows per call."""
+
+MAX_PAGES = 10
+"""Maximum number of calls of one `scan`; `snapshot` reads all pages. An answer has at
+most 1 MB, so few large rows of other programs fill one."""
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -235,11 +239,11 @@
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
         """Read the first rows whose key starts with a prefix, in the order of the keys.
 
-        At most `limit` rows are returned, and never more than `MAX_ROWS`; for the next
-        ones, pass the last key as `after`.
+        At most `limit` rows are returned, and those of at most `MAX_PAGES` calls; for
+        the next ones, pass the last key as `after`.
 
         Raises:
-            UnavailableError: The call failed, or its answer is malformed.
+            UnavailableError: A call failed, or its answer is malformed.
         """
         start = split_key(prefix)
         query = {"table": start["table"], "part": start["part"], "limit": str(MAX_ROWS)}
@@ -248,9 +252,15 @@
         query["target"] = start["key"] + "\x7f"
         if after:
             query["from"] = split_key(after)["key"] + "\0"
-        body = await self.fetch(READ_PATH, query)
-        with decoding(READ_PATH):
-            return [decode_row(raw) for raw in body["rows"][:limit]]
+        rows: list[Row] = []
+        for _ in range(MAX_PAGES):
+            body = await self.fetch(READ_PATH, query)
+            with decoding(READ_PATH):
+                rows += [decode_row(raw) for raw in body["rows"]]
+                if not body.get("truncated") or len(rows) >= limit:
+                    break
+                query["from"] = split_key(rows[-1].key)["key"] + "\0"
+        return rows[:limit]
 
     async def commit(self, transaction: Transaction) -> Committed:
         """Commit a transaction and return its version and the store's time.
--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -59,6 +59,9 @@
 }
 """Values that no router writes, by what is odd."""
 
+PAGE = 500
+"""Maximum number of rows in an answer."""
+
 unreadable = pytest.mark.parametrize("odd", UNREADABLE.values(), ids=[*UNREADABLE])
 
 
@@ -83,11 +86,12 @@
         prefix = f"{query['table']}/{query.get('part', '')}/"
         first, end = query.get("from", ""), query.get("target", "\x7f")
         found = [
-            encode(key)
+            key
             for key in sorted(rows)
             if key.startswith(prefix) and first <= key[len(prefix) :] < end
         ]
-        return answer(200, {**now, "rows": found})
+        page = [encode(key) for key in found[:PAGE]]
+        return answer(200, {**now, "rows": page, "truncated": len(found) > PAGE})
 
     return client(handle)
 
@@ -145,6 +149,25 @@
     assert [line.message for line in caplog.records].count("presence row damaged") < 2
 
 
+async def test_a_thousand_odd_presence_rows_change_no_count() -> None:
+    """Rows of other programs filled the only page that was read, and were counted."""
+    rows = {f"routers//odd-{number:03}": b"{" for number in range(1000)}
+    rows["routers//vm-2"] = row_of("vm-2")
+    presence = Presence(store_with(rows), "vm-1", "vm-1.a", "10.0.0.1:1")
+    await presence.count_routers()
+    assert {*presence.fleet(presence.listed)} == {"vm-1", "vm-2"}
+    assert presence.count() == 2
+
+
+async def test_presence_rows_that_are_gone_are_forgotten() -> None:
+    """The memory for rows of other programs grew with each key that they used."""
+    presence = Presence(store_with({}), "vm-1", "vm-1.a", "10.0.0.1:1")
+    for number in range(100):
+        presence.observe([Row(f"routers//vm-{number}", 1, {"router": "r"})])
+        await anyio.sleep(4.0)
+    assert len(presence.observed) < 20
+
+
 @unreadable
 async def test_odd_row_beside_a_budget_changes_nothing(odd: bytes) -> None:
     """A row whose key begins with that of a budget or grant made both unreadable."""
