Count a version that a restart brings as possible at once

Callers saw streams of two software versions: a stream that nobody knows went on at v1 although its first events came from v2.

A router whose list is late takes a server that is back under its name with another version for the listed run, and tells nobody of streams that begin there while one version is in play.

A version that comes with new servers alone is left out as before.

--- a/ebonyhold/coordination/_stream_versions.py
+++ b/ebonyhold/coordination/_stream_versions.py
@@ -110,7 +110,8 @@
             can be assumed to know it.
         last_at: When one was last.
         inherited: Whether it was in the first list that this router has read, or other
-            routers have seen it, so that streams may have begun there before.
+            routers have seen it, or a server has restarted with it under its name, so
+            that streams may have begun there without others being told.
     """
 
     first_at: Seconds
@@ -142,8 +143,7 @@
             service: The service.
             version: The version.
             now: The time.
-            inherited: Whether it is in the first list that this router reads, or other
-                routers have seen it.
+            inherited: See `SeenVersion`.
 
         Returns:
             Whether the version is new beside another one.
@@ -152,6 +152,7 @@
         known = versions.get(version)
         if known is not None:
             known.last_at = now
+            known.inherited |= inherited
             return False
         first_at = now if versions else -float("inf")
         versions[version] = SeenVersion(first_at, now, inherited)
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -170,7 +170,10 @@
             now: When the entry was read.
             first: Whether it is in the first list that this router reads.
         """
-        if self.versions.record(backend.service, backend.version, now, first):
+        newest = self.newest.get(backend.name)
+        # Where the list is late, streams of the new run count as those of the last.
+        turned = newest is not None and newest.version != backend.version
+        if self.versions.record(backend.service, backend.version, now, first or turned):
             fields = {"service": backend.service, "version": backend.version}
             log.info("version listed", extra=fields)
             self.on_version(backend.service)
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -289,3 +289,15 @@
     goes_on = version == "v1"
     assert numbers(got) == ([1, 2, 3, 4] if goes_on else [1])
     assert len(same.requests) == goes_on
+
+
+def test_version_of_a_server_that_restarts_under_its_name_is_possible_at_once() -> None:
+    """Guards against streams of a restarted server that a late list has misread."""
+    table = BackendTable()
+    for name in ("one", "two"):
+        table.update(Server(name, whole_stream, version="v1").backend(), 1.0)
+    again = evolve(table.entries["one"].backend, version="v2", started_at=2)
+    new = evolve(again, name="three", version="v3")
+    for backend in (again, new):
+        table.update(backend, 2.0)
+    assert table.versions.possible("svc", 2.1) == ["v1", "v2"]
