Ask servers which run of theirs a connection leads to

Callers saw streams of two software versions, all begun or taken up at a router that heard nothing from the store for some seconds, while servers restarted under their names with another version.

A router trusted a connection if it had seen no sign of a restart, and trusted an old list outright while that showed one version. A router without a connection to the server sees no sign.

A server's report states its start, as its entry in the list does, and a TCP connection leads to one process for its life. So the listed start in a report that was asked for at some time proves every connection opened by then.

- A request that goes on with a stream, over a connection that neither a report nor the list vouches for, asks on that connection first.
- A stream that begins waits for nothing.
While several versions are in play, the list is old or the process was seen to end, the server is asked over another connection, one question at a time for all; keepers are told the version once it is proved.
With one version and a current list nothing is asked (test: no report for three streams) until the stream is taken up, a second version appears, the list becomes old, or another router asks.
- A later start in a report is the end of the run: streams in doubt lose their version.
If the list contradicts that 2.5 s later, the report is not asked any more.
- Without a report, or a start in it, the signs decide as before.
One rule is stricter: with an old list, connections opened since its last reading count as unknown also while one version is in play.

The row "one version, old list" of test_run_behind_a_connection asserted the opposite of that last rule, which is the fault; two rows take its place. The rows "list is old" of test_stream_goes_on_at_its_version hold as they were, with servers that report their start, and fail there for servers that do not (rows of test_stream_is_refused_rather_than_mixed).

Metric: ebonyhold_gateway_run_answers_total{answer}.

In test_stream_is_refused_rather_than_mixed the check of Retry-After names the one refusal without it, as there are three kinds now.

--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -38,6 +38,7 @@
     find_route,
     match_request,
 )
+from ebonyhold.forwarding._runs import RunAnswer, RunChecks, read_no_start
 from ebonyhold.forwarding._shutdown import (
     LateRequest,
     RequestSize,
@@ -135,6 +136,8 @@
     "RouteKind",
     "RouteTimes",
     "Ruleset",
+    "RunAnswer",
+    "RunChecks",
     "Serve",
     "ServerMemory",
     "Service",
@@ -164,4 +167,5 @@
     "outcome_of",
     "own_answer",
     "prompt_size",
+    "read_no_start",
 ]
--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -191,6 +191,7 @@
     async def connect_and_send(self) -> AttemptResult:
         """Send the request on a connection and return how the attempt ended."""
         backend = self.entry.backend
+        await self.streams.settle_own(self.exchange)
         try:
             path = await self.paths.open(backend)
         except NoPathError as error:
@@ -201,8 +202,13 @@
             self.backends.lost(self.entry, anyio.current_time())
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.relay = path.relay
-        now = anyio.current_time()
         opened_at = path.channel.opened_at if path.relay is None else None
+        if opened_at is not None and not await self.check_run(path.channel):
+            if not self.entry.states_no_start:
+                self.exchange.tried.append(backend.name)
+            reason = f"withheld: {Cause.UNCONFIRMED.value}"
+            return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
+        now = anyio.current_time()
         withheld = self.backends.admit(
             self.entry,
             now,
@@ -221,14 +227,34 @@
             reason = f"withheld: {withheld.cause.value}"
             return AttemptResult(AttemptEnd.WITHHELD, reason=reason)
         if opened_at is not None:
-            known = self.backends.is_run_known(self.entry, opened_at, now)
-            self.version = backend.version if known else UNKNOWN_VERSION
+            replaced = self.streams.is_replaced(RunOfStream(self.entry, opened_at))
+            self.version = UNKNOWN_VERSION if replaced else backend.version
         self.channel = path.channel
         self.work = self.held.enter_context(self.entry.working(self.exchange.caller))
         if path.relay is None:
             self.backends.time_answer(self.entry, self.work, now)
         return await self.exchange_messages()
 
+    async def check_run(self, channel: Channel) -> bool:
+        """Ask which run of the server a connection leads to, where that matters.
+
+        A request that goes on with a stream waits for the answer. For one that begins a
+        stream the server is asked over another connection.
+
+        Returns:
+            Whether the connection may be used; otherwise it was closed.
+        """
+        exchange, checks = self.exchange, self.streams.checks
+        if checks is None:
+            return True
+        if exchange.version is not None:
+            time_left = exchange.deadline - anyio.current_time()
+            return await checks.check(self.entry, channel, time_left)
+        run = RunOfStream(self.entry, channel.opened_at)
+        if exchange.match.route.resumable and self.streams.is_strict(run):
+            checks.confirm_soon(self.entry, channel.opened_at)
+        return True
+
     async def exchange_messages(self) -> AttemptResult:
         """Send the request, unless it was sent, and handle the answer."""
         channel = self.channel
@@ -364,7 +390,8 @@
         """Return where a relay is to send the request."""
         backend = self.entry.backend
         several = self.backends.versions.are_several(backend.service)
-        started_at = backend.started_at if several else None
+        named = several or not self.backends.is_current
+        started_at = backend.started_at if named else None
         return RelayTarget(backend.name, started_at, self.exchange.version)
 
     def outbound(self) -> Outbound:
--- a/ebonyhold/forwarding/_entry.py
+++ b/ebonyhold/forwarding/_entry.py
@@ -64,6 +64,10 @@
         end_seen_at: When that was seen last, since it may have ended again.
         inherited_at: When it was read in this router's first list, which may show a run
             that had ended before; None if it was listed later, or confirmed since.
+        confirmed_at: When its report was last asked for that stated the start of this
+            run, so that each connection opened by then leads to it.
+        is_replaced: Whether a report has stated the start of a later run.
+        states_no_start: Whether its report does not tell which run it is.
         drop_at: When to remove it from the table, if its list entry is missing after an
             outage of the store, or when to forget a run that is not listed any more;
             None otherwise.
@@ -92,6 +96,9 @@
     ended_at: Seconds | None = None
     end_seen_at: Seconds = 0.0
     inherited_at: Seconds | None = None
+    confirmed_at: Seconds = -math.inf
+    is_replaced: bool = False
+    states_no_start: bool = False
     drop_at: Seconds | None = None
 
     @contextmanager
@@ -123,6 +130,9 @@
         """Forget what was in doubt at a time, as the list has shown this run since."""
         if self.ended_at is not None and self.end_seen_at <= until:
             self.ended_at = None
+            # Its report and its entry then state different starts of one run.
+            self.states_no_start |= self.is_replaced
+            self.is_replaced = False
         if self.inherited_at is not None and self.inherited_at <= until:
             self.inherited_at = None
 
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -34,6 +34,7 @@
     UnknownKeyError,
     match_request,
 )
+from ebonyhold.forwarding._runs import RunChecks
 from ebonyhold.forwarding._shutdown import Shutdown
 from ebonyhold.forwarding._silence import SilenceRecorder
 from ebonyhold.forwarding._streams import StreamVersions
@@ -108,6 +109,7 @@
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
         streams: Keeps which software version each stream belongs to.
+        checks: Asks servers which run a connection leads to; None if none is asked.
         flow: Bounds what is buffered, and recognises pauses of streams.
         silences: Logs and counts silences of servers.
         dispatcher: Sends requests to servers.
@@ -132,6 +134,7 @@
     streams: StreamVersions = Factory(
         lambda self: StreamVersions(self.backends), takes_self=True
     )
+    checks: RunChecks | None = None
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     silences: SilenceRecorder = Factory(
         lambda self: SilenceRecorder(self.backends), takes_self=True
@@ -139,6 +142,8 @@
     dispatcher: Dispatcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        if self.checks is not None:
+            self.streams.use_checks(self.checks)
         watch = RestartWatch(self.paths, self.backends)
         self.paths.pool.on_unused_end = watch.unused_ended
         self.dispatcher = Dispatcher(
--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -40,6 +40,7 @@
     read_target,
     without_relay_fields,
 )
+from ebonyhold.forwarding._runs import RunChecks
 from ebonyhold.forwarding._shutdown import Shutdown
 from ebonyhold.forwarding._types import AnswerFacts, CallerRequest
 from ebonyhold.forwarding._withheld import Cause, Withheld
@@ -82,6 +83,7 @@
         takes_requests: Returns whether requests of other routers are taken now.
         on_end: Called with the result of each request, for metrics.
         under_way: Returns a context that counts a request as open for a shutdown.
+        checks: Asks servers which run a connection leads to; None if none is asked.
         open: Number of requests that are being passed on.
     """
 
@@ -94,6 +96,7 @@
     takes_requests: Callable[[], bool] = lambda: True
     on_end: Callable[[RelayResult], None] = lambda result: None
     under_way: Callable[[], AbstractContextManager[None]] = nullcontext
+    checks: RunChecks | None = None
     open: int = 0
 
     async def serve(
@@ -216,6 +219,7 @@
                 self.backends.record_end(entry, anyio.current_time())
             self.backends.lost(entry, anyio.current_time())
             raise RelayDeclinedError(RelayResult.NOT_SENT, str(error)) from error
+        await self.check_run(entry, target, channel)
         now = anyio.current_time()
         # The sender has named the run, and cannot tell to which one this leads.
         known = self.backends.is_run_known(entry, channel.opened_at, now)
@@ -236,6 +240,20 @@
         await self.pool.put(backend.name, channel)
         raise RelayDeclinedError(RelayResult.WITHHELD, withheld.cause.value)
 
+    async def check_run(
+        self, entry: BackendEntry, target: RelayTarget, channel: Channel
+    ) -> None:
+        """Ask which run of a server a connection leads to, if the sender names one.
+
+        Raises:
+            RelayDeclinedError: The connection was closed, as that is not known.
+        """
+        if self.checks is None or (target.started_at, target.version) == (None, None):
+            return
+        if not await self.checks.check(entry, channel):
+            cause = Cause.UNCONFIRMED.value
+            raise RelayDeclinedError(RelayResult.WITHHELD, cause)
+
 
 @define(eq=False)
 class RelayedRequest:
--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -94,6 +94,8 @@
         on_version: Called with a service in which a version is listed beside another.
         on_restart: Called with the earlier run of a server that is listed under the
             same name with another version.
+        was_current: Whether the list was current when that was last checked.
+        on_old_list: Called when it is current no more.
     """
 
     entries: dict[BackendName, BackendEntry] = field(factory=dict)
@@ -108,6 +110,8 @@
     read_age: Callable[[], Seconds] = lambda: 0.0
     on_version: Callable[[ServiceName], None] = lambda service: None
     on_restart: Callable[[BackendEntry], None] = lambda entry: None
+    was_current: bool = True
+    on_old_list: Callable[[], None] = lambda: None
 
     def replace(
         self, listed: Mapping[BackendName, Backend], now: Seconds, after_outage: bool
@@ -229,22 +233,67 @@
             entry.ended_at = now
         entry.end_seen_at = max(entry.end_seen_at, now)
 
+    def record_replaced(
+        self, entry: BackendEntry, before: Seconds, now: Seconds
+    ) -> None:
+        """Record that a later run of a server has answered.
+
+        Args:
+            entry: The run that is listed.
+            before: A time by which it had ended.
+            now: When the other one has answered.
+        """
+        known = before if entry.ended_at is None else entry.ended_at
+        proved = max(entry.confirmed_at, self.listed_until(now))
+        entry.ended_at = min(known, before, proved)
+        entry.end_seen_at, entry.is_replaced = now, True
+
+    def listed_until(self, now: Seconds) -> Seconds:
+        """Return the time until which the list shows all runs that have begun."""
+        return now - self.read_age() - CONFIRMED_AFTER
+
+    def states_versions(self, service: ServiceName) -> bool:
+        """Return whether servers of a service state their versions."""
+        return any(self.versions.in_play(service))
+
+    def is_run_proved(
+        self, entry: BackendEntry, opened_at: Seconds, now: Seconds
+    ) -> bool:
+        """Return whether a connection leads to the run of a server that is listed.
+
+        Its report or a list that was read long enough afterwards proves that. What
+        shows no more than no sign of a restart is the matter of `is_run_known`.
+
+        Args:
+            entry: The server.
+            opened_at: When the connection was opened.
+            now: The time.
+        """
+        if opened_at <= entry.confirmed_at:
+            return True
+        if entry.ended_at is not None and opened_at > entry.ended_at:
+            return False
+        return opened_at <= self.listed_until(now)
+
     def is_run_known(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
     ) -> bool:
         """Return whether a connection leads to the run of a server that is listed.
 
         A connection to an earlier run is gone when the server restarts. One that was
-        opened since may lead to the next run, which the list does not show yet.
+        opened since may lead to the next run, which the list does not show yet. With
+        an old list that may be one of a version that is not listed.
 
         Args:
             entry: The server.
             opened_at: When the connection was opened.
             now: The time.
         """
+        if opened_at <= entry.confirmed_at:
+            return True
         if entry.ended_at is not None and opened_at > entry.ended_at:
             return False
-        if self.is_current or not self.versions.are_several(entry.backend.service):
+        if self.is_current or not self.states_versions(entry.backend.service):
             return True
         return opened_at <= now - self.read_age()
 
@@ -257,6 +306,8 @@
         which servers of its first list had ended by then.
         """
         since = entry.inherited_at
+        if opened_at <= entry.confirmed_at:
+            return True
         if since is not None and self.versions.are_several(entry.backend.service):
             settled = opened_at >= since + CONFIRMED_AFTER
             return settled and self.is_run_known(entry, opened_at, now)
@@ -297,6 +348,9 @@
 
         Versions that no server has had for long are forgotten, too.
         """
+        was_current, self.was_current = self.was_current, self.is_current
+        if was_current and not self.was_current:
+            self.on_old_list()
         for entry in self.entries.values():
             backend = entry.backend
             self.versions.record(backend.service, backend.version, now)
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -14,7 +13,8 @@
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.forwarding._entry import BackendEntry
 from ebonyhold.forwarding._exchange import Exchange
-from ebonyhold.forwarding._server_list import CONFIRMED_AFTER, ServerList
+from ebonyhold.forwarding._runs import RunChecks
+from ebonyhold.forwarding._server_list import ServerList
 from ebonyhold.forwarding._types import RouteKind, ServiceName, SoftwareVersion
 from ebonyhold.types import Seconds
 
@@ -27,6 +27,9 @@
 MAX_UNCONFIRMED = 2_000
 """Maximum number of streams that are kept as begun at an unconfirmed run."""
 
+SETTLE_TIME: Seconds = 0.15
+"""How long a stream that is to go on waits until it is confirmed where it began."""
+
 
 @frozen
 class RunOfStream:
@@ -133,35 +136,110 @@
         keepers: The routers that are told of streams.
         records: The streams that this router has begun or keeps for others.
         on_found: Called with how a version was found, for metrics.
+        checks: Asks servers which run a stream has begun at; None if none is asked.
         unconfirmed: The streams begun over connections that are too new for the list to
-            confirm which run they lead to, the oldest first.
+            confirm which run they lead to, the one that was added first at the front.
+        withheld: Those whose keepers were told no version.
+        confirming: The runs of which it is being asked whether these began there.
     """
 
     servers: ServerList
     keepers: StreamKeepers = field(factory=NoKeepers)
     records: StreamRecords = field(factory=StreamRecords)
     on_found: Callable[[Origin], None] = lambda origin: None
-    unconfirmed: deque[tuple[RunOfStream, StreamId]] = field(
-        factory=lambda: deque(maxlen=MAX_UNCONFIRMED)
-    )
+    checks: RunChecks | None = None
+    unconfirmed: dict[StreamId, RunOfStream] = field(factory=dict)
+    withheld: set[StreamId] = field(factory=set)
+    confirming: set[BackendEntry] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.servers.on_version = self.tell_all
         self.servers.on_restart = self.withdraw
+        self.servers.on_old_list = self.tell_doubted
+
+    def use_checks(self, checks: RunChecks) -> None:
+        """Let servers be asked at which run a stream has begun."""
+        self.checks = checks
+        checks.on_unproved = self.withdraw_replaced
 
     def tell_all(self, service: ServiceName) -> None:
         """Tell the keepers of a service's streams, as a second version has appeared."""
         begun = self.records.of_service(service)
         if begun:
-            self.keepers.tell(begun)
+            self.tell(begun)
+
+    def tell_doubted(self) -> None:
+        """Tell the keepers of the streams in doubt, as the list is old from now on."""
+        begun = self.records.begun
+        doubted = [s for s, run in self.unconfirmed.items() if self.is_in_doubt(run)]
+        self.tell({stream: begun[stream] for stream in doubted if stream in begun})
+
+    def tell(self, streams: Mapping[StreamId, BegunStream]) -> None:
+        """Tell the keepers of streams, of those in doubt with no version at first."""
+        self.keepers.tell({s: self.stated(s, begun) for s, begun in streams.items()})
+
+    def stated(self, stream: StreamId, begun: BegunStream) -> BegunStream:
+        """Return what other routers are told of a stream.
+
+        If it is in doubt at which run it began, that is asked, and its keepers are told
+        again.
+        """
+        run = self.unconfirmed.get(stream)
+        if run is None or not self.is_in_doubt(run):
+            return begun
+        self.withheld.add(stream)
+        self.confirm_soon(run.entry)
+        return BegunStream(begun.service, UNKNOWN_VERSION)
+
+    def is_in_doubt(self, run: RunOfStream) -> bool:
+        """Return whether the server is to be asked if a stream began at its run."""
+        checks = self.checks
+        return checks is not None and checks.are_in_doubt(run.entry, run.opened_at)
+
+    def confirm_soon(self, entry: BackendEntry) -> None:
+        """Let another task ask whether the streams in doubt have begun at a run."""
+        if self.checks is not None and entry not in self.confirming:
+            self.confirming.add(entry)
+            self.checks.pool.tasks.start_soon(self.confirm, entry, self.checks)
+
+    async def confirm(self, entry: BackendEntry, checks: RunChecks) -> None:
+        """Ask whether streams have begun at a run, and tell the keepers of them."""
+        try:
+            while doubted := self.in_doubt_at(entry):
+                await checks.confirm(entry, max(doubted.values()))
+                settled = doubted.keys() - self.in_doubt_at(entry).keys()
+                self.tell_withheld(settled)
+                if not settled:
+                    return
+        finally:
+            self.confirming.discard(entry)
+
+    def tell_withheld(self, settled: Iterable[StreamId]) -> None:
+        """Tell the keepers the versions of streams that are in doubt no more."""
+        begun, told = self.records.begun, self.withheld.intersection(settled)
+        self.withheld -= told
+        self.keepers.tell({stream: begun[stream] for stream in told if stream in begun})
+
+    def in_doubt_at(self, entry: BackendEntry) -> dict[StreamId, Seconds]:
+        """Return the streams in doubt of a run, with the openings of connections."""
+        return {
+            stream: run.opened_at
+            for stream, run in self.unconfirmed.items()
+            if run.entry is entry and self.is_in_doubt(run)
+        }
 
     def is_replaced(self, run: RunOfStream) -> bool:
-        """Return whether the list shows a run with another version by now.
+        """Return whether a connection may lead to a later run, by what is known now.
 
-        A connection that carries data then leads to that one.
+        If the server is still to be asked, it counts as leading to the listed one. If
+        the list shows a run with another version by now, data comes from that one.
         """
-        listed = self.servers.entries.get(run.entry.backend.name, run.entry)
-        return listed.backend.version != run.entry.backend.version
+        entry, now = run.entry, anyio.current_time()
+        listed = self.servers.entries.get(entry.backend.name, entry)
+        if listed.backend.version != entry.backend.version:
+            return True
+        known = self.servers.is_run_known(entry, run.opened_at, now)
+        return not (known or self.is_in_doubt(run))
 
     def withdraw(self, entry: BackendEntry) -> None:
         """Forget the version of streams that may have begun at a server's next run.
@@ -169,22 +247,67 @@
         These are the ones over connections that were opened so shortly before the list
         has shown the next run that they may lead to it.
         """
-        for run, stream in self.unconfirmed:
-            if run.entry is not entry or run.has_ended_since:
-                continue
-            begun = self.records.begun.get(stream)
-            if begun is not None and begun.version == entry.backend.version:
-                unknown = BegunStream(begun.service, UNKNOWN_VERSION)
-                self.records.add(stream, unknown, anyio.current_time())
-                self.keepers.tell({stream: unknown})
+        for stream, run in self.unconfirmed.items():
+            if run.entry is entry and not run.has_ended_since:
+                self.forget_version(stream, entry)
+
+    def withdraw_replaced(self, entry: BackendEntry) -> None:
+        """Forget the version of streams for which a server's report has not vouched."""
+        for stream, run in self.unconfirmed.items():
+            if run.entry is entry and self.is_replaced(run):
+                self.forget_version(stream, entry)
+
+    def forget_version(self, stream: StreamId, entry: BackendEntry) -> None:
+        """Let a stream that counted as one of a run go on nowhere."""
+        begun = self.records.begun.get(stream)
+        if begun is not None and begun.version == entry.backend.version:
+            unknown = BegunStream(begun.service, UNKNOWN_VERSION)
+            self.records.add(stream, unknown, anyio.current_time())
+            self.keepers.tell({stream: unknown})
 
     def keep_unconfirmed(self, run: RunOfStream, stream: StreamId) -> None:
         """Keep a stream until the list has confirmed the run at which it began."""
-        confirmed = anyio.current_time() - self.servers.read_age() - CONFIRMED_AFTER
-        while self.unconfirmed and self.unconfirmed[0][0].opened_at <= confirmed:
-            self.unconfirmed.popleft()
-        if run.opened_at > confirmed:
-            self.unconfirmed.append((run, stream))
+        confirmed = self.servers.listed_until(anyio.current_time())
+        settled: list[StreamId] = []
+        while self.unconfirmed:
+            oldest = next(iter(self.unconfirmed))
+            if self.unconfirmed[oldest].opened_at <= confirmed:
+                settled.append(oldest)
+            elif len(self.unconfirmed) < MAX_UNCONFIRMED:
+                break
+            else:
+                self.withheld.discard(oldest)
+            del self.unconfirmed[oldest]
+        self.tell_withheld(settled)
+        if run.opened_at > max(confirmed, run.entry.confirmed_at):
+            self.unconfirmed[stream] = run
+
+    def is_strict(self, run: RunOfStream) -> bool:
+        """Return whether no sign of a restart is not enough for a stream to go on."""
+        servers, entry, now = self.servers, run.entry, anyio.current_time()
+        several = servers.versions.are_several(entry.backend.service)
+        known = servers.is_run_known(entry, run.opened_at, now)
+        return several or not (servers.is_current and known)
+
+    async def settle(self, stream: StreamId) -> bool:
+        """Return whether the version kept of a stream holds; ask its server if needed.
+
+        It may have been replaced by UNKNOWN_VERSION meanwhile.
+        """
+        run = self.unconfirmed.get(stream)
+        if run is None or self.checks is None:
+            return True
+        with anyio.move_on_after(SETTLE_TIME):
+            await self.checks.confirm(run.entry, run.opened_at)
+        return not (self.is_in_doubt(run) and self.is_strict(run))
+
+    async def settle_own(self, exchange: Exchange) -> None:
+        """Let a request go on at no version if its stream may have begun at another."""
+        if exchange.events and exchange.version != UNKNOWN_VERSION:
+            stream = id_of(exchange, exchange.caller.request_id)
+            if not await self.settle(stream):
+                exchange.version = UNKNOWN_VERSION
+            self.recheck(exchange)
 
     def recheck(self, exchange: Exchange) -> None:
         """Let a stream go on nowhere whose version was withdrawn meanwhile."""
@@ -217,7 +340,7 @@
         if run is not None and version != UNKNOWN_VERSION:
             self.keep_unconfirmed(run, stream)
         if self.servers.versions.are_several(service) or not self.servers.is_current:
-            self.keepers.tell({stream: begun})
+            self.tell({stream: begun})
 
     async def find(self, exchange: Exchange) -> SoftwareVersion | None:
         """Return the version of a stream that a caller takes up.
@@ -230,8 +353,12 @@
         """
         service = exchange.match.service
         stream = id_of(exchange, exchange.caller.resumes)
+        known = await self.settle(stream)
         begun = self.records.begun.get(stream)
         if begun is not None:
+            if not known:
+                self.on_found(Origin.UNKNOWN)
+                raise UnknownVersionError("it may have begun at a later run")
             return self.found(Origin.OWN, begun, service)
         versions = self.servers.versions
         current = self.servers.is_current
@@ -243,7 +370,8 @@
         if exchange.caller.resumes:
             asked = await self.keepers.ask(stream, service)
         if asked.begun is not None:
-            self.records.add(stream, asked.begun, anyio.current_time())
+            if asked.begun.version != UNKNOWN_VERSION:
+                self.records.add(stream, asked.begun, anyio.current_time())
             return self.found(Origin.TOLD, asked.begun, service)
         possible = self.possible_versions(service, current, asked)
         if len(possible) != 1:
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -27,6 +27,7 @@
     RequestHead,
     RequestRelay,
     Ruleset,
+    RunChecks,
     Shutdown,
     SilenceRecorder,
     SlowReaders,
@@ -94,6 +95,7 @@
         load: What shares the load of servers with other gateways.
         flow: Bounds what is buffered for slow peers.
         memory: What accounts for the memory of servers; None where that is not needed.
+        checks: Asks servers which run of theirs a connection leads to.
         draining: Whether the stop has begun.
     """
 
@@ -123,6 +125,7 @@
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
+    checks: RunChecks | None = None
     draining: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -297,6 +300,13 @@
         settings = self.platform.settings
         self.pool = ChannelPool(GuardedTasks(supervisor, "server connection"))
         paths = Paths(self.pool, self.reach, self.relays)
+        self.checks = RunChecks(
+            self.routing.backends,
+            self.pool,
+            self.platform.report_target,
+            self.platform.read_start,
+            self.metrics.count_run_answer,
+        )
         flow = flow_control(settings, self.routing.backends, self.metrics)
         forwarder = Forwarder(
             domain=settings.domain,
@@ -323,6 +333,7 @@
                 self.streams.records,
                 self.metrics.count_stream,
             ),
+            checks=self.checks,
             flow=flow,
             silences=SilenceRecorder(
                 self.routing.backends,
@@ -330,6 +341,7 @@
                 self.metrics.count_standby,
             ),
         )
+        self.streams.stated = forwarder.streams.stated
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
             forwarder.serve, self.routing.limits, guard, forwarder.identify
@@ -378,6 +390,7 @@
             lambda: not (self.draining or self.pressure.high),
             self.metrics.count_relayed,
             self.listener.under_way,
+            self.checks,
         )
         handler = PeerHandler(
             TransferHandler(self.grant_manager.grant),
--- a/ebonyhold/gateway/_metrics.py
+++ b/ebonyhold/gateway/_metrics.py
@@ -24,6 +24,7 @@
     Reach,
     Reachability,
     RelayResult,
+    RunAnswer,
     SilenceOutcome,
     StandbyResult,
     StrayAnswer,
@@ -189,6 +190,13 @@
             registry=self.registry,
         )
 
+        self.run_answers = Counter(
+            "ebonyhold_gateway_run_answers_total",
+            "Reports that were asked which run of a server answers, by the answer.",
+            ("answer",),
+            registry=self.registry,
+        )
+
         self.load_age = Gauge(
             "ebonyhold_gateway_load_age_seconds",
             "The age of what is known of other routers' load; infinite if unknown.",
@@ -257,6 +265,10 @@
         """Count a stream that a caller took up."""
         self.streams_taken_up.labels(origin.value).inc()
 
+    def count_run_answer(self, answer: RunAnswer) -> None:
+        """Count a report that was asked which run of a server answers."""
+        self.run_answers.labels(answer.value).inc()
+
     def count_answer(self, ending: AnswerEnding) -> None:
         """Count an answer of a server by how it ended."""
         self.answers.labels(ending.value).inc()
--- a/ebonyhold/gateway/_streams.py
+++ b/ebonyhold/gateway/_streams.py
@@ -123,6 +123,7 @@
         versions: The versions in play.
         names: The gateways that keep streams, with this one, when last looked up.
         orders: The gateways in the order of their ranks, by group of streams.
+        stated: Returns what others are told of a stream that this gateway has begun.
         waiting: The streams that each gateway is to be told of.
         due: Set when there are some.
     """
@@ -134,6 +135,7 @@
     versions: VersionHistory
     names: tuple[str, ...] = ()
     orders: dict[int, list[str]] = field(factory=dict)
+    stated: Callable[[StreamId, BegunStream], BegunStream] = lambda stream, begun: begun
     waiting: dict[str, dict[StreamId, BegunStream]] = field(factory=dict)
     due: anyio.Event = field(factory=anyio.Event)
 
@@ -243,7 +245,7 @@
         if begun is None:
             return StreamAnswer(versions=versions)
         self.records.add(question.stream, begun, anyio.current_time())
-        return StreamAnswer(True, begun, versions)
+        return StreamAnswer(True, self.stated(question.stream, begun), versions)
 
     async def hand_over(self) -> None:
         """Tell the other gateways all that this one knows, since it stops.
@@ -253,5 +255,6 @@
         self.look_up()
         for stream, begun in self.records.begun.items():
             if self.versions.are_several(begun.service):
-                self.queue(self.keepers(stream, KEEPERS + 1), stream, begun)
+                stated = self.stated(stream, begun)
+                self.queue(self.keepers(stream, KEEPERS + 1), stream, stated)
         await self.send_all()
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -9,7 +9,14 @@
 from attrs import frozen
 
 from ebonyhold.exceptions import MalformedEntryError
-from ebonyhold.forwarding import Backend, Dialect, RetryRules, Ruleset, TaskStarter
+from ebonyhold.forwarding import (
+    Backend,
+    Dialect,
+    RetryRules,
+    Ruleset,
+    TaskStarter,
+    read_no_start,
+)
 from ebonyhold.prepaid import PrepaidStore
 from ebonyhold.types import BackendName, Seconds
 
@@ -186,6 +193,7 @@
             in `rules_table`.
         report_target: The path of the servers' reports; empty if they give none.
         read_report: Decodes a server's report.
+        read_start: Decodes the start of the server that its report states; 0 if none.
     """
 
     settings: GatewaySettings
@@ -199,3 +207,4 @@
     read_evacuation: Callable[[str], str | None] = lambda key: None
     report_target: bytes = b""
     read_report: Callable[[bytes], ServerReport] = read_no_report
+    read_start: Callable[[bytes], int] = read_no_start
--- a/ebonyhold/platform/__init__.py
+++ b/ebonyhold/platform/__init__.py
@@ -6,7 +6,7 @@
     read_evacuation,
 )
 from ebonyhold.platform._headers import PlatformDialect
-from ebonyhold.platform._reports import read_report
+from ebonyhold.platform._reports import read_report, read_start
 from ebonyhold.platform._settings import load_platform_settings
 from ebonyhold.platform._store import StoreClient
 from ebonyhold.platform._wiring import platform_adapter
@@ -20,4 +20,5 @@
     "read_configuration",
     "read_evacuation",
     "read_report",
+    "read_start",
 ]
--- a/ebonyhold/platform/_reports.py
+++ b/ebonyhold/platform/_reports.py
@@ -27,3 +27,20 @@
     if min(waiting, running) < 0:
         raise MalformedEntryError(f"{waiting} and {running} requests")
     return ServerReport(waiting, running)
+
+
+def read_start(body: bytes) -> int:
+    """Decode when a server has started, by its report.
+
+    Returns:
+        The start in milliseconds since the epoch, as the server's entry states it; 0 if
+        the report states none.
+
+    Raises:
+        MalformedEntryError: The report is no JSON object.
+    """
+    try:
+        started_at = json.loads(body).get("born", 0)
+    except DECODE_ERRORS as error:
+        raise MalformedEntryError(f"{body[:80]!r}: {error!r}") from error
+    return started_at if type(started_at) is int and started_at > 0 else 0
--- a/ebonyhold/platform/_wiring.py
+++ b/ebonyhold/platform/_wiring.py
@@ -9,7 +9,7 @@
     read_evacuation,
 )
 from ebonyhold.platform._headers import PlatformDialect
-from ebonyhold.platform._reports import REPORT_TARGET, read_report
+from ebonyhold.platform._reports import REPORT_TARGET, read_report, read_start
 from ebonyhold.platform._settings import load_platform_settings
 from ebonyhold.platform._store import StoreClient
 
@@ -38,4 +38,5 @@
         read_evacuation=read_evacuation,
         report_target=REPORT_TARGET,
         read_report=read_report,
+        read_start=read_start,
     )
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -26,6 +26,7 @@
     Route,
     RouteKind,
     Ruleset,
+    RunChecks,
     Service,
     ServiceShare,
     SlowReaders,
@@ -69,6 +70,9 @@
     route("open", RouteKind.SAFE, anonymous=True),
     route("often", RouteKind.SAFE, max_attempts=9),
 )
+REPORT_PATH = "/report"
+"""Where a server tells when it has started."""
+
 ACME = Workspace("acme", ("k1", "k2"), priority=3, prepaid=10_000)
 
 
@@ -96,6 +100,9 @@
         connections: Number of connections accepted.
         closed: Number of connections that ended.
         version: The version of its software.
+        started_at: The start that its reports state; 0 if it has none, and negative if
+            it does not answer.
+        reports: Number of reports that were asked for.
         port: Its port, once it listens.
         listener: Accepts its connections, once it listens.
     """
@@ -107,6 +114,8 @@
     connections: int = 0
     closed: int = 0
     version: str = ""
+    started_at: int = 0
+    reports: int = 0
     port: int = 0
     listener: SocketListener | None = None
 
@@ -133,6 +142,9 @@
                         rest += await stream.receive()
                     head, _, rest = rest.partition(b"\r\n\r\n")
                     text = head.decode()
+                    if text.startswith(f"GET {REPORT_PATH} "):
+                        await self.report(stream)
+                        continue
                     length = int(value(text, "content-length") or 0)
                     while len(rest) < length:
                         rest += await stream.receive()
@@ -143,6 +155,14 @@
         except GONE:
             self.closed += 1
 
+    async def report(self, stream: SocketStream) -> None:
+        """Answer with the start of its process; with 400 if it gives no reports."""
+        self.reports += 1
+        body = b"%d" % self.started_at
+        status = "200 OK" if self.started_at else "400 Bad Request"
+        if self.started_at >= 0:
+            await stream.send(answer("", body, status))
+
     def backend(self) -> Backend:
         """Return its entry in the server list."""
         address = (LOOPBACK, self.port)
@@ -279,8 +299,12 @@
     hold: UnlimitedHold | None = None,
     extra_retries: float = 50.0,
     flow: FlowControl[CallerConnection] | None = None,
+    reports: bool = False,
 ) -> AsyncIterator[Rig]:
-    """Run a router with backend servers, and yield it once it accepts connections."""
+    """Run a router with backend servers, and yield it once it accepts connections.
+
+    With `reports`, it asks servers for theirs.
+    """
     table = BackendTable()
     ended: list[tuple[str, str]] = []
     async with anyio.create_task_group() as tasks:
@@ -290,15 +314,18 @@
             server.port = listeners.extra(SocketAttribute.local_port)
             table.update(server.backend())
             tasks.start_soon(server.run, tasks)
+        pool = ChannelPool(tasks)
+        target = REPORT_PATH.encode() if reports else b""
         forwarder = Forwarder(
             domain="a",
             dialect=PlatformDialect(),
             backends=table,
-            paths=Paths(ChannelPool(tasks)),
+            paths=Paths(pool),
             retries=FleetRetryBudget(RetryRules(0.2, extra_retries, 10.0), lambda: 1),
             rules=rules,
             open_hold=lambda workspace: hold,
             on_end=lambda name, outcome, duration: ended.append((name, outcome)),
+            checks=RunChecks(table, pool, target, int),
             flow=flow or FlowControl(),
         )
         port = free_port()
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -82,11 +82,14 @@
     settled: tuple[str, ...] = ("v1", "v2"),
     list_age: float = 0.0,
     own: BegunStream | None = None,
+    started_at: int = 1,
 ) -> tuple[bytes, Versions]:
     """Send a request to a router with some state; return the answer and the state."""
     hold = UnlimitedHold()
     servers = {v: Server(v or "none", whole_stream, version=v) for v in versions}
-    async with rig(*servers.values(), hold=hold) as router:
+    for server in servers.values():
+        server.started_at = started_at
+    async with rig(*servers.values(), hold=hold, reports=True) as router:
         forwarder = router.forwarder
         state = Versions(router, servers, keepers, [], hold)
         streams = forwarder.streams
@@ -146,6 +149,9 @@
         assert not found.keepers.asked
 
 
+RUNS = [(2, "later run"), (0, "no report"), (-1, "no answer")]
+"""What a server's report states, and what that means."""
+
 REFUSED = [
     pytest.param({}, TAKES_UP, "version_unknown", id="nobody knows it"),
     pytest.param(
@@ -173,6 +179,21 @@
         "version_unknown",
         id="list is old, another knows more versions",
     ),
+    *(
+        pytest.param(
+            {
+                "versions": ("v1",),
+                "list_age": 9.0,
+                "keepers": Keepers(are_known=False),
+                "started_at": started_at,
+            },
+            TAKES_UP,
+            "no_server",
+            id=f"list is old, {name}",
+        )
+        for started_at, name in RUNS
+    ),
+    pytest.param({"started_at": 2, "own": V1}, TAKES_UP, "no_server", id="later run"),
     pytest.param(
         {"own": BegunStream("svc", "v0")}, TAKES_UP, "version_gone", id="gone"
     ),
@@ -193,7 +214,7 @@
     with anyio.fail_after(2.0):
         got, found = await play(keepers, asked, **more)  # type: ignore[arg-type]
     assert is_refused(got, code), got
-    assert (b"retry-after" in got.lower()) is (code == "version_unknown")
+    assert (b"retry-after" in got.lower()) is (code != "version_gone")
     assert not found.ran()
     assert all(charge == 0 for _, charge in found.hold.charges)
 
--- a/tests/forwarding/test_versions.py
+++ b/tests/forwarding/test_versions.py
@@ -10,6 +10,7 @@
 from attrs import evolve
 
 from ebonyhold.forwarding import BackendTable
+from ebonyhold.forwarding._streams import UNKNOWN_VERSION
 from tests.forwarding.kit import (
     Rig,
     Script,
@@ -29,6 +30,7 @@
     whole_stream,
 )
 from tests.forwarding.test_relaying import partitioned
+from tests.forwarding.test_streams import Keepers
 
 pytestmark = pytest.mark.anyio
 
@@ -152,7 +154,8 @@
     pytest.param(5.0, 0.0, 0.0, 1, 6.0, False, id="one version, opened after the end"),
     pytest.param(None, 0.0, 4.0, 2, 5.0, True, id="opened before the last reading"),
     pytest.param(None, 0.0, 4.0, 2, 7.0, False, id="opened since the last reading"),
-    pytest.param(None, 0.0, 4.0, 1, 7.0, True, id="one version, old list"),
+    pytest.param(None, 0.0, 4.0, 1, 5.0, True, id="one version, opened before"),
+    pytest.param(None, 0.0, 4.0, 1, 7.0, False, id="one version, opened since"),
 ]
 
 
@@ -291,6 +294,94 @@
     assert len(same.requests) == goes_on
 
 
+async def late_broken_stream(server: Server, stream: SocketStream, head: str) -> None:
+    """Begin a stream after a report would have come, and break it off."""
+    await anyio.sleep(0.1)
+    await broken_stream(server, stream, head)
+
+
+@pytest.mark.parametrize("script", [broken_stream, late_broken_stream])
+@pytest.mark.parametrize(
+    ("started_at", "version"),
+    [
+        pytest.param(1, "v1", id="listed run"),
+        pytest.param(2, UNKNOWN_VERSION, id="later run"),
+        pytest.param(0, UNKNOWN_VERSION, id="no report"),
+        pytest.param(-1, UNKNOWN_VERSION, id="no answer"),
+    ],
+)
+async def test_stream_begun_while_the_list_is_late_belongs_to_the_run_that_reports(
+    script: Script, started_at: int, version: str
+) -> None:
+    """Guards against taking a server's next run for the one on an old list."""
+    bad, same = Server("bad", script), Server("same", whole_stream)
+    for server in (bad, same):
+        server.version, server.started_at = "v1", started_at
+    async with rig(bad, same, reports=True) as router:
+        prefer(router, [bad, same])
+        keepers = router.forwarder.streams.keepers = Keepers()
+        router.forwarder.backends.read_age = lambda: 9.0
+        got = await router.ask(request("/stream/x"))
+    goes_on = version == "v1"
+    assert numbers(got)[:4] == ([1, 2, 3, 4] if goes_on else numbers(got)[:2])
+    assert len(same.requests) == goes_on
+    assert {one.version for one in keepers.told.values()} == {version}
+
+
+@pytest.mark.parametrize(
+    ("started_at", "version"), [(1, "v1"), (2, UNKNOWN_VERSION), (0, UNKNOWN_VERSION)]
+)
+async def test_streams_begun_before_the_list_is_old_are_told_of_then(
+    started_at: int, version: str
+) -> None:
+    """Guards against streams of a later run that nobody knows while lists are old."""
+    server = Server("one", whole_stream, version="v1", started_at=started_at)
+    async with rig(server, reports=True) as router:
+        keepers = router.forwarder.streams.keepers = Keepers()
+        table = router.forwarder.backends
+        await router.ask(request("/stream/x"))
+        table.expire(anyio.current_time())
+        assert not keepers.told
+        table.read_age = lambda: 9.0
+        table.expire(anyio.current_time())
+        assert {one.version for one in keepers.told.values()} == {UNKNOWN_VERSION}
+        await anyio.sleep(0.1)
+    assert {one.version for one in keepers.told.values()} == {version}
+
+
+@pytest.mark.parametrize(("versions", "reports"), [(1, 0), (2, 1)])
+async def test_servers_are_asked_for_their_run_while_several_versions_are_in_play(
+    versions: int, reports: int
+) -> None:
+    """Ordinary streams must cost no report for each connection."""
+    server = Server("one", whole_stream, version="v1", started_at=1)
+    other = Server("other", whole_stream, version=f"v{versions}", started_at=1)
+    async with rig(server, other, reports=True) as router:
+        prefer(router, [server, other])
+        for _ in range(3):
+            got = await router.ask(request("/stream/x"))
+            assert numbers(got) == [1, 2, 3, 4]
+        await anyio.sleep(0.05)
+    assert (server.reports, other.reports) == (reports, 0)
+
+
+@pytest.mark.parametrize(
+    ("listed_at", "known"),
+    [pytest.param(8.0, False, id="at once"), pytest.param(9.6, True, id="for long")],
+)
+def test_entry_outlasts_a_report_that_contradicts_it(
+    listed_at: float, known: bool
+) -> None:
+    """Guards against servers whose reports state their starts in another way."""
+    table = BackendTable()
+    table.update(Server("one", whole_stream, version="v1").backend())
+    entry = table.entries["one"]
+    table.record_replaced(entry, 6.9, 7.0)
+    table.update(entry.backend, listed_at)
+    assert table.is_run_known(entry, 7.5, listed_at) is known
+    assert (entry.is_replaced, entry.states_no_start) == (not known, known)
+
+
 def test_version_of_a_server_that_restarts_under_its_name_is_possible_at_once() -> None:
     """Guards against streams of a restarted server that a late list has misread."""
     table = BackendTable()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -19,6 +19,7 @@
     read_configuration,
     read_evacuation,
     read_report,
+    read_start,
 )
 
 CONFIGURATION: dict[str, Any] = {
@@ -239,3 +240,24 @@
             read_report(body)
     else:
         assert read_report(body).requests == requests
+
+
+@pytest.mark.parametrize(
+    ("body", "started_at"),
+    [
+        (b'{"born": 1700000000123}', 1700000000123),
+        (b"{}", 0),
+        (b'{"born": "x"}', 0),
+        (b'{"born": true}', 0),
+        (b'{"born": -1}', 0),
+        (b"[]", None),
+        (b"x", None),
+    ],
+)
+def test_report_may_state_the_start(body: bytes, started_at: int | None) -> None:
+    """A report that does not state the start tells nothing of the run."""
+    if started_at is None:
+        with pytest.raises(MalformedEntryError):
+            read_start(body)
+    else:
+        assert read_start(body) == started_at
