Ask others for streams unless the list is fresh

Callers saw streams of two software versions, taken up at a router that had heard nothing from the store for some 2 s.

A stream began at a server's next run. Its router knew that from the server's report and told the keepers that the version is unknown; the silent router, whose list counted as current up to 2.2 s, showed one version and so asked nobody, and carried the stream on at that one.

A list counts as showing all versions for 1.2 s only, and not at all while a report has told of a run that it does not show. Otherwise keepers are asked for each stream that is taken up, and a version that one of them knows counts as possible. If nobody answers, the stream goes on as before, up to 2.2 s.

test_streams_are_not_mixed_by_a_router_that_hears_nothing_from_the_store has two rows.

--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -256,6 +256,13 @@
         """Return whether servers of a service state their versions."""
         return any(self.versions.in_play(service))
 
+    def has_replaced(self, service: ServiceName) -> bool:
+        """Return whether a server of a service has a later run than the list shows."""
+        return any(
+            entry.is_replaced and entry.backend.service == service
+            for entry in self.entries.values()
+        )
+
     def is_run_proved(
         self, entry: BackendEntry, opened_at: Seconds, now: Seconds
     ) -> bool:
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -27,6 +27,12 @@
 MAX_UNCONFIRMED = 2_000
 """Maximum number of streams that are kept as begun at an unconfirmed run."""
 
+FRESH_FOR: Seconds = 1.2
+"""Age of the list up to which nobody is asked while it shows one version.
+
+While the store answers, the list is read at least once a second.
+"""
+
 SETTLE_TIME: Seconds = 0.15
 """How long a stream that is to go on waits until it is confirmed where it began."""
 
@@ -362,8 +368,10 @@
             return self.found(Origin.OWN, begun, service)
         versions = self.servers.versions
         current = self.servers.is_current
+        fresh = self.servers.read_age() < FRESH_FOR
+        fresh = fresh and not self.servers.has_replaced(service)
         in_play = list(versions.in_play(service))
-        if current and versions.is_complete and len(in_play) <= 1:
+        if fresh and versions.is_complete and len(in_play) <= 1:
             self.on_found(Origin.ONLY)
             return in_play[0] if in_play else None
         asked = Found()
@@ -393,14 +401,17 @@
         """Return the versions at which a stream that nobody knows may have begun.
 
         Without a current list this router may have missed a version, so others must
-        have answered. Before it knows what earlier processes have seen there is no
+        have answered. With one that shows a single version, what they know counts if
+        they answer. Before it knows what earlier processes have seen there is no
         telling.
         """
         versions = self.servers.versions
         if not versions.is_complete:
             return ()
         if current:
-            return versions.possible(service, anyio.current_time())
+            possible = versions.possible(service, anyio.current_time())
+            several = versions.are_several(service)
+            return possible if several else {*possible, *asked.versions}
         if self.keepers.are_known and not asked.answered:
             return ()
         return {*versions.in_play(service), *asked.versions}
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -83,6 +83,7 @@
     list_age: float = 0.0,
     own: BegunStream | None = None,
     started_at: int = 1,
+    replaced: bool = False,
 ) -> tuple[bytes, Versions]:
     """Send a request to a router with some state; return the answer and the state."""
     hold = UnlimitedHold()
@@ -101,6 +102,8 @@
             seen.first_at = -1e9 if version in settled else now
         # The server of the other version would be chosen.
         table.entries[next(iter(servers)) or "none"].in_flight = 5
+        if replaced:
+            table.record_replaced(table.entries["v1"], now, now)
         if own is not None:
             streams.records.add(stream_id("acme", "r0"), own, now)
         return await router.ask(asked), state
@@ -125,6 +128,11 @@
         Origin.SETTLED,
         id="list is old, others know one version too",
     ),
+    pytest.param(
+        {"versions": ("v1",), "list_age": 1.5},
+        Origin.SETTLED,
+        id="list is not fresh, nobody answers",
+    ),
     pytest.param(
         {"versions": ("v1",), "list_age": 9.0, "keepers": Keepers(are_known=False)},
         Origin.SETTLED,
@@ -179,6 +187,26 @@
         "version_unknown",
         id="list is old, another knows more versions",
     ),
+    pytest.param(
+        {
+            "versions": ("v1",),
+            "list_age": 1.5,
+            "keepers": Keepers(Found(None, 1, frozenset({"v1", "v2"}))),
+        },
+        TAKES_UP,
+        "version_unknown",
+        id="list is not fresh, another knows more versions",
+    ),
+    pytest.param(
+        {
+            "versions": ("v1",),
+            "replaced": True,
+            "keepers": Keepers(Found(None, 1, frozenset({"v1", "v2"}))),
+        },
+        TAKES_UP,
+        "version_unknown",
+        id="list lacks a later run, another knows more versions",
+    ),
     *(
         pytest.param(
             {
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -217,6 +217,34 @@
     check_streams(streams, in_touch)
 
 
+STORE_SILENCE = 4.2
+"""Seconds for which one router hears nothing from the store."""
+
+
+@pytest.mark.parametrize("begun_after", [0.0, 0.8], ids=["at once", "old list"])
+async def test_streams_are_not_mixed_by_a_router_that_hears_nothing_from_the_store(
+    tmp_path: Path, begun_after: float
+) -> None:
+    """Guards against taking a server's next run for the one on an old list."""
+    async with streaming(tmp_path, OUTLASTING) as (soak, streams):
+        await anyio.sleep(2.0)
+        soak.proxies[0].mode = "silent"
+        await anyio.sleep(begun_after)
+        for engine in range(0, 10, 2):
+            await soak.write(f"test-versions//i-{engine}", "v2 same name")
+            await soak.write(f"test-restart//i-{engine}", "v2")
+            await anyio.sleep(0.3)
+        await anyio.sleep(STORE_SILENCE - begun_after - 1.5)
+        soak.proxies[0].mode = "open"
+        await anyio.sleep(CONTACT_TIME)
+        since = time.monotonic()
+        await anyio.sleep(6.0)
+    found = mixed(streams)
+    assert not found, f"{len(found)} of {len(streams)}"
+    late = [one for one in streams if one.tries and one.tries[0].sent_at >= since]
+    check_streams(late, lambda one: True)
+
+
 async def test_streams_go_on_while_one_version_serves(tmp_path: Path) -> None:
     """Streams of a fleet with one version must be taken up as new ones begin."""
     async with streaming(tmp_path) as (soak, streams):
