Count the age of the list from what the store's answer tells

Cause: `Watcher.age` counted from when an answer was read. One that was sent before a pause and read after it, or that was held up on the way, made the list look new for two seconds more.

Evidence: on three rows of four of test_answer_that_is_read_late_is_as_old_as_it_was_sent fail; an answer that was read 3 s after its question gave an age of 0.

Now the age counts from what the answer tells: from the question if there are changes, else from the end of the wait that was asked for, or from when it was read if that is sooner. Whether the store was away is decided as before.

--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -412,7 +412,7 @@
         self.pressure.record_connect(server, outcome)
 
     def list_age(self) -> Seconds:
-        """Return the time since the list of servers was last read."""
+        """Return the age of the list of servers."""
         return self.servers_watcher.age(anyio.current_time())
 
     def ages(self) -> dict[str, Seconds]:
--- a/ebonyhold/gateway/_watcher.py
+++ b/ebonyhold/gateway/_watcher.py
@@ -49,7 +49,8 @@
         wait: Time after which the store answers a call for changes even if there are
             none.
         version: The version after which changes are read; None if a snapshot is needed.
-        answered_at: When the store last answered.
+        answered_at: When the last answer of the store was read.
+        known_at: The time up to which the last answer tells all changes.
         reachable: Whether the last call was answered.
         first_read: Set after the first snapshot.
     """
@@ -62,6 +63,7 @@
     wait: Seconds = LONG_POLL_WAIT
     version: int | None = None
     answered_at: Seconds | None = None
+    known_at: Seconds | None = None
     reachable: bool = True
     first_read: anyio.Event = field(factory=anyio.Event)
 
@@ -82,14 +84,19 @@
 
     async def step(self) -> None:
         """Read a snapshot if one is needed, else wait once for changes."""
+        asked_at = anyio.current_time()
         if self.version is None:
             snapshot = await self.store.snapshot(self.table)
+            self.known_at = asked_at
             self.on_snapshot(snapshot.rows, self.record_answer())
             self.version = snapshot.version
             self.first_read.set()
             return
         changes = await self.store.changes(self.table, self.version, self.wait)
         after_outage = self.record_answer()
+        # An answer may be read long after it was sent, as when this process was paused.
+        waited = 0.0 if changes.rows else self.wait
+        self.known_at = min(asked_at + waited, anyio.current_time())
         if changes.rows:
             self.on_changes(changes.rows, after_outage)
         self.version = changes.version
@@ -115,5 +122,5 @@
         self.reachable = False
 
     def age(self, now: Seconds) -> Seconds:
-        """Return the time since the last answer; infinite before the first."""
-        return now - self.answered_at if self.answered_at is not None else float("inf")
+        """Return the age of what was last read; infinite before the first answer."""
+        return now - self.known_at if self.known_at is not None else float("inf")
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -11,6 +11,7 @@
 from ebonyhold.coordination import Delete, Put, Transaction
 from ebonyhold.forwarding import BackendState
 from ebonyhold.gateway import PlatformAdapter, RawRow, RoutingState, Watcher
+from ebonyhold.gateway._types import Changes
 from ebonyhold.platform import (
     PlatformDialect,
     read_backend,
@@ -272,3 +273,24 @@
         routing.update_servers(row(value, 1, "i-1"), False)
     assert routing.backends.entries["i-1"].backend.version == "v2"
     assert not routing.backends.versions.are_several("s")
+
+
+@pytest.mark.parametrize(
+    ("taken", "changed", "age"),
+    [(0.6, False, 0.0), (3.0, False, 2.4), (0.1, True, 0.1), (3.0, True, 3.0)],
+)
+async def test_answer_that_is_read_late_is_as_old_as_it_was_sent(
+    taken: float, changed: bool, age: float
+) -> None:
+    """A router that was paused must not count a list as current that it reads then."""
+
+    class LateStore(MemoryRows):
+        async def changes(self, table: str, after: int, wait: float) -> Changes:
+            await anyio.sleep(taken)
+            return Changes(row(ENTRY, 2, "i-1") if changed else (), 2)
+
+    store = LateStore()
+    watcher = server_watcher(store, routing_state(store))
+    await watcher.step()
+    await watcher.step()
+    assert watcher.age(anyio.current_time()) == pytest.approx(age)
