Ask the keepers of each stream that is taken up and not known

What callers saw: in a release, streams that had begun at servers of the new version were taken up at a router that was cut off from the store and the others for two seconds, and went on at a server of the old version.

Cause: a router with one version in play and a list that it took for current asked nobody (Origin.ONLY). New streams stay off a version that not all routers may know only while other servers are left; in a release whose old servers leave half a second later, they begin there at once. The keepers were told, but never asked. And a router that did ask took silence for "nobody was told".

Now the keepers are asked for each stream that is taken up and not known. They answer with the versions in play, and with those at which streams begin untold (a new field of the answer; without it, of an older build, all in play count). If most do not answer, a router with one version goes on only when its list was read since the caller came.

Two rows of test_stream_goes_on_at_its_version were wrong: "one version" asked that nobody be asked, and "the other has just come" that silent keepers count as keepers that know nothing. They now ask for exactly one question, and for answers; a row for silent keepers is refused.

--- a/ebonyhold/forwarding/_server_list.py
+++ b/ebonyhold/forwarding/_server_list.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping
 
+import anyio
 from attrs import define, field, frozen
 
 from ebonyhold.coordination import EjectionPolicy, Ejector, ServerRun, VersionHistory
@@ -90,7 +91,7 @@
         evacuated: The failure domains whose servers get no requests.
         versions: The software versions in play.
         was_read: Whether a list with servers was read.
-        read_age: Returns the time since the list was last read.
+        read_age: Returns the age of the list.
         on_version: Called with a service in which a version is listed beside another.
         on_restart: Called with the earlier run of a server that is listed under the
             same name with another version.
@@ -216,6 +217,10 @@
         """Whether the list shows all changes that are two seconds old."""
         return self.read_age() < CURRENT_FOR
 
+    def shows_all_before(self, moment: Seconds) -> bool:
+        """Return whether the list shows all changes before a time."""
+        return anyio.current_time() - self.read_age() >= moment
+
     def record_end(self, entry: BackendEntry, now: Seconds) -> None:
         """Record that a server's process has ended; it may be back as another run.
 
--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -24,6 +24,9 @@
 No server states it, so the stream goes on nowhere.
 """
 
+LIST_CHECK: Seconds = 0.05
+"""Interval between two checks whether the list was read."""
+
 MAX_UNCONFIRMED = 2_000
 """Maximum number of streams that are kept as begun at an unconfirmed run."""
 
@@ -82,11 +85,20 @@
         begun: The stream; None if none of them knows it.
         answered: How many of them have answered.
         versions: The versions that are in play in the service by their lists.
+        possible: Those at which a stream may have begun without others being told.
+        asked: How many routers keep the stream.
     """
 
     begun: BegunStream | None = None
     answered: int = 0
     versions: frozenset[SoftwareVersion] = frozenset()
+    possible: frozenset[SoftwareVersion] = frozenset()
+    asked: int = 0
+
+    @property
+    def is_by_most(self) -> bool:
+        """Whether more than half of the routers that keep the stream have answered."""
+        return 2 * self.answered > self.asked
 
 
 class StreamKeepers(Protocol):
@@ -124,9 +136,10 @@
 class StreamVersions:
     """Keeps the versions of streams, and finds those of streams that are taken up.
 
-    While one version is in play in a service, its streams are kept here alone and
-    nobody is asked. When a second one appears, the keepers are told of those that are
-    kept, and from then on of each stream with its first event.
+    While one version is in play in a service, its streams are kept here alone. When a
+    second one appears, the keepers are told of those that are kept, and from then on of
+    each stream with its first event. They are asked for each stream that is taken up
+    and not kept here, since they may know a version that this router has missed.
 
     Attributes:
         servers: The list of servers.
@@ -229,29 +242,42 @@
             UnknownVersionError: It may belong to several versions.
         """
         service = exchange.match.service
-        stream = id_of(exchange, exchange.caller.resumes)
-        begun = self.records.begun.get(stream)
+        resumes = exchange.caller.resumes
+        begun = self.records.begun.get(id_of(exchange, resumes))
         if begun is not None:
             return self.found(Origin.OWN, begun, service)
-        versions = self.servers.versions
-        current = self.servers.is_current
-        in_play = list(versions.in_play(service))
-        if current and versions.is_complete and len(in_play) <= 1:
-            self.on_found(Origin.ONLY)
-            return in_play[0] if in_play else None
-        asked = Found()
-        if exchange.caller.resumes:
-            asked = await self.keepers.ask(stream, service)
+        came_at = anyio.current_time()
+        stream = id_of(exchange, resumes or exchange.caller.request_id)
+        asked = await self.keepers.ask(stream, service)
         if asked.begun is not None:
             self.records.add(stream, asked.begun, anyio.current_time())
             return self.found(Origin.TOLD, asked.begun, service)
-        possible = self.possible_versions(service, current, asked)
+        versions = self.servers.versions
+        if not asked.is_by_most and not versions.are_several(service):
+            await self.wait_for_list(came_at)
+        in_play = {*versions.in_play(service), *asked.versions}
+        current = self.servers.is_current
+        if current and versions.is_complete and not in_play:
+            self.on_found(Origin.ONLY)
+            return None
+        possible = self.possible_versions(exchange, asked, came_at)
         if len(possible) != 1:
             self.on_found(Origin.UNKNOWN)
             raise UnknownVersionError(f"one of {sorted(possible)}")
-        self.on_found(Origin.SETTLED)
+        only = current and len(in_play) == 1
+        self.on_found(Origin.ONLY if only else Origin.SETTLED)
         return next(iter(possible))
 
+    async def wait_for_list(self, moment: Seconds) -> None:
+        """Wait until the list shows all changes before a time, or is too old."""
+        if not self.keepers.are_known:
+            return
+        servers = self.servers
+        while (  # noqa: ASYNC110 - the list tells no event, and may grow too old
+            servers.is_current and not servers.shows_all_before(moment)
+        ):
+            await anyio.sleep(LIST_CHECK)
+
     def found(
         self, origin: Origin, begun: BegunStream, service: ServiceName
     ) -> SoftwareVersion | None:
@@ -260,22 +286,27 @@
         return begun.version if begun.service == service else None
 
     def possible_versions(
-        self, service: ServiceName, current: bool, asked: Found
+        self, exchange: Exchange, asked: Found, came_at: Seconds
     ) -> Collection[SoftwareVersion]:
         """Return the versions at which a stream that nobody knows may have begun.
 
-        Without a current list this router may have missed a version, so others must
-        have answered. Before it knows what earlier processes have seen there is no
-        telling.
+        This router may have missed a version, whatever its clock says: it may have been
+        paused. So most keepers must have answered, or the list have been read since the
+        caller came. Before the router knows what earlier processes have seen there is
+        no telling.
         """
-        versions = self.servers.versions
+        versions, service = self.servers.versions, exchange.match.service
+        in_play = {*versions.in_play(service), *asked.versions}
         if not versions.is_complete:
             return ()
-        if current:
-            return versions.possible(service, anyio.current_time())
-        if self.keepers.are_known and not asked.answered:
-            return ()
-        return {*versions.in_play(service), *asked.versions}
+        settled = versions.possible(service, anyio.current_time())
+        if not self.keepers.are_known:
+            return settled if self.servers.is_current else in_play
+        if not asked.is_by_most:
+            return in_play if self.servers.shows_all_before(came_at) else ()
+        if self.servers.is_current and exchange.caller.resumes:
+            return {*settled, *asked.possible}
+        return in_play
 
 
 def id_of(exchange: Exchange, attempt: str) -> StreamId:
--- a/ebonyhold/gateway/_streams.py
+++ b/ebonyhold/gateway/_streams.py
@@ -2,8 +2,8 @@
 
 The attempt that began a stream decides by rendezvous hashing which gateways keep it. So
 any gateway to which the caller comes back knows whom to ask, and the number of messages
-grows with the streams and not with the gateways. Nothing is told or asked while a
-service has one version.
+grows with the streams and not with the gateways. Nothing is told while a service has
+one version.
 """
 
 from __future__ import annotations
@@ -98,11 +98,19 @@
         known: Whether it knows the stream.
         begun: The stream.
         versions: The versions in play in the service that was asked about.
+        possible: Those at which a stream may have begun without others being told; None
+            if it is of an older build.
     """
 
     known: bool = False
     begun: BegunStream = field(factory=BegunStream)
     versions: tuple[str, ...] = ()
+    possible: tuple[str, ...] | None = None
+
+    @property
+    def all_possible(self) -> tuple[str, ...]:
+        """The versions of `possible`, or any if they are not stated."""
+        return self.versions if self.possible is None else self.possible
 
 
 def rank(shard: int, router: str) -> bytes:
@@ -227,7 +235,8 @@
                 tasks.start_soon(ask_one, peer)
         begun = next((answer.begun for answer in answers if answer.known), None)
         versions = frozenset(v for answer in answers for v in answer.versions)
-        return Found(begun, len(answers), versions)
+        possible = frozenset(v for answer in answers for v in answer.all_possible)
+        return Found(begun, len(answers), versions, possible, len(keepers))
 
     def record(self, told: BegunStreams) -> BegunStreamsAnswer:
         """Keep the streams that another gateway tells of."""
@@ -238,12 +247,14 @@
 
     def answer(self, question: StreamQuestion) -> StreamAnswer:
         """Answer another gateway's question; what was asked for is kept longer."""
+        now = anyio.current_time()
         versions = tuple(self.versions.in_play(question.service))
+        possible = tuple(self.versions.possible(question.service, now))
         begun = self.records.begun.get(question.stream)
         if begun is None:
-            return StreamAnswer(versions=versions)
-        self.records.add(question.stream, begun, anyio.current_time())
-        return StreamAnswer(True, begun, versions)
+            return StreamAnswer(versions=versions, possible=possible)
+        self.records.add(question.stream, begun, now)
+        return StreamAnswer(True, begun, versions, possible)
 
     async def hand_over(self) -> None:
         """Tell the other gateways all that this one knows, since it stops.
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import anyio
 import pytest
@@ -10,6 +10,7 @@
 
 from ebonyhold.coordination import BegunStream, StreamId, stream_id
 from ebonyhold.forwarding import Found, Origin
+from ebonyhold.forwarding._server_list import CURRENT_FOR
 from tests.forwarding.kit import Rig, Server, UnlimitedHold, request, rig
 from tests.forwarding.test_attempts import numbers, whole_stream
 
@@ -80,7 +81,7 @@
     asked: bytes,
     versions: tuple[str, ...] = ("v1", "v2"),
     settled: tuple[str, ...] = ("v1", "v2"),
-    list_age: float = 0.0,
+    list_age: float | Callable[[], float] = 0.0,
     own: BegunStream | None = None,
 ) -> tuple[bytes, Versions]:
     """Send a request to a router with some state; return the answer and the state."""
@@ -92,7 +93,7 @@
         streams = forwarder.streams
         streams.keepers, streams.on_found = keepers, state.origins.append
         table = forwarder.backends
-        table.read_age = lambda: list_age
+        table.read_age = list_age if callable(list_age) else lambda: list_age
         now = anyio.current_time()
         for version, seen in table.versions.in_play("svc").items():
             seen.first_at = -1e9 if version in settled else now
@@ -108,11 +109,58 @@
     return got.startswith(b"HTTP/1.1 503 ") and code.encode() in got
 
 
+def read_again_after(seconds: float) -> Callable[[], float]:
+    """Return the age of a list that is current for a moment, and then read again."""
+    asked_at: list[float] = []
+
+    def age() -> float:
+        asked_at.append(anyio.current_time())
+        passed = asked_at[-1] - asked_at[0]
+        return CURRENT_FOR - 0.3 + passed if passed < seconds else 0.0
+
+    return age
+
+
+BOTH = frozenset({"v1", "v2"})
+
+FEW = Found(None, 1, frozenset({"v1"}), frozenset({"v1"}), asked=3)
+"""One of three keepers answers, and it does not know the stream."""
+
+MOST = evolve(FEW, answered=2)
+
+MISSED = evolve(MOST, versions=BOTH, possible=BOTH)
+"""They know a version that the router may have missed."""
+
+TELLS = evolve(MISSED, possible=frozenset({"v1"}))
+"""They know it, and are told of all streams that begin there."""
+
+
 GOES_ON = [
     pytest.param({"own": V1}, Origin.OWN, id="begun here"),
     pytest.param({"keepers": Keepers(Found(V1, 1))}, Origin.TOLD, id="told by another"),
-    pytest.param({"versions": ("v1",)}, Origin.ONLY, id="one version"),
-    pytest.param({"settled": ("v1",)}, Origin.SETTLED, id="the other has just come"),
+    pytest.param(
+        {"versions": ("v1",), "keepers": Keepers(MOST)}, Origin.ONLY, id="one version"
+    ),
+    pytest.param({"versions": ("v1",)}, Origin.ONLY, id="one version, none answers"),
+    pytest.param(
+        {
+            "versions": ("v1",),
+            "keepers": Keepers(FEW),
+            "list_age": read_again_after(0.1),
+        },
+        Origin.ONLY,
+        id="one version, few answer",
+    ),
+    pytest.param(
+        {"settled": ("v1",), "keepers": Keepers(TELLS)},
+        Origin.SETTLED,
+        id="the other has just come",
+    ),
+    pytest.param(
+        {"versions": ("v1",), "keepers": Keepers(TELLS)},
+        Origin.SETTLED,
+        id="the other has just come elsewhere",
+    ),
     pytest.param(
         {
             "versions": ("v1",),
@@ -142,8 +190,7 @@
     assert numbers(got) == [3, 4], got
     assert found.ran() == ["v1"]
     assert found.origins == [origin]
-    if origin in (Origin.OWN, Origin.ONLY):
-        assert not found.keepers.asked
+    assert len(found.keepers.asked) == (origin is not Origin.OWN)
 
 
 REFUSED = [
@@ -173,6 +220,34 @@
         "version_unknown",
         id="list is old, another knows more versions",
     ),
+    pytest.param(
+        {"settled": ("v1",)},
+        TAKES_UP,
+        "version_unknown",
+        id="another has just come, nobody answers",
+    ),
+    pytest.param(
+        {"settled": ("v1",), "keepers": Keepers(TELLS)},
+        "Last-Event-Id: 2\r\n",
+        "version_unknown",
+        id="another has just come, no attempt named",
+    ),
+    pytest.param(
+        {"versions": ("v1",), "keepers": Keepers(MISSED)},
+        TAKES_UP,
+        "version_unknown",
+        id="others know a version that was missed",
+    ),
+    pytest.param(
+        {
+            "versions": ("v1",),
+            "keepers": Keepers(FEW),
+            "list_age": read_again_after(9.0),
+        },
+        TAKES_UP,
+        "version_unknown",
+        id="few answer, list is not read again",
+    ),
     pytest.param(
         {"own": BegunStream("svc", "v0")}, TAKES_UP, "version_gone", id="gone"
     ),
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -25,6 +25,7 @@
     MAX_NOTICE,
     SHARDS,
     GatewayStreams,
+    StreamAnswer,
 )
 from ebonyhold.gateway._transfers import GatewayPeers, TransferHandler
 from ebonyhold.misc import free_port
@@ -170,6 +171,32 @@
         assert asked.answered == 2
 
 
+@pytest.mark.parametrize(
+    ("possible", "expected"), [(None, ("v1", "v2")), (("v1",), ("v1",)), ((), ())]
+)
+def test_older_build_may_have_told_nobody_of_a_stream(
+    possible: tuple[str, ...] | None, expected: tuple[str, ...]
+) -> None:
+    """An answer that does not state where streams are told must exclude no version."""
+    answer = StreamAnswer(versions=("v1", "v2"), possible=possible)
+    assert answer.all_possible == expected
+
+
+async def test_answer_tells_at_which_versions_streams_are_not_told() -> None:
+    """A gateway must learn that a stream began before the version that it missed."""
+    async with fleet(3) as found:
+        for name in ("vm-1", "vm-2"):
+            for version in ("v1", "v2"):
+                found.gateways[name].versions.record(
+                    "svc", version, anyio.current_time()
+                )
+        del found.gateways["vm-2"], found.rows["vm-2"]
+        found.rows["vm-2"] = PresenceRow("r", "127.0.0.1:1", keeps_streams=True)
+        asked = await found.gateways["vm-0"].ask(stream_id("acme", "r-1"), "svc")
+        assert (asked.versions, asked.possible) == ({"v1", "v2"}, {"v1"})
+        assert (asked.answered, asked.asked, asked.is_by_most) == (1, 2, False)
+
+
 async def test_silent_keepers_delay_a_question_by_its_timeout() -> None:
     """A caller must be answered at once, although no keeper is reached."""
     async with fleet(4) as found:
