--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
 import anyio
 import pytest
+from attrs import evolve
 
 from ebonyhold.forwarding import BackendEntry, RouteKind
 from ebonyhold.forwarding._exchange import Exchange
@@ -43,8 +44,8 @@
     other.heard_at, other.heard_since = heard_at, heard_since
     if busy_since is not None:
         other.busy_since = busy_since
-    names = {kind: frozenset({"two"}) for kind in kinds - {"ends_now"}}
-    expected = OtherServers(**names, ends_now="ends_now" in kinds)
+    names: dict[str, Any] = {k: frozenset({"two"}) for k in kinds - {"ends_now"}}
+    expected = evolve(OtherServers(**names), ends_now="ends_now" in kinds)
     assert compare(silent, [silent, other], NOW - 2.0, NOW) == expected
 
 
@@ -121,7 +122,7 @@
 @pytest.mark.parametrize(("kinds", "shared"), SHARED)
 def test_silence_of_most_servers_is_a_common_one(kinds: str, shared: bool) -> None:
     """The few servers that send must not get the streams of all others at once."""
-    names = {
+    names: dict[str, Any] = {
         kind: frozenset(f"{n}" for n, each in enumerate(kinds) if each in chosen)
         for kind, chosen in {"heard": "hr", "returned": "r", "silent": "s"}.items()
     }
