--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -191,7 +191,6 @@
     async def connect_and_send(self) -> AttemptResult:
         """Send the request on a connection and return how the attempt ended."""
         backend = self.entry.backend
-        await self.streams.settle_own(self.exchange)
         try:
             path = await self.paths.open(backend)
         except NoPathError as error:
@@ -203,7 +202,7 @@
             return AttemptResult(AttemptEnd.NOT_SENT, reason=str(error))
         self.relay = path.relay
         opened_at = path.channel.opened_at if path.relay is None else None
-        if opened_at is not None and not await self.check_run(path.channel):
+        if not await self.check_run(path):
             if not self.entry.states_no_start:
                 self.exchange.tried.append(backend.name)
             reason = f"withheld: {Cause.UNCONFIRMED.value}"
@@ -235,7 +234,7 @@
             self.backends.time_answer(self.entry, self.work, now)
         return await self.exchange_messages()
 
-    async def check_run(self, channel: Channel) -> bool:
+    async def check_run(self, path: Path) -> bool:
         """Ask which run of the server a connection leads to, where that matters.
 
         A request that goes on with a stream waits for the answer. For one that begins a
@@ -244,16 +243,26 @@
         Returns:
             Whether the connection may be used; otherwise it was closed.
         """
-        exchange, checks = self.exchange, self.streams.checks
+        exchange, checks, channel = self.exchange, self.streams.checks, path.channel
         if checks is None:
             return True
-        if exchange.version is not None:
-            time_left = exchange.deadline - anyio.current_time()
-            return await checks.check(self.entry, channel, time_left)
-        run = RunOfStream(self.entry, channel.opened_at)
-        if exchange.match.route.resumable and self.streams.is_strict(run):
-            checks.confirm_soon(self.entry, channel.opened_at)
-        return True
+        usable = False
+        try:
+            await self.streams.settle_own(exchange)
+            if path.relay is not None:
+                usable = True
+            elif exchange.version is not None:
+                time_left = exchange.deadline - anyio.current_time()
+                usable = await checks.check(self.entry, channel, time_left)
+            else:
+                run = RunOfStream(self.entry, channel.opened_at)
+                if exchange.match.route.resumable and self.streams.is_strict(run):
+                    checks.confirm_soon(self.entry, channel.opened_at)
+                usable = True
+        finally:
+            if not usable:
+                await channel.close()
+        return usable
 
     async def exchange_messages(self) -> AttemptResult:
         """Send the request, unless it was sent, and handle the answer."""
