--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -193,7 +193,8 @@
         del found.gateways["vm-2"], found.rows["vm-2"]
         found.rows["vm-2"] = PresenceRow("r", "127.0.0.1:1", keeps_streams=True)
         asked = await found.gateways["vm-0"].ask(stream_id("acme", "r-1"), "svc")
-        assert (asked.versions, asked.possible) == ({"v1", "v2"}, {"v1"})
+        assert asked.versions == {"v1", "v2"}
+        assert asked.possible == {"v1"}
         assert (asked.answered, asked.asked, asked.is_by_most) == (1, 2, False)
 
 
--- a/tests/platform/cut_gateway.py
+++ b/tests/platform/cut_gateway.py
@@ -38,7 +38,7 @@
 
     signal.signal(signal.SIGUSR1, switch)
     signal.signal(signal.SIGUSR2, switch)
-    GatewayPeers.send = send_if_open  # type: ignore[method-assign]
+    GatewayPeers.send = send_if_open  # type: ignore[method-assign,assignment]
 
 
 if __name__ == "__main__":
