Count a gateway as alone only once it has read who else is there

Callers: a stream that is taken up at a gateway which has just started, and which the store does not answer, could go on at another version than its own.

Cause: with no presence rows read, the gateway knew of no keepers, and went by its first list however old that was.

Until the rows were read, others count as known, so a take-up goes on only if the list shows all changes before it. The new row `not read` fails without the change; tests/gateway/test_streams.py and tests/forwarding/test_streams.py pass.

--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -117,7 +117,7 @@
 
     @property
     def are_known(self) -> bool:
-        """Whether other routers are known that keep streams."""
+        """Whether other routers keep streams, or may, which is not known yet."""
         ...
 
 
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -171,6 +171,7 @@
             self.presence.peers,
             StreamRecords(),
             self.routing.backends.versions,
+            lambda: self.presence.counts > 0,
         )
         self.routing.backends.versions.is_complete = False
         self.version_rows = VersionRows(
--- a/ebonyhold/gateway/_streams.py
+++ b/ebonyhold/gateway/_streams.py
@@ -129,6 +129,7 @@
         rows: Returns the presence rows of the others, by VM name.
         records: The streams that this gateway has begun, or keeps for others.
         versions: The versions in play.
+        were_read: Returns whether the presence rows were read.
         names: The gateways that keep streams, with this one, when last looked up.
         orders: The gateways in the order of their ranks, by group of streams.
         stated: Returns what others are told of a stream that this gateway has begun.
@@ -141,6 +142,7 @@
     rows: Callable[[], Mapping[str, PresenceRow]]
     records: StreamRecords
     versions: VersionHistory
+    were_read: Callable[[], bool] = lambda: True
     names: tuple[str, ...] = ()
     orders: dict[int, list[str]] = field(factory=dict)
     stated: Callable[[StreamId, BegunStream], BegunStream] = lambda stream, begun: begun
@@ -153,8 +155,8 @@
 
     @property
     def are_known(self) -> bool:
-        """Whether other gateways are known that keep streams."""
-        return bool(self.others())
+        """Whether others keep streams, or may, as their rows were not read yet."""
+        return not self.were_read() or bool(self.others())
 
     def look_up(self) -> None:
         """Look up the gateways; `keepers` goes by the last call."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -182,6 +182,20 @@
     assert answer.all_possible == expected
 
 
+@pytest.mark.parametrize(
+    ("names", "were_read", "known"),
+    [(["vm-0"], True, False), (["vm-0"], False, True), (["vm-0", "vm-1"], True, True)],
+    ids=["alone", "not read", "two"],
+)
+def test_gateway_that_has_read_no_presence_rows_is_not_alone(
+    names: list[str], were_read: bool, known: bool
+) -> None:
+    """Guards against a started gateway that goes by its own list, as if alone."""
+    streams = alone(names, "vm-0")
+    streams.were_read = lambda: were_read
+    assert streams.are_known is known
+
+
 async def test_answer_tells_at_which_versions_streams_are_not_told() -> None:
     """A gateway must learn that a stream began before the version that it missed."""
     async with fleet(3) as found:
