--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -468,6 +468,12 @@
     "stream-answer": StreamAnswer(
         known=True, begun=BegunStream("chat", "v1.1"), versions=("v1", "v1.1")
     ),
+    "stream-answer-possible": StreamAnswer(
+        known=True,
+        begun=BegunStream("chat", "v1.1"),
+        versions=("v1", "v1.1"),
+        possible=("v1",),
+    ),
     "reach-question": ReachQuestion(servers=("i-1", "i-2")),
     "reach-answer": ReachAnswer(reached=("i-1",), refused=("i-2",)),
 }
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -60,6 +60,7 @@
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
+from ebonyhold.gateway._streams import StreamAnswer
 from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.metrics import Metrics
 from ebonyhold.operators._errors import finding_to_json
@@ -109,6 +110,7 @@
     (PresenceRow, attrs.fields(PresenceRow).lends_memory.name),
     (PresenceRow, attrs.fields(PresenceRow).has_leases.name),
     (TransferAnswer, attrs.fields(TransferAnswer).own.name),
+    (StreamAnswer, attrs.fields(StreamAnswer).possible.name),
     (SpendingLimit, attrs.fields(SpendingLimit).used.name),
     (SpendingLimit, attrs.fields(SpendingLimit).held.name),
 }
@@ -437,6 +439,7 @@
         "silences",
         "strays",
         "versions",
+        "runs",
         "load",
         "flow",
         "reading",
