Look up the keepers only if there is a stream to tell them of

Each stream that begins in ordinary traffic told the keepers of no stream, which sorts the names of all gateways.

--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -231,7 +231,8 @@
         """Tell the keepers the versions of streams that are in doubt no more."""
         begun, told = self.records.begun, self.withheld.intersection(settled)
         self.withheld -= told
-        self.keepers.tell({stream: begun[stream] for stream in told if stream in begun})
+        if told:
+            self.keepers.tell({s: begun[s] for s in told if s in begun})
 
     def in_doubt_at(self, entry: BackendEntry) -> dict[StreamId, Seconds]:
         """Return the streams in doubt of a run, with the openings of connections."""
