Test a budget whose row is replaced or removed while grants are open

A router returns its tokens and files its charges into the new row, which does not count them as granted. So it writes a negative number of outstanding tokens (-9333 in both rows), which counts as damaged since budgets are checked: each request of the workspace is refused from then on, by all routers, until somebody repairs the row again with no grant open.

--- a/tests/gateway/test_odd_rows.py
+++ b/tests/gateway/test_odd_rows.py
@@ -13,12 +13,15 @@
 
 from ebonyhold.coordination import (
     AtVersion,
+    BudgetRow,
     CrashRecords,
+    Delete,
     GrantRow,
     Put,
     Row,
     Transaction,
     to_bytes,
+    to_json,
 )
 from ebonyhold.exceptions import BudgetUnreachableError, ConflictError, DamagedRowError
 from ebonyhold.forwarding import BackendTable, Outbound, WholeAnswer
@@ -385,3 +388,30 @@
     with anyio.fail_after(1.0):
         assert not await manager.reclaim(Predecessor("vm-1.0", 1.0, limits))
     assert {line.message for line in caplog.records} >= {"reclaim failed"}
+
+
+BUDGET_KEY = budget_row_key(WORKSPACE)
+REPAIRED = PrepaidRow(1, BudgetRow(prepaid=100_000, spent=5_000))
+
+
+@pytest.mark.parametrize(
+    "repair",
+    [Put(BUDGET_KEY, to_json(REPAIRED)), Delete(BUDGET_KEY)],
+    ids=["replaced", "removed"],
+)
+async def test_repaired_budget_serves_after_open_grants_are_returned(
+    repair: Put | Delete,
+) -> None:
+    """Guards against a workspace that a repair of its budget shuts out for good."""
+    history = RowHistory()
+    one = Router(history, "vm-1", "vm-1.a", [100_000])
+    await one.renew()
+    await one.grant.hold(1000, "r")
+    one.grant.state.settle(1000, 400)
+    history.apply(Transaction((), (repair,)))
+    await anyio.sleep(10.0)
+    await one.renew()
+    await one.grant.close()
+    two = Router(history, "vm-2", "vm-2.a", [100_000])
+    await two.renew()
+    await two.grant.hold(1000, "r-2")
