Test a server whose report fails once

Any status but 200, or a body that cannot be read, once, on a connection that was not used before, counts as a server that states no start, for the rest of its run. From then on no sign of a restart is enough, while several versions are in play.

--- a/tests/forwarding/test_runs.py
+++ b/tests/forwarding/test_runs.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Mapping
 
+import anyio
 import pytest
 
-from ebonyhold.coordination import BegunStream
+from ebonyhold.coordination import BegunStream, stream_id
 from tests.forwarding.kit import Server, request, rig
 from tests.forwarding.test_attempts import whole_stream
-from tests.forwarding.test_streams import Keepers
+from tests.forwarding.test_streams import TAKES_UP, Keepers
 
 pytestmark = pytest.mark.anyio
 
@@ -32,3 +33,24 @@
         router.forwarder.streams.keepers = Counts()
         await router.ask(request("/stream/x"))
     assert not calls
+
+
+@pytest.mark.parametrize("failed_once", [False, True])
+async def test_report_that_failed_once_is_asked_for_again(failed_once: bool) -> None:
+    """Guards against taking one rejected report for a server that states no start."""
+    one = Server("one", whole_stream, version="v1", started_at=1)
+    other = Server("other", whole_stream, version="v2", started_at=1)
+    async with rig(one, other, reports=True) as router:
+        records = router.forwarder.streams.records
+        own = BegunStream("svc", "v1")
+        records.add(stream_id("acme", "r0"), own, anyio.current_time())
+        if failed_once:
+            one.started_at = 0
+            await router.ask(request("/stream/x", extra=TAKES_UP))
+            one.requests.clear()
+            router.forwarder.paths.pool.drop_unused()
+            await anyio.sleep(0.05)
+        one.started_at = 2
+        got = await router.ask(request("/stream/x", extra=TAKES_UP))
+    assert got.startswith(b"HTTP/1.1 503 "), got
+    assert not one.requests
