Test a report that states another start than the listed one

`RunChecks.check` returns whether the connection can be reused. So a request goes on over a connection in doubt if the report states an earlier start, or is no answer to the question on a connection that was used (the second by reading).

--- a/tests/forwarding/test_runs.py
+++ b/tests/forwarding/test_runs.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+from attrs import evolve
 
 from ebonyhold.coordination import BegunStream, stream_id
 from tests.forwarding.kit import Server, request, rig
@@ -54,3 +55,21 @@
         got = await router.ask(request("/stream/x", extra=TAKES_UP))
     assert got.startswith(b"HTTP/1.1 503 "), got
     assert not one.requests
+
+
+@pytest.mark.parametrize("started_at", [6, 4])
+async def test_stream_does_not_go_on_at_a_run_that_is_not_the_listed_one(
+    started_at: int,
+) -> None:
+    """Guards against requests to a server whose report states another start."""
+    one = Server("one", whole_stream, version="v1", started_at=started_at)
+    other = Server("other", whole_stream, version="v2", started_at=1)
+    async with rig(one, other, reports=True) as router:
+        table = router.forwarder.backends
+        table.update(evolve(table.entries["one"].backend, started_at=5))
+        own = BegunStream("svc", "v1")
+        records = router.forwarder.streams.records
+        records.add(stream_id("acme", "r0"), own, anyio.current_time())
+        got = await router.ask(request("/stream/x", extra=TAKES_UP))
+    assert got.startswith(b"HTTP/1.1 503 "), got
+    assert not one.requests
