Test a server that closes the connection after its report

The run is confirmed, but a further connection is in doubt again, and the server counts as tried. If all servers do so, no stream is taken up over a young connection, also with one version and a current list.

--- a/tests/forwarding/test_runs.py
+++ b/tests/forwarding/test_runs.py
@@ -6,11 +6,12 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketStream
 from attrs import evolve
 
 from ebonyhold.coordination import BegunStream, stream_id
-from tests.forwarding.kit import Server, request, rig
-from tests.forwarding.test_attempts import whole_stream
+from tests.forwarding.kit import Server, answer, request, rig
+from tests.forwarding.test_attempts import numbers, whole_stream
 from tests.forwarding.test_streams import TAKES_UP, Keepers
 
 pytestmark = pytest.mark.anyio
@@ -73,3 +74,25 @@
         got = await router.ask(request("/stream/x", extra=TAKES_UP))
     assert got.startswith(b"HTTP/1.1 503 "), got
     assert not one.requests
+
+
+class ClosingServer(Server):
+    """A server that closes the connection after each report."""
+
+    async def report(self, stream: SocketStream) -> None:
+        """Answer with the start of its process."""
+        self.reports += 1
+        body = b"%d" % self.started_at
+        await stream.send(answer("", body, extra="Connection: close\r\n"))
+        await stream.aclose()
+
+
+async def test_stream_goes_on_at_a_server_that_closes_after_its_report() -> None:
+    """Guards against refusals although the report has confirmed the run."""
+    one = ClosingServer("one", whole_stream, version="v1", started_at=1)
+    async with rig(one, reports=True) as router:
+        records = router.forwarder.streams.records
+        own = BegunStream("svc", "v1")
+        records.add(stream_id("acme", "r0"), own, anyio.current_time())
+        got = await router.ask(request("/stream/x", extra=TAKES_UP))
+    assert numbers(got) == [3, 4], (got, one.reports, one.connections)
