Test a relayed request that is no stream while the sender's list is old

A router that reaches neither servers nor the store names the listed run for each request. Its relays know of a restart and decline, so servers that have restarted under their names get nothing from it until its list is current. Only streams that may be taken up need the run.

--- a/tests/forwarding/test_runs.py
+++ b/tests/forwarding/test_runs.py
@@ -10,8 +10,10 @@
 from attrs import evolve
 
 from ebonyhold.coordination import BegunStream, stream_id
+from ebonyhold.forwarding import RelayResult
 from tests.forwarding.kit import Server, answer, request, rig
-from tests.forwarding.test_attempts import numbers, whole_stream
+from tests.forwarding.test_attempts import good, numbers, whole_stream
+from tests.forwarding.test_relaying import partitioned
 from tests.forwarding.test_streams import TAKES_UP, Keepers
 
 pytestmark = pytest.mark.anyio
@@ -96,3 +98,18 @@
         records.add(stream_id("acme", "r0"), own, anyio.current_time())
         got = await router.ask(request("/stream/x", extra=TAKES_UP))
     assert numbers(got) == [3, 4], (got, one.reports, one.connections)
+
+
+@pytest.mark.parametrize("age", [0.0, 9.0])
+async def test_request_that_is_no_stream_is_relayed_to_a_server_s_next_run(
+    age: float,
+) -> None:
+    """Guards against refusals beyond a relay while the sender's list is old."""
+    one = Server("one", good, version="v1")
+    async with partitioned(one) as cut:
+        backend = cut.router.forwarder.backends.entries["one"].backend
+        cut.relay.backends.update(evolve(backend, started_at=2), anyio.current_time())
+        cut.router.forwarder.backends.read_age = lambda: age
+        got = await cut.router.ask(request("/safe/x"))
+    assert got.startswith(b"HTTP/1.1 200 "), (got, cut.results)
+    assert cut.results == [RelayResult.ANSWERED]
