Test a late list that shows a server's end before its next run

If the entry is removed before the next run is listed, `ServerList.apply` finds no earlier run and withdraws no version. `is_run_proved` then takes a list that does not show the run any more as proof of it. With reports that state the start the stream is withdrawn; without an answer to them it goes on at v1 after 2.5 s.

--- a/tests/forwarding/test_runs.py
+++ b/tests/forwarding/test_runs.py
@@ -15,6 +15,7 @@
 from tests.forwarding.test_attempts import good, numbers, whole_stream
 from tests.forwarding.test_relaying import partitioned
 from tests.forwarding.test_streams import TAKES_UP, Keepers
+from tests.forwarding.test_versions import prefer
 
 pytestmark = pytest.mark.anyio
 
@@ -113,3 +114,26 @@
         got = await cut.router.ask(request("/safe/x"))
     assert got.startswith(b"HTTP/1.1 200 "), (got, cut.results)
     assert cut.results == [RelayResult.ANSWERED]
+
+
+@pytest.mark.parametrize("removed", [False, True], ids=["replaced", "removed first"])
+@pytest.mark.parametrize("started_at", [0, -1], ids=["no report", "no answer"])
+async def test_stream_begun_before_the_list_shows_a_restart_goes_on_nowhere(
+    started_at: int, removed: bool
+) -> None:
+    """Guards against a late list that shows a server's end before its next run."""
+    one = Server("one", whole_stream, version="v1", started_at=started_at)
+    same = Server("same", whole_stream, version="v1", started_at=1)
+    async with rig(one, same, reports=True) as router:
+        prefer(router, [one, same])
+        await router.ask(request("/stream/x"))
+        table = router.forwarder.backends
+        backend = table.entries["one"].backend
+        if removed:
+            table.remove("one", anyio.current_time(), False)
+        table.update(evolve(backend, version="v2", started_at=2), anyio.current_time())
+        await anyio.sleep(2.7)
+        extra = "Last-Event-Id: 2\r\nResumes: r1\r\n"
+        got = await router.ask(request("/stream/x", extra=extra))
+    assert got.startswith(b"HTTP/1.1 503 "), got
+    assert not same.requests
