Test keepers of a stream of which one has missed a message

`GatewayStreams.ask` takes the first answer that knows the stream, and messages are sent once. A keeper that has missed the withdrawal of a version may answer first.

--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -17,6 +17,7 @@
     stream_id,
 )
 from ebonyhold.forwarding import CallerLimits, CallerListener
+from ebonyhold.forwarding._streams import UNKNOWN_VERSION
 from ebonyhold.gateway._holds import PeerHandler
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._streams import (
@@ -36,6 +37,8 @@
 
 BEGUN = BegunStream("svc", "v1")
 
+WITHDRAWN = BegunStream("svc", UNKNOWN_VERSION)
+
 TELL_TIME = 0.25
 """Seconds of processor time in which a gateway must queue some thousand streams.
 
@@ -198,6 +201,21 @@
         assert (asked.answered, asked.asked, asked.is_by_most) == (1, 2, False)
 
 
+@pytest.mark.parametrize("late", [0, 1, 2])
+async def test_version_that_one_keeper_has_withdrawn_is_not_used(late: int) -> None:
+    """Guards against a keeper that has missed the second message about a stream."""
+    stream = stream_id("acme", "r-1")
+    async with fleet(4) as found:
+        asker = found.gateways["vm-0"]
+        for place, name in enumerate(("vm-1", "vm-2", "vm-3")):
+            known = BEGUN if place == late else WITHDRAWN
+            records = found.gateways[name].records
+            records.add(stream, known, anyio.current_time())
+        for _ in range(10):
+            asked = await asker.ask(stream, "svc")
+            assert asked.begun == WITHDRAWN
+
+
 async def test_silent_keepers_delay_a_question_by_its_timeout() -> None:
     """A caller must be answered at once, although no keeper is reached."""
     async with fleet(4) as found:
