Use a connection only if the report on it has proved its run

Callers: a stream could go on at another run than its own if the server's report stated an earlier start than the list, or if what came on a used connection was no answer to the question.

Cause: RunChecks.check returned whether the connection could be reused, not whether its run was proved.

--- a/ebonyhold/forwarding/_runs.py
+++ b/ebonyhold/forwarding/_runs.py
@@ -131,7 +131,8 @@
         usable = False
         timeout = min(ANSWER_TIMEOUT, time_left * MAX_SHARE)
         try:
-            usable = await self.ask(entry, channel, timeout)
+            reusable = await self.ask(entry, channel, timeout)
+            usable = reusable and not self.are_in_doubt(entry, channel.opened_at)
         finally:
             if not usable:
                 await channel.close()
