Name the run of a server to relays for streams alone while the list is old

Callers: behind a router that reached neither servers nor the store, requests that are no streams were refused by relays that knew of a server's restart.

Cause: since the sender named the listed run for each request while its list was old. Only streams that may be taken up need it.

--- a/ebonyhold/forwarding/_attempt.py
+++ b/ebonyhold/forwarding/_attempt.py
@@ -399,7 +399,8 @@
         """Return where a relay is to send the request."""
         backend = self.entry.backend
         several = self.backends.versions.are_several(backend.service)
-        named = several or not self.backends.is_current
+        resumable = self.exchange.match.route.resumable
+        named = several or (resumable and not self.backends.is_current)
         started_at = backend.started_at if named else None
         return RelayTarget(backend.name, started_at, self.exchange.version)
 
