Ask a stream's server before another router is told that it is in doubt

Cause: two changes met. Keepers are asked for each stream that is not known, and a router that is asked for a stream of its own stated an unknown version while it was in doubt at which run the stream had begun. That doubt is usual for young connections, and costs nothing as long as nobody asks.

The router that is asked asks the server first, for 0.05 s at most. Without an answer the version holds as long as one version is in play, the list is current and no sign speaks against it.

--- a/ebonyhold/forwarding/_streams.py
+++ b/ebonyhold/forwarding/_streams.py
@@ -30,6 +30,12 @@
 MAX_UNCONFIRMED = 2_000
 """Maximum number of streams that are kept as begun at an unconfirmed run."""
 
+ASKED_TIME: Seconds = 0.05
+"""How long the answer to another router waits until a stream is confirmed.
+
+It is less than the time for which that one waits.
+"""
+
 SETTLE_TIME: Seconds = 0.15
 """How long a stream that is to go on waits until it is confirmed where it began."""
 
@@ -204,6 +210,21 @@
         self.confirm_soon(run.entry)
         return BegunStream(begun.service, UNKNOWN_VERSION)
 
+    async def confirmed(self, stream: StreamId) -> BegunStream | None:
+        """Return what a router is told that asks for a stream; None if it is not known.
+
+        If it is in doubt at which run it began, its server is asked first. Without an
+        answer, the version holds while no sign speaks against it.
+        """
+        run = self.unconfirmed.get(stream)
+        if run is not None and self.checks is not None:
+            with anyio.move_on_after(ASKED_TIME):
+                await self.checks.confirm(run.entry, run.opened_at)
+        begun = self.records.begun.get(stream)
+        if begun is None or run is None or not self.is_strict(run):
+            return begun
+        return self.stated(stream, begun)
+
     def is_in_doubt(self, run: RunOfStream) -> bool:
         """Return whether the server is to be asked if a stream began at its run."""
         checks = self.checks
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -343,6 +343,7 @@
             ),
         )
         self.streams.stated = forwarder.streams.stated
+        self.streams.confirmed = forwarder.streams.confirmed
         guard = partial(supervisor.guard, "caller connection")
         self.listener = CallerListener(
             forwarder.serve, self.routing.limits, guard, forwarder.identify
--- a/ebonyhold/gateway/_holds.py
+++ b/ebonyhold/gateway/_holds.py
@@ -266,7 +266,8 @@
             elif head.target == NOTICES_TARGET and self.streams is not None:
                 answer = self.streams.record(read_message(body, BegunStreams))
             elif head.target == QUESTIONS_TARGET and self.streams is not None:
-                answer = self.streams.answer(read_message(body, StreamQuestion))
+                question = read_message(body, StreamQuestion)
+                answer = await self.streams.answer(question)
             elif head.target == LEASES_TARGET and self.lease_server is not None:
                 answer = await self.lease_server.lend(read_message(body, WantedLease))
             elif head.target == RETURNS_TARGET and self.lease_server is not None:
--- a/ebonyhold/gateway/_streams.py
+++ b/ebonyhold/gateway/_streams.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import anyio
 from attrs import define, field, frozen
@@ -133,6 +133,8 @@
         names: The gateways that keep streams, with this one, when last looked up.
         orders: The gateways in the order of their ranks, by group of streams.
         stated: Returns what others are told of a stream that this gateway has begun.
+        confirmed: Returns the same for one that asks, once its server was asked at
+            which run it began.
         waiting: The streams that each gateway is to be told of.
         due: Set when there are some.
     """
@@ -146,6 +148,7 @@
     names: tuple[str, ...] = ()
     orders: dict[int, list[str]] = field(factory=dict)
     stated: Callable[[StreamId, BegunStream], BegunStream] = lambda stream, begun: begun
+    confirmed: Callable[[StreamId], Awaitable[BegunStream | None]] | None = None
     waiting: dict[str, dict[StreamId, BegunStream]] = field(factory=dict)
     due: anyio.Event = field(factory=anyio.Event)
 
@@ -249,17 +252,23 @@
             self.records.add(stream, begun, now)
         return BegunStreamsAnswer()
 
-    def answer(self, question: StreamQuestion) -> StreamAnswer:
+    async def answer(self, question: StreamQuestion) -> StreamAnswer:
         """Answer another gateway's question; what was asked for is kept longer."""
+        begun = await self.look_up_stream(question.stream)
         now = anyio.current_time()
         versions = tuple(self.versions.in_play(question.service))
         possible = tuple(self.versions.possible(question.service, now))
-        begun = self.records.begun.get(question.stream)
-        if begun is None:
+        kept = self.records.begun.get(question.stream)
+        if begun is None or kept is None:
             return StreamAnswer(versions=versions, possible=possible)
-        self.records.add(question.stream, begun, now)
-        stated = self.stated(question.stream, begun)
-        return StreamAnswer(True, stated, versions, possible)
+        self.records.add(question.stream, kept, now)
+        return StreamAnswer(True, begun, versions, possible)
+
+    async def look_up_stream(self, stream: StreamId) -> BegunStream | None:
+        """Return what is stated of a stream; None if it is not known."""
+        if self.confirmed is not None:
+            return await self.confirmed(stream)
+        return self.records.begun.get(stream)
 
     async def hand_over(self) -> None:
         """Tell the other gateways all that this one knows, since it stops.
