Tell an answer that a stop cuts from one whose own time is over

A stream that was cut at the last answer of a stop ended as `cut: no_answer_in_time`, as one whose deadline passed, and `requests ended` said `left 0`. Now a request that a stop gives up has a line `request outlasted the stop` (how long it ran, what its route is expected to take, the time that it had left by itself, whether its caller was waited for), `request ended` says `stopped`, `requests ended` counts them as `cut`, and the metric of cut answers has the cause `stop`. Names and outcomes that were there stay.

test_cut_by_a_stop_is_told_from_a_deadline failed before (cause deadline).

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -134,6 +134,7 @@
         final: Whether to close the connection after the next answer in any case.
         close_announced: Whether an answer has announced that the connection closes.
         started: Whether the head of the answer has been written.
+        write_pending: Whether the latest write has not finished.
         idle_scope: Cancel scope of the wait for the first byte of a request.
         reading_scope: Cancel scope of reading a request that has begun.
         stop_fault: Why reading was stopped.
@@ -152,6 +153,7 @@
     final: bool = False
     close_announced: bool = False
     started: bool = False
+    write_pending: bool = False
     idle_scope: anyio.CancelScope | None = None
     reading_scope: anyio.CancelScope | None = None
     stop_fault: ReadFault = ReadFault.STOPPING
@@ -304,11 +306,13 @@
 
     async def write(self, data: bytes) -> None:
         """Write bytes, and keep that the write is not finished if it is bounded."""
+        self.write_pending = True
         if self.flow is None:
             await self.stream.send(data)
-            return
-        with self.flow.writing(self):
-            await self.stream.send(data)
+        else:
+            with self.flow.writing(self):
+                await self.stream.send(data)
+        self.write_pending = False
 
     async def send_continue(self) -> None:
         """Send 100 Continue if the caller waits for it before sending the body."""
--- a/ebonyhold/forwarding/_exchange.py
+++ b/ebonyhold/forwarding/_exchange.py
@@ -68,11 +68,13 @@
         SERVER: A server broke off, and no other one could go on.
         SILENCE: A silent server was left, and no other one could go on.
         DEADLINE: The time of the request was over.
+        STOP: The time for answers was over, since the router stops.
     """
 
     SERVER = "server"
     SILENCE = "silence"
     DEADLINE = "deadline"
+    STOP = "stop"
 
 
 @frozen
@@ -156,6 +158,7 @@
         endings: How the answers of servers ended, for logs.
         left_silent: Whether a server was left for its silence before another one
             answered.
+        stopped: Whether it ended because the router stops.
         writer: The attempt that may write to the caller; None if any may.
         known_digest: The digest of its content; empty until `digest` is first read.
         known_parts: The digests of the parts of its prompt that other requests may
@@ -195,6 +198,7 @@
     reasons: list[str] = field(factory=list)
     endings: list[AnswerEnding] = field(factory=list)
     left_silent: bool = False
+    stopped: bool = False
     writer: object | None = None
     known_digest: RequestDigest = ""
     known_parts: tuple[PartDigest, ...] | None = None
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -294,6 +294,9 @@
             else:
                 outcome = await self.give_up(exchange, refusal)
         if not outcome:
+            exchange.stopped = self.shutdown.last_answer_at < cutoff
+            if exchange.stopped:
+                self.record_stopped(exchange)
             refusal = (
                 Refusal.NO_ANSWER if exchange.may_have_run else Refusal.NOT_STARTED
             )
@@ -301,6 +304,26 @@
         self.log_end(exchange, outcome)
         return outcome
 
+    def record_stopped(self, exchange: Exchange) -> None:
+        """Count and log a request that is given up because the router stops."""
+        route, now = exchange.match.route, anyio.current_time()
+        self.shutdown.cut += 1
+        log.warning(
+            "request outlasted the stop",
+            extra={
+                "request": exchange.caller.request_id,
+                "route": route.name,
+                "ms": round((now - exchange.head.arrived_at) * 1000),
+                "ms_estimated": round(
+                    self.shutdown.times.estimate(route, exchange.size) * 1000
+                ),
+                "ms_left": round((exchange.deadline - now) * 1000),
+                "events": exchange.events,
+                "started": exchange.connection.started,
+                "waits_for_caller": exchange.connection.write_pending,
+            },
+        )
+
     async def give_up(self, exchange: Exchange, refusal: Refusal) -> str:
         """End a request without a complete answer from a server; return the outcome.
 
@@ -363,6 +386,7 @@
             extra={
                 "request": exchange.caller.request_id,
                 "outcome": outcome,
+                "stopped": exchange.stopped,
                 "route": match.route.name,
                 "service": match.service,
                 "workspace": match.workspace.name if match.workspace else "",
@@ -379,6 +403,8 @@
 
 def cut_cause(exchange: Exchange, refusal: Refusal) -> CutCause:
     """Return why an answer is cut, a part of which was passed on."""
+    if exchange.stopped:
+        return CutCause.STOP
     if refusal in (Refusal.NO_ANSWER, Refusal.NOT_STARTED):
         return CutCause.DEADLINE
     return CutCause.SILENCE if exchange.left_silent else CutCause.SERVER
--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -271,6 +271,7 @@
             deadlines to `last_answer_at`.
         taken: Number of late requests that were accepted.
         refused: Number of late requests that were refused.
+        cut: Number of requests that were given up at `last_answer_at`.
     """
 
     stage: Stage = Stage.SERVING
@@ -280,6 +281,7 @@
     scopes: set[anyio.CancelScope] = field(factory=set)
     taken: int = 0
     refused: int = 0
+    cut: int = 0
 
     def begin(self, last_answer_at: Seconds) -> None:
         """Start the shutdown; requests running at `last_answer_at` are cancelled."""
--- a/ebonyhold/gateway/_stop.py
+++ b/ebonyhold/gateway/_stop.py
@@ -157,6 +157,7 @@
             "left": self.listener.open_requests,
             "late_taken": self.shutdown.taken,
             "late_refused": self.shutdown.refused,
+            "cut": self.shutdown.cut,
         }
         log.info("requests ended", extra=fields)
 
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import logging
+
+import anyio
 import pytest
 from anyio.abc import SocketStream
 
@@ -75,6 +78,24 @@
     assert counts(metrics, "answers_cut") == expected
 
 
+@pytest.mark.parametrize(("seconds_left", "cause"), [(0.2, "stop"), (60.0, "deadline")])
+async def test_cut_by_a_stop_is_told_from_a_deadline(
+    seconds_left: float, cause: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against stops that cut answers, and look as if servers were slow."""
+    caplog.set_level(logging.INFO)
+    async with rig(Server("only", dark_stream)) as router:
+        metrics = count_for(router)
+        router.forwarder.shutdown.begin(anyio.current_time() + seconds_left)
+        await router.ask(request("/once/x"))
+    assert counts(metrics, "answers_cut") == {(cause,): 1.0}
+    lines = [vars(line) for line in caplog.records]
+    told = [line for line in lines if line["msg"] == "request outlasted the stop"]
+    assert [line["ms_estimated"] > 0 for line in told] == [True] * (cause == "stop")
+    (ended,) = (line for line in lines if line["msg"] == "request ended")
+    assert ended["stopped"] is (cause == "stop")
+
+
 async def test_cut_after_a_silent_server_was_left_is_counted_as_such() -> None:
     """Guards against such cuts being taken for faults of the other server."""
     silence = Silence(
