--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -5,12 +5,13 @@
 import random
 import signal
 import time
-from collections.abc import AsyncIterator, Container
+from collections.abc import AsyncIterator, Container, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
 import pytest
+from attrs import evolve
 
 from tests.platform.fleet import running_gateways
 from tests.platform.kit import (
@@ -20,6 +21,7 @@
     RequestRecord,
     Style,
     configuration,
+    connect,
     listener_may_be_closed,
     read_runs,
     use_connection,
@@ -63,20 +65,35 @@
 
 
 @asynccontextmanager
-async def one_gateway(folder: Path) -> AsyncIterator[SoakRun]:
-    """Run one gateway with the stand-in of the platform; kill both at the end."""
+async def one_gateway(folder: Path, **fields: object) -> AsyncIterator[SoakRun]:
+    """Run one gateway with the stand-in of the platform; kill both at the end.
+
+    Args:
+        folder: Holds the settings file and the log.
+        fields: Fields that differ in the configuration of all routes.
+    """
     rules = configuration()
+    for route in rules["routes"]:
+        route.update(fields)
     rules["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
     async with running_gateways(folder, 1, rules) as soak:
         yield soak
 
 
 async def send_request(
-    soak: SoakRun, name: str, events: int, workspace: str = "vast"
+    soak: SoakRun,
+    name: str,
+    events: int,
+    workspace: str = "vast",
+    pause: float = EVENT_PAUSE,
+    sized: bool = True,
+    time_limit: float = 0.0,
 ) -> RequestRecord:
     """Send one request and return its record; with 0 events it is a booking."""
-    length = Length(events, EVENT_PAUSE)
-    request = RequestRecord(name, 0, Style.NEW, length, workspace, 20 if events else 0)
+    request = RequestRecord(
+        name, 0, Style.NEW, Length(events, pause), workspace, 20 if sized else 0
+    )
+    request.time_limit = time_limit
     await use_connection(
         soak.gateways[0], request, no_next_request, random.Random(0), lambda: True
     )
@@ -201,3 +218,99 @@
         runs = read_runs(await soak.engine_records())
     assert (late.status, late.whole) == (200 if taken else 503, True)
     assert (late.request_id in runs) is taken
+
+
+LONGER_THAN_GRACE = {"timeout-ms": 12_000}
+"""A timeout of routes that says nothing about when a late request ends."""
+
+LATE_TIME = 4.3
+"""Seconds that a late request takes, when 3.9 s are left; those before took 0.2 s."""
+
+
+async def stop_with_late_requests(
+    soak: SoakRun, late: Sequence[RequestRecord]
+) -> Container[str]:
+    """Stop a gateway under usual load, send late requests on one connection.
+
+    The requests are sent at once, `SENT_AFTER` seconds after SIGTERM. Requests that
+    are alike, but short, come before SIGTERM.
+
+    Returns:
+        The identifiers of the requests that ran.
+    """
+    await wait_until_served(soak)
+    usual = Length(late[0].length.events and USUAL_EVENTS, EVENT_PAUSE)
+    async with anyio.create_task_group() as before:
+        for number in range(30):
+            request = evolve(late[0], request_id=f"before-{number}", length=usual)
+            before.start_soon(send_together, soak, [request])
+    soak.gateways[0].send(signal.SIGTERM)
+    async with anyio.create_task_group() as tasks:
+        await anyio.sleep(UNDER_WAY_FROM)
+        tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
+        await anyio.sleep(SENT_AFTER - UNDER_WAY_FROM)
+        await send_together(soak, late)
+    return read_runs(await soak.engine_records())
+
+
+async def send_together(soak: SoakRun, requests: Sequence[RequestRecord]) -> None:
+    """Send requests at once on one new connection, and read their answers."""
+    connection = await connect(soak.gateways[0], requests[0])
+    assert connection is not None
+    async with connection.stream:
+        for request in requests:
+            await connection.send_request(request)
+        for request in requests:
+            await connection.read(request)
+
+
+def late_request(
+    name: str, events: int, sized: bool = False, time_limit: float = 0.0
+) -> RequestRecord:
+    """Return a request that takes `LATE_TIME`; with 0 events it is a booking."""
+    length = Length(events, LATE_TIME / max(events, 1))
+    request = RequestRecord(name, 0, Style.NEW, length, UNLIMITED, 20 if sized else 0)
+    request.time_limit = time_limit
+    return request
+
+
+@pytest.mark.parametrize(
+    ("events", "sized", "resumable"),
+    [
+        (USUAL_EVENTS, False, True),
+        (USUAL_EVENTS, False, False),
+        (USUAL_EVENTS, True, True),
+        (LONG_EVENTS, False, True),
+        (0, False, True),
+    ],
+    ids=["slow", "once at most", "slow, sized", "long", "booking"],
+)
+async def test_late_request_is_not_passed_on_and_cut(
+    tmp_path: Path, events: int, sized: bool, resumable: bool
+) -> None:
+    """Guards against running a late request that the stop cuts."""
+    fields = {"resume-streams": resumable, **LONGER_THAN_GRACE}
+    late = late_request("late", events, sized)
+    async with one_gateway(tmp_path, **fields) as soak:
+        runs = await stop_with_late_requests(soak, [late])
+    assert (late.status, late.whole, late.request_id in runs) == (503, True, False)
+
+
+async def test_late_request_whose_own_time_ends_before_the_stop_is_taken(
+    tmp_path: Path,
+) -> None:
+    """Guards against refusing a late stream that the stop cannot cut."""
+    late = late_request("late", USUAL_EVENTS, time_limit=2.0)
+    late.length = Length(USUAL_EVENTS, EVENT_PAUSE)
+    async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
+        await stop_with_late_requests(soak, [late])
+    assert (late.status, late.whole) == (200, True)
+
+
+async def test_request_queued_behind_a_late_stream_is_answered(tmp_path: Path) -> None:
+    """Guards against closing a connection on a request behind a stream that is cut."""
+    late = [late_request("late", USUAL_EVENTS), late_request("behind", 1)]
+    late[1].length = Length(1, EVENT_PAUSE)
+    async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
+        await stop_with_late_requests(soak, late)
+    assert [request.whole for request in late] == [True, True]
