Take a late stream or unsafe request only if it ends before the stop does

What callers saw: a stream sent over 3 s after SIGTERM was taken, run and cut 7.1 s after it; an unsafe request got 504 after it had run; a request behind such a stream on its connection got no answer (LOST).

Cause: late requests were taken if the longest of the last 64 durations of their route, twice that for streams, fitted into the time left. That is a guess from the past, and where it is wrong it costs the answer: a stream can only be cut, an unsafe request ends in doubt. Class of fault: a prediction is trusted where only a bound will do.

Now a stream or an unsafe request that comes after the gateway should have left the rotation is taken only if its own time limit (its caller's or the route's timeout, whichever is earlier) ends before the last answer is due, so that the stop never ends it; others are refused at once with 503 and have not run. Safe requests are judged by their estimate as before: where it is too short, their callers get an error and may ask again. A short unsafe request that was queued behind others and came in time is still judged by what its route has shown.

test_late_stream_that_states_a_large_size expected streams of 0.2 s and 1.8 s to be taken 3.2 s after the signal on a route of 5 s, on the strength of such a guess. That expectation was the fault. Its rows now ask for both: with a limit of 3 s these streams are served whole, without one all three are refused and not run.

--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -244,6 +244,7 @@
             priced,
             exchange.connection.received_at,
             exchange.size,
+            exchange.deadline + ANSWER_MARGIN,
         )
         if not accepted:
             raise Refused(Refusal.STOPPING)
--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -64,9 +64,7 @@
 DEFAULT_ESTIMATE: Seconds = 3.0
 """Minimum duration assumed for a route with fewer than MIN_SAMPLES durations.
 
-Ordinary long streams take some 2 s, and plain services may be as slow. If 1 s were
-assumed, a booking of 1.5 s would be accepted with 1.2 s left, and then given up
-although it may have run.
+Ordinary long streams take some 2 s, and plain services may be as slow.
 """
 
 
@@ -234,6 +232,9 @@
         longest: The longest duration expected on its route, in seconds;
             infinity for streams and routes without records.
         size: The size that it states.
+        time_limit: The time until it is given up in any case, in seconds.
+        is_safe: Whether its caller loses nothing but time if it gets an error instead
+            of the answer.
     """
 
     request: RequestId
@@ -244,11 +245,20 @@
     waited: Seconds = 0.0
     longest: Seconds = math.inf
     size: RequestSize = UNSTATED
+    time_limit: Seconds = math.inf
+    is_safe: bool = True
+
+    @property
+    def needed(self) -> Seconds:
+        """The time that must be left, in seconds."""
+        if self.is_safe:
+            return min(self.estimate, self.time_limit)
+        return self.time_limit
 
     @property
     def arrived_in_time(self) -> bool:
-        """Whether its estimated duration fitted into the time left when it arrived."""
-        return self.estimate <= self.left + self.waited
+        """Whether the time needed was left when it arrived."""
+        return self.needed <= self.left + self.waited
 
 
 @define(eq=False)
@@ -258,8 +268,8 @@
     The load balancer still sends callers here while fewer than half of the failure
     domain's VMs are in rotation, and a closed port would cost each caller a failed
     attempt. So all requests are accepted while STOPPING. Afterwards a request is
-    accepted if it is expected to end in time and needs no tokens of grants that are
-    being returned. Others are refused at once, so that each one gets an answer.
+    accepted if it ends in time (see `accepts_late`) and needs no tokens of grants that
+    are being returned. Others are refused at once, so that each one gets an answer.
 
     Attributes:
         stage: The current stage.
@@ -312,6 +322,7 @@
         priced: bool,
         received_at: Seconds,
         size: RequestSize = UNSTATED,
+        ends_at: Seconds = math.inf,
     ) -> bool:
         """Return whether to accept a request; log the decision during a shutdown.
 
@@ -321,6 +332,7 @@
             priced: Whether it needs tokens of a grant.
             received_at: When its last byte arrived.
             size: The size that it states.
+            ends_at: When it is given up in any case.
         """
         if self.stage is Stage.SERVING:
             return True
@@ -334,6 +346,8 @@
             waited=now - received_at,
             longest=self.times.longest(route, size),
             size=size,
+            time_limit=ends_at - now,
+            is_safe=route.kind is RouteKind.SAFE,
         )
         taken = accepts_late(self.stage, late)
         self.record(late, taken)
@@ -353,16 +367,20 @@
                 "stage": self.stage.value,
                 "ms_left": round(late.left * 1000),
                 "ms_estimated": round(late.estimate * 1000),
+                "ms_limit": milliseconds(late.time_limit),
                 "ms_waited": round(late.waited * 1000),
                 "prompt": late.size.prompt,
                 "max_output": late.size.output,
-                "ms_shown": None
-                if math.isinf(late.longest)
-                else round(late.longest * 1000),
+                "ms_shown": milliseconds(late.longest),
             },
         )
 
 
+def milliseconds(time: Seconds) -> int | None:
+    """Return a time in milliseconds for a log; None if it is infinite."""
+    return None if math.isinf(time) else round(time * 1000)
+
+
 def accepts_late(stage: Stage, late: LateRequest) -> bool:
     """Return whether a late request is accepted.
 
@@ -370,11 +388,16 @@
     left and the load balancer still sends requests here. When OVER, none is accepted,
     and when RETURNING, none that needs tokens of a grant.
 
-    Otherwise the estimated duration must fit into the time left. If it fitted when the
-    request arrived, but no longer does because the request was queued behind others,
-    the longest expected duration must fit instead, so that DEFAULT_ESTIMATE alone does
-    not cause a refusal. For streams and for routes without records that duration is
-    infinite, so such requests are refused.
+    Otherwise the time needed must be left. For a safe request this is its estimated
+    duration: if it takes longer, its caller gets an error, and may send it again. A
+    stream could only be cut, and an unsafe request would end in doubt, so the estimate
+    is not enough for these: they must end within their own time limit.
+
+    If the time was left when the request arrived, but no longer is because the request
+    was queued behind others, the longest expected duration must fit instead, so that
+    DEFAULT_ESTIMATE or a long time limit alone does not cause a refusal. For streams
+    and for routes without records that duration is infinite, so such requests are
+    refused.
     """
     if stage is Stage.STOPPING:
         return True
@@ -383,6 +406,6 @@
     if stage is Stage.RETURNING and late.priced:
         # Grants are being returned; a new one might not be returned before the exit.
         return False
-    if late.estimate <= late.left:
+    if late.needed <= late.left:
         return True
     return late.arrived_in_time and late.longest <= late.left
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -54,6 +54,42 @@
     assert accepts_late(stage, late) is taken
 
 
+@pytest.mark.parametrize(
+    ("kind", "timeout", "waited", "taken"),
+    [
+        (RouteKind.STREAM, 12.0, 0.0, False),
+        (RouteKind.STREAM, 3.0, 0.0, True),
+        (RouteKind.STREAM, 4.5, 1.0, False),
+        (RouteKind.UNSAFE, 12.0, 0.0, False),
+        (RouteKind.UNSAFE, 3.0, 0.0, True),
+        (RouteKind.UNSAFE, 4.5, 1.0, True),
+        (RouteKind.UNSAFE, 12.0, 1.0, False),
+        (RouteKind.SAFE, 12.0, 0.0, True),
+    ],
+    ids=[
+        "stream",
+        "stream, ends in time",
+        "queued stream",
+        "unsafe",
+        "unsafe, ends in time",
+        "queued unsafe",
+        "queued unsafe, came late",
+        "safe",
+    ],
+)
+async def test_late_request_that_may_outlast_the_stop_is_refused(
+    kind: RouteKind, timeout: float, waited: float, taken: bool
+) -> None:
+    """Guards against trusting short durations where a wrong guess costs an answer."""
+    late, now = route("late", kind, timeout=timeout), anyio.current_time()
+    shutdown = Shutdown(Stage.LEAVING, last_answer_at=now + 4.0)
+    for _ in range(64):
+        shutdown.times.record("late", 0.2)
+    assert (
+        shutdown.admits("r", late, False, now - waited, ends_at=now + timeout) is taken
+    )
+
+
 @pytest.mark.parametrize(
     ("stage", "priced", "waited", "left", "longest", "taken"),
     [
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -85,14 +85,11 @@
     name: str,
     events: int,
     workspace: str = "vast",
-    pause: float = EVENT_PAUSE,
-    sized: bool = True,
     time_limit: float = 0.0,
 ) -> RequestRecord:
     """Send one request and return its record; with 0 events it is a booking."""
-    request = RequestRecord(
-        name, 0, Style.NEW, Length(events, pause), workspace, 20 if sized else 0
-    )
+    length = Length(events, EVENT_PAUSE)
+    request = RequestRecord(name, 0, Style.NEW, length, workspace, 20 if events else 0)
     request.time_limit = time_limit
     await use_connection(
         soak.gateways[0], request, no_next_request, random.Random(0), lambda: True
@@ -193,14 +190,23 @@
 SENT_AFTER = 3.2
 """Seconds from SIGTERM until a late stream is sent; 3.9 s are left until it is cut."""
 
+TIME_LIMIT = 3.0
+"""Seconds that the caller of a late stream waits, less than are left."""
+
 
 @pytest.mark.parametrize(
-    ("events", "taken"),
-    [(USUAL_EVENTS, True), (9 * USUAL_EVENTS, True), (24 * USUAL_EVENTS, False)],
-    ids=["usual", "larger", "too large"],
+    ("events", "time_limit", "taken"),
+    [
+        (USUAL_EVENTS, TIME_LIMIT, True),
+        (9 * USUAL_EVENTS, TIME_LIMIT, True),
+        (USUAL_EVENTS, 0.0, False),
+        (9 * USUAL_EVENTS, 0.0, False),
+        (24 * USUAL_EVENTS, 0.0, False),
+    ],
+    ids=["usual", "larger", "usual, no limit", "larger, no limit", "too large"],
 )
 async def test_late_stream_that_states_a_large_size(
-    tmp_path: Path, events: int, taken: bool
+    tmp_path: Path, events: int, time_limit: float, taken: bool
 ) -> None:
     """Guards against cutting a stream that is larger than those before the stop."""
     async with one_gateway(tmp_path) as soak:
@@ -214,7 +220,9 @@
             await anyio.sleep(UNDER_WAY_FROM)
             tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
             await anyio.sleep(SENT_AFTER - UNDER_WAY_FROM)
-            late = await send_request(soak, "late", events, UNLIMITED)
+            late = await send_request(
+                soak, "late", events, UNLIMITED, time_limit=time_limit
+            )
         runs = read_runs(await soak.engine_records())
     assert (late.status, late.whole) == (200 if taken else 503, True)
     assert (late.request_id in runs) is taken
