Judge an unsafe request by its estimate while its caller can't know of the stop

Until 3 s after it a caller can't know that the gateway leaves, as the balancer needs that long; a booking of 0.02 s that comes then, also one that is read then and waits behind a stream, has 4 s or more and is to be served (test_what_ends_in_a_moment_is_taken, whose routes have 20 s; found by reading, not by a run). Such a request that takes longer than all of its route gets 504, as one that came a moment before would.

--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -68,6 +68,12 @@
 """
 
 
+UNAWARE: Seconds = 3.0
+"""Time from the beginning of a shutdown in which callers may not know of it, as the
+load balancer needs some time to take the router out of rotation.
+"""
+
+
 class Stage(Enum):
     """The stage of a router's shutdown.
 
@@ -233,8 +239,8 @@
             infinity for streams and routes without records.
         size: The size that it states.
         time_limit: The time until it is given up in any case, in seconds.
-        is_safe: Whether its caller loses nothing but time if it gets an error instead
-            of the answer.
+        may_fail: Whether its caller may get an error instead of the answer if it takes
+            longer than estimated.
     """
 
     request: RequestId
@@ -246,12 +252,12 @@
     longest: Seconds = math.inf
     size: RequestSize = UNSTATED
     time_limit: Seconds = math.inf
-    is_safe: bool = True
+    may_fail: bool = True
 
     @property
     def needed(self) -> Seconds:
         """The time that must be left, in seconds."""
-        if self.is_safe:
+        if self.may_fail:
             return min(self.estimate, self.time_limit)
         return self.time_limit
 
@@ -273,6 +279,7 @@
 
     Attributes:
         stage: The current stage.
+        began_at: When the shutdown began.
         last_answer_at: When the last answer must have been sent.
         times: Durations of recent requests.
         on_late_request: Called for each late request with whether it was accepted, for
@@ -285,6 +292,7 @@
     """
 
     stage: Stage = Stage.SERVING
+    began_at: Seconds = -math.inf
     last_answer_at: Seconds = math.inf
     times: RouteTimes = field(factory=RouteTimes)
     on_late_request: Callable[[bool], None] = lambda taken: None
@@ -296,6 +304,7 @@
     def begin(self, last_answer_at: Seconds) -> None:
         """Start the shutdown; requests running at `last_answer_at` are cancelled."""
         self.stage = Stage.STOPPING
+        self.began_at = anyio.current_time()
         self.last_answer_at = last_answer_at
         for scope in self.scopes:
             scope.deadline = min(scope.deadline, last_answer_at)
@@ -347,12 +356,18 @@
             longest=self.times.longest(route, size),
             size=size,
             time_limit=ends_at - now,
-            is_safe=route.kind is RouteKind.SAFE,
+            may_fail=self.may_fail(route.kind, received_at),
         )
         taken = accepts_late(self.stage, late)
         self.record(late, taken)
         return taken
 
+    def may_fail(self, kind: RouteKind, received_at: Seconds) -> bool:
+        """Return whether a late request may get an error instead of its answer."""
+        if kind is RouteKind.UNSAFE:
+            return received_at - self.began_at <= UNAWARE
+        return kind is RouteKind.SAFE
+
     def record(self, late: LateRequest, taken: bool) -> None:
         """Count a late request, and log the decision with the data it is based on."""
         self.taken += taken
@@ -390,8 +405,9 @@
 
     Otherwise the time needed must be left. For a safe request this is its estimated
     duration: if it takes longer, its caller gets an error, and may send it again. A
-    stream could only be cut, and an unsafe request would end in doubt, so the estimate
-    is not enough for these: they must end within their own time limit.
+    stream could only be cut, so the estimate is not enough for it: it must end within
+    its own time limit. So must an unsafe request, which would end in doubt, unless it
+    came while its caller could not know of the shutdown (`UNAWARE`).
 
     If the time was left when the request arrived, but no longer is because the request
     was queued behind others, the longest expected duration must fit instead, so that
