Stops of real gateways beside late requests that are slower than those before

Two cases of the table: one in four of the requests that come over 3 s after SIGTERM takes 4.3 s, on routes with a timeout of 20 s; one request a connection and several at once.

--- a/tests/platform/stops/_cases.py
+++ b/tests/platform/stops/_cases.py
@@ -44,6 +44,9 @@
 """Answers of at most 1.2 s, much less than the grace."""
 
 ALL_LENGTHS = (PLAIN, DELAYED, SHORT, MIDDLE, LONG, ENDLESS)
+SLOWER_LENGTHS = (Length(43, 0.1), Length(0, 4.3))
+"""Answers of 4.3 s, longer than what is left of the grace when they are asked for."""
+
 USUAL_STYLES = (Style.NEW, Style.KEPT)
 """Connections for one request, and connections that are kept for several."""
 
@@ -64,6 +67,8 @@
         metered: Whether requests state numbers of tokens, which are charged to a
             prepaid workspace.
         callers: The number of callers.
+        slower_late: Whether one in four of the requests that come late in a stop has
+            one of `SLOWER_LENGTHS`.
     """
 
     name: str
@@ -74,6 +79,7 @@
     disturbance: Disturbance = Disturbance.NONE
     metered: bool = True
     callers: int = 6
+    slower_late: bool = False
 
 
 CASES = (
@@ -95,6 +101,8 @@
     Case("two-series", vms=2, overlap=Overlap.SERIES),
     Case("three-rolling", vms=3, overlap=Overlap.ROLLING, lengths=ALL_LENGTHS),
     Case("three-together", vms=3, styles=ALL_STYLES),
+    Case("one-slower-late", slower_late=True),
+    Case("one-slower-late-pipelined", styles=(Style.PIPELINED,), slower_late=True),
 )
 """The cases that CI runs."""
 
--- a/tests/platform/stops/_domain.py
+++ b/tests/platform/stops/_domain.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import signal
+import time
 from random import Random
 
 import anyio
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from tests.platform.kit import GRACE, Gateway, ProcessRecord, start_process
+from tests.platform.kit import (
+    GRACE,
+    LATE_AFTER,
+    Gateway,
+    ProcessRecord,
+    start_process,
+)
 
 READINESS_INTERVAL = 1.0
 """Seconds between two readiness checks of a VM; also the timeout of one check."""
@@ -61,6 +68,11 @@
         await process.ended.wait()
         return process
 
+    def is_late(self, vm: int) -> bool:
+        """Return whether a request that is sent to a VM now must not be cut."""
+        sigterm_at = self.current_process(vm).sigterm_at
+        return 0 < sigterm_at < time.monotonic() - LATE_AFTER
+
     async def wait_until_ready(self, vm: int) -> None:
         """Wait until a VM's readiness check succeeds.
 
--- a/tests/platform/stops/_run.py
+++ b/tests/platform/stops/_run.py
@@ -30,7 +30,7 @@
     settings,
     use_connection,
 )
-from tests.platform.stops._cases import Case, Disturbance, Overlap
+from tests.platform.stops._cases import SLOWER_LENGTHS, Case, Disturbance, Overlap
 from tests.platform.stops._checks import check
 from tests.platform.stops._domain import Domain
 from tests.platform.stops._findings import Evidence, Guarantee, Violation
@@ -67,6 +67,9 @@
 SIGNALS_WITHIN = 6.0
 """Maximum seconds from a SIGTERM to a further signal."""
 
+SLOWER_SHARE = 0.25
+"""Share of late requests that are slower, if the case has such."""
+
 MAX_WAIT = 1.0
 """Maximum seconds that a refused caller waits, even if Retry-After is longer."""
 
@@ -303,7 +306,9 @@
         """Record and return a new request of a caller, of random size and workspace."""
         case = self.case
         style = case.styles[number % len(case.styles)]
-        length = rng.choice(case.lengths)
+        late = case.slower_late and self.domain.is_late(vm)
+        slower = late and rng.random() < SLOWER_SHARE
+        length = rng.choice(SLOWER_LENGTHS if slower else case.lengths)
         workspace = rng.choice(list(WORKSPACES)) if case.metered else UNLIMITED
         prompt = rng.choice([20, 100, 400]) if case.metered else 0
         name = f"{case.name}-{self.seed}-{len(self.requests)}"
