Test that a stopping router answers HEAD requests

Callers of HEAD get no answer where the router refuses them with `router_stopping`, or gives them up at the last answer of its stop after they were passed on: the connection closes. Cause: every answer of the router's own has a body, and the parser rejects one behind the head of an answer to HEAD (`Too much data for declared Content-Length`). The guard then finds that the answer has begun, and closes the connection. GET gets 503 and 504.

--- /dev/null
+++ b/tests/forwarding/test_given_up.py
@@ -0,0 +1,55 @@
+"""What callers get whose requests are given up as the router stops."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from ebonyhold.forwarding import Stage
+from ebonyhold.tasks import Run
+from tests.forwarding.kit import Server, answer, request, rig
+
+pytestmark = pytest.mark.anyio
+
+SECONDS_LEFT = 0.6
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Use asyncio: sockets have no virtual clock."""
+    return "asyncio"
+
+
+async def slow(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer after the stop."""
+    await anyio.sleep(3 * SECONDS_LEFT)
+    await stream.send(answer(head))
+
+
+async def guard(run: Run) -> bool:
+    """Run a function, and keep its errors from other tasks, as a gateway does."""
+    try:
+        await run()
+    except Exception:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+@pytest.mark.parametrize(
+    ("stage", "status"),
+    [(Stage.OVER, b"503"), (Stage.STOPPING, b"504")],
+    ids=["refused", "given up"],
+)
+async def test_request_of_a_stopping_router_is_answered(
+    method: str, stage: Stage, status: bytes
+) -> None:
+    """Guards against closing the connection of a HEAD request without an answer."""
+    async with rig(Server("only", slow)) as router:
+        router.listener.guard = guard
+        shutdown = router.forwarder.shutdown
+        shutdown.begin(anyio.current_time() + SECONDS_LEFT)
+        shutdown.stage = stage
+        got = await router.ask(request("/safe/x", method))
+    assert got.startswith(b"HTTP/1.1 " + status)
