Send a router's own answer to a HEAD request without its body

What callers saw: a HEAD request that a stopping gateway refused, or gave up at its last answer, got nothing and its connection was closed (LOST where it had been passed on); the same for other refusals.

Cause: own answers have a text as their body; the parser rejects a body in an answer to HEAD, and as the head counted as sent by then, the connection was closed. Answers of servers to HEAD had a path of their own. Now the connection knows the method, and states the length alone.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -127,6 +127,7 @@
         inbox: The bytes received from the caller.
         intake: Takes them.
         parser: The protocol state.
+        method: The method of the request that is being answered.
         received_at: When the latest bytes that the parser has read arrived. A pipelined
             request is queued behind others from then on.
         last: Whether to close the connection after the next answer, unless another
@@ -148,6 +149,7 @@
     inbox: Inbox = field(init=False)
     intake: Intake = field(init=False)
     parser: h11.Connection = field(init=False)
+    method: bytes = b""
     received_at: Seconds = 0.0
     last: bool = False
     final: bool = False
@@ -241,9 +243,11 @@
             ReadFaultError: The head is invalid or too large, did not arrive in time, or
                 the caller disconnected.
         """
+        self.method = b""
         event = await self.next_event_in_time(self.limits.head_timeout)
         if not isinstance(event, h11.Request):
             raise ReadFaultError(ReadFault.LEFT)
+        self.method = event.method
         if head_size(event) > self.limits.head_bytes:
             raise ReadFaultError(ReadFault.HEAD_TOO_LARGE)
         return read_head(event, anyio.current_time())
@@ -321,10 +325,14 @@
             await self.stream.send(self.parser.send(interim) or b"")
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer with its content length in a single write."""
+        """Write a complete answer with its content length in a single write.
+
+        An answer to a HEAD request states the length and has no body.
+        """
         length = (b"content-length", b"%d" % len(body))
         head = self.head(status, [*headers, length])
-        data = self.parser.send(h11.Data(data=body)) or b"" if body else b""
+        has_body = body and self.method != b"HEAD"
+        data = self.parser.send(h11.Data(data=body)) or b"" if has_body else b""
         end = self.parser.send(h11.EndOfMessage()) or b""
         await self.write(head + data + end)
 
