Read nothing behind a stream until it has ended

What callers saw: a stream that a stop cut 7.1 s after SIGTERM took a further request on its connection along: that one was read, perhaps seconds before, and its connection closed in order, without an answer. The caller can't tell whether it ran (LOST).

Cause: the bytes of a caller are read at all times, so that its leaving is noticed, also while a stream is passed on that may be cut. Whatever waits behind it then has no way to an answer: answers go in order.

Now, while a stream is passed on, the socket has a low-water mark for reading (SO_RCVLOWAT): what the caller sends stays with the system, and the event loop still hears of the end of the connection. If the stream is cut, the close resets the connection, which tells the caller that nothing behind it was read; if it ends, the next request is read, and its time of arrival is taken from the system, so that waiting does not make it late. An answer announces no close while unread bytes wait. A stream that came together with others in the first stage of a stop is read with them, and is refused unless its own time ends before the stop does; those behind it are answered.

Callers that leave (one side, both, reset) are noticed within 0.2 s with an unread request as without.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -355,7 +355,7 @@
         Such a request was sent before the close was announced, and would get no answer
         if the connection closed now.
         """
-        return bool(self.inbox.waiting or self.parser.trailing_data[0])
+        return bool(self.parser.trailing_data[0]) or self.inbox.has_more
 
     async def send(self, data: bytes) -> None:
         """Write a part of the answer's body."""
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -38,7 +38,7 @@
 from ebonyhold.forwarding._shutdown import Shutdown
 from ebonyhold.forwarding._silence import SilenceRecorder
 from ebonyhold.forwarding._streams import StreamVersions
-from ebonyhold.forwarding._types import CallerRequest, Headers, Ruleset
+from ebonyhold.forwarding._types import CallerRequest, Headers, RouteKind, Ruleset
 from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
 
 log = logging.getLogger(__name__)
@@ -245,6 +245,7 @@
             exchange.connection.received_at,
             exchange.size,
             exchange.deadline + ANSWER_MARGIN,
+            exchange.connection.more_received,
         )
         if not accepted:
             raise Refused(Refusal.STOPPING)
@@ -285,7 +286,17 @@
 
         The request is given up ANSWER_MARGIN after its deadline or, during a shutdown,
         at the time of the last answer if that is earlier.
+
+        Nothing that the caller sends behind a stream is read until it has ended: if the
+        stream is cut, nothing else can be answered on its connection.
         """
+        if exchange.match.route.kind is not RouteKind.STREAM:
+            return await self.forward_bounded(exchange)
+        with exchange.connection.inbox.held_back():
+            return await self.forward_bounded(exchange)
+
+    async def forward_bounded(self, exchange: Exchange) -> str:
+        """Forward a request, and give it up when its time has passed."""
         outcome = ""
         cutoff = exchange.deadline + ANSWER_MARGIN
         with self.shutdown.bounded(cutoff):
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 from anyio.abc import ByteStream
 from attrs import define, field
 
 from ebonyhold.forwarding._flow_control import BufferAccount
+from ebonyhold.forwarding._sockets import hold_back, since_last_bytes, unread_bytes
 from ebonyhold.types import Seconds
 
 CHUNK = 65_536
@@ -50,6 +52,7 @@
         account: Bounds the bytes held; None if only `max_waiting` does.
         max_waiting: Bytes waiting above which reading pauses, without an account.
         taken_size: Bytes that were taken last, which count as held until the next are.
+        unread_for: How long ago the next bytes to be read arrived.
     """
 
     stream: ByteStream
@@ -65,6 +68,7 @@
     account: BufferAccount | None = None
     max_waiting: int = MAX_WAITING
     taken_size: int = 0
+    unread_for: Seconds = 0.0
 
     async def fill(self) -> None:
         """Read until the connection ends.
@@ -90,7 +94,8 @@
                 self.waiting += data
                 if self.account is not None:
                     self.account.held += len(data)
-                self.arrived_at = anyio.current_time()
+                self.arrived_at = anyio.current_time() - self.unread_for
+                self.unread_for = 0.0
             except anyio.EndOfStream:
                 self.ended = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
@@ -124,6 +129,26 @@
         if self.ended and self.on_end is not None:
             self.on_end()
 
+    @contextmanager
+    def held_back(self) -> Iterator[None]:
+        """Read nothing from the socket in the enclosed block.
+
+        The end of the connection is still detected. If the connection is closed in the
+        block, what was not read resets it, so that the peer can tell that.
+        """
+        hold_back(self.stream, True)
+        try:
+            yield
+        finally:
+            if unread_bytes(self.stream):
+                self.unread_for = since_last_bytes(self.stream)
+            hold_back(self.stream, False)
+
+    @property
+    def has_more(self) -> bool:
+        """Whether bytes have arrived that were not taken, read or not."""
+        return bool(self.waiting) or unread_bytes(self.stream) > 0
+
     @property
     def blocks_sender(self) -> bool:
         """Whether the peer has sent more than was taken, or may send no more."""
--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -241,6 +241,8 @@
         time_limit: The time until it is given up in any case, in seconds.
         may_fail: Whether its caller may get an error instead of the answer if it takes
             longer than estimated.
+        blocks_others: Whether it is a stream, and other requests wait behind it on its
+            connection.
     """
 
     request: RequestId
@@ -253,6 +255,7 @@
     size: RequestSize = UNSTATED
     time_limit: Seconds = math.inf
     may_fail: bool = True
+    blocks_others: bool = False
 
     @property
     def needed(self) -> Seconds:
@@ -273,7 +276,7 @@
 
     The load balancer still sends callers here while fewer than half of the failure
     domain's VMs are in rotation, and a closed port would cost each caller a failed
-    attempt. So all requests are accepted while STOPPING. Afterwards a request is
+    attempt. So nearly all requests are accepted while STOPPING. Afterwards a request is
     accepted if it ends in time (see `accepts_late`) and needs no tokens of grants that
     are being returned. Others are refused at once, so that each one gets an answer.
 
@@ -332,6 +335,7 @@
         received_at: Seconds,
         size: RequestSize = UNSTATED,
         ends_at: Seconds = math.inf,
+        followed: bool = False,
     ) -> bool:
         """Return whether to accept a request; log the decision during a shutdown.
 
@@ -342,6 +346,7 @@
             received_at: When its last byte arrived.
             size: The size that it states.
             ends_at: When it is given up in any case.
+            followed: Whether other requests wait behind it on its connection.
         """
         if self.stage is Stage.SERVING:
             return True
@@ -357,6 +362,7 @@
             size=size,
             time_limit=ends_at - now,
             may_fail=self.may_fail(route.kind, received_at),
+            blocks_others=followed and route.kind is RouteKind.STREAM,
         )
         taken = accepts_late(self.stage, late)
         self.record(late, taken)
@@ -399,9 +405,11 @@
 def accepts_late(stage: Stage, late: LateRequest) -> bool:
     """Return whether a late request is accepted.
 
-    While STOPPING, every request is accepted, because nearly all of the grace period is
-    left and the load balancer still sends requests here. When OVER, none is accepted,
-    and when RETURNING, none that needs tokens of a grant.
+    While STOPPING, nearly all of the grace period is left and the load balancer still
+    sends requests here. So every request is accepted, except a stream that may be cut
+    at the end and has other requests behind it on its connection, which would get no
+    answer. When OVER, none is accepted, and when RETURNING, none that needs tokens of a
+    grant.
 
     Otherwise the time needed must be left. For a safe request this is its estimated
     duration: if it takes longer, its caller gets an error, and may send it again. A
@@ -416,7 +424,7 @@
     refused.
     """
     if stage is Stage.STOPPING:
-        return True
+        return not late.blocks_others or late.time_limit <= late.left
     if stage is Stage.OVER:
         return False
     if stage is Stage.RETURNING and late.priced:
--- a/ebonyhold/forwarding/_sockets.py
+++ b/ebonyhold/forwarding/_sockets.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 from contextlib import suppress
 
 from anyio.abc import ByteStream, SocketAttribute
 
+from ebonyhold.types import Seconds
+
 LINGER_NONE = struct.pack("ii", 1, 0)
 """The value of SO_LINGER with which a close resets the connection."""
 
+LAST_DATA_RECV = 52
+"""Offset of ``tcpi_last_data_recv`` in ``struct tcp_info`` (linux/tcp.h)."""
+
+UNREAD_BYTES = 262_144
+"""Number of bytes up to which a connection that is held back is not read."""
+
 
 def set_option(stream: ByteStream, level: int, option: int, value: int | bytes) -> None:
     """Set a socket option; nothing is done for a connection that has ended.
@@ -27,3 +37,40 @@
 def reset_on_close(stream: ByteStream) -> None:
     """Let the close of a connection reset it; what was not received is lost."""
     set_option(stream, socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+
+
+def hold_back(stream: ByteStream, held: bool) -> None:
+    """Set whether the event loop leaves the bytes that arrive to the system.
+
+    It is still told when the peer ends the connection.
+    """
+    size = UNREAD_BYTES if held else 1
+    set_option(stream, socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+
+
+def unread_bytes(stream: ByteStream) -> int:
+    """Return how many bytes have arrived that were not read; 0 if not known."""
+    raw = stream.extra(SocketAttribute.raw_socket, None)
+    if raw is None:
+        return 0
+    try:
+        size = fcntl.ioctl(raw.fileno(), termios.FIONREAD, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    (unread,) = struct.unpack("i", size)
+    return int(unread)
+
+
+def since_last_bytes(stream: ByteStream) -> Seconds:
+    """Return how long ago the last bytes arrived, read or not; 0 if not known."""
+    raw = stream.extra(SocketAttribute.raw_socket, None)
+    if raw is None:
+        return 0.0
+    try:
+        info = raw.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV + struct.calcsize("I")
+        )
+        (milliseconds,) = struct.unpack_from("I", info, LAST_DATA_RECV)
+    except (OSError, struct.error):
+        return 0.0
+    return float(milliseconds) / 1000
--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -5,10 +5,13 @@
 import asyncio
 import socket
 import time
+from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
 from threading import Timer
 
 import anyio
 import pytest
+from anyio.abc import SocketStream
 
 from ebonyhold.exceptions import BudgetExhaustedError, BudgetUnreachableError
 from ebonyhold.forwarding import (
@@ -18,8 +21,19 @@
     RequestHead,
 )
 from ebonyhold.forwarding._caller import ReadFault, ReadFaultError
-from tests.forwarding.kit import LOOPBACK, Server, UnlimitedHold, request, rig
-from tests.forwarding.test_attempts import good, silent
+from ebonyhold.forwarding._sockets import reset_on_close
+from tests.forwarding.kit import (
+    LOOPBACK,
+    Server,
+    UnlimitedHold,
+    chunk,
+    event,
+    read_all,
+    request,
+    rig,
+    stream_head,
+)
+from tests.forwarding.test_attempts import good, numbers, silent, whole_stream
 
 pytestmark = pytest.mark.anyio
 
@@ -268,8 +282,14 @@
     assert served == [b"/safe/x"]
 
 
-@pytest.mark.parametrize("at_once", [True, False], ids=["one piece", "two pieces"])
-async def test_waiting_for_a_turn_does_not_make_a_request_late(at_once: bool) -> None:
+@pytest.mark.parametrize(
+    ("at_once", "held_back"),
+    [(True, False), (False, False), (False, True)],
+    ids=["one piece", "two pieces", "held back"],
+)
+async def test_waiting_for_a_turn_does_not_make_a_request_late(
+    at_once: bool, held_back: bool
+) -> None:
     """Guards against a queueing time of a pipelined request that is measured too short.
 
     The queueing time starts when the request arrives, not when the answer to the
@@ -281,7 +301,8 @@
         connection: CallerConnection, head: RequestHead, body: bytes
     ) -> None:
         waits.append(anyio.current_time() - connection.received_at)
-        await anyio.sleep(0.3)
+        with connection.inbox.held_back() if held_back else nullcontext():
+            await anyio.sleep(0.3)
         await connection.answer(200, [], b"whole")
 
     listener = CallerListener(serve, CallerLimits)
@@ -307,3 +328,66 @@
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port: int = taken.getsockname()[1]
     return port
+
+
+async def never_ends(server: Server, stream: SocketStream, head: str) -> None:
+    """Begin a stream, and go on for long."""
+    await stream.send(stream_head(head) + chunk(event(1)))
+    await anyio.sleep(30.0)
+
+
+async def end_sending(stream: SocketStream) -> None:
+    """Close one side of a connection."""
+    await stream.send_eof()
+
+
+async def close(stream: SocketStream) -> None:
+    """Close a connection."""
+    await stream.aclose()
+
+
+async def reset(stream: SocketStream) -> None:
+    """Reset a connection."""
+    reset_on_close(stream)
+    await stream.aclose()
+
+
+@pytest.mark.parametrize("leave", [end_sending, close, reset])
+async def test_caller_that_leaves_with_an_unread_request_is_noticed(
+    leave: Callable[[SocketStream], Awaitable[None]],
+) -> None:
+    """Guards against running a stream on for a caller that has left."""
+    async with rig(Server("one", never_ends)) as router:
+        caller = await anyio.connect_tcp(LOOPBACK, router.port)
+        await caller.send(request("/once/x", close=False))
+        assert b"id: 1" in await caller.receive()
+        await caller.send(request("/safe/x", close=False))
+        await anyio.sleep(0.05)
+        await leave(caller)
+        await anyio.sleep(0.2)
+        assert router.ended == [("once", "left")]
+
+
+async def test_request_behind_a_stream_is_answered_in_its_turn() -> None:
+    """Guards against a request that stays unread when the stream before it has ended.
+
+    It is sent before the answer, and so before a close that the answer could announce.
+    """
+
+    async def late_stream(server: Server, stream: SocketStream, head: str) -> None:
+        if "/safe/" in head:
+            await good(server, stream, head)
+            return
+        await anyio.sleep(0.1)
+        await whole_stream(server, stream, head)
+
+    async with rig(Server("one", late_stream)) as router:
+        router.listener.start_draining()
+        caller = await anyio.connect_tcp(LOOPBACK, router.port)
+        await caller.send(request("/once/x", close=False))
+        await anyio.sleep(0.03)
+        await caller.send(request("/safe/x", close=False))
+        got = await read_all(caller)
+    assert numbers(got) == [1, 2, 3, 4]
+    assert got.endswith(b"ok")
+    assert got.lower().count(b"connection: close") == 1
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -96,6 +96,29 @@
     assert shutdown.admits("r", late, False, now - waited, ends_at=ends_at) is taken
 
 
+@pytest.mark.parametrize(
+    ("kind", "timeout", "followed", "taken"),
+    [
+        (RouteKind.STREAM, 12.0, True, False),
+        (RouteKind.STREAM, 12.0, False, True),
+        (RouteKind.STREAM, 5.0, True, True),
+        (RouteKind.UNSAFE, 12.0, True, True),
+    ],
+    ids=["followed", "alone", "followed, ends in time", "answered whole"],
+)
+async def test_stream_that_may_be_cut_before_others_is_refused(
+    kind: RouteKind, timeout: float, followed: bool, taken: bool
+) -> None:
+    """Guards against cutting a stream with requests behind it on its connection."""
+    now = anyio.current_time()
+    shutdown = Shutdown(Stage.STOPPING, last_answer_at=now + 6.0)
+    one = route("long", kind, timeout=timeout)
+    assert (
+        shutdown.admits("r", one, False, now, ends_at=now + timeout, followed=followed)
+        is taken
+    )
+
+
 @pytest.mark.parametrize(
     ("stage", "priced", "waited", "left", "longest", "taken"),
     [
