Count the time of a stop from when its signal may have arrived

What callers saw: after a pause of a gateway of 0.8 s, during which its SIGTERM came, a stream of 4.3 s that was sent 3.2 s after the signal was taken as in the first stage of a stop, and cut 7.9 s after the signal.

Cause: the times of a stop count from when its task first runs. An event loop that is busy, or a process that does not run, handles a signal late.

Now the measurement of the event loop's delay tells since when an event that is handled now may have waited, by at most 1 s, and the times count from then on: the stages, the last answer and the steps before the kill. Without a pause nothing changes.

test_signal_that_is_handled_late_counts_from_its_arrival: the late stream got 200 and ran before, one run; now it is refused with 503 and does not run.

--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -304,10 +304,15 @@
     refused: int = 0
     cut: int = 0
 
-    def begin(self, last_answer_at: Seconds) -> None:
-        """Start the shutdown; requests running at `last_answer_at` are cancelled."""
+    def begin(self, last_answer_at: Seconds, began_at: Seconds | None = None) -> None:
+        """Start the shutdown; requests running at `last_answer_at` are cancelled.
+
+        Args:
+            last_answer_at: When the last answer must have been sent.
+            began_at: When it was requested; None for now.
+        """
         self.stage = Stage.STOPPING
-        self.began_at = anyio.current_time()
+        self.began_at = anyio.current_time() if began_at is None else began_at
         self.last_answer_at = last_answer_at
         for scope in self.scopes:
             scope.deadline = min(scope.deadline, last_answer_at)
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -532,7 +532,8 @@
         stop = GatewayStop(self.listener, self.shutdown, self.grant_manager, self.leave)
         async with anyio.create_task_group() as steps:
             steps.start_soon(self.streams.hand_over)
-            await stop.run(self.platform.settings.grace)
+            signalled_at = self.pressure.earliest_arrival(anyio.current_time())
+            await stop.run(self.platform.settings.grace, signalled_at)
         with anyio.move_on_after(FINAL_SETTLEMENT_TIMEOUT):
             await self.holders.send_all()
         tasks.cancel_scope.cancel()
--- a/ebonyhold/gateway/_pressure.py
+++ b/ebonyhold/gateway/_pressure.py
@@ -22,6 +22,7 @@
 from attrs import define, field
 
 from ebonyhold.forwarding import ConnectOutcome, Reach, Reachability, Traffic
+from ebonyhold.pauses import MIN_PAUSE
 from ebonyhold.types import BackendName, Seconds
 
 log = logging.getLogger(__name__)
@@ -34,6 +35,9 @@
 single large configuration, which takes about 0.1 s to decode, is thus not taken for an
 overload."""
 
+MAX_LATE: Seconds = 1.0
+"""The longest pause of this process for which events count as handled late."""
+
 HIGH_DELAY: Seconds = 0.1
 """The mean delay of the event loop above which callers are shed. This is a third of the
 usual target for the time to an answer's first event, and each request waits for the
@@ -217,12 +221,16 @@
         use: Measures the use of the network link.
         reach: Whether servers are reached from here, or by way of other routers.
         detector: Decides when to leave the rotation and when to return.
+        measured_at: When the delay was measured last.
+        measured_before: When it was measured the time before.
     """
 
     shed: Callable[[float], None]
     use: LinkUse = field(factory=LinkUse)
     reach: Reachability = field(factory=Reachability)
     detector: PressureDetector = field(init=False)
+    measured_at: Seconds = math.inf
+    measured_before: Seconds = math.inf
 
     def __attrs_post_init__(self) -> None:
         self.detector = PressureDetector(use=self.use, reach=self.reach)
@@ -245,10 +253,23 @@
             made = outcome is ConnectOutcome.MADE
             self.detector.link.record(server, made, anyio.current_time())
 
+    def earliest_arrival(self, now: Seconds) -> Seconds:
+        """Return when an event that is handled now may have arrived at the earliest.
+
+        It is earlier if this process has just been paused or busy, but at most by
+        MAX_LATE.
+        """
+        for running_at in (self.measured_at, self.measured_before):
+            # Soon after a pause, only the measurement before it is that old.
+            if now - running_at >= 2 * MEASURE_INTERVAL + MIN_PAUSE:
+                return max(running_at, now - MAX_LATE)
+        return now
+
     async def run(self) -> None:
         """Measure the event loop's delay at regular intervals until cancelled."""
         while True:
             before = anyio.current_time()
+            self.measured_before, self.measured_at = self.measured_at, before
             await anyio.sleep(MEASURE_INTERVAL)
             now = anyio.current_time()
             self.step(now - before - MEASURE_INTERVAL, now)
--- a/ebonyhold/gateway/_stop.py
+++ b/ebonyhold/gateway/_stop.py
@@ -63,7 +63,7 @@
     """The times of the steps of a stop, by the event loop's clock.
 
     Attributes:
-        signalled_at: When the stop began, which is when the signal arrived.
+        signalled_at: When the signal arrived.
         grace: Time from the signal to the kill.
     """
 
@@ -119,16 +119,20 @@
     grants: Grants
     leave: Callable[[], Awaitable[None]]
 
-    async def run(self, grace: Seconds) -> None:
+    async def run(self, grace: Seconds, signalled_at: Seconds | None = None) -> None:
         """Run all steps of the stop.
 
         Args:
-            grace: Time from now to the kill, in seconds.
+            grace: Time from the signal to the kill, in seconds.
+            signalled_at: When the signal may have arrived at the earliest; None for
+                now.
         """
-        times = StopTimes(anyio.current_time(), grace)
-        self.shutdown.begin(times.last_answer_at)
+        if signalled_at is None:
+            signalled_at = anyio.current_time()
+        times = StopTimes(signalled_at, grace)
+        self.shutdown.begin(times.last_answer_at, signalled_at)
         self.listener.start_draining()
-        await anyio.sleep(min(LEAVE_ROTATION, grace / 2))
+        await anyio.sleep_until(signalled_at + min(LEAVE_ROTATION, grace / 2))
         self.shutdown.stage = Stage.LEAVING
         with anyio.CancelScope(deadline=times.early_return_at):
             await self.listener.until_idle()
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -234,3 +235,24 @@
     else:
         feed(pressure, calm, CONNECT_WINDOW)
     assert not pressure.high
+
+
+@pytest.mark.parametrize(
+    ("measured_at", "measured_before", "arrival"),
+    [
+        (99.98, 99.93, 100.0),
+        (99.99, 99.49, 99.49),
+        (99.5, 99.45, 99.5),
+        (99.99, 90.0, 99.0),
+        (math.inf, math.inf, 100.0),
+    ],
+    ids=["no pause", "just paused", "not measured since", "long pause", "starting"],
+)
+def test_event_handled_after_a_pause_may_have_arrived_before_it(
+    measured_at: float, measured_before: float, arrival: float
+) -> None:
+    """Guards against counting the time of a stop from the end of a pause."""
+    pressure = PressureMonitor(lambda shed: None)
+    pressure.measured_at = measured_at
+    pressure.measured_before = measured_before
+    assert pressure.earliest_arrival(100.0) == arrival
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -322,3 +322,28 @@
     async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
         await stop_with_late_requests(soak, late)
     assert [request.whole for request in late] == [True, True]
+
+
+PAUSE = 0.8
+"""Seconds for which a gateway stands still; its SIGTERM comes at the beginning."""
+
+
+async def test_signal_that_is_handled_late_counts_from_its_arrival(
+    tmp_path: Path,
+) -> None:
+    """Guards against taking a late stream as one of the first stage after a pause."""
+    late = late_request("late", USUAL_EVENTS)
+    async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
+        await wait_until_served(soak)
+        soak.gateways[0].send(signal.SIGSTOP)
+        await anyio.sleep(0.02)
+        soak.gateways[0].send(signal.SIGTERM)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(PAUSE)
+            soak.gateways[0].send(signal.SIGCONT)
+            await anyio.sleep(UNDER_WAY_FROM - PAUSE)
+            tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
+            await anyio.sleep(SENT_AFTER - UNDER_WAY_FROM)
+            await send_together(soak, [late])
+        runs = read_runs(await soak.engine_records())
+    assert (late.status, late.whole, late.request_id in runs) == (503, True, False)
