--- a/tests/forwarding/test_heads.py
+++ b/tests/forwarding/test_heads.py
@@ -9,7 +9,13 @@
 from anyio.abc import SocketStream
 
 from ebonyhold.coordination import Put, Transaction
-from ebonyhold.exceptions import UnavailableError, UnknownOutcomeError
+from ebonyhold.exceptions import (
+    BackendLostError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ebonyhold.forwarding import Outbound
+from ebonyhold.forwarding._channel import open_channel
 from ebonyhold.platform import StoreClient
 from tests.forwarding.kit import (
     LOOPBACK,
@@ -215,3 +221,28 @@
                 await store.scan("t//")
         tasks.cancel_scope.cancel()
     assert len(server.requests) == 2 * len(cuts)
+
+
+@pytest.mark.parametrize("side", ["the other side", "this router"])
+@pytest.mark.parametrize("sent", [b"", b"HTTP/1.1 200 OK\r\nA", INTERIM])
+async def test_reason_names_the_side_that_closed(sent: bytes, side: str) -> None:
+    """Guards against closed connections that logs call a fault of the protocol."""
+
+    async def serve(server: Server, stream: SocketStream, head: str) -> None:
+        if sent:
+            await stream.send(sent)
+        if side == "the other side":
+            await stream.aclose()
+        else:
+            await stream.receive()
+
+    server = Server("only", serve)
+    async with rig(server), anyio.create_task_group() as tasks:
+        channel = await open_channel((LOOPBACK, server.port), tasks)
+        await channel.send(Outbound(b"GET", b"/", [(b"host", b"h")], b"", False))
+        if side == "this router":
+            tasks.start_soon(channel.close)
+        with pytest.raises(BackendLostError) as caught:
+            await channel.read_head()
+        await channel.close()
+    assert str(caught.value) == f"{side} closed the connection before a head"
