--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -24,6 +24,7 @@
 from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, FlowControl
 from ebonyhold.forwarding._inbox import Traffic
 from ebonyhold.forwarding._refusals import Refusal, own_answer
+from ebonyhold.forwarding._sockets import pause_reading
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.tasks import Guard, unguarded
 
@@ -144,7 +145,7 @@
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER
                 )
-            return await SocketStream.from_socket(connection)
+            stream = await SocketStream.from_socket(connection)
         except (OSError, ValueError):
             # anyio raises ValueError for a socket that its peer has reset.
             connection.close()
@@ -153,6 +154,8 @@
         except BaseException:
             connection.close()
             raise
+        pause_reading(stream)
+        return stream
 
     async def handle(self, stream: ByteStream) -> None:
         """Serve one connection until it ends; its errors do not affect the others."""
--- a/ebonyhold/forwarding/_sockets.py
+++ b/ebonyhold/forwarding/_sockets.py
@@ -24,6 +24,17 @@
             raw.setsockopt(level, option, value)
 
 
+def pause_reading(stream: ByteStream) -> None:
+    """Let a wrapped socket read only while its stream is asked to receive.
+
+    anyio does so for connections that it makes. Otherwise bytes are read as fast as the
+    peer sends them, and are kept without a bound.
+    """
+    transport = getattr(stream, "_transport", None)
+    if transport is not None:
+        transport.pause_reading()
+
+
 def reset_on_close(stream: ByteStream) -> None:
     """Let the close of a connection reset it; what was not received is lost."""
     set_option(stream, socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
