--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -228,7 +228,7 @@
                 raise BackendLostError("the connection was reset")
             if not data and self.parser.their_state is h11.SEND_RESPONSE:
                 side = "this router" if self.closed else "the other side"
-                raise BackendLostError(f"{side} closed the connection before a head")
+                raise BackendLostError(f"no answer: {side} closed before a head")
             if self.intake.excess > 0:
                 raise BackendLostError("more framing than content")
             self.parser.receive_data(data)
--- a/tests/forwarding/test_heads.py
+++ b/tests/forwarding/test_heads.py
@@ -245,4 +245,4 @@
         with pytest.raises(BackendLostError) as caught:
             await channel.read_head()
         await channel.close()
-    assert str(caught.value) == f"{side} closed the connection before a head"
+    assert str(caught.value) == f"no answer: {side} closed before a head"
