--- a/ebonyhold/forwarding/__init__.py
+++ b/ebonyhold/forwarding/__init__.py
@@ -2,7 +2,12 @@
 
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
-from ebonyhold.forwarding._calls import CallNotSentError, HttpCalls
+from ebonyhold.forwarding._calls import (
+    AnswerBounds,
+    AnswerTooLargeError,
+    CallNotSentError,
+    HttpCalls,
+)
 from ebonyhold.forwarding._channel import AnswerHead, Channel, Outbound
 from ebonyhold.forwarding._choice import choose
 from ebonyhold.forwarding._crash_detection import CrashDetector
@@ -38,7 +43,12 @@
     find_route,
     match_request,
 )
-from ebonyhold.forwarding._runs import RunAnswer, RunChecks, read_no_start
+from ebonyhold.forwarding._runs import (
+    MAX_REPORT,
+    RunAnswer,
+    RunChecks,
+    read_no_start,
+)
 from ebonyhold.forwarding._shutdown import (
     LateRequest,
     RequestSize,
@@ -79,10 +89,13 @@
 
 __all__ = [
     "DELIVERED",
+    "MAX_REPORT",
     "RELAY_PREFIX",
+    "AnswerBounds",
     "AnswerEnding",
     "AnswerFacts",
     "AnswerHead",
+    "AnswerTooLargeError",
     "Backend",
     "BackendEntry",
     "BackendState",
--- a/ebonyhold/forwarding/_runs.py
+++ b/ebonyhold/forwarding/_runs.py
@@ -20,13 +20,10 @@
 
 from ebonyhold.exceptions import BackendLostError, MalformedEntryError
 from ebonyhold.forwarding._backends import BackendTable
-from ebonyhold.forwarding._channel import (
-    AnswerHead,
-    Channel,
-    ConnectRefusedError,
-    Outbound,
-)
+from ebonyhold.forwarding._calls import AnswerBounds
+from ebonyhold.forwarding._channel import Channel, ConnectRefusedError, Outbound
 from ebonyhold.forwarding._entry import BackendEntry
+from ebonyhold.forwarding._exchange import WholeAnswer
 from ebonyhold.forwarding._pool import ChannelPool
 from ebonyhold.types import Seconds
 
@@ -39,7 +36,7 @@
 """Maximum share of the time that a request has left for a question before it."""
 
 MAX_REPORT = 262_144
-"""Size limit, in bytes, of a report."""
+"""Size limit, in bytes, of a report, which lists the requests of a server."""
 
 MAX_QUESTIONS = 2
 """Number of questions after which a run that nothing confirms stays in doubt."""
@@ -94,6 +91,7 @@
         on_unproved: Called with a run once it is known that its report will not vouch
             for connections that were in doubt.
         asking: The servers that are being asked by `confirm`.
+        bounds: Bounds the reports.
     """
 
     backends: BackendTable
@@ -103,6 +101,7 @@
     on_answer: Callable[[RunAnswer], None] = lambda answer: None
     on_unproved: Callable[[BackendEntry], None] = lambda entry: None
     asking: dict[BackendEntry, Question] = field(factory=dict)
+    bounds: AnswerBounds = field(factory=lambda: AnswerBounds(MAX_REPORT))
 
     def are_in_doubt(self, entry: BackendEntry, opened_at: Seconds) -> bool:
         """Return whether a server is to be asked which run a connection leads to."""
@@ -190,34 +189,30 @@
         """Ask on a connection; return whether it can be reused."""
         asked_at, usable, started_at = anyio.current_time(), False, -1
         with anyio.move_on_after(timeout), suppress(BackendLostError):
-            head, body = await self.read_report(channel)
-            started_at = self.start_in(head, body)
-            usable = channel.finish(head, anyio.current_time())
+            answer = await self.read_report(channel)
+            started_at = self.start_in(answer)
+            usable = channel.finish(answer.head, anyio.current_time())
         self.on_answer(self.record(entry, channel, asked_at, started_at))
         return usable
 
-    def start_in(self, head: AnswerHead, body: bytes) -> int:
+    def start_in(self, answer: WholeAnswer) -> int:
         """Return the start that a report states; 0 if it states none."""
         try:
-            return self.read_start(body) if head.status == 200 else 0
+            return self.read_start(answer.body) if answer.head.status == 200 else 0
         except MalformedEntryError:
             return 0
 
-    async def read_report(self, channel: Channel) -> tuple[AnswerHead, bytes]:
+    async def read_report(self, channel: Channel) -> WholeAnswer:
         """Return a server's report.
 
         Raises:
-            BackendLostError: It is incomplete or larger than MAX_REPORT.
+            BackendLostError: It is incomplete or too large.
         """
         host, port = channel.address
         fields = [(b"host", f"{host}:{port}".encode())]
         await channel.send(Outbound(b"GET", self.target, fields, b"", False))
-        head, body = await channel.read_head(), bytearray()
-        while (part := await channel.read_part()) is not None:
-            body += part
-            if len(body) > MAX_REPORT:
-                raise BackendLostError("the report is too large")
-        return head, bytes(body)
+        with self.bounds.arriving(channel) as answer:
+            return await answer.read()
 
     def record(
         self,
--- a/ebonyhold/gateway/_server_reports.py
+++ b/ebonyhold/gateway/_server_reports.py
@@ -14,7 +14,14 @@
 from attrs import define, field
 
 from ebonyhold.exceptions import BackendLostError, MalformedEntryError
-from ebonyhold.forwarding import BackendEntry, BackendTable, HttpCalls, Outbound
+from ebonyhold.forwarding import (
+    MAX_REPORT,
+    AnswerBounds,
+    BackendEntry,
+    BackendTable,
+    HttpCalls,
+    Outbound,
+)
 from ebonyhold.gateway._types import ServerReport
 from ebonyhold.tasks import TaskStarter
 from ebonyhold.types import Seconds
@@ -42,6 +49,7 @@
         is_wanted: Returns whether reports are to be read now.
         tasks: Starts the tasks that read connections; None before the start.
         calls: The connections to the servers, by address.
+        bounds: Bounds the reports of all servers.
     """
 
     backends: BackendTable
@@ -52,6 +60,7 @@
     is_wanted: Callable[[], bool]
     tasks: TaskStarter | None = None
     calls: dict[tuple[str, int], HttpCalls] = field(factory=dict)
+    bounds: AnswerBounds = field(factory=lambda: AnswerBounds(MAX_REPORT))
 
     async def run(self, started: anyio.Event) -> None:
         """Read the reports while they are wanted, until cancelled.
@@ -105,7 +114,7 @@
         address = entry.backend.address
         calls = self.calls.get(address)
         if calls is None:
-            calls = self.calls[address] = HttpCalls(address, TIMEOUT)
+            calls = self.calls[address] = HttpCalls(address, TIMEOUT, self.bounds)
             calls.start(self.tasks)
         try:
             answer = await calls.call(
--- a/ebonyhold/gateway/_transfers.py
+++ b/ebonyhold/gateway/_transfers.py
@@ -21,6 +21,7 @@
 from ebonyhold.coordination import to_json
 from ebonyhold.exceptions import BackendLostError, MalformedMessageError
 from ebonyhold.forwarding import (
+    AnswerBounds,
     CallerConnection,
     CallerLimits,
     CallNotSentError,
@@ -160,6 +161,7 @@
         calls: The HTTP clients of the other gateways, by address.
         avoidances: The last avoidance of each VM that has not answered since.
         cached: The last offers for each workspace.
+        bounds: Bounds the answers of all gateways.
     """
 
     addresses: Callable[[], dict[str, str]]
@@ -168,6 +170,7 @@
     calls: dict[str, HttpCalls] = field(factory=dict)
     avoidances: dict[str, Avoidance] = field(factory=dict)
     cached: dict[WorkspaceName, CachedOffers] = field(factory=dict)
+    bounds: AnswerBounds = field(factory=AnswerBounds)
 
     async def offers(self, workspace: WorkspaceName) -> Sequence[Offer]:
         """Return offers from other gateways, which may be `OFFER_CACHE_TIME` old.
@@ -339,7 +342,7 @@
         calls = self.calls.get(address)
         if calls is None:
             host, _, port = address.rpartition(":")
-            calls = HttpCalls((host, int(port)), CONNECT_TIMEOUT)
+            calls = HttpCalls((host, int(port)), CONNECT_TIMEOUT, self.bounds)
             self.calls[address] = calls
             calls.start(tasks)
         return calls
--- a/ebonyhold/platform/_store.py
+++ b/ebonyhold/platform/_store.py
@@ -23,6 +23,8 @@
     UnknownOutcomeError,
 )
 from ebonyhold.forwarding import (
+    AnswerBounds,
+    AnswerTooLargeError,
     CallNotSentError,
     HttpCalls,
     Outbound,
@@ -73,6 +75,19 @@
 """Maximum number of calls of one `scan`; `snapshot` reads all pages. An answer has at
 most 1 MB, so few large rows of other programs fill one."""
 
+MAX_ANSWER = 4_194_304
+"""Size limit, in bytes, of an answer.
+
+The changes of a table include every version of a large row: a few hundred routes in ten
+versions make some 2 MB. A table with more of them is read anew, page by page.
+"""
+
+MAX_TOGETHER = 8_388_608
+"""Size limit, in bytes, of all answers that are being read."""
+
+MAX_TABLE = 16_777_216
+"""Size limit, in bytes, of the pages of one reading of a table."""
+
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -156,7 +171,8 @@
     calls: HttpCalls = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.calls = HttpCalls(self.address)
+        bounds = AnswerBounds(MAX_ANSWER, MAX_TOGETHER)
+        self.calls = HttpCalls(self.address, bounds=bounds)
 
     def start(self, tasks: TaskStarter) -> None:
         """Create the connection pool, whose reading tasks run in `tasks`.
@@ -165,8 +181,10 @@
         """
         self.calls.start(tasks)
 
-    async def fetch(self, path: str, query: dict[str, str], wait: Seconds = 0) -> Any:
-        """Make a GET call and return the decoded body of the answer.
+    async def fetch(
+        self, path: str, query: dict[str, str], wait: Seconds = 0
+    ) -> WholeAnswer:
+        """Make a GET call and return the answer, whose status is 200.
 
         Args:
             path: The path of the call.
@@ -175,9 +193,10 @@
                 0 for a call that is answered at once.
 
         Raises:
-            HistoryLostError: The store no longer keeps the requested changes.
+            HistoryLostError: The store no longer keeps the requested changes, or they
+                are too large.
             ThrottledError: The store refused the call because of its rate limit.
-            UnavailableError: The call failed, or its answer is malformed.
+            UnavailableError: The call failed.
         """
         limit = wait + FEED_MARGIN if wait else CALL_TIMEOUT
         # A key of another program may contain surrogates.
@@ -187,11 +206,33 @@
                 Outbound(b"GET", target, [], b"", False), limit
             )
         except BackendLostError as error:
+            if path == FEED_PATH and isinstance(error, AnswerTooLargeError):
+                raise HistoryLostError(f"{path}: {error}") from error
             raise UnavailableError(f"{path}: {error}") from error
         if answer.head.status == HTTPStatus.GONE:
             raise HistoryLostError(path)
         check_status(path, answer)
-        return decode_body(path, answer)
+        return answer
+
+    async def fetch_page(self, query: dict[str, str], read: int) -> tuple[Any, int]:
+        """Read one page of a table.
+
+        Args:
+            query: The parameters of the call.
+            read: The size of the pages before it, in bytes.
+
+        Returns:
+            The decoded body, and the size of all pages so far.
+
+        Raises:
+            UnavailableError: The call failed, or the pages are too large, or this one
+                is malformed.
+        """
+        answer = await self.fetch(READ_PATH, query)
+        read += len(answer.body)
+        if read > MAX_TABLE:
+            raise UnavailableError(f"{READ_PATH}: the table is too large")
+        return decode_body(READ_PATH, answer), read
 
     async def snapshot(self, table: str, part: str = "") -> Snapshot:
         """Read all rows of one part of a table, page by page.
@@ -202,10 +243,10 @@
             UnavailableError: A call failed, or its answer is malformed.
         """
         rows: list[RawRow] = []
-        version: int | None = None
+        read, version = 0, None
         query = {"table": table, "part": part, "limit": str(MAX_ROWS)}
         while True:
-            body = await self.fetch(READ_PATH, query)
+            body, read = await self.fetch_page(query, read)
             with decoding(READ_PATH):
                 page = [decode_raw_row(raw) for raw in body["rows"]]
                 rows += page
@@ -225,13 +266,13 @@
         The result has no rows if none come within `wait` seconds.
 
         Raises:
-            HistoryLostError: The store no longer keeps all of these changes; the caller
-                must read a new snapshot.
+            HistoryLostError: The store no longer keeps all of these changes, or they
+                are too large; the caller must read a new snapshot.
             UnavailableError: The call failed, or its answer is malformed.
         """
         milliseconds = str(int(wait * 1000))
         query = {"table": table, AFTER_FIELD: str(after), "wait-ms": milliseconds}
-        body = await self.fetch(FEED_PATH, query, wait)
+        body = decode_body(FEED_PATH, await self.fetch(FEED_PATH, query, wait))
         with decoding(FEED_PATH):
             rows = tuple(decode_raw_row(raw) for raw in body["rows"])
             return Changes(rows, int(body[VERSION_FIELD]))
@@ -253,8 +294,9 @@
         if after:
             query["from"] = split_key(after)["key"] + "\0"
         rows: list[Row] = []
+        read = 0
         for _ in range(MAX_PAGES):
-            body = await self.fetch(READ_PATH, query)
+            body, read = await self.fetch_page(query, read)
             with decoding(READ_PATH):
                 rows += [decode_row(raw) for raw in body["rows"]]
                 if not body.get("truncated") or len(rows) >= limit:
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager, nullcontext, suppress
 from threading import Thread
 
 import anyio
@@ -14,7 +14,14 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from ebonyhold.exceptions import BackendLostError
-from ebonyhold.forwarding import CallNotSentError, HttpCalls, Outbound
+from ebonyhold.forwarding import (
+    AnswerBounds,
+    AnswerTooLargeError,
+    CallNotSentError,
+    HttpCalls,
+    Outbound,
+)
+from ebonyhold.platform import StoreClient
 
 pytestmark = pytest.mark.anyio
 Behaviour = Callable[[ByteStream], Awaitable[None]]
@@ -30,11 +37,13 @@
 
 
 @asynccontextmanager
-async def calling(serve: Behaviour) -> AsyncIterator[HttpCalls]:
+async def calling(
+    serve: Behaviour, bounds: AnswerBounds | None = None
+) -> AsyncIterator[HttpCalls]:
     """Yield an HttpCalls to a loopback server that handles connections by ``serve``."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(SocketAttribute.local_port)
-    calls = HttpCalls(("127.0.0.1", port))
+    calls = HttpCalls(("127.0.0.1", port), bounds=bounds or AnswerBounds())
     async with listener, anyio.create_task_group() as tasks:
         calls.start(tasks)
         tasks.start_soon(listener.serve, serve)
@@ -170,6 +179,30 @@
         await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body))
         await stream.send(body)
 
-    async with calling(answer_at_length) as calls:
+    bounds = StoreClient(("127.0.0.1", 1)).calls.bounds
+    async with calling(answer_at_length, bounds) as calls:
         answer = await calls.call(REQUEST, 5.0)
         assert answer.body == body
+    assert (bounds.calls, bounds.held) == (0, 0)
+
+
+GROWN = [
+    # calls under way, bytes held of all, bytes of this one, what is raised
+    (1, 100, 100, None),
+    (1, 101, 101, AnswerTooLargeError),
+    (4, 200, 100, None),
+    (4, 201, 51, BackendLostError),
+    (4, 201, 50, None),
+    (40, 4000, 5, None),
+    (40, 4000, 6, BackendLostError),
+]
+
+
+@pytest.mark.parametrize(("calls", "held", "size", "error"), GROWN)
+def test_large_answers_give_way_to_small_ones(
+    calls: int, held: int, size: int, error: type[Exception] | None
+) -> None:
+    """Guards against small answers that are given up while large ones are held."""
+    bounds = AnswerBounds(each=100, together=200, calls=calls, held=held)
+    with pytest.raises(error) if error else nullcontext():
+        bounds.check(size)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -31,6 +32,7 @@
 )
 from ebonyhold.forwarding import (
     AnswerHead,
+    AnswerTooLargeError,
     CallNotSentError,
     HttpCalls,
     Outbound,
@@ -133,6 +135,9 @@
     (snapshot, always(503), UnavailableError),
     (snapshot, always(200, b"not json"), UnavailableError),
     (snapshot, always_raise(BackendLostError), UnavailableError),
+    (snapshot, always_raise(AnswerTooLargeError), UnavailableError),
+    (changes, always_raise(AnswerTooLargeError), HistoryLostError),
+    (commit, always_raise(AnswerTooLargeError), UnknownOutcomeError),
     (snapshot, always(200, {}), UnavailableError),
     (snapshot, always(200, []), UnavailableError),
     (snapshot, always(200, {"rows": [], "version-number": "x"}), UnavailableError),
@@ -255,3 +260,27 @@
     found = await client(lambda request: answer(200, next(left))).snapshot("t", "p")
     assert [item.key for item in found.rows] == ["a", "b", "c"]
     assert found.version == 8
+
+
+async def scan_all(store: StoreClient) -> Any:
+    return await store.scan("t/p/a", limit=10**6)
+
+
+@pytest.mark.parametrize("call", [snapshot, scan_all])
+@pytest.mark.parametrize(("pages", "is_read"), [(6, True), (9, False), (None, False)])
+async def test_table_without_end_is_given_up(
+    call: Call, pages: int | None, is_read: bool
+) -> None:
+    """Guards against a process that ends since a table is larger than its memory."""
+    value = "x" * 1_400_000
+    asked: list[Outbound] = []
+
+    def handler(request: Outbound) -> WholeAnswer:
+        asked.append(request)
+        rows = [row(f"a{len(asked):09}", len(asked), value)]
+        rest = {"truncated": len(asked) != pages, "version-number": 9}
+        return answer(200, {"rows": rows, **rest})
+
+    with nullcontext() if is_read else pytest.raises(UnavailableError):
+        await call(client(handler))
+    assert len(asked) == (pages if is_read else 9)
