--- a/tests/gateway/interleaving.py
+++ b/tests/gateway/interleaving.py
@@ -164,11 +164,6 @@
         self.other.notify()
         await self.yield_to_tasks()
 
-    def extra(self, attribute: object, default: None = None) -> None:
-        """Return the default: a connection in memory has no socket."""
-        del attribute
-        return default
-
     async def aclose(self) -> None:
         """Close this end."""
         self.closed = True
