--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -12,8 +12,10 @@
 from anyio.abc import SocketStream
 from attrs import define
 
+from ebonyhold.forwarding import RelayAddress
 from ebonyhold.types import Seconds
 from tests.forwarding.kit import (
+    LOOPBACK,
     Script,
     Server,
     answer,
@@ -26,6 +28,7 @@
     value,
 )
 from tests.forwarding.test_attempts import good, numbers, whole_stream
+from tests.forwarding.test_relaying import KEY, partitioned
 from tests.forwarding.test_stray_answers import router_of, run
 
 pytestmark = pytest.mark.anyio
@@ -200,3 +203,19 @@
     assert got.startswith(b"HTTP/1.1 200 "), got[:200]
     assert server.bodies == [b"x" * 20_000]
     assert delay.longest < MAX_DELAY
+
+
+@pytest.mark.parametrize("sent", ENDLESS)
+@pytest.mark.parametrize("path", ["safe", "unsafe", "stream", "once"])
+async def test_relay_that_sends_without_end_is_given_up(path: str, sent: str) -> None:
+    """Guards against requests that wait for a router which sends no answer."""
+    bad = Server("bad", ENDLESS[sent])
+    async with partitioned(bad) as cut, measured_delay() as delay:
+        cut.relays.address = RelayAddress("vm-2", (LOOPBACK, bad.port), KEY)
+        began = anyio.current_time()
+        got = await cut.router.ask(request(f"/{path}/x"))
+        taken = anyio.current_time() - began
+    assert len(bad.requests) == 1
+    assert got.startswith(b"HTTP/1.1 50"), got[:200]
+    assert taken < AT_ONCE
+    assert delay.longest < MAX_DELAY
