--- a/tests/forwarding/test_callers.py
+++ b/tests/forwarding/test_callers.py
@@ -369,10 +369,7 @@
 
 
 async def test_request_behind_a_stream_is_answered_in_its_turn() -> None:
-    """Guards against a request that stays unread when the stream before it has ended.
-
-    It is sent before the answer, and so before a close that the answer could announce.
-    """
+    """Guards against a request that stays unread after the stream before it."""
 
     async def late_stream(server: Server, stream: SocketStream, head: str) -> None:
         if "/safe/" in head:
