Let a server of the tests reset its connection without an end before it

By reading, not by a run: the stream's close sends its end first, and the reset follows; a router that reads in between sees an orderly end of a server that runs on, which is whole.

--- a/tests/forwarding/test_endings.py
+++ b/tests/forwarding/test_endings.py
@@ -55,9 +55,11 @@
 
 
 async def reset(stream: SocketStream) -> None:
-    """Close a connection so that its peer sees a reset."""
+    """Close a connection so that its peer sees a reset, and no end before it."""
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    # `aclose` sends the end of the stream first.
+    stream._transport.abort()  # type: ignore[attr-defined]
     await stream.aclose()
 
 
