--- a/tests/platform/test_queued_requests.py
+++ b/tests/platform/test_queued_requests.py
@@ -78,14 +78,14 @@
         (-0.5, 2.0, Length(60, 0.06), True),
     ],
     ids=[
-        "cut, together before",
-        "cut, before",
-        "cut, while stopping",
+        "cut together before",
+        "cut before",
+        "cut while stopping",
         "together",
-        "cut, before the head",
-        "cut, late",
-        "ends, before",
-        "ends, while stopping",
+        "cut before the head",
+        "cut late",
+        "ends before",
+        "ends while stopping",
     ],
 )
 async def test_request_behind_a_stream_that_a_stop_cuts_is_not_read(
