Reserve the ports of tests across processes

Ports were probed and let go, and each process knew only its own draws.

A reservation now listens on one port per block of ports until the process ends or has reserved others.

--- a/tests/platform/kit/_world.py
+++ b/tests/platform/kit/_world.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import os
 import random
 import signal
 import socket
 import subprocess
 import sys
+from collections import deque
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from typing import Any
 
@@ -31,27 +34,43 @@
 PORTS = range(20_000, 32_000)
 """Ports for tests, below those that the kernel gives to outgoing connections."""
 
-taken_ports: list[range] = []
-"""The ranges of ports that `free_ports` returned in this process."""
+BLOCK = 20
+"""Number of consecutive ports that are reserved together."""
+
+LOCKS = range(PORTS.stop, PORTS.stop + len(PORTS) // BLOCK)
+"""The port of each block of PORTS that a process listens on to reserve the block."""
+
+RESERVATIONS = 16
+"""Number of latest reservations that a process keeps."""
+
+reservations: deque[list[socket.socket]] = deque()
+"""The locks of the latest calls of `free_ports`, the oldest first."""
 
 
 def free_ports(count: int) -> int:
-    """Return the first of consecutive free ports that this process has not used yet."""
+    """Return the first of consecutive free ports, and reserve them.
+
+    No other call returns them, of this process or of another one, until this process
+    ends or has reserved others RESERVATIONS times.
+    """
+    blocks = math.ceil(count / BLOCK)
     while True:
-        first = random.SystemRandom().choice(PORTS)
-        wanted = range(first, first + count)
-        if any(
-            wanted.start < taken.stop and taken.start < wanted.stop
-            for taken in taken_ports
-        ):
-            continue
-        try:
-            for port in wanted:
+        block = random.SystemRandom().randrange(len(LOCKS) - blocks + 1)
+        first = PORTS[block * BLOCK]
+        with ExitStack() as locks, suppress(OSError):
+            reserved = [
+                locks.enter_context(socket.create_server((HOST, lock)))
+                for lock in LOCKS[block : block + blocks]
+            ]
+            for port in range(first, first + count):
                 socket.create_server((HOST, port)).close()
-        except OSError:
-            continue
-        taken_ports.append(wanted)
-        return first
+            locks.pop_all()
+            reservations.append(reserved)
+            break
+    while len(reservations) > RESERVATIONS:
+        for lock in reservations.popleft():
+            lock.close()
+    return first
 
 
 @define(eq=False)
