--- a/tests/platform/test_stop_bounds.py
+++ b/tests/platform/test_stop_bounds.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import io
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -19,6 +21,7 @@
     RequestRecord,
     Style,
     configuration,
+    connect,
     read_runs,
 )
 from tests.platform.soak._run import SoakRun
@@ -271,3 +274,53 @@
         runs = read_runs(await soak.engine_records())
     assert (late.status, late.whole) == (status, True)
     assert (late.request_id in runs) is (status == 200)
+
+
+PEERS_PORT = 2
+"""Offset of the port for other gateways from the one for callers."""
+
+PEERS = 200
+"""Number of connections that other gateways of a large fleet keep to one of them."""
+
+LAST_LINE = b'"listener closed"'
+"""What a gateway logs some milliseconds before it closes the port for the others."""
+
+
+async def until_logged(log: Path, text: bytes) -> None:
+    """Wait until a process has logged a text since this call."""
+    with log.open("rb") as lines, anyio.fail_after(15.0):
+        lines.seek(0, io.SEEK_END)
+        while text not in lines.read():  # noqa: ASYNC110 - another process writes it
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    "length", [Length(0, 0.02), Length(5, 0.02)], ids=["booking", "stream"]
+)
+async def test_request_that_meets_the_end_of_a_relay_is_passed_on_by_another(
+    tmp_path: Path, length: Length
+) -> None:
+    """Guards against an error for a request that a relay never sent as it ended."""
+    requests = [
+        RequestRecord(f"relayed-{number}", 0, Style.NEW, length, UNLIMITED, 0)
+        for number in range(4 * RELAYED)
+    ]
+    async with partitioned_gateway(tmp_path) as soak:
+        relay = soak.gateways[1]
+        others = (relay.address, relay.port + PEERS_PORT)
+        peers = [socket.create_connection(others) for _ in range(PEERS)]
+        connections = [await connect(soak.gateways[0], one) for one in requests]
+        for number in range(RELAYED):
+            await send_request(soak, f"before-{number}", 1, UNLIMITED)
+        relay.send(signal.SIGTERM)
+        await until_logged(relay.log, LAST_LINE)
+        async with anyio.create_task_group() as tasks:
+            for connection, request in zip(connections, requests, strict=True):
+                assert connection is not None
+                await connection.send_request(request)
+                tasks.start_soon(connection.read, request)
+        for peer in peers:
+            peer.close()
+        runs = read_runs(await soak.engine_records())
+    got = [(one.status, one.whole, one.request_id in runs) for one in requests]
+    assert got == [(200, True, True)] * len(requests)
