--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -4,10 +4,12 @@
 
 import random
 import signal
+import socket
 import time
-from collections.abc import AsyncIterator, Container, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Container, Sequence
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
@@ -16,6 +18,7 @@
 from tests.platform.fleet import running_gateways
 from tests.platform.kit import (
     Fault,
+    Gateway,
     Length,
     ProcessRecord,
     RequestRecord,
@@ -24,8 +27,10 @@
     connect,
     listener_may_be_closed,
     read_runs,
+    settings,
     use_connection,
 )
+from tests.platform.soak import _run
 from tests.platform.soak._run import SoakRun, no_next_request
 
 pytestmark = pytest.mark.anyio
@@ -359,3 +364,71 @@
             await send_together(soak, [late])
         runs = read_runs(await soak.engine_records())
     assert (late.status, late.whole, late.request_id in runs) == (503, True, False)
+
+
+SLOW_READ = 0.02
+"""Seconds between two reads of a caller that reads slowly."""
+
+READ_TIMEOUT = 15.0
+"""Seconds that such a caller waits for more of an answer."""
+
+READING_TIME = 6.0
+"""Seconds that such a caller takes to read an answer, when 3.9 s are left."""
+
+
+def pressed_settings(*arguments: Any) -> str:
+    """Return the usual settings, with bounds on what is buffered for callers."""
+    return 'contracts = ["pressure"]\n' + settings(*arguments)
+
+
+def read_slowly(gateway: Gateway, request: bytes, pace: float) -> tuple[bytes, bytes]:
+    """Send a request, and read at a pace; return the answer's head and body.
+
+    Args:
+        gateway: The gateway.
+        request: The encoded request.
+        pace: How many bytes to read in a second.
+    """
+    received = b""
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        caller.settimeout(READ_TIMEOUT)
+        caller.connect((gateway.address, gateway.port))
+        caller.sendall(request)
+        with suppress(ConnectionResetError):
+            while part := caller.recv(round(pace * SLOW_READ)):
+                received += part
+                time.sleep(SLOW_READ)
+    head, _, body = received.partition(b"\r\n\r\n")
+    return head, body
+
+
+@pytest.mark.parametrize("size", [200_000, 1_000_000], ids=["200 kB", "1 MB"])
+@pytest.mark.parametrize("make", [settings, pressed_settings], ids=["free", "bounded"])
+async def test_late_answer_reaches_a_caller_that_reads_slowly(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, make: Callable[..., str], size: int
+) -> None:
+    """Guards against cutting a safe answer that is ready as its caller reads slowly."""
+    monkeypatch.setattr(_run, "settings", make)
+    late = late_request("late", 0)
+    late.length = Length(0, EVENT_PAUSE)
+    body = bytes(size)
+    async with one_gateway(tmp_path, kind="safe", **LONGER_THAN_GRACE) as soak:
+        await wait_until_served(soak)
+        async with anyio.create_task_group() as before:
+            for number in range(30):
+                request = evolve(late, request_id=f"before-{number}")
+                before.start_soon(send_together, soak, [request])
+        soak.gateways[0].send(signal.SIGTERM)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(UNDER_WAY_FROM)
+            tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
+            await anyio.sleep(SENT_AFTER - UNDER_WAY_FROM)
+            head, got = await anyio.to_thread.run_sync(
+                read_slowly,
+                soak.gateways[0],
+                late.head(body) + body,
+                size / READING_TIME,
+            )
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert len(got) == size
