--- a/tests/forwarding/test_given_up.py
+++ b/tests/forwarding/test_given_up.py
@@ -7,8 +7,9 @@
 from anyio.abc import SocketStream
 
 from ebonyhold.forwarding import Stage
+from ebonyhold.gateway._stop import LAST_ANSWERS_TIMEOUT
 from ebonyhold.tasks import Run
-from tests.forwarding.kit import Server, answer, request, rig
+from tests.forwarding.kit import Server, UnlimitedHold, answer, request, rig
 
 pytestmark = pytest.mark.anyio
 
@@ -53,3 +54,27 @@
         shutdown.stage = stage
         got = await router.ask(request("/safe/x", method))
     assert got.startswith(b"HTTP/1.1 " + status)
+
+
+class SlowHold(UnlimitedHold):
+    """A hold whose tokens come from another router, late."""
+
+    async def hold(self, amount: int, request: str) -> None:
+        """Accept any amount after a while."""
+        await anyio.sleep(3 * SECONDS_LEFT)
+
+
+@pytest.mark.parametrize("limit", [0.3, 2.0], ids=["own time", "stop"])
+async def test_request_that_waits_for_tokens_is_answered_in_time(limit: float) -> None:
+    """Guards against a request that waits for tokens until its connection closes."""
+    server = Server("only", slow)
+    prices = "X-Ebonyhold-Token-Counts: 10,20\r\n"
+    deadline = f"X-Ebonyhold-Deadline-Milliseconds: {round(limit * 1000)}\r\n"
+    async with rig(server, hold=SlowHold()) as router:
+        began = anyio.current_time()
+        router.forwarder.shutdown.begin(began + SECONDS_LEFT)
+        got = await router.ask(request("/safe/x", extra=prices + deadline))
+        took = anyio.current_time() - began
+    assert got.startswith(b"HTTP/1.1 503")
+    assert took < min(limit, SECONDS_LEFT) + LAST_ANSWERS_TIMEOUT
+    assert not server.requests
