--- a/tests/platform/test_stop_bounds.py
+++ b/tests/platform/test_stop_bounds.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
@@ -24,6 +25,7 @@
     connect,
     read_runs,
 )
+from tests.platform.soak import _run
 from tests.platform.soak._run import SoakRun
 from tests.platform.test_late_requests import (
     LONG_EVENTS,
@@ -34,10 +36,12 @@
     anyio_backend,
     late_request,
     one_gateway,
+    pressed_settings,
     send_request,
     send_together,
     wait_until_served,
 )
+from tests.platform.test_server_memory import PROMPT, rules
 
 pytestmark = pytest.mark.anyio
 __all__ = ["anyio_backend"]
@@ -324,3 +328,52 @@
         runs = read_runs(await soak.engine_records())
     got = [(one.status, one.whole, one.request_id in runs) for one in requests]
     assert got == [(200, True, True)] * len(requests)
+
+
+def memory_rules() -> dict[str, Any]:
+    """Return a configuration with engines whose memory is stated."""
+    found = rules()
+    for route in found["routes"]:
+        route.update(LONGER_THAN_GRACE)
+    found["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
+    return found
+
+
+FILLING = 20
+"""Number of streams that are sent before, more than the engines have memory for."""
+
+COUNTED_AFTER = 6.0
+"""Seconds after which a gateway lends memory, as it has counted the others."""
+
+WAITED_FOR = Length(200, 0.06)
+"""A stream of 12 s, with 1,000 tokens."""
+
+MEMORY_WAIT = 3.0
+"""Seconds for which a request may wait for memory: a quarter of its time."""
+
+
+@pytest.mark.parametrize(
+    "sent_at", [-0.2, 1.0, SENT_AFTER], ids=["before", "stopping", "late"]
+)
+async def test_request_without_memory_is_refused_during_a_stop(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent_at: float
+) -> None:
+    """Guards against keeping a request that waits for memory until the stop cuts it."""
+    monkeypatch.setattr(_run, "settings", pressed_settings)
+    late = RequestRecord("late", 0, Style.NEW, WAITED_FOR, UNLIMITED, PROMPT)
+    late.time_limit = 0.0 if sent_at < SENT_AFTER else TIME_LIMIT
+    async with running_gateways(tmp_path, 1, memory_rules()) as soak:
+        await wait_until_served(soak)
+        await anyio.sleep(COUNTED_AFTER)
+        async with anyio.create_task_group() as tasks:
+            for number in range(FILLING):
+                name = f"filling-{number}"
+                one = RequestRecord(name, 0, Style.NEW, WAITED_FOR, UNLIMITED, PROMPT)
+                tasks.start_soon(send_together, soak, [one])
+            await anyio.sleep(1.5)
+            tasks.start_soon(after, max(0.0, -sent_at), stopped_again, soak)
+            await anyio.sleep(max(0.0, sent_at))
+            await send_together(soak, [late])
+        runs = read_runs(await soak.engine_records())
+    assert (late.status, late.whole, late.request_id in runs) == (503, True, False)
+    assert late.ended_at - late.sent_at < MEMORY_WAIT
