--- a/tests/forwarding/test_given_up.py
+++ b/tests/forwarding/test_given_up.py
@@ -9,7 +9,15 @@
 from ebonyhold.forwarding import Stage
 from ebonyhold.gateway._stop import LAST_ANSWERS_TIMEOUT
 from ebonyhold.tasks import Run
-from tests.forwarding.kit import Server, UnlimitedHold, answer, request, rig
+from tests.forwarding.kit import (
+    LOOPBACK,
+    Server,
+    UnlimitedHold,
+    answer,
+    read_all,
+    request,
+    rig,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -78,3 +86,29 @@
     assert got.startswith(b"HTTP/1.1 503")
     assert took < min(limit, SECONDS_LEFT) + LAST_ANSWERS_TIMEOUT
     assert not server.requests
+
+
+async def prompt(server: Server, stream: SocketStream, head: str) -> None:
+    """Answer at once."""
+    await stream.send(answer(head))
+
+
+@pytest.mark.parametrize("path", ["safe", "unsafe", "stream"])
+@pytest.mark.parametrize("after", [0.1, 0.5], ids=["in time", "late"])
+async def test_request_whose_body_arrives_after_its_deadline_is_answered(
+    path: str, after: float
+) -> None:
+    """Guards against closing a connection without an answer once a deadline passed."""
+    server = Server("only", prompt)
+    deadline = "X-Ebonyhold-Deadline-Milliseconds: 300\r\n"
+    whole = request(f"/{path}/x", "POST", b"abc", extra=deadline)
+    async with rig(server) as router:
+        stream = await anyio.connect_tcp(LOOPBACK, router.port)
+        async with stream:
+            await stream.send(whole[:-2])
+            await anyio.sleep(after)
+            await stream.send(whole[-2:])
+            got = await read_all(stream)
+    expected = b"503" if after > 0.3 else b"200"
+    assert got.startswith(b"HTTP/1.1 " + expected)
+    assert len(server.requests) == (expected == b"200")
