--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -432,3 +432,30 @@
             )
     assert head.startswith(b"HTTP/1.1 200 ")
     assert len(got) == size
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "lasts"), [(2.2, 5.2), (2.8, 4.6)], ids=["stopping", "unaware"]
+)
+async def test_slow_booking_of_an_unaware_caller_ends_without_doubt(
+    tmp_path: Path, sent_at: float, lasts: float
+) -> None:
+    """Guards against status 504 for a booking that ran, as the router stops."""
+    late = late_request("late", 0)
+    async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
+        await wait_until_served(soak)
+        async with anyio.create_task_group() as before:
+            for number in range(30):
+                usual = evolve(late, request_id=f"before-{number}")
+                usual.length = Length(0, EVENT_PAUSE)
+                before.start_soon(send_together, soak, [usual])
+        late.length = Length(0, lasts)
+        soak.gateways[0].send(signal.SIGTERM)
+        async with anyio.create_task_group() as tasks:
+            await anyio.sleep(sent_at - 0.3)
+            tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
+            await anyio.sleep(0.3)
+            await send_together(soak, [late])
+        runs = read_runs(await soak.engine_records())
+    assert late.whole
+    assert (late.status, late.request_id in runs) in ((200, True), (503, False))
