--- a/tests/platform/test_stop_bounds.py
+++ b/tests/platform/test_stop_bounds.py
@@ -202,12 +202,17 @@
 
 
 @asynccontextmanager
-async def partitioned_gateway(folder: Path) -> AsyncIterator[SoakRun]:
-    """Run gateways, the first of which reaches no engine."""
+async def partitioned_gateway(folder: Path, **fields: object) -> AsyncIterator[SoakRun]:
+    """Run gateways, the first of which reaches no engine.
+
+    Args:
+        folder: Holds the settings files and logs.
+        fields: Fields that differ in the configuration of all routes.
+    """
     links = LinkGrid(GATEWAYS, len(ENGINES))
     rules = configuration()
     for route in rules["routes"]:
-        route.update(LONGER_THAN_GRACE)
+        route.update({**LONGER_THAN_GRACE, **fields})
     rules["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
     async with running_gateways(folder, GATEWAYS, rules, "aaa", links) as soak:
         await wait_until_ready(soak)
@@ -299,17 +304,23 @@
 
 
 @pytest.mark.parametrize(
-    "length", [Length(0, 0.02), Length(5, 0.02)], ids=["booking", "stream"]
+    ("length", "fields"),
+    [
+        (Length(0, 0.02), {}),
+        (Length(0, 0.02), {"kind": "safe", "max-attempts": 2}),
+        (Length(5, 0.02), {}),
+    ],
+    ids=["booking", "safe", "stream"],
 )
 async def test_request_that_meets_the_end_of_a_relay_is_passed_on_by_another(
-    tmp_path: Path, length: Length
+    tmp_path: Path, length: Length, fields: dict[str, object]
 ) -> None:
     """Guards against an error for a request that a relay never sent as it ended."""
     requests = [
         RequestRecord(f"relayed-{number}", 0, Style.NEW, length, UNLIMITED, 0)
         for number in range(4 * RELAYED)
     ]
-    async with partitioned_gateway(tmp_path) as soak:
+    async with partitioned_gateway(tmp_path, **fields) as soak:
         relay = soak.gateways[1]
         others = (relay.address, relay.port + PEERS_PORT)
         peers = [socket.create_connection(others) for _ in range(PEERS)]
