--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -435,12 +435,16 @@
 
 
 @pytest.mark.parametrize(
-    ("sent_at", "lasts"), [(2.2, 5.2), (2.8, 4.6)], ids=["stopping", "unaware"]
+    ("sent_at", "lasts", "behind"),
+    [(2.2, 5.2, 0.0), (2.8, 4.6, 0.0), (2.2, 4.2, 1.5)],
+    ids=["stopping", "unaware", "queued"],
 )
 async def test_slow_booking_of_an_unaware_caller_ends_without_doubt(
-    tmp_path: Path, sent_at: float, lasts: float
+    tmp_path: Path, sent_at: float, lasts: float, behind: float
 ) -> None:
     """Guards against status 504 for a booking that ran, as the router stops."""
+    first = late_request("first", 0)
+    first.length = Length(0, behind)
     late = late_request("late", 0)
     async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
         await wait_until_served(soak)
@@ -455,7 +459,7 @@
             await anyio.sleep(sent_at - 0.3)
             tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
             await anyio.sleep(0.3)
-            await send_together(soak, [late])
+            await send_together(soak, [first, late] if behind else [late])
         runs = read_runs(await soak.engine_records())
     assert late.whole
     assert (late.status, late.request_id in runs) in ((200, True), (503, False))
