--- a/tests/platform/test_stop_bounds.py
+++ b/tests/platform/test_stop_bounds.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import io
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
@@ -19,8 +22,10 @@
     RequestRecord,
     Style,
     configuration,
+    connect,
     read_runs,
 )
+from tests.platform.soak import _run
 from tests.platform.soak._run import SoakRun
 from tests.platform.test_late_requests import (
     LONG_EVENTS,
@@ -31,10 +36,12 @@
     anyio_backend,
     late_request,
     one_gateway,
+    pressed_settings,
     send_request,
     send_together,
     wait_until_served,
 )
+from tests.platform.test_server_memory import PROMPT, rules
 
 pytestmark = pytest.mark.anyio
 __all__ = ["anyio_backend"]
@@ -195,12 +202,17 @@
 
 
 @asynccontextmanager
-async def partitioned_gateway(folder: Path) -> AsyncIterator[SoakRun]:
-    """Run gateways, the first of which reaches no engine."""
+async def partitioned_gateway(folder: Path, **fields: object) -> AsyncIterator[SoakRun]:
+    """Run gateways, the first of which reaches no engine.
+
+    Args:
+        folder: Holds the settings files and logs.
+        fields: Fields that differ in the configuration of all routes.
+    """
     links = LinkGrid(GATEWAYS, len(ENGINES))
     rules = configuration()
     for route in rules["routes"]:
-        route.update(LONGER_THAN_GRACE)
+        route.update({**LONGER_THAN_GRACE, **fields})
     rules["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
     async with running_gateways(folder, GATEWAYS, rules, "aaa", links) as soak:
         await wait_until_ready(soak)
@@ -271,3 +283,108 @@
         runs = read_runs(await soak.engine_records())
     assert (late.status, late.whole) == (status, True)
     assert (late.request_id in runs) is (status == 200)
+
+
+PEERS_PORT = 2
+"""Offset of the port for other gateways from the one for callers."""
+
+PEERS = 200
+"""Number of connections that other gateways of a large fleet keep to one of them."""
+
+LAST_LINE = b'"listener closed"'
+"""What a gateway logs some milliseconds before it closes the port for the others."""
+
+
+async def until_logged(log: Path, text: bytes) -> None:
+    """Wait until a process has logged a text since this call."""
+    with log.open("rb") as lines, anyio.fail_after(15.0):
+        lines.seek(0, io.SEEK_END)
+        while text not in lines.read():  # noqa: ASYNC110 - another process writes it
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    ("length", "fields"),
+    [
+        (Length(0, 0.02), {}),
+        (Length(0, 0.02), {"kind": "safe", "max-attempts": 2}),
+        (Length(5, 0.02), {}),
+    ],
+    ids=["booking", "safe", "stream"],
+)
+async def test_request_that_meets_the_end_of_a_relay_is_passed_on_by_another(
+    tmp_path: Path, length: Length, fields: dict[str, object]
+) -> None:
+    """Guards against an error for a request that a relay never sent as it ended."""
+    requests = [
+        RequestRecord(f"relayed-{number}", 0, Style.NEW, length, UNLIMITED, 0)
+        for number in range(4 * RELAYED)
+    ]
+    async with partitioned_gateway(tmp_path, **fields) as soak:
+        relay = soak.gateways[1]
+        others = (relay.address, relay.port + PEERS_PORT)
+        peers = [socket.create_connection(others) for _ in range(PEERS)]
+        connections = [await connect(soak.gateways[0], one) for one in requests]
+        for number in range(RELAYED):
+            await send_request(soak, f"before-{number}", 1, UNLIMITED)
+        relay.send(signal.SIGTERM)
+        await until_logged(relay.log, LAST_LINE)
+        async with anyio.create_task_group() as tasks:
+            for connection, request in zip(connections, requests, strict=True):
+                assert connection is not None
+                await connection.send_request(request)
+                tasks.start_soon(connection.read, request)
+        for peer in peers:
+            peer.close()
+        runs = read_runs(await soak.engine_records())
+    got = [(one.status, one.whole, one.request_id in runs) for one in requests]
+    assert got == [(200, True, True)] * len(requests)
+
+
+def memory_rules() -> dict[str, Any]:
+    """Return a configuration with engines whose memory is stated."""
+    found = rules()
+    for route in found["routes"]:
+        route.update(LONGER_THAN_GRACE)
+    found["tenants"].append({"name": UNLIMITED, "api-keys": [f"key-{UNLIMITED}"]})
+    return found
+
+
+FILLING = 20
+"""Number of streams that are sent before, more than the engines have memory for."""
+
+COUNTED_AFTER = 6.0
+"""Seconds after which a gateway lends memory, as it has counted the others."""
+
+WAITED_FOR = Length(200, 0.06)
+"""A stream of 12 s, with 1,000 tokens."""
+
+MEMORY_WAIT = 3.0
+"""Seconds for which a request may wait for memory: a quarter of its time."""
+
+
+@pytest.mark.parametrize(
+    "sent_at", [-0.2, 1.0, SENT_AFTER], ids=["before", "stopping", "late"]
+)
+async def test_request_without_memory_is_refused_during_a_stop(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent_at: float
+) -> None:
+    """Guards against keeping a request that waits for memory until the stop cuts it."""
+    monkeypatch.setattr(_run, "settings", pressed_settings)
+    late = RequestRecord("late", 0, Style.NEW, WAITED_FOR, UNLIMITED, PROMPT)
+    late.time_limit = 0.0 if sent_at < SENT_AFTER else TIME_LIMIT
+    async with running_gateways(tmp_path, 1, memory_rules()) as soak:
+        await wait_until_served(soak)
+        await anyio.sleep(COUNTED_AFTER)
+        async with anyio.create_task_group() as tasks:
+            for number in range(FILLING):
+                name = f"filling-{number}"
+                one = RequestRecord(name, 0, Style.NEW, WAITED_FOR, UNLIMITED, PROMPT)
+                tasks.start_soon(send_together, soak, [one])
+            await anyio.sleep(1.5)
+            tasks.start_soon(after, max(0.0, -sent_at), stopped_again, soak)
+            await anyio.sleep(max(0.0, sent_at))
+            await send_together(soak, [late])
+        runs = read_runs(await soak.engine_records())
+    assert (late.status, late.whole, late.request_id in runs) == (503, True, False)
+    assert late.ended_at - late.sent_at < MEMORY_WAIT
