--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -15,7 +15,7 @@
 from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
 from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._intake import Intake
-from ebonyhold.forwarding._sockets import reset_on_close
+from ebonyhold.forwarding._sockets import grow_send_buffer, reset_on_close
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.pauses import READ_TIME, was_paused
 from ebonyhold.types import Seconds
@@ -133,6 +133,7 @@
         last: Whether to close the connection after the next answer, unless another
             request has begun to arrive by then.
         final: Whether to close the connection after the next answer in any case.
+        draining: Whether this process is about to end.
         close_announced: Whether an answer has announced that the connection closes.
         started: Whether the head of the answer has been written.
         write_pending: Whether the latest write has not finished.
@@ -153,6 +154,7 @@
     received_at: Seconds = 0.0
     last: bool = False
     final: bool = False
+    draining: bool = False
     close_announced: bool = False
     started: bool = False
     write_pending: bool = False
@@ -334,7 +336,11 @@
         has_body = body and self.method != b"HEAD"
         data = self.parser.send(h11.Data(data=body)) or b"" if has_body else b""
         end = self.parser.send(h11.EndOfMessage()) or b""
-        await self.write(head + data + end)
+        whole = head + data + end
+        if self.draining:
+            # The system delivers what it has taken after the process has ended.
+            grow_send_buffer(self.stream, len(whole))
+        await self.write(whole)
 
     def head(self, status: int, headers: Headers) -> bytes:
         """Return the bytes of an answer's head, and record that the answer has started.
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -163,6 +163,7 @@
             stream, self.limits(), self.traffic, flow=self.flow
         )
         connection.last = self.draining or self.shedding
+        connection.draining = self.draining
         self.connections.add(connection)
         try:
             # Without the guard, an unexpected error would end the task group of the
@@ -305,7 +306,7 @@
         """
         self.draining = True
         for connection in self.connections:
-            connection.last = True
+            connection.last = connection.draining = True
 
     def shed(self, share: float) -> None:
         """Close a share of the connections after their next answers.
--- a/ebonyhold/forwarding/_sockets.py
+++ b/ebonyhold/forwarding/_sockets.py
@@ -45,6 +45,20 @@
         transport.pause_reading()
 
 
+def grow_send_buffer(stream: ByteStream, size: int) -> None:
+    """Let the system take this many bytes to send, as far as its limits allow.
+
+    The system doubles the size that it is asked for, and states the doubled one.
+    """
+    raw = stream.extra(SocketAttribute.raw_socket, None)
+    if raw is None:
+        return
+    with suppress(OSError):
+        current = raw.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        if size > current // 2:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def reset_on_close(stream: ByteStream) -> None:
     """Let the close of a connection reset it; what was not received is lost."""
     set_option(stream, socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
