--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -337,7 +337,7 @@
         data = self.parser.send(h11.Data(data=body)) or b"" if has_body else b""
         end = self.parser.send(h11.EndOfMessage()) or b""
         whole = head + data + end
-        if self.draining:
+        if self.draining and self.flow is not None:
             # The system delivers what it has taken after the process has ended.
             grow_send_buffer(self.stream, len(whole))
         await self.write(whole)
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -297,21 +297,21 @@
 
     async def forward_bounded(self, exchange: Exchange) -> str:
         """Forward a request, and give it up when its time has passed."""
-        refusal, ended = None, False
+        outcome = ""
         cutoff = exchange.deadline + ANSWER_MARGIN
         with self.shutdown.bounded(cutoff):
             refusal = await self.dispatcher.dispatch(exchange)
-            ended = True
-        if not ended:
+            if refusal is None:
+                outcome = DELIVERED
+            elif not self.shutdown.has_passed(cutoff):
+                outcome = await self.give_up(exchange, refusal)
+        if not outcome:
             exchange.stopped = self.shutdown.last_answer_at < cutoff
             if exchange.stopped:
                 self.record_stopped(exchange)
             refusal = (
                 Refusal.NO_ANSWER if exchange.may_have_run else Refusal.NOT_STARTED
             )
-        # In the scope, which may have passed before, nothing would be written.
-        outcome = DELIVERED
-        if refusal is not None:
             outcome = await self.give_up(exchange, refusal)
         self.log_end(exchange, outcome)
         return outcome
--- a/ebonyhold/forwarding/_shutdown.py
+++ b/ebonyhold/forwarding/_shutdown.py
@@ -317,6 +317,13 @@
         for scope in self.scopes:
             scope.deadline = min(scope.deadline, last_answer_at)
 
+    def has_passed(self, deadline: Seconds) -> bool:
+        """Return whether a block that is `bounded` by this deadline is being cancelled.
+
+        Whatever such a block writes would be cut off.
+        """
+        return anyio.current_time() >= min(deadline, self.last_answer_at)
+
     @contextmanager
     def bounded(self, deadline: Seconds) -> Iterator[None]:
         """Cancel the enclosed block at `deadline` or, if earlier, at `last_answer_at`.
