Wait for a server's statement instead of a fixed time in a test

It asks the same: the statement of a head counts while its stream goes on, whose end is as far away as the wait allows for, twice.

--- a/tests/forwarding/test_server_statements.py
+++ b/tests/forwarding/test_server_statements.py
@@ -32,6 +32,9 @@
 LEAVING = "Server-Leaving: 1\r\n"
 FULL = "X-Ebonyhold-Not-Executed: 1\r\n"
 
+NOTICED_WITHIN = 0.4
+"""Seconds in which a statement is noticed, well before the end of its stream."""
+
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -52,7 +55,7 @@
     """State leaving in the head of a stream, long before the end of the stream."""
     stated = stream_head(head).replace(b"\r\n\r\n", f"\r\n{LEAVING}\r\n".encode())
     await stream.send(stated + chunk(event(1)))
-    await anyio.sleep(0.3)
+    await anyio.sleep(2 * NOTICED_WITHIN)
     await stream.send(chunk(b""))
 
 
@@ -93,8 +96,9 @@
     server = Server("s", script)
     async with rig(server) as fleet, anyio.create_task_group() as tasks:
         tasks.start_soon(fleet.ask, request(path, "POST", b"body"))
-        await anyio.sleep(0.15)
-        assert entry_of(fleet, "s").leaving
+        with anyio.fail_after(NOTICED_WITHIN):
+            while not entry_of(fleet, "s").leaving:  # noqa: ASYNC110 - not an event
+                await anyio.sleep(0.005)
         got = await fleet.ask(request("/unsafe/x", "POST", b"body"))
     assert got.startswith(b"HTTP/1.1 503 ")
     assert b"no_server" in got
