--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -263,13 +263,7 @@
     Returns:
         The identifiers of the requests that ran.
     """
-    await wait_until_served(soak)
-    usual = Length(late[0].length.events and USUAL_EVENTS, EVENT_PAUSE)
-    async with anyio.create_task_group() as before:
-        for number in range(30):
-            request = evolve(late[0], request_id=f"before-{number}", length=usual)
-            before.start_soon(send_together, soak, [request])
-    soak.gateways[0].send(signal.SIGTERM)
+    await stop_after_usual(soak, late[0])
     async with anyio.create_task_group() as tasks:
         await anyio.sleep(UNDER_WAY_FROM)
         tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
@@ -278,6 +272,17 @@
     return read_runs(await soak.engine_records())
 
 
+async def stop_after_usual(soak: SoakRun, late: RequestRecord) -> None:
+    """Send usual requests of the kind of a later one, and stop the gateway."""
+    await wait_until_served(soak)
+    usual = Length(late.length.events and USUAL_EVENTS, EVENT_PAUSE)
+    async with anyio.create_task_group() as before:
+        for number in range(30):
+            request = evolve(late, request_id=f"before-{number}", length=usual)
+            before.start_soon(send_together, soak, [request])
+    soak.gateways[0].send(signal.SIGTERM)
+
+
 async def send_together(soak: SoakRun, requests: Sequence[RequestRecord]) -> None:
     """Send requests at once on one new connection, and read their answers."""
     connection = await connect(soak.gateways[0], requests[0])
@@ -414,12 +419,7 @@
     late.length = Length(0, EVENT_PAUSE)
     body = bytes(size)
     async with one_gateway(tmp_path, kind="safe", **LONGER_THAN_GRACE) as soak:
-        await wait_until_served(soak)
-        async with anyio.create_task_group() as before:
-            for number in range(30):
-                request = evolve(late, request_id=f"before-{number}")
-                before.start_soon(send_together, soak, [request])
-        soak.gateways[0].send(signal.SIGTERM)
+        await stop_after_usual(soak, late)
         async with anyio.create_task_group() as tasks:
             await anyio.sleep(UNDER_WAY_FROM)
             tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
@@ -446,15 +446,9 @@
     first = late_request("first", 0)
     first.length = Length(0, behind)
     late = late_request("late", 0)
+    late.length = Length(0, lasts)
     async with one_gateway(tmp_path, **LONGER_THAN_GRACE) as soak:
-        await wait_until_served(soak)
-        async with anyio.create_task_group() as before:
-            for number in range(30):
-                usual = evolve(late, request_id=f"before-{number}")
-                usual.length = Length(0, EVENT_PAUSE)
-                before.start_soon(send_together, soak, [usual])
-        late.length = Length(0, lasts)
-        soak.gateways[0].send(signal.SIGTERM)
+        await stop_after_usual(soak, late)
         async with anyio.create_task_group() as tasks:
             await anyio.sleep(sent_at - 0.3)
             tasks.start_soon(send_request, soak, "under-way", LONG_EVENTS, UNLIMITED)
