--- a/tests/forwarding/test_server_limits.py
+++ b/tests/forwarding/test_server_limits.py
@@ -171,7 +171,9 @@
     """A router that sends nothing to a server must learn that its limit has ended."""
     async with rig(Server("s", naming("2"))) as fleet:
         fleet.forwarder.backends.shares = LimitShares("vm-1", lambda: 1)
-        await fleet.ask(request("/unsafe/x", "POST", b"body"))
+        got = await fleet.ask(request("/unsafe/x", "POST", b"body"))
+        assert got.startswith(b"HTTP/1.1 200 "), got
+        assert known_limit(fleet, "s") is not None
         ended = EndedLimit(ServerRun("s", started_at), time.time() + later)
         fleet.forwarder.backends.end_limit(ended)
         assert (known_limit(fleet, "s") is None) is ends
