Count a request's time from its arrival, and keep it under a late event loop

The system tells how long the bytes had waited, and the deadline is earlier by some turns of the loop. `request ended` states ms_unread and ms_over.

--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -70,7 +70,9 @@
         headers: The end-to-end fields, without the content length.
         has_body: Whether the head announces a body.
         length: The content length; None if the body is chunked or absent.
-        arrived_at: When the head was read.
+        arrived_at: When its last bytes arrived or, if that is later, when the request
+            before it on the connection had been answered.
+        unread_for: How long it had waited for this process by then.
     """
 
     method: bytes
@@ -79,9 +81,12 @@
     has_body: bool
     length: int | None
     arrived_at: Seconds
+    unread_for: Seconds = 0.0
 
 
-def read_head(event: h11.Request, now: Seconds) -> RequestHead:
+def read_head(
+    event: h11.Request, arrived_at: Seconds, unread_for: Seconds = 0.0
+) -> RequestHead:
     """Return the parts of a request head that forwarding needs.
 
     Raises:
@@ -102,7 +107,8 @@
         kept,
         has_body=chunked or length is not None,
         length=length,
-        arrived_at=now,
+        arrived_at=arrived_at,
+        unread_for=unread_for,
     )
 
 
@@ -130,6 +136,7 @@
         method: The method of the request that is being answered.
         received_at: When the latest bytes that the parser has read arrived. A pipelined
             request is queued behind others from then on.
+        ready_at: When the latest answer had been written; 0 before one.
         last: Whether to close the connection after the next answer, unless another
             request has begun to arrive by then.
         final: Whether to close the connection after the next answer in any case.
@@ -152,6 +159,7 @@
     parser: h11.Connection = field(init=False)
     method: bytes = b""
     received_at: Seconds = 0.0
+    ready_at: Seconds = 0.0
     last: bool = False
     final: bool = False
     draining: bool = False
@@ -165,7 +173,8 @@
     source: Inbox | None = None
 
     def __attrs_post_init__(self) -> None:
-        self.inbox = Inbox(self.stream, self.traffic)
+        self.inbox = Inbox(self.stream, self.traffic, dates_bytes=True)
+        self.inbox.arrived_at = anyio.current_time()
         self.intake = Intake(self.inbox)
         if self.flow is not None:
             self.inbox.max_waiting = MAX_HELD
@@ -252,7 +261,8 @@
         self.method = event.method
         if head_size(event) > self.limits.head_bytes:
             raise ReadFaultError(ReadFault.HEAD_TOO_LARGE)
-        return read_head(event, anyio.current_time())
+        arrived_at = max(self.received_at, self.ready_at)
+        return read_head(event, arrived_at, self.inbox.waited)
 
     async def await_first_byte(self) -> None:
         """Wait until a request begins to arrive.
@@ -383,6 +393,7 @@
         if self.parser.their_state is not h11.DONE:
             return False
         self.parser.start_next_cycle()
+        self.ready_at = anyio.current_time()
         return True
 
     async def linger(self) -> None:
--- a/ebonyhold/forwarding/_forwarder.py
+++ b/ebonyhold/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -18,6 +19,7 @@
 from ebonyhold.forwarding._backends import BackendTable
 from ebonyhold.forwarding._caller import CallerConnection, RequestHead
 from ebonyhold.forwarding._crash_detection import CrashDetector
+from ebonyhold.forwarding._deadlines import answer_deadline
 from ebonyhold.forwarding._dialect import Dialect
 from ebonyhold.forwarding._dispatcher import Dispatcher
 from ebonyhold.forwarding._endings import AnswerEnding
@@ -38,6 +40,7 @@
 from ebonyhold.forwarding._shutdown import Shutdown
 from ebonyhold.forwarding._silence import SilenceRecorder
 from ebonyhold.forwarding._streams import StreamVersions
+from ebonyhold.forwarding._token_waits import TokenWaits
 from ebonyhold.forwarding._types import CallerRequest, Headers, RouteKind, Ruleset
 from ebonyhold.types import RequestId, Seconds, Tokens, WorkspaceName
 
@@ -105,11 +108,13 @@
         on_answer: Called with how each answer of a server has ended, for metrics.
         on_cut: Called with why an answer was cut, for metrics.
         ages: Returns the age of each cached input in seconds, for logs.
+        loop_delay: Returns the mean delay of the event loop, in seconds.
         shutdown: Decides which requests are accepted during a shutdown.
         places: The requests that wait for a place at a brittle server.
         crashes: Detects crashes of servers and rejects requests that cause them.
         streams: Keeps which software version each stream belongs to.
         checks: Asks servers which run a connection leads to; None if none is asked.
+        waits: The requests that wait for tokens.
         flow: Bounds what is buffered, and recognises pauses of streams.
         silences: Logs and counts silences of servers.
         dispatcher: Sends requests to servers.
@@ -126,6 +131,7 @@
     on_answer: Callable[[AnswerEnding], None] = lambda ending: None
     on_cut: Callable[[CutCause], None] = lambda cause: None
     ages: Callable[[], dict[str, Seconds]] = dict
+    loop_delay: Callable[[], Seconds] = lambda: 0.0
     shutdown: Shutdown = field(factory=Shutdown)
     places: PlaceQueue = field(factory=PlaceQueue)
     crashes: CrashDetector = Factory(
@@ -135,6 +141,7 @@
         lambda self: StreamVersions(self.backends), takes_self=True
     )
     checks: RunChecks | None = None
+    waits: TokenWaits = field(factory=TokenWaits)
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     silences: SilenceRecorder = Factory(
         lambda self: SilenceRecorder(self.backends), takes_self=True
@@ -226,7 +233,9 @@
             body,
             caller,
             match,
-            deadline_of(head, caller, match),
+            answer_deadline(
+                head.arrived_at, time_limit_of(caller, match), self.loop_delay()
+            ),
             event_tokens=service.event_tokens if service else 1,
             flow=self.flow,
             need=self.backends.memory.need(match.service, caller),
@@ -270,17 +279,52 @@
         self.check_shutdown(exchange, priced=hold is not None)
         if hold is None:
             return await self.forward_in_time(exchange)
-        try:
-            await hold.hold(max_charge, exchange.caller.request_id)
-        except BudgetExhaustedError as error:
-            raise Refused(Refusal.BUDGET_EXHAUSTED) from error
-        except BudgetUnreachableError as error:
-            raise Refused(Refusal.BUDGET_UNREACHABLE) from error
+        if await self.hold_in_time(exchange, hold, max_charge):
+            return Refusal.NOT_STARTED.code
         try:
             return await self.forward_in_time(exchange)
         finally:
             hold.settle(max_charge, exchange.charge)
 
+    async def hold_in_time(
+        self, exchange: Exchange, hold: RequestHold, amount: Tokens
+    ) -> bool:
+        """Hold tokens for a request; return whether it was refused meanwhile.
+
+        Raises:
+            Refused: The tokens are not available.
+        """
+        cutoff = exchange.deadline + ANSWER_MARGIN
+        refuse = partial(self.refuse_waiting, exchange)
+        error: Refused | None = None
+        with self.waits.wait(refuse, partial(self.shutdown.has_passed, cutoff)) as wait:
+            try:
+                await hold.hold(amount, exchange.caller.request_id)
+            except BudgetExhaustedError:
+                error = Refused(Refusal.BUDGET_EXHAUSTED)
+            except BudgetUnreachableError:
+                error = Refused(Refusal.BUDGET_UNREACHABLE)
+        if wait.is_refused:
+            if error is None:
+                hold.settle(amount, 0)
+            await wait.answered.wait()
+            return True
+        if error is not None:
+            raise error
+        return False
+
+    async def refuse_waiting(self, exchange: Exchange) -> None:
+        """Refuse a request that waits for tokens, and take no other one behind it.
+
+        That its caller then leaves does not end the wait.
+        """
+        connection = exchange.connection
+        connection.inbox.on_end = None
+        connection.final = True
+        route = exchange.match.route.name
+        await self.refuse(connection, exchange.caller, Refusal.NOT_STARTED, route)
+        await connection.stream.send_eof()
+
     async def forward_in_time(self, exchange: Exchange) -> str:
         """Forward a request and return its outcome.
 
@@ -391,7 +435,7 @@
         """Log how a request ended, and count how servers' answers to it did."""
         for ending in exchange.endings:
             self.on_answer(ending)
-        match = exchange.match
+        match, now = exchange.match, anyio.current_time()
         rules = self.rules()
         log.info(
             "request ended",
@@ -407,7 +451,9 @@
                 "endings": [ending.value for ending in exchange.endings],
                 "events": exchange.events,
                 "charge": exchange.charge,
-                "ms": round((anyio.current_time() - exchange.head.arrived_at) * 1000),
+                "ms": round((now - exchange.head.arrived_at) * 1000),
+                "ms_unread": round(exchange.head.unread_for * 1000),
+                "ms_over": round(max(0.0, now - exchange.deadline) * 1000),
                 "rules": rules.version if rules else 0,
             },
         )
@@ -422,9 +468,9 @@
     return CutCause.SILENCE if exchange.left_silent else CutCause.SERVER
 
 
-def deadline_of(head: RequestHead, caller: CallerRequest, match: Match) -> Seconds:
-    """Return the deadline: the earlier of the caller's time limit and the route's."""
+def time_limit_of(caller: CallerRequest, match: Match) -> Seconds:
+    """Return the time of a request: the caller's limit or, if shorter, the route's."""
     time_limit = match.route.timeout
     if caller.time_limit is not None:
         time_limit = min(time_limit, caller.time_limit)
-    return head.arrived_at + time_limit
+    return time_limit
--- a/ebonyhold/forwarding/_inbox.py
+++ b/ebonyhold/forwarding/_inbox.py
@@ -17,7 +17,7 @@
 """Maximum number of bytes read from a socket at once."""
 
 MAX_WAITING = 65_536
-"""Number of buffered bytes above which reading from the socket pauses.
+"""Number of buffered bytes at which reading from the socket pauses.
 
 This limits a fast sender to the speed at which its bytes are taken.
 """
@@ -42,7 +42,7 @@
         stream: The connection.
         traffic: Counts the bytes received.
         waiting: Bytes received and not taken yet.
-        arrived_at: When the last bytes arrived.
+        arrived_at: When the last bytes arrived, as far as the system tells.
         ended: Whether the peer has closed its side or the connection broke.
         broken: Whether it ended by a reset or an error.
         ended_at: When the peer ended it; 0 before that.
@@ -50,9 +50,11 @@
         taken: Set when bytes are taken, so that paused reading resumes.
         on_end: Called when the connection has ended.
         account: Bounds the bytes held; None if only `max_waiting` does.
-        max_waiting: Bytes waiting above which reading pauses, without an account.
+        max_waiting: Bytes waiting at which reading pauses, without an account.
         taken_size: Bytes that were taken last, which count as held until the next are.
-        unread_for: How long ago the next bytes to be read arrived.
+        dates_bytes: Whether to ask the system when bytes have arrived.
+        waited: How long the bytes that were read last had waited for this process; 0 if
+            that is not asked for.
     """
 
     stream: ByteStream
@@ -68,7 +70,8 @@
     account: BufferAccount | None = None
     max_waiting: int = MAX_WAITING
     taken_size: int = 0
-    unread_for: Seconds = 0.0
+    dates_bytes: bool = False
+    waited: Seconds = 0.0
 
     async def fill(self) -> None:
         """Read until the connection ends.
@@ -94,8 +97,9 @@
                 self.waiting += data
                 if self.account is not None:
                     self.account.held += len(data)
-                self.arrived_at = anyio.current_time() - self.unread_for
-                self.unread_for = 0.0
+                if self.dates_bytes:
+                    self.waited = since_last_bytes(self.stream)
+                self.arrived_at = anyio.current_time() - self.waited
             except anyio.EndOfStream:
                 self.ended = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
@@ -114,7 +118,7 @@
         """Return how many bytes may be read now; 0 if reading pauses."""
         if self.account is not None:
             return self.account.room(len(self.waiting) + self.taken_size)
-        return 0 if len(self.waiting) > self.max_waiting else CHUNK
+        return max(0, min(CHUNK, self.max_waiting - len(self.waiting)))
 
     def release(self, size: int) -> None:
         """Count bytes no more as held, so that paused reading resumes."""
@@ -140,8 +144,6 @@
         try:
             yield
         finally:
-            if unread_bytes(self.stream):
-                self.unread_for = since_last_bytes(self.stream)
             hold_back(self.stream, False)
 
     @property
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -321,6 +321,7 @@
             on_answer=self.metrics.count_answer,
             on_cut=self.metrics.count_cut,
             ages=self.ages,
+            loop_delay=self.loop_delay,
             shutdown=self.shutdown,
             crashes=CrashDetector(
                 paths,
@@ -342,6 +343,7 @@
                 self.metrics.count_standby,
             ),
         )
+        supervisor.start("token waits", forwarder.waits.run)
         self.streams.stated = forwarder.streams.stated
         self.streams.confirmed = forwarder.streams.confirmed
         guard = partial(supervisor.guard, "caller connection")
@@ -441,6 +443,10 @@
             "servers_age": round(self.servers_watcher.age(now), 2),
         }
 
+    def loop_delay(self) -> Seconds:
+        """Return the mean delay of the event loop; 0 before it is measured."""
+        return self.pressure.detector.mean_delay
+
     def current_rules(self) -> Ruleset | None:
         """Return the current rules; None until both rules and servers were read."""
         return self.routing.rules if self.servers_watcher.first_read.is_set() else None
--- a/ebonyhold/gateway/_supervision.py
+++ b/ebonyhold/gateway/_supervision.py
@@ -303,6 +303,12 @@
             AT_ONCE,
             "what is held for them stays bounded, and the next look starts anew",
         ),
+        TaskRule(
+            "token waits",
+            "requests that wait for tokens are refused later than their callers wait",
+            AT_ONCE,
+            "those that wait are kept, and the next look refuses what is due",
+        ),
         TaskRule(
             "sweep",
             "unused connections to servers are not closed",
--- a/tests/forwarding/test_given_up.py
+++ b/tests/forwarding/test_given_up.py
@@ -18,6 +18,7 @@
     request,
     rig,
 )
+from tests.gateway.test_holds import wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -88,6 +89,19 @@
     assert not server.requests
 
 
+async def test_tokens_that_come_after_a_refusal_are_returned() -> None:
+    """Guards against losing tokens on their way to a request that was refused."""
+    hold = SlowHold()
+    fields = "X-Ebonyhold-Token-Counts: 10,20\r\n"
+    fields += "X-Ebonyhold-Deadline-Milliseconds: 300\r\n"
+    async with rig(Server("only", slow), hold=hold) as router:
+        got = await router.ask(request("/safe/x", extra=fields))
+        await wait_until(lambda: bool(router.ended))
+    assert got.startswith(b"HTTP/1.1 503")
+    assert hold.charges == [(30, 0)]
+    assert router.ended == [("safe", "not_started_in_time")]
+
+
 async def prompt(server: Server, stream: SocketStream, head: str) -> None:
     """Answer at once."""
     await stream.send(answer(head))
