Bound memory and connections at every listener, for all callers together

Bounds hold wherever memory-mb is stated, each listener limits its connections, and the caller that is silent for longest makes way for a new one.

--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,11 @@
 	$(BIN)/python -m pip install -q --no-deps -e .
 	touch $(READY)
 
-# Four workers, whole files each: 134 s become some 60 s.
+# Four workers, whole files each: 134 s become some 60 s. What measures a process's
+# memory runs after the others.
 test: $(READY)
 	$(BIN)/python -m pytest -n 4 --dist loadfile $(OPTIONS)
+	$(BIN)/python -m pytest -m alone $(OPTIONS)
 
 soak: $(READY)
 	$(BIN)/python -m pytest -m soak
--- a/ebonyhold/forwarding/_accept.py
+++ b/ebonyhold/forwarding/_accept.py
@@ -27,14 +27,24 @@
 that a firewall forbids, and pending network errors, which Linux reports there."""
 
 
-def listen_at(address: tuple[str, int]) -> socket.socket:
+def listen_at(
+    address: tuple[str, int], receive_buffer: int | None = None
+) -> socket.socket:
     """Return a non-blocking socket that listens at an address.
 
+    Args:
+        address: The host and port.
+        receive_buffer: Size asked for the buffer of what connections receive, in bytes;
+            None for the system's own choice.
+
     Raises:
         OSError: It is not possible to listen on the address.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     listening = socket.create_server(address, family=family, backlog=BACKLOG)
+    if receive_buffer is not None:
+        # Connections that are accepted have the buffer of the listening socket.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     listening.setblocking(False)
     return listening
 
--- a/ebonyhold/forwarding/_caller.py
+++ b/ebonyhold/forwarding/_caller.py
@@ -12,7 +12,12 @@
 
 from ebonyhold.exceptions import EbonyholdError
 from ebonyhold.forwarding._end_to_end import end_to_end
-from ebonyhold.forwarding._flow_control import MAX_HELD, FlowControl, FlowEvent
+from ebonyhold.forwarding._flow_control import (
+    MAX_HELD,
+    Crowd,
+    FlowControl,
+    FlowEvent,
+)
 from ebonyhold.forwarding._inbox import Inbox, Traffic, close_shielded
 from ebonyhold.forwarding._intake import Intake
 from ebonyhold.forwarding._sockets import grow_send_buffer, reset_on_close
@@ -141,6 +146,7 @@
             request has begun to arrive by then.
         final: Whether to close the connection after the next answer in any case.
         draining: Whether this process is about to end.
+        leaving: Whether it is being ended in favour of another one.
         close_announced: Whether an answer has announced that the connection closes.
         started: Whether the head of the answer has been written.
         write_pending: Whether the latest write has not finished.
@@ -148,6 +154,7 @@
         reading_scope: Cancel scope of reading a request that has begun.
         stop_fault: Why reading was stopped.
         flow: Bounds what is buffered; None if nothing is bounded.
+        crowd: Whether callers of its listener keep others from connecting.
         source: What was received of the streamed answer that is being passed on.
     """
 
@@ -163,6 +170,7 @@
     last: bool = False
     final: bool = False
     draining: bool = False
+    leaving: bool = False
     close_announced: bool = False
     started: bool = False
     write_pending: bool = False
@@ -170,14 +178,13 @@
     reading_scope: anyio.CancelScope | None = None
     stop_fault: ReadFault = ReadFault.STOPPING
     flow: FlowControl[CallerConnection] | None = None
+    crowd: Crowd = field(factory=Crowd)
     source: Inbox | None = None
 
     def __attrs_post_init__(self) -> None:
         self.inbox = Inbox(self.stream, self.traffic, dates_bytes=True)
         self.inbox.arrived_at = anyio.current_time()
         self.intake = Intake(self.inbox)
-        if self.flow is not None:
-            self.inbox.max_waiting = MAX_HELD
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
         )
@@ -238,9 +245,25 @@
         finally:
             self.reading_scope = None
             if self.flow is not None:
-                self.flow.bodies.end(self)
+                self.flow.bodies.finish(self)
         raise ReadFaultError(self.stop_fault, head)
 
+    def release_body(self) -> None:
+        """Count the body of the request no more, as the request has ended."""
+        if self.flow is not None:
+            self.flow.bodies.end(self)
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether it is idle, or a request that it has begun to read is incomplete."""
+        return self.idle_scope is not None or self.reading_scope is not None
+
+    def make_way(self) -> None:
+        """End a connection that `waits_for_caller`, in favour of another one."""
+        self.leaving = True
+        self.close_when_idle()
+        self.stop_reading(ReadFault.SLOW)
+
     def stop_reading(self, fault: ReadFault = ReadFault.STOPPING) -> None:
         """Make `read_whole` fail if it is waiting for more bytes."""
         if self.reading_scope is not None:
@@ -337,16 +360,16 @@
             await self.stream.send(self.parser.send(interim) or b"")
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer with its content length in a single write.
+        """Write a complete answer with its content length.
 
-        An answer to a HEAD request states the length and has no body.
+        An answer to a HEAD request states the length and has no body. A large body is
+        written by itself, since a copy of it takes as much memory again.
         """
         length = (b"content-length", b"%d" % len(body))
         head = self.head(status, [*headers, length])
         has_body = body and self.method != b"HEAD"
         data = self.parser.send(h11.Data(data=body)) or b"" if has_body else b""
         end = self.parser.send(h11.EndOfMessage()) or b""
-        whole = head + data + end
         if self.draining and self.flow is not None:
             # The system delivers what it has taken after the process has ended.
             grow_send_buffer(self.stream, len(whole))
--- a/ebonyhold/forwarding/_channel.py
+++ b/ebonyhold/forwarding/_channel.py
@@ -16,7 +16,7 @@
 from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, BufferAccount
 from ebonyhold.forwarding._inbox import Inbox, close_shielded
 from ebonyhold.forwarding._intake import EVENTS_AT_ONCE, Intake
-from ebonyhold.forwarding._sockets import set_option
+from ebonyhold.forwarding._sockets import bound_reads, set_option
 from ebonyhold.forwarding._types import Headers
 from ebonyhold.pauses import was_paused
 from ebonyhold.tasks import TaskStarter
@@ -170,6 +170,7 @@
     def bound(self, account: BufferAccount) -> None:
         """Bound what is buffered of answers; called before anything is received."""
         set_option(self.stream, socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+        bound_reads(self.stream)
         self.inbox.account = account
 
     async def send(self, request: Outbound) -> None:
--- a/ebonyhold/forwarding/_flow_control.py
+++ b/ebonyhold/forwarding/_flow_control.py
@@ -37,6 +37,9 @@
 system buffers up to some megabytes for a peer that does not read.
 """
 
+CROWDED_TIME: Seconds = 5.0
+"""Time for which callers count as a crowd after one could not be accepted."""
+
 STALL_TIME: Seconds = 1.5
 """Time without progress after which a caller that blocks a server is disconnected.
 
@@ -59,10 +62,12 @@
     Attributes:
         SLOW_READER: It was disconnected, since it did not read its answer.
         SLOW_SENDER: Its unfinished request was refused, since bodies had to be dropped.
+        CROWDED: It could not connect, since too many others were connected.
     """
 
     SLOW_READER = "slow_reader"
     SLOW_SENDER = "slow_sender"
+    CROWDED = "crowded"
 
 
 @define(eq=False)
@@ -97,17 +102,20 @@
 
 
 @define(eq=False)
-class UnfinishedBodies(Generic[K]):
-    """Counts the bytes of request bodies that are not complete, by connection.
+class RequestBodies(Generic[K]):
+    """Counts the bytes of request bodies until the requests end, by connection.
 
     Attributes:
         limit: Bytes that they may have together.
-        received: The bytes of each, the one that began first at the front.
+        received: The bytes of each that is not complete, the one that began first at
+            the front.
+        complete: The bytes of each that is complete, and whose request is answered.
         total: The bytes of all.
     """
 
     limit: float = math.inf
     received: dict[K, int] = field(factory=dict)
+    complete: dict[K, int] = field(factory=dict)
     total: int = 0
 
     def add(self, connection: K, size: int) -> list[K]:
@@ -124,9 +132,32 @@
             dropped.append(oldest)
         return dropped
 
+    def finish(self, connection: K) -> None:
+        """Keep a body that is complete until its request has ended."""
+        if size := self.received.pop(connection, 0):
+            self.complete[connection] = size
+
     def end(self, connection: K) -> None:
-        """Count a body no more, as it is complete or was given up."""
+        """Count a body no more, as its request has ended or was given up."""
         self.total -= self.received.pop(connection, 0)
+        self.total -= self.complete.pop(connection, 0)
+
+
+@define(eq=False)
+class Crowd:
+    """Whether callers of one listener keep others from connecting.
+
+    Attributes:
+        until: Until when they count as doing so.
+    """
+
+    until: Seconds = -math.inf
+
+    def record_refusal(self, now: Seconds) -> bool:
+        """Record that a caller could not connect; return whether it is the first."""
+        first = now >= self.until
+        self.until = now + CROWDED_TIME
+        return first
 
 
 @define(eq=False)
@@ -159,8 +190,9 @@
 
     Attributes:
         bounded: Whether the bounds are enabled.
+        paced: Whether pauses of streams are watched wherever load is not shared.
         answers: What is held of answers.
-        bodies: What was received of unfinished request bodies.
+        bodies: What was received of request bodies.
         writes: The writes to callers that are not finished.
         shares_load: Returns whether routers share the load of a service's servers.
         on_event: Called with what was done about a slow caller, for metrics.
@@ -169,8 +201,9 @@
     """
 
     bounded: bool = False
+    paced: bool = False
     answers: BufferAccount = field(factory=BufferAccount)
-    bodies: UnfinishedBodies[K] = field(factory=UnfinishedBodies)
+    bodies: RequestBodies[K] = field(factory=RequestBodies)
     writes: dict[K, PendingWrite] = field(factory=dict)
     shares_load: Callable[[ServiceName], bool] = lambda service: False
     on_event: Callable[[FlowEvent], None] = lambda event: None
@@ -190,7 +223,7 @@
             route: The route of the request.
             service: The service of its servers.
         """
-        if route.max_gap is None or not (self.bounded or self.shares_load(service)):
+        if route.max_gap is None or not (self.paced or self.shares_load(service)):
             return None
         return route.max_gap
 
@@ -203,11 +236,12 @@
         finally:
             del self.writes[connection]
 
-    def is_stalled(self, waited: Seconds, blocks_server: bool) -> bool:
+    def is_stalled(self, waited: Seconds, blocks_others: bool) -> bool:
         """Return whether a caller is to be disconnected.
 
         Args:
             waited: For how long it has acknowledged nothing of an unfinished write.
-            blocks_server: Whether its server has sent more than may be held.
+            blocks_others: Whether its server has sent more than may be held, or other
+                callers cannot connect.
         """
-        return waited >= STALL_TIME and (blocks_server or self.answers.is_full)
+        return waited >= STALL_TIME and (blocks_others or self.answers.is_full)
--- a/ebonyhold/forwarding/_listener.py
+++ b/ebonyhold/forwarding/_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -21,15 +22,24 @@
     ReadFaultError,
     RequestHead,
 )
-from ebonyhold.forwarding._flow_control import SOCKET_BUFFER, FlowControl
+from ebonyhold.forwarding._flow_control import (
+    SOCKET_BUFFER,
+    Crowd,
+    FlowControl,
+    FlowEvent,
+)
 from ebonyhold.forwarding._inbox import Traffic
+from ebonyhold.forwarding._intake import MAX_TAKE
 from ebonyhold.forwarding._refusals import Refusal, own_answer
-from ebonyhold.forwarding._sockets import pause_reading
+from ebonyhold.forwarding._sockets import bound_reads, pause_reading
 from ebonyhold.forwarding._types import CallerLimits, Headers
 from ebonyhold.tasks import Guard, unguarded
 
 log = logging.getLogger(__name__)
 
+MAX_LEAVING = 32
+"""Number of connections beyond the limit, while those that make way are closed."""
+
 FAULT_REFUSALS = {
     ReadFault.MALFORMED: Refusal.MALFORMED,
     ReadFault.SLOW: Refusal.SLOW_REQUEST,
@@ -65,6 +75,11 @@
         shedding: Whether all connections close after their next answers, to shed load.
         traffic: Counts the bytes received from the callers.
         flow: Bounds what is buffered for callers; None if nothing does.
+        max_connections: Number of connections at which silent callers make way for new
+            ones.
+        crowd: Whether its callers keep others from connecting.
+        max_waiting: Bytes of a caller that are read ahead of their turn; twice as many
+            may wait in the system.
         working: Number of requests being answered.
         open_requests: Number of requests being read or answered.
         idle: Set when `open_requests` falls to 0, then replaced.
@@ -83,6 +98,9 @@
     shedding: bool = False
     traffic: Traffic = field(factory=Traffic)
     flow: FlowControl[CallerConnection] | None = None
+    max_connections: float = math.inf
+    crowd: Crowd = field(factory=Crowd)
+    max_waiting: int = MAX_TAKE
     working: int = 0
     open_requests: int = 0
     idle: anyio.Event = field(factory=anyio.Event)
@@ -98,7 +116,8 @@
             OSError: It is not possible to listen on the address, or no file descriptors
                 or memory are left.
         """
-        listening = listen_at(address)
+        size = None if self.flow is None else 2 * self.max_waiting
+        listening = listen_at(address, size)
         log.info("listening", extra={"host": address[0], "port": address[1]})
         self.closed = closed = anyio.Event()
         try:
@@ -117,11 +136,42 @@
     def accept_waiting(self, listening: socket.socket, tasks: TaskGroup) -> None:
         """Accept all queued connections and start to serve them."""
         for connection in accept_all(listening):
+            if not self.make_room():
+                connection.close()
+                continue
             # Counted at once, because a shutdown may check for open connections before
             # this connection's task has run for the first time.
             self.arriving += 1
             tasks.start_soon(self.serve_socket, connection)
 
+    def make_room(self) -> bool:
+        """Return whether one more connection may be accepted, and end others for it.
+
+        At the limit, the caller that has been silent for longest has to make way.
+        """
+        count = len(self.connections) + self.arriving
+        if count < self.max_connections:
+            return True
+        if count < self.max_connections + MAX_LEAVING:
+            silent = [
+                one
+                for one in self.connections
+                if one.waits_for_caller and not one.leaving
+            ]
+            if silent:
+                min(silent, key=lambda one: one.inbox.arrived_at).make_way()
+                return True
+        self.refuse_connection()
+        return False
+
+    def refuse_connection(self) -> None:
+        """Count a caller that could not connect, and log the first of a crowd."""
+        if self.flow is None:
+            return
+        if self.crowd.record_refusal(anyio.current_time()):
+            log.warning("too many connections", extra={"limit": self.max_connections})
+        self.flow.on_event(FlowEvent.CROWDED)
+
     async def serve_socket(self, connection: socket.socket) -> None:
         """Serve an accepted connection; its errors do not affect the others."""
         # `handle` has a guard of its own, which leads to an answer to the caller. This
@@ -155,13 +205,17 @@
             connection.close()
             raise
         pause_reading(stream)
+        if self.flow is not None:
+            bound_reads(stream)
         return stream
 
     async def handle(self, stream: ByteStream) -> None:
         """Serve one connection until it ends; its errors do not affect the others."""
         connection = CallerConnection(
-            stream, self.limits(), self.traffic, flow=self.flow
+            stream, self.limits(), self.traffic, flow=self.flow, crowd=self.crowd
         )
+        if self.flow is not None:
+            connection.inbox.max_waiting = self.max_waiting
         connection.last = self.draining or self.shedding
         connection.draining = self.draining
         self.connections.add(connection)
@@ -171,6 +225,7 @@
             if not await self.guard(partial(self.handle_requests, connection)):
                 await self.guard(partial(self.answer_fault, connection))
         finally:
+            connection.release_body()
             self.connections.discard(connection)
             await connection.close()
             self.notify_if_empty()
@@ -262,6 +317,7 @@
                 await self.serve(connection, head, body)
         finally:
             connection.inbox.on_end = None
+            connection.release_body()
             self.working -= 1
 
     def stop_accepting(self) -> None:
--- a/ebonyhold/forwarding/_slow_readers.py
+++ b/ebonyhold/forwarding/_slow_readers.py
@@ -67,6 +67,7 @@
             waited = write.observe(acknowledged, now)
             source = connection.source
             blocks = source is not None and source.blocks_sender
+            blocks = blocks or now < connection.crowd.until
             if not self.flow.is_stalled(waited, blocks):
                 continue
             fields = {
--- a/ebonyhold/forwarding/_sockets.py
+++ b/ebonyhold/forwarding/_sockets.py
@@ -18,6 +18,9 @@
 LAST_DATA_RECV = 52
 """Offset of ``tcpi_last_data_recv`` in ``struct tcp_info`` (linux/tcp.h)."""
 
+READ_SIZE = 16_384
+"""Maximum number of bytes that are read at once where memory is bounded."""
+
 UNREAD_BYTES = 262_144
 """Number of bytes up to which a connection that is held back is not read."""
 
@@ -45,6 +48,17 @@
         transport.pause_reading()
 
 
+def bound_reads(stream: ByteStream) -> None:
+    """Let the event loop read at most READ_SIZE bytes at once.
+
+    What it has read beyond what its stream is asked for is kept and not counted: by
+    default up to 256 KB of each connection.
+    """
+    transport = getattr(stream, "_transport", None)
+    if transport is not None:
+        transport.max_size = READ_SIZE
+
+
 def grow_send_buffer(stream: ByteStream, size: int) -> None:
     """Let the system take this many bytes to send, as far as its limits allow.
 
--- a/ebonyhold/gateway/_flow.py
+++ b/ebonyhold/gateway/_flow.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ebonyhold.forwarding import BackendTable, CallerConnection, FlowControl
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._types import GatewaySettings
@@ -10,12 +12,13 @@
 def flow_control(
     settings: GatewaySettings, backends: BackendTable, metrics: GatewayMetrics
 ) -> FlowControl[CallerConnection]:
-    """Return the flow control; its bounds are enabled under memory pressure."""
+    """Return the flow control; its bounds are enabled where the memory is known."""
     flow: FlowControl[CallerConnection] = FlowControl(
         shares_load=lambda service: backends.fleet_load.is_on(service),
         on_event=metrics.count_slow_caller,
         on_pause=metrics.count_pause,
     )
-    if settings.memory_pressure:
+    flow.paced = settings.memory_pressure
+    if settings.memory_bytes < math.inf:
         flow.limit_memory(settings.memory_bytes)
     return flow
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -33,6 +33,11 @@
     SlowReaders,
     StreamVersions,
 )
+from ebonyhold.gateway._connection_limits import (
+    CHECK_WAITING,
+    check_limits,
+    connection_limits,
+)
 from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._holds import GatewayHolders, PeerHandler
 from ebonyhold.gateway._listening import listen
@@ -96,6 +101,7 @@
         flow: Bounds what is buffered for slow peers.
         memory: What accounts for the memory of servers; None where that is not needed.
         checks: Asks servers which run of theirs a connection leads to.
+        peer_listener: Serves other gateways; None if the settings name no port for it.
         draining: Whether the stop has begun.
     """
 
@@ -126,6 +132,7 @@
     flow: FlowControl[CallerConnection] = field(factory=FlowControl)
     pool: ChannelPool | None = None
     checks: RunChecks | None = None
+    peer_listener: CallerListener | None = None
     draining: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -352,6 +359,8 @@
         )
         self.pool.traffic = self.listener.traffic
         self.flow = flow
+        connections = connection_limits(settings)
+        self.listener.max_connections = connections.callers
         if flow.bounded:
             self.listener.flow, self.pool.account = flow, flow.answers
             self.relays.account = flow.answers
@@ -368,18 +377,26 @@
         )
         supervisor.start("pressure", self.pressure.run)
         supervisor.start("partition", partition.run)
-        readiness = CallerListener(self.answer_readiness, CallerLimits, guard)
-        metrics = CallerListener(self.answer_metrics, CallerLimits, guard)
+        readiness = CallerListener(self.answer_readiness, check_limits, guard)
+        metrics = CallerListener(self.answer_metrics, check_limits, guard)
+        for checks in (readiness, metrics):
+            checks.max_connections = connections.checks
+            checks.max_waiting = CHECK_WAITING
+            checks.flow = flow if flow.bounded else None
         metrics_address = (settings.host, METRICS_PORT)
         supervisor.start("sweep", self.pool.sweep)
         supervisor.start("callers", listen, self.listener, settings.callers, tasks)
         supervisor.start("readiness", listen, readiness, settings.readiness, tasks)
         supervisor.start("metrics", listen, metrics, metrics_address, tasks)
         if settings.peers_port:
-            self.start_peer_listener(tasks, supervisor, prober)
+            self.start_peer_listener(tasks, supervisor, prober, connections.peers)
 
     def start_peer_listener(
-        self, tasks: TaskGroup, supervisor: Supervisor, prober: ServerProber
+        self,
+        tasks: TaskGroup,
+        supervisor: Supervisor,
+        prober: ServerProber,
+        max_connections: float,
     ) -> None:
         """Start the listener for other gateways."""
         settings = self.platform.settings
@@ -407,6 +424,9 @@
         )
         guard = partial(supervisor.guard, "caller connection")
         listener = CallerListener(handler.serve, self.peer_limits, guard)
+        listener.max_connections = max_connections
+        listener.flow = self.flow if self.flow.bounded else None
+        self.peer_listener = listener
         address = (settings.host, settings.peers_port)
         supervisor.start("transfers", listen, listener, address, tasks)
         supervisor.start("lent holds", handler.expire)
--- a/ebonyhold/gateway/_types.py
+++ b/ebonyhold/gateway/_types.py
@@ -42,6 +42,8 @@
             second; infinite if it is not known.
         memory_bytes: The memory of this process, which is killed above it; infinite if
             it is not known.
+        sockets: The number of sockets that this process may open; infinite if it is not
+            known.
         memory_pressure: Whether memory may run out: callers and servers may read
             slowly, and a server crashes if the requests that it holds exceed its
             memory.
@@ -61,6 +63,7 @@
     retry_window: Seconds = 10.0
     link_rate: float = math.inf
     memory_bytes: float = math.inf
+    sockets: float = math.inf
     memory_pressure: bool = False
     log_level: str = "INFO"
 
--- a/ebonyhold/platform/_settings.py
+++ b/ebonyhold/platform/_settings.py
@@ -39,6 +39,10 @@
     return megabits * 1e6 / 8 if megabits > 0 else math.inf
 
 
+RESERVED = 200
+"""File descriptors that the platform reserves for files."""
+
+
 def read_memory(limits: Mapping[str, Any]) -> float:
     """Return the memory of this process in bytes; infinite if not stated.
 
@@ -49,6 +53,16 @@
     return megabytes * 1e6 if megabytes > 0 else math.inf
 
 
+def read_sockets(limits: Mapping[str, Any]) -> float:
+    """Return how many sockets this process may open; infinite if not stated.
+
+    >>> read_sockets({"file-descriptors": 700}), read_sockets({})
+    (500.0, inf)
+    """
+    descriptors = float(limits.get("file-descriptors") or 0)
+    return max(1.0, descriptors - RESERVED) if descriptors > 0 else math.inf
+
+
 def decode_settings(raw: Mapping[str, Any]) -> GatewaySettings:
     """Decode the parsed settings file.
 
@@ -77,6 +91,7 @@
             retry_window=float(bounds["budget-window-s"]),
             link_rate=read_link_rate(raw.get("limits") or {}),
             memory_bytes=read_memory(raw.get("limits") or {}),
+            sockets=read_sockets(raw.get("limits") or {}),
             memory_pressure=MEMORY_PRESSURE in (raw.get("contracts") or ()),
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/tests/forwarding/kit.py
+++ b/tests/forwarding/kit.py
@@ -328,6 +328,7 @@
             checks=RunChecks(table, pool, target, int),
             flow=flow or FlowControl(),
         )
+        tasks.start_soon(forwarder.waits.run)
         port = free_port()
         callers = CallerListener(
             forwarder.serve, lambda: rules().limits, identify=forwarder.identify
--- a/tests/forwarding/test_flow_control.py
+++ b/tests/forwarding/test_flow_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 
 import anyio
@@ -20,7 +21,7 @@
     MIN_READ,
     BufferAccount,
     PendingWrite,
-    UnfinishedBodies,
+    RequestBodies,
 )
 from ebonyhold.gateway._flow import flow_control
 from ebonyhold.gateway._metrics import GatewayMetrics
@@ -85,7 +86,7 @@
 
 def test_oldest_unfinished_body_is_dropped() -> None:
     """Guards against slow senders who keep the room that other callers need."""
-    bodies: UnfinishedBodies[str] = UnfinishedBodies(100)
+    bodies: RequestBodies[str] = RequestBodies(100)
     assert not bodies.add("slow", 60)
     assert not bodies.add("other", 30)
     assert bodies.add("fast", 40) == ["slow"]
@@ -111,8 +112,9 @@
 
 
 @pytest.mark.parametrize("pressure", [False, True])
-def test_bounds_depend_on_the_settings(pressure: bool) -> None:
-    """Guards against bounds in deployments without memory pressure."""
+@pytest.mark.parametrize("memory", [MEMORY, math.inf], ids=["known", "unknown"])
+def test_bounds_depend_on_the_settings(memory: float, pressure: bool) -> None:
+    """Guards against unbounded memory, and pauses watched without memory pressure."""
     settings = GatewaySettings(
         "vm",
         "a",
@@ -120,13 +122,13 @@
         (LOOPBACK, 2),
         LOOPBACK,
         (LOOPBACK, 3),
-        memory_bytes=MEMORY,
+        memory_bytes=memory,
         memory_pressure=pressure,
     )
     table, metrics = BackendTable(), GatewayMetrics()
     flow = flow_control(settings, table, metrics)
-    assert flow.bounded is pressure
-    assert (flow.answers.limit == flow.bodies.limit == MEMORY / 10) is pressure
+    assert flow.bounded is (memory == MEMORY)
+    assert flow.answers.limit == flow.bodies.limit == memory / 10
     route = evolve(ROUTES[0], max_gap=0.3)
     assert flow.max_gap(route, "svc") == (0.3 if pressure else None)
     assert flow.max_gap(ROUTES[0], "svc") is None
