End relays and the process in order, so that callers meet no closed port

A gateway that stops says so to those that ask for relays, and closes its port for other gateways as that for callers, before its tasks end. A relay to which a connection failed is used last in place of not at all (`relay used last`).

--- a/ebonyhold/gateway/__main__.py
+++ b/ebonyhold/gateway/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 import time
 
@@ -39,7 +40,9 @@
     status = anyio.run(gateway.run)
     handler.flush()
     logging.shutdown()
-    sys.exit(status)
+    # The teardown of the interpreter would take some time, in which callers that the
+    # load balancer still sends here find no listener.
+    os._exit(status)
 
 
 if __name__ == "__main__":
--- a/ebonyhold/gateway/_gateway.py
+++ b/ebonyhold/gateway/_gateway.py
@@ -371,7 +371,7 @@
             self.reach,
         )
         self.pool.on_connect = self.record_connect
-        prober = ServerProber(self.pool, self.routing.backends)
+        prober = ServerProber(self.pool, self.routing.backends, lambda: self.draining)
         partition = PartitionMonitor(
             self.reach, prober, self.relays, self.pressure.is_link_full
         )
@@ -555,7 +555,13 @@
         if self.draining:
             return
         self.draining = True
-        stop = GatewayStop(self.listener, self.shutdown, self.grant_manager, self.leave)
+        stop = GatewayStop(
+            self.listener,
+            self.shutdown,
+            self.grant_manager,
+            self.leave,
+            self.peer_listener,
+        )
         async with anyio.create_task_group() as steps:
             steps.start_soon(self.streams.hand_over)
             signalled_at = self.pressure.earliest_arrival(anyio.current_time())
--- a/ebonyhold/gateway/_partition.py
+++ b/ebonyhold/gateway/_partition.py
@@ -59,10 +59,12 @@
     Attributes:
         pool: The connections to servers.
         backends: The known servers.
+        is_stopping: Returns whether this gateway takes no more requests of others.
     """
 
     pool: ChannelPool
     backends: BackendTable
+    is_stopping: Callable[[], bool] = lambda: False
 
     def choose(self) -> list[BackendName]:
         """Return a few servers at random, of as many services as possible."""
@@ -114,6 +116,7 @@
         return ReachAnswer(
             tuple(n for n, how in found.items() if how is ConnectOutcome.MADE),
             tuple(n for n, how in found.items() if how is ConnectOutcome.REFUSED),
+            self.is_stopping(),
         )
 
 
@@ -181,11 +184,11 @@
     async def ask(self, servers: Collection[BackendName], outcomes: Outcomes) -> None:
         """Ask other gateways for servers that failed from here, and decide."""
         self.asked_at = anyio.current_time()
-        answered = await self.relays.ask(servers)
+        answers = await self.relays.ask(servers)
         silent = ConnectOutcome.TIMED_OUT in outcomes.values()
-        if self.relays.usable:
+        if any(answer.reached for answer in answers):
             self.decide(Reach.PARTITIONED, silent)
-        elif answered or not self.relays.rows():
+        elif answers or not self.relays.rows():
             self.decide(Reach.UNREACHABLE, silent)
         else:
             self.decide(Reach.ISOLATED, silent)
--- a/ebonyhold/gateway/_relays.py
+++ b/ebonyhold/gateway/_relays.py
@@ -40,7 +40,8 @@
 """Maximum number of servers that a question may name."""
 
 AVOIDANCE: Seconds = 1.0
-"""Time for which a relay that took no request is not used, unless no other is left."""
+"""Time for which a relay that took no request is not used, and one to which a
+connection failed is used only after the others."""
 
 
 @frozen
@@ -57,10 +58,12 @@
     Attributes:
         reached: Those that it is connected to, or that accepted a connection.
         refused: Those that refused one.
+        stopping: Whether the gateway stops and takes no more requests of others.
     """
 
     reached: tuple[BackendName, ...] = ()
     refused: tuple[BackendName, ...] = ()
+    stopping: bool = False
 
 
 @define(eq=False)
@@ -75,7 +78,8 @@
         tasks: Starts the tasks that read from connections; None before the start.
         usable: The relays, by the last answers.
         avoided: Until when relays that took no request are not used.
-        broken: Until when relays whose connection broke off are used last.
+        broken: Until when relays are used last, as a connection to them broke off or
+            could not be opened.
         asked_from: Position of the first gateway that is asked next.
         turn: Number of connections taken so far, by which the relays take turns.
         pool: The connections to relays; None before the first.
@@ -110,13 +114,13 @@
         rows = {name: row for name, row in self.rows().items() if row.relay_key}
         return sorted(rows, key=order)
 
-    async def ask(self, servers: Collection[BackendName]) -> int:
+    async def ask(self, servers: Collection[BackendName]) -> list[ReachAnswer]:
         """Ask a few gateways which servers they reach; those that reach any are used.
 
-        If none of them does, the next call asks others.
+        Those that stop are not used. If none is left, the next call asks others.
 
         Returns:
-            The number of gateways that have answered.
+            The answers.
         """
         question = ReachQuestion(tuple(servers)[:MAX_SERVERS_ASKED])
         answers = await self.ask_some(question)
@@ -124,14 +128,14 @@
         self.usable = [
             relay_at(peer, rows[peer])
             for peer, answer in answers.items()
-            if answer.reached and peer in rows
+            if answer.reached and not answer.stopping and peer in rows
         ]
         if not self.usable:
             self.asked_from += ASKED_AT_ONCE
         relays = [relay.router for relay in self.usable]
         fields = {"servers": question.servers, "answered": len(answers)}
         log.info("relays asked for", extra={**fields, "relays": relays})
-        return len(answers)
+        return list(answers.values())
 
     async def ask_some(self, question: ReachQuestion) -> dict[str, ReachAnswer]:
         """Ask ASKED_AT_ONCE gateways, and return the answers by VM name."""
@@ -180,7 +184,7 @@
             try:
                 channel = await self.connections().get(relay.router, relay.address)
             except BackendLostError:
-                self.avoid(relay)
+                self.use_last(relay)
                 continue
             return Path(channel, relay)
         raise NoPathError("no relay answers")
@@ -188,7 +192,7 @@
     def in_turn(self) -> list[RelayAddress]:
         """Return the relays that are not avoided, beginning with the next one.
 
-        Those whose connection has just broken off are the last.
+        Those to which a connection has just failed are the last.
         """
         now = anyio.current_time()
         able = [r for r in self.usable if now >= self.avoided.get(r.router, now)]
@@ -223,11 +227,16 @@
     def use_last(self, relay: RelayAddress) -> None:
         """Use a relay only after the others for AVOIDANCE."""
         self.broken[relay.router] = anyio.current_time() + AVOIDANCE
+        log.info("relay used last", extra={"peer": relay.router})
 
     def has_usable(self) -> bool:
-        """Return whether a relay is known that is not avoided."""
+        """Return whether a relay is known that is neither avoided nor used last."""
         now = anyio.current_time()
-        return any(now >= self.avoided.get(r.router, now) for r in self.usable)
+        return any(
+            now >= self.avoided.get(relay.router, now)
+            and now >= self.broken.get(relay.router, now)
+            for relay in self.usable
+        )
 
     def forget(self) -> None:
         """Forget the relays, since servers are reached from here again."""
--- a/ebonyhold/gateway/_stop.py
+++ b/ebonyhold/gateway/_stop.py
@@ -40,7 +40,7 @@
 """Timeout for writing the last answers, which are short refusals and errors."""
 
 EXIT_TIME: Seconds = 0.2
-"""Time that the interpreter needs to exit before the kill."""
+"""Time that the process needs to exit before the kill."""
 
 
 class Grants(Protocol):
@@ -112,12 +112,14 @@
         shutdown: Decides which late requests are accepted.
         grants: The grants, which are returned before the exit.
         leave: Removes this router's rows from the store.
+        peer_listener: Serves other routers; None if they are not served.
     """
 
     listener: CallerListener
     shutdown: Shutdown
     grants: Grants
     leave: Callable[[], Awaitable[None]]
+    peer_listener: CallerListener | None = None
 
     async def run(self, grace: Seconds, signalled_at: Seconds | None = None) -> None:
         """Run all steps of the stop.
@@ -139,7 +141,7 @@
         await self.return_early(times)
         await self.end_requests(times)
         await self.return_grants(times)
-        await self.close_listener()
+        await self.close_listeners()
 
     async def return_early(self, times: StopTimes) -> None:
         """Refuse requests that need tokens from now on, and return available tokens."""
@@ -176,23 +178,31 @@
             with anyio.move_on_after(LEAVE_TIMEOUT):
                 await self.leave()
 
-    async def close_listener(self) -> None:
-        """Close the listener, and answer the callers that connected just before.
+    async def close_listeners(self) -> None:
+        """Close the listeners for callers and for other routers at the same time."""
+        async with anyio.create_task_group() as tasks:
+            if self.peer_listener is not None:
+                tasks.start_soon(close_in_order, self.peer_listener)
+            await close_in_order(self.listener)
+            log.info("listener closed", extra={"open": len(self.listener.connections)})
 
-        Their complete requests are refused like all others in this stage. Connections
-        that are idle after `LAST_REQUEST_TIMEOUT` are closed, and requests that are
-        incomplete by then are refused.
-        """
-        self.listener.stop_accepting()
-        with anyio.move_on_after(LAST_REQUEST_TIMEOUT):
-            # Queued connections are accepted and counted while the listener closes.
-            await self.listener.until_closed()
-            await self.listener.until_empty()
-        self.listener.close_idle()
-        self.listener.interrupt_reading()
-        # Requests that have just arrived are read in the next step of the event loop.
-        await anyio.lowlevel.checkpoint()
-        self.listener.interrupt_reading()
-        with anyio.move_on_after(LAST_ANSWERS_TIMEOUT):
-            await self.listener.until_empty()
-        log.info("listener closed", extra={"open": len(self.listener.connections)})
+
+async def close_in_order(listener: CallerListener) -> None:
+    """Close a listener, and answer the callers that connected just before.
+
+    Their complete requests are answered as during the last stage of the stop.
+    Connections that are idle after `LAST_REQUEST_TIMEOUT` are closed, and requests that
+    are incomplete by then are refused.
+    """
+    listener.stop_accepting()
+    with anyio.move_on_after(LAST_REQUEST_TIMEOUT):
+        # Queued connections are accepted and counted while the listener closes.
+        await listener.until_closed()
+        await listener.until_empty()
+    listener.close_idle()
+    listener.interrupt_reading()
+    # Requests that have just arrived are read in the next step of the event loop.
+    await anyio.lowlevel.checkpoint()
+    listener.interrupt_reading()
+    with anyio.move_on_after(LAST_ANSWERS_TIMEOUT):
+        await listener.until_empty()
--- a/tests/gateway/test_partition.py
+++ b/tests/gateway/test_partition.py
@@ -8,9 +8,11 @@
 import pytest
 from attrs import define, evolve, field
 
+from ebonyhold.exceptions import BackendLostError
 from ebonyhold.forwarding import (
     BackendTable,
     ConnectOutcome,
+    NoPathError,
     Reach,
     Reachability,
     RelayAddress,
@@ -20,6 +22,7 @@
     PROBE_INTERVAL,
     RETURN_PROBES,
     PartitionMonitor,
+    ServerProber,
 )
 from ebonyhold.gateway._presence import PresenceRow
 from ebonyhold.gateway._relays import (
@@ -82,10 +85,12 @@
     Attributes:
         reached: The servers that each gateway reaches; one that is missing is silent.
         asked: The gateways that were asked, in order.
+        stopping: The gateways that stop.
     """
 
     reached: dict[str, tuple[str, ...]] = field(factory=dict)
     asked: list[str] = field(factory=list)
+    stopping: set[str] = field(factory=set)
 
     async def post(  # type: ignore[override]
         self, peer: str, target: bytes, request: object, answer: object, timeout: float
@@ -94,7 +99,9 @@
         assert isinstance(request, ReachQuestion)
         self.asked.append(peer)
         known = self.reached.get(peer)
-        return None if known is None else ReachAnswer(known)
+        if known is None:
+            return None
+        return ReachAnswer(known, stopping=peer in self.stopping)
 
 
 @define(eq=False)
@@ -242,6 +249,65 @@
     assert {relays.in_turn()[0].router for _ in range(2)} == {"vm-1", "vm-2"}
 
 
+@define(eq=False)
+class FailingPool:
+    """Connections to relays, the first of which cannot be opened.
+
+    Attributes:
+        failures: Number of connections that are still to fail.
+    """
+
+    failures: int = 1
+
+    async def get(self, name: str, address: tuple[str, int]) -> object:
+        """Return a connection, or fail."""
+        self.failures -= 1
+        if self.failures >= 0:
+            raise BackendLostError("no connection in time")
+        return object()
+
+
+async def test_relay_is_used_after_a_failed_connection_if_no_other_is_left() -> None:
+    """Guards against refusing requests for a while after one failed connection."""
+    relays = cut_off(ALL).monitor.relays
+    relays.usable, relays.tasks = [relay(1)], object()  # type: ignore[assignment]
+    relays.pool = FailingPool()  # type: ignore[assignment]
+    with pytest.raises(NoPathError):
+        await relays.open()
+    assert not relays.has_usable()
+    assert (await relays.open()).relay == relay(1)
+
+
+class ReachingProber(ServerProber):
+    """Reaches all servers."""
+
+    async def probe(
+        self, servers: Collection[str], until_made: bool = False
+    ) -> dict[str, ConnectOutcome]:
+        """Return that each server accepts."""
+        return dict.fromkeys(servers, ConnectOutcome.MADE)
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+async def test_gateway_tells_others_that_it_stops(stopping: bool) -> None:
+    """Guards against sending requests to a relay until the moment it ends."""
+    prober = ReachingProber(FakeProber(), BackendTable(), lambda: stopping)  # type: ignore[arg-type]
+    answer = await prober.answer(ReachQuestion(tuple(SERVERS)))
+    assert answer == ReachAnswer(tuple(SERVERS), stopping=stopping)
+
+
+@pytest.mark.parametrize("stopping", [1, 3])
+async def test_relay_that_stops_is_proof_of_a_partition_alone(stopping: int) -> None:
+    """Guards against taking servers for ended because the only relays stop."""
+    cut = cut_off(ALL)
+    asked = cut.monitor.relays.candidates()[:ASKED_AT_ONCE]
+    cut.peers.stopping = set(asked[:stopping])
+    await cut.monitor.examine()
+    assert cut.monitor.reach.state is Reach.PARTITIONED
+    usable = {one.router for one in cut.monitor.relays.usable}
+    assert usable == set(asked[stopping:])
+
+
 KEYS: list[tuple[str, Callable[[int], str]]] = [
     ("older builds", lambda n: "" if n % 2 else "key"),
     ("all new", lambda n: "key"),
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -78,11 +78,13 @@
 
     Attributes:
         work: The time that a request takes, in seconds.
+        for_peers: Whether the listener serves other gateways instead of callers.
         served: The targets of the served requests.
         left: Whether the rows were removed.
     """
 
     work: float = 0.0
+    for_peers: bool = False
     port: int = field(factory=free_port)
     shutdown: Shutdown = field(factory=Shutdown)
     grants: SlowGrants = field(factory=SlowGrants)
@@ -113,18 +115,33 @@
         """Connect as a caller."""
         return await anyio.connect_tcp(LOOPBACK, self.port)
 
+    def new_stop(self) -> GatewayStop:
+        """Return a stop that closes the listener."""
+        if not self.for_peers:
+            return GatewayStop(self.listener, self.shutdown, self.grants, self.leave)
+        unused = CallerListener(self.serve, long_limits)
+        return GatewayStop(
+            unused, self.shutdown, self.grants, self.leave, peer_listener=self.listener
+        )
+
     async def stop(self) -> float:
         """Run the stop, and return its duration in seconds."""
         began = anyio.current_time()
-        stop = GatewayStop(self.listener, self.shutdown, self.grants, self.leave)
-        await stop.run(GRACE)
+        await self.new_stop().run(GRACE)
         return anyio.current_time() - began
 
 
+every_listener = pytest.mark.parametrize(
+    "for_peers", [False, True], ids=["callers", "peers"]
+)
+
+
 @asynccontextmanager
-async def stopping(work: float = 0.0) -> AsyncIterator[StopRig]:
+async def stopping(
+    work: float = 0.0, for_peers: bool = False
+) -> AsyncIterator[StopRig]:
     """Run a listener, and yield it with its stop when it accepts connections."""
-    rig = StopRig(work)
+    rig = StopRig(work, for_peers)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(rig.listener.run, (LOOPBACK, rig.port), tasks)
         await until_open(rig.port)
@@ -186,14 +203,15 @@
     assert took < GRACE
 
 
-async def test_new_connection_is_answered_at_the_end() -> None:
+@every_listener
+async def test_new_connection_is_answered_at_the_end(for_peers: bool) -> None:
     """A caller connects before the listener closes, and its request arrives later.
 
     The router must wait for the request and refuse it instead of closing the connection
     without an answer.
     """
     async with (
-        stopping() as rig,
+        stopping(for_peers=for_peers) as rig,
         await rig.connect() as stream,
         anyio.create_task_group() as tasks,
     ):
@@ -226,7 +244,8 @@
         answers.append(None)
 
 
-async def test_closing_listener_answers_accepted_connections() -> None:
+@every_listener
+async def test_closing_listener_answers_accepted_connections(for_peers: bool) -> None:
     """A single caller connects in the last 3 ms before the listener closes.
 
     If the stop checks only once for open connections, it can miss one that is accepted
@@ -236,10 +255,10 @@
     answers: list[bytes | None] = []
     chances = random.Random(1)
     for _ in range(CLOSE_COUNT):
-        async with stopping() as rig:
+        async with stopping(for_peers=for_peers) as rig:
             rig.listener.start_draining()
             rig.shutdown.stage = Stage.OVER
-            stop = GatewayStop(rig.listener, rig.shutdown, rig.grants, rig.leave)
+            stop = rig.new_stop()
             at = time.monotonic() + 0.02
             requested_at = at - chances.uniform(0.0, 0.003)
             caller = threading.Thread(
@@ -247,7 +266,7 @@
             )
             caller.start()
             await anyio.sleep(max(0.0, at - time.monotonic()))
-            await stop.close_listener()
+            await stop.close_listeners()
         await anyio.to_thread.run_sync(caller.join)
     assert answers.count(b"") == 0
     assert (
--- a/tests/golden/corpus.py
+++ b/tests/golden/corpus.py
@@ -476,6 +476,9 @@
     ),
     "reach-question": ReachQuestion(servers=("i-1", "i-2")),
     "reach-answer": ReachAnswer(reached=("i-1",), refused=("i-2",)),
+    "reach-answer-stopping": ReachAnswer(
+        reached=("i-1",), refused=("i-2",), stopping=True
+    ),
 }
 """What gateways tell each other, by label."""
 
--- a/tests/golden/test_golden.py
+++ b/tests/golden/test_golden.py
@@ -60,6 +60,7 @@
 from ebonyhold.gateway._metrics import GatewayMetrics
 from ebonyhold.gateway._observations import ObservationsRow
 from ebonyhold.gateway._presence import PresenceRow
+from ebonyhold.gateway._relays import ReachAnswer
 from ebonyhold.gateway._streams import StreamAnswer
 from ebonyhold.gateway._transfers import TransferAnswer
 from ebonyhold.metrics import Metrics
@@ -109,6 +110,7 @@
     (PresenceRow, attrs.fields(PresenceRow).link_rate.name),
     (PresenceRow, attrs.fields(PresenceRow).lends_memory.name),
     (PresenceRow, attrs.fields(PresenceRow).has_leases.name),
+    (ReachAnswer, attrs.fields(ReachAnswer).stopping.name),
     (TransferAnswer, attrs.fields(TransferAnswer).own.name),
     (StreamAnswer, attrs.fields(StreamAnswer).possible.name),
     (SpendingLimit, attrs.fields(SpendingLimit).used.name),
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -9,13 +9,15 @@
 import anyio
 import pytest
 
+from tests.platform.fleet import running_gateways, wait_until_ready
+from tests.platform.kit import LISTENER_MARGIN, configuration
 from tests.platform.test_late_requests import one_gateway, wait_until_served
 
 pytestmark = pytest.mark.anyio
 
 POLL_INTERVAL: float = 0.0005
-"""Seconds between two reads of the log; short, as the interpreter exits within some
-50 ms of the last line.
+"""Seconds between two reads of the log; short, as the process exits within some
+milliseconds of the last line.
 """
 
 
@@ -31,7 +33,7 @@
 ) -> None:
     """A signal after an orderly stop must not change the exit code.
 
-    A reload or a second stop may come while the interpreter exits, after the log line
+    A reload or a second stop may come while the process exits, after the log line
     `stopped`.  The event loop has removed its signal handlers by then, so the default
     action of the signal would kill the process.
     """
@@ -47,6 +49,23 @@
     assert code == 0
 
 
+async def test_process_ends_as_soon_as_its_listener_is_closed(tmp_path: Path) -> None:
+    """Guards against callers that find no listener while the interpreter ends."""
+    program = "tests.platform.slow_exit_gateway"
+    rules = configuration()
+    async with running_gateways(tmp_path, 1, rules, program=program) as soak:
+        await wait_until_ready(soak)
+        gateway = soak.gateways[0]
+        gateway.send(signal.SIGTERM)
+        await anyio.to_thread.run_sync(wait_for_line, gateway.log, "listener closed")
+        closed_at = time.monotonic()
+        assert gateway.process is not None
+        code = await anyio.to_thread.run_sync(gateway.process.wait)
+        took = time.monotonic() - closed_at
+    assert code == 0
+    assert took < LISTENER_MARGIN
+
+
 STARTS = 4
 """Number of starts to test: the time without signal handlers could be only a few ms, so
 one start might miss it.
