--- a/ebonyhold/forwarding/_relaying.py
+++ b/ebonyhold/forwarding/_relaying.py
@@ -159,7 +159,7 @@
         """Send a request to its server within its time limit.
 
         Raises:
-            RelayDeclinedError: It was not sent.
+            RelayDeclinedError: It was not sent, or not in time.
             BackendLostError: It was sent, and no complete answer arrived in time.
         """
         limit = request.caller.time_limit or 0.0
@@ -167,6 +167,8 @@
         with self.shutdown.bounded(deadline):
             await self.send(request, deadline)
             return
+        if not request.is_sent:
+            raise RelayDeclinedError(RelayResult.UNAVAILABLE, "not sent in time")
         raise BackendLostError("no answer in time")
 
     async def send(self, request: RelayedRequest, deadline: Seconds) -> None:
@@ -265,6 +267,7 @@
         head: The head of the request.
         body: The body of the request.
         caller: The decoded headers of the request.
+        is_sent: Whether the server may have got any of it.
     """
 
     relay: RequestRelay
@@ -272,6 +275,7 @@
     head: RequestHead
     body: bytes
     caller: CallerRequest
+    is_sent: bool = False
 
     async def send(self, entry: BackendEntry, channel: Channel) -> None:
         """Send the request on a connection to a server, and pass the answer back.
@@ -301,6 +305,7 @@
             BackendLostError: No complete answer arrived.
         """
         backends = self.relay.backends
+        self.is_sent = True
         await channel.send(self.outbound())
         head, facts = await self.read_answer(entry, channel)
         if facts.not_run:
--- a/tests/forwarding/test_memory.py
+++ b/tests/forwarding/test_memory.py
@@ -199,6 +199,28 @@
     assert not relay.taken
 
 
+class SlowMemory(FakeMemory):
+    """Memory of servers that takes longer to get than a router goes on."""
+
+    async def get(self, entry: BackendEntry, wanted: RoomRequest) -> MemoryRoom | None:
+        """Get room after a second."""
+        self.asked.append(entry.backend.name)
+        await anyio.sleep(1.0)
+        return await super().get(entry, wanted)
+
+
+async def test_request_without_memory_at_the_end_of_a_relay_was_not_sent() -> None:
+    """Guards against requests that end in doubt though no server has got them."""
+    server, memory = Server("one", good), SlowMemory({"one": 1})
+    async with partitioned(server) as cut:
+        cut.relay.backends.memory = memory
+        cut.relay.shutdown.begin(anyio.current_time() + 0.2)
+        got = await cut.router.ask(request("/unsafe/x", extra=COUNTS))
+    assert got.startswith(b"HTTP/1.1 503 "), got[:200]
+    assert cut.results == [RelayResult.UNAVAILABLE]
+    assert (memory.asked, server.requests) == (["one"], [])
+
+
 class LateMemory(FakeMemory):
     """Memory of servers of which one has room only when it is asked again."""
 
