--- a/tests/forwarding/test_connects.py
+++ b/tests/forwarding/test_connects.py
@@ -66,3 +66,11 @@
         asyncio.get_running_loop().call_soon(time.sleep, 0.4)
         found = await outcomes(listening.getsockname()[1])
     assert found == [ConnectOutcome.MADE]
+
+
+async def test_connect_during_a_pause_a_little_longer_than_its_limit_is_made() -> None:
+    """Guards against sound servers that count as out of reach after such a pause."""
+    with socket.create_server((LOOPBACK, 0)) as listening:
+        asyncio.get_running_loop().call_soon(time.sleep, 0.27)
+        found = await outcomes(listening.getsockname()[1])
+    assert found == [ConnectOutcome.MADE]
